--- a/features/steps/storm.ts
+++ b/features/steps/storm.ts
@@ -1,46 +1,39 @@
 import { deepEqual, ok } from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
-import { Campaign, rateHeld, type CampaignOptions, type CampaignResult, type Sabotage } from "@chutewick/simulator";
+import { playAll, rateHeld, seeds, type CampaignOptions, type Played, type Sabotage } from "@chutewick/simulator";
+import { breachesOf } from "./proof.js";
 
 interface World {
   held: { taken: number; ideal: number };
-  results: { seed: number; result: CampaignResult }[];
+  played: Played[];
 }
 
-function playAll(world: World, from: number, to: number, options: Partial<CampaignOptions>): void {
-  world.results = [];
-  for (let seed = from; seed <= to; seed += 1) world.results.push({ seed, result: new Campaign({ seed, faults: true, ...options }).run() });
+async function play(world: World, from: number, to: number, options: Partial<CampaignOptions>): Promise<void> {
+  world.played = await playAll(seeds(from, to, options));
 }
 
-function found(world: World): string[] {
-  const lines: string[] = [];
-  for (const { seed, result } of world.results) for (const { rule, facts } of result.violations) lines.push(`seed ${seed}: ${rule}: ${facts}`);
-  return lines;
-}
-
-function theSeedsArePlayed(this: World, from: number, to: number): void {
-  playAll(this, from, to, {});
+function theSeedsArePlayed(this: World, from: number, to: number): Promise<void> {
+  return play(this, from, to, {});
 }
 When("the seeds {int} to {int} are played with faults", theSeedsArePlayed);
 
-function theSeedsArePlayedWithTokens(this: World, from: number, to: number, tokens: number, allowance: number): void {
-  playAll(this, from, to, { tokens, allowance });
+function theSeedsArePlayedWithTokens(this: World, from: number, to: number, tokens: number, allowance: number): Promise<void> {
+  return play(this, from, to, { tokens, allowance });
 }
 When("the seeds {int} to {int} are played with faults, {int} tokens a second and an allowance of {int}", theSeedsArePlayedWithTokens);
 
-function theSeedsArePlayedInSeason(this: World, from: number, to: number, season: number): void {
-  playAll(this, from, to, { season, tokens: 4 });
+function theSeedsArePlayedInSeason(this: World, from: number, to: number, season: number): Promise<void> {
+  return play(this, from, to, { season, tokens: 4 });
 }
 When("the seeds {int} to {int} are played with faults and a season of {int} waiting items over queues that come and go", theSeedsArePlayedInSeason);
 
-function theSeedsArePlayedWithoutControl(this: World, from: number, to: number, seconds: number): void {
-  playAll(this, from, to, { faults: false, stormy: 18_000, calm: 22_000, away: seconds * 1_000 });
+function theSeedsArePlayedWithoutControl(this: World, from: number, to: number, seconds: number): Promise<void> {
+  return play(this, from, to, { faults: false, stormy: 18_000, calm: 22_000, away: seconds * 1_000 });
 }
 When("the seeds {int} to {int} are played in calm but for {int} s without control", theSeedsArePlayedWithoutControl);
 
 function inquiriesMadeMeanwhile(this: World, done: number, notRun: number): void {
-  for (const { seed, result } of this.results) {
-    const { counts } = result;
+  for (const { options: { seed }, counts } of this.played) {
     const all = (counts["away done"] ?? 0) + (counts["away not-run"] ?? 0) + (counts["away other"] ?? 0);
     ok(all > 100, `seed ${seed}: ${all} inquiries`);
     ok((counts["away done"] ?? 0) >= (all * done) / 100, `seed ${seed}: ${counts["away done"]} of ${all} are done`);
@@ -50,7 +43,7 @@
 Then("at least {int} in 100 inquiries made meanwhile are done, and at most {int} in 100 are not-run", inquiriesMadeMeanwhile);
 
 function theCheckerFindsNothing(this: World): void {
-  deepEqual(found(this).slice(0, 10), []);
+  deepEqual(breachesOf(this.played).slice(0, 10), []);
 }
 Then("the checker finds nothing", theCheckerFindsNothing);
 
@@ -60,29 +53,28 @@
 
 function theCheckerFindsNothingBut(this: World): void {
   const rest: string[] = [];
-  for (const line of found(this)) if (!isStillWaiting(line)) rest.push(line);
+  for (const line of breachesOf(this.played)) if (!isStillWaiting(line)) rest.push(line);
   deepEqual(rest.slice(0, 10), []);
 }
 Then("the checker finds nothing but work still waiting", theCheckerFindsNothingBut);
 
 function everyFleetMetFaults(this: World, faults: number, inquiries: number): void {
-  for (const { seed, result } of this.results) {
-    ok(result.faults.length >= faults, `seed ${seed} met ${result.faults.length} faults`);
-    ok((result.counts["inquiry done"] ?? 0) >= inquiries, `seed ${seed} served ${result.counts["inquiry done"]}`);
+  for (const { options: { seed }, faults: met, counts } of this.played) {
+    ok(met.length >= faults, `seed ${seed} met ${met.length} faults`);
+    ok((counts["inquiry done"] ?? 0) >= inquiries, `seed ${seed} served ${counts["inquiry done"]}`);
   }
 }
 Then("every fleet met at least {int} faults and served at least {int} inquiries", everyFleetMetFaults);
 
-function seedIsSabotaged(this: World, seed: number, sabotage: string): void {
+function seedIsSabotaged(this: World, seed: number, sabotage: string): Promise<void> {
   const tight = sabotage === "ignore-cancel" || sabotage === "over-allowance" ? { tokens: 3, allowance: 60 } : {};
-  playAll(this, seed, seed, { faults: false, stormy: 12_000, calm: 14_000, sabotage: sabotage as Sabotage, ...tight });
+  return play(this, seed, seed, { faults: false, stormy: 12_000, calm: 14_000, sabotage: sabotage as Sabotage, ...tight });
 }
 When("seed {int} is played with the sabotage {string}", seedIsSabotaged);
 
 function theCheckerFinds(this: World, rule: string): void {
-  const rules = new Set<string>();
-  for (const { result } of this.results) for (const violation of result.violations) rules.add(violation.rule);
-  ok(rules.has(rule), `found only ${[...rules].join(", ")}`);
+  const { rules } = this.played[0]!;
+  ok(rules.includes(rule), `found only ${rules.join(", ")}`);
 }
 Then("the checker finds a breach of {string}", theCheckerFinds);
 
