A queue no longer configured is worked off at its model's pace, not at its last one

Excluded: runners (seats were free), shares and the chain. The standing now keeps the limits as configured beside those in force. Conclusion: what was accepted is worked off, whatever the configuration says later.

--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -141,6 +141,11 @@
   return adapter === undefined ? model : `${model}.${adapter}`;
 }
 
+function modelOf(queue: string): [model: string, adapter: string | undefined] {
+  const cut = queue.indexOf(".");
+  return cut < 0 ? [queue, undefined] : [queue.slice(0, cut), queue.slice(cut + 1)];
+}
+
 function queues(value: Configuration): QueuePlan[] {
   const plans: QueuePlan[] = [];
   for (const [key, each] of Object.entries(value.models)) {
@@ -159,4 +164,4 @@
   return all;
 }
 
-export const configuration = { check, patch, queues, queueOf, seasonsOf, blank };
+export const configuration = { check, patch, queues, queueOf, modelOf, seasonsOf, blank };
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -42,6 +42,9 @@
   /** Of what the queue's owner is to enter: limits and target. */
   readonly shareMark: number;
   readonly season: string | null;
+  /** The limits as the season or the model has them; absent in what an earlier release wrote. */
+  readonly base?: Limits;
+  /** The limits in force: the same at the pace that live work leaves. */
   readonly limits: Limits;
   /** Eighths of the configured refill that live traffic leaves. */
   readonly pace: number;
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -29,6 +29,8 @@
 interface Wish {
   readonly queue: string;
   readonly season: string | null;
+  /** Limits as configured, and as paced. */
+  readonly base: Limits;
   readonly limits: Limits;
   readonly pace: number;
   readonly wanted: number;
@@ -55,17 +57,25 @@
       const wishes = this.#wishes(group, around);
       /** Queues no longer configured, or gone to no season, still weigh on it until they are drained. */
       for (const [queue, standing] of around.standings) {
-        if (!configured.has(queue) && group.season !== null && standing.season === group.season) wishes.push({ queue, season: group.season, limits: standing.limits, pace: standing.pace, wanted: 0 });
+        if (!configured.has(queue) && group.season !== null && standing.season === group.season) wishes.push(this.#draining(queue, standing, group.season, around));
       }
       changes.push(...settle(wishes, group.allowance, around));
     }
     for (const [queue, standing] of around.standings) {
       if (configured.has(queue) || (standing.season !== null && groups.has(`season ${standing.season}`))) continue;
-      changes.push(...settle([{ queue, season: null, limits: standing.limits, pace: standing.pace, wanted: 0 }], 0, around));
+      changes.push(...settle([this.#draining(queue, standing, null, around)], 0, around));
     }
     return changes;
   }
 
+  /** A queue no longer configured takes nothing more, and what it accepted is worked off at the pace of its model. */
+  #draining(queue: string, standing: QueueStanding, season: string | null, around: Surroundings): Wish {
+    const [model, adapter] = configuration.modelOf(queue);
+    const base = standing.base ?? standing.limits;
+    const pace = this.#pace(model, adapter, around);
+    return { queue, season, base, limits: paced(base, pace), pace, wanted: 0 };
+  }
+
   #wishes(group: { allowance: number; plans: readonly QueuePlan[]; season: string | null; limits: Limits | undefined }, around: Surroundings): Wish[] {
     const needs: number[] = [];
     for (const plan of group.plans) needs.push(around.reports.get(plan.queue)?.need ?? 0);
@@ -74,13 +84,12 @@
     for (const plan of group.plans) targets += around.standings.get(plan.queue)?.target ?? 0;
     const wishes: Wish[] = [];
     for (const [place, plan] of group.plans.entries()) {
-      const configured = group.limits ?? plan.limits;
+      const base = group.limits ?? plan.limits;
       const pace = this.#pace(plan.model, plan.adapter, around);
-      const limits = { ...configured, tokens: (configured.tokens * pace) / constants.paceSteps };
       const standing = around.standings.get(plan.queue);
       /** Small moves are not worth an entry, while the sum is right. */
       const near = standing !== undefined && standing.season === group.season && targets <= group.allowance && Math.abs(standing.target - cuts[place]!) <= group.allowance / group.plans.length / 4 && group.plans.length > 1;
-      wishes.push({ queue: plan.queue, season: group.season, limits, pace, wanted: near ? standing.target : cuts[place]! });
+      wishes.push({ queue: plan.queue, season: group.season, base, limits: paced(base, pace), pace, wanted: near ? standing.target : cuts[place]! });
     }
     return wishes;
   }
@@ -121,6 +130,10 @@
   }
 }
 
+function paced(base: Limits, pace: number): Limits {
+  return { ...base, tokens: (base.tokens * pace) / constants.paceSteps };
+}
+
 /** Lowers first; raises only by what is surely free: the sum of what may come to wait never passes the allowance. */
 function settle(wishes: readonly Wish[], allowance: number, around: Surroundings): [string, QueueStanding][] {
   let committed = 0;
@@ -135,7 +148,7 @@
   }
   let free = Math.max(0, allowance - committed);
   const changes: [string, QueueStanding][] = [];
-  for (const { queue, season, limits, pace, wanted } of wishes) {
+  for (const { queue, season, base, limits, pace, wanted } of wishes) {
     const standing = around.standings.get(queue);
     const has = granted.get(queue) ?? 0;
     let target = wanted;
@@ -148,7 +161,7 @@
     }
     if (standing !== undefined && standing.season === season && standing.target === target && standing.granted === may && standing.pace === pace && sameLimits(standing.limits, limits)) continue;
     const sameShare = standing !== undefined && standing.target === target && sameLimits(standing.limits, limits);
-    changes.push([queue, { mark: (standing?.mark ?? 0) + 1, shareMark: (standing?.shareMark ?? 0) + (sameShare ? 0 : 1), season, limits, pace, target, granted: Math.max(may, target) }]);
+    changes.push([queue, { mark: (standing?.mark ?? 0) + 1, shareMark: (standing?.shareMark ?? 0) + (sameShare ? 0 : 1), season, base, limits, pace, target, granted: Math.max(may, target) }]);
   }
   return changes;
 }
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -401,7 +401,7 @@
       if (value.kind === "ADMITTED") return [{ kind: "reply", ticket, status: 202, body: { lot: value.lot, items: count, lookUp: `/lots/${value.lot}` } }];
       if (value.kind === "CONFLICT") return [trouble(ticket, 409, { trouble: "conflict", reason: "this key was used with another body", lot: value.lot })];
       if (value.kind === "FULL") {
-        const reason = count > value.allowance ? `a lot of ${count} items is more than the ${value.allowance} that may wait in this queue now` : `the queue may hold ${value.allowance} waiting items now and holds ${value.waiting}`;
+        const reason = count > value.allowance ? `a lot of ${count} items is more than the ${value.allowance} that may wait in this queue now` : `the queue may hold ${value.allowance} waiting items now and holds ${value.waiting}, those under way included`;
         return [trouble(ticket, 429, { trouble: "refused", reason, ...(value.wait === undefined ? {} : { retryAfter: Math.max(constants.retryAfter, value.wait / 1_000) }) })];
       }
       return [trouble(ticket, 500, { trouble: "internal", reason: value.kind })];
@@ -529,7 +529,7 @@
         draw = { resumeAt: 0, popping: undefined, underWay: 0 };
         this.#draws.set(queue, draw);
       }
-      const [model, adapter] = modelOf(queue);
+      const [model, adapter] = configuration.modelOf(queue);
       outputs.push(...this.#pop(queue, model, adapter, draw, now));
     }
     return outputs;
@@ -588,7 +588,7 @@
       case "unsent":
       case "refused": {
         this.#gos.delete(number);
-        const [model, adapter] = modelOf(prompt.queue);
+        const [model, adapter] = configuration.modelOf(prompt.queue);
         return this.#tryPrompt(prompt, model, adapter, now);
       }
       default: return this.#endPrompt(number, prompt, { kind: "broken" }, now, false);
@@ -654,11 +654,6 @@
   return true;
 }
 
-function modelOf(queue: string): [string, string | undefined] {
-  const cut = queue.indexOf(".");
-  return cut < 0 ? [queue, undefined] : [queue.slice(0, cut), queue.slice(cut + 1)];
-}
-
 /** Named from the caller's key, so that it can be looked up even when nothing was heard. */
 function lotName(queue: string, way: string, key: string): string {
   return `${queue}~${createHash("sha256").update(`${way}\u0000${key}`).digest("base64url").slice(0, 22)}`;
