A goodbye binds within 2 s even if nobody but a dying node heard it

Cause: the rule was counted from confirmation, and unconfirmed goodbyes were skipped. Counted from when a process that is not frozen first heard it, nodes worked on announcements up to 3.5 s old, and a process that slept took old words for new ones. Excluded: the way through control and the telling of all nodes, which both work; they cannot help where the hearer dies, or control is away and the hearer cut off. Announcements are good for 1.8 s, come twice a second, and ages count the time that a message may have been on its way. Conclusion: 2 s hold by time alone; telling nodes and control makes it faster.

--- a/features/proof.feature
+++ b/features/proof.feature
@@ -30,6 +30,9 @@
       | allowance            | 1     | shares move while owners sleep                    | shares are granted when surely given back          |
       | service              | 1     | machines are lost for good                        | silent members are voted out                       |
       | allowance            | 20    | all runners die with prompts under way            | what is under way counts as waiting                |
+      | goodbye              | 1     | the node that heard a goodbye dies                | a runner not heard of gets no work                 |
+      | goodbye              | 1     | a goodbye is heard without control                | a runner not heard of gets no work                 |
+      | goodbye              | 1     | an announcement is read after the goodbye         | what is read on waking may be old                  |
 
   Scenario Outline: seeds that once failed stay, with their cause: <cause>
     When the seeds <seed> to <seed> are played with the fault "<aim>"
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,7 +1,7 @@
 import {
-  Agreement, Chain, Feed, Sessions, constants, duty,
-  type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard,
-  type Roll, type ViewCommand, type ViewMessage, type VoteState,
+  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, lateness,
+  type Back, type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard,
+  type Roll, type Stamp, type ViewCommand, type ViewMessage, type VoteState,
 } from "@chutewick/parts";
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
@@ -13,9 +13,9 @@
   | ViewMessage
   | FeedMessage
   | FellowMessage
-  | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number }
-  | { readonly kind: "lease"; readonly identity: string; readonly view: ChainView; readonly askedAt: number; readonly place: number; readonly roll: Roll; readonly controls: readonly string[] }
-  | { readonly kind: "roll"; readonly roll: Roll }
+  | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number; readonly back?: Back | null }
+  | { readonly kind: "lease"; readonly identity: string; readonly view: ChainView; readonly askedAt: number; readonly place: number; readonly roll: Roll; readonly controls: readonly string[]; readonly stamp?: Stamp }
+  | { readonly kind: "roll"; readonly roll: Roll; readonly stamp?: Stamp; readonly back?: Back | null }
   | { readonly kind: "covered"; readonly identity: string; readonly mark: number; readonly place: number }
   | { readonly kind: "control-inquiry"; readonly ticket: string; readonly command: ControlCommand }
   | { readonly kind: "control-result"; readonly ticket: string; readonly outcome: ControlOutcome };
@@ -72,6 +72,8 @@
   #missingSince = new Map<string, number>();
   /** Where and since when a node stands behind the feed. */
   #laggingSince = new Map<string, { at: number; place: number }>();
+  /** The last stamp of each other control machine. */
+  #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #passed = new Map<string, { ticket: string; since: number }>();
 
   constructor(origin: ControlOrigin, now: number) {
@@ -103,9 +105,10 @@
         return this.#vote(this.#agreement.receive(message, from, now), now);
       case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest":
         return message.chain === "control" ? this.#perform(this.#chain.receive(message, from, now), now) : [];
-      case "session": return this.#session(message.card, message.askedAt, now);
+      case "session": return this.#session(message.card, message.askedAt, lateness(message.back, this.#life, now), now);
       case "roll":
-        this.#sessions.merge(message.roll, now);
+        this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
+        if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
         return [];
       case "covered": return this.#coveredFrom(message.identity, message.mark, message.place);
       case "control-inquiry": return this.#enter(message.ticket, message.command, from, now);
@@ -294,20 +297,21 @@
     return outputs;
   }
 
-  #session(card: NodeCard, askedAt: number, now: number): ControlOutput[] {
+  #session(card: NodeCard, askedAt: number, late: number, now: number): ControlOutput[] {
+    const stamp: Stamp = { life: this.#life, at: now };
     const view = this.#chain.view;
     if (view === undefined || !this.#isMember || !card.free || this.#lags(card, now)) {
       const news = view === undefined || !this.#isMember ? undefined : this.#feed.since(card.place);
-      this.#sessions.heard(card, now, undefined);
+      this.#sessions.heard(card, now, undefined, 0, late);
       const controls = this.#agreement.addresses();
       const told: ControlOutput[] = news === undefined ? [] : [{ kind: "send", to: card.address, message: news }];
-      return view === undefined ? [] : [...told, { kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: { nodes: [], runners: [] }, controls } }];
+      return view === undefined ? [] : [...told, { kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: { nodes: [], runners: [] }, controls, stamp } }];
     }
-    this.#sessions.heard(card, now, now + constants.leaseLasts);
+    this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late);
     const outputs: ControlOutput[] = [];
     const news = this.#feed.since(card.place);
     if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
-    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#sessions.roll(now), controls: this.#agreement.addresses() } });
+    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#sessions.roll(now), controls: this.#agreement.addresses(), stamp } });
     outputs.push(...this.#cover(now));
     return outputs;
   }
@@ -335,7 +339,7 @@
     if (now - this.#rollAt >= constants.greetEvery) {
       this.#rollAt = now;
       const roll = this.#sessions.roll(now);
-      for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message: { kind: "roll", roll } });
+      for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message: { kind: "roll", roll, stamp: { life: this.#life, at: now }, back: giveBack(this.#stamps.get(to), now) } });
     }
     if (now - this.#planAt >= constants.planEvery) {
       this.#planAt = now;
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -124,12 +124,16 @@
   #lifeAt = 0;
   #now: number;
   #draining = false;
+  /** When the last beat or announcement came, and when the last sleep ended (§7.5). */
+  #struckAt: number;
+  #wokeAt = Number.NEGATIVE_INFINITY;
   #turnedAway: { at: number; model: string }[] = [];
   readonly counts = { live: 0, done: 0, notRun: 0, mayHaveRun: 0, runnerFailed: 0, popped: 0, solved: 0, troubled: 0, givenBack: 0, broken: 0 };
 
   constructor(standing: Standing, seeds: readonly string[], now: number) {
     this.#standing = standing;
     this.#now = now;
+    this.#struckAt = now;
     const self = this;
     function telling(): Telling { return self.#telling(); }
     this.membership = new Membership(standing, seeds, now, telling);
@@ -158,12 +162,12 @@
     this.#now = now;
     switch (message.kind) {
       case "feed": case "feed-digest":
-        if (!this.membership.receive(message, now)) return [];
+        if (!this.membership.receive(message, from, now)) return [];
         /** Limits may have changed: waits told under the old ones no longer bind. */
         for (const draw of this.#draws.values()) draw.resumeAt = 0;
         return this.membership.tell(now);
       case "lease":
-        this.membership.receive(message, now);
+        this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
       case "queue-result": return this.#errandTold(message.ticket, message.outcome, now);
@@ -233,7 +237,7 @@
     const held = this.#gos.get(go);
     if (held === undefined) return "given up";
     if (!this.membership.holds(now)) return "no lease";
-    if (this.membership.isClosed(held.runner, held.incarnation)) return "the runner said goodbye";
+    if (!this.membership.isStanding(held.runner, held.incarnation, now)) return "the runner said goodbye, or was not heard of lately";
     if (held.job.kind === "prompt" && now > held.job.until) return "the grant ran out";
     return undefined;
   }
@@ -345,10 +349,21 @@
     if ((this.#announced.get(card.id)?.card.incarnation ?? 0) > card.incarnation) {
       return [trouble(ticket, 409, { trouble: "older-incarnation", reason: "a later life of this runner has announced already" })];
     }
+    /** What is read just after a sleep may have been said long before it, and before a goodbye (§7.5). */
+    this.#lookAwake(now);
+    if (now - this.#wokeAt < constants.wakingLasts) return [{ kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } }];
     this.#announced.set(card.id, { card: { ...card, age: 0 }, heardAt: now });
+    this.membership.heardRunner({ ...card, age: 0 }, now);
+    /** One that is cut off can pass nothing on: the runner is to tell another as well. */
+    if (!this.membership.holds(now) || this.#draining) return [trouble(ticket, 503, { trouble: "not-run", reason: "this access node is cut off or about to stop; announce at another", retryAfter: constants.retryAfter })];
     return [{ kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } }];
   }
 
+  #lookAwake(now: number): void {
+    if (now - this.#struckAt > constants.sleptLeast) this.#wokeAt = now;
+    this.#struckAt = now;
+  }
+
   goodbye(ticket: string, runner: string, incarnation: number, now: number): AccessOutput[] {
     this.membership.close(runner, incarnation);
     if ((this.#announced.get(runner)?.card.incarnation ?? Number.POSITIVE_INFINITY) <= incarnation) this.#announced.delete(runner);
@@ -506,8 +521,9 @@
 
   beat(now: number): AccessOutput[] {
     this.#now = now;
+    this.#lookAwake(now);
     const outputs: AccessOutput[] = [...this.membership.beat(now), ...this.#errandsBeat(now)];
-    for (const [id, { heardAt }] of this.#announced) if (now - heardAt > constants.runnerLasts * 2) this.#announced.delete(id);
+    for (const [id, { heardAt }] of this.#announced) if (now - heardAt > constants.runnerLasts) this.#announced.delete(id);
     if (now - this.#lifeAt >= constants.lifeEvery) {
       this.#lifeAt = now;
       outputs.push(...this.#signsOfLife(now));
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -1,4 +1,4 @@
-import { Follower, Lease, constants, isNewerWord, type FeedMessage, type FellowMessage, type NodeCard, type Roll, type RunnerCard, type Telling } from "@chutewick/parts";
+import { Follower, Lease, constants, giveBack, isNewerWord, type FeedMessage, type FellowMessage, type NodeCard, type Roll, type RunnerCard, type Stamp, type Telling } from "@chutewick/parts";
 import { configuration, keys, type ControlMessage, type FleetRecord, type Goodbye, type MarkedConfiguration } from "@chutewick/control";
 
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
@@ -23,7 +23,7 @@
   #controls: Set<string>;
   #seeds: readonly string[];
   #roll: Roll = { nodes: [], runners: [] };
-  #rollAt = 0;
+  #rollAt = Number.NEGATIVE_INFINITY;
   #saidHere = new Map<string, number>();
   #heardAt = new Map<string, number>();
   /** Runners that fellows told of. */
@@ -35,6 +35,8 @@
   #promisedUntil: number;
   #leaving = false;
   #toldAt = Number.NEGATIVE_INFINITY;
+  /** The last stamp of each control machine. */
+  #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #telling: () => Telling;
 
   constructor(standing: Standing, seeds: readonly string[], now: number, telling: () => Telling) {
@@ -84,11 +86,8 @@
       if (promises) this.#promisedUntil = now + constants.permitLasts;
       return [{ kind: "send", to: from, message: { kind: "fellow-tell", askedAt: message.askedAt, place: this.follower.place, promises, runners: this.#telling().runners ?? [], closed: [...this.#saidHere] } }];
     }
-    for (const card of message.runners) {
-      const held = this.#told.get(card.id);
-      const heardAt = now - card.age;
-      if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt)) this.#told.set(card.id, { card, heardAt });
-    }
+    /** No older than from the asking: the telling came after it. */
+    for (const card of message.runners) this.heardRunner(card, message.askedAt - card.age);
     for (const [runner, incarnation] of message.closed) this.close(runner, incarnation);
     if (message.askedAt !== this.#askedAt || !message.promises) return [];
     /** One that knows more shows that a change was confirmed that this node never heard of. */
@@ -136,6 +135,18 @@
     this.#saidHere.set(runner, Math.max(incarnation, this.#saidHere.get(runner) ?? 0));
   }
 
+  /** A word of a runner that came here not by control. */
+  heardRunner(card: RunnerCard, heardAt: number): void {
+    const held = this.#told.get(card.id);
+    if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt)) this.#told.set(card.id, { card, heardAt });
+  }
+
+  /** Whether a life of a runner was heard of lately and has not said goodbye: asked again before the first byte. */
+  isStanding(runner: string, incarnation: number, now: number): boolean {
+    for (const card of this.runners(now)) if (card.id === runner && card.incarnation === incarnation) return true;
+    return false;
+  }
+
   runners(now: number): RunnerCard[] {
     const found: RunnerCard[] = [];
     const known = new Map<string, RunnerCard>();
@@ -143,6 +154,7 @@
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
+      if (age > constants.runnerLasts * 4) this.#told.delete(card.id);
       if (held === undefined || isNewerWord(card, heardAt, held, now - held.age)) known.set(card.id, { ...card, age });
     }
     for (const card of known.values()) if (card.age <= constants.runnerLasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
@@ -156,14 +168,16 @@
   }
 
   /** True when the feed brought something new. */
-  receive(message: ControlMessage, now: number): boolean {
+  receive(message: ControlMessage, from: string, now: number): boolean {
     if (message.kind === "feed" || message.kind === "feed-digest") return this.follower.receive(message as FeedMessage);
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
-      if (message.roll.nodes.length > 0) {
+      if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
+      /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
+      if (message.roll.nodes.length > 0 && message.askedAt >= this.#rollAt) {
         this.#roll = message.roll;
-        this.#rollAt = now;
+        this.#rollAt = message.askedAt;
       }
       const controls = new Set<string>([...this.#seeds, ...message.controls]);
       for (const member of message.view.members) controls.add(member.address);
@@ -176,7 +190,7 @@
     this.#toldAt = now;
     const card: NodeCard = { ...this.#standing, place: this.follower.place, free: now >= this.#promisedUntil, leaving: this.#leaving, telling: this.#telling() };
     const sends: Send[] = [];
-    for (const to of this.#controls) sends.push({ kind: "send", to, message: { kind: "session", card, askedAt: now } });
+    for (const to of this.#controls) sends.push({ kind: "send", to, message: { kind: "session", card, askedAt: now, back: giveBack(this.#stamps.get(to), now) } });
     return sends;
   }
 
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -97,11 +97,11 @@
         return partition === undefined ? [] : this.#perform(partition, partition.chain.receive(message as ChainMessage, from, now), now);
       }
       case "feed": case "feed-digest": {
-        if (!this.membership.receive(message, now)) return [];
+        if (!this.membership.receive(message, from, now)) return [];
         return [...this.#views(now), ...this.membership.tell(now)];
       }
       case "lease":
-        this.membership.receive(message, now);
+        this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
       case "queue-inquiry": return this.#inquire(message.ticket, message.queue, message.command, from, now);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -76,13 +76,17 @@
   /** part. Room that is taken as whole, since burdens and counts of lots are told at different moments. */
   paceSlack: 0.1,
   /** ms. A burden older than this counts as none free. */
-  burdenLasts: 2_500,
+  burdenLasts: 1_700,
   /** ms. How long a live inquiry turned away for want of a seat, or a lot for want of room, is counted. */
   pressureLasts: 2_000,
-  /** ms. A runner not heard of for this long gets no work. */
-  runnerLasts: 3_500,
-  /** ms. Runners are asked to announce this often. */
-  announceEvery: 1_000,
+  /** ms. A runner not heard of for this long gets no work: under the 2 s that may pass after a goodbye nobody could pass on (§7.5). */
+  runnerLasts: 1_800,
+  /** ms. Runners are asked to announce this often, and to turn to another node when one has not answered within. */
+  announceEvery: 500,
+  announcePatience: 400,
+  /** ms. A process that was not struck by a beat for this long has slept; what it reads in the time after may be as old. */
+  sleptLeast: 400,
+  wakingLasts: 200,
   /** ms. A record of a goodbye is kept this long; a runner's next life has a new incarnation. */
   goodbyeKept: 3_600_000,
   /** ms. Default time that an accepted lot has. */
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -70,12 +70,35 @@
   return card.incarnation > held.incarnation || (card.incarnation === held.incarnation && heardAt > heldAt);
 }
 
+/** A moment by the clock of one life of a control machine. */
+export interface Stamp {
+  readonly life: string;
+  readonly at: number;
+}
+
+/** A stamp given back, and how long it was held here: so its giver knows how long a message was on its way at most (§7.5). */
+export interface Back extends Stamp {
+  readonly held: number;
+}
+
+/** ms. How late a message may be; one without a stamp of this life may be as late as a session lasts. */
+export function lateness(back: Back | null | undefined, life: string, now: number): number {
+  /** Releases that know no stamps. */
+  if (back === undefined) return 0;
+  return back === null || back.life !== life ? constants.sessionLasts : Math.max(0, now - back.at - back.held);
+}
+
+export function giveBack(held: { stamp: Stamp; at: number } | undefined, now: number): Back | null {
+  return held === undefined ? null : { ...held.stamp, held: now - held.at };
+}
+
 /** Control side. */
 export class Sessions {
   #sessions = new Map<string, Session>();
   #runners = new Map<string, { card: RunnerCard; heardAt: number }>();
 
-  heard(card: NodeCard, now: number, leaseUntil: number | undefined, age = 0): void {
+  /** Late: how long the message may have been on its way, which makes the runners' words in it older. */
+  heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number): void {
     const held = this.#sessions.get(card.identity);
     const heardAt = now - age;
     if (held === undefined) this.#sessions.set(card.identity, { card, heardAt, leaseUntil, taken: card.free ? card.place : 0 });
@@ -87,7 +110,7 @@
         held.heardAt = Math.max(heardAt, held.heardAt);
       }
     }
-    for (const runner of card.telling.runners ?? []) this.#heardRunner(runner, now - age);
+    for (const runner of card.telling.runners ?? []) this.#heardRunner(runner, now - late);
   }
 
   #heardRunner(card: RunnerCard, now: number): void {
@@ -96,9 +119,9 @@
     if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt)) this.#runners.set(card.id, { card, heardAt });
   }
 
-  merge(roll: Roll, now: number): void {
-    for (const { card, age } of roll.nodes) this.heard(card, now, undefined, age);
-    for (const runner of roll.runners) this.#heardRunner(runner, now);
+  merge(roll: Roll, now: number, late: number): void {
+    for (const { card, age } of roll.nodes) this.heard(card, now, undefined, age, late);
+    for (const runner of roll.runners) this.#heardRunner(runner, now - late);
   }
 
   forget(now: number): void {
@@ -123,7 +146,6 @@
     return found;
   }
 
-  /** The place that every holder of a lease granted here has reached. */
   /** Place that the node at an address took while it was free. */
   taken(address: string): number {
     let place = 0;
@@ -136,6 +158,7 @@
     return place;
   }
 
+  /** The place that every holder of a lease granted here has reached. */
   covered(limit: number, now: number): number {
     let place = limit;
     for (const session of this.#sessions.values()) {
--- a/tools/runner/src/runner.ts
+++ b/tools/runner/src/runner.ts
@@ -1,3 +1,4 @@
+import { constants } from "@chutewick/parts";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { request } from "undici";
 
@@ -65,7 +66,7 @@
     await new Promise<void>(listening);
     function announce(): void { void self.announce(); }
     announce();
-    this.#announcing = setInterval(announce, 1_000);
+    this.#announcing = setInterval(announce, constants.announceEvery);
   }
 
   /** Tells one access node; at trouble the next is told. */
@@ -76,7 +77,7 @@
       const to = access[this.#accessIndex % access.length]!;
       try {
         const told = await request(`http://${to}/runners`, {
-          method: "POST", headers: { "content-type": "application/json" }, headersTimeout: 800, bodyTimeout: 800,
+          method: "POST", headers: { "content-type": "application/json" }, headersTimeout: constants.announcePatience, bodyTimeout: constants.announcePatience,
           body: JSON.stringify({ id, incarnation: this.incarnation, url: `http://${address}`, kind, models, labels: labels ?? {}, seats, zone, burden: this.burden }),
         });
         await told.body.dump();
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -319,6 +319,82 @@
   world.at(8_000, watch);
 }
 
+/** A runner says goodbye once, to a node that dies before it told anybody, while the head of control is dead. */
+function killHearers(campaign: Campaign): void {
+  const { world } = campaign;
+  function strike(): void {
+    const hearer = world.chance.pick(campaign.accesses);
+    const runner = campaign.runners.find(isStaying);
+    const head = campaign.head();
+    if (!hearer.alive || runner === undefined) return;
+    campaign.strikes += 1;
+    for (const other of campaign.machines) if (other !== hearer) world.cut(hearer.address, other.address);
+    campaign.goodbye(runner, hearer, 1);
+    hearer.kill(true);
+    head?.kill(true);
+    world.after(4_500, back);
+    function back(): void {
+      world.mend();
+      hearer.start();
+      head?.start();
+      runner!.crash();
+      runner!.restart();
+    }
+  }
+  world.at(9_000, strike);
+  world.at(15_000, strike);
+}
+
+/** A goodbye is said while the control group is out of reach, to a node that other nodes cannot hear. */
+function goodbyeWithoutControl(campaign: Campaign): void {
+  const { world } = campaign;
+  function strike(): void {
+    const hearer = world.chance.pick(campaign.accesses);
+    for (const other of campaign.machines) if (other !== hearer) world.cut(hearer.address, other.address);
+    for (const runner of campaign.runners) if (isStaying(runner) && campaign.strikes < 2) {
+      campaign.strikes += 1;
+      campaign.goodbye(runner, hearer, 1);
+    }
+  }
+  function away(): void { campaign.away(8_000); }
+  world.at(9_000, away);
+  world.at(11_500, strike);
+}
+
+/** An access node sleeps with a runner's announcement in its buffer, and wakes when the runner has long said goodbye. */
+function oldAnnouncement(campaign: Campaign): void {
+  const { world } = campaign;
+  function strike(): void {
+    const node = campaign.accesses[0]!;
+    const runner = campaign.runners.find(isStaying);
+    if (runner === undefined || !node.alive) return;
+    node.freeze();
+    /** All its announcements from now on go to the frozen one. */
+    const all = campaign.accesses.splice(1);
+    function say(): void {
+      campaign.accesses.push(...all);
+      campaign.strikes += 1;
+      /** It dies before anybody else has heard. */
+      for (const other of campaign.machines) if (other !== all[0]) world.cut(all[0]!.address, other.address);
+      campaign.goodbye(runner!, all[0], 1);
+      all[0]!.kill(true);
+    }
+    function wake(): void {
+      world.mend();
+      node.wake();
+      all[0]!.start();
+    }
+    world.after(700, say);
+    world.after(4_000, wake);
+  }
+  world.at(9_000, strike);
+  world.at(16_000, strike);
+}
+
+function isStaying(runner: Campaign["runners"][number]): boolean {
+  return runner.alive && !runner.leaving && runner.kind === "model";
+}
+
 /** The last fault takes the owner of a queue, the head of control and an access node for good. */
 function loseForGood(campaign: Campaign): void {
   const { world } = campaign;
@@ -359,5 +435,8 @@
   "two operators race while the head dies": { rule: "two-winners", options: calm, set: raceThenKill },
   "shares move while owners sleep": { rule: "allowance", options: { ...calm, calm: 26_000, stormy: 20_000, season: 60, tokens: 4 }, set: moveShares },
   "all runners die with prompts under way": { rule: "allowance", options: { ...calm, calm: 26_000, season: 30, tokens: 40, lotItems: 4, lotEvery: [20, 80] }, set: killRunners },
+  "the node that heard a goodbye dies": { rule: "goodbye", options: calm, set: killHearers },
+  "a goodbye is heard without control": { rule: "goodbye", options: calm, set: goodbyeWithoutControl },
+  "an announcement is read after the goodbye": { rule: "goodbye", options: calm, set: oldAnnouncement },
   "machines are lost for good": { rule: "service", options: { ...calm, stormy: 14_000, calm: 26_000 }, set: loseForGood },
 };
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -1,4 +1,4 @@
-import type { ChainView } from "@chutewick/parts";
+import { constants, type ChainView } from "@chutewick/parts";
 import { configuration, type Configuration, type ControlOutcome } from "@chutewick/control";
 import { check, type ChangeRecord, type GoodbyeRecord, type InquiryRecord, type LotRecord, type Sight, type Violation } from "./checker.js";
 import { aims } from "./aims.js";
@@ -186,15 +186,23 @@
     const { world } = this;
     const self = this;
     for (const runner of this.runners) {
+      /** To any access node; where that cannot be reached or does not answer, to another (docs/interface.md). */
       function announce(): void {
-        world.after(1_000, announce);
-        if (!runner.alive || runner.leaving) return;
+        world.after(constants.announceEvery, announce);
+        tell(3);
+      }
+      function tell(tries: number): void {
+        if (!runner.alive || runner.leaving || tries === 0) return;
         const access = world.chance.pick(self.accesses);
-        if (world.isCut(access.address, runner.address)) return;
-        function enter(ticket: string): ReturnType<AccessMachine["core"]["announce"]> {
-          return access.core.announce(ticket, { id: runner.id, incarnation: runner.incarnation, url: runner.address, kind: runner.kind, models: runner.kind === "model" ? ["reader"] : [], labels: {}, seats: runner.seats, zone: "a", burden: runner.burden }, world.now);
-        }
-        access.exchange(deaf, enter);
+        function again(): void { tell(tries - 1); }
+        if (!access.alive) return world.after(2, again);
+        if (world.isCut(access.address, runner.address)) return world.after(constants.announcePatience, again);
+        if (access.frozen) world.after(constants.announcePatience, again);
+        const { incarnation } = runner;
+        const card = { id: runner.id, incarnation, url: runner.address, kind: runner.kind, models: runner.kind === "model" ? ["reader"] : [], labels: {}, seats: runner.seats, zone: "a", burden: runner.burden };
+        function enter(ticket: string): ReturnType<AccessMachine["core"]["announce"]> { return access.core.announce(ticket, card, world.now); }
+        function reply(status: number): void { if (status === 503) again(); }
+        access.exchange({ ...deaf, reply }, enter);
       }
       world.after(world.chance.between(0, 1_000), announce);
     }
@@ -511,7 +519,7 @@
 
   // Runners
 
-  goodbye(runner: Runner, first?: AccessMachine): void {
+  goodbye(runner: Runner, first?: AccessMachine, triesMost = 20): void {
     const { world, sight } = this;
     const self = this;
     if (!runner.alive || runner.leaving) return;
@@ -529,12 +537,14 @@
         world.after(4_000, back);
       }
       function enter(ticket: string): ReturnType<AccessMachine["core"]["goodbye"]> {
+        record.heardAt ??= world.now;
         if (self.options.sabotage === "ignore-goodbye") return [{ kind: "reply", ticket, status: 200, body: {} }];
         return access.core.goodbye(ticket, runner.id, record.incarnation, world.now);
       }
+      if (world.isCut(access.address, runner.address)) return again();
       access.exchange(caller, enter);
     }
-    function again(): void { if (tries < 20) world.after(300, say); }
+    function again(): void { if (tries < triesMost) world.after(300, say); }
     function back(): void {
       runner.crash();
       runner.restart();
--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -61,6 +61,8 @@
   readonly runner: string;
   readonly incarnation: number;
   readonly saidAt: number;
+  /** When its word first reached a process that was not frozen. */
+  heardAt?: number;
   confirmedAt?: number;
 }
 
@@ -107,10 +109,14 @@
   checkLots(sight, byItem, breach);
   checkChanges(sight, breach);
   for (const goodbye of sight.goodbyes) {
-    if (goodbye.confirmedAt === undefined) continue;
-    /** Work sent before the goodbye may still be on its way for a moment. */
-    for (const run of sight.runs) if (run.runner === goodbye.runner && run.incarnation === goodbye.incarnation && run.at > goodbye.confirmedAt + 10 && run.at > goodbye.saidAt + 2_000) breach("goodbye", `${run.runner} got work ${Math.round(run.at - goodbye.saidAt)} ms after its goodbye`);
-    for (const run of sight.runs) if (run.runner === goodbye.runner && run.incarnation === goodbye.incarnation && run.at > goodbye.confirmedAt + 2_000 * about) breach("goodbye", `${run.runner} got work ${Math.round(run.at - goodbye.confirmedAt)} ms after its goodbye was confirmed`);
+    const { heardAt } = goodbye;
+    if (heardAt === undefined) continue;
+    for (const run of sight.runs) {
+      if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation) continue;
+      if (run.at > heardAt + 2_000 * about) breach("goodbye", `${run.runner} got work ${Math.round(run.at - heardAt)} ms after its goodbye was heard`);
+      /** Work sent before the goodbye may still be on its way for a moment. */
+      else if (goodbye.confirmedAt !== undefined && run.at > goodbye.confirmedAt + 10 && run.at > heardAt + 2_000) breach("goodbye", `${run.runner} got work ${Math.round(run.at - goodbye.confirmedAt)} ms after its goodbye was confirmed`);
+    }
   }
   for (const { at, waiting, allowance } of sight.waiting) if (waiting > allowance * 1.1) breach("allowance", `${waiting} items wait at ${Math.round(at)}, and ${allowance} may`);
   if (!sight.repaired) breach("repair", "three whole copies of everything do not stand at the end");
@@ -252,9 +258,9 @@
 
 /** ms. The latest moments at which a rule's time limit was still used; a negative one means that nothing came after. */
 export interface Worst {
-  /** New work at a runner after its goodbye was confirmed, and after it was said. */
+  /** New work at a runner after its goodbye was confirmed, and after it was heard. */
   goodbyeConfirmed: number;
-  goodbyeSaid: number;
+  goodbyeHeard: number;
   /** Work begun on an older mark after a change was confirmed. */
   change: number;
   /** A new item of a lot after its cancelling was confirmed. */
@@ -262,12 +268,12 @@
 }
 
 export function worst(sight: Sight): Worst {
-  const found: Worst = { goodbyeConfirmed: -1, goodbyeSaid: -1, change: -1, cancel: -1 };
+  const found: Worst = { goodbyeConfirmed: -1, goodbyeHeard: -1, change: -1, cancel: -1 };
   for (const goodbye of sight.goodbyes) {
     for (const run of sight.runs) {
-      if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation || goodbye.confirmedAt === undefined) continue;
-      found.goodbyeConfirmed = Math.max(found.goodbyeConfirmed, run.at - goodbye.confirmedAt);
-      found.goodbyeSaid = Math.max(found.goodbyeSaid, run.at - goodbye.saidAt);
+      if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation || goodbye.heardAt === undefined) continue;
+      if (goodbye.confirmedAt !== undefined) found.goodbyeConfirmed = Math.max(found.goodbyeConfirmed, run.at - goodbye.confirmedAt);
+      found.goodbyeHeard = Math.max(found.goodbyeHeard, run.at - goodbye.heardAt);
     }
   }
   for (const change of sight.changes) {
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -59,6 +59,8 @@
   "of two racers one wins": { section: "§9", cuts: [{ file: machine, from: "if (expected !== undefined && expected !== null && expected !== held.mark)", to: "if (false)" }] },
   "shares are granted when surely given back": { section: "§8.4", cuts: [{ file: pace, from: "granted.set(queue, known);\n        committed += known;", to: "granted.set(queue, Math.min(known, standing.target));\n        committed += 0;" }] },
   "what is under way counts as waiting": { section: "§8.4", cuts: [{ file: lot, from: "return this.#waiting.length + this.#processing.size;", to: "return this.#waiting.length;" }] },
+  "a runner not heard of gets no work": { section: "§7.5", cuts: [{ file: constant, from: "runnerLasts: 1_800", to: "runnerLasts: 3_500" }] },
+  "what is read on waking may be old": { section: "§7.5", cuts: [{ file: constant, from: "wakingLasts: 200", to: "wakingLasts: 0" }] },
   "silent members are voted out": { section: "§2.3, §8.2", cuts: [
     { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
     { file: session, from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)", to: "if (session.card.kind === kind)" },
@@ -85,5 +87,8 @@
   ["two operators race while the head dies", "of two racers one wins"],
   ["shares move while owners sleep", "shares are granted when surely given back"],
   ["all runners die with prompts under way", "what is under way counts as waiting"],
+  ["the node that heard a goodbye dies", "a runner not heard of gets no work"],
+  ["a goodbye is heard without control", "a runner not heard of gets no work"],
+  ["an announcement is read after the goodbye", "what is read on waking may be old"],
   ["machines are lost for good", "silent members are voted out"],
 ];
