Waits told come from who knows them; unreachable runners do not stop lots

Cause: a live 'not run' always said 1 s and dropped the runner's own Retry-After; a refusal for a closed or small season told nothing; and a node that could not reach its runners counted as want of seats, which set the pace of all lots to zero. Excluded: pace itself, which follows what it is told. Refusals now name the moment of the season that gives room. Conclusion: only want of seats holds lots back.

--- a/features/proof.feature
+++ b/features/proof.feature
@@ -35,6 +35,7 @@
       | goodbye              | 1     | an announcement is read after the goodbye         | what is read on waking may be old                  |
       | given-up-early       | 1     | short times across the storm                      | time runs from the telling                         |
       | cancelled-lot-ran    | 1     | prompts come back to cancelled lots               | a cancelled lot takes nothing back                 |
+      | pace                 | 10    | runners that one node cannot reach                | only want of seats holds lots back                 |
 
   Scenario Outline: seeds that once failed stay, with their cause: <cause>
     When the seeds <seed> to <seed> are played with the fault "<aim>"
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { constants, duty, type ChainView, type Ending, type QueueCommand, type QueueResult, type RunnerCard, type Telling } from "@chutewick/parts";
+import { constants, duty, season, type ChainView, type Ending, type QueueCommand, type QueueResult, type RunnerCard, type Telling } from "@chutewick/parts";
 import { configuration, keys, type ControlCommand, type ControlOutcome, type Way } from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
 import type { DataMessage, QueueOutcome } from "./storage-core.js";
@@ -54,6 +54,8 @@
   readonly tried: Set<string>;
   /** Runners tried though they looked full. */
   doubts: number;
+  /** Seconds after which the soonest of those that refused for want of a seat is to be asked again. */
+  retryAfter: number | undefined;
   begun: boolean;
   next: number;
 }
@@ -125,6 +127,8 @@
   #lifeAt = 0;
   #now: number;
   #draining = false;
+  /** Wall clock, for what is told of seasons alone (§10.5). */
+  #wall = 0;
   /** When the last beat or announcement came, and when the last sleep ended (§7.5). */
   #struckAt: number;
   #wokeAt = Number.NEGATIVE_INFINITY;
@@ -206,7 +210,7 @@
       work = { kind: way.kind, inquiry: ticket, body: { inquiry: ticket, model: way.model, ...(way.adapter === undefined ? {} : { adapter: way.adapter }), prompt } };
     }
     if (this.#live.size >= constants.liveMost) return this.#notRun(ticket, "this access node has as many inquiries under way as it takes", constants.retryAfter);
-    return this.#tryLive({ kind: "live", ticket, way, work, tried: new Set(), doubts: 0, begun: false, next: 0 }, now);
+    return this.#tryLive({ kind: "live", ticket, way, work, tried: new Set(), doubts: 0, retryAfter: undefined, begun: false, next: 0 }, now);
   }
 
   #notRun(ticket: string, reason: string, retryAfter: number): AccessOutput[] {
@@ -218,8 +222,9 @@
     const kind = live.work.kind === "fetch" ? "plain" : "model";
     const runner = live.tried.size >= constants.runnersTried ? undefined : this.#choose(kind, live.way.model, live.way.adapter, live.way.runners, live.tried, 1, now, live.doubts);
     if (runner === undefined) {
-      if (live.way.model !== undefined) this.#turnedAway.push({ at: now, model: live.way.model });
-      return this.#notRun(live.ticket, live.tried.size === 0 ? "no runner for this way has a seat now" : "every runner tried refused it or could not be reached", constants.retryAfter);
+      /** Only want of seats holds lots back: one that cannot reach its runners says nothing of their room (§8.5). */
+      if (live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)) this.#turnedAway.push({ at: now, model: live.way.model });
+      return this.#notRun(live.ticket, live.tried.size === 0 ? "no runner for this way is known here now" : live.retryAfter === undefined ? "no runner tried could be reached" : "every runner tried is full", live.retryAfter ?? constants.retryAfter);
     }
     live.tried.add(runner.id);
     if (this.#burden(runner, now) >= runner.seats) live.doubts += 1;
@@ -303,6 +308,7 @@
       case "unsent":
       case "refused":
         this.#endLive(number, live);
+        if (event.kind === "refused") live.retryAfter = Math.min(live.retryAfter ?? Number.POSITIVE_INFINITY, event.retryAfter);
         return this.#tryLive(live, now);
       case "troubled":
       case "broken": {
@@ -405,7 +411,8 @@
     const body = createHash("sha256").update(JSON.stringify(items)).digest("base64url");
     const lasts = way.deadlineSeconds === undefined ? constants.lotDeadline : way.deadlineSeconds * 1_000;
     const command: QueueCommand = { kind: "admit", lot, way: wayName, body, prompts: items, labels: way.labels, lasts, allowance: 0 };
-    const counts = this.counts;
+    const { counts } = this;
+    const self = this;
     const count = items.length;
     function told(ended: QueueOutcome, later: number, since: number): AccessOutput[] {
       if (ended.kind === "unknown") return [trouble(ticket, 504, { trouble: "unknown", reason: "whether the lot was accepted is not known yet; look it up, or hand it in again under the same key", lot, lookUp: `/lots/${lot}` })];
@@ -419,13 +426,23 @@
       if (value.kind === "CONFLICT") return [trouble(ticket, 409, { trouble: "conflict", reason: "this key was used with another body", lot: value.lot })];
       if (value.kind === "FULL") {
         const reason = count > value.allowance ? `a lot of ${count} items is more than the ${value.allowance} that may wait in this queue now` : `the queue may hold ${value.allowance} waiting items now and holds ${value.waiting}, those under way included`;
-        return [trouble(ticket, 429, { trouble: "refused", reason, ...(value.wait === undefined ? {} : { retryAfter: Math.max(constants.retryAfter, value.wait / 1_000) }) })];
+        /** No wait by the queue's own rate: then the moment at which a season gives it room, if one does. */
+        const change = value.wait === undefined ? self.#roomAt(queue, count) : undefined;
+        const wait = value.wait ?? (change === undefined ? undefined : change - self.#wall);
+        return [trouble(ticket, 429, { trouble: "refused", reason, ...(wait === undefined ? {} : { retryAfter: Math.max(constants.retryAfter, wait / 1_000) }), ...(change === undefined ? {} : { roomAt: new Date(change).toISOString() }) })];
       }
       return [trouble(ticket, 500, { trouble: "internal", reason: value.kind })];
     }
     return this.#errand(queue, command, constants.ownerPatience, told, now);
   }
 
+  /** When, by the calendar of seasons, a queue may first hold so many. */
+  #roomAt(queue: string, count: number): number | undefined {
+    const { value } = this.membership.configuration;
+    const plan = configuration.queues(value).find(isQueue, { queue });
+    return plan === undefined ? undefined : season.roomAt(configuration.seasonsOf(value), plan.labels, plan.waiting, this.#wall, count);
+  }
+
   /** Only a node that surely has the newest configuration may say that there is no such queue. */
   #missing(ticket: string, queue: string | undefined, now: number): AccessOutput[] | undefined {
     if (queue !== undefined && this.membership.follower.read(keys.queue + queue) !== undefined) return undefined;
@@ -522,8 +539,9 @@
 
   // Dispatcher (§5): the source's loop, one per queue that this node draws from
 
-  beat(now: number): AccessOutput[] {
+  beat(now: number, wall: number): AccessOutput[] {
     this.#now = now;
+    this.#wall = wall;
     this.#lookAwake(now);
     const outputs: AccessOutput[] = [...this.membership.beat(now), ...this.#errandsBeat(now)];
     for (const [id, { heardAt }] of this.#announced) if (now - heardAt > constants.runnerLasts) this.#announced.delete(id);
@@ -660,6 +678,10 @@
   }
 }
 
+function isQueue(this: { queue: string }, plan: { queue: string }): boolean {
+  return plan.queue === this.queue;
+}
+
 function isLate(this: { since: number }, entry: { at: number }): boolean {
   return entry.at >= this.since;
 }
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -63,7 +63,7 @@
     const access = new AccessProcess(settings, log);
     const trouble = await listen(access.#wire, access.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
-    function strike(now: number): void { access.#perform(access.#core.beat(now)); }
+    function strike(now: number): void { access.#perform(access.#core.beat(now, Date.now())); }
     access.#beat.start(strike);
     log.info({ wire: settings.wire, http: settings.http }, "access node is up");
     return outcome.good(access);
--- a/packages/data/src/link.ts
+++ b/packages/data/src/link.ts
@@ -78,7 +78,8 @@
     const status = response.statusCode;
     if ((status === 429 || status === 503) && response.headers["chutewick-taken"] === "no") {
       await response.body.dump();
-      return tell({ kind: "refused", retryAfter: Number(response.headers["retry-after"] ?? constants.retryAfter) });
+      const wait = Number(response.headers["retry-after"]);
+      return tell({ kind: "refused", retryAfter: wait > 0 && Number.isFinite(wait) ? wait : constants.retryAfter });
     }
     if (work.kind === "fetch") {
       const bytes = await response.body.bytes();
--- a/packages/parts/src/season.ts
+++ b/packages/parts/src/season.ts
@@ -40,6 +40,19 @@
   return best;
 }
 
+/** The next start or end of a season from which on so many items may wait; undefined where none brings that. */
+function roomAt(seasons: readonly Season[], labels: Labels, own: number, wall: number, count: number): number | undefined {
+  const moments: number[] = [];
+  for (const one of seasons) if (matches(one.select, labels)) for (const moment of [one.start, one.end]) if (moment > wall) moments.push(moment);
+  moments.sort(ascending);
+  for (const moment of moments) if ((deciding(seasons, labels, moment)?.waiting ?? own) >= count) return moment;
+  return undefined;
+}
+
+function ascending(left: number, right: number): number {
+  return left - right;
+}
+
 /** Half of an allowance is cut evenly, half by need, so that every queue can begin and the busy ones get more. */
 function cut(allowance: number, needs: readonly number[]): number[] {
   let all = 0;
@@ -52,4 +65,4 @@
   return shares;
 }
 
-export const season = { matches, isOpen, deciding, cut };
+export const season = { matches, isOpen, deciding, roomAt, cut };
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -453,9 +453,13 @@
   world.at(15_000, mend);
 }
 
+/** Seats were free all the while, so lots must go on: 5.5 s at 10 a second from each of two queues, with a tenth and more to spare. */
 function notRun(campaign: Campaign): number {
   let count = 0;
+  let began = 0;
   for (const inquiry of campaign.sight.inquiries) if (inquiry.told === "not-run" && inquiry.askedAt > 9_000 && inquiry.askedAt < 15_000) count += 1;
+  for (const run of campaign.sight.runs) if (typeof run.prompt !== "string" && run.at > 9_500 && run.at < 15_000) began += 1;
+  if (began < 50) campaign.breaches.push({ rule: "pace", facts: `only ${began} prompts of lots began while runners were free` });
   return count;
 }
 
@@ -503,7 +507,7 @@
   "a goodbye is heard without control": { rule: "goodbye", options: calm, set: goodbyeWithoutControl },
   "an announcement is read after the goodbye": { rule: "goodbye", options: calm, set: oldAnnouncement },
   "short times across the storm": { rule: "given-up-early", options: { deadlineSeconds: 5, tokens: 6, allowance: 200 }, set: nothing, struck: outOfTime },
-  "prompts come back to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, tokens: 10 }, set: cancelAndBreak, struck: backToCancelled },
-  "runners that one node cannot reach": { rule: "pace", options: calm, set: cutRunners, struck: notRun },
+  "prompts come back to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, calm: 24_000, tokens: 10 }, set: cancelAndBreak, struck: backToCancelled },
+  "runners that one node cannot reach": { rule: "pace", options: { ...calm, calm: 34_000, tokens: 10, lotItems: 14, lotEvery: [250, 450] }, set: cutRunners, struck: notRun },
   "machines are lost for good": { rule: "service", options: { ...calm, stormy: 14_000, calm: 26_000 }, set: loseForGood },
 };
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -62,6 +62,8 @@
   readonly sight: Sight;
   /** How often an aimed fault struck. */
   strikes = 0;
+  /** What an aim itself finds broken. */
+  readonly breaches: Violation[] = [];
   /** Whether all is mended at the end of the storm, or the last fault stays. */
   heals = true;
   #stormy: number;
@@ -160,9 +162,11 @@
       }
     }
     for (const inquiry of sight.inquiries) counts[`inquiry ${inquiry.told ?? "nothing"}`] = (counts[`inquiry ${inquiry.told ?? "nothing"}`] ?? 0) + 1;
+    /** Tries made as soon as a refusal's wait had passed. */
+    for (const lot of sight.lots) for (const [place, told] of lot.tries.entries()) if (lot.tries[place - 1] === "refused") counts[`lot waited, then ${told}`] = (counts[`lot waited, then ${told}`] ?? 0) + 1;
     for (const change of sight.changes) counts[`change ${change.told ?? "nothing"}`] = (counts[`change ${change.told ?? "nothing"}`] ?? 0) + 1;
     if (aim?.struck !== undefined) this.strikes += aim.struck(this);
-    return { violations: check(sight), sight, faults: this.faults, counts, strikes: this.strikes };
+    return { violations: [...check(sight), ...this.breaches], sight, faults: this.faults, counts, strikes: this.strikes };
   }
 
   /** The machine that owns a queue, by the newest view that stands on a disk. */
@@ -365,7 +369,7 @@
     for (let slip = 0; slip < record.count; slip += 1) items.push({ key: record.key, slip });
     const askedAt = world.now;
     let ended = false;
-    function end(told: string, lot?: string): void {
+    function end(told: string, lot?: string, wait = 1): void {
       if (ended) return;
       ended = true;
       record.tries.push(told);
@@ -378,14 +382,14 @@
       if (told === "accepted") return;
       function again(): void { self.tryLot(record, way); }
       if (record.tries.length < 12 && told !== "refused") world.after(world.chance.between(200, 1_200), again);
-      else if (told === "refused" && record.tries.length < (self.options.lotTries ?? 3)) world.after(1_000, again);
+      else if (told === "refused" && record.tries.length < (self.options.lotTries ?? 3)) world.after(wait * 1_000, again);
     }
     const caller: CallerSight = { ...deaf, reply, torn };
     function reply(status: number, body: Record<string, unknown>): void {
       const lot = body["lot"] as string | undefined;
       if (status === 202 && body["endsWithin"] !== undefined) record.endsAt = Math.min(record.endsAt ?? Number.POSITIVE_INFINITY, world.now + 1_000 * (body["endsWithin"] as number));
       if (status === 202) end(self.options.sabotage === "refuse-admitted" ? "refused" : "accepted", lot);
-      else end(status === 429 ? "refused" : String(body["trouble"]), lot);
+      else end(status === 429 ? "refused" : String(body["trouble"]), lot, body["retryAfter"] as number | undefined);
     }
     function torn(): void { end("torn"); }
     const access = world.chance.pick(this.accesses);
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -66,6 +66,7 @@
     { file: access, from: "Math.min(lasts, value.remaining - (later - since))", to: "lasts" },
   ] },
   "a cancelled lot takes nothing back": { section: "§5.3", cuts: [{ file: lot, from: "if (lot.cancelled)\n            return this.#finish(ledger, key, item, \"cancelled\", time, {});", to: "" }] },
+  "only want of seats holds lots back": { section: "§8.5", cuts: [{ file: access, from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)", to: "live.way.model !== undefined" }] },
   "silent members are voted out": { section: "§2.3, §8.2", cuts: [
     { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
     { file: session, from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)", to: "if (session.card.kind === kind)" },
@@ -97,5 +98,6 @@
   ["an announcement is read after the goodbye", "what is read on waking may be old"],
   ["short times across the storm", "time runs from the telling"],
   ["prompts come back to cancelled lots", "a cancelled lot takes nothing back"],
+  ["runners that one node cannot reach", "only want of seats holds lots back"],
   ["machines are lost for good", "silent members are voted out"],
 ];
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -140,7 +140,7 @@
     this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", http: this.address }, this.#seeds, this.world.now);
   }
 
-  protected strike(): void { this.perform(this.core.beat(this.world.now)); }
+  protected strike(): void { this.perform(this.core.beat(this.world.now, this.world.wall)); }
 
   leave(): void { this.perform(this.core.leave(this.world.now)); }
 
