A pair of control machines that loses a disk goes on when the third is back

Cause: the view after a pair was agreed on by both, so a disk lost while the third machine was cut off left nobody who could agree, until an operator came; the simulator avoided the case. Excluded: the chain and the copies, which the survivor holds whole. Who was voted out still votes; members alone propose. A test's own fault showed on the way: machines that were gone for good were started again by an older fault's end.

--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -12,6 +12,8 @@
   readonly members: readonly Member[];
   /** Being copied to; not yet counted as a copy. */
   readonly joiner?: Member;
+  /** Who agrees on the next view, where these are not just the members (§2.3). */
+  readonly voters?: readonly Member[];
 }
 
 export interface Entry {
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -79,6 +79,7 @@
   addresses(): string[] {
     const found = new Set<string>(this.#seeds);
     for (const member of this.#state.view?.members ?? []) found.add(member.address);
+    for (const voter of this.#state.view?.voters ?? []) found.add(voter.address);
     if (this.#state.view?.joiner !== undefined) found.add(this.#state.view.joiner.address);
     for (const neighbour of this.#neighbours.values()) found.add(neighbour.member.address);
     found.delete(this.#self.address);
@@ -149,26 +150,48 @@
   /** What the next view should be, judged from silence, from blanks that greet and from copies done. */
   #wish(now: number): ChainView | undefined {
     const view = this.#state.view!;
-    const mark = view.mark + 1;
-    const alive: Member[] = [];
-    for (const member of view.members) if (this.heardWithin(member.identity, constants.memberSilence, now)) alive.push(member);
-    if (alive.length < majority(view)) return undefined;
+    const alive = this.#alive(view.members, now);
+    if (this.#alive(votersOf(view), now).length < majority(view)) return undefined;
     const joiner = view.joiner;
     const joinerAlive = joiner !== undefined && this.heardWithin(joiner.identity, constants.memberSilence, now);
-    if (alive.length < view.members.length && alive.length >= constants.copiesLeast) return { mark, members: alive, ...(joinerAlive ? { joiner } : {}) };
-    if (alive.length < view.members.length) return undefined;
+    if (alive.length < view.members.length) {
+      /** One copy left confirms nothing: it goes on only where there is one to copy to. */
+      const next = joinerAlive ? joiner : alive.length < constants.copiesLeast ? this.#candidate(view, now) : undefined;
+      return alive.length >= constants.copiesLeast || next !== undefined ? this.#next(view, alive, next, now) : undefined;
+    }
     if (joiner !== undefined) {
-      if (!joinerAlive) return { mark, members: view.members };
-      return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? { mark, members: [...view.members, joiner] } : undefined;
+      if (!joinerAlive) return this.#next(view, view.members, undefined, now);
+      return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? this.#next(view, [...view.members, joiner], undefined, now) : undefined;
     }
     if (view.members.length >= constants.copiesWanted) return undefined;
+    const candidate = this.#candidate(view, now);
+    return candidate === undefined ? undefined : this.#next(view, view.members, candidate, now);
+  }
+
+  #alive(members: readonly Member[], now: number): Member[] {
+    const found: Member[] = [];
+    for (const member of members) if (this.heardWithin(member.identity, constants.memberSilence, now)) found.push(member);
+    return found;
+  }
+
+  /** A view of fewer than three keeps voters that are no members, those that live first, so the loss of one more can be agreed on (§2.3). */
+  #next(view: ChainView, members: readonly Member[], joiner: Member | undefined, now: number): ChainView {
+    const voters: Member[] = [...members];
+    const before = votersOf(view);
+    for (const other of [...this.#alive(before, now), ...before]) {
+      if (voters.length < constants.copiesWanted && !voters.some(hasIdentity, { identity: other.identity })) voters.push(other);
+    }
+    return { mark: view.mark + 1, members, ...(joiner === undefined ? {} : { joiner }), ...(voters.length > members.length ? { voters } : {}) };
+  }
+
+  #candidate(view: ChainView, now: number): Member | undefined {
     const candidates: Member[] = [];
     for (const neighbour of this.#neighbours.values()) {
       const identity = neighbour.member.identity;
       if (now - neighbour.heardAt < constants.greetEvery * 3 && !this.#retired.has(identity) && !view.members.some(hasIdentity, { identity })) candidates.push(neighbour.member);
     }
     candidates.sort(byIdentity);
-    return candidates[0] === undefined ? undefined : { mark, members: view.members, joiner: candidates[0] };
+    return candidates[0];
   }
 
   #mend(now: number): ViewCommand[] {
@@ -189,13 +212,13 @@
     this.#round += 1;
     const ballot: Ballot = { round: this.#round, identity: this.#self.identity };
     this.#try = { mark: wished.mark, ballot, wished, promises: new Map(), accepts: new Set(), value: undefined };
-    return this.#toMembers({ kind: "prepare", mark: wished.mark, ballot }, now);
+    return this.#toVoters({ kind: "prepare", mark: wished.mark, ballot }, now);
   }
 
-  /** A message to every member of the view, this one included, which takes it at once. */
-  #toMembers(message: ViewMessage, now: number): ViewCommand[] {
+  /** A message to every voter of the view, this one included, which takes it at once. */
+  #toVoters(message: ViewMessage, now: number): ViewCommand[] {
     const commands: ViewCommand[] = [];
-    for (const member of this.#state.view!.members) {
+    for (const member of votersOf(this.#state.view!)) {
       if (member.identity !== this.#self.identity) commands.push({ kind: "send", to: member.address, message });
     }
     commands.push(...this.receive(message, this.#self.address, now));
@@ -259,6 +282,7 @@
   #promise(message: Extract<ViewMessage, { kind: "promise" }>, now: number): ViewCommand[] {
     const held = this.#try;
     if (held === undefined || held.value !== undefined || held.mark !== message.mark || !sameBallot(held.ballot, message.ballot)) return [];
+    if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
     held.promises.set(message.member, message.accepted);
     if (held.promises.size < majority(this.#state.view!)) return [];
     let best: VoteState["accepted"];
@@ -266,7 +290,7 @@
       if (accepted !== undefined && accepted !== null && (best === undefined || higher(accepted.ballot, best.ballot))) best = accepted;
     }
     held.value = best?.view ?? held.wished;
-    return this.#toMembers({ kind: "accept", mark: held.mark, ballot: held.ballot, view: held.value }, now);
+    return this.#toVoters({ kind: "accept", mark: held.mark, ballot: held.ballot, view: held.value }, now);
   }
 
   #accept(message: Extract<ViewMessage, { kind: "accept" }>, from: string, now: number): ViewCommand[] {
@@ -279,14 +303,19 @@
   #acceptedBy(message: Extract<ViewMessage, { kind: "accepted" }>): ViewCommand[] {
     const held = this.#try;
     if (held === undefined || held.value === undefined || held.mark !== message.mark || !sameBallot(held.ballot, message.ballot)) return [];
+    if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
     held.accepts.add(message.member);
     if (held.accepts.size < majority(this.#state.view!)) return [];
     return this.#decide(held.value);
   }
 }
 
+function votersOf(view: ChainView): readonly Member[] {
+  return view.voters ?? view.members;
+}
+
 function majority(view: ChainView): number {
-  return Math.floor(view.members.length / 2) + 1;
+  return Math.floor(votersOf(view).length / 2) + 1;
 }
 
 function higher(left: Ballot, right: Ballot): boolean {
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -463,6 +463,34 @@
   return count;
 }
 
+/** One control machine is cut off and voted out; then another loses its disk, and comes back blank or at a new address. */
+function loseDiskInPair(campaign: Campaign): void {
+  const { world, controls } = campaign;
+  let away: (typeof controls)[number] | undefined;
+  function cut(): void {
+    away = controls.find(isNoHead)!;
+    world.isolate(away.address);
+  }
+  function lose(): void {
+    const lost = controls.find(isPicked, { away, head: campaign.options.seed % 4 < 2 })!;
+    const view = lost.core.view;
+    if (view?.members.length === 2) campaign.strikes += 1;
+    lost.kill(true);
+    lost.wipe();
+    function back(): void { lost.start(); }
+    if (campaign.options.seed % 2 === 0) world.after(800, back);
+    else campaign.blankInstead(lost, 800);
+  }
+  function mend(): void { world.mend(); }
+  world.at(9_000, cut);
+  world.at(12_500, lose);
+  world.at(17_000, mend);
+}
+
+function isPicked(this: { away: unknown; head: boolean }, control: { alive: boolean; core: { isHead: boolean } }): boolean {
+  return control !== this.away && control.core.isHead === this.head;
+}
+
 /** The last fault takes the owner of a queue, the head of control and an access node for good. */
 function loseForGood(campaign: Campaign): void {
   const { world } = campaign;
@@ -509,5 +537,6 @@
   "short times across the storm": { rule: "given-up-early", options: { deadlineSeconds: 5, tokens: 6, allowance: 200 }, set: nothing, struck: outOfTime },
   "prompts come back to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, calm: 24_000, tokens: 10 }, set: cancelAndBreak, struck: backToCancelled },
   "runners that one node cannot reach": { rule: "pace", options: { ...calm, calm: 34_000, tokens: 10, lotItems: 14, lotEvery: [250, 450] }, set: cutRunners, struck: notRun },
+  "a control disk is lost while another is away": { rule: "service", options: { ...calm, stormy: 13_000, calm: 26_000 }, set: loseDiskInPair },
   "machines are lost for good": { rule: "service", options: { ...calm, stormy: 14_000, calm: 26_000 }, set: loseForGood },
 };
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -72,8 +72,9 @@
   #changeNumber = 0;
   #lastWipeAt = Number.NEGATIVE_INFINITY;
   #wishes = 0;
-  #awayUntil = 0;
   #replaced = false;
+  /** A control disk was lost, and three whole copies do not stand yet. */
+  #controlLost = false;
   #emptied = false;
   #emptiedIdentity: string | undefined;
   #rolled = false;
@@ -447,6 +448,7 @@
       function enter(ticket: string): ReturnType<AccessMachine["core"]["lookUp"]> { return access.core.lookUp(ticket, record.lot!, world.now); }
       access.exchange(caller, enter);
     }
+    if (this.#controlLost && this.#whole()) this.#controlLost = false;
     if (open === 0 && sight.healedAt > 0) sight.serviceAt.finished ??= world.now;
     this.countWaiting();
   }
@@ -643,7 +645,6 @@
 
   #mendAfter(lasts: number): void {
     const { world } = this;
-    this.#awayUntil = Math.max(this.#awayUntil, world.now + lasts);
     const self = this;
     this.#wishes += 1;
     const wish = this.#wishes;
@@ -662,10 +663,12 @@
   /** One machine at a time may lose its disk, and the next only when all is copied again. */
   #wipe(machine: Machine, lasts: number): void {
     if (!machine.alive || this.accesses.includes(machine as AccessMachine)) return;
-    if (this.world.now - this.#lastWipeAt < 1_000 || !this.#whole()) return;
-    /** A control group of two needs both to agree: none of it may be away when another's disk goes (docs/design.md §2.3). */
-    if (this.controls.includes(machine as ControlMachine) && !this.#calmControl()) return;
+    if (this.world.now - this.#lastWipeAt < 1_000) return;
+    /** Of control machines another may be away meanwhile, but none else without its disk (docs/design.md §2.3). */
+    const control = this.controls.includes(machine as ControlMachine);
+    if (control ? this.#controlLost : !this.#whole()) return;
     this.#lastWipeAt = this.world.now;
+    this.#controlLost ||= control;
     this.note(`disk lost at ${machine.name}, back empty after ${Math.round(lasts)}`);
     machine.kill(true);
     machine.wipe();
@@ -702,18 +705,26 @@
   /** A control machine is gone for good; a blank one comes at a new address. */
   #replace(): void {
     const { world, controls } = this;
-    if (this.#replaced || !this.#calmControl() || !this.#whole()) return;
+    if (this.#replaced || this.#controlLost) return;
     this.#replaced = true;
     this.#lastWipeAt = world.now;
+    this.#controlLost = true;
     const place = world.chance.below(3);
     const gone = controls[place]!;
     this.note(`${gone.name} is gone for good, a blank one comes at a new address`);
     gone.kill(true);
     gone.wipe();
+    this.blankInstead(gone, world.chance.between(100, 3_000));
+  }
+
+  /** A blank control machine at a new address, instead of one that is gone. */
+  blankInstead(gone: ControlMachine, after: number): void {
+    const { world, controls } = this;
     const blank = new ControlMachine(world, "control-4", "control-4", ["control-1", "control-2", "control-3"]);
-    controls[place] = blank;
+    controls[controls.indexOf(gone)] = blank;
+    gone.retired = true;
     function begin(): void { blank.start(); }
-    world.after(world.chance.between(100, 3_000), begin);
+    world.after(after, begin);
   }
 
   #add(): void {
@@ -761,11 +772,6 @@
     }
   }
 
-  #calmControl(): boolean {
-    for (const control of this.controls) if (!control.alive || control.frozen) return false;
-    return this.#awayUntil <= this.world.now;
-  }
-
   /** Whether three whole copies of everything stand on disks that are still there. */
   #whole(): boolean {
     let newest: ChainView | undefined;
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -15,6 +15,7 @@
 const chain = "packages/parts/dist/chain.js";
 const lot = "packages/parts/dist/lot.js";
 const session = "packages/parts/dist/session.js";
+const view = "packages/parts/dist/view.js";
 const feed = "packages/parts/dist/feed.js";
 const constant = "packages/parts/dist/constants.js";
 
@@ -67,6 +68,7 @@
   ] },
   "a cancelled lot takes nothing back": { section: "§5.3", cuts: [{ file: lot, from: "if (lot.cancelled)\n            return this.#finish(ledger, key, item, \"cancelled\", time, {});", to: "" }] },
   "only want of seats holds lots back": { section: "§8.5", cuts: [{ file: access, from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)", to: "live.way.model !== undefined" }] },
+  "who was voted out still votes": { section: "§2.3", cuts: [{ file: view, from: "return view.voters ?? view.members;", to: "return view.members;" }] },
   "silent members are voted out": { section: "§2.3, §8.2", cuts: [
     { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
     { file: session, from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)", to: "if (session.card.kind === kind)" },
@@ -99,5 +101,6 @@
   ["short times across the storm", "time runs from the telling"],
   ["prompts come back to cancelled lots", "a cancelled lot takes nothing back"],
   ["runners that one node cannot reach", "only want of seats holds lots back"],
+  ["a control disk is lost while another is away", "who was voted out still votes"],
   ["machines are lost for good", "silent members are voted out"],
 ];
--- a/tools/simulator/src/world.ts
+++ b/tools/simulator/src/world.ts
@@ -125,6 +125,8 @@
   folder: Folder | undefined;
   alive = false;
   frozen = false;
+  /** Gone for good. */
+  retired = false;
   /** Counts lives, so that what belongs to an old one is dropped. */
   life = 0;
   slowUntil = 0;
@@ -147,6 +149,7 @@
   protected ended(): void {}
 
   start(): void {
+    if (this.retired) return;
     this.alive = true;
     this.frozen = false;
     this.#held = [];
