--- a/features/proof.feature
+++ b/features/proof.feature
@@ -37,6 +37,7 @@
       | cancelled-lot-ran    | 1     | prompts come back to cancelled lots               | a cancelled lot takes nothing back                 |
       | pace                 | 10    | runners that one node cannot reach                | only want of seats holds lots back                 |
       | service              | 1     | a control disk is lost while another is away      | who was voted out still votes                      |
+      | season-runners       | 20    | seasons select lots and runners by labels         | a season's lots use its runners                    |
 
   Scenario Outline: seeds that once failed stay, with their cause: <cause>
     When the seeds <seed> to <seed> are played with the fault "<aim>"
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,4 +1,4 @@
-import { outcome, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
+import { constants, outcome, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
 import { explain } from "@chutewick/shell";
 import { z } from "zod";
 
@@ -42,6 +42,8 @@
   start: moment,
   end: moment,
   select: z.array(selector).min(1, { error: "must select something" }),
+  /** Which runners its lots may use, by their labels. */
+  runners: z.array(selector).default([]),
   waiting: z.int().min(1, { error: "must be 1 or more; leave the season out to allow nothing new" }).max(10_000_000),
   bucket: limits.optional(),
 });
@@ -91,10 +93,24 @@
     if (Date.parse(each.end) <= Date.parse(each.start)) found.push(`seasons.${key}.end: must be after the start`);
     const contradiction = contradicts(each.select);
     if (contradiction !== undefined) found.push(`seasons.${key}.select: can select nothing, since ${contradiction}`);
+    const impossible = contradicts(each.runners);
+    if (impossible !== undefined) found.push(`seasons.${key}.runners: can select no runner, since ${impossible}`);
   }
   return found.length > 0 ? outcome.bad(found.join("; ")) : outcome.good(value);
 }
 
+/** What is allowed but looks like a slip: labels that nothing in the configuration carries. */
+function warnings(value: Configuration): string[] {
+  const carried = new Set<string>(["way"]);
+  for (const { labels: each } of queues(value)) for (const key of Object.keys(each)) carried.add(key);
+  for (const each of Object.values(value.ways)) for (const key of Object.keys(each.labels)) carried.add(key);
+  const found: string[] = [];
+  for (const [key, each] of Object.entries(value.seasons)) {
+    for (const { label } of each.select) if (!carried.has(label)) found.push(`seasons.${key}.select: no model, adapter or way carries the label ${label}; only lots that bring it are selected`);
+  }
+  return found;
+}
+
 function contradicts(selectors: z.infer<typeof selector>[]): string | undefined {
   const allowed = new Map<string, Set<string>>();
   const absent = new Set<string>();
@@ -127,6 +143,12 @@
   return base;
 }
 
+/** Labels that a lot brings of its own; undefined where they are none. */
+function labelsOf(input: unknown): Labels | undefined {
+  const parsed = labels.safeParse(input);
+  return parsed.success && Object.keys(parsed.data).length <= constants.lotLabelsMost ? parsed.data : undefined;
+}
+
 /** One queue per model and per adapter (the source's rule). */
 export interface QueuePlan {
   readonly queue: string;
@@ -159,9 +181,9 @@
 function seasonsOf(value: Configuration): Season[] {
   const all: Season[] = [];
   for (const [key, each] of Object.entries(value.seasons)) {
-    all.push({ name: key, start: Date.parse(each.start), end: Date.parse(each.end), select: each.select, waiting: each.waiting, ...(each.bucket === undefined ? {} : { limits: each.bucket }) });
+    all.push({ name: key, start: Date.parse(each.start), end: Date.parse(each.end), select: each.select, runners: each.runners, waiting: each.waiting, ...(each.bucket === undefined ? {} : { limits: each.bucket }) });
   }
   return all;
 }
 
-export const configuration = { check, patch, queues, queueOf, modelOf, seasonsOf, blank };
+export const configuration = { check, warnings, patch, labelsOf, queues, queueOf, modelOf, seasonsOf, blank };
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -403,9 +403,12 @@
     for (const [key, standing] of this.#feed.under<QueueStanding>(keys.standing)) standings.set(key.slice(keys.standing.length), standing);
     const reports = new Map<string, ShareReport>();
     for (const card of storage) {
-      for (const [queue, shareMark, held, need] of card.telling.shares ?? []) {
+      for (const [queue, shareMark, held, need, classes] of card.telling.shares ?? []) {
         /** Only the owner's word counts, and of two only that under the newer share. */
-        if (this.#feed.read<ChainView>(keys.queue + queue)?.members[0]?.identity === card.identity) reports.set(queue, { shareMark, held, need });
+        if (this.#feed.read<ChainView>(keys.queue + queue)?.members[0]?.identity !== card.identity) continue;
+        const told = new Map<string, { held: number; need: number }>();
+        for (const [season, heldOf, needOf] of classes ?? [[standings.get(queue)?.season ?? "", held, need] as const]) told.set(season, { held: heldOf, need: needOf });
+        reports.set(queue, { shareMark, classes: told });
       }
     }
     return { now, wall: this.#wall, standings, reports, runners: this.#sessions.roll(now).runners, access: this.#sessions.live("access", now) };
@@ -515,7 +518,7 @@
   #standings(now: number): Record<string, unknown> {
     const { standings, reports } = this.#surroundings(this.#sessions.live("storage", now), now);
     const told: Record<string, unknown> = {};
-    for (const [queue, standing] of standings) told[queue] = { ...standing, report: reports.get(queue) };
+    for (const [queue, standing] of standings) told[queue] = { ...standing, report: reportOf(reports.get(queue)) };
     return told;
   }
 
@@ -538,6 +541,10 @@
   return { ...card, age: Math.round(node.age) };
 }
 
+function reportOf(report: ShareReport | undefined): Record<string, unknown> | undefined {
+  return report === undefined ? undefined : { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
+}
+
 function isIn(this: ReadonlySet<string>, member: Member): boolean {
   return this.has(member.identity);
 }
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -1,4 +1,4 @@
-import { constants, type ChainView, type Ledger, type Limits, type Machine } from "@chutewick/parts";
+import { constants, type ChainView, type Ledger, type Limits, type Machine, type Selector } from "@chutewick/parts";
 import { configuration, type Configuration, type MarkedConfiguration } from "./configuration.js";
 
 /** Control state: configuration, placement of queues, goodbyes, emptying of machines (docs/design.md §9). */
@@ -48,10 +48,25 @@
   readonly limits: Limits;
   /** Eighths of the configured refill that live traffic leaves. */
   readonly pace: number;
-  /** Items that may wait from now on. */
+  /** Sums over the classes: items that may wait from now on, and that may still come to wait until the owner has told that it entered the targets. */
   readonly target: number;
-  /** Items that may still come to wait until the owner has told that it entered the target. */
   readonly granted: number;
+  /** By season, in the order in which they are asked; absent in what an earlier release wrote. */
+  readonly classes?: readonly StandingClass[];
+}
+
+export interface StandingClass {
+  /** "" for lots that no season selects. */
+  readonly season: string;
+  readonly select: readonly Selector[];
+  readonly runners: readonly Selector[];
+  readonly target: number;
+  readonly granted: number;
+}
+
+export function standingClasses(standing: QueueStanding | undefined): readonly StandingClass[] {
+  if (standing === undefined) return [];
+  return standing.classes ?? [{ season: standing.season ?? "", select: [], runners: [], target: standing.target, granted: standing.granted }];
 }
 
 function goodbyeKey(runner: string): string {
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -1,12 +1,12 @@
-import { constants, season as seasons, sameLimits, type Limits, type NodeCard, type RunnerCard } from "@chutewick/parts";
+import { constants, sameLimits, season as seasons, type Labels, type Limits, type NodeCard, type RunnerCard, type Season, type Selector } from "@chutewick/parts";
 import { configuration, type Configuration, type QueuePlan } from "./configuration.js";
-import type { QueueStanding } from "./machine.js";
+import { standingClasses, type QueueStanding, type StandingClass } from "./machine.js";
 
 /** Seasons, shares and pace, worked out by the head of the control chain (docs/design.md §8.4, §8.5). */
 export interface ShareReport {
   readonly shareMark: number;
-  readonly held: number;
-  readonly need: number;
+  /** By season: what may still come to wait, and what is needed. */
+  readonly classes: ReadonlyMap<string, { readonly held: number; readonly need: number }>;
 }
 
 export interface Surroundings {
@@ -26,76 +26,73 @@
   roomSince: number | undefined;
 }
 
+/** What one season is to hold in one queue. */
 interface Wish {
   readonly queue: string;
+  readonly season: string;
+  readonly select: readonly Selector[];
+  readonly runners: readonly Selector[];
+  readonly wanted: number;
+}
+
+/** A queue with what is to be entered for it, class by class. */
+interface Draft {
   readonly season: string | null;
-  /** Limits as configured, and as paced. */
   readonly base: Limits;
-  readonly limits: Limits;
   readonly pace: number;
-  readonly wanted: number;
+  readonly classes: StandingClass[];
 }
 
+const all: readonly Selector[] = [];
+
 export class Pacer {
   #paces = new Map<string, Pace>();
 
   /** The changes of standings that are due now. */
   plan(around: Surroundings): [queue: string, standing: QueueStanding][] {
-    const groups = new Map<string, { allowance: number; plans: QueuePlan[]; season: string | null; limits: Limits | undefined }>();
-    const all = configuration.seasonsOf(around.value);
-    const configured = new Set<string>();
+    const drafts = new Map<string, Draft>();
+    /** By season, or by queue for what no season selects. */
+    const groups = new Map<string, { allowance: number; wishes: Wish[] }>();
+    const calendar = configuration.seasonsOf(around.value);
+    const opened = seasons.opened(calendar, around.wall);
+    function wish(group: string, allowance: number, one: Wish): void {
+      const held = groups.get(group) ?? { allowance, wishes: [] };
+      held.wishes.push(one);
+      groups.set(group, held);
+    }
     for (const plan of configuration.queues(around.value)) {
-      configured.add(plan.queue);
-      const one = seasons.deciding(all, plan.labels, around.wall);
-      const key = one === undefined ? `own ${plan.queue}` : `season ${one.name}`;
-      const group = groups.get(key) ?? { allowance: one?.waiting ?? plan.waiting, plans: [], season: one?.name ?? null, limits: one?.limits };
-      group.plans.push(plan);
-      groups.set(key, group);
+      const { queue } = plan;
+      const governing = governingIn(opened, plan, around.value);
+      for (const one of governing.seasons) wish(`season ${one.name}`, one.waiting, { queue, season: one.name, select: one.select, runners: one.runners, wanted: 0 });
+      if (!governing.whole) wish(`queue ${queue}`, plan.waiting, { queue, season: "", select: all, runners: all, wanted: 0 });
+      const deciding = seasons.deciding(calendar, plan.labels, around.wall);
+      const runners = governing.whole && governing.seasons.every(isChoosy) ? governing.seasons : [];
+      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: this.#pace(plan.model, plan.adapter, runners, around), classes: [] });
     }
-    const changes: [string, QueueStanding][] = [];
-    for (const group of groups.values()) {
-      const wishes = this.#wishes(group, around);
-      /** Queues no longer configured, or gone to no season, still weigh on it until they are drained. */
-      for (const [queue, standing] of around.standings) {
-        if (!configured.has(queue) && group.season !== null && standing.season === group.season) wishes.push(this.#draining(queue, standing, group.season, around));
+    /** What a queue still holds of seasons that are over, and queues no longer configured, weigh on until they are drained. */
+    for (const [queue, standing] of around.standings) {
+      if (!drafts.has(queue)) {
+        const [model, adapter] = configuration.modelOf(queue);
+        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: this.#pace(model, adapter, [], around), classes: [] });
+      }
+      for (const { season, select, runners, granted } of standingClasses(standing)) {
+        const group = season === "" ? `queue ${queue}` : `season ${season}`;
+        if (groups.get(group)?.wishes.some(isOf, { queue }) === true) continue;
+        /** A class that a draining lot may still be in stays, so that its runners are known. */
+        if (granted > 0 || !isConfigured(around.value, queue)) wish(group, 0, { queue, season, select, runners, wanted: 0 });
       }
-      changes.push(...settle(wishes, group.allowance, around));
     }
-    for (const [queue, standing] of around.standings) {
-      if (configured.has(queue) || (standing.season !== null && groups.has(`season ${standing.season}`))) continue;
-      changes.push(...settle([this.#draining(queue, standing, null, around)], 0, around));
+    for (const { allowance, wishes } of groups.values()) settle(share(wishes, allowance, around), allowance, around, drafts);
+    const changes: [string, QueueStanding][] = [];
+    for (const [queue, draft] of drafts) {
+      const next = entered(around.standings.get(queue), draft);
+      if (next !== undefined) changes.push([queue, next]);
     }
     return changes;
   }
 
-  /** A queue no longer configured takes nothing more, and what it accepted is worked off at the pace of its model. */
-  #draining(queue: string, standing: QueueStanding, season: string | null, around: Surroundings): Wish {
-    const [model, adapter] = configuration.modelOf(queue);
-    const base = standing.base ?? standing.limits;
-    const pace = this.#pace(model, adapter, around);
-    return { queue, season, base, limits: paced(base, pace), pace, wanted: 0 };
-  }
-
-  #wishes(group: { allowance: number; plans: readonly QueuePlan[]; season: string | null; limits: Limits | undefined }, around: Surroundings): Wish[] {
-    const needs: number[] = [];
-    for (const plan of group.plans) needs.push(around.reports.get(plan.queue)?.need ?? 0);
-    const cuts = seasons.cut(group.allowance, needs);
-    let targets = 0;
-    for (const plan of group.plans) targets += around.standings.get(plan.queue)?.target ?? 0;
-    const wishes: Wish[] = [];
-    for (const [place, plan] of group.plans.entries()) {
-      const base = group.limits ?? plan.limits;
-      const pace = this.#pace(plan.model, plan.adapter, around);
-      const standing = around.standings.get(plan.queue);
-      /** Small moves are not worth an entry, while the sum is right. */
-      const near = standing !== undefined && standing.season === group.season && targets <= group.allowance && Math.abs(standing.target - cuts[place]!) <= group.allowance / group.plans.length / 4 && group.plans.length > 1;
-      wishes.push({ queue: plan.queue, season: group.season, base, limits: paced(base, pace), pace, wanted: near ? standing.target : cuts[place]! });
-    }
-    return wishes;
-  }
-
   /** Room that live work leaves on the runners of a model, in steps; down at once, up only when it lasts. */
-  #pace(model: string, adapter: string | undefined, around: Surroundings): number {
+  #pace(model: string, adapter: string | undefined, choosy: readonly Season[], around: Surroundings): number {
     const name = configuration.queueOf(model, adapter);
     const lots = new Map<string, number>();
     let turnedAway = 0;
@@ -103,19 +100,20 @@
       for (const [runner, count] of card.telling.lots ?? []) lots.set(runner, (lots.get(runner) ?? 0) + count);
       for (const [from, count] of card.telling.turnedAway ?? []) if (from === model) turnedAway += count;
     }
-    let all = 0;
+    let seatsOfAll = 0;
     let free = 0;
     for (const runner of around.runners) {
       if (runner.kind !== "model" || !(runner.models.includes(model) || runner.models.includes(name))) continue;
+      if (choosy.length > 0 && !choosy.some(takes, runner)) continue;
       const seats = runner.seats * constants.lotPart;
-      all += seats;
+      seatsOfAll += seats;
       if (runner.age <= constants.burdenLasts) free += Math.max(0, seats - Math.max(0, runner.burden - (lots.get(runner.id) ?? 0)));
     }
-    const room = all === 0 || turnedAway > 0 ? 0 : Math.min(1, free / all + constants.paceSlack);
+    const room = seatsOfAll === 0 || turnedAway > 0 ? 0 : Math.min(1, free / seatsOfAll + constants.paceSlack);
     const step = Math.floor(room * constants.paceSteps);
-    const held = this.#paces.get(name) ?? { step: all === 0 ? constants.paceSteps : step, roomSince: undefined };
+    const held = this.#paces.get(name) ?? { step: seatsOfAll === 0 ? constants.paceSteps : step, roomSince: undefined };
     this.#paces.set(name, held);
-    if (all === 0) return held.step;
+    if (seatsOfAll === 0) return held.step;
     if (step <= held.step) {
       held.step = step;
       held.roomSince = undefined;
@@ -130,26 +128,93 @@
   }
 }
 
+/** The seasons that may hold lots of a queue, in the order in which they are asked, and whether they select every lot of it. */
+export function governingIn(opened: readonly Season[], plan: QueuePlan, value: Configuration): { seasons: Season[]; whole: boolean } {
+  const known: Labels[] = [];
+  for (const [key, way] of Object.entries(value.ways)) {
+    if (way.kind === "lot" && way.model === plan.model && way.adapter === plan.adapter) known.push({ ...way.labels, ...plan.labels, way: key });
+  }
+  if (known.length === 0) known.push(plan.labels);
+  const found: Season[] = [];
+  for (const one of opened) {
+    let may = false;
+    let sure = true;
+    for (const labels of known) {
+      may ||= seasons.mayMatch(one.select, labels);
+      sure &&= isSure(one.select, labels);
+    }
+    if (!may) continue;
+    found.push(one);
+    if (sure) return { seasons: found, whole: true };
+  }
+  return { seasons: found, whole: false };
+}
+
+/** Whether every lot with these labels is selected, whatever labels of its own it brings. */
+function isSure(selectors: readonly Selector[], labels: Labels): boolean {
+  for (const selector of selectors) if (labels[selector.label] === undefined) return false;
+  return seasons.matches(selectors, labels);
+}
+
+function isChoosy(one: Season): boolean {
+  return one.runners.length > 0;
+}
+
+function takes(this: RunnerCard, one: Season): boolean {
+  return seasons.matches(one.runners, this.labels);
+}
+
+function isOf(this: { queue: string }, wish: Wish): boolean {
+  return wish.queue === this.queue;
+}
+
+function isConfigured(value: Configuration, queue: string): boolean {
+  const [model, adapter] = configuration.modelOf(queue);
+  return Object.hasOwn(value.models, model) && (adapter === undefined || value.models[model]!.adapters.includes(adapter));
+}
+
 function paced(base: Limits, pace: number): Limits {
   return { ...base, tokens: (base.tokens * pace) / constants.paceSteps };
 }
 
+function classIn(around: Surroundings, queue: string, season: string): StandingClass | undefined {
+  for (const each of standingClasses(around.standings.get(queue))) if (each.season === season) return each;
+  return undefined;
+}
+
+/** Cuts an allowance over the queues by need; small moves are not worth an entry, while the sum is right. */
+function share(wishes: readonly Wish[], allowance: number, around: Surroundings): Wish[] {
+  const needs: number[] = [];
+  let targets = 0;
+  for (const { queue, season } of wishes) {
+    needs.push(around.reports.get(queue)?.classes.get(season)?.need ?? 0);
+    targets += classIn(around, queue, season)?.target ?? 0;
+  }
+  const cuts = seasons.cut(allowance, needs);
+  const found: Wish[] = [];
+  for (const [place, wish] of wishes.entries()) {
+    const held = classIn(around, wish.queue, wish.season);
+    const near = held !== undefined && targets <= allowance && Math.abs(held.target - cuts[place]!) <= allowance / wishes.length / 4 && wishes.length > 1;
+    found.push({ ...wish, wanted: near ? held.target : cuts[place]! });
+  }
+  return found;
+}
+
 /** Lowers first; raises only by what is surely free: the sum of what may come to wait never passes the allowance. */
-function settle(wishes: readonly Wish[], allowance: number, around: Surroundings): [string, QueueStanding][] {
+function settle(wishes: readonly Wish[], allowance: number, around: Surroundings, drafts: ReadonlyMap<string, Draft>): void {
   let committed = 0;
   const granted = new Map<string, number>();
-  for (const { queue } of wishes) {
-    const standing = around.standings.get(queue);
+  for (const { queue, season } of wishes) {
+    const standing = classIn(around, queue, season);
     if (standing === undefined) continue;
     const report = around.reports.get(queue);
-    const known = report !== undefined && report.shareMark === standing.shareMark ? Math.max(standing.target, Math.min(standing.granted, report.held)) : standing.granted;
+    const told = report?.classes.get(season)?.held ?? 0;
+    const known = report !== undefined && report.shareMark === around.standings.get(queue)!.shareMark ? Math.max(standing.target, Math.min(standing.granted, told)) : standing.granted;
     granted.set(queue, known);
     committed += known;
   }
   let free = Math.max(0, allowance - committed);
-  const changes: [string, QueueStanding][] = [];
-  for (const { queue, season, base, limits, pace, wanted } of wishes) {
-    const standing = around.standings.get(queue);
+  for (const { queue, season, select, runners, wanted } of wishes) {
     const has = granted.get(queue) ?? 0;
     let target = wanted;
     let may = has;
@@ -159,9 +224,28 @@
       target = has + more;
       may = target;
     }
-    if (standing !== undefined && standing.season === season && standing.target === target && standing.granted === may && standing.pace === pace && sameLimits(standing.limits, limits)) continue;
-    const sameShare = standing !== undefined && standing.target === target && sameLimits(standing.limits, limits);
-    changes.push([queue, { mark: (standing?.mark ?? 0) + 1, shareMark: (standing?.shareMark ?? 0) + (sameShare ? 0 : 1), season, base, limits, pace, target, granted: Math.max(may, target) }]);
+    drafts.get(queue)!.classes.push({ season, select, runners, target, granted: Math.max(may, target) });
   }
-  return changes;
+}
+
+/** The standing to be entered, or undefined where all is as it stands. */
+function entered(standing: QueueStanding | undefined, { season, base, pace, classes }: Draft): QueueStanding | undefined {
+  const limits = paced(base, pace);
+  let target = 0;
+  let granted = 0;
+  for (const each of classes) {
+    target += each.target;
+    granted += each.granted;
+  }
+  if (standing === undefined) return { mark: 1, shareMark: 1, season, base, limits, pace, target, granted, classes };
+  const told = shape(classes, false);
+  const sameShare = sameLimits(standing.limits, limits) && told === shape(standingClasses(standing), false);
+  if (sameShare && standing.pace === pace && standing.season === season && shape(classes, true) === shape(standingClasses(standing), true)) return undefined;
+  return { mark: standing.mark + 1, shareMark: standing.shareMark + (sameShare ? 0 : 1), season, base, limits, pace, target, granted, classes };
+}
+
+function shape(classes: readonly StandingClass[], withGranted: boolean): string {
+  const rows: unknown[] = [];
+  for (const { season, select, runners, target, granted } of classes) rows.push([season, select, runners, target, withGranted ? granted : 0]);
+  return JSON.stringify(rows);
 }
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
-import { constants, duty, season, type ChainView, type Ending, type QueueCommand, type QueueResult, type RunnerCard, type Telling } from "@chutewick/parts";
-import { configuration, keys, type ControlCommand, type ControlOutcome, type Way } from "@chutewick/control";
+import { constants, duty, season, type ChainView, type Ending, type QueueCommand, type QueueResult, type RunnerCard, type Selector, type Telling } from "@chutewick/parts";
+import { configuration, keys, standingClasses, type ControlCommand, type ControlOutcome, type QueueStanding, type Way } from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
 import type { DataMessage, QueueOutcome } from "./storage-core.js";
 
@@ -68,6 +68,8 @@
   readonly claim: number;
   readonly prompt: unknown;
   readonly way: string;
+  /** Which runners the season of its lot chose. */
+  readonly runners: readonly Selector[];
   readonly until: number;
   readonly tried: Set<string>;
   readonly pieces: unknown[];
@@ -260,13 +262,13 @@
     return Math.max(own, runner.burden + since);
   }
 
-  #choose(kind: RunnerCard["kind"], model: string | undefined, adapter: string | undefined, wanted: Readonly<Record<string, string>>, tried: ReadonlySet<string>, part: number, now: number, doubts = 0): RunnerCard | undefined {
+  #choose(kind: RunnerCard["kind"], model: string | undefined, adapter: string | undefined, wanted: Readonly<Record<string, string>>, tried: ReadonlySet<string>, part: number, now: number, doubts = 0, selectors: readonly Selector[] = []): RunnerCard | undefined {
     let best: RunnerCard | undefined;
     let bestDraw = Number.NEGATIVE_INFINITY;
     for (const card of this.membership.runners(now)) {
       if (card.kind !== kind || tried.has(card.id)) continue;
       if (model !== undefined && !card.models.includes(configuration.queueOf(model, adapter)) && !card.models.includes(model)) continue;
-      if (!carries(card.labels, wanted)) continue;
+      if (!carries(card.labels, wanted) || !season.matches(selectors, card.labels)) continue;
       const free = card.seats * part - this.#burden(card, now);
       /** A live inquiry may try some that look full, last of all: burdens are up to a second old. */
       if (free <= 0 && (part < 1 || doubts >= constants.fullTried)) continue;
@@ -397,7 +399,7 @@
 
   // Lots (§5)
 
-  handIn(ticket: string, wayName: string, key: unknown, items: unknown, now: number): AccessOutput[] {
+  handIn(ticket: string, wayName: string, key: unknown, items: unknown, labels: unknown, now: number): AccessOutput[] {
     const marked = this.membership.configuration;
     if (!this.membership.holds(now) || this.#draining) return this.#notRun(ticket, "this access node is cut off from the control group or about to stop", constants.retryAfter);
     const way = Object.hasOwn(marked.value.ways, wayName) ? marked.value.ways[wayName] : undefined;
@@ -406,11 +408,13 @@
     if (typeof key !== "string" || key.length === 0 || key.length > 200) return [trouble(ticket, 400, { trouble: "bad-body", reason: "key: must be a text of 1 to 200 characters of the caller's own" })];
     if (!Array.isArray(items) || items.length === 0) return [trouble(ticket, 400, { trouble: "bad-body", reason: "items: must be a list with at least one prompt" })];
     if (items.length > constants.lotItemsMost) return [trouble(ticket, 413, { trouble: "lot-too-large", reason: `items: ${constants.lotItemsMost} at most` })];
+    const own = configuration.labelsOf(labels ?? {});
+    if (own === undefined) return [trouble(ticket, 400, { trouble: "bad-body", reason: "labels: must be an object of label names and values, such as {\"shift\": \"night\"}, 20 at most" })];
     const queue = configuration.queueOf(way.model!, way.adapter);
     const lot = lotName(queue, wayName, key);
-    const body = createHash("sha256").update(JSON.stringify(items)).digest("base64url");
+    const body = createHash("sha256").update(JSON.stringify(Object.keys(own).length === 0 ? items : [own, items])).digest("base64url");
     const lasts = way.deadlineSeconds === undefined ? constants.lotDeadline : way.deadlineSeconds * 1_000;
-    const command: QueueCommand = { kind: "admit", lot, way: wayName, body, prompts: items, labels: way.labels, lasts, allowance: 0 };
+    const command: QueueCommand = { kind: "admit", lot, way: wayName, body, prompts: items, labels: { ...own, ...way.labels, way: wayName }, lasts, allowance: 0 };
     const { counts } = this;
     const self = this;
     const count = items.length;
@@ -574,7 +578,8 @@
 
   #pop(queue: string, model: string, adapter: string | undefined, draw: Draw, now: number): AccessOutput[] {
     if (draw.popping !== undefined || now < draw.resumeAt || draw.underWay >= constants.dispatchWidth) return [];
-    if (this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now) === undefined) return [];
+    const unable = this.#unable(queue, model, adapter, now);
+    if (unable === undefined) return [];
     const self = this;
     const askedAt = now;
     draw.popping = queue;
@@ -588,17 +593,31 @@
       if (value.kind === "TAKEN") {
         self.counts.popped += 1;
         draw.underWay += 1;
-        const prompt: Prompt = { kind: "prompt", queue, lot: value.lot, index: value.index, claim: value.go, prompt: value.prompt, way: value.way, until: askedAt + constants.grantLasts, tried: new Set(), pieces: [], lifeAt: later };
+        const prompt: Prompt = { kind: "prompt", queue, lot: value.lot, index: value.index, claim: value.go, prompt: value.prompt, way: value.way, runners: value.runners ?? [], until: askedAt + constants.grantLasts, tried: new Set(), pieces: [], lifeAt: later };
         return [...self.#tryPrompt(prompt, model, adapter, later), ...self.#pop(queue, model, adapter, draw, later)];
       }
       draw.resumeAt = later + (value.kind === "RATE_LIMITED" ? value.wait ?? constants.pauseMost : constants.emptyPause);
       return [];
     }
-    return this.#errand(queue, { kind: "pop", holder: this.#standing.identity }, constants.grantLasts, told, now);
+    return this.#errand(queue, { kind: "pop", holder: this.#standing.identity, ...(unable.length === 0 ? {} : { unable }) }, constants.grantLasts, told, now);
+  }
+
+  #wantedBy(way: string): Readonly<Record<string, string>> {
+    return this.membership.configuration.value.ways[way]?.runners ?? {};
+  }
+
+  /** Seasons of a queue whose runners have no room now; undefined where no runner has. */
+  #unable(queue: string, model: string, adapter: string | undefined, now: number): string[] | undefined {
+    if (this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now) === undefined) return undefined;
+    const unable: string[] = [];
+    for (const { season: name, runners } of standingClasses(this.membership.follower.read<QueueStanding>(keys.standing + queue))) {
+      if (runners.length > 0 && this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now, 0, runners) === undefined) unable.push(name);
+    }
+    return unable;
   }
 
   #tryPrompt(prompt: Prompt, model: string, adapter: string | undefined, now: number): AccessOutput[] {
-    const runner = now > prompt.until || prompt.tried.size >= constants.runnersTried ? undefined : this.#choose("model", model, adapter, {}, prompt.tried, constants.lotPart, now);
+    const runner = now > prompt.until || prompt.tried.size >= constants.runnersTried ? undefined : this.#choose("model", model, adapter, this.#wantedBy(prompt.way), prompt.tried, constants.lotPart, now, 0, prompt.runners);
     if (runner === undefined) {
       const draw = this.#draws.get(prompt.queue)!;
       draw.resumeAt = Math.max(draw.resumeAt, now + constants.emptyPause * 2);
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -94,10 +94,10 @@
       self.#perform(self.#core.arrive(self.#ticket(arrival), way, undefined, path === "" ? "/" : path, monotonic()));
     }
     function handedIn(arrival: Arrival): void {
-      const body = arrival.body as { key?: unknown; items?: unknown } | null;
+      const body = arrival.body as { key?: unknown; items?: unknown; labels?: unknown } | null;
       const unknown = Object.keys(body ?? {}).filter(isNoField);
       if (unknown.length > 0) return replyTrouble(arrival.reply, 400, { trouble: "bad-body", reason: `${unknown[0]}: is not a field of a lot` });
-      self.#perform(self.#core.handIn(self.#ticket(arrival), arrival.parameters["way"]!, body?.key, body?.items, monotonic()));
+      self.#perform(self.#core.handIn(self.#ticket(arrival), arrival.parameters["way"]!, body?.key, body?.items, body?.labels, monotonic()));
     }
     function lookUp(arrival: Arrival): void { self.#perform(self.#core.lookUp(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic())); }
     function cancel(arrival: Arrival): void { self.#perform(self.#core.cancel(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic())); }
@@ -187,5 +187,5 @@
 }
 
 function isNoField(key: string): boolean {
-  return key !== "key" && key !== "items";
+  return key !== "key" && key !== "items" && key !== "labels";
 }
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -1,8 +1,8 @@
 import {
-  Chain, QueueMachine, constants,
-  type ChainCommand, type ChainHolding, type ChainMessage, type ChainResult, type ChainView, type ChainWrite, type QueueCommand, type QueueResult, type Telling,
+  Chain, QueueMachine, classesOf, constants,
+  type ChainCommand, type ChainHolding, type ChainMessage, type ChainResult, type ChainView, type ChainWrite, type QueueCommand, type QueueResult, type ShareClass, type ShareTelling, type Telling,
 } from "@chutewick/parts";
-import { configuration, keys, type ControlMessage, type QueueStanding } from "@chutewick/control";
+import { configuration, keys, standingClasses, type ControlMessage, type QueueStanding } from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
@@ -41,7 +41,7 @@
   enteredMark: number;
   shareMark: number;
   /** Items lately refused for want of room. */
-  refused: { at: number; count: number }[];
+  refused: { at: number; count: number; season: string }[];
 }
 
 export class StorageCore {
@@ -78,13 +78,28 @@
       const held = chain.stuck(this.#now);
       if (held !== undefined) stuck.push([queue, chain.view!.mark, held.identity]);
     }
-    const shares: [string, number, number, number][] = [];
+    const shares: [string, number, number, number, ShareTelling[]][] = [];
     for (const [queue, { chain, machine, shareMark, refused }] of this.#partitions) {
       const share = machine.share(chain.ledger);
       if (!chain.serves || share === undefined || shareMark !== share.mark) continue;
-      let need = machine.open;
-      for (const { at, count } of refused) if (this.#now - at <= constants.pressureLasts) need += count;
-      shares.push([queue, shareMark, Math.max(share.share, machine.open), need]);
+      const open = machine.open();
+      const needs = new Map(open);
+      for (const { at, count, season } of refused) if (this.#now - at <= constants.pressureLasts) needs.set(season, (needs.get(season) ?? 0) + count);
+      const classes: ShareTelling[] = [];
+      let [allHeld, allNeed] = [0, 0];
+      for (const { season, share: may } of classesOf(share)) {
+        const held = Math.max(may, open.get(season) ?? 0);
+        open.delete(season);
+        classes.push([season, held, needs.get(season) ?? 0]);
+        allHeld += held;
+        allNeed += needs.get(season) ?? 0;
+      }
+      /** Lots of seasons that have no class any more. */
+      for (const [season, held] of open) {
+        classes.push([season, held, held]);
+        allHeld += held;
+      }
+      shares.push([queue, shareMark, allHeld, allNeed, classes]);
     }
     return { copied, stuck, shares };
   }
@@ -143,7 +158,8 @@
         const plan = configuration.queues(this.membership.configuration.value).find(isQueue, { queue });
         if (plan === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such queue" })];
         if (partition.machine.share(partition.chain.ledger) === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the queue has no share of waiting work yet" })];
-        entered = { ...command, allowance: plan.waiting };
+        /** A lot brings labels of its own and of its way; those of model and adapter are the configuration's. */
+        entered = { ...command, allowance: plan.waiting, labels: { ...command.labels, ...plan.labels } };
       }
     }
     return this.#enter(partition, ticket, from, entered, now);
@@ -179,7 +195,7 @@
     const value = told.value as QueueResult;
     if (value.kind === "FULL") {
       partition.refused = partition.refused.filter(isLate, { since: now - constants.pressureLasts });
-      partition.refused.push({ at: now, count: value.items });
+      partition.refused.push({ at: now, count: value.items, season: value.season });
     }
     return [result(waiting.to, waiting.ticket, { kind: "confirmed", value })];
   }
@@ -219,7 +235,10 @@
     if (!partition.limiting && (standing !== undefined && standing.shareMark > (share?.mark ?? 0) || partition.shareMark < (share?.mark ?? 0))) {
       partition.limiting = true;
       const entered = standing !== undefined && standing.shareMark > (share?.mark ?? 0) ? standing : undefined;
-      const command: QueueCommand = { kind: "limit", limits: entered?.limits ?? share!.limits, share: entered?.target ?? share!.share, mark: entered?.shareMark ?? share!.mark };
+      const command: QueueCommand = {
+        kind: "limit", limits: entered?.limits ?? share!.limits, share: entered?.target ?? share!.share, mark: entered?.shareMark ?? share!.mark,
+        classes: entered === undefined ? classesOf(share) : sharesOf(entered),
+      };
       partition.enteredMark = command.mark;
       outputs.push(...this.#perform(partition, chain.inquire(`limit/${chain.name}`, command, now), now));
     }
@@ -264,6 +283,12 @@
   }
 }
 
+function sharesOf(standing: QueueStanding): ShareClass[] {
+  const classes: ShareClass[] = [];
+  for (const { season, select, runners, target } of standingClasses(standing)) classes.push({ season, select, runners, share: target });
+  return classes;
+}
+
 function isQueue(this: { queue: string }, plan: { queue: string }): boolean {
   return plan.queue === this.queue;
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -99,6 +99,8 @@
   lotForgets: 86_400_000,
   /** items. Largest lot; twenty is usual. */
   lotItemsMost: 1_000,
+  /** labels. That one lot brings of its own. */
+  lotLabelsMost: 20,
   /** bytes. Largest body of an inquiry. */
   bodyMost: 1_048_576,
   /** ms. A caller must have sent headers, and the whole body, within these. */
--- a/packages/parts/src/lot.ts
+++ b/packages/parts/src/lot.ts
@@ -1,6 +1,7 @@
 import { bucket, type Bucket, type Limits } from "./bucket.js";
 import { constants } from "./constants.js";
 import type { Ledger, Machine } from "./ledger.js";
+import { season as seasons, type Selector } from "./season.js";
 
 /** One queue with its bucket, lots, items and results: one atomic step each at its owner (docs/design.md §3, §5). */
 export type ItemState = "queued" | "processing" | "solved" | "failed" | "cancelled";
@@ -16,6 +17,10 @@
   readonly deadline: number;
   readonly finishedAt?: number;
   readonly labels: Readonly<Record<string, string>>;
+  /** The season that governs it from its admission on, or "" for the model's own waiting (§8.4). */
+  readonly season?: string;
+  /** Which runners it may use. */
+  readonly runners?: readonly Selector[];
 }
 
 export interface Item {
@@ -33,9 +38,10 @@
 }
 
 export type QueueCommand =
-  | { kind: "limit"; limits: Limits; share: number; mark: number }
+  | { kind: "limit"; limits: Limits; share: number; mark: number; classes?: readonly ShareClass[] }
   | { kind: "admit"; lot: string; way: string; body: string; prompts: unknown[]; labels: Record<string, string>; lasts: number; allowance: number }
-  | { kind: "pop"; holder: string }
+  /** unable: seasons whose runners have no room at the dispatcher; their lots keep their place. */
+  | { kind: "pop"; holder: string; unable?: readonly string[] }
   | { kind: "record"; lot: string; index: number; go: number; ending: Ending }
   | { kind: "cancel"; lot: string }
   | { kind: "reset"; items: { lot: string; index: number; go: number }[] }
@@ -59,8 +65,8 @@
   /** Accepted once and ended long ago: its results are no longer kept, and it does not run again. */
   | { kind: "GONE"; lot: string; way: string; items: number; cancelled: boolean; endedBefore: number }
   /** wait in ms until that many items have been drawn off at the full rate; undefined: no wait can be told. */
-  | { kind: "FULL"; items: number; waiting: number; allowance: number; wait: number | undefined }
-  | { kind: "TAKEN"; lot: string; index: number; go: number; prompt: unknown; way: string; remaining: number }
+  | { kind: "FULL"; items: number; waiting: number; allowance: number; season: string; wait: number | undefined }
+  | { kind: "TAKEN"; lot: string; index: number; go: number; prompt: unknown; way: string; remaining: number; season: string; runners: readonly Selector[] }
   | { kind: "EMPTY" }
   | { kind: "RATE_LIMITED"; wait: number | undefined }
   | { kind: "RECORDED"; state: ItemState }
@@ -69,13 +75,30 @@
   | { kind: "CANCELLED"; lot: string; stopped: number }
   | { kind: "DONE"; count: number }
   | { kind: "LOT"; lot: Lot; items: ItemView[]; now: number }
-  | { kind: "COUNT"; waiting: number; processing: number; lots: number; tokens: number; limits: Limits | undefined };
+  | { kind: "COUNT"; waiting: number; processing: number; lots: number; tokens: number; limits: Limits | undefined; open: Readonly<Record<string, number>> };
 
 /** What the owner holds of control's word: the limits, its share of waiting work, and the mark of both. */
 export interface Share {
   readonly limits: Limits;
+  /** Sum of the classes' shares. */
   readonly share: number;
   readonly mark: number;
+  readonly classes?: readonly ShareClass[];
+}
+
+/** Lots of one season in this queue, or those that no season selects (""); asked in this order (§8.4). */
+export interface ShareClass {
+  readonly season: string;
+  readonly select: readonly Selector[];
+  readonly runners: readonly Selector[];
+  readonly share: number;
+}
+
+const none: readonly Selector[] = [];
+
+/** What releases without classes wrote is one class that takes every lot. */
+export function classesOf(share: Share | undefined): readonly ShareClass[] {
+  return share === undefined ? [] : share.classes ?? [{ season: "", select: none, runners: none, share: share.share }];
 }
 
 export interface ItemView {
@@ -119,28 +142,50 @@
   return left.endedAt - right.endedAt || (left.lot < right.lot ? -1 : 1);
 }
 
+function isShared(this: { season: string }, each: ShareClass): boolean {
+  return each.season === this.season && each.share > 0;
+}
+
+/** The first class that selects a lot by its labels. */
+function governs(share: Share | undefined, labels: Readonly<Record<string, string>>): ShareClass | undefined {
+  for (const each of classesOf(share)) if (seasons.matches(each.select, labels)) return each;
+  return undefined;
+}
+
+function seasonOf(ledger: Ledger, item: Item): string {
+  return ledger.read<Lot>(lotKey(item.lot))?.season ?? "";
+}
+
 function sooner(left: [number, string], right: [number, string]): number {
   return left[0] - right[0];
 }
 
 export class QueueMachine implements Machine {
-  /** Derived from the ledger, kept in order of sequence: what waits, as [sequence, key of item]. */
-  #waiting: [number, string][] = [];
+  /** Derived from the ledger, by season and in order of sequence: what waits, as [sequence, key of item]. */
+  #waiting = new Map<string, [number, string][]>();
+  /** Items of each lot that wait or are under way, and the season whose share they weigh on. */
+  #open = new Map<string, number>();
+  #weighsOn = new Map<string, string>();
   #processing = new Map<string, number>();
   #lots = new Set<string>();
   /** Stones in the order in which they are to be forgotten. */
   #stones: Stone[] = [];
 
   rebuild(ledger: Ledger): void {
-    this.#waiting = [];
+    this.#waiting.clear();
+    this.#open.clear();
     this.#processing.clear();
     this.#lots.clear();
+    for (const [, lot] of ledger.under<Lot>("lot/")) {
+      this.#lots.add(lot.id);
+      if (lot.open > 0) this.#open.set(lot.id, lot.open);
+    }
     for (const [key, item] of ledger.under<Item>("item/")) {
-      if (item.state === "queued") this.#waiting.push([item.sequence, key]);
+      if (item.state === "queued") this.#waitingOf(seasonOf(ledger, item)).push([item.sequence, key]);
       if (item.state === "processing") this.#processing.set(key, item.go);
     }
-    this.#waiting.sort(sooner);
-    for (const [, lot] of ledger.under<Lot>("lot/")) this.#lots.add(lot.id);
+    for (const waiting of this.#waiting.values()) waiting.sort(sooner);
+    this.#weigh(ledger);
     this.#stones = [];
     for (const [, stone] of ledger.under<Stone>("gone/")) this.#stones.push(stone);
     this.#stones.sort(earlierEnd);
@@ -156,12 +201,45 @@
   }
 
   get waiting(): number {
-    return this.#waiting.length;
+    let count = 0;
+    for (const waiting of this.#waiting.values()) count += waiting.length;
+    return count;
   }
 
-  /** What waits and what may come back to wait: both count against the share (§8.4). */
-  get open(): number {
-    return this.#waiting.length + this.#processing.size;
+  #waitingOf(season: string): [number, string][] {
+    let waiting = this.#waiting.get(season);
+    if (waiting === undefined) {
+      waiting = [];
+      this.#waiting.set(season, waiting);
+    }
+    return waiting;
+  }
+
+  /** What waits and what may come back to wait, by the season whose share it weighs on (§8.4). */
+  open(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const [lot, count] of this.#open) {
+      const on = this.#weighsOn.get(lot) ?? "";
+      counts.set(on, (counts.get(on) ?? 0) + count);
+    }
+    return counts;
+  }
+
+  /** A lot weighs on its own season while that is open, then on the first one that would select it now. */
+  #weigh(ledger: Ledger): void {
+    this.#weighsOn.clear();
+    const classes = classesOf(this.share(ledger));
+    for (const id of this.#open.keys()) {
+      const lot = ledger.read<Lot>(lotKey(id))!;
+      const own = lot.season ?? "";
+      let on = own;
+      if (!classes.some(isShared, { season: own })) for (const each of classes) {
+        if (each.share === 0 || !seasons.matches(each.select, lot.labels)) continue;
+        on = each.season;
+        break;
+      }
+      this.#weighsOn.set(id, on);
+    }
   }
 
   /** Whether time alone has something to do: a deadline passed or a kept lot grown old. */
@@ -178,7 +256,7 @@
     switch (command.kind) {
       case "limit": return this.#limit(ledger, command, time);
       case "admit": return this.#admit(ledger, command, time);
-      case "pop": return this.#pop(ledger, command.holder, time);
+      case "pop": return this.#pop(ledger, command.holder, command.unable ?? [], time);
       case "record": return this.#record(ledger, command, time);
       case "cancel": return this.#cancel(ledger, command.lot, time);
       case "reset": return this.#reset(ledger, command.items, time);
@@ -199,7 +277,8 @@
     const held = ledger.read<Bucket>(keyBucket);
     if (before === undefined || held === undefined) ledger.put(keyBucket, bucket.full(command.limits, time));
     else if (!sameLimits(before.limits, command.limits)) ledger.put(keyBucket, bucket.relimit(held, before.limits, command.limits, time));
-    ledger.put(keyLimits, { limits: command.limits, share: command.share, mark: command.mark } satisfies Share);
+    ledger.put(keyLimits, { limits: command.limits, share: command.share, mark: command.mark, ...(command.classes === undefined ? {} : { classes: command.classes }) } satisfies Share);
+    this.#weigh(ledger);
     return { kind: "DONE", count: 1 };
   }
 
@@ -210,53 +289,64 @@
     }
     const stone = ledger.read<Stone>(stoneKey(command.lot));
     if (stone !== undefined) return stone.body === command.body ? this.#gone(stone, time) : { kind: "CONFLICT", lot: stone.lot };
-    const allowance = Math.min(command.allowance, ledger.read<Share>(keyLimits)?.share ?? 0);
-    if (this.open + command.prompts.length > allowance) {
-      return { kind: "FULL", items: command.prompts.length, waiting: this.open, allowance, wait: this.#waitFor(ledger, command.prompts.length, allowance, time) };
+    const governing = governs(this.share(ledger), command.labels);
+    const allowance = governing?.season === "" ? Math.min(command.allowance, governing.share) : governing?.share ?? 0;
+    const open = this.open().get(governing?.season ?? "") ?? 0;
+    if (open + command.prompts.length > allowance) {
+      return { kind: "FULL", items: command.prompts.length, waiting: open, allowance, season: governing?.season ?? "", wait: this.#waitFor(ledger, command.prompts.length, open, allowance, time) };
     }
     let sequence = ledger.read<number>(keySequence) ?? 1;
     for (const [index, prompt] of command.prompts.entries()) {
       const key = itemKey(command.lot, index);
       const item: Item = { lot: command.lot, index, sequence, state: "queued", go: 0, troubles: 0, prompt };
       ledger.put(key, item);
-      this.#waiting.push([sequence, key]);
+      this.#waitingOf(governing!.season).push([sequence, key]);
       sequence += 1;
     }
     ledger.put(keySequence, sequence);
     const lot: Lot = {
       id: command.lot, way: command.way, body: command.body, items: command.prompts.length, open: command.prompts.length,
       cancelled: false, admittedAt: time, deadline: time + command.lasts + constants.deadlineGrace, labels: command.labels,
+      season: governing!.season, ...(governing!.runners.length === 0 ? {} : { runners: governing!.runners }),
     };
+    this.#open.set(lot.id, lot.items);
+    this.#weighsOn.set(lot.id, governing!.season);
     ledger.put(lotKey(lot.id), lot);
     this.#lots.add(lot.id);
     return { kind: "ADMITTED", lot: lot.id, again: false, remaining: lot.deadline - time };
   }
 
   /** When there could be room at the earliest: what is too much must end, and what is not under way yet needs a token first. */
-  #waitFor(ledger: Ledger, items: number, allowance: number, time: number): number | undefined {
+  #waitFor(ledger: Ledger, items: number, open: number, allowance: number, time: number): number | undefined {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
     if (items > allowance || limits === undefined || held === undefined || bucket.rate(limits) <= 0) return undefined;
-    const toDraw = this.#waiting.length + items - allowance;
+    const toDraw = open - this.#processing.size + items - allowance;
     return Math.max(0, (toDraw - bucket.level(held, limits, time)) / bucket.rate(limits)) * 1_000;
   }
 
-  #pop(ledger: Ledger, holder: string, time: number): QueueResult {
+  #pop(ledger: Ledger, holder: string, unable: readonly string[], time: number): QueueResult {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
     if (limits === undefined || held === undefined) return { kind: "RATE_LIMITED", wait: undefined };
-    const waiting = this.#waiting;
-    /** Items of a lot whose time has run out are left to the expiry, not run. */
+    const all = this.#waiting;
+    /** The first in the queue whose season has runners; items of a lot whose time has run out are left to the expiry, not run. */
     function take(): { key: string; item: Item; lot: Lot } | undefined {
-      for (let place = 0; place < waiting.length; place += 1) {
-        const key = waiting[place]![1];
-        const item = ledger.read<Item>(key)!;
-        const lot = ledger.read<Lot>(lotKey(item.lot))!;
-        if (lot.deadline <= time) continue;
-        waiting.splice(place, 1);
-        return { key, item, lot };
+      let best: { waiting: [number, string][]; place: number; sequence: number; item: Item; lot: Lot } | undefined;
+      for (const [season, waiting] of all) {
+        if (unable.includes(season)) continue;
+        for (const [place, [sequence, key]] of waiting.entries()) {
+          if (best !== undefined && sequence > best.sequence) break;
+          const item = ledger.read<Item>(key)!;
+          const lot = ledger.read<Lot>(lotKey(item.lot))!;
+          if (lot.deadline <= time) continue;
+          best = { waiting, place, sequence, item, lot };
+          break;
+        }
       }
-      return undefined;
+      if (best === undefined) return undefined;
+      const [[, key]] = best.waiting.splice(best.place, 1) as [[number, string]];
+      return { key, item: best.item, lot: best.lot };
     }
     const drawn = bucket.draw(held, limits, time, take);
     if (drawn.kind !== "TAKEN") return drawn;
@@ -265,7 +355,7 @@
     ledger.put(key, claimed);
     ledger.put(keyBucket, drawn.bucket);
     this.#processing.set(key, claimed.go);
-    return { kind: "TAKEN", lot: lot.id, index: item.index, go: claimed.go, prompt: item.prompt, way: lot.way, remaining: lot.deadline - time };
+    return { kind: "TAKEN", lot: lot.id, index: item.index, go: claimed.go, prompt: item.prompt, way: lot.way, remaining: lot.deadline - time, season: lot.season ?? "", runners: lot.runners ?? none };
   }
 
   #record(ledger: Ledger, command: Extract<QueueCommand, { kind: "record" }>, time: number): QueueResult {
@@ -295,9 +385,10 @@
   #giveBack(ledger: Ledger, key: string, item: Item, lot: Lot, time: number): QueueResult {
     if (lot.cancelled) return this.#finish(ledger, key, item, "cancelled", time, {});
     ledger.put(key, { ...item, state: "queued", holder: undefined });
-    let place = this.#waiting.length;
-    while (place > 0 && this.#waiting[place - 1]![0] > item.sequence) place -= 1;
-    this.#waiting.splice(place, 0, [item.sequence, key]);
+    const waiting = this.#waitingOf(lot.season ?? "");
+    let place = waiting.length;
+    while (place > 0 && waiting[place - 1]![0] > item.sequence) place -= 1;
+    waiting.splice(place, 0, [item.sequence, key]);
     return { kind: "RECORDED", state: "queued" };
   }
 
@@ -306,6 +397,8 @@
     ledger.put(key, { ...kept, prompt: null, state, holder: undefined, ...more });
     const lot = ledger.read<Lot>(lotKey(item.lot))!;
     const open = lot.open - 1;
+    if (open === 0) this.#open.delete(lot.id);
+    else this.#open.set(lot.id, open);
     ledger.put(lotKey(lot.id), { ...lot, open, ...(open === 0 ? { finishedAt: time } : {}) });
     return { kind: "RECORDED", state };
   }
@@ -320,15 +413,16 @@
 
   #endWaiting(ledger: Ledger, id: string, state: ItemState, time: number, reason: string | undefined): number {
     const kept: [number, string][] = [];
+    const season = ledger.read<Lot>(lotKey(id))!.season ?? "";
     let count = 0;
-    for (const entry of this.#waiting) {
+    for (const entry of this.#waitingOf(season)) {
       const item = ledger.read<Item>(entry[1])!;
       if (item.lot === id) {
         this.#finish(ledger, entry[1], item, state, time, reason === undefined ? {} : { reason });
         count += 1;
       } else kept.push(entry);
     }
-    this.#waiting = kept;
+    this.#waiting.set(season, kept);
     return count;
   }
 
@@ -402,6 +496,6 @@
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
     const tokens = limits === undefined || held === undefined ? 0 : bucket.level(held, limits, time);
-    return { kind: "COUNT", waiting: this.#waiting.length, processing: this.#processing.size, lots: this.#lots.size, tokens, limits };
+    return { kind: "COUNT", waiting: this.waiting, processing: this.#processing.size, lots: this.#lots.size, tokens, limits, open: Object.fromEntries(this.open()) };
   }
 }
--- a/packages/parts/src/season.ts
+++ b/packages/parts/src/season.ts
@@ -13,6 +13,8 @@
   readonly end: number;
   readonly select: readonly Selector[];
   readonly waiting: number;
+  /** Which runners its lots may use, by their labels; all where empty. */
+  readonly runners: readonly Selector[];
   readonly limits?: { readonly tokens: number; readonly windowSeconds: number; readonly capacity: number };
 }
 
@@ -26,18 +28,39 @@
   return true;
 }
 
+/** Whether labels of which only some are known may come to match: a lot brings its own. */
+function mayMatch(selectors: readonly Selector[], known: Labels): boolean {
+  const told: Selector[] = [];
+  for (const selector of selectors) if (known[selector.label] !== undefined) told.push(selector);
+  return matches(told, known);
+}
+
 function isOpen(one: Season, wall: number): boolean {
   return wall >= one.start && wall < one.end;
 }
 
+/** Those open at a moment, in the order in which they decide: the latest started first, ties by name. */
+function opened(seasons: readonly Season[], wall: number): Season[] {
+  const found: Season[] = [];
+  for (const one of seasons) if (isOpen(one, wall)) found.push(one);
+  return found.sort(laterStart);
+}
+
+function laterStart(left: Season, right: Season): number {
+  return right.start - left.start || (left.name < right.name ? -1 : 1);
+}
+
+/** The next start or end of any of these seasons. */
+function nextChange(seasons: readonly Season[], wall: number): number | undefined {
+  let next: number | undefined;
+  for (const one of seasons) for (const moment of [one.start, one.end]) if (moment > wall && moment < (next ?? Number.POSITIVE_INFINITY)) next = moment;
+  return next;
+}
+
 /** Of several open seasons that select a queue, the one that started last decides; ties go by name. */
 function deciding(seasons: readonly Season[], labels: Labels, wall: number): Season | undefined {
-  let best: Season | undefined;
-  for (const one of seasons) {
-    if (!isOpen(one, wall) || !matches(one.select, labels)) continue;
-    if (best === undefined || one.start > best.start || (one.start === best.start && one.name < best.name)) best = one;
-  }
-  return best;
+  for (const one of opened(seasons, wall)) if (matches(one.select, labels)) return one;
+  return undefined;
 }
 
 /** The next start or end of a season from which on so many items may wait; undefined where none brings that. */
@@ -65,4 +88,4 @@
   return shares;
 }
 
-export const season = { matches, isOpen, deciding, roomAt, cut };
+export const season = { matches, mayMatch, opened, nextChange, deciding, roomAt, cut };
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -24,14 +24,16 @@
   /** Replicas that hold up a chain, as seen from here. */
   readonly stuck?: readonly (readonly [queue: string, mark: number, identity: string])[];
   readonly runners?: readonly RunnerCard[];
-  /** Of queues owned here: the share in force by its mark, what it may still come to hold, and what it needs. */
-  readonly shares?: readonly (readonly [queue: string, shareMark: number, held: number, need: number])[];
+  /** Of queues owned here: the share in force by its mark, what it may still come to hold, and what it needs; in all, and by season. */
+  readonly shares?: readonly (readonly [queue: string, shareMark: number, held: number, need: number, classes?: readonly ShareTelling[]])[];
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
   /** Live inquiries turned away for want of a seat lately, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
 }
 
+export type ShareTelling = readonly [season: string, held: number, need: number];
+
 export interface RunnerCard {
   readonly id: string;
   /** Grows with each life of the runner, so an old word is known as such however late it comes (§7.5). */
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -1,4 +1,4 @@
-import type { Campaign } from "./campaign.js";
+import { poolOf, type Campaign } from "./campaign.js";
 import type { CampaignOptions } from "./campaign.js";
 import type { AccessMachine } from "./machines.js";
 
@@ -491,6 +491,19 @@
   return control !== this.away && control.core.isHead === this.head;
 }
 
+/** Prompts of lots whose season chose runners of one pool, and where they ran. */
+function ranInPool(campaign: Campaign): number {
+  const night = new Set<string>();
+  for (const lot of campaign.sight.lots) if (lot.labels !== undefined) night.add(lot.key);
+  let count = 0;
+  for (const run of campaign.sight.runs) {
+    if (typeof run.prompt === "string" || !night.has((run.prompt as { key: string } | null)?.key ?? "")) continue;
+    count += 1;
+    if (poolOf(run.runner) !== "big") campaign.breaches.push({ rule: "season-runners", facts: `${run.inquiry} ran at ${run.runner}` });
+  }
+  return count;
+}
+
 /** The last fault takes the owner of a queue, the head of control and an access node for good. */
 function loseForGood(campaign: Campaign): void {
   const { world } = campaign;
@@ -538,5 +551,6 @@
   "prompts come back to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, calm: 24_000, tokens: 10 }, set: cancelAndBreak, struck: backToCancelled },
   "runners that one node cannot reach": { rule: "pace", options: { ...calm, calm: 34_000, tokens: 10, lotItems: 14, lotEvery: [250, 450] }, set: cutRunners, struck: notRun },
   "a control disk is lost while another is away": { rule: "service", options: { ...calm, stormy: 13_000, calm: 26_000 }, set: loseDiskInPair },
+  "seasons select lots and runners by labels": { rule: "season-runners", options: { season: 60, tokens: 6, labelled: true, stormy: 20_000, calm: 40_000 }, set: nothing, struck: ranInPool },
   "machines are lost for good": { rule: "service", options: { ...calm, stormy: 14_000, calm: 26_000 }, set: loseForGood },
 };
--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -16,6 +16,8 @@
 export interface LotRecord {
   readonly key: string;
   readonly count: number;
+  /** What it brings of its own. */
+  readonly labels?: Readonly<Record<string, string>>;
   readonly tries: string[];
   lot?: string;
   acceptedAt?: number;
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -59,7 +59,7 @@
   "changes are checked whole": { section: "§9", cuts: [{ file: machine, from: "const checked = configuration.check(value);", to: "const checked = { ok: true, value };" }] },
   "of two racers one wins": { section: "§9", cuts: [{ file: machine, from: "if (expected !== undefined && expected !== null && expected !== held.mark)", to: "if (false)" }] },
   "shares are granted when surely given back": { section: "§8.4", cuts: [{ file: pace, from: "granted.set(queue, known);\n        committed += known;", to: "granted.set(queue, Math.min(known, standing.target));\n        committed += 0;" }] },
-  "what is under way counts as waiting": { section: "§8.4", cuts: [{ file: lot, from: "return this.#waiting.length + this.#processing.size;", to: "return this.#waiting.length;" }] },
+  "what is under way counts as waiting": { section: "§8.4", cuts: [{ file: lot, from: "for (const [lot, count] of this.#open) {", to: "for (const [lot] of this.#open) { let count = 0; for (const waiting of this.#waiting.values()) for (const [, key] of waiting) if (key.startsWith(`item/${lot}/`)) count += 1;" }] },
   "a runner not heard of gets no work": { section: "§7.5", cuts: [{ file: constant, from: "runnerLasts: 1_800", to: "runnerLasts: 3_500" }] },
   "what is read on waking may be old": { section: "§7.5", cuts: [{ file: constant, from: "wakingLasts: 200", to: "wakingLasts: 0" }] },
   "time runs from the telling": { section: "§5.5", cuts: [
@@ -69,6 +69,7 @@
   "a cancelled lot takes nothing back": { section: "§5.3", cuts: [{ file: lot, from: "if (lot.cancelled)\n            return this.#finish(ledger, key, item, \"cancelled\", time, {});", to: "" }] },
   "only want of seats holds lots back": { section: "§8.5", cuts: [{ file: access, from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)", to: "live.way.model !== undefined" }] },
   "who was voted out still votes": { section: "§2.3", cuts: [{ file: view, from: "return view.voters ?? view.members;", to: "return view.members;" }] },
+  "a season's lots use its runners": { section: "§8.4", cuts: [{ file: access, from: "!season.matches(selectors, card.labels)", to: "false" }] },
   "silent members are voted out": { section: "§2.3, §8.2", cuts: [
     { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
     { file: session, from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)", to: "if (session.card.kind === kind)" },
@@ -102,5 +103,6 @@
   ["prompts come back to cancelled lots", "a cancelled lot takes nothing back"],
   ["runners that one node cannot reach", "only want of seats holds lots back"],
   ["a control disk is lost while another is away", "who was voted out still votes"],
+  ["seasons select lots and runners by labels", "a season's lots use its runners"],
   ["machines are lost for good", "silent members are voted out"],
 ];
