Recurring seasons, explain and preview, labels on adapters, warnings

Cause: the calendar of shifts had to be entered window by window, and an operator could ask only what holds for a whole queue. Windows come from a cron-like calendar through a library that knows zones. The library's rule at changes of clocks is pinned down by two examples: what I had expected there was wrong, a left-out minute opens an hour later, a doubled one the second time. Excluded: windows that overlap themselves, refused, since two of one season would share a name.

--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,5 +1,6 @@
 import { constants, outcome, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
 import { explain } from "@chutewick/shell";
+import { calendars, type Calendar } from "./calendar.js";
 import { z } from "zod";
 
 /** The operators' configuration, read and checked whole before it is entered (docs/design.md §9). */
@@ -19,6 +20,7 @@
   adapterBuckets: z.record(name, limits).default({}),
   waiting: z.int().min(0).max(1_000_000).default(10_000),
   labels: labels.default({}),
+  adapterLabels: z.record(name, labels).default({}),
 });
 
 const way = z.strictObject({
@@ -46,6 +48,10 @@
   runners: z.array(selector).default([]),
   waiting: z.int().min(1, { error: "must be 1 or more; leave the season out to allow nothing new" }).max(10_000_000),
   bucket: limits.optional(),
+  /** Opens again and again between start and end: five fields of cron in this zone, each time for so long. */
+  calendar: z.string().max(200).optional(),
+  zone: z.string().max(100).optional(),
+  lastsMinutes: z.number().positive({ error: "must be more than 0" }).max(525_600).optional(),
 });
 
 const shape = z.strictObject({
@@ -78,6 +84,7 @@
   for (const [key, each] of Object.entries(value.models)) {
     if (new Set(each.adapters).size !== each.adapters.length) found.push(`models.${key}.adapters: names one adapter twice`);
     for (const adapter of Object.keys(each.adapterBuckets)) if (!each.adapters.includes(adapter)) found.push(`models.${key}.adapterBuckets.${adapter}: is not an adapter of this model`);
+    for (const adapter of Object.keys(each.adapterLabels)) if (!each.adapters.includes(adapter)) found.push(`models.${key}.adapterLabels.${adapter}: is not an adapter of this model`);
   }
   for (const [key, each] of Object.entries(value.ways)) {
     if (each.kind === "fetch") {
@@ -90,6 +97,12 @@
     if (each.deadlineSeconds !== undefined && each.kind !== "lot") found.push(`ways.${key}.deadlineSeconds: is for lots only`);
   }
   for (const [key, each] of Object.entries(value.seasons)) {
+    const recurring = calendarOf(each);
+    if (recurring === "half") found.push(`seasons.${key}.calendar: calendar, zone and lastsMinutes go together`);
+    else if (recurring !== undefined && Date.parse(each.end) > Date.parse(each.start)) {
+      const reason = calendars.refuse(recurring, Date.parse(each.start), Date.parse(each.end));
+      if (reason !== undefined) found.push(`seasons.${key}.${reason}`);
+    }
     if (Date.parse(each.end) <= Date.parse(each.start)) found.push(`seasons.${key}.end: must be after the start`);
     const contradiction = contradicts(each.select);
     if (contradiction !== undefined) found.push(`seasons.${key}.select: can select nothing, since ${contradiction}`);
@@ -99,6 +112,11 @@
   return found.length > 0 ? outcome.bad(found.join("; ")) : outcome.good(value);
 }
 
+function calendarOf({ calendar, zone, lastsMinutes }: { calendar?: string; zone?: string; lastsMinutes?: number }): Calendar | "half" | undefined {
+  if (calendar === undefined && zone === undefined && lastsMinutes === undefined) return undefined;
+  return calendar === undefined || zone === undefined || lastsMinutes === undefined ? "half" : { calendar, zone, lastsMinutes };
+}
+
 /** What is allowed but looks like a slip: labels that nothing in the configuration carries. */
 function warnings(value: Configuration): string[] {
   const carried = new Set<string>(["way"]);
@@ -173,15 +191,20 @@
   for (const [key, each] of Object.entries(value.models)) {
     const common = { model: key, waiting: each.waiting, labels: { ...each.labels, model: key } };
     plans.push({ queue: queueOf(key, undefined), limits: each.bucket, ...common });
-    for (const adapter of each.adapters) plans.push({ queue: queueOf(key, adapter), adapter, limits: each.adapterBuckets[adapter] ?? each.bucket, ...common, labels: { ...common.labels, adapter } });
+    for (const adapter of each.adapters) plans.push({ queue: queueOf(key, adapter), adapter, limits: each.adapterBuckets[adapter] ?? each.bucket, ...common, labels: { ...common.labels, ...each.adapterLabels?.[adapter], model: key, adapter } });
   }
   return plans;
 }
 
-function seasonsOf(value: Configuration): Season[] {
+/** Seasons as windows around a moment: a recurring one gives the window that is open or to come next, and two more. */
+function seasonsOf(value: Configuration, wall: number): Season[] {
   const all: Season[] = [];
   for (const [key, each] of Object.entries(value.seasons)) {
-    all.push({ name: key, start: Date.parse(each.start), end: Date.parse(each.end), select: each.select, runners: each.runners, waiting: each.waiting, ...(each.bucket === undefined ? {} : { limits: each.bucket }) });
+    const one = { name: key, select: each.select, runners: each.runners ?? [], waiting: each.waiting, ...(each.bucket === undefined ? {} : { limits: each.bucket }) };
+    const [start, end] = [Date.parse(each.start), Date.parse(each.end)];
+    const recurring = calendarOf(each);
+    if (recurring === undefined || recurring === "half") all.push({ ...one, start, end });
+    else for (const window of calendars.windows(recurring, start, end, wall)) all.push({ ...one, ...window });
   }
   return all;
 }
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -4,6 +4,7 @@
   type Roll, type Stamp, type ViewCommand, type ViewMessage, type VoteState,
 } from "@chutewick/parts";
 import { configuration, type MarkedConfiguration } from "./configuration.js";
+import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
 import { ControlMachine, keys, type ControlCommand, type ControlResult, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
 
@@ -502,6 +503,19 @@
     return { mark: view.mark + 1, members: [lone], joiner };
   }
 
+  #known(now: number): Known {
+    const marked = this.#feed.read<MarkedConfiguration>(keys.configuration) ?? configuration.blank;
+    return { value: marked.value, ...this.#surroundings(this.#sessions.live("storage", now), now) };
+  }
+
+  explain(asked: Asked, now: number): Explained {
+    return explanations.explain(asked, this.#known(now));
+  }
+
+  preview(season: unknown, now: number): Explained {
+    return explanations.preview(season, this.#known(now));
+  }
+
   /** For operators. */
   status(now: number): Record<string, unknown> {
     const roll = this.#sessions.roll(now);
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -15,7 +15,7 @@
   | { kind: "read" };
 
 export type ControlResult =
-  | { kind: "IN_FORCE"; mark: number }
+  | { kind: "IN_FORCE"; mark: number; warnings?: readonly string[] }
   | { kind: "CONFLICT"; mark: number }
   | { kind: "REFUSED"; reason: string }
   | { kind: "DONE" }
@@ -132,6 +132,7 @@
     if (!checked.ok) return { kind: "REFUSED", reason: checked.reason };
     const mark = held.mark + 1;
     ledger.put(keys.configuration, { mark, value: checked.value } satisfies MarkedConfiguration);
-    return { kind: "IN_FORCE", mark };
+    const warnings = configuration.warnings(checked.value);
+    return { kind: "IN_FORCE", mark, ...(warnings.length === 0 ? {} : { warnings }) };
   }
 }
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -53,7 +53,7 @@
     const drafts = new Map<string, Draft>();
     /** By season, or by queue for what no season selects. */
     const groups = new Map<string, { allowance: number; wishes: Wish[] }>();
-    const calendar = configuration.seasonsOf(around.value);
+    const calendar = configuration.seasonsOf(around.value, around.wall);
     const opened = seasons.opened(calendar, around.wall);
     function wish(group: string, allowance: number, one: Wish): void {
       const held = groups.get(group) ?? { allowance, wishes: [] };
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
 import { ControlCore, type ControlMessage, type ControlOutcome, type ControlOutput } from "./core.js";
+import type { Explained } from "./explain.js";
 import type { ControlCommand } from "./machine.js";
 
 /** The control process: sockets, folder and beats round the core (docs/design.md §10). */
@@ -31,6 +32,8 @@
       address: settings.http, log, owners: [this.#owner()],
       openings: [
         { method: "GET", path: "/status", event: "operator.status" },
+        { method: "GET", path: "/seasons/explain", event: "operator.explain" },
+        { method: "POST", path: "/seasons/preview", event: "operator.preview" },
         { method: "GET", path: "/configuration", event: "operator.configuration.get" },
         { method: "PUT", path: "/configuration", event: "operator.configuration.put" },
         { method: "PATCH", path: "/configuration", event: "operator.configuration.patch" },
@@ -78,10 +81,25 @@
     }
     function empty(arrival: Arrival): void { self.#inquire(arrival, { kind: "empty", identity: arrival.parameters["identity"]!, wanted: true }); }
     function keep(arrival: Arrival): void { self.#inquire(arrival, { kind: "empty", identity: arrival.parameters["identity"]!, wanted: false }); }
+    function explained(arrival: Arrival, told: Explained): void {
+      if (told.kind === "REFUSED") replyTrouble(arrival.reply, 422, { trouble: "refused", reason: told.reason });
+      else reply(arrival.reply, 200, told.value);
+    }
+    function explain(arrival: Arrival): void {
+      const { way, model, adapter, labels = "" } = arrival.query;
+      const own: Record<string, string> = {};
+      for (const text of labels.split(",")) {
+        const cut = text.indexOf("=");
+        if (cut > 0) own[text.slice(0, cut)] = text.slice(cut + 1);
+        else if (text !== "") return replyTrouble(arrival.reply, 422, { trouble: "refused", reason: `labels: ${text} must be key=value` });
+      }
+      explained(arrival, self.#core.explain({ way, model, adapter, labels: own }, monotonic()));
+    }
+    function preview(arrival: Arrival): void { explained(arrival, self.#core.preview(arrival.body, monotonic())); }
     return {
       name: "control",
       events: {
-        "operator.status": status, "operator.configuration.get": get, "operator.configuration.put": put,
+        "operator.status": status, "operator.explain": explain, "operator.preview": preview, "operator.configuration.get": get, "operator.configuration.put": put,
         "operator.configuration.patch": patch, "operator.empty": empty, "operator.keep": keep,
       },
     };
@@ -140,7 +158,7 @@
   if (result.kind === "unknown") return replyTrouble(to, 504, { trouble: "unknown", reason: "whether the change takes effect is not known yet; read the configuration and its mark" });
   const value = result.value;
   switch (value.kind) {
-    case "IN_FORCE": return reply(to, 200, { mark: value.mark });
+    case "IN_FORCE": return reply(to, 200, { mark: value.mark, ...(value.warnings === undefined ? {} : { warnings: value.warnings }) });
     case "CONFLICT": return replyTrouble(to, 409, { trouble: "conflict", reason: `the mark is ${value.mark} by now; nothing was changed`, mark: value.mark });
     case "REFUSED": return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
     case "DONE": return reply(to, 200, { done: true });
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -444,7 +444,7 @@
   #roomAt(queue: string, count: number): number | undefined {
     const { value } = this.membership.configuration;
     const plan = configuration.queues(value).find(isQueue, { queue });
-    return plan === undefined ? undefined : season.roomAt(configuration.seasonsOf(value), plan.labels, plan.waiting, this.#wall, count);
+    return plan === undefined ? undefined : season.roomAt(configuration.seasonsOf(value, this.#wall), plan.labels, plan.waiting, this.#wall, count);
   }
 
   /** Only a node that surely has the newest configuration may say that there is no such queue. */
--- a/programs/chutewick/src/operate.ts
+++ b/programs/chutewick/src/operate.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
-import { configuration, type QueueStanding } from "@chutewick/control";
-import { constants, outcome, type Outcome } from "@chutewick/parts";
+import { configuration } from "@chutewick/control";
+import { outcome, type Outcome } from "@chutewick/parts";
 import { command, multioption, array, number, option, optional, positional, restPositionals, string, subcommands } from "cmd-ts";
 import { request } from "undici";
 
@@ -74,7 +74,7 @@
 function check(given: { file: string }): void {
   const checked = configuration.check(readInput(given.file));
   if (!checked.ok) fail(3, checked.reason);
-  print({ good: true });
+  print({ good: true, warnings: configuration.warnings(checked.value) });
 }
 
 function get(given: { control: string }): Promise<void> {
@@ -100,7 +100,9 @@
 });
 
 function label(given: { control: string; kind: string; name: string; labels: string[]; mark: number | undefined }): Promise<void> {
-  if (given.kind !== "way" && given.kind !== "model") fail(2, "labels are put on a way or a model; runners announce their own");
+  const [model, adapter] = given.kind === "adapter" ? given.name.split(".") : [given.name, undefined];
+  if (given.kind === "adapter" && (adapter === undefined || model === "")) fail(2, `${given.name}: an adapter is named model.adapter`);
+  if (given.kind !== "way" && given.kind !== "model" && given.kind !== "adapter") fail(2, "labels are put on a way, a model or an adapter; runners and lots bring their own");
   const labels: Record<string, string | null> = {};
   for (const text of given.labels) {
     const cut = text.indexOf("=");
@@ -108,12 +110,13 @@
     else if (text.endsWith("-") && text.length > 1) labels[text.slice(0, -1)] = null;
     else fail(2, `${text}: must be key=value, or key- to take it away`);
   }
-  return carry(given.control, "PATCH", "/configuration", { [`${given.kind}s`]: { [given.name]: { labels } } }, given.mark);
+  const change = adapter === undefined ? { [`${given.kind}s`]: { [given.name]: { labels } } } : { models: { [model!]: { adapterLabels: { [adapter]: labels } } } };
+  return carry(given.control, "PATCH", "/configuration", change, given.mark);
 }
 
 export const labelCommand = command({
-  name: "label", description: "label a way or a model: key=value, or key- to take a label away",
-  args: { control: controlFlag, mark: markFlag, kind: positional({ type: string, displayName: "way|model" }), name: positional({ type: string, displayName: "name" }), labels: restPositionals({ type: string, displayName: "key=value" }) },
+  name: "label", description: "label a way, a model or an adapter (model.adapter): key=value, or key- to take a label away",
+  args: { control: controlFlag, mark: markFlag, kind: positional({ type: string, displayName: "way|model|adapter" }), name: positional({ type: string, displayName: "name" }), labels: restPositionals({ type: string, displayName: "key=value" }) },
   handler: label,
 });
 
@@ -127,50 +130,78 @@
   return text.startsWith("!") ? { label: text.slice(1), exists: false } : { label: text, exists: true };
 }
 
-function seasonPut(given: { control: string; mark: number | undefined; name: string; start: string; end: string; select: string[]; waiting: number; bucket: string | undefined }): Promise<void> {
+interface SeasonGiven {
+  control: string;
+  start: string;
+  end: string;
+  select: string[];
+  runners: string[];
+  waiting: number;
+  bucket: string | undefined;
+  calendar: string | undefined;
+  zone: string | undefined;
+  lasts: number | undefined;
+}
+
+function seasonOf(given: SeasonGiven): Record<string, unknown> {
   const select: unknown[] = [];
   for (const text of given.select) select.push(readSelector(text));
-  const season: Record<string, unknown> = { start: given.start, end: given.end, select, waiting: given.waiting };
+  const runners: unknown[] = [];
+  for (const text of given.runners) runners.push(readSelector(text));
+  const season: Record<string, unknown> = { start: given.start, end: given.end, select, runners, waiting: given.waiting };
+  for (const [key, value] of Object.entries({ calendar: given.calendar, zone: given.zone, lastsMinutes: given.lasts })) if (value !== undefined) season[key] = value;
   if (given.bucket !== undefined) {
     const [tokens, windowSeconds, capacity] = given.bucket.split("/").map(Number);
     season["bucket"] = { tokens, windowSeconds, capacity };
   }
-  return carry(given.control, "PATCH", "/configuration", { seasons: { [given.name]: season } }, given.mark);
+  return season;
+}
+
+function seasonPut(given: SeasonGiven & { mark: number | undefined; name: string }): Promise<void> {
+  return carry(given.control, "PATCH", "/configuration", { seasons: { [given.name]: seasonOf(given) } }, given.mark);
 }
 
 function seasonRemove(given: { control: string; mark: number | undefined; name: string }): Promise<void> {
   return carry(given.control, "PATCH", "/configuration", { seasons: { [given.name]: null } }, given.mark);
 }
 
-async function seasonExplain(given: { control: string; queue: string }): Promise<void> {
-  const told = await ask(given.control, "GET", "/status");
-  if (!told.ok) fail(1, told.reason);
-  const standing = (told.value.body["standings"] as Record<string, QueueStanding & { report?: { held: number; need: number } }>)[given.queue];
-  if (standing === undefined) fail(3, `${given.queue}: there is no such queue, or nothing holds for it yet`);
-  const full = standing.pace === constants.paceSteps;
-  print({
-    queue: given.queue, season: standing.season, allowance: standing.target, stillGranted: standing.granted, waitingOrRefusedLately: standing.report?.need ?? null,
-    pace: { tokens: standing.limits.tokens, windowSeconds: standing.limits.windowSeconds, capacity: standing.limits.capacity, eighthsOfConfigured: standing.pace },
-    why: `${standing.season === null ? "no season is open for it: its own waiting and bucket hold" : `season ${standing.season} decides`}; ${full ? "live work leaves room for the whole pace" : `live work leaves ${standing.pace} eighths of the pace`}`,
-  });
+function seasonExplain(given: { control: string; way: string | undefined; model: string | undefined; adapter: string | undefined; labels: string[] }): Promise<void> {
+  const query = new URLSearchParams();
+  for (const [key, value] of Object.entries({ way: given.way, model: given.model, adapter: given.adapter })) if (value !== undefined) query.set(key, value);
+  if (given.labels.length > 0) query.set("labels", given.labels.join(","));
+  return carry(given.control, "GET", `/seasons/explain?${query.toString()}`);
+}
+
+function seasonPreview(given: SeasonGiven): Promise<void> {
+  return carry(given.control, "POST", "/seasons/preview", seasonOf(given));
 }
 
 const seasonName = positional({ type: string, displayName: "name" });
 
+const seasonFlags = {
+  control: controlFlag, start: option({ type: string, long: "start", description: "date and time with zone" }), end: option({ type: string, long: "end" }),
+  select: multioption({ type: array(string), long: "select", description: "which lots: key=value, key=one,other, key or !key over labels of model, adapter, way and lot" }),
+  runners: multioption({ type: array(string), long: "runners", description: "which runners its lots may use, by their labels" }),
+  waiting: option({ type: number, long: "waiting", description: "items that may wait, over all selected queues" }),
+  bucket: option({ type: optional(string), long: "bucket", description: "tokens/windowSeconds/capacity" }),
+  calendar: option({ type: optional(string), long: "calendar", description: "opens again and again: minute hour day month weekday" }),
+  zone: option({ type: optional(string), long: "zone", description: "time zone of the calendar, such as America/Lima" }),
+  lasts: option({ type: optional(number), long: "lasts", description: "minutes that it is open each time" }),
+};
+
 export const seasonCommands = subcommands({
   name: "season",
   cmds: {
-    put: command({
-      name: "put", description: "enter or change a season", handler: seasonPut,
+    put: command({ name: "put", description: "enter or change a season", handler: seasonPut, args: { ...seasonFlags, mark: markFlag, name: seasonName } }),
+    preview: command({ name: "preview", description: "what a season would select, without entering it", handler: seasonPreview, args: seasonFlags }),
+    remove: command({ name: "remove", description: "take a season away", args: { control: controlFlag, mark: markFlag, name: seasonName }, handler: seasonRemove }),
+    explain: command({
+      name: "explain", description: "what holds now for lots of a way, or of a model or adapter, and why", handler: seasonExplain,
       args: {
-        control: controlFlag, mark: markFlag, name: seasonName, start: option({ type: string, long: "start" }), end: option({ type: string, long: "end" }),
-        select: multioption({ type: array(string), long: "select", description: "key=value, key=one,other, key or !key" }),
-        waiting: option({ type: number, long: "waiting", description: "items that may wait, over all selected queues" }),
-        bucket: option({ type: optional(string), long: "bucket", description: "tokens/windowSeconds/capacity" }),
+        control: controlFlag, way: option({ type: optional(string), long: "way" }), model: option({ type: optional(string), long: "model" }), adapter: option({ type: optional(string), long: "adapter" }),
+        labels: multioption({ type: array(string), long: "label", description: "a label that the lot brings, key=value" }),
       },
     }),
-    remove: command({ name: "remove", description: "take a season away", args: { control: controlFlag, mark: markFlag, name: seasonName }, handler: seasonRemove }),
-    explain: command({ name: "explain", description: "what holds for a queue now", args: { control: controlFlag, queue: positional({ type: string, displayName: "queue" }) }, handler: seasonExplain }),
   },
 });
 
