A control machine that stops as planned hands its place over first

Cause: a control machine simply ended, and the others waited 1.5 s for its silence. Excluded: leases, which bridge the view as before.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -92,6 +92,14 @@
   get place(): number { return this.#feed.place; }
   get isHead(): boolean { return this.#chain.isHead; }
 
+  /** A planned stop: the others take the view over at once (§8.6). */
+  leave(now: number): ControlOutput[] {
+    return this.#vote(this.#agreement.leave(), now);
+  }
+
+  /** Whether the group still counts on this machine and could do without it. */
+  get isNeeded(): boolean { return this.#isMember && (this.#chain.view?.members.length ?? 0) > constants.copiesLeast; }
+
   get #isMember(): boolean { return this.#chain.position >= 0; }
 
   /** Called once after start: a view decided before a crash may not have reached the chain. */
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import { Beat, Disk, Gateway, Wire, diskFailed, listen, monotonic, reply, replyTrouble, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import { Beat, Disk, Gateway, Wire, diskFailed, listen, monotonic, reply, replyTrouble, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
 import { constants, outcome, type Outcome } from "@chutewick/parts";
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
@@ -56,7 +56,13 @@
     return outcome.good(control);
   }
 
+  /** Planned stop: the others go on without it first, so that nobody waits for its silence (§8.6). */
   async close(): Promise<void> {
+    this.#perform(this.#core.leave(monotonic()));
+    const self = this;
+    const until = monotonic() + constants.handOverPatience;
+    function handedOver(): boolean { return !self.#core.isNeeded || monotonic() > until; }
+    await settled(handedOver);
     this.#beat.stop();
     await this.#gateway.close();
     this.#wire.close();
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -16,7 +16,7 @@
 }
 
 export type ViewMessage =
-  | { readonly kind: "greet"; readonly member: Member; readonly view: ChainView | undefined; readonly founding: readonly Member[] | undefined; readonly copiedMark: number }
+  | { readonly kind: "greet"; readonly member: Member; readonly view: ChainView | undefined; readonly founding: readonly Member[] | undefined; readonly copiedMark: number; readonly leaving?: boolean }
   | { readonly kind: "prepare"; readonly mark: number; readonly ballot: Ballot }
   | { readonly kind: "promise"; readonly mark: number; readonly ballot: Ballot; readonly member: string; readonly accepted: VoteState["accepted"] }
   | { readonly kind: "accept"; readonly mark: number; readonly ballot: Ballot; readonly view: ChainView }
@@ -34,6 +34,8 @@
   readonly view: ChainView | undefined;
   readonly founding: readonly Member[] | undefined;
   readonly copiedMark: number;
+  /** About to stop as planned: the view goes on without it at once (§8.6). */
+  readonly leaving: boolean;
 }
 
 interface Try {
@@ -59,6 +61,7 @@
   #ticket = 0;
   #waiting = new Map<number, ViewCommand[]>();
   #copiedMark = 0;
+  #leaving = false;
 
   constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState) {
     this.#self = self;
@@ -70,6 +73,15 @@
 
   get view(): ChainView | undefined { return this.#state.view; }
 
+  leave(): ViewCommand[] {
+    this.#leaving = true;
+    return this.#greetings();
+  }
+
+  #isLeaving(identity: string): boolean {
+    return identity === this.#self.identity ? this.#leaving : this.#neighbours.get(identity)?.leaving === true;
+  }
+
   heardWithin(identity: string, within: number, now: number): boolean {
     const neighbour = this.#neighbours.get(identity);
     return identity === this.#self.identity || (neighbour !== undefined && now - neighbour.heardAt <= within);
@@ -116,7 +128,7 @@
 
   #greetings(): ViewCommand[] {
     const commands: ViewCommand[] = [];
-    const message: ViewMessage = { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark };
+    const message = this.#greeting();
     for (const to of this.addresses()) commands.push({ kind: "send", to, message });
     return commands;
   }
@@ -159,6 +171,10 @@
       const next = joinerAlive ? joiner : alive.length < constants.copiesLeast ? this.#candidate(view, now) : undefined;
       return alive.length >= constants.copiesLeast || next !== undefined ? this.#next(view, alive, next, now) : undefined;
     }
+    /** One that stops as planned leaves at once, as long as two stay. */
+    const staying: Member[] = [];
+    for (const member of alive) if (!this.#isLeaving(member.identity)) staying.push(member);
+    if (staying.length < alive.length && staying.length >= constants.copiesLeast) return this.#next(view, staying, joinerAlive ? joiner : undefined, now);
     if (joiner !== undefined) {
       if (!joinerAlive) return this.#next(view, view.members, undefined, now);
       return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? this.#next(view, [...view.members, joiner], undefined, now) : undefined;
@@ -188,7 +204,7 @@
     const candidates: Member[] = [];
     for (const neighbour of this.#neighbours.values()) {
       const identity = neighbour.member.identity;
-      if (now - neighbour.heardAt < constants.greetEvery * 3 && !this.#retired.has(identity) && !view.members.some(hasIdentity, { identity })) candidates.push(neighbour.member);
+      if (now - neighbour.heardAt < constants.greetEvery * 3 && !neighbour.leaving && !this.#retired.has(identity) && !view.members.some(hasIdentity, { identity })) candidates.push(neighbour.member);
     }
     candidates.sort(byIdentity);
     return candidates[0];
@@ -242,7 +258,7 @@
   }
 
   #greeting(): ViewMessage {
-    return { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark };
+    return { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark, leaving: this.#leaving };
   }
 
   #reply(to: string, message: ViewMessage, now: number): ViewCommand[] {
@@ -259,7 +275,7 @@
         this.#neighbours.delete(other);
       }
     }
-    this.#neighbours.set(identity, { member: message.member, heardAt: now, view: message.view, founding: message.founding, copiedMark: message.copiedMark });
+    this.#neighbours.set(identity, { member: message.member, heardAt: now, view: message.view, founding: message.founding, copiedMark: message.copiedMark, leaving: message.leaving === true });
     if (message.view !== undefined && message.view.mark > (this.#state.view?.mark ?? 0)) return this.#decide(message.view);
     return [];
   }
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -684,7 +684,7 @@
   /** A planned stop and start of a storage or access machine. */
   #stop(): void {
     const { world } = this;
-    const machine = world.chance.pick([...this.storages, ...this.accesses]);
+    const machine = world.chance.pick([...this.controls, ...this.storages, ...this.accesses]);
     if (!machine.alive || machine.frozen) return;
     this.note(`${machine.name} is told to stop`);
     machine.leave();
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -33,6 +33,8 @@
     this.#waiting.clear();
   }
 
+  leave(): void { this.#perform(this.core.leave(this.world.now)); }
+
   /** An operator's inquiry; undefined: the connection was torn. */
   inquire(command: ControlCommand, told: (outcome: ControlOutcome | undefined) => void): void {
     if (!this.alive) return told(undefined);
