Copies stand in different zones; status says whether a zone may be lost

Cause: placement knew no zones, so losing one could take two copies of a queue while a third zone had a place. Conclusion: the rule comes before balance, and balance keeps it.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -392,7 +392,7 @@
       for (const card of live) if (!emptying.has(card.identity) && !card.leaving) able.push(card.identity);
       if (able.length < constants.copiesLeast) continue;
       const members: Member[] = [];
-      for (const identity of duty.rank(queue, able).slice(0, constants.copiesWanted)) members.push({ identity, address: byIdentity.get(identity)!.address });
+      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(0, constants.copiesWanted)) members.push({ identity, address: byIdentity.get(identity)!.address });
       outputs.push(...this.#command({ kind: "place", queue, view: { mark: 1, members } }, now));
     }
     for (const [queue, standing] of this.#pacer.plan({ value: marked.value, ...this.#surroundings(live, now) })) {
@@ -457,7 +457,8 @@
     }
     const leaving = view.members.find(isIn, emptying);
     if (view.members.length > constants.copiesWanted) {
-      const surplus = leaving ?? this.#mostBurdened(view);
+      const doubled = sharingZone(view.members, live);
+      const surplus = leaving ?? this.#mostBurdened(doubled.length > 0 ? doubled : view.members);
       const members: Member[] = [];
       for (const member of view.members) if (member.identity !== surplus.identity) members.push(member);
       return { mark, members };
@@ -467,10 +468,20 @@
     if (able.length === 0) return undefined;
     const counted = leaving === undefined ? view.members.length : view.members.length - 1;
     const ranked = duty.rank(queue, able);
+    const zones = zonesOf(view.members, live);
     let identity = ranked[0]!;
-    for (const other of ranked) if (this.#queuesAt(other) < this.#queuesAt(identity)) identity = other;
+    for (const other of ranked) {
+      const [otherNew, heldNew] = [!zones.has(live.get(other)!.zone), !zones.has(live.get(identity)!.zone)];
+      if (otherNew !== heldNew ? otherNew : this.#queuesAt(other) < this.#queuesAt(identity)) identity = other;
+    }
+    /** Two copies in one zone while another zone has a place: that comes before balance (§8.2). */
+    const { zone } = live.get(identity)!;
+    const gainsZone = sharingZone(view.members, live).length > 0 && !zones.has(zone);
+    /** A move within a zone takes the place of a machine of that zone; else zones would be doubled and mended in turn. */
+    const rivals: Member[] = [];
+    for (const member of view.members) if (!zones.has(zone) || live.get(member.identity)!.zone === zone) rivals.push(member);
     /** Balance: one queue at a time goes from the machine with most to the one with fewest. */
-    if (counted >= constants.copiesWanted && (this.#moved || this.#copying() || this.#queuesAt(this.#mostBurdened(view).identity) - this.#queuesAt(identity) < 2)) return undefined;
+    if (counted >= constants.copiesWanted && (this.#moved || this.#copying() || !gainsZone && this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2)) return undefined;
     if (counted >= constants.copiesWanted) this.#moved = true;
     return { mark, members: view.members, joiner: { identity, address: live.get(identity)!.address } };
   }
@@ -487,9 +498,9 @@
   }
 
   /** The member whose machine keeps most queues; the owner only if it alone does, since moving it costs a pause. */
-  #mostBurdened(view: ChainView): Member {
-    let most = view.members.at(-1)!;
-    for (const member of [...view.members].reverse()) if (this.#queuesAt(member.identity) > this.#queuesAt(most.identity)) most = member;
+  #mostBurdened(members: readonly Member[]): Member {
+    let most = members.at(-1)!;
+    for (const member of [...members].reverse()) if (this.#queuesAt(member.identity) > this.#queuesAt(most.identity)) most = member;
     return most;
   }
 
@@ -533,7 +544,7 @@
     for (const [key] of this.#feed.under(keys.emptying)) emptying[key.slice(keys.emptying.length)] = { queuesLeft: this.#queuesAt(key.slice(keys.emptying.length)) };
     return {
       self: this.#self, place: this.#feed.place, configuration: this.#feed.read<MarkedConfiguration>(keys.configuration)?.mark ?? 0,
-      view: this.#chain.view, head: this.#chain.isHead, nodes: roll.nodes.map(cardOf), runners: roll.runners, queues, standings: this.#standings(now), emptying, safeToLoseOne: this.#safe(now),
+      view: this.#chain.view, head: this.#chain.isHead, nodes: roll.nodes.map(cardOf), runners: roll.runners, queues, standings: this.#standings(now), emptying, safeToLoseOne: this.#safe(now), safeToLoseZone: this.#zoneless(now),
     };
   }
 
@@ -544,6 +555,21 @@
     return told;
   }
 
+  /** For each zone, why its loss would leave a queue fewer than two copies; true where none would. */
+  #zoneless(now: number): true | Record<string, string> {
+    const live = new Map<string, NodeCard>();
+    for (const card of this.#sessions.live("storage", now)) live.set(card.identity, card);
+    const told: Record<string, string> = {};
+    for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) {
+      for (const zone of zonesOf(view.members, live)) {
+        let others = 0;
+        for (const member of view.members) if (live.has(member.identity) && live.get(member.identity)!.zone !== zone) others += 1;
+        if (others < constants.copiesLeast) told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
+      }
+    }
+    return Object.keys(told).length === 0 ? true : told;
+  }
+
   #safe(now: number): boolean {
     const view = this.#chain.view;
     if (view === undefined || view.members.length < constants.copiesWanted) return false;
@@ -563,6 +589,40 @@
   return { ...card, age: Math.round(node.age) };
 }
 
+function zonesOf(members: readonly Member[], live: ReadonlyMap<string, NodeCard>): Set<string> {
+  const zones = new Set<string>();
+  for (const member of members) if (live.has(member.identity)) zones.add(live.get(member.identity)!.zone);
+  return zones;
+}
+
+/** The members that stand in a zone with another. */
+function sharingZone(members: readonly Member[], live: ReadonlyMap<string, NodeCard>): Member[] {
+  const byZone = new Map<string, Member[]>();
+  for (const member of members) {
+    const zone = live.get(member.identity)?.zone;
+    if (zone === undefined) continue;
+    const held = byZone.get(zone) ?? [];
+    held.push(member);
+    byZone.set(zone, held);
+  }
+  const found: Member[] = [];
+  for (const held of byZone.values()) if (held.length > 1) found.push(...held);
+  return found;
+}
+
+/** In the same order, but the first of each zone before the second of any. */
+function spreadOverZones(ranked: readonly string[], live: ReadonlyMap<string, NodeCard>): string[] {
+  const first: string[] = [];
+  const others: string[] = [];
+  const zones = new Set<string>();
+  for (const identity of ranked) {
+    const { zone } = live.get(identity)!;
+    (zones.has(zone) ? others : first).push(identity);
+    zones.add(zone);
+  }
+  return [...first, ...others];
+}
+
 function reportOf(report: ShareReport | undefined): Record<string, unknown> | undefined {
   return report === undefined ? undefined : { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
 }
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -2,7 +2,7 @@
 import { configuration, type Configuration, type ControlOutcome } from "@chutewick/control";
 import { check, type ChangeRecord, type GoodbyeRecord, type InquiryRecord, type LotRecord, type LotView, type Sight, type Violation } from "./checker.js";
 import { aims } from "./aims.js";
-import { AccessMachine, ControlMachine, StorageMachine, type AccessHooks, type CallerSight } from "./machines.js";
+import { AccessMachine, ControlMachine, StorageMachine, zoneNamed, type AccessHooks, type CallerSight } from "./machines.js";
 import { Runner, type Manner, type RunRecord } from "./runners.js";
 import { World, type Machine } from "./world.js";
 
@@ -142,6 +142,7 @@
     world.run(world.now + (this.options.calm ?? 26_000));
     this.look();
     sight.repaired = !this.heals || this.#whole();
+    if (this.heals && this.#sharesZone()) this.breaches.push({ rule: "repair", facts: "two copies of a queue stand in one zone at the end, and another zone has a place" });
     sight.emptiedHolds = this.#emptiedIdentity !== undefined && this.#holdsQueue(this.#emptiedIdentity);
     const counts: Record<string, number> = { events: world.events, messages: world.messages, runs: sight.runs.length, inquiries: sight.inquiries.length, lots: sight.lots.length, changes: sight.changes.length, faults: this.faults.length };
     for (const { from, to } of this.#awaySpans) {
@@ -616,20 +617,20 @@
   /** A third of the access nodes, one control and one storage machine and their runners are cut off together, or lose power. */
   #zone(lasts: number): void {
     const { world } = this;
-    const zone = world.chance.below(3);
+    const zone = `zone-${world.chance.below(3)}`;
     const inside: Machine[] = [];
     const outside: string[] = [];
-    for (const machine of this.machines) if (zoneOf(machine.name) === zone) inside.push(machine);
+    for (const machine of this.machines) if (zoneNamed(machine.name) === zone) inside.push(machine);
     else outside.push(machine.address);
     const runners: Runner[] = [];
-    for (const runner of this.runners) if (zoneOf(runner.id) === zone) runners.push(runner);
+    for (const runner of this.runners) if (zoneNamed(runner.id) === zone) runners.push(runner);
     else outside.push(runner.address);
     if (world.chance.happens(0.5)) {
-      this.note(`zone ${zone} is cut off for ${Math.round(lasts)}`);
+      this.note(`${zone} is cut off for ${Math.round(lasts)}`);
       for (const other of outside) for (const one of [...inside, ...runners]) world.cut(one.address, other);
       return this.#mendAfter(lasts);
     }
-    this.note(`zone ${zone} loses power`);
+    this.note(`${zone} loses power`);
     for (const machine of inside) this.#kill(machine, true, lasts);
     for (const runner of runners) if (runner.alive) runner.crash();
     function back(): void { for (const runner of runners) if (!runner.alive) runner.restart(); }
@@ -792,6 +793,19 @@
     return true;
   }
 
+  /** Two copies in one zone although the machines left to keep queues stand in three. */
+  #sharesZone(): boolean {
+    const zones = new Set<string>();
+    for (const storage of this.storages) if (storage.folder?.identity !== this.#emptiedIdentity) zones.add(zoneNamed(storage.name));
+    const queues = this.head()?.core.status(this.world.now)["queues"] as Record<string, ChainView> | undefined;
+    for (const { members } of Object.values(queues ?? {})) {
+      const of = new Set<string>();
+      for (const { address } of members) of.add(zoneNamed(address));
+      if (zones.size === 3 && of.size < 3) return true;
+    }
+    return false;
+  }
+
   #holdsQueue(identity: string): boolean {
     const head = this.controls.find(isHead);
     const queues = head?.core.status(this.world.now)["queues"] as Record<string, ChainView> | undefined;
@@ -816,10 +830,6 @@
   }
 }
 
-function zoneOf(name: string): number {
-  return Number(name.slice(name.lastIndexOf("-") + 1)) % 3;
-}
-
 export function poolOf(runner: string): string {
   return runner === "model-1" || runner === "model-2" ? "big" : "small";
 }
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -82,7 +82,7 @@
 
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
-    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: "a", http: this.address }, this.#seeds, this.folder.holdings(), this.world.now);
+    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: zoneNamed(this.name), http: this.address }, this.#seeds, this.folder.holdings(), this.world.now);
   }
 
   protected strike(): void { this.#perform(this.core.beat(this.world.now)); }
@@ -254,6 +254,11 @@
   }
 }
 
+/** Machines stand in three zones by their numbers. */
+export function zoneNamed(name: string): string {
+  return `zone-${Number(name.slice(name.lastIndexOf("-") + 1)) % 3}`;
+}
+
 function nothing(): void {
   // A caller without a connection has nothing to leave.
 }
