--- a/packages/parts/src/lot.ts
+++ b/packages/parts/src/lot.ts
@@ -467,10 +467,11 @@
         this.#lots.delete(id);
         const stone: Stone = { lot: id, way: lot.way, body: lot.body, items: lot.items, cancelled: lot.cancelled, endedAt: lot.finishedAt };
         ledger.put(stoneKey(id), stone);
-        this.#stones.push(stone);
+        let place = this.#stones.length;
+        while (place > 0 && earlierEnd(stone, this.#stones[place - 1]!) < 0) place -= 1;
+        this.#stones.splice(place, 0, stone);
       }
     }
-    this.#stones.sort(earlierEnd);
     while (this.#isForgotten(this.#stones[0], time)) {
       ledger.remove(stoneKey(this.#stones.shift()!.lot));
       count += 1;
