Passages and pools in the configuration; the words that access, runners and lots share

Cause: on the users' platform inquiries arrive by host and path and pass byte for byte to runners of a service, which the product had no words for.

--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -54,7 +54,51 @@
   lastsMinutes: z.number().positive({ error: "must be more than 0" }).max(525_600).optional(),
 });
 
+/** Runners of one kind that passages lead to (docs/design.md §13.1). */
+const pool = z.strictObject({
+  /** Models that its runners carry; none where they are plain. */
+  models: z.array(z.string().min(1).max(200)).max(1_000).default([]),
+  /** Seats of one runner, and the tokens that its memory takes, where they are told. */
+  seats: z.int().min(1).optional(),
+  memoryTokens: z.int().min(1).optional(),
+  /** Connections that one runner accepts from all nodes together; 0 for no limit. */
+  connections: z.int().min(0).default(0),
+  probePath: z.string().default("/health"),
+  bucket: limits.optional(),
+});
+
+const poolShare = z.strictObject({ pool: z.string().min(1), weight: z.number().min(0) });
+
+/** A way reached by host and path, whose inquiries pass byte for byte to runners of a pool (docs/design.md §13.1). */
+const passage = z.strictObject({
+  host: z.string().min(1),
+  prefix: z.string().regex(/^\/(.*\/)?$/, { error: "must begin and end with a slash" }),
+  /** safe: may run more than once. once: at most once. stream: a series of events. lot: items handed in, to run later. */
+  kind: z.enum(["safe", "once", "stream", "lot"]),
+  pools: z.array(poolShare).min(1),
+  /** 0 goes first. */
+  rank: z.int().min(0).default(0),
+  /** Runners that one try may be sent to; for an item, failures of its own after which it is given up. */
+  goesMost: z.int().min(1).default(1),
+  /** ms. The longest that one try is held. */
+  guard: z.number().positive({ error: "must be more than 0" }),
+  /** ms. Within which a result is worth most: to the first event, or to the acceptance of a lot. */
+  aim: z.number().min(0).default(0),
+  /** ms. Longest pause between events that is still in time. */
+  gap: z.number().min(0).optional(),
+  resumable: z.boolean().default(false),
+  affinity: z.boolean().default(false),
+  /** Tokens that may wait, of all lots of this passage together; 0 for no limit. */
+  waitingTokens: z.number().min(0).default(0),
+  /** ms after the handing in by which all results are due. */
+  within: z.number().min(0).optional(),
+  /** s after the handing in after which an item may be given up. */
+  keeps: z.number().min(0).optional(),
+});
+
 const shape = z.strictObject({
+  pools: z.record(z.string().min(1), pool).default({}),
+  passages: z.record(z.string().min(1), passage).default({}),
   models: z.record(name, model).default({}),
   ways: z.record(name, way).default({}),
   seasons: z.record(name, season).default({}),
@@ -62,14 +106,18 @@
 
 export type Configuration = z.infer<typeof shape>;
 export type Way = Configuration["ways"][string];
+export type Pool = Configuration["pools"][string];
+export type Passage = Configuration["passages"][string];
 
 /** Kept in control state and carried by the feed. */
 export interface MarkedConfiguration {
   readonly mark: number;
   readonly value: Configuration;
+  /** The operator's own text of it, told back as it was handed in, where an adapter translated it. */
+  readonly origin?: string;
 }
 
-export const blank: MarkedConfiguration = { mark: 0, value: { models: {}, ways: {}, seasons: {} } };
+export const blank: MarkedConfiguration = { mark: 0, value: { pools: {}, passages: {}, models: {}, ways: {}, seasons: {} } };
 
 function isMoment(text: string): boolean {
   return /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2})?(Z|[+-]\d{2}:\d{2})$/.test(text) && Number.isFinite(Date.parse(text));
@@ -96,6 +144,18 @@
     else if (each.adapter !== undefined && !value.models[each.model]!.adapters.includes(each.adapter)) found.push(`ways.${key}.adapter: ${each.model} has no adapter ${each.adapter}`);
     if (each.deadlineSeconds !== undefined && each.kind !== "lot") found.push(`ways.${key}.deadlineSeconds: is for lots only`);
   }
+  const places = new Set<string>();
+  for (const [key, each] of Object.entries(value.passages)) {
+    const place = `${each.host}${each.prefix}`;
+    if (places.has(place)) found.push(`passages.${key}.prefix: another passage has the same host and prefix`);
+    places.add(place);
+    let weights = 0;
+    for (const { pool: name, weight } of each.pools) {
+      weights += weight;
+      if (!Object.hasOwn(value.pools, name)) found.push(`passages.${key}.pools: there is no pool ${name}`);
+    }
+    if (weights <= 0) found.push(`passages.${key}.pools: the weights sum to 0`);
+  }
   for (const [key, each] of Object.entries(value.seasons)) {
     const recurring = calendarOf(each);
     if (recurring === "half") found.push(`seasons.${key}.calendar: calendar, zone and lastsMinutes go together`);
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -1,4 +1,4 @@
-import { Follower, Lease, constants, giveBack, isNewerWord, type FeedMessage, type FellowMessage, type NodeCard, type Roll, type RunnerCard, type Stamp, type Telling } from "@chutewick/parts";
+import { Follower, Lease, constants, giveBack, isNewerWord, policy, type Policy, type FeedMessage, type FellowMessage, type NodeCard, type Roll, type RunnerCard, type Stamp, type Telling } from "@chutewick/parts";
 import { configuration, keys, type ControlMessage, type FleetRecord, type Goodbye, type MarkedConfiguration } from "@chutewick/control";
 
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
@@ -38,8 +38,10 @@
   /** The last stamp of each control machine. */
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #telling: () => Telling;
+  #policy: Policy;
 
-  constructor(standing: Standing, seeds: readonly string[], now: number, telling: () => Telling) {
+  constructor(standing: Standing, seeds: readonly string[], now: number, telling: () => Telling, chosen: Policy = policy.usual) {
+    this.#policy = chosen;
     this.#promisedUntil = now + constants.permitLasts;
     this.#standing = standing;
     this.#seeds = seeds;
@@ -66,6 +68,13 @@
     return this.follower.place > 0 && (this.#lease.holds(now, this.follower.place) || now < this.#permitUntil);
   }
 
+  /** Whether live work on passages may begin: also on what is known, where the deployment lets a node go on alone (§13.3). */
+  serves(now: number): boolean {
+    return this.configuration.mark > 0 && (this.#policy.goesOnAlone || this.holds(now));
+  }
+
+  get policy(): Policy { return this.#policy; }
+
   /** Whether a majority of the control group was heard lately. */
   isNear(now: number): boolean {
     const view = this.#lease.view;
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./feed.js";
 export * from "./session.js";
 export * from "./season.js";
+export * from "./policy.js";
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -28,6 +28,8 @@
   readonly shares?: readonly (readonly [queue: string, shareMark: number, held: number, need: number, classes?: readonly ShareTelling[]])[];
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
+  /** What this access node has under way on passages, by runner: live inquiries and items of lots. */
+  readonly burdens?: readonly (readonly [runner: string, live: number, items: number])[];
   /** Live inquiries turned away for want of a seat lately, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
 }
@@ -45,6 +47,10 @@
   readonly seats: number;
   readonly zone: string;
   readonly burden: number;
+  /** The pool it belongs to, where passages lead to it (§13.1). */
+  readonly pool?: string;
+  /** ms that it stays slow from when it was told. */
+  readonly warming?: number;
   /** ms since the runner itself was heard by whoever told it. */
   readonly age: number;
 }
