--- /dev/null
+++ b/features/passlot.feature
@@ -0,0 +1,144 @@
+Feature: lots of passages on their queue's owner
+  Handing in, draw, settling and end are each one atomic step under the queue's bucket (docs/design.md §13.7).
+
+  Background:
+    Given a passage's queue with 10 tokens per 1 s, bursts of 10, and 1000 tokens that may wait
+
+  Scenario: a lot is taken once, whatever is handed in under its id
+    When the lot "a" with 3 items of 10 tokens is handed in
+    And the lot "a" with 3 items of 10 tokens is handed in
+    Then the tellings are HANDED, HANDED again
+    And 3 items wait in the queue
+
+  Scenario: an id with slashes and dots comes back from its keys as it was
+    When the lot "x/0/a.b" with 2 items of 10 tokens is handed in
+    And 2 prompts are drawn
+    And the machine starts again from its records
+    Then the claims under way are 0 and 1 of "x/0/a.b"
+
+  Scenario: the allowance counts to the token, and what is under way counts as waiting
+    When the lot "a" with 2 items of 400 tokens is handed in
+    And 1 prompt is drawn
+    And the lot "b" with 1 items of 201 tokens is handed in
+    And the lot "c" with 1 items of 200 tokens is handed in
+    Then the tellings are HANDED, NO_ROOM, HANDED
+    When the drawn prompt ends as solved
+    And the lot "b" with 1 items of 201 tokens is handed in
+    Then the last telling is HANDED
+
+  Scenario: an ended lot weighs nothing, and nothing of it is drawn any more
+    When the lot "a" with 3 items of 300 tokens is handed in
+    And 1 prompt is drawn
+    And the lot "a" is ended
+    And the lot "a" is ended
+    Then the last telling is ENDED
+    And nothing is drawn
+    When the lot "b" with 1 items of 1000 tokens is handed in
+    Then the last telling is HANDED
+    When the drawn prompt ends as solved
+    Then the last telling is SETTLED, with 1 stale
+
+  Scenario: a batch takes no more than there are tokens, and tells the exact wait
+    When the lot "a" with 30 items of 10 tokens is handed in
+    And 8 prompts are drawn
+    And 8 prompts are asked for
+    Then 2 prompts came, and then RATE_LIMITED with a wait of 100 ms
+    When 100 ms pass on the ledger
+    And 8 prompts are asked for
+    Then 1 prompts came, and then RATE_LIMITED with a wait of 100 ms
+
+  Scenario: a batch that empties the queue says so, and keeps its tokens
+    When the lot "a" with 2 items of 10 tokens is handed in
+    And 8 prompts are asked for
+    Then 2 prompts came, and then EMPTY
+    And 8 tokens of the bucket are left
+
+  Scenario: prompts of a passage without room keep their place and cost no token
+    When the lot "a" with 2 items of 10 tokens is handed in
+    And 8 prompts of another passage are asked for
+    Then 0 prompts came, and then EMPTY
+    And 10 tokens of the bucket are left
+
+  Scenario: an unsent prompt gets its place and its token back
+    When the lot "a" with 2 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And the drawn prompt ends as unsent
+    Then 10 tokens of the bucket are left
+    And the next prompt is item 0 of "a", from its start
+
+  Scenario: a run that broke goes on after its last event, joined exactly
+    When the lot "a" with 1 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And the drawn prompt breaks after event 2 with "one" and "two"
+    Then the next prompt is item 0 of "a", after event 2
+    When the drawn prompt breaks after event 3 with "three"
+    And 1 prompt is drawn
+    And the drawn prompt breaks without an event
+    Then the next prompt is item 0 of "a", after event 3
+    When the drawn prompt ends as solved
+    Then position 0 of "a" is item 0, solved with "one/two/three/done"
+
+  Scenario: a runner's own failures count up to the passage's most, and links that break do not
+    When the lot "a" with 1 items of 10 tokens is handed in
+    And it fails, breaks, fails and breaks
+    Then "a" lists nothing
+    When it fails
+    Then position 0 of "a" is item 0, failed
+
+  Scenario: what can never be done ends at once
+    When the lot "a" with 1 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And the drawn prompt ends as never
+    Then position 0 of "a" is item 0, failed
+
+  Scenario: items are given up when they were kept long enough, and not before
+    When the lot "a" with 2 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And 39000 ms pass on the ledger
+    Then "a" lists nothing
+    When 6001 ms pass on the ledger
+    Then position 0 of "a" is item 0, failed
+    And position 1 of "a" is item 1, failed
+
+  Scenario: results keep their place and content, read from any position, over a new start
+    When the lot "a" with 3 items of 10 tokens is handed in
+    And 3 prompts are drawn
+    And they end in turn as solved, the last first
+    Then "a" lists items 2, 1, 0 from position 0
+    And "a" lists items 1, 0 from position 1
+    When the machine starts again from its records
+    Then "a" lists items 2, 1, 0 from position 0
+
+  Scenario: a body is told until its item is listed or its lot ended
+    When the lot "a" with 3 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    Then the bodies of items 0, 1, 2 of "a" are told
+    When the drawn prompt ends as solved
+    Then the bodies of items 1, 2 of "a" are told
+    When the lot "a" is ended
+    Then no body of "a" is told
+
+  Scenario: finished lots stay readable for 15 minutes, and are not taken anew for a day
+    When the lot "a" with 1 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And the drawn prompt ends as solved
+    And 899000 ms pass on the ledger
+    Then position 0 of "a" is item 0, solved with "done"
+    When 2000 ms pass on the ledger
+    And the machine starts again from its records
+    And the lot "a" with 1 items of 10 tokens is handed in
+    Then the last telling is HANDED again
+    And 0 items wait in the queue
+
+  Scenario: a passage that is gone takes its items with it
+    When the lot "a" with 2 items of 10 tokens is handed in
+    And 1 prompt is drawn
+    And its passage goes
+    Then position 0 of "a" is item 0, failed
+    And position 1 of "a" is item 1, failed
+
+  Scenario: many seeds of commands keep every item once, in order, on every replica
+    When 60 seeds of 400 random commands on passages are played on two machines, one of them rebuilt half-way
+    Then both machines hold the same records
+    And no listed result ever changed, and no item stands twice
+    And the waiting tokens never passed the allowance, and records never outlived their lots
--- /dev/null
+++ b/features/steps/passlot.ts
@@ -0,0 +1,359 @@
+import { deepEqual, equal, ok } from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Ledger, QueueMachine, claimOf, type Change, type Claim, type ListedResult, type PassEnding, type PassEntry, type PassTask, type QueueCommand, type QueueResult, type TaskRecord } from "@chutewick/parts";
+import { Chance } from "@chutewick/simulator";
+
+interface World {
+  ledger: Ledger;
+  machine: QueueMachine;
+  allowance: number;
+  now: number;
+  told: QueueResult[];
+  drawn: PassTask[];
+  differences: string[];
+  faults: string[];
+}
+
+function apply(world: World, command: QueueCommand): QueueResult {
+  const told = world.machine.apply(world.ledger, command, world.now);
+  world.ledger.takeChanges();
+  return told;
+}
+
+function aPassagesQueue(this: World, tokens: number, windowSeconds: number, capacity: number, allowance: number): void {
+  this.ledger = new Ledger();
+  this.machine = new QueueMachine();
+  this.machine.rebuild(this.ledger);
+  this.allowance = allowance;
+  this.now = 0;
+  this.told = [];
+  this.drawn = [];
+  this.differences = [];
+  this.faults = [];
+  apply(this, { kind: "limit", limits: { tokens, windowSeconds, capacity }, share: 1_000, mark: 1 });
+}
+Given("a passage's queue with {int} tokens per {int} s, bursts of {int}, and {int} tokens that may wait", aPassagesQueue);
+
+function handing(lot: string, count: number, tokens: number, allowance: number, way = "slips"): Extract<QueueCommand, { kind: "hand-in" }> {
+  const entries: PassEntry[] = [];
+  for (let index = 0; index < count; index += 1) entries.push({ id: `${lot}-${index}`, path: `/slips/${index}`, headers: ["tag", String(index)], body: new TextEncoder().encode(`body ${index}`), tokens, model: "m" });
+  return { kind: "hand-in", lot, way, host: "hub.example", entries, allowance, goesMost: 3, keeps: 40_000 };
+}
+
+function theLotIsHandedIn(this: World, lot: string, count: number, tokens: number): void {
+  this.told.push(apply(this, handing(lot, count, tokens, this.allowance)));
+}
+When("the lot {string} with {int} items of {int} tokens is handed in", theLotIsHandedIn);
+
+function spoken(told: QueueResult): string {
+  if (told.kind === "HANDED" && told.again) return "HANDED again";
+  return told.kind;
+}
+
+function theTellingsAre(this: World, kinds: string): void {
+  const found: string[] = [];
+  for (const told of this.told) found.push(spoken(told));
+  equal(found.join(", "), kinds);
+}
+Then(/^the tellings are ([A-Z_a-z, ]+)$/, theTellingsAre);
+
+function theLastTellingIs(this: World, kind: string): void {
+  equal(spoken(this.told.at(-1)!), kind);
+}
+Then(/^the last telling is ([A-Z_]+(?: again)?)$/, theLastTellingIs);
+
+function settledWithStale(this: World, stale: number): void {
+  const last = this.told.at(-1)!;
+  ok(last.kind === "SETTLED", last.kind);
+  equal(last.stale, stale);
+}
+Then("the last telling is SETTLED, with {int} stale", settledWithStale);
+
+function itemsWaitInTheQueue(this: World, count: number): void {
+  equal(this.machine.waiting, count);
+}
+Then("{int} items wait in the queue", itemsWaitInTheQueue);
+
+function ask(world: World, most: number, able: readonly string[] = ["slips"]): Extract<QueueResult, { kind: "DRAWN" }> {
+  const told = apply(world, { kind: "draw", holder: "node", most, able });
+  ok(told.kind === "DRAWN", told.kind);
+  return told;
+}
+
+function promptsAreDrawn(this: World, count: number): void {
+  this.drawn = [...ask(this, count).tasks];
+  equal(this.drawn.length, count);
+}
+function drawnSoMany(this: World, count: string): void {
+  promptsAreDrawn.call(this, Number(count));
+}
+When(/^(\d+) prompts? (?:is|are) drawn$/, drawnSoMany);
+
+function promptsAreAskedFor(this: World, count: number): void {
+  this.told.push(ask(this, count));
+}
+When("{int} prompts are asked for", promptsAreAskedFor);
+
+function othersAreAskedFor(this: World, count: number): void {
+  this.told.push(ask(this, count, ["others"]));
+}
+When("{int} prompts of another passage are asked for", othersAreAskedFor);
+
+function promptsCame(this: World, count: number, more: string, wait: string | undefined): void {
+  const last = this.told.at(-1)!;
+  ok(last.kind === "DRAWN");
+  deepEqual([last.tasks.length, last.more, wait === undefined ? undefined : Math.round(last.wait! * 1_000) / 1_000], [count, more, wait === undefined ? undefined : Number(wait)]);
+}
+function cameSoMany(this: World, count: string, more: string, wait: string | null): void {
+  promptsCame.call(this, Number(count), more, wait ?? undefined);
+}
+Then(/^(\d+) prompts came, and then (EMPTY|RATE_LIMITED)(?: with a wait of (\d+) ms)?$/, cameSoMany);
+
+function nothingIsDrawn(this: World): void {
+  deepEqual(ask(this, 8).tasks, []);
+}
+Then("nothing is drawn", nothingIsDrawn);
+
+function timePasses(this: World, time: number): void {
+  this.now += time;
+  if (this.machine.due(this.ledger, this.now)) apply(this, { kind: "expire" });
+}
+When("{int} ms pass on the ledger", timePasses);
+
+function tokensOfTheBucket(this: World, tokens: number): void {
+  const count = apply(this, { kind: "count" });
+  ok(count.kind === "COUNT");
+  equal(Math.round(count.tokens), tokens);
+}
+Then("{int} tokens of the bucket are left", tokensOfTheBucket);
+
+function claimIn({ lot, index, go }: PassTask): Claim {
+  return { lot, index, go };
+}
+
+function settle(world: World, task: PassTask, ending: PassEnding): void {
+  world.told.push(apply(world, { kind: "settle", endings: [{ claim: claimIn(task), ending }] }));
+}
+
+function endingOf(kind: string): PassEnding {
+  if (kind === "solved") return { kind, text: "done", events: 1 };
+  if (kind === "broken") return { kind, text: "", events: 0, upTo: undefined };
+  return { kind: kind as "never" | "trouble" | "unsent" };
+}
+
+function theDrawnPromptEnds(this: World, kind: string): void {
+  settle(this, this.drawn[0]!, endingOf(kind));
+}
+When(/^the drawn prompt ends as (solved|never|unsent)$/, theDrawnPromptEnds);
+
+function theDrawnPromptBreaks(this: World, upTo: number, first: string, second: string | null): void {
+  const texts = second === null ? [first] : [first, second];
+  settle(this, this.drawn[0]!, { kind: "broken", text: texts.join("\n"), events: texts.length, upTo });
+}
+function breaksAfter(this: World, upTo: string, first: string, second: string | null): void {
+  theDrawnPromptBreaks.call(this, Number(upTo), first, second);
+}
+When(/^the drawn prompt breaks after event (\d+) with "(\w+)"(?: and "(\w+)")?$/, breaksAfter);
+
+function theDrawnPromptBreaksAtOnce(this: World): void {
+  settle(this, this.drawn[0]!, endingOf("broken"));
+}
+When("the drawn prompt breaks without an event", theDrawnPromptBreaksAtOnce);
+
+function theNextPromptIs(this: World, index: number, lot: string, upTo: number | undefined): void {
+  promptsAreDrawn.call(this, 1);
+  const [task] = this.drawn as [PassTask];
+  deepEqual([task.lot, task.index, task.upTo, task.entry.path], [lot, index, upTo, `/slips/${index}`]);
+}
+function fromItsStart(this: World, index: number, lot: string): void {
+  theNextPromptIs.call(this, index, lot, undefined);
+}
+Then("the next prompt is item {int} of {string}, from its start", fromItsStart);
+Then("the next prompt is item {int} of {string}, after event {int}", theNextPromptIs);
+
+function itEnds(this: World, kinds: string): void {
+  for (const kind of kinds.matchAll(/fails|breaks/g)) {
+    promptsAreDrawn.call(this, 1);
+    settle(this, this.drawn[0]!, endingOf(kind[0] === "fails" ? "trouble" : "broken"));
+  }
+}
+When(/^it (fails, breaks, fails and breaks|fails)$/, itEnds);
+
+function listed(world: World, lot: string, from: number): readonly ListedResult[] {
+  const told = apply(world, { kind: "results", lot, from });
+  ok(told.kind === "RESULTS", told.kind);
+  return told.results;
+}
+
+function positionIs(this: World, place: string, lot: string, index: string, state: string, text: string | null): void {
+  deepEqual(listed(this, lot, Number(place))[0], { item: `${lot}-${index}`, state, text: (text ?? "").replaceAll("/", "\n") });
+}
+Then(/^position (\d+) of "(\w+)" is item (\d+), (solved|failed)(?: with "(.*)")?$/, positionIs);
+
+function listsNothing(this: World, lot: string): void {
+  deepEqual(listed(this, lot, 0), []);
+}
+Then("{string} lists nothing", listsNothing);
+
+function listsItems(this: World, lot: string, items: string, from: string): void {
+  const found: string[] = [];
+  for (const { item } of listed(this, lot, Number(from))) found.push(item.slice(lot.length + 1));
+  equal(found.join(", "), items);
+}
+Then(/^"(\w+)" lists items ([\d, ]+) from position (\d+)$/, listsItems);
+
+function theyEndInTurn(this: World): void {
+  for (const task of this.drawn.reverse()) settle(this, task, endingOf("solved"));
+}
+When("they end in turn as solved, the last first", theyEndInTurn);
+
+function itIsEnded(this: World, lot: string): void {
+  this.told.push(apply(this, { kind: "end", lot }));
+}
+When("the lot {string} is ended", itIsEnded);
+
+function startsAgain(this: World): void {
+  this.machine = new QueueMachine();
+  this.machine.rebuild(this.ledger);
+}
+When("the machine starts again from its records", startsAgain);
+
+function claimsUnderWay(this: World, lot: string): void {
+  const claims: Claim[] = [];
+  for (const [key, { go }] of this.machine.passes.processing()) claims.push(claimOf(key, go));
+  deepEqual(claims, [{ lot, index: 0, go: 1 }, { lot, index: 1, go: 1 }]);
+}
+Then("the claims under way are 0 and 1 of {string}", claimsUnderWay);
+
+function itsPassageGoes(this: World): void {
+  this.told.push(apply(this, { kind: "drop-way", way: "slips" }));
+}
+When("its passage goes", itsPassageGoes);
+
+function bodiesTold(world: World, lot: string): string {
+  const found: string[] = [];
+  for (let index = 0; index < 3; index += 1) {
+    const told = apply(world, { kind: "read-item", lot, item: `${lot}-${index}` });
+    if (told.kind === "BODY") {
+      equal(new TextDecoder().decode(told.body), `body ${index}`);
+      found.push(String(index));
+    }
+  }
+  return found.join(", ");
+}
+
+function theBodiesAreTold(this: World, items: string, lot: string): void {
+  equal(bodiesTold(this, lot), items);
+}
+Then(/^the bodies of items ([\d, ]+) of "(\w+)" are told$/, theBodiesAreTold);
+
+function noBodyIsTold(this: World, lot: string): void {
+  equal(bodiesTold(this, lot), "");
+}
+Then("no body of {string} is told", noBodyIsTold);
+
+function randomCommand(chance: Chance, claims: PassTask[]): QueueCommand {
+  const lot = `lot/${chance.below(14)}`;
+  const task = claims[chance.below(Math.max(1, claims.length))];
+  const kind = chance.below(14);
+  if (kind < 3) return handing(lot, 1 + (lot.length % 5), 1 + chance.below(40), 400, chance.happens(0.5) ? "slips" : "tags");
+  if (kind < 7) return { kind: "draw", holder: "node", most: 1 + chance.below(6), able: chance.happens(0.3) ? ["tags"] : ["slips", "tags"] };
+  if (kind === 7) return { kind: "end", lot };
+  if (kind === 8) return { kind: "expire" };
+  if (kind === 9 && chance.happens(0.05)) return { kind: "drop-way", way: "tags" };
+  if (task === undefined) return { kind: "count" };
+  const endings: { claim: Claim; ending: PassEnding }[] = [];
+  for (let count = chance.below(4); count >= 0; count -= 1) {
+    const one = claims[chance.below(claims.length)]!;
+    const way = ["solved", "never", "trouble", "broken", "unsent"][chance.below(5)]!;
+    const upTo = (one.upTo ?? 0) + 1;
+    endings.push({ claim: claimIn(one), ending: way === "broken" ? { kind: "broken", text: `event ${upTo}`, events: 1, upTo } : endingOf(way) });
+  }
+  return { kind: "settle", endings };
+}
+
+function byKey(left: Change, right: Change): number {
+  return left[0] < right[0] ? -1 : 1;
+}
+
+function seedsOfPassages(this: World, seeds: number, steps: number): void {
+  for (let seed = 0; seed < seeds; seed += 1) {
+    const chance = new Chance(seed);
+    const [left, right] = [new Ledger(), new Ledger()];
+    const leftMachine = new QueueMachine();
+    let rightMachine = new QueueMachine();
+    const claims: PassTask[] = [];
+    const shown = new Map<string, string>();
+    let now = 0;
+    const limit: QueueCommand = { kind: "limit", limits: { tokens: 40, windowSeconds: 1, capacity: 12 }, share: 40, mark: 1 };
+    leftMachine.apply(left, limit, now);
+    rightMachine.apply(right, limit, now);
+    for (let step = 0; step < steps; step += 1) {
+      now += chance.below(chance.below(30) === 0 ? 120_000 : 300);
+      const command = randomCommand(chance, claims);
+      const told = leftMachine.apply(left, command, now);
+      if (JSON.stringify(told) !== JSON.stringify(rightMachine.apply(right, command, now))) this.differences.push(`seed ${seed} step ${step}: ${JSON.stringify(told)}`);
+      if (told.kind === "DRAWN") claims.push(...told.tasks);
+      for (const [key, value] of left.takeChanges()) {
+        if (!key.startsWith("result/")) continue;
+        const before = shown.get(key);
+        if (value === undefined) shown.delete(key);
+        else if (before !== undefined && before !== JSON.stringify(value)) this.faults.push(`seed ${seed}: ${key} changed`);
+        else shown.set(key, JSON.stringify(value));
+      }
+      if (step === steps >> 1) {
+        const copy = right.digest();
+        right.clear();
+        right.adopt(copy);
+        rightMachine = new QueueMachine();
+        rightMachine.rebuild(right);
+      }
+      this.faults.push(...lookAt(left, seed, step));
+    }
+    if (JSON.stringify(left.digest().sort(byKey)) !== JSON.stringify(right.digest().sort(byKey))) this.differences.push(`seed ${seed}: records differ`);
+  }
+}
+When("{int} seeds of {int} random commands on passages are played on two machines, one of them rebuilt half-way", seedsOfPassages);
+
+/** What must hold after every step, worked out from the records alone. */
+function lookAt(ledger: Ledger, seed: number, step: number): string[] {
+  const faults: string[] = [];
+  const waiting = new Map<string, number>();
+  const lots = new Map<string, { way: string; open: number; listed: number; total: number }>();
+  for (const [key, lot] of ledger.under<{ way: string; open: number; listed: number; total: number }>("handed/")) lots.set(key.slice("handed/".length), lot);
+  const open = new Map<string, number>();
+  for (const [key, task] of ledger.under<TaskRecord>("task/")) {
+    const { lot } = claimOf(key, 0);
+    open.set(lot, (open.get(lot) ?? 0) + 1);
+    const way = lots.get(lot)?.way ?? "none";
+    waiting.set(way, (waiting.get(way) ?? 0) + task.tokens);
+  }
+  for (const [way, tokens] of waiting) if (tokens > 400) faults.push(`seed ${seed} step ${step}: ${tokens} tokens wait on ${way}`);
+  const items = new Map<string, Set<string>>();
+  for (const kind of ["task", "body", "text", "result"]) {
+    for (const [key, value] of ledger.under<ListedResult>(`${kind}/`)) {
+      const { lot } = claimOf(key, 0);
+      if (!lots.has(lot)) faults.push(`seed ${seed} step ${step}: ${key} outlived its lot`);
+      if (kind !== "result") continue;
+      const seen = items.get(lot) ?? new Set<string>();
+      if (seen.has(value.item)) faults.push(`seed ${seed} step ${step}: ${value.item} stands twice`);
+      items.set(lot, seen.add(value.item));
+    }
+  }
+  for (const [id, lot] of lots) {
+    if ((open.get(id) ?? 0) !== lot.open) faults.push(`seed ${seed} step ${step}: ${id} has ${lot.open} open`);
+    if ((items.get(id)?.size ?? 0) !== lot.listed) faults.push(`seed ${seed} step ${step}: ${id} has ${lot.listed} listed`);
+  }
+  return faults;
+}
+
+function bothMachinesHoldTheSame(this: World): void {
+  deepEqual(this.differences.slice(0, 5), []);
+}
+Then("both machines hold the same records", bothMachinesHoldTheSame);
+
+function noFaults(this: World): void {
+  deepEqual(this.faults.slice(0, 5), []);
+}
+Then("no listed result ever changed, and no item stands twice", noFaults);
+Then("the waiting tokens never passed the allowance, and records never outlived their lots", noFaults);
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,4 +1,4 @@
-import { constants, outcome, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
+import { constants, outcome, policy, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
 import { explain } from "@chutewick/shell";
 import { calendars, type Calendar } from "./calendar.js";
 import { z } from "zod";
@@ -227,9 +227,11 @@
   return parsed.success && Object.keys(parsed.data).length <= constants.lotLabelsMost ? parsed.data : undefined;
 }
 
-/** One queue per model and per adapter (the source's rule). */
+/** One queue per model and per adapter (the source's rule), and one per model that lots of passages ask for (§13.7). */
 export interface QueuePlan {
   readonly queue: string;
+  /** Its prompts are items of lots on passages. */
+  readonly pooled?: true;
   readonly model: string;
   readonly adapter?: string;
   readonly limits: Limits;
@@ -246,6 +248,79 @@
   return cut < 0 ? [queue, undefined] : [queue.slice(0, cut), queue.slice(cut + 1)];
 }
 
+/**
+ * Items of one model wait in one queue, whatever pool their passage leads to: so a passage that moves to another pool finds
+ * its lots, and what they weigh, where they were. A model's own queue never has a slash in its name (§13.7).
+ */
+function poolQueue(model: string | undefined): string {
+  return `pass/${model ?? ""}`;
+}
+
+function isPoolQueue(queue: string): boolean {
+  return queue.includes("/");
+}
+
+/** The models of a pool that have queues: one without a name where its runners are plain. */
+function modelsOf(pool: Pool): readonly string[] {
+  return pool.models.length === 0 ? [""] : pool.models;
+}
+
+/** Pools that lots of a passage may run in now. */
+function poolsOf(passage: Passage): string[] {
+  const found = new Set<string>();
+  for (const { pool: name, weight } of passage.pools) if (weight > 0) found.add(name);
+  return [...found];
+}
+
+/** Queues that lots of a passage may fall into. */
+function queuesOf(value: Configuration, passage: Passage): string[] {
+  const found = new Set<string>();
+  for (const name of poolsOf(passage)) for (const each of modelsOf(value.pools[name]!)) found.add(poolQueue(each));
+  return [...found];
+}
+
+/** The queue for a lot whose items ask for a model: its own, or the first of the passage where no pool of it names that model. */
+function queueFor(value: Configuration, passage: Passage, asked: string | undefined): string {
+  const own = poolQueue(asked);
+  const all = queuesOf(value, passage);
+  return all.includes(own) ? own : all[0]!;
+}
+
+/** The passage of a host and a path: of those whose prefix begins the path, the one with the longest. */
+function passageOf(value: Configuration, host: string, path: string): string | undefined {
+  let best: string | undefined;
+  for (const [key, each] of Object.entries(value.passages)) {
+    if (each.host !== host || !path.startsWith(each.prefix)) continue;
+    if (best === undefined || each.prefix.length > value.passages[best]!.prefix.length) best = key;
+  }
+  return best;
+}
+
+function poolQueues(value: Configuration): QueuePlan[] {
+  const limitsOf = new Map<string, Limits>();
+  const counted = new Set<string>();
+  const { poolRate, poolBurst } = policy.usual;
+  for (const passage of Object.values(value.passages ?? {})) {
+    if (passage.kind !== "lot") continue;
+    for (const key of poolsOf(passage)) {
+      if (counted.has(key)) continue;
+      counted.add(key);
+      const each = value.pools[key]!;
+      const own = each.bucket ?? { tokens: poolRate, windowSeconds: 1, capacity: poolBurst };
+      for (const carried of modelsOf(each)) limitsOf.set(poolQueue(carried), together(limitsOf.get(poolQueue(carried)), own));
+    }
+  }
+  const plans: QueuePlan[] = [];
+  for (const [queue, all] of limitsOf) plans.push({ queue, pooled: true, model: queue.slice(poolQueue("").length), limits: all, waiting: 10_000_000, labels: {} });
+  return plans;
+}
+
+/** What several pools allow for one model together. */
+function together(left: Limits | undefined, right: Limits): Limits {
+  if (left === undefined) return right;
+  return { tokens: left.tokens / left.windowSeconds + right.tokens / right.windowSeconds, windowSeconds: 1, capacity: left.capacity + right.capacity };
+}
+
 function queues(value: Configuration): QueuePlan[] {
   const plans: QueuePlan[] = [];
   for (const [key, each] of Object.entries(value.models)) {
@@ -253,6 +328,7 @@
     plans.push({ queue: queueOf(key, undefined), limits: each.bucket, ...common });
     for (const adapter of each.adapters) plans.push({ queue: queueOf(key, adapter), adapter, limits: each.adapterBuckets[adapter] ?? each.bucket, ...common, labels: { ...common.labels, ...each.adapterLabels?.[adapter], model: key, adapter } });
   }
+  plans.push(...poolQueues(value));
   return plans;
 }
 
@@ -269,4 +345,4 @@
   return all;
 }
 
-export const configuration = { check, warnings, patch, labelsOf, queues, queueOf, modelOf, seasonsOf, blank };
+export const configuration = { check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, passageOf, seasonsOf, blank };
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -67,13 +67,13 @@
       if (!governing.whole) wish(`queue ${queue}`, plan.waiting, { queue, season: "", select: all, runners: all, wanted: 0 });
       const deciding = seasons.deciding(calendar, plan.labels, around.wall);
       const runners = governing.whole && governing.seasons.every(isChoosy) ? governing.seasons : [];
-      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: this.#pace(plan.model, plan.adapter, runners, around), classes: [] });
+      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: plan.pooled === undefined ? this.#pace(plan.model, plan.adapter, runners, around) : constants.paceSteps, classes: [] });
     }
     /** What a queue still holds of seasons that are over, and queues no longer configured, weigh on until they are drained. */
     for (const [queue, standing] of around.standings) {
       if (!drafts.has(queue)) {
         const [model, adapter] = configuration.modelOf(queue);
-        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: this.#pace(model, adapter, [], around), classes: [] });
+        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: configuration.isPoolQueue(queue) ? constants.paceSteps : this.#pace(model, adapter, [], around), classes: [] });
       }
       for (const { season, select, runners, granted } of standingClasses(standing)) {
         const group = season === "" ? `queue ${queue}` : `season ${season}`;
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -1,7 +1,12 @@
 import { createHash } from "node:crypto";
-import { constants, duty, season, type ChainView, type Ending, type QueueCommand, type QueueResult, type RunnerCard, type Selector, type Telling } from "@chutewick/parts";
+import { constants, duty, policy, season, type ChainView, type Ending, type Policy, type QueueCommand, type QueueResult, type RunnerCard, type Selector, type Telling } from "@chutewick/parts";
 import { configuration, keys, standingClasses, type ControlCommand, type ControlOutcome, type QueueStanding, type Way } from "@chutewick/control";
+import { Choice } from "./choice.js";
+import type { PassEvent } from "./dialect.js";
+import { Errands, type ErrandTold } from "./errands.js";
 import { Membership, type Standing } from "./membership.js";
+import { PassLots } from "./pass-lots.js";
+import type { PassOutput } from "./pass.js";
 import type { DataMessage, QueueOutcome } from "./storage-core.js";
 
 /** An access node without I/O: live proxy and batch dispatcher (docs/design.md §5, §6). */
@@ -23,7 +28,8 @@
   /** Send to a runner; `mayStart(go)` is asked again at the last moment before the first byte. */
   | { readonly kind: "run"; readonly go: number; readonly url: string; readonly work: Work; readonly silence: number }
   | { readonly kind: "abandon"; readonly go: number }
-  | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
+  | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> }
+  | PassOutput;
 
 export type Work =
   | { readonly kind: "stream"; readonly inquiry: string; readonly body: Record<string, unknown> }
@@ -89,20 +95,6 @@
   underWay: number;
 }
 
-/** An inquiry to a queue's owner, sent again while that cannot do harm. */
-interface Errand {
-  readonly queue: string;
-  readonly command: QueueCommand;
-  readonly since: number;
-  readonly patience: number;
-  /** since: the moment of the asking, which no stamp of the owner comes before. */
-  readonly told: (outcome: QueueOutcome, now: number, since: number) => AccessOutput[];
-  sentTo: string | undefined;
-  sentAt: number;
-  /** Whether some owner may have taken it without our hearing. */
-  doubtful: boolean;
-}
-
 interface ControlErrand {
   readonly command: ControlCommand;
   readonly since: number;
@@ -115,17 +107,27 @@
   readonly heardAt: number;
 }
 
+export interface PassRelay {
+  mayStart(go: number, now: number): string | undefined;
+  goEvent(go: number, event: PassEvent, now: number): PassOutput[];
+  beat(now: number): PassOutput[];
+}
+
 export class AccessCore {
   readonly membership: Membership;
+  readonly choice: Choice;
+  /** Lots of passages (§13.7). */
+  readonly lots: PassLots;
+  /** Live inquiries on passages (§13.5), where the process has them. */
+  relay: PassRelay | undefined;
   #standing: Standing;
   #announced = new Map<string, Announced>();
   #live = new Map<string, number>();
   #gos = new Map<number, Go>();
   #goNumber = 0;
   #draws = new Map<string, Draw>();
-  #errands = new Map<string, Errand>();
+  #errands: Errands;
   #controlErrands = new Map<string, ControlErrand>();
-  #errandNumber = 0;
   #lifeAt = 0;
   #now: number;
   #draining = false;
@@ -137,13 +139,16 @@
   #turnedAway: { at: number; model: string }[] = [];
   readonly counts = { live: 0, done: 0, notRun: 0, mayHaveRun: 0, runnerFailed: 0, popped: 0, solved: 0, troubled: 0, givenBack: 0, broken: 0 };
 
-  constructor(standing: Standing, seeds: readonly string[], now: number) {
+  constructor(standing: Standing, seeds: readonly string[], now: number, chosen: Policy = policy.usual) {
     this.#standing = standing;
     this.#now = now;
     this.#struckAt = now;
     const self = this;
     function telling(): Telling { return self.#telling(); }
-    this.membership = new Membership(standing, seeds, now, telling);
+    this.membership = new Membership(standing, seeds, now, telling, chosen);
+    this.choice = new Choice(this.membership, standing);
+    this.#errands = new Errands(this.membership);
+    this.lots = new PassLots(this.membership, this.choice, this.#errands);
   }
 
   #telling(): Telling {
@@ -154,14 +159,15 @@
     const turnedAway = new Map<string, number>();
     this.#turnedAway = this.#turnedAway.filter(isLate, { since: this.#now - constants.pressureLasts });
     for (const { model } of this.#turnedAway) turnedAway.set(model, (turnedAway.get(model) ?? 0) + 1);
-    return { runners, lots: [...lots], turnedAway: [...turnedAway] };
+    return { runners, lots: [...lots], turnedAway: [...turnedAway], burdens: this.choice.burdens() };
   }
 
-  get busy(): number { return this.#gos.size + this.#errands.size; }
+  get busy(): number { return this.#gos.size + this.#errands.size + this.lots.dispatcher.underWay; }
 
   /** A planned stop: no new work; what is under way goes on. */
   leave(now: number): AccessOutput[] {
     this.#draining = true;
+    this.lots.leave();
     return this.membership.leave(now);
   }
 
@@ -172,12 +178,14 @@
         if (!this.membership.receive(message, from, now)) return [];
         /** Limits may have changed: waits told under the old ones no longer bind. */
         for (const draw of this.#draws.values()) draw.resumeAt = 0;
+        this.lots.dispatcher.hurry();
         return this.membership.tell(now);
       case "lease":
         this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
       case "queue-result": return this.#errandTold(message.ticket, message.outcome, now);
+      case "lot-ended": return this.lots.dropped(message.lot, now);
       case "control-result": {
         const errand = this.#controlErrands.get(message.ticket);
         if (errand === undefined) return [];
@@ -250,6 +258,16 @@
     return undefined;
   }
 
+  /** The same for what runs on passages. */
+  mayPass(go: number, now: number): string | undefined {
+    return this.lots.has(go) ? this.lots.mayStart(go, now) : this.relay === undefined ? "given up" : this.relay.mayStart(go, now);
+  }
+
+  passEvent(go: number, event: PassEvent, now: number): AccessOutput[] {
+    this.#now = now;
+    return this.lots.has(go) ? this.lots.goEvent(go, event, now) : this.relay?.goEvent(go, event, now) ?? [];
+  }
+
   /** Burden as the runner told it, and what this node sent since (§8.3). */
   #burden(runner: RunnerCard, now: number): number {
     let own = 0;
@@ -384,8 +402,7 @@
   }
 
   #control(command: ControlCommand, told: ControlErrand["told"], now: number): AccessOutput[] {
-    this.#errandNumber += 1;
-    const ticket = `${this.#standing.identity}/${this.#errandNumber}`;
+    const ticket = this.#errands.ticket();
     const errand: ControlErrand = { command, since: now, told, sentAt: now };
     this.#controlErrands.set(ticket, errand);
     return this.#sendControl(ticket, errand, now);
@@ -482,56 +499,23 @@
     return this.#errand(queue!, { kind: "cancel", lot }, constants.ownerPatience, told, now);
   }
 
-  // Errands to owners of queues
+  // Errands to owners of queues and to control
 
-  #errand(queue: string, command: QueueCommand, patience: number, told: Errand["told"], now: number): AccessOutput[] {
-    this.#errandNumber += 1;
-    const ticket = `${this.#standing.identity}/${this.#errandNumber}`;
-    const errand: Errand = { queue, command, since: now, patience, told, sentTo: undefined, sentAt: now, doubtful: false };
-    this.#errands.set(ticket, errand);
-    return this.#sendErrand(ticket, errand, now);
-  }
-
-  #sendErrand(ticket: string, errand: Errand, now: number): AccessOutput[] {
-    errand.sentAt = now;
-    const owner = this.membership.follower.read<ChainView>(keys.queue + errand.queue)?.members[0];
-    errand.sentTo = owner?.address;
-    return owner === undefined ? [] : [{ kind: "send", to: owner.address, message: { kind: "queue-inquiry", ticket, queue: errand.queue, command: errand.command } }];
+  #errand(queue: string, command: QueueCommand, patience: number, told: ErrandTold, now: number): AccessOutput[] {
+    return this.#errands.ask(queue, command, patience, told, now);
   }
 
   #errandTold(ticket: string, ended: QueueOutcome, now: number): AccessOutput[] {
-    const errand = this.#errands.get(ticket);
-    if (errand === undefined) {
-      /** A prompt granted too late to be begun goes back at once, with its token. */
-      if (ended.kind !== "confirmed" || ended.value.kind !== "TAKEN") return [];
-      const { lot, index, go } = ended.value;
-      return this.#errand(queueOfLot(lot)!, { kind: "record", lot, index, go, ending: { kind: "unsent" } }, constants.ownerPatience, nothing, now);
-    }
-    const late = now - errand.since >= errand.patience;
-    if (ended.kind === "unknown") errand.doubtful = true;
-    if (ended.kind !== "confirmed" && !late && errand.command.kind !== "pop") {
-      /** Taken nowhere, or idempotent by its key: looked for again at the next beat. */
-      errand.sentTo = undefined;
-      errand.sentAt = now;
-      return [];
-    }
-    this.#errands.delete(ticket);
-    /** A refusal is final only if no earlier send of this errand may still be taken. */
-    const refusal = ended.kind === "elsewhere" || (ended.kind === "confirmed" && ended.value.kind === "FULL");
-    return errand.told(refusal && errand.doubtful ? { kind: "unknown" } : ended, now, errand.since);
+    const outputs = this.#errands.told(ticket, ended, now);
+    if (outputs !== undefined) return outputs;
+    /** A prompt granted too late to be begun goes back at once, with its token. */
+    if (ended.kind !== "confirmed" || ended.value.kind !== "TAKEN") return [];
+    const { lot, index, go } = ended.value;
+    return this.#errand(queueOfLot(lot)!, { kind: "record", lot, index, go, ending: { kind: "unsent" } }, constants.ownerPatience, nothing, now);
   }
 
   #errandsBeat(now: number): AccessOutput[] {
-    const outputs: AccessOutput[] = [];
-    for (const [ticket, errand] of [...this.#errands]) {
-      if (now - errand.since >= errand.patience) {
-        this.#errands.delete(ticket);
-        outputs.push(...errand.told(errand.sentTo !== undefined || errand.doubtful ? { kind: "unknown" } : { kind: "elsewhere", reason: "the queue's owner cannot be reached" }, now, errand.since));
-      } else if (errand.sentTo === undefined ? now - errand.sentAt >= constants.ownerRetry : errand.command.kind !== "pop" && now - errand.sentAt >= constants.grantLasts) {
-        if (errand.sentTo !== undefined) errand.doubtful = true;
-        outputs.push(...this.#sendErrand(ticket, errand, now));
-      }
-    }
+    const outputs = this.#errands.beat(now);
     for (const [ticket, errand] of [...this.#controlErrands]) {
       if (now - errand.since >= constants.confirmPatience) {
         this.#controlErrands.delete(ticket);
@@ -554,6 +538,8 @@
       outputs.push(...this.#signsOfLife(now));
     }
     if (!this.#draining && this.membership.holds(now)) outputs.push(...this.#drive(now));
+    if (this.relay !== undefined) outputs.push(...this.relay.beat(now));
+    outputs.push(...this.lots.beat(now));
     return outputs;
   }
 
@@ -564,6 +550,7 @@
     /** All queues that exist, configured still or not: what was accepted is worked off. */
     for (const [key] of this.membership.follower.under<ChainView>(keys.queue)) {
       const queue = key.slice(keys.queue.length);
+      if (configuration.isPoolQueue(queue)) continue;
       if (!duty.rank(queue, access).slice(0, constants.dispatchersPerQueue).includes(this.#standing.identity)) continue;
       let draw = this.#draws.get(queue);
       if (draw === undefined) {
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
 import { Links } from "./link.js";
+import { isPassing, type PassOutput } from "./pass.js";
 import type { DataMessage } from "./storage-core.js";
 
 /** The access process: callers, runners and links round the core (docs/design.md §10). */
@@ -140,6 +141,7 @@
 
   #perform(outputs: readonly AccessOutput[]): void {
     for (const output of outputs) {
+      if (isPassing(output)) continue;
       switch (output.kind) {
         case "send":
           this.#wire.send(output.to, output.message);
@@ -159,7 +161,7 @@
     }
   }
 
-  #toCaller(output: Exclude<AccessOutput, { kind: "send" | "run" | "abandon" | "note" }>): void {
+  #toCaller(output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>): void {
     const to = this.#waiting.get(output.ticket);
     if (to === undefined) return;
     switch (output.kind) {
--- a/packages/data/src/pass.ts
+++ b/packages/data/src/pass.ts
@@ -54,3 +54,7 @@
   | { readonly kind: "missing" }
   /** It cannot be said now. */
   | { readonly kind: "later"; readonly retryAfter: number };
+
+export function isPassing(output: { readonly kind: string }): output is PassOutput {
+  return output.kind.startsWith("pass-") || output.kind === "lot-told";
+}
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -1,15 +1,18 @@
 import {
-  Chain, QueueMachine, classesOf, constants,
-  type ChainCommand, type ChainHolding, type ChainMessage, type ChainResult, type ChainView, type ChainWrite, type QueueCommand, type QueueResult, type ShareClass, type ShareTelling, type Telling,
+  Chain, QueueMachine, claimOf, classesOf, constants, policy, taskKey,
+  type Claim, type PassEnding, type Policy, type ChainCommand, type ChainHolding, type ChainMessage, type ChainResult, type ChainView, type ChainWrite, type QueueCommand, type QueueResult, type ShareClass, type ShareTelling, type Telling,
 } from "@chutewick/parts";
 import { configuration, keys, standingClasses, type ControlMessage, type QueueStanding } from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
 export type QueueMessage =
-  | { readonly kind: "queue-inquiry"; readonly ticket: string; readonly queue: string; readonly command: QueueCommand }
+  /** hold in ms: a read of results where there is none yet is kept at the owner so long (§13.7). */
+  | { readonly kind: "queue-inquiry"; readonly ticket: string; readonly queue: string; readonly command: QueueCommand; readonly hold?: number }
   | { readonly kind: "queue-result"; readonly ticket: string; readonly outcome: QueueOutcome }
-  | { readonly kind: "life"; readonly queue: string; readonly items: readonly { lot: string; index: number; go: number }[] };
+  | { readonly kind: "life"; readonly queue: string; readonly items: readonly Claim[]; readonly tasks?: readonly Claim[] }
+  /** What is under way of this lot is dropped. */
+  | { readonly kind: "lot-ended"; readonly lot: string };
 
 export type QueueOutcome =
   | { readonly kind: "confirmed"; readonly value: QueueResult }
@@ -27,6 +30,15 @@
 interface Waiting {
   readonly ticket: string;
   readonly to: string;
+  readonly command: QueueCommand;
+}
+
+/** A read of results that waits for one. */
+interface Held {
+  readonly ticket: string;
+  readonly to: string;
+  readonly command: Extract<QueueCommand, { kind: "results" }>;
+  readonly until: number;
 }
 
 interface Partition {
@@ -42,6 +54,7 @@
   shareMark: number;
   /** Items lately refused for want of room. */
   refused: { at: number; count: number; season: string }[];
+  held: Held[];
 }
 
 export class StorageCore {
@@ -51,11 +64,11 @@
   #waiting = new Map<string, Waiting>();
   #ticketNumber = 0;
 
-  constructor(standing: Standing, seeds: readonly string[], holdings: ReadonlyMap<string, ChainHolding>, now: number) {
+  constructor(standing: Standing, seeds: readonly string[], holdings: ReadonlyMap<string, ChainHolding>, now: number, chosen: Policy = policy.usual) {
     this.#standing = standing;
     const self = this;
     function telling(): Telling { return self.#telling(); }
-    this.membership = new Membership(standing, seeds, now, telling);
+    this.membership = new Membership(standing, seeds, now, telling, chosen);
     this.#now = now;
     for (const [queue, holding] of holdings) this.#open(queue, now, holding);
   }
@@ -65,7 +78,7 @@
   #open(queue: string, now: number, holding?: ChainHolding): Partition {
     const machine = new QueueMachine();
     const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding);
-    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [] };
+    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [] };
     this.#partitions.set(queue, partition);
     return partition;
   }
@@ -119,10 +132,11 @@
         this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
-      case "queue-inquiry": return this.#inquire(message.ticket, message.queue, message.command, from, now);
+      case "queue-inquiry": return this.#inquire(message.ticket, message.queue, message.command, from, now, message.hold ?? 0);
       case "life": {
         const partition = this.#partitions.get(message.queue);
         for (const { lot, index, go } of message.items) partition?.life.set(`item/${lot}/${String(index).padStart(6, "0")}`, { go, at: now });
+        for (const { lot, index, go } of message.tasks ?? []) partition?.life.set(taskKey(lot, index), { go, at: now });
         return [];
       }
       default: return [];
@@ -147,28 +161,56 @@
     return outputs;
   }
 
-  #inquire(ticket: string, queue: string, command: QueueCommand, from: string, now: number): StorageOutput[] {
+  #inquire(ticket: string, queue: string, command: QueueCommand, from: string, now: number, hold: number): StorageOutput[] {
     const partition = this.#partitions.get(queue);
     if (partition === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "this queue is not kept here" })];
     let entered = command;
     /** What a configuration or a season governs needs a lease; records and cancels never wait for one (§7). */
-    if (command.kind === "admit" || command.kind === "pop") {
+    if (command.kind === "admit" || command.kind === "pop" || command.kind === "hand-in" || command.kind === "draw") {
       if (!this.membership.holds(now)) return [result(from, ticket, { kind: "elsewhere", reason: "the owner holds no lease" })];
+      const { value } = this.membership.configuration;
       if (command.kind === "admit") {
-        const plan = configuration.queues(this.membership.configuration.value).find(isQueue, { queue });
+        const plan = configuration.queues(value).find(isQueue, { queue });
         if (plan === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such queue" })];
         if (partition.machine.share(partition.chain.ledger) === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the queue has no share of waiting work yet" })];
         /** A lot brings labels of its own and of its way; those of model and adapter are the configuration's. */
         entered = { ...command, allowance: plan.waiting, labels: { ...command.labels, ...plan.labels } };
       }
+      if (command.kind === "hand-in") {
+        const passage = Object.hasOwn(value.passages, command.way) ? value.passages[command.way] : undefined;
+        if (passage === undefined || passage.kind !== "lot") return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such passage for lots" })];
+        /** What the owner's configuration says binds, with an equal part of the allowance for each queue that lots of it may fall into. */
+        const allowance = passage.waitingTokens === 0 ? 0 : Math.max(1, passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length));
+        entered = { ...command, allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000 };
+      }
+    }
+    if (command.kind === "results" && hold > 0 && partition.chain.serves && !partition.machine.passes.isTold(partition.chain.ledger, command.lot, command.from)) {
+      partition.held.push({ ticket, to: from, command, until: now + hold });
+      return [];
     }
     return this.#enter(partition, ticket, from, entered, now);
   }
 
+  /** Held reads that can be told now, or no longer wait, are asked of the chain like any read: a stale owner tells nothing. */
+  #tellHeld(partition: Partition, now: number): StorageOutput[] {
+    if (partition.held.length === 0) return [];
+    const outputs: StorageOutput[] = [];
+    const { chain, machine } = partition;
+    const kept: Held[] = [];
+    const told: Held[] = [];
+    for (const held of partition.held) {
+      if (!chain.serves || now >= held.until || machine.passes.isTold(chain.ledger, held.command.lot, held.command.from)) told.push(held);
+      else kept.push(held);
+    }
+    partition.held = kept;
+    for (const { ticket, to, command } of told) outputs.push(...this.#enter(partition, ticket, to, command, now));
+    return outputs;
+  }
+
   #enter(partition: Partition, ticket: string, to: string, command: QueueCommand, now: number): StorageOutput[] {
     this.#ticketNumber += 1;
     const own = String(this.#ticketNumber);
-    this.#waiting.set(own, { ticket, to });
+    this.#waiting.set(own, { ticket, to, command });
     return this.#perform(partition, partition.chain.inquire(own, command, now), now);
   }
 
@@ -197,7 +239,10 @@
       partition.refused = partition.refused.filter(isLate, { since: now - constants.pressureLasts });
       partition.refused.push({ at: now, count: value.items, season: value.season });
     }
-    return [result(waiting.to, waiting.ticket, { kind: "confirmed", value })];
+    const outputs: StorageOutput[] = [result(waiting.to, waiting.ticket, { kind: "confirmed", value })];
+    if (value.kind === "ENDED") for (const holder of value.holders) outputs.push({ kind: "send", to: holder, message: { kind: "lot-ended", lot: value.lot } });
+    if (value.kind === "SETTLED" && value.listed.length > 0 || value.kind === "ENDED") outputs.push(...this.#tellHeld(partition, now));
+    return outputs;
   }
 
   written(queue: string, ticket: number, now: number): StorageOutput[] {
@@ -211,6 +256,7 @@
     const outputs: StorageOutput[] = [];
     for (const partition of this.#partitions.values()) {
       outputs.push(...this.#perform(partition, partition.chain.beat(now), now));
+      outputs.push(...this.#tellHeld(partition, now));
       if (partition.chain.serves) outputs.push(...this.#own(partition, now));
     }
     outputs.push(...this.membership.beat(now));
@@ -242,21 +288,16 @@
       partition.enteredMark = command.mark;
       outputs.push(...this.#perform(partition, chain.inquire(`limit/${chain.name}`, command, now), now));
     }
-    const orphans: { lot: string; index: number; go: number }[] = [];
+    const orphans: Claim[] = [];
     const processing = machine.processing();
-    for (const [key, go] of processing) {
-      const sign = life.get(key);
-      if (sign === undefined || sign.go !== go) life.set(key, { go, at: now });
-      else if (now - sign.at > constants.orphanAfter) {
-        const [, lot, index] = key.split("/");
-        orphans.push({ lot: lot!, index: Number(index), go });
-      }
-    }
-    for (const key of life.keys()) if (!processing.has(key)) life.delete(key);
-    if (orphans.length > 0) {
-      outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length } });
-      outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
-    }
+    for (const [key, go] of processing) if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
+    const lost: { claim: Claim; ending: PassEnding }[] = [];
+    const tasks = machine.passes.processing();
+    for (const [key, { go }] of tasks) if (!lives(life, key, go, now)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
+    for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
+    if (orphans.length + lost.length > 0) outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length + lost.length } });
+    if (orphans.length > 0) outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
+    if (lost.length > 0) outputs.push(...this.#perform(partition, chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now), now));
     if (machine.due(chain.ledger, chain.time(now))) outputs.push(...this.#perform(partition, chain.inquire("expire", { kind: "expire" } satisfies QueueCommand, now), now));
     return outputs;
   }
@@ -283,6 +324,16 @@
   }
 }
 
+/** Whether a claim showed a sign of life lately; one seen for the first time begins to count now. */
+function lives(life: Map<string, { go: number; at: number }>, key: string, go: number, now: number): boolean {
+  const sign = life.get(key);
+  if (sign === undefined || sign.go !== go) {
+    life.set(key, { go, at: now });
+    return true;
+  }
+  return now - sign.at <= constants.orphanAfter;
+}
+
 function sharesOf(standing: QueueStanding): ShareClass[] {
   const classes: ShareClass[] = [];
   for (const { season, select, runners, target } of standingClasses(standing)) classes.push({ season, select, runners, share: target });
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -136,6 +136,16 @@
   fullTried: 2,
   /** s. What "try later" says when no exact wait is known. */
   retryAfter: 1,
+  /** bytes. Results of a lot told at once; callers are promised 1 MB at most, and JSON adds its marks. */
+  resultsMost: 900_000,
+  /** prompts. Taken with one draw of a pool's queue: one entry for all, yet no dispatcher empties a queue that others could help with. */
+  drawMost: 8,
+  /** rank. Of items in a runner's own queue: live goes first (§8.3). */
+  itemRank: 9,
+  /** ms. How long a read of a lot looks for its owner, beyond the time it may be held; callers wait 1.5 s more than they allow. */
+  readPatience: 1_200,
+  /** lots. Whose queue an access node remembers, so that reads ask one owner. */
+  lotsRemembered: 20_000,
   /** bytes. Largest result of a fetch or of a one-shot inquiry: it is told whole or not at all. */
   resultMost: 16_777_216,
   /** inquiries. Live inquiries under way in one access node; more are told to try later. */
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./constants.js";
 export * from "./outcome.js";
+export * from "./pass-queue.js";
 export * from "./bucket.js";
 export * from "./ledger.js";
 export * from "./lot.js";
--- a/packages/parts/src/lot.ts
+++ b/packages/parts/src/lot.ts
@@ -1,6 +1,7 @@
 import { bucket, type Bucket, type Limits } from "./bucket.js";
 import { constants } from "./constants.js";
 import type { Ledger, Machine } from "./ledger.js";
+import { PassQueue, type PassCommand, type PassResult } from "./pass-queue.js";
 import { season as seasons, type Selector } from "./season.js";
 
 /** One queue with its bucket, lots, items and results: one atomic step each at its owner (docs/design.md §3, §5). */
@@ -47,7 +48,8 @@
   | { kind: "reset"; items: { lot: string; index: number; go: number }[] }
   | { kind: "expire" }
   | { kind: "status"; lot: string }
-  | { kind: "count" };
+  | { kind: "count" }
+  | PassCommand;
 
 export type Ending =
   | { kind: "solved"; result: unknown }
@@ -75,7 +77,8 @@
   | { kind: "CANCELLED"; lot: string; stopped: number }
   | { kind: "DONE"; count: number }
   | { kind: "LOT"; lot: Lot; items: ItemView[]; now: number }
-  | { kind: "COUNT"; waiting: number; processing: number; lots: number; tokens: number; limits: Limits | undefined; open: Readonly<Record<string, number>> };
+  | { kind: "COUNT"; waiting: number; processing: number; lots: number; tokens: number; limits: Limits | undefined; open: Readonly<Record<string, number>> }
+  | PassResult;
 
 /** What the owner holds of control's word: the limits, its share of waiting work, and the mark of both. */
 export interface Share {
@@ -170,8 +173,11 @@
   #lots = new Set<string>();
   /** Stones in the order in which they are to be forgotten. */
   #stones: Stone[] = [];
+  /** Lots of passages, under the same bucket and in the same order (§13.7). */
+  readonly passes = new PassQueue();
 
   rebuild(ledger: Ledger): void {
+    this.passes.rebuild(ledger);
     this.#waiting.clear();
     this.#open.clear();
     this.#processing.clear();
@@ -201,7 +207,7 @@
   }
 
   get waiting(): number {
-    let count = 0;
+    let count = this.passes.waiting;
     for (const waiting of this.#waiting.values()) count += waiting.length;
     return count;
   }
@@ -248,7 +254,7 @@
       const lot = ledger.read<Lot>(lotKey(id));
       if (lot !== undefined && this.#expired(lot, time)) return true;
     }
-    return this.#isForgotten(this.#stones[0], time);
+    return this.#isForgotten(this.#stones[0], time) || this.passes.due(time);
   }
 
   apply(ledger: Ledger, input: unknown, time: number): QueueResult {
@@ -263,6 +269,13 @@
       case "expire": return this.#expire(ledger, time);
       case "status": return this.#status(ledger, command.lot, time);
       case "count": return this.#count(ledger, time);
+      case "hand-in": return this.passes.handIn(ledger, command, time);
+      case "draw": return this.passes.draw(ledger, command, this.#limits(ledger), time);
+      case "settle": return this.passes.settle(ledger, command, this.#limits(ledger), time);
+      case "end": return this.passes.end(ledger, command, time);
+      case "drop-way": return this.passes.dropWay(ledger, command.way, time);
+      case "results": return this.passes.results(ledger, command);
+      case "read-item": return this.passes.readItem(ledger, command);
     }
   }
 
@@ -447,7 +460,7 @@
   }
 
   #expire(ledger: Ledger, time: number): QueueResult {
-    let count = 0;
+    let count = this.passes.expire(ledger, time);
     for (const id of [...this.#lots]) {
       const lot = ledger.read<Lot>(lotKey(id))!;
       if (!this.#expired(lot, time)) continue;
@@ -497,6 +510,6 @@
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
     const tokens = limits === undefined || held === undefined ? 0 : bucket.level(held, limits, time);
-    return { kind: "COUNT", waiting: this.waiting, processing: this.#processing.size, lots: this.#lots.size, tokens, limits, open: Object.fromEntries(this.open()) };
+    return { kind: "COUNT", waiting: this.waiting, processing: this.#processing.size + this.passes.processing().size, lots: this.#lots.size + this.passes.lots, tokens, limits, open: Object.fromEntries(this.open()) };
   }
 }
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -8,6 +8,7 @@
 }
 
 const access = "packages/data/dist/access-core.js";
+const errands = "packages/data/dist/errands.js";
 const storage = "packages/data/dist/storage-core.js";
 const control = "packages/control/dist/core.js";
 const machine = "packages/control/dist/machine.js";
@@ -39,7 +40,7 @@
     { file: lot, from: "const troubles = item.troubles + (ending.kind === \"trouble\" ? 1 : 0);", to: "const troubles = item.troubles + (ending.kind === \"trouble\" || ending.kind === \"broken\" ? 1 : 0);" },
     { file: lot, from: "if (ending.kind === \"trouble\" && troubles >= constants.troublesMost)", to: "if (troubles >= constants.troublesMost)" },
   ] },
-  "refused only when no earlier sending may be taken": { section: "§5.2", cuts: [{ file: access, from: "refusal && errand.doubtful", to: "false" }] },
+  "refused only when no earlier sending may be taken": { section: "§5.2", cuts: [{ file: errands, from: "refusal && errand.doubtful", to: "false" }] },
   "a grant is begun within a second": { section: "§5.4", cuts: [
     { file: access, from: "until: askedAt + constants.grantLasts", to: "until: Number.POSITIVE_INFINITY" },
     { file: access, from: "{ unable }) }, constants.grantLasts", to: "{ unable }) }, 60_000" },
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -1,6 +1,6 @@
 import { constants, type VoteState } from "@chutewick/parts";
 import { ControlCore, type ControlCommand, type ControlMessage, type ControlOutcome, type ControlOutput } from "@chutewick/control";
-import { AccessCore, StorageCore, type AccessOutput, type DataMessage, type GoEvent, type StorageOutput, type Work } from "@chutewick/data";
+import { AccessCore, StorageCore, isPassing, type AccessOutput, type DataMessage, type GoEvent, type PassOutput, type StorageOutput, type Work } from "@chutewick/data";
 import { Folder, Machine, type World } from "./world.js";
 import type { Runner } from "./runners.js";
 
@@ -177,6 +177,7 @@
 
   perform(outputs: readonly AccessOutput[]): void {
     for (const output of outputs) {
+      if (isPassing(output)) continue;
       switch (output.kind) {
         case "send":
           this.world.send(this.address, output.to, output.message);
@@ -194,7 +195,7 @@
     }
   }
 
-  #show(output: Exclude<AccessOutput, { kind: "send" | "run" | "abandon" | "note" }>): void {
+  #show(output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>): void {
     const sight = this.#sights.get(output.ticket);
     if (sight === undefined) return;
     if (output.kind !== "stream-open" && output.kind !== "stream-piece") this.#sights.delete(output.ticket);
