--- /dev/null
+++ b/packages/data/src/relay-core.ts
@@ -0,0 +1,406 @@
+import { constants, type Policy } from "@chutewick/parts";
+import type { MarkedConfiguration, Passage } from "@chutewick/control";
+import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
+import type { PassEvent, PassInquiry, PassWork } from "./dialect.js";
+import type { Membership } from "./membership.js";
+import type { PassOutput } from "./pass.js";
+
+/** Live inquiries on passages, passed through to runners; without I/O (docs/design.md §13.5). */
+export interface Found {
+  readonly name: string;
+  readonly passage: Passage;
+}
+
+/** Statuses that promise that an inquiry did not run: of a runner they count only with its word that it did not. */
+const promises = new Set([408, 421, 429, 503]);
+
+interface Live {
+  readonly ticket: string;
+  readonly inquiry: PassInquiry;
+  readonly passage: Passage;
+  readonly pool: string;
+  readonly arrivedAt: number;
+  /** Until when anything may be told at all, and until when a runner may be found. */
+  readonly deadline: number;
+  readonly waitsUntil: number;
+  /** A second run does no harm. */
+  readonly repeatable: boolean;
+  readonly tried: Set<string>;
+  /** Runners that it was sent to, and goes that never went out. */
+  sent: number;
+  unsent: number;
+  go: Go | undefined;
+  mayHaveRun: boolean;
+  /** s. The shortest wait that a runner told. */
+  retryAfter: number | undefined;
+  /** Told to the caller; from there on the result is this one or breaks off. */
+  opened: boolean;
+  /** Number of the last event that was passed on, and whether all bore numbers. */
+  last: number | undefined;
+  numbered: boolean;
+  slow: boolean;
+  why: string;
+}
+
+interface Go {
+  readonly number: number;
+  readonly live: Live;
+  readonly chosen: Chosen;
+  readonly until: number;
+  began: boolean;
+  head: { readonly status: number; readonly headers: readonly string[] } | undefined;
+  /** Of a result that is no stream: kept until it is whole. */
+  kept: Uint8Array[];
+  size: number;
+}
+
+export class RelayCore {
+  #membership: Membership;
+  #choice: Choice;
+  #policy: Policy;
+  #live = new Map<string, Live>();
+  #gos = new Map<number, Go>();
+  /** Those without a runner, in the order of their coming. */
+  #waiting = new Set<Live>();
+  #indexed: MarkedConfiguration | undefined;
+  #index = new Map<string, Found>();
+  #leaving = false;
+  /** Bytes of the bodies of inquiries under way. */
+  #bytes = 0;
+  readonly counts = { passed: 0, passedWhole: 0, passedOn: 0, passRefused: 0, passUnsure: 0, passCut: 0, passLeft: 0, passUnknown: 0, passGos: 0, passWaited: 0, passResumed: 0 };
+
+  constructor(membership: Membership, choice: Choice, policy: Policy) {
+    this.#membership = membership;
+    this.#choice = choice;
+    this.#policy = policy;
+  }
+
+  get busy(): number { return this.#live.size; }
+  get leaving(): boolean { return this.#leaving; }
+
+  has(go: number): boolean { return this.#gos.has(go); }
+
+  /** A planned stop: what comes on connections that are open still is served; the shell opens no new ones. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /** The passage with the longest prefix that begins the path. */
+  find(host: string, path: string): Found | undefined {
+    const marked = this.#membership.configuration;
+    if (this.#indexed !== marked) {
+      this.#indexed = marked;
+      this.#index = new Map();
+      for (const [name, passage] of Object.entries(marked.value.passages ?? {})) this.#index.set(`${plain(passage.host)}${passage.prefix}`, { name, passage });
+    }
+    const base = plain(host);
+    let end = path.search(/[?#]/);
+    if (end < 0) end = path.length;
+    for (let cut = path.lastIndexOf("/", end - 1); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf("/", cut - 1)) {
+      const found = this.#index.get(base + path.slice(0, cut + 1));
+      if (found !== undefined) return found;
+    }
+    return undefined;
+  }
+
+  arrive(ticket: string, inquiry: PassInquiry, now: number): PassOutput[] {
+    this.counts.passed += 1;
+    if (!this.#membership.serves(now)) return this.#turnAway(ticket, 503, constants.seatAfter, "this node may not serve now");
+    const found = this.find(inquiry.host, inquiry.path);
+    if (found === undefined) {
+      this.counts.passUnknown += 1;
+      return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
+    }
+    const { passage } = found;
+    if (this.#bytes + inquiry.body.length > this.#policy.memory * constants.bodiesPart) return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
+    const deadline = now + Math.min(passage.guard, inquiry.patience ?? passage.guard);
+    const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
+    const live: Live = {
+      ticket, inquiry, passage, pool: poolOf(passage, inquiry.id), arrivedAt: now, deadline, waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
+      repeatable: passage.kind === "safe" || (passage.kind === "stream" && passage.resumable), tried: new Set(), sent: 0, unsent: 0, go: undefined,
+      mayHaveRun: false, retryAfter: undefined, opened: false, last: inquiry.resumeAfter, numbered: true, slow: false, why: "no runner is known",
+    };
+    this.#live.set(ticket, live);
+    this.#bytes += inquiry.body.length;
+    const outputs: PassOutput[] = [];
+    this.#send(live, now, outputs);
+    return outputs;
+  }
+
+  /** The caller is gone: what runs for it is broken off. */
+  left(ticket: string, now: number): PassOutput[] {
+    const live = this.#live.get(ticket);
+    if (live === undefined) return [];
+    this.counts.passLeft += 1;
+    const outputs: PassOutput[] = [];
+    this.#close(live, "left", now, outputs);
+    return this.#look(now, outputs);
+  }
+
+  slow(ticket: string): PassOutput[] {
+    const live = this.#live.get(ticket);
+    if (live === undefined || live.slow) return [];
+    live.slow = true;
+    return live.go === undefined ? [] : [{ kind: "pass-pause", go: live.go.number }];
+  }
+
+  ready(ticket: string): PassOutput[] {
+    const live = this.#live.get(ticket);
+    if (live === undefined || !live.slow) return [];
+    live.slow = false;
+    return live.go === undefined ? [] : [{ kind: "pass-resume", go: live.go.number }];
+  }
+
+  /** The last look before the first byte: connecting may have taken long, and this process may have slept. */
+  mayStart(number: number, now: number): string | undefined {
+    const go = this.#gos.get(number);
+    if (go === undefined) return "it is not wanted any more";
+    const { runner, incarnation } = go.chosen;
+    if (now >= go.until - constants.worthLeast) return "too little time is left";
+    if (!this.#membership.serves(now)) return "this node may not serve now";
+    if (this.#membership.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now)) return "the runner is gone";
+    go.began = true;
+    return undefined;
+  }
+
+  goEvent(number: number, event: PassEvent, now: number): PassOutput[] {
+    const go = this.#gos.get(number);
+    if (go === undefined) return [];
+    const outputs: PassOutput[] = [];
+    switch (event.kind) {
+      case "event":
+        this.#event(go, event.number, event.bytes, now, outputs);
+        return outputs;
+      case "data":
+        this.#data(go, event.bytes, outputs);
+        return outputs;
+      case "head":
+        this.#head(go, event.status, event.headers, event.stamped, now, outputs);
+        break;
+      case "end":
+        this.#end(go, now, outputs);
+        break;
+      case "unsent":
+        go.live.unsent += 1;
+        go.live.why = event.reason;
+        this.#part(go, "unsent", undefined, now);
+        this.#goOn(go.live, now, outputs);
+        break;
+      case "refused":
+        go.live.sent += 1;
+        go.live.why = event.otherRunner ? "another runner stands there" : "the runner has no seat";
+        if (event.retryAfter !== undefined) go.live.retryAfter = Math.min(event.retryAfter, go.live.retryAfter ?? event.retryAfter);
+        this.#part(go, "refused", event.retryAfter, now);
+        this.#goOn(go.live, now, outputs);
+        break;
+      case "broken":
+        this.#broken(go, event.reason, now, outputs);
+        break;
+    }
+    return this.#look(now, outputs);
+  }
+
+  beat(now: number): PassOutput[] {
+    const outputs: PassOutput[] = [];
+    for (const live of this.#live.values()) {
+      if (now < live.deadline) continue;
+      live.why = "the time is up";
+      if (live.go?.began === true) live.mayHaveRun = true;
+      this.#giveUp(live, now, outputs);
+    }
+    return this.#look(now, outputs);
+  }
+
+  #head(go: Go, status: number, headers: readonly string[], stamped: boolean, now: number, outputs: PassOutput[]): void {
+    const { live } = go;
+    if ((status >= 200 && status < 300 && !stamped) || promises.has(status)) return this.#spoilt(go, "the runner's result bears no stamp, or promises what it may not", now, outputs);
+    /** Of a run that goes on for another only its events count. */
+    if (live.opened && (status < 200 || status >= 300)) return this.#spoilt(go, `the runner answered ${status}`, now, outputs);
+    if (status >= 500 && live.repeatable && this.#mayTry(live, now, 1)) {
+      live.sent += 1;
+      live.mayHaveRun = true;
+      live.why = `the runner answered ${status}`;
+      /** The rest of it is read away by the link, whose connection stays good. */
+      this.#part(go, "failed", undefined, now);
+      return this.#goOn(live, now, outputs);
+    }
+    go.head = { status, headers };
+    if (status >= 500) this.#choice.first(go.number, now);
+  }
+
+  #event(go: Go, number: number | undefined, bytes: Uint8Array, now: number, outputs: PassOutput[]): void {
+    const { live } = go;
+    if (number === undefined) live.numbered = false;
+    /** A run that goes on for another may tell again what came before. */
+    else if (live.last !== undefined && number <= live.last) return;
+    else live.last = number;
+    if (go.size === 0) this.#choice.first(go.number, now);
+    go.size += bytes.length;
+    this.#open(go, outputs);
+    outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes });
+  }
+
+  #data(go: Go, bytes: Uint8Array, outputs: PassOutput[]): void {
+    const { live } = go;
+    if (live.opened) {
+      outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes });
+      return;
+    }
+    go.kept.push(bytes);
+    go.size += bytes.length;
+    if (go.size <= constants.wholeMost) return;
+    this.#open(go, outputs);
+    for (const each of go.kept) outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes: each });
+    go.kept = [];
+  }
+
+  #open(go: Go, outputs: PassOutput[]): void {
+    if (go.live.opened) return;
+    go.live.opened = true;
+    outputs.push({ kind: "pass-head", ticket: go.live.ticket, status: go.head!.status, headers: go.head!.headers });
+  }
+
+  #end(go: Go, now: number, outputs: PassOutput[]): void {
+    const { live } = go;
+    if (go.head === undefined) return this.#broken(go, "the result had no head", now, outputs);
+    const { status } = go.head;
+    this.#open(go, outputs);
+    for (const bytes of go.kept) outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes });
+    outputs.push({ kind: "pass-end", ticket: live.ticket });
+    if (status >= 200 && status < 300) this.counts.passedWhole += 1;
+    else this.counts.passedOn += 1;
+    this.#part(go, status >= 500 ? "failed" : "done", undefined, now);
+    this.#close(live, "done", now, outputs);
+  }
+
+  /** A result that must not be shown: its connection is ended. */
+  #spoilt(go: Go, reason: string, now: number, outputs: PassOutput[]): void {
+    outputs.push({ kind: "pass-abandon", go: go.number });
+    this.#broken(go, reason, now, outputs);
+  }
+
+  #broken(go: Go, reason: string, now: number, outputs: PassOutput[]): void {
+    const { live } = go;
+    live.sent += 1;
+    live.mayHaveRun = true;
+    live.why = reason;
+    this.#part(go, "broken", undefined, now);
+    if (live.repeatable && (!live.opened || (live.passage.kind === "stream" && live.numbered))) return this.#goOn(live, now, outputs);
+    this.#giveUp(live, now, outputs);
+  }
+
+  /** Takes a go off its inquiry. */
+  #part(go: Go, how: GoEnd, retryAfter: number | undefined, now: number): void {
+    this.#gos.delete(go.number);
+    if (go.live.go === go) go.live.go = undefined;
+    this.#choice.end(go.number, how, retryAfter, now);
+  }
+
+  #mayTry(live: Live, now: number, more: number): boolean {
+    return live.sent + more < live.passage.goesMost && live.unsent < constants.unsentMost && now < live.deadline - constants.worthLeast;
+  }
+
+  /** At another runner, or with our own last word at once. */
+  #goOn(live: Live, now: number, outputs: PassOutput[]): void {
+    if (this.#mayTry(live, now, 0)) this.#send(live, now, outputs);
+    else this.#giveUp(live, now, outputs);
+  }
+
+  #send(live: Live, now: number, outputs: PassOutput[]): void {
+    const chosen = this.#choose(live, now);
+    if (chosen === undefined) {
+      if (now >= live.waitsUntil) return this.#giveUp(live, now, outputs);
+      this.counts.passWaited += this.#waiting.has(live) ? 0 : 1;
+      this.#waiting.add(live);
+      return;
+    }
+    this.#waiting.delete(live);
+    const number = this.#choice.nextGo();
+    const go: Go = { number, live, chosen, until: live.deadline, began: false, head: undefined, kept: [], size: 0 };
+    live.go = go;
+    live.tried.add(chosen.runner);
+    this.#gos.set(number, go);
+    this.#choice.begin(number, chosen.runner, live.inquiry, false, now);
+    this.counts.passGos += 1;
+    if (live.opened) this.counts.passResumed += 1;
+    const work: PassWork = {
+      inquiry: live.inquiry, runner: chosen.runner, rank: Math.min(4, live.passage.rank), until: go.until, resumeAfter: live.last,
+      events: live.passage.kind === "stream", repeatable: live.repeatable,
+    };
+    outputs.push({ kind: "pass-run", go: number, address: chosen.address, work });
+    if (live.slow) outputs.push({ kind: "pass-pause", go: number });
+  }
+
+  /** In the pool that its share of the weights gave it, else in another one of the passage. */
+  #choose(live: Live, now: number): Chosen | undefined {
+    const chosen = this.#choice.choose(live.pool, live.inquiry, live.tried, false, now);
+    if (chosen !== undefined || live.passage.pools.length === 1) return chosen;
+    for (const { pool, weight } of live.passage.pools) {
+      if (weight <= 0 || pool === live.pool) continue;
+      const other = this.#choice.choose(pool, live.inquiry, live.tried, false, now);
+      if (other !== undefined) return other;
+    }
+    return undefined;
+  }
+
+  /** Those that wait for a runner, first come first. */
+  #look(now: number, outputs: PassOutput[]): PassOutput[] {
+    for (const live of this.#waiting) this.#send(live, now, outputs);
+    return outputs;
+  }
+
+  /** The last word at once: a promise only where it surely did not run and never will. */
+  #giveUp(live: Live, now: number, outputs: PassOutput[]): void {
+    const { ticket } = live;
+    this.#close(live, "broken", now, outputs);
+    if (live.opened) {
+      this.counts.passCut += 1;
+      outputs.push({ kind: "pass-cut", ticket });
+    } else if (live.mayHaveRun) {
+      this.counts.passUnsure += 1;
+      outputs.push({ kind: "pass-refused", ticket, status: now >= live.deadline ? 504 : 502, retryAfter: undefined, reason: live.why });
+    } else {
+      outputs.push(...this.#turnAway(ticket, 503, live.retryAfter ?? constants.seatAfter, live.why));
+    }
+  }
+
+  #close(live: Live, how: GoEnd, now: number, outputs: PassOutput[]): void {
+    this.#live.delete(live.ticket);
+    this.#bytes -= live.inquiry.body.length;
+    this.#waiting.delete(live);
+    const { go } = live;
+    if (go === undefined) return;
+    outputs.push({ kind: "pass-abandon", go: go.number });
+    this.#part(go, how, undefined, now);
+  }
+
+  #turnAway(ticket: string, status: 404 | 503, retryAfter: number | undefined, reason: string): PassOutput[] {
+    if (status === 503) this.counts.passRefused += 1;
+    return [{ kind: "pass-refused", ticket, status, retryAfter, reason }];
+  }
+}
+
+/** A host as passages are found by: without its port, in small letters. */
+function plain(host: string): string {
+  const small = host.toLowerCase();
+  if (small.startsWith("[")) return small.slice(0, small.indexOf("]") + 1);
+  const cut = small.indexOf(":");
+  return cut < 0 ? small : small.slice(0, cut);
+}
+
+/** By weight, and for the same inquiry always the same. */
+function poolOf(passage: Passage, id: string): string {
+  const { pools } = passage;
+  if (pools.length === 1) return pools[0]!.pool;
+  let sum = 0;
+  for (const { weight } of pools) sum += weight;
+  let place = (hashOf(id) / 0x1_0000_0000) * sum;
+  let last = pools[0]!.pool;
+  for (const { pool, weight } of pools) {
+    if (weight <= 0) continue;
+    last = pool;
+    place -= weight;
+    if (place < 0) return pool;
+  }
+  return last;
+}
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -150,4 +150,43 @@
   resultMost: 16_777_216,
   /** inquiries. Live inquiries under way in one access node; more are told to try later. */
   liveMost: 600,
+  /** ms. Taken off the time that a runner may keep a connection idle, so that none is used while it is being closed (§13.6). */
+  idleMargin: 150,
+  /** ms. A kept connection whose runner tells no time: used again within this, and for what may be repeated within three times as long. */
+  idleUntold: 500,
+  /** ms. A work past its end whose link still says nothing is broken off this much later. */
+  overdueGrace: 400,
+  /** bytes. A result that is no stream is told to the caller once whole, up to this size; a larger one as it comes. */
+  wholeMost: 65_536,
+  /** part of the aim within which an inquiry without a runner is turned away, so that its caller comes back in time (§13.5). */
+  waitPart: 0.2,
+  /** ms. The same where a passage tells no aim. */
+  waitUntold: 50,
+  /** ms. Less than this left is not worth a runner's work. */
+  worthLeast: 15,
+  /** gos that never went out, after which an inquiry is turned away. */
+  unsentMost: 4,
+  /** bytes for each Megabyte of a process that bodies of live inquiries may take together: a fifth. */
+  bodiesPart: 200_000,
+  /** s. What a caller turned away for want of a seat is told, where the runner tells nothing shorter. */
+  seatAfter: 0.15,
+  /** ms. Runners, burdens and nodes are read anew this often for the choice of a runner; a beat is 50. */
+  lookEvery: 25,
+  /** seats, as a part of those of a runner, that work may be sent for: beyond its own it queues a few. */
+  seatsMost: 1.5,
+  /** part of its seats up to which a runner is preferred for the shared parts that it keeps. */
+  affinityFill: 1,
+  /** tokens. Shared parts below this are read anew in a few ms anywhere; runners read some 150 in a ms. */
+  affinityLeast: 1_000,
+  /** price, in seats taken as a part of all: spread against herds of nodes that see the same, own zone, a runner in trouble. */
+  choiceJitter: 0.1,
+  ownZone: 0.03,
+  shyPrice: 10,
+  /** ms. A runner that refused, or that broke or was not reached, is passed by; twice as long with each trouble in a row. */
+  shyRefused: 40,
+  shyBroken: 150,
+  shyMost: 1_500,
+  /** connections to one runner: where its pool tells no limit, and the part of the limit that is used. */
+  connectionsUntold: 64,
+  connectionsPart: 0.9,
 } as const;
