Bounds of a deployment, marks of operators, runners told at control, emptying by name

Cause: a deployment with bounds of its own needs what constants fixed: how many may be lost, how often runners report, whether a node out of touch goes on.

What changed (names for whoever wires them): - settings: `bounds` (all ms; policy.Bounds), `founding`, seeds >= 1; settings.check, settings.policyOf(settings) -> Policy. - policy.from(bounds) -> Outcome<Policy>; policy reaches ControlCore (origin.policy, origin.founding), Sessions, Pacer, Membership, StorageCore and AccessCore (last argument). goesOnAlone: no promises among nodes, no fleet majority asked. - Standing and NodeCard: `name`. - put: `mark`, `origin`; the same mark and origin again is IN_FORCE; read tells `origin`. - the plans of pool queues take their bucket from the policy where a pool names none. - ControlCore.announce(card, sequence, now) -> { told, outputs }; message `runners`. - Emptying by identity or name: DONE, UNKNOWN_MACHINE, TOO_FEW, UNDER_WAY; ControlCore.emptied(machine, now) -> "emptying" | "emptied" | undefined.

The refused example of one seed became one of a seed given twice: one is allowed now.

--- a/features/input.feature
+++ b/features/input.feature
@@ -53,7 +53,7 @@
     Then the program ends with 2 and one clear message for bad settings
       | words                                                                             | says  |
       | control --name a --zone a --http 127.0.0.1:1 --wire nonsense --seeds 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3 --data x | wire  |
-      | control --name a --zone a --http 127.0.0.1:1 --wire 127.0.0.1:2 --seeds 127.0.0.1:1 --data x                      | seeds |
+      | control --name a --zone a --http 127.0.0.1:1 --wire 127.0.0.1:2 --seeds 127.0.0.1:1,127.0.0.1:1 --data x                  | seeds |
       | storage --name a --zone a --http 127.0.0.1:1 --wire 127.0.0.1:2 --seeds 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3       | data  |
       | access --settings /nonexistent.json                                               | nonexistent |
     And a storage machine whose folder is cut off, foreign, another kind's or in use ends with 1
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,4 +1,4 @@
-import { constants, outcome, policy, type Labels, type Limits, type Outcome, type Season } from "@chutewick/parts";
+import { constants, outcome, policy, type Labels, type Policy, type Limits, type Outcome, type Season } from "@chutewick/parts";
 import { explain } from "@chutewick/shell";
 import { calendars, type Calendar } from "./calendar.js";
 import { z } from "zod";
@@ -97,7 +97,7 @@
 });
 
 const shape = z.strictObject({
-  pools: z.record(z.string().min(1), pool).default({}),
+  pools: z.record(z.string().regex(/^[^/]+$/, { error: "must have no slash" }), pool).default({}),
   passages: z.record(z.string().min(1), passage).default({}),
   models: z.record(name, model).default({}),
   ways: z.record(name, way).default({}),
@@ -117,6 +117,13 @@
   readonly origin?: string;
 }
 
+/** An earlier release kept none of the later parts. */
+function read(held: MarkedConfiguration | undefined): MarkedConfiguration {
+  if (held === undefined) return blank;
+  const { pools, passages } = held.value as Partial<Configuration>;
+  return pools === undefined || passages === undefined ? { ...held, value: { ...blank.value, ...held.value } } : held;
+}
+
 export const blank: MarkedConfiguration = { mark: 0, value: { pools: {}, passages: {}, models: {}, ways: {}, seasons: {} } };
 
 function isMoment(text: string): boolean {
@@ -296,10 +303,9 @@
   return best;
 }
 
-function poolQueues(value: Configuration): QueuePlan[] {
+function poolQueues(value: Configuration, { poolRate, poolBurst }: Policy): QueuePlan[] {
   const limitsOf = new Map<string, Limits>();
   const counted = new Set<string>();
-  const { poolRate, poolBurst } = policy.usual;
   for (const passage of Object.values(value.passages ?? {})) {
     if (passage.kind !== "lot") continue;
     for (const key of poolsOf(passage)) {
@@ -311,7 +317,7 @@
     }
   }
   const plans: QueuePlan[] = [];
-  for (const [queue, all] of limitsOf) plans.push({ queue, pooled: true, model: queue.slice(poolQueue("").length), limits: all, waiting: 10_000_000, labels: {} });
+  for (const [queue, all] of limitsOf) plans.push({ queue, pooled: true, model: queue.slice(poolQueue("").length), limits: all, waiting: constants.poolWaiting, labels: {} });
   return plans;
 }
 
@@ -321,14 +327,14 @@
   return { tokens: left.tokens / left.windowSeconds + right.tokens / right.windowSeconds, windowSeconds: 1, capacity: left.capacity + right.capacity };
 }
 
-function queues(value: Configuration): QueuePlan[] {
+function queues(value: Configuration, chosen: Policy = policy.usual): QueuePlan[] {
   const plans: QueuePlan[] = [];
   for (const [key, each] of Object.entries(value.models)) {
     const common = { model: key, waiting: each.waiting, labels: { ...each.labels, model: key } };
     plans.push({ queue: queueOf(key, undefined), limits: each.bucket, ...common });
     for (const adapter of each.adapters) plans.push({ queue: queueOf(key, adapter), adapter, limits: each.adapterBuckets[adapter] ?? each.bucket, ...common, labels: { ...common.labels, ...each.adapterLabels?.[adapter], model: key, adapter } });
   }
-  plans.push(...poolQueues(value));
+  plans.push(...poolQueues(value, chosen));
   return plans;
 }
 
@@ -345,4 +351,4 @@
   return all;
 }
 
-export const configuration = { check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, passageOf, seasonsOf, blank };
+export const configuration = { read, check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, passageOf, seasonsOf, blank };
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,12 +1,12 @@
 import {
-  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, lateness,
-  type Back, type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard,
+  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, lateness, policy,
+  type Back, type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard, type Policy, type RunnerCard,
   type Roll, type Stamp, type ViewCommand, type ViewMessage, type VoteState,
 } from "@chutewick/parts";
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
-import { ControlMachine, keys, type ControlCommand, type ControlResult, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
+import { ControlMachine, keys, type ControlCommand, type ControlResult, type EmptyingRecord, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
 
 /** A control machine without I/O: chain, agreed view, feed, sessions, plans (docs/design.md §2, §4, §7, §8). */
 export type ControlMessage =
@@ -17,6 +17,8 @@
   | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number; readonly back?: Back | null }
   | { readonly kind: "lease"; readonly identity: string; readonly view: ChainView; readonly askedAt: number; readonly place: number; readonly roll: Roll; readonly controls: readonly string[]; readonly stamp?: Stamp }
   | { readonly kind: "roll"; readonly roll: Roll; readonly stamp?: Stamp; readonly back?: Back | null }
+  /** Runners heard of just now, told at once (§13.8). */
+  | { readonly kind: "runners"; readonly runners: readonly RunnerCard[] }
   | { readonly kind: "covered"; readonly identity: string; readonly mark: number; readonly place: number }
   | { readonly kind: "control-inquiry"; readonly ticket: string; readonly command: ControlCommand }
   | { readonly kind: "control-result"; readonly ticket: string; readonly outcome: ControlOutcome };
@@ -49,15 +51,22 @@
   readonly life: string;
   readonly votes?: VoteState;
   readonly holding?: ChainHolding;
+  readonly policy?: Policy;
+  /** True only at the very first start of the whole system. */
+  readonly founding?: boolean;
 }
 
+/** What a runner is told that reported here. */
+export type Announced = { readonly kind: "TAKEN" } | { readonly kind: "SAID_GOODBYE" };
+
 export class ControlCore {
   #self: Member;
   #life: string;
   #agreement: Agreement;
   #chain: Chain;
   #feed = new Feed();
-  #sessions = new Sessions();
+  #policy: Policy;
+  #sessions: Sessions;
   #held = new Map<string, Held>();
   #ticketNumber = 0;
   #coveredBy = new Map<string, number>();
@@ -69,7 +78,7 @@
   #fleetSeen = { mark: 0, place: 0 };
   #seenAt = new Map<string, number>();
   #wall = 0;
-  #pacer = new Pacer();
+  #pacer: Pacer;
   #missingSince = new Map<string, number>();
   /** Where and since when a node stands behind the feed. */
   #laggingSince = new Map<string, { at: number; place: number }>();
@@ -80,7 +89,10 @@
   constructor(origin: ControlOrigin, now: number) {
     this.#self = origin.member;
     this.#life = origin.life;
-    this.#agreement = new Agreement(origin.member, origin.seeds, now, origin.votes);
+    this.#policy = origin.policy ?? policy.usual;
+    this.#sessions = new Sessions(this.#policy);
+    this.#pacer = new Pacer(this.#policy);
+    this.#agreement = new Agreement(origin.member, origin.seeds, now, origin.votes, origin.founding ?? true, this.#policy.controlsWanted);
     this.#chain = new Chain("control", origin.member, new ControlMachine(), now, origin.holding);
     this.#coverFrom = now + constants.leaseLasts;
     if (origin.holding !== undefined && origin.holding.state.place === origin.holding.state.confirmed) {
@@ -119,6 +131,9 @@
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
         return [];
+      case "runners":
+        for (const card of message.runners) this.#sessions.announced(card, now - card.age);
+        return [];
       case "covered": return this.#coveredFrom(message.identity, message.mark, message.place);
       case "control-inquiry": return this.#enter(message.ticket, message.command, from, now);
       case "control-result": {
@@ -143,15 +158,16 @@
   }
 
   #enter(ticket: string, command: ControlCommand, to: string | undefined, now: number): ControlOutput[] {
-    const refusal = command.kind === "empty" && this.#chain.serves ? this.#refuseEmptying(command.identity, command.wanted, now) : undefined;
+    const named = command.kind === "empty" ? this.#named(command, now) : command;
+    const refusal = named.kind === "empty" && this.#chain.serves ? this.#refuseEmptying(named, now) : undefined;
     if (refusal !== undefined) {
-      const result: ControlOutcome = { kind: "confirmed", value: { kind: "REFUSED", reason: refusal }, place: this.#feed.place };
+      const result: ControlOutcome = { kind: "confirmed", value: refusal, place: this.#feed.place };
       return to === undefined ? [{ kind: "result", ticket, result }] : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome: result } }];
     }
     this.#ticketNumber += 1;
     const own = `own/${this.#ticketNumber}`;
     this.#held.set(own, { ticket, to, since: now, result: undefined });
-    return this.#perform(this.#chain.inquire(own, command, now), now);
+    return this.#perform(this.#chain.inquire(own, named, now), now);
   }
 
   #finish(own: string, ended: ControlOutcome): ControlOutput[] {
@@ -162,22 +178,82 @@
     return [{ kind: "send", to: held.to, message: { kind: "control-result", ticket: held.ticket, outcome: ended } }];
   }
 
+  /** A machine called by its name in the deployment: the identity of its disk, and the name beside it. */
+  #named(command: Extract<ControlCommand, { kind: "empty" }>, now: number): ControlCommand {
+    const known = this.#emptying(now);
+    for (const [identity, { name }] of known) if (name === command.identity) return { ...command, identity, name };
+    for (const card of this.#sessions.live("storage", now)) if (card.name === command.identity) return { ...command, identity: card.identity, name: card.name };
+    return command;
+  }
+
+  /** Machines being emptied, also under the identity that they got with a new disk. */
+  #emptying(now: number): Map<string, EmptyingRecord> {
+    const found = new Map<string, EmptyingRecord>();
+    const names = new Map<string, EmptyingRecord>();
+    for (const [key, record] of this.#feed.under<EmptyingRecord>(keys.emptying)) {
+      found.set(key.slice(keys.emptying.length), record);
+      if (record.name !== undefined) names.set(record.name, record);
+    }
+    for (const card of this.#sessions.live("storage", now)) {
+      const record = card.name === undefined ? undefined : names.get(card.name);
+      if (record !== undefined) found.set(card.identity, record);
+    }
+    return found;
+  }
+
   /** Why a storage machine may not be emptied now, or need not be kept (§8.7). */
-  #refuseEmptying(identity: string, wanted: boolean, now: number): string | undefined {
-    const emptying = this.#feed.read(keys.emptying + identity) !== undefined;
-    if (!wanted) return emptying ? undefined : `${identity}: is not being emptied`;
+  #refuseEmptying({ identity, wanted, name }: Extract<ControlCommand, { kind: "empty" }>, now: number): ControlResult | undefined {
+    const emptying = this.#emptying(now);
+    const called = name ?? identity;
+    if (!wanted) return emptying.has(identity) ? undefined : { kind: "REFUSED", reason: `${called}: is not being emptied` };
     let known = false;
     let others = 0;
     for (const card of this.#sessions.live("storage", now)) {
       if (card.identity === identity) known = true;
-      else if (!card.leaving && this.#feed.read(keys.emptying + card.identity) === undefined) others += 1;
+      else if (!card.leaving && !emptying.has(card.identity)) others += 1;
     }
     for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.members.some(hasIdentity, { identity })) known = true;
-    if (!known) return `${identity}: there is no such storage machine`;
-    if (others < constants.copiesWanted) return `${identity}: only ${others} other machines could take its queues, and ${constants.copiesWanted} copies are promised; add one first`;
+    if (emptying.has(identity)) return { kind: "UNDER_WAY", reason: `${called}: is being emptied already` };
+    if (!known) return { kind: "UNKNOWN_MACHINE", reason: `${called}: there is no such storage machine` };
+    const { othersLeast } = this.#policy;
+    if (others < othersLeast) return { kind: "TOO_FEW", reason: `${called}: only ${others} other machines could take its queues, and ${othersLeast} copies are promised; add one first` };
     return undefined;
   }
 
+  /** How far the emptying of a machine is, as confirmed; undefined where none was asked for. */
+  emptied(machine: string, now: number): "emptying" | "emptied" | undefined {
+    const mine = new Set<string>();
+    const emptying = this.#emptying(now);
+    for (const [identity, { name }] of emptying) if (identity === machine || name === machine) mine.add(identity);
+    if (mine.size === 0) return undefined;
+    const others = new Set<string>();
+    for (const card of this.#sessions.live("storage", now)) if (!emptying.has(card.identity) && !card.leaving) others.add(card.identity);
+    const wanted = Math.max(this.#policy.copiesLeast, Math.min(this.#policy.copiesWanted, others.size));
+    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) {
+      let copies = 0;
+      for (const { identity } of view.members) {
+        if (mine.has(identity)) return "emptying";
+        if (others.has(identity)) copies += 1;
+      }
+      if (copies < wanted || (view.joiner !== undefined && mine.has(view.joiner.identity))) return "emptying";
+    }
+    return "emptied";
+  }
+
+  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the roll (§13.8). */
+  announce(card: Omit<RunnerCard, "age">, sequence: number, now: number): { told: Announced; outputs: ControlOutput[] } {
+    if ((this.#feed.read<Goodbye>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >= card.incarnation) return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
+    const word: RunnerCard = { ...card, sequence, age: 0 };
+    const { news } = this.#sessions.announced(word, now);
+    const outputs: ControlOutput[] = [];
+    if (news) {
+      const message: ControlMessage = { kind: "runners", runners: [word] };
+      for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message });
+      for (const node of this.#sessions.live("access", now)) outputs.push({ kind: "send", to: node.address, message });
+    }
+    return { told: { kind: "TAKEN" }, outputs };
+  }
+
   writtenChain(ticket: number, now: number): ControlOutput[] {
     return this.#perform(this.#chain.written(ticket, now), now);
   }
@@ -252,6 +328,8 @@
 
   /** Without this, a majority of nodes that cannot hear control might go on by each other's promises (§7.4). */
   #fleetTook(place: number): boolean {
+    /** Nodes that go on alone promise nothing to each other (§13.3). */
+    if (this.#policy.goesOnAlone) return true;
     const fleet = this.#feed.read<FleetRecord>(keys.fleet);
     return fleet === undefined || (this.#majorityTook(fleet.addresses, place) && this.#majorityTook(fleet.previous, place));
   }
@@ -372,7 +450,7 @@
   #plan(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     if (!this.#chain.serves || this.#chain.confirmed !== this.#chain.place || now < this.#coverFrom + constants.sessionLasts) return outputs;
-    outputs.push(...this.#planFleet(now));
+    if (!this.#policy.goesOnAlone) outputs.push(...this.#planFleet(now));
     for (const [, goodbye] of this.#feed.under<Goodbye>(keys.goodbye)) {
       if (goodbye.at + constants.goodbyeKept > this.#chain.time(now)) continue;
       outputs.push(...this.#command({ kind: "forget-goodbyes" }, now));
@@ -381,18 +459,17 @@
     const live = this.#sessions.live("storage", now);
     const byIdentity = new Map<string, NodeCard>();
     for (const card of live) byIdentity.set(card.identity, card);
-    const emptying = new Set<string>();
-    for (const [key] of this.#feed.under(keys.emptying)) emptying.add(key.slice(keys.emptying.length));
-    const marked = this.#feed.read<MarkedConfiguration>(keys.configuration) ?? configuration.blank;
+    const emptying = new Set<string>(this.#emptying(now).keys());
+    const marked = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
     const wanted = new Set<string>();
-    for (const plan of configuration.queues(marked.value)) wanted.add(plan.queue);
+    for (const plan of configuration.queues(marked.value, this.#policy)) wanted.add(plan.queue);
     for (const queue of wanted) {
       if (this.#feed.read(keys.queue + queue) !== undefined) continue;
       const able: string[] = [];
       for (const card of live) if (!emptying.has(card.identity) && !card.leaving) able.push(card.identity);
-      if (able.length < constants.copiesLeast) continue;
+      if (able.length < this.#policy.copiesLeast) continue;
       const members: Member[] = [];
-      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(0, constants.copiesWanted)) members.push({ identity, address: byIdentity.get(identity)!.address });
+      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(0, this.#policy.copiesWanted)) members.push({ identity, address: byIdentity.get(identity)!.address });
       outputs.push(...this.#command({ kind: "place", queue, view: { mark: 1, members } }, now));
     }
     for (const [queue, standing] of this.#pacer.plan({ value: marked.value, ...this.#surroundings(live, now) })) {
@@ -437,12 +514,12 @@
     const staying: Member[] = [];
     for (const member of alive) if (!live.get(member.identity)!.leaving) staying.push(member);
     const keep = joinerCard === undefined ? {} : { joiner };
-    if (staying.length < alive.length && staying.length >= constants.copiesLeast) return { mark, members: staying, ...keep };
-    if (alive.length < view.members.length) return alive.length >= constants.copiesLeast ? { mark, members: alive, ...keep } : this.#lone(view, alive, live, emptying, now);
+    if (staying.length < alive.length && staying.length >= this.#policy.copiesLeast) return { mark, members: staying, ...keep };
+    if (alive.length < view.members.length) return alive.length >= this.#policy.copiesLeast ? { mark, members: alive, ...keep } : this.#lone(view, alive, live, emptying, now);
     for (const member of view.members) this.#missingSince.delete(member.identity);
     for (const card of live.values()) {
       for (const [stuckQueue, stuckMark, identity] of card.telling.stuck ?? []) {
-        if (stuckQueue !== queue || stuckMark !== view.mark || view.members.length <= constants.copiesLeast) continue;
+        if (stuckQueue !== queue || stuckMark !== view.mark || view.members.length <= this.#policy.copiesLeast) continue;
         const members: Member[] = [];
         for (const member of view.members) if (member.identity !== identity) members.push(member);
         if (members.length < view.members.length) return { mark, members, ...keep };
@@ -456,7 +533,7 @@
       return undefined;
     }
     const leaving = view.members.find(isIn, emptying);
-    if (view.members.length > constants.copiesWanted) {
+    if (view.members.length > this.#policy.copiesWanted) {
       const doubled = sharingZone(view.members, live);
       const surplus = leaving ?? this.#mostBurdened(doubled.length > 0 ? doubled : view.members);
       const members: Member[] = [];
@@ -465,7 +542,13 @@
     }
     const able: string[] = [];
     for (const card of live.values()) if (!card.leaving && !emptying.has(card.identity) && !view.members.some(hasIdentity, { identity: card.identity })) able.push(card.identity);
-    if (able.length === 0) return undefined;
+    /** Nowhere to copy to: one that is emptied leaves as long as enough stay. */
+    if (able.length === 0) {
+      if (leaving === undefined || view.members.length <= this.#policy.copiesLeast) return undefined;
+      const members: Member[] = [];
+      for (const member of view.members) if (member.identity !== leaving.identity) members.push(member);
+      return { mark, members };
+    }
     const counted = leaving === undefined ? view.members.length : view.members.length - 1;
     const ranked = duty.rank(queue, able);
     const zones = zonesOf(view.members, live);
@@ -481,8 +564,8 @@
     const rivals: Member[] = [];
     for (const member of view.members) if (!zones.has(zone) || live.get(member.identity)!.zone === zone) rivals.push(member);
     /** Balance: one queue at a time goes from the machine with most to the one with fewest. */
-    if (counted >= constants.copiesWanted && (this.#moved || this.#copying() || !gainsZone && this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2)) return undefined;
-    if (counted >= constants.copiesWanted) this.#moved = true;
+    if (counted >= this.#policy.copiesWanted && (this.#moved || this.#copying() || !gainsZone && this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2)) return undefined;
+    if (counted >= this.#policy.copiesWanted) this.#moved = true;
     return { mark, members: view.members, joiner: { identity, address: live.get(identity)!.address } };
   }
 
@@ -493,7 +576,7 @@
   }
 
   #copying(): boolean {
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.joiner !== undefined || view.members.length !== constants.copiesWanted) return true;
+    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.joiner !== undefined || view.members.length !== this.#policy.copiesWanted) return true;
     return false;
   }
 
@@ -507,7 +590,7 @@
   /** One copy left of two: it holds all that was confirmed, serves nothing, and is copied from (§8.2). */
   #lone(view: ChainView, alive: readonly Member[], live: ReadonlyMap<string, NodeCard>, emptying: ReadonlySet<string>, now: number): ChainView | undefined {
     const lone = alive[0];
-    if (lone === undefined || view.members.length !== constants.copiesLeast) return undefined;
+    if (lone === undefined || view.members.length !== this.#policy.copiesLeast) return undefined;
     const lost = view.members.find(isOther, lone)!;
     const since = this.#missingSince.get(lost.identity) ?? now;
     this.#missingSince.set(lost.identity, since);
@@ -523,7 +606,7 @@
   }
 
   #known(now: number): Known {
-    const marked = this.#feed.read<MarkedConfiguration>(keys.configuration) ?? configuration.blank;
+    const marked = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
     return { value: marked.value, ...this.#surroundings(this.#sessions.live("storage", now), now) };
   }
 
@@ -564,7 +647,7 @@
       for (const zone of zonesOf(view.members, live)) {
         let others = 0;
         for (const member of view.members) if (live.has(member.identity) && live.get(member.identity)!.zone !== zone) others += 1;
-        if (others < constants.copiesLeast) told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
+        if (others < this.#policy.copiesLeast) told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
       }
     }
     return Object.keys(told).length === 0 ? true : told;
@@ -572,13 +655,13 @@
 
   #safe(now: number): boolean {
     const view = this.#chain.view;
-    if (view === undefined || view.members.length < constants.copiesWanted) return false;
+    if (view === undefined || view.members.length < this.#policy.copiesWanted) return false;
     const live = new Set<string>();
     for (const card of this.#sessions.live("storage", now)) live.add(card.identity);
     for (const [, queue] of this.#feed.under<ChainView>(keys.queue)) {
       let copies = 0;
       for (const member of queue.members) if (live.has(member.identity)) copies += 1;
-      if (copies < constants.copiesWanted) return false;
+      if (copies < this.#policy.copiesWanted) return false;
     }
     return true;
   }
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -3,7 +3,8 @@
 
 /** Control state: configuration, placement of queues, goodbyes, emptying of machines (docs/design.md §9). */
 export type ControlCommand =
-  | { kind: "put"; expected: number | undefined; value: unknown }
+  /** With the operator's own mark, if any, which goes up in steps of any size; and the operator's own text. */
+  | { kind: "put"; expected: number | undefined; mark?: number; value: unknown; origin?: string }
   | { kind: "patch"; expected: number | undefined; change: unknown }
   | { kind: "goodbye"; runner: string; incarnation: number }
   | { kind: "forget-goodbyes" }
@@ -11,15 +12,26 @@
   | { kind: "review"; queue: string; view: ChainView }
   | { kind: "stand"; queue: string; standing: QueueStanding }
   | { kind: "fleet"; fleet: FleetRecord }
-  | { kind: "empty"; identity: string; wanted: boolean }
+  /** By the identity of its disk, or by its name in the deployment, which stays though its disk is lost (§13.8). */
+  | { kind: "empty"; identity: string; wanted: boolean; name?: string }
   | { kind: "read" };
 
 export type ControlResult =
   | { kind: "IN_FORCE"; mark: number; warnings?: readonly string[] }
   | { kind: "CONFLICT"; mark: number }
   | { kind: "REFUSED"; reason: string }
+  /** Why a machine is not going to be emptied, or is already. */
+  | { kind: "UNKNOWN_MACHINE"; reason: string }
+  | { kind: "TOO_FEW"; reason: string }
+  | { kind: "UNDER_WAY"; reason: string }
   | { kind: "DONE" }
-  | { kind: "CONFIGURATION"; mark: number; value: Configuration };
+  | { kind: "CONFIGURATION"; mark: number; value: Configuration; origin?: string };
+
+/** Machines that are being emptied, by identity. */
+export interface EmptyingRecord {
+  readonly since: number;
+  readonly name?: string;
+}
 
 export interface Goodbye {
   readonly runner: string;
@@ -82,11 +94,11 @@
 
   apply(ledger: Ledger, input: unknown, time: number): ControlResult {
     const command = input as ControlCommand;
-    const held = ledger.read<MarkedConfiguration>(keys.configuration) ?? configuration.blank;
+    const held = configuration.read(ledger.read<MarkedConfiguration>(keys.configuration));
     switch (command.kind) {
-      case "read": return { kind: "CONFIGURATION", mark: held.mark, value: held.value };
-      case "put": return this.#enter(ledger, held, command.expected, command.value);
-      case "patch": return this.#enter(ledger, held, command.expected, configuration.patch(held.value, command.change));
+      case "read": return { kind: "CONFIGURATION", mark: held.mark, value: held.value, ...(held.origin === undefined ? {} : { origin: held.origin }) };
+      case "put": return this.#enter(ledger, held, command, command.value);
+      case "patch": return this.#enter(ledger, held, { expected: command.expected }, configuration.patch(held.value, command.change));
       case "goodbye": {
         const key = keys.goodbyeKey(command.runner);
         if ((ledger.read<Goodbye>(key)?.incarnation ?? 0) < command.incarnation) ledger.put(key, { runner: command.runner, incarnation: command.incarnation, at: time } satisfies Goodbye);
@@ -118,7 +130,7 @@
         return { kind: "DONE" };
       }
       case "empty": {
-        if (command.wanted) ledger.put(keys.emptying + command.identity, { since: time });
+        if (command.wanted) ledger.put(keys.emptying + command.identity, { since: time, ...(command.name === undefined ? {} : { name: command.name }) } satisfies EmptyingRecord);
         else ledger.remove(keys.emptying + command.identity);
         return { kind: "DONE" };
       }
@@ -126,12 +138,15 @@
   }
 
   /** Checked on the merged whole, so nothing of a refused change takes effect; one of two racers wins. */
-  #enter(ledger: Ledger, held: MarkedConfiguration, expected: number | undefined, value: unknown): ControlResult {
+  #enter(ledger: Ledger, held: MarkedConfiguration, { expected, mark: own, origin }: { expected: number | undefined; mark?: number; origin?: string }, value: unknown): ControlResult {
+    /** The same word said again: it was taken. */
+    if (own !== undefined && own === held.mark && origin !== undefined && origin === held.origin) return { kind: "IN_FORCE", mark: own };
     if (expected !== undefined && expected !== null && expected !== held.mark) return { kind: "CONFLICT", mark: held.mark };
     const checked = configuration.check(value);
     if (!checked.ok) return { kind: "REFUSED", reason: checked.reason };
-    const mark = held.mark + 1;
-    ledger.put(keys.configuration, { mark, value: checked.value } satisfies MarkedConfiguration);
+    if (own !== undefined && !(Number.isSafeInteger(own) && own > held.mark)) return { kind: "REFUSED", reason: `(whole): the mark ${own} must be a whole number above ${held.mark}, which is in force` };
+    const mark = own ?? held.mark + 1;
+    ledger.put(keys.configuration, { mark, value: checked.value, ...(origin === undefined ? {} : { origin }) } satisfies MarkedConfiguration);
     const warnings = configuration.warnings(checked.value);
     return { kind: "IN_FORCE", mark, ...(warnings.length === 0 ? {} : { warnings }) };
   }
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -1,4 +1,4 @@
-import { constants, sameLimits, season as seasons, type Labels, type Limits, type NodeCard, type RunnerCard, type Season, type Selector } from "@chutewick/parts";
+import { constants, policy, sameLimits, season as seasons, type Labels, type Limits, type NodeCard, type Policy, type RunnerCard, type Season, type Selector } from "@chutewick/parts";
 import { configuration, type Configuration, type QueuePlan } from "./configuration.js";
 import { standingClasses, type QueueStanding, type StandingClass } from "./machine.js";
 
@@ -47,6 +47,11 @@
 
 export class Pacer {
   #paces = new Map<string, Pace>();
+  #policy: Policy;
+
+  constructor(chosen: Policy = policy.usual) {
+    this.#policy = chosen;
+  }
 
   /** The changes of standings that are due now. */
   plan(around: Surroundings): [queue: string, standing: QueueStanding][] {
@@ -60,26 +65,28 @@
       held.wishes.push(one);
       groups.set(group, held);
     }
-    for (const plan of configuration.queues(around.value)) {
+    const planned = new Set<string>();
+    for (const plan of configuration.queues(around.value, this.#policy)) {
       const { queue } = plan;
+      planned.add(queue);
       const governing = governingIn(opened, plan, around.value);
       for (const one of governing.seasons) wish(`season ${one.name}`, one.waiting, { queue, season: one.name, select: one.select, runners: one.runners, wanted: 0 });
       if (!governing.whole) wish(`queue ${queue}`, plan.waiting, { queue, season: "", select: all, runners: all, wanted: 0 });
       const deciding = seasons.deciding(calendar, plan.labels, around.wall);
       const runners = governing.whole && governing.seasons.every(isChoosy) ? governing.seasons : [];
-      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: plan.pooled === undefined ? this.#pace(plan.model, plan.adapter, runners, around) : constants.paceSteps, classes: [] });
+      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: this.#paceOf(plan.queue, plan.model, plan.adapter, runners, around), classes: [] });
     }
     /** What a queue still holds of seasons that are over, and queues no longer configured, weigh on until they are drained. */
     for (const [queue, standing] of around.standings) {
       if (!drafts.has(queue)) {
         const [model, adapter] = configuration.modelOf(queue);
-        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: configuration.isPoolQueue(queue) ? constants.paceSteps : this.#pace(model, adapter, [], around), classes: [] });
+        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: this.#paceOf(queue, model, adapter, [], around), classes: [] });
       }
       for (const { season, select, runners, granted } of standingClasses(standing)) {
         const group = season === "" ? `queue ${queue}` : `season ${season}`;
         if (groups.get(group)?.wishes.some(isOf, { queue }) === true) continue;
         /** A class that a draining lot may still be in stays, so that its runners are known. */
-        if (granted > 0 || !isConfigured(around.value, queue)) wish(group, 0, { queue, season, select, runners, wanted: 0 });
+        if (granted > 0 || !planned.has(queue)) wish(group, 0, { queue, season, select, runners, wanted: 0 });
       }
     }
     for (const { allowance, wishes } of groups.values()) settle(share(wishes, allowance, around), allowance, around, drafts);
@@ -91,6 +98,11 @@
     return changes;
   }
 
+  /** Pools are paced by whoever draws from their queues, who knows what room there is (§13.4). */
+  #paceOf(queue: string, model: string, adapter: string | undefined, choosy: readonly Season[], around: Surroundings): number {
+    return configuration.isPoolQueue(queue) ? constants.paceSteps : this.#pace(model, adapter, choosy, around);
+  }
+
   /** Room that live work leaves on the runners of a model, in steps; down at once, up only when it lasts. */
   #pace(model: string, adapter: string | undefined, choosy: readonly Season[], around: Surroundings): number {
     const name = configuration.queueOf(model, adapter);
@@ -168,11 +180,6 @@
   return wish.queue === this.queue;
 }
 
-function isConfigured(value: Configuration, queue: string): boolean {
-  const [model, adapter] = configuration.modelOf(queue);
-  return Object.hasOwn(value.models, model) && (adapter === undefined || value.models[model]!.adapters.includes(adapter));
-}
-
 function paced(base: Limits, pace: number): Limits {
   return { ...base, tokens: (base.tokens * pace) / constants.paceSteps };
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, replyTrouble, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, replyTrouble, settings as configured, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
 import { constants, outcome, type Outcome } from "@chutewick/parts";
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
@@ -26,7 +26,7 @@
       self.#perform(self.#core.receive(message as ControlMessage, from, monotonic()));
     }
     const member = { identity: disk.identity, address: settings.wire };
-    this.#core = new ControlCore({ member, seeds: settings.seeds, life: randomUUID(), votes: disk.votes(), holding: disk.holding("control") }, monotonic());
+    this.#core = new ControlCore({ member, seeds: settings.seeds, life: randomUUID(), votes: disk.votes(), holding: disk.holding("control"), policy: configured.policyOf(settings), founding: settings.founding }, monotonic());
     this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
     this.#gateway = new Gateway({
       address: settings.http, log, owners: [this.#owner()],
@@ -173,8 +173,8 @@
   switch (value.kind) {
     case "IN_FORCE": return reply(to, 200, { mark: value.mark, ...(value.warnings === undefined ? {} : { warnings: value.warnings }) });
     case "CONFLICT": return replyTrouble(to, 409, { trouble: "conflict", reason: `the mark is ${value.mark} by now; nothing was changed`, mark: value.mark });
-    case "REFUSED": return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
+    case "UNKNOWN_MACHINE": case "TOO_FEW": case "UNDER_WAY": case "REFUSED": return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
     case "DONE": return reply(to, 200, { done: true });
-    case "CONFIGURATION": return reply(to, 200, { mark: value.mark, configuration: value.value }, { etag: `"${value.mark}"` });
+    case "CONFIGURATION": return reply(to, 200, { mark: value.mark, configuration: value.value, ...(value.origin === undefined ? {} : { origin: value.origin }) }, { etag: `"${value.mark}"` });
   }
 }
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -180,7 +180,7 @@
         for (const draw of this.#draws.values()) draw.resumeAt = 0;
         this.lots.dispatcher.hurry();
         return this.membership.tell(now);
-      case "lease":
+      case "lease": case "runners":
         this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -7,6 +7,8 @@
   readonly address: string;
   readonly kind: "access" | "storage";
   readonly zone: string;
+  /** Its name in the deployment. */
+  readonly name?: string;
   readonly http: string;
 }
 
@@ -42,7 +44,7 @@
 
   constructor(standing: Standing, seeds: readonly string[], now: number, telling: () => Telling, chosen: Policy = policy.usual) {
     this.#policy = chosen;
-    this.#promisedUntil = now + constants.permitLasts;
+    this.#promisedUntil = chosen.goesOnAlone ? Number.NEGATIVE_INFINITY : now + constants.permitLasts;
     this.#standing = standing;
     this.#seeds = seeds;
     this.#controls = new Set(seeds);
@@ -53,7 +55,7 @@
   get address(): string { return this.#standing.address; }
   get zone(): string { return this.#standing.zone; }
   get roll(): Roll { return this.#roll; }
-  get configuration(): MarkedConfiguration { return this.follower.read<MarkedConfiguration>(keys.configuration) ?? configuration.blank; }
+  get configuration(): MarkedConfiguration { return configuration.read(this.follower.read<MarkedConfiguration>(keys.configuration)); }
   /** Where changes to control state are entered. */
   get head(): string | undefined { return this.#lease.view?.members[0]?.address; }
 
@@ -91,7 +93,7 @@
   /** Asks and promises among nodes while control is away (§7.4). */
   fellow(message: FellowMessage, from: string, now: number): Send[] {
     if (message.kind === "fellow-ask") {
-      const promises = this.follower.place > 0 && !this.isNear(now);
+      const promises = !this.#policy.goesOnAlone && this.follower.place > 0 && !this.isNear(now);
       if (promises) this.#promisedUntil = now + constants.permitLasts;
       return [{ kind: "send", to: from, message: { kind: "fellow-tell", askedAt: message.askedAt, place: this.follower.place, promises, runners: this.#telling().runners ?? [], closed: [...this.#saidHere] } }];
     }
@@ -120,6 +122,7 @@
   }
 
   #askFellows(now: number): Send[] {
+    if (this.#policy.goesOnAlone) return [];
     const fellows = this.#fellows;
     if (this.isNear(now) || this.follower.place === 0 || !fellows.includes(this.address) || now - this.#askedAt < constants.sessionEvery) return [];
     this.#askedAt = now;
@@ -163,10 +166,10 @@
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
-      if (age > constants.runnerLasts * 4) this.#told.delete(card.id);
+      if (age > this.#policy.runnerLasts * 4) this.#told.delete(card.id);
       if (held === undefined || isNewerWord(card, heardAt, held, now - held.age)) known.set(card.id, { ...card, age });
     }
-    for (const card of known.values()) if (card.age <= constants.runnerLasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
+    for (const card of known.values()) if (card.age <= this.#policy.runnerLasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
     return found;
   }
 
@@ -179,6 +182,8 @@
   /** True when the feed brought something new. */
   receive(message: ControlMessage, from: string, now: number): boolean {
     if (message.kind === "feed" || message.kind === "feed-digest") return this.follower.receive(message as FeedMessage);
+    /** Runners that control heard of just now; ages in it count from here, as goodbyes are confirmed before they are told (§13.8). */
+    if (message.kind === "runners") for (const card of message.runners) this.heardRunner(card, now - card.age);
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -30,6 +30,14 @@
   planEvery: 200,
   /** ms. The last but one copy is given up only after this silence, or when its machine came back empty (§8.2). */
   loneAfter: 4_000,
+  /** ms, ms, megabytes, descriptors, machines. What a deployment must leave at least, and may ask for at most (§13.3). */
+  cancelLeast: 1_000,
+  stopLeast: 2_000,
+  memoryLeast: 96,
+  descriptorsLeast: 256,
+  lossesMost: 3,
+  /** items. A pool's queue takes what its passages' own bounds on tokens let through. */
+  poolWaiting: 10_000_000,
   /** copies. Nothing is confirmed on fewer synced copies (design rule). */
   copiesLeast: 2,
   /** copies. What a chain is mended to: any one machine may be lost with its disk. */
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -1,5 +1,6 @@
 import { constants } from "./constants.js";
 import type { ChainView } from "./chain.js";
+import { policy, type Policy } from "./policy.js";
 
 /** Sessions of nodes with control machines, leases, and the roll of runners (docs/design.md §4, §7). */
 export interface NodeCard {
@@ -7,6 +8,8 @@
   readonly address: string;
   readonly kind: "access" | "storage";
   readonly zone: string;
+  /** Its name in the deployment, under which operators speak of it; its disk's identity may change (§13.8). */
+  readonly name?: string;
   /** Where callers or operators reach it over HTTP. */
   readonly http: string;
   /** About to stop as planned: its duties are handed over (§8.6). */
@@ -47,6 +50,8 @@
   readonly seats: number;
   readonly zone: string;
   readonly burden: number;
+  /** Rises with each word of this life, where runners number their words: a late one is known by it (§13.8). */
+  readonly sequence?: number;
   /** The pool it belongs to, where passages lead to it (§13.1). */
   readonly pool?: string;
   /** ms that it stays slow from when it was told. */
@@ -73,9 +78,20 @@
   taken: number;
 }
 
-/** A later life of a runner counts before an earlier one, whenever heard; within a life the later word does (§7.5). */
+/** A later life of a runner counts before an earlier one, whenever heard; within a life the later word does, by its number where it has one (§7.5). */
 export function isNewerWord(card: RunnerCard, heardAt: number, held: RunnerCard, heldAt: number): boolean {
-  return card.incarnation > held.incarnation || (card.incarnation === held.incarnation && heardAt > heldAt);
+  if (card.incarnation !== held.incarnation) return card.incarnation > held.incarnation;
+  const [number, heldNumber] = [card.sequence ?? 0, held.sequence ?? 0];
+  return number === heldNumber ? heardAt > heldAt : number > heldNumber;
+}
+
+/** Whether a word says something that nodes act upon: where it stands, what it carries. */
+export function saysNew(card: RunnerCard, held: RunnerCard | undefined): boolean {
+  return held === undefined || lasting(card) !== lasting(held);
+}
+
+function lasting({ id, incarnation, url, kind, models, labels, seats, zone, pool, warming }: RunnerCard): string {
+  return JSON.stringify([id, incarnation, url, kind, models, labels, seats, zone, pool, (warming ?? 0) > 0]);
 }
 
 /** A moment by the clock of one life of a control machine. */
@@ -104,6 +120,20 @@
 export class Sessions {
   #sessions = new Map<string, Session>();
   #runners = new Map<string, { card: RunnerCard; heardAt: number }>();
+  #policy: Policy;
+
+  constructor(chosen: Policy = policy.usual) {
+    this.#policy = chosen;
+  }
+
+  /** A runner's own word: whether it is newer than all that was known, and whether it is worth telling at once. */
+  announced(card: RunnerCard, now: number): { newer: boolean; news: boolean } {
+    const held = this.#runners.get(card.id);
+    const newer = held === undefined || isNewerWord(card, now, held.card, held.heardAt);
+    const known = held !== undefined && now - held.heardAt <= this.#policy.runnerLasts ? held.card : undefined;
+    if (newer) this.#runners.set(card.id, { card, heardAt: now });
+    return { newer, news: newer && saysNew(card, known) };
+  }
 
   /** Late: how long the message may have been on its way, which makes the runners' words in it older. */
   heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number): void {
@@ -136,7 +166,7 @@
     for (const [identity, session] of this.#sessions) {
       if (now - session.heardAt > constants.sessionLasts * 4 && (session.leaseUntil ?? 0) < now) this.#sessions.delete(identity);
     }
-    for (const [id, runner] of this.#runners) if (now - runner.heardAt > constants.runnerLasts * 4) this.#runners.delete(id);
+    for (const [id, runner] of this.#runners) if (now - runner.heardAt > this.#policy.runnerLasts * 4) this.#runners.delete(id);
   }
 
   live(kind: NodeCard["kind"], now: number): NodeCard[] {
@@ -184,7 +214,7 @@
     const runners: RunnerCard[] = [];
     for (const { card, heardAt } of this.#runners.values()) {
       const age = now - heardAt;
-      if (age <= constants.runnerLasts) runners.push({ ...card, age });
+      if (age <= this.#policy.runnerLasts) runners.push({ ...card, age });
     }
     return { nodes, runners };
   }
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -63,7 +63,14 @@
   #copiedMark = 0;
   #leaving = false;
 
-  constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState) {
+  /** Whether a first view may be founded here: never by a machine that came later with an empty folder (§2.2). */
+  #mayFound: boolean;
+  /** machines. What the group is mended to. */
+  #wanted: number;
+
+  constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState, founding = true, wanted: number = constants.copiesWanted) {
+    this.#mayFound = founding || state?.founding !== undefined;
+    this.#wanted = wanted;
     this.#self = self;
     this.#seeds = [...seeds].sort();
     this.#startedAt = now;
@@ -135,7 +142,7 @@
 
   /** The first view: only when all seeds are blank, and all three hold the same founding synced (§2.2). */
   #found(now: number): ViewCommand[] {
-    if (!this.#seeds.includes(this.#self.address) || this.#seeds.length < constants.copiesLeast) return [];
+    if (!this.#mayFound || !this.#seeds.includes(this.#self.address) || this.#seeds.length < constants.copiesLeast) return [];
     const members: Member[] = [];
     let same = true;
     for (const seed of this.#seeds) {
@@ -179,7 +186,7 @@
       if (!joinerAlive) return this.#next(view, view.members, undefined, now);
       return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? this.#next(view, [...view.members, joiner], undefined, now) : undefined;
     }
-    if (view.members.length >= constants.copiesWanted) return undefined;
+    if (view.members.length >= this.#wanted) return undefined;
     const candidate = this.#candidate(view, now);
     return candidate === undefined ? undefined : this.#next(view, view.members, candidate, now);
   }
@@ -195,7 +202,7 @@
     const voters: Member[] = [...members];
     const before = votersOf(view);
     for (const other of [...this.#alive(before, now), ...before]) {
-      if (voters.length < constants.copiesWanted && !voters.some(hasIdentity, { identity: other.identity })) voters.push(other);
+      if (voters.length < this.#wanted && !voters.some(hasIdentity, { identity: other.identity })) voters.push(other);
     }
     return { mark: view.mark + 1, members, ...(joiner === undefined ? {} : { joiner }), ...(voters.length > members.length ? { voters } : {}) };
   }
--- a/packages/shell/src/settings.ts
+++ b/packages/shell/src/settings.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { isIP } from "node:net";
-import { outcome, type Outcome } from "@chutewick/parts";
+import { outcome, policy, type Bounds, type Outcome, type Policy } from "@chutewick/parts";
 import { z } from "zod";
 
 /** Where a process stands: addresses, zone, seeds, data folder (docs/design.md §10). */
@@ -12,6 +12,24 @@
 
 const address = z.string().refine(isAddress, { error: "must be an IP number and a port, such as 127.0.0.1:7001" });
 
+function areDifferent(texts: readonly string[]): boolean {
+  return new Set(texts).size === texts.length;
+}
+
+const span = z.number().min(0);
+
+const bounds = z.strictObject({
+  reportsEvery: span, contactWithin: span, acknowledgeWithin: span, drainWithin: span, applyWithin: span, cancelWithin: span, stopWithin: span, syncWithin: span,
+  recoverWithin: span, losses: z.strictObject({ machines: span, zones: span.default(0), regions: span.default(0) }),
+  memory: span.default(512), descriptors: span.default(1_024), disk: span.default(0), goesOnAlone: z.boolean().default(false),
+}).superRefine(isHeld);
+
+/** The reasons for which a combination of bounds cannot hold, as findings of the settings. */
+function isHeld(value: Bounds, context: { addIssue(issue: string): void }): void {
+  const worked = policy.from(value);
+  if (!worked.ok) context.addIssue(worked.reason);
+}
+
 const shape = z.strictObject({
   name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
   zone: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
@@ -21,7 +39,11 @@
   wireListen: address.optional(),
   /** Where callers, runners or operators reach it. */
   http: address,
-  seeds: z.array(address).length(3, { error: "must be the three addresses of control machines" }),
+  seeds: z.array(address).min(1, { error: "must be addresses of control machines" }).refine(areDifferent, { error: "must be different addresses" }),
+  /** True only at the very first start, with empty folders: a blank machine that comes later founds nothing (§2.2). */
+  founding: z.boolean().default(true),
+  /** What the deployment tells of itself, where it has bounds of its own (§13.3). */
+  bounds: bounds.optional(),
   /** Data folder; access nodes have none. */
   data: z.string().min(1).optional(),
   logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
@@ -62,11 +84,9 @@
   const { settings: _file, seeds, ...rest } = flags;
   for (const [key, value] of Object.entries(rest)) if (value !== undefined) held[key] = value;
   if (seeds !== undefined) held["seeds"] = seeds.split(",");
-  const checked = shape.safeParse(held);
-  if (!checked.success) return outcome.bad(explain(checked.error));
-  if (needsData && checked.data.data === undefined) return outcome.bad("data: is needed here");
-  if (new Set(checked.data.seeds).size !== 3) return outcome.bad("seeds: must be three different addresses");
-  return outcome.good(checked.data);
+  const checked = check(held);
+  if (checked.ok && needsData && checked.value.data === undefined) return outcome.bad("data: is needed here");
+  return checked;
 }
 
 /** One line with path and reason for each finding. */
@@ -76,4 +96,17 @@
   return lines.join("; ");
 }
 
-export const settings = { read };
+/** What holds here: from the deployment's bounds, or the usual. */
+function policyOf(held: Settings): Policy {
+  if (held.bounds === undefined) return policy.usual;
+  const worked = policy.from(held.bounds);
+  return worked.ok ? worked.value : policy.usual;
+}
+
+/** Settings that come from elsewhere than a file of our own: checked in the same way. */
+function check(input: unknown): Outcome<Settings> {
+  const checked = shape.safeParse(input);
+  return checked.success ? outcome.good(checked.data) : outcome.bad(explain(checked.error));
+}
+
+export const settings = { read, check, policyOf };
