Choice by the time to the first sign of work; what may be repeated leaves a dark runner

Cause: shares of seats said nothing of long prompts, of shared parts read before, or of runners that are slow or dark. The price of a runner is now the expected ms to its first sign: tokens that it must read (less the shared parts kept there), what is beside it, seats over, its own slowness as learnt, another zone, a new connection. A runner with work and no sign of any is passed by after 250 ms beside its reading, and repeatable work leaves it after 400 ms. Connecting for a passage is given 200 ms.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -205,6 +205,20 @@
       When 30 inquiries arrive for "shop.example" at "/fetch/x"
       Then 1 of them were sent to "p1" first
 
+    Scenario: What may be repeated leaves a runner that gives no sign
+      When "q1" arrives for "shop.example" at "/long/x"
+      And the runner of "q1" streams events 1 to 2
+      And 300 ms pass
+      Then "q1" was sent to 1 runner
+      When 150 ms pass
+      Then the link of "q1" was broken off
+      And the go of "q1" goes on after event 2
+      When "q2" arrives for "shop.example" at "/read/x"
+      And the go of "q2" may start
+      And 300 ms pass
+      And 300 ms pass
+      Then "q2" was sent to 1 runner
+
     Scenario: Shared parts of prompts go where they were read
       When 20 inquiries with the shared part "manual" of 13000 tokens arrive for "shop.example" at "/read/x", one after the other
       Then all of them are sent to one runner
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -311,6 +311,12 @@
 
 function brokenOff(this: World, id: string): void { linkDoes(this, id, "pass-abandon"); }
 Then("the link of {string} is broken off", brokenOff);
+function wasBrokenOff(this: World, id: string): void {
+  let found = 0;
+  for (const output of this.outputs) if (output.kind === "pass-abandon" && output.go === this.sent.get(id)![0]!.go) found += 1;
+  equal(found, 1);
+}
+Then("the link of {string} was broken off", wasBrokenOff);
 function pauses(this: World, id: string): void { linkDoes(this, id, "pass-pause"); }
 Then("the link of {string} pauses", pauses);
 function resumes(this: World, id: string): void { linkDoes(this, id, "pass-resume"); }
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -14,12 +14,22 @@
 /** One life of a runner as this node sees it. */
 interface Sight {
   card: RunnerCard;
+  /** Of its name, by which shared parts are placed. */
+  readonly hash: number;
   /** Begun here and not ended. */
   live: number;
   items: number;
   /** The same of all other nodes, as they last told. */
   othersLive: number;
   othersItems: number;
+  /** Tokens sent from here of which no first sign of work came back yet. */
+  reading: number;
+  /** ms from the beginning to the first sign, of work that tells no tokens. */
+  usual: number;
+  /** Its first signs against what was expected: 1 is as expected, 2 twice as late. */
+  slowness: number;
+  /** Last sign of it, or the moment when the first work of those under way began. */
+  heardAt: number;
   /** Heard of still, and has not said goodbye. */
   stands: boolean;
   /** Passed by until then, and troubles in a row. */
@@ -31,6 +41,19 @@
   readonly sight: Sight;
   readonly item: boolean;
   readonly beganAt: number;
+  /** Tokens to be read, where they are told. */
+  readonly reads: number | undefined;
+  /** ms to the first sign, as expected. */
+  readonly expected: number;
+  readonly shared: Shared | undefined;
+  begun: boolean;
+}
+
+/** The parts of a prompt that others share. */
+interface Shared {
+  readonly hash: number;
+  /** tokens */
+  readonly size: number;
 }
 
 export class Choice {
@@ -43,9 +66,12 @@
   #pools = new Map<string, Sight[]>();
   #addresses = new Map<string, Sight>();
   #runners = new Map<string, Sight>();
+  /** Where shared parts were read for this node lately: by their hash, the runner and when. */
+  #readAt = new Map<number, Map<string, number>>();
   #lookedAt = Number.NEGATIVE_INFINITY;
   #nodes = 1;
   #chance: number;
+  #isWarm: (address: string) => boolean = never;
 
   constructor(membership: Membership, standing: Standing) {
     this.#membership = membership;
@@ -53,6 +79,11 @@
     this.#chance = (hashOf(standing.identity) | 1) >>> 0;
   }
 
+  /** Whether a connection is kept to an address: new ones take time, and a place at the runner for a moment. */
+  prefer(isWarm: (address: string) => boolean): void {
+    this.#isWarm = isWarm;
+  }
+
   get zone(): string { return this.#standing.zone; }
 
   /** Numbers all goes of this process. */
@@ -61,21 +92,21 @@
     return this.#go;
   }
 
-  /** The runner of a pool that is best for an inquiry, none of those tried; for items only within the room that live work leaves. */
+  /** The runner of a pool at which an inquiry begins soonest, none of those tried; for items only within the room that live work leaves. */
   choose(pool: string, inquiry: PassInquiry, tried: ReadonlySet<string>, item: boolean, now: number): Chosen | undefined {
     this.#look(now);
     const shared = sharedOf(inquiry);
+    const home = shared === undefined ? undefined : homeOf(shared, this.#pools.get(pool) ?? []);
     let best: Sight | undefined;
     let least = Number.POSITIVE_INFINITY;
     for (const sight of this.#pools.get(pool) ?? []) {
       const { card } = sight;
-      if (tried.has(card.id) || (inquiry.model !== undefined && card.models.length > 0 && !card.models.includes(inquiry.model))) continue;
-      const used = burdenOf(sight);
-      if (item ? used >= card.seats * constants.lotPart : used >= card.seats * constants.seatsMost) continue;
-      let price = (used + 1) / card.seats + this.#random() * constants.choiceJitter;
-      if (card.zone === this.#standing.zone) price -= constants.ownZone;
-      if (now < sight.shyUntil) price += constants.shyPrice;
-      if (shared !== undefined && used < card.seats * constants.affinityFill) price -= affinityOf(shared, card.id);
+      if (tried.has(card.id) || !carries(card, inquiry.model)) continue;
+      if (burdenOf(sight, item) >= card.seats * (item ? constants.lotPart : constants.seatsMost)) continue;
+      let price = this.#expected(sight, inquiry, shared, home === sight, item, now) * (1 + this.#random() * constants.choiceJitter);
+      if (card.zone !== this.#standing.zone) price += constants.otherZone;
+      if (!this.#isWarm(card.url)) price += constants.coldPrice;
+      if (now < sight.shyUntil || this.#isQuiet(sight, now)) price += constants.shyPrice;
       if (price < least) {
         least = price;
         best = sight;
@@ -84,6 +115,34 @@
     return best === undefined ? undefined : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
   }
 
+  /** ms until the first sign of work. */
+  #expected(sight: Sight, inquiry: PassInquiry, shared: Shared | undefined, isHome: boolean, item: boolean, now: number): number {
+    const { seats } = sight.card;
+    const used = burdenOf(sight, item);
+    const over = Math.max(0, used + 1 - seats) / seats;
+    const told = tokensOf(inquiry);
+    if (told === undefined) return sight.usual * (1 + used / seats + over * constants.queueWeight);
+    let tokens = told + sight.reading;
+    if (shared !== undefined && (isHome || this.#wasRead(shared, sight, now))) tokens -= shared.size;
+    return (Math.max(0, tokens) / constants.tokensRead + used * constants.besidePrice + over * constants.seatWait + constants.firstLeast) * sight.slowness;
+  }
+
+  #wasRead(shared: Shared, sight: Sight, now: number): boolean {
+    const at = this.#readAt.get(shared.hash)?.get(sight.card.id);
+    return at !== undefined && now - at < constants.partsKept;
+  }
+
+  /** Work is there, and nothing is heard of it for longer than its reading takes. */
+  #isQuiet(sight: Sight, now: number): boolean {
+    return sight.live + sight.items > 0 && now - sight.heardAt > constants.quietLeast + sight.reading / constants.tokensRead;
+  }
+
+  /** Whether the runner of a go gives no sign at all, on any work of this node. */
+  isQuiet(go: number, now: number): boolean {
+    const found = this.#gos.get(go);
+    return found !== undefined && this.#isQuiet(found.sight, now);
+  }
+
   /** Whether a life of a runner is heard of still. */
   stands(chosen: Chosen, now: number): boolean {
     this.#look(now);
@@ -98,17 +157,52 @@
   }
 
   /** A go begins at a runner, gives a first sign of work, and ends. */
-  begin(go: number, runner: string, _inquiry: PassInquiry, item: boolean, now: number): void {
+  begin(go: number, runner: string, inquiry: PassInquiry, item: boolean, now: number): void {
     const sight = this.#runners.get(runner);
     if (sight === undefined) return;
+    const shared = sharedOf(inquiry);
+    const home = shared === undefined ? undefined : homeOf(shared, this.#pools.get(sight.card.pool!) ?? []);
+    const expected = this.#expected(sight, inquiry, shared, home === sight, item, now);
+    if (sight.live + sight.items === 0) sight.heardAt = now;
     if (item) sight.items += 1;
     else sight.live += 1;
-    this.#gos.set(go, { sight, item, beganAt: now });
+    const kept = shared !== undefined && (home === sight || this.#wasRead(shared, sight, now)) ? shared.size : 0;
+    const told = tokensOf(inquiry);
+    const reads = told === undefined ? undefined : Math.max(0, told - kept);
+    sight.reading += reads ?? 0;
+    this.#gos.set(go, { sight, item, beganAt: now, reads, expected, shared, begun: false });
   }
 
-  first(go: number, _now: number): void {
-    const found = this.#gos.get(go);
-    if (found !== undefined) found.sight.troubles = 0;
+  /** Any sign of a go's work. */
+  sign(number: number, now: number): void {
+    const go = this.#gos.get(number);
+    if (go !== undefined) go.sight.heardAt = now;
+  }
+
+  first(number: number, now: number): void {
+    const go = this.#gos.get(number);
+    if (go === undefined || go.begun) return;
+    go.begun = true;
+    const { sight } = go;
+    sight.heardAt = now;
+    sight.troubles = 0;
+    sight.reading -= go.reads ?? 0;
+    const took = now - go.beganAt;
+    if (go.reads === undefined) sight.usual += (took - sight.usual) * constants.learnPart;
+    else if (!go.item) sight.slowness += (between((took + constants.firstLeast) / (go.expected + constants.firstLeast) * sight.slowness, 0.5, 4) - sight.slowness) * constants.learnPart;
+    if (go.shared !== undefined) this.#remember(go.shared, sight.card.id, now);
+  }
+
+  #remember(shared: Shared, runner: string, now: number): void {
+    const held = this.#readAt.get(shared.hash) ?? new Map<string, number>();
+    held.set(runner, now);
+    /** Those used last stand last. */
+    this.#readAt.delete(shared.hash);
+    this.#readAt.set(shared.hash, held);
+    for (const oldest of this.#readAt.keys()) {
+      if (this.#readAt.size <= constants.partsMost) break;
+      this.#readAt.delete(oldest);
+    }
   }
 
   end(number: number, how: GoEnd, _retryAfter: number | undefined, now: number): void {
@@ -118,6 +212,8 @@
     const { sight } = go;
     if (go.item) sight.items -= 1;
     else sight.live -= 1;
+    if (!go.begun) sight.reading -= go.reads ?? 0;
+    if (how === "done" || how === "refused" || how === "failed") sight.heardAt = now;
     if (how === "done") sight.troubles = 0;
     if (how !== "refused" && how !== "unsent" && how !== "broken") return;
     sight.troubles = Math.min(sight.troubles + 1, 6);
@@ -129,7 +225,7 @@
   room(pool: string, now: number): number {
     this.#look(now);
     let free = 0;
-    for (const sight of this.#pools.get(pool) ?? []) free += Math.max(0, sight.card.seats * constants.lotPart - burdenOf(sight));
+    for (const sight of this.#pools.get(pool) ?? []) if (now >= sight.shyUntil) free += Math.max(0, sight.card.seats * constants.lotPart - burdenOf(sight, true));
     const share = free / this.#nodes;
     return Math.floor(share) + (this.#random() < share % 1 ? 1 : 0);
   }
@@ -165,7 +261,9 @@
     for (const card of this.#membership.runners(now)) {
       if (card.pool === undefined) continue;
       const key = keyOf(card.id, card.incarnation);
-      const sight: Sight = held.get(key) ?? { card, live: 0, items: 0, othersLive: 0, othersItems: 0, stands: true, shyUntil: 0, troubles: 0 };
+      const sight: Sight = held.get(key) ?? {
+        card, hash: hashOf(card.id), live: 0, items: 0, othersLive: 0, othersItems: 0, reading: 0, usual: constants.usualFirst, slowness: 1, heardAt: now, stands: true, shyUntil: 0, troubles: 0,
+      };
       sight.card = card;
       sight.stands = true;
       [sight.othersLive, sight.othersItems] = others.get(card.id) ?? [0, 0];
@@ -193,35 +291,68 @@
   }
 }
 
-function burdenOf(sight: Sight): number {
-  return sight.live + sight.items + sight.othersLive + sight.othersItems;
+/** Seats that a work finds taken: an item gives way to live work, though not for nothing. */
+function burdenOf(sight: Sight, item: boolean): number {
+  return sight.live + sight.othersLive + (sight.items + sight.othersItems) * (item ? 1 : constants.itemWeight);
 }
 
 function keyOf(runner: string, incarnation: number): string {
   return `${runner} ${incarnation}`;
 }
 
-/** The parts of a prompt that others share, where reading them anew would take a good part of an aim. */
-function sharedOf(inquiry: PassInquiry): string | undefined {
+function carries(card: RunnerCard, model: string | undefined): boolean {
+  return model === undefined || card.models.length === 0 || card.models.includes(model);
+}
+
+function tokensOf(inquiry: PassInquiry): number | undefined {
+  if (inquiry.tokensIn !== undefined || inquiry.parts.length === 0) return inquiry.tokensIn;
   let size = 0;
-  let name = "";
-  for (let index = 0; index < inquiry.parts.length - 1; index += 1) {
-    size += inquiry.parts[index]!.size;
-    name += ` ${inquiry.parts[index]!.name}`;
+  for (const part of inquiry.parts) size += part.size;
+  return size;
+}
+
+function sharedOf(inquiry: PassInquiry): Shared | undefined {
+  const { parts } = inquiry;
+  if (parts.length < 2) return undefined;
+  let size = 0;
+  let hash = 0;
+  for (let index = 0; index < parts.length - 1; index += 1) {
+    size += parts[index]!.size;
+    hash = mixed(hash ^ hashOf(parts[index]!.name));
+  }
+  return { hash, size };
+}
+
+/** The runner that keeps shared parts: the same one at every node, and few move when runners come and go. */
+function homeOf(shared: Shared, sights: readonly Sight[]): Sight | undefined {
+  let home: Sight | undefined;
+  let most = -1;
+  for (const sight of sights) {
+    const rank = mixed(shared.hash ^ sight.hash);
+    if (rank <= most) continue;
+    most = rank;
+    home = sight;
   }
-  return size < constants.affinityLeast ? undefined : name;
+  return home;
 }
 
-/** The same at every node, from 0 to 4: highest for the runner at which those parts are kept. */
-function affinityOf(shared: string, runner: string): number {
-  return (hashOf(shared + runner) / 0x1_0000_0000) * 4;
+function between(value: number, least: number, most: number): number {
+  return Math.min(Math.max(value, least), most);
+}
+
+function never(): boolean {
+  return false;
 }
 
 /** Spread evenly over 32 bits. */
 export function hashOf(text: string): number {
   let hash = 0x811c9dc5;
   for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  hash ^= hash >>> 16;
+  return mixed(hash);
+}
+
+function mixed(value: number): number {
+  let hash = value ^ (value >>> 16);
   hash = Math.imul(hash, 0x85ebca6b);
   hash ^= hash >>> 13;
   hash = Math.imul(hash, 0xc2b2ae35);
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -71,6 +71,12 @@
     this.#runs.get(go)?.goOn();
   }
 
+  /** Whether a connection to an address is kept that any work could use. */
+  isWarm(address: string): boolean {
+    const last = this.#hosts.get(address)?.idle.at(-1);
+    return last !== undefined && fresh(last, false, this.#options.now());
+  }
+
   /** Idle connections that are past their time are closed, and works past theirs broken off. */
   beat(now: number): void {
     for (const [address, host] of this.#hosts) {
@@ -140,7 +146,7 @@
       line.usedAt = self.#options.now();
       self.#start(line, run);
     }
-    const patience = setTimeout(late, constants.connectPatience);
+    const patience = setTimeout(late, constants.passPatience);
     socket.on("error", failed);
     socket.once("close", closed);
     socket.once("connect", connected);
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -48,6 +48,8 @@
   readonly chosen: Chosen;
   readonly until: number;
   began: boolean;
+  /** Last sign of it here. */
+  heardAt: number;
   head: { readonly status: number; readonly headers: readonly string[] } | undefined;
   /** Of a result that is no stream: kept until it is whole. */
   kept: Uint8Array[];
@@ -65,9 +67,11 @@
   #indexed: MarkedConfiguration | undefined;
   #index = new Map<string, Found>();
   #leaving = false;
+  #struckAt = Number.POSITIVE_INFINITY;
+  #wokeAt = Number.NEGATIVE_INFINITY;
   /** Bytes of the bodies of inquiries under way. */
   #bytes = 0;
-  readonly counts = { passed: 0, passedWhole: 0, passedOn: 0, passRefused: 0, passUnsure: 0, passCut: 0, passLeft: 0, passUnknown: 0, passGos: 0, passWaited: 0, passResumed: 0 };
+  readonly counts = { passed: 0, passedWhole: 0, passedOn: 0, passRefused: 0, passUnsure: 0, passCut: 0, passLeft: 0, passUnknown: 0, passGos: 0, passWaited: 0, passResumed: 0, passRescued: 0 };
 
   constructor(membership: Membership, choice: Choice, policy: Policy) {
     this.#membership = membership;
@@ -160,12 +164,14 @@
     if (!this.#membership.serves(now)) return "this node may not serve now";
     if (this.#membership.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now)) return "the runner is gone";
     go.began = true;
+    go.heardAt = now;
     return undefined;
   }
 
   goEvent(number: number, event: PassEvent, now: number): PassOutput[] {
     const go = this.#gos.get(number);
     if (go === undefined) return [];
+    go.heardAt = now;
     const outputs: PassOutput[] = [];
     switch (event.kind) {
       case "event":
@@ -202,7 +208,12 @@
 
   beat(now: number): PassOutput[] {
     const outputs: PassOutput[] = [];
+    /** After a sleep of this process signs may wait to be read. */
+    if (now - this.#struckAt > constants.sleptLeast) this.#wokeAt = now;
+    this.#struckAt = now;
+    const awake = now - this.#wokeAt > constants.rescueAfter;
     for (const live of this.#live.values()) {
+      if (awake && now < live.deadline && live.repeatable && live.go !== undefined) this.#rescue(live, live.go, now, outputs);
       if (now < live.deadline) continue;
       live.why = "the time is up";
       if (live.go?.began === true) live.mayHaveRun = true;
@@ -211,6 +222,14 @@
     return this.#look(now, outputs);
   }
 
+  /** What may be repeated goes on elsewhere when its runner gives no sign at all, on any work: it is dark, so nobody is at work on it. */
+  #rescue(live: Live, go: Go, now: number, outputs: PassOutput[]): void {
+    if (!go.began || now - go.heardAt < constants.rescueAfter || !this.#mayTry(live, now, 1) || !this.#choice.isQuiet(go.number, now)) return;
+    if (live.opened && (live.passage.kind !== "stream" || !live.numbered)) return;
+    this.counts.passRescued += 1;
+    this.#spoilt(go, "the runner gives no sign", now, outputs);
+  }
+
   #head(go: Go, status: number, headers: readonly string[], stamped: boolean, now: number, outputs: PassOutput[]): void {
     const { live } = go;
     if ((status >= 200 && status < 300 && !stamped) || promises.has(status)) return this.#spoilt(go, "the runner's result bears no stamp, or promises what it may not", now, outputs);
@@ -225,7 +244,8 @@
       return this.#goOn(live, now, outputs);
     }
     go.head = { status, headers };
-    if (status >= 500) this.#choice.first(go.number, now);
+    if (live.passage.kind === "stream" && status < 300) this.#choice.sign(go.number, now);
+    else this.#choice.first(go.number, now);
   }
 
   #event(go: Go, number: number | undefined, bytes: Uint8Array, now: number, outputs: PassOutput[]): void {
@@ -235,6 +255,7 @@
     else if (live.last !== undefined && number <= live.last) return;
     else live.last = number;
     if (go.size === 0) this.#choice.first(go.number, now);
+    else this.#choice.sign(go.number, now);
     go.size += bytes.length;
     this.#open(go, outputs);
     outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes });
@@ -316,7 +337,7 @@
     }
     this.#waiting.delete(live);
     const number = this.#choice.nextGo();
-    const go: Go = { number, live, chosen, until: live.deadline, began: false, head: undefined, kept: [], size: 0 };
+    const go: Go = { number, live, chosen, until: live.deadline, began: false, heardAt: now, head: undefined, kept: [], size: 0 };
     live.go = go;
     live.tried.add(chosen.runner);
     this.#gos.set(number, go);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -174,6 +174,10 @@
   worthLeast: 15,
   /** gos that never went out, after which an inquiry is turned away. */
   unsentMost: 4,
+  /** ms without a sign of a go, after which what may be repeated leaves a runner that gives none on anything. */
+  rescueAfter: 400,
+  /** ms. Connecting for a passage: a few ms within a region; what was not sent can go elsewhere. */
+  passPatience: 200,
   /** bytes for each Megabyte of a process that bodies of live inquiries may take together: a fifth. */
   bodiesPart: 200_000,
   /** s. What a caller turned away for want of a seat is told, where the runner tells nothing shorter. */
@@ -182,14 +186,30 @@
   lookEvery: 25,
   /** seats, as a part of those of a runner, that work may be sent for: beyond its own it queues a few. */
   seatsMost: 1.5,
-  /** part of its seats up to which a runner is preferred for the shared parts that it keeps. */
-  affinityFill: 1,
-  /** tokens. Shared parts below this are read anew in a few ms anywhere; runners read some 150 in a ms. */
-  affinityLeast: 1_000,
-  /** price, in seats taken as a part of all: spread against herds of nodes that see the same, own zone, a runner in trouble. */
+  /** tokens/ms. Prompts are read about so fast. */
+  tokensRead: 150,
+  /** ms. To the first sign of work beside the reading; what each work beside it adds; a whole round of seats that must first come free. */
+  firstLeast: 20,
+  besidePrice: 1,
+  seatWait: 400,
+  /** The same for work that tells no tokens, in times of its usual; and that usual before any was seen, ms. */
+  queueWeight: 6,
+  usualFirst: 30,
+  /** part by which a price is varied by chance: spread against herds of nodes that see the same. */
   choiceJitter: 0.1,
-  ownZone: 0.03,
-  shyPrice: 10,
+  /** ms. What another zone costs, a new connection, and a runner in trouble. */
+  otherZone: 3,
+  coldPrice: 4,
+  shyPrice: 2_000,
+  /** part of an item's seat that live work counts as taken: items give way to it at the runner. */
+  itemWeight: 0.25,
+  /** part of a new sight of a runner's speed that is believed. */
+  learnPart: 0.1,
+  /** ms. For how long, and of how many, it is remembered where shared parts were read. */
+  partsKept: 10_000,
+  partsMost: 4_000,
+  /** ms. A runner with work of this node that gives no sign for this long, beside its reading, is passed by. */
+  quietLeast: 250,
   /** ms. A runner that refused, or that broke or was not reached, is passed by; twice as long with each trouble in a row. */
   shyRefused: 40,
   shyBroken: 150,
