Items go on where a run broke, reads and draws are held, claims come back sooner

The owner holds draws from an empty queue (0.5 s) and reads without a result; a draw's result says how long it was held. Endings are told until confirmed. Claims that nobody takes up come back after 1.3 s, those without signs of life after 2.5 s. A passage gone for 2 s takes its items with it. RelayCore is wired into AccessCore.

--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -142,3 +142,33 @@
     Then both machines hold the same records
     And no listed result ever changed, and no item stands twice
     And the waiting tokens never passed the allowance, and records never outlived their lots
+
+  Scenario Outline: lots on passages under <faults> break no rule, and all that was taken ends
+    When lots on passages are played under <faults> with seeds <first> to <last>
+    Then every fault struck, and what callers and runners saw breaks no rule
+
+    Examples:
+      | faults                                                                    | first | last |
+      | runners                                                                   | 1     | 5    |
+      | kill-access, freeze-access, cut-access                                    | 11    | 17   |
+      | kill-storage, freeze-storage, cut-storage                                 | 26    | 32   |
+      | wipe-storage, loss                                                        | 41    | 47   |
+      | power, kill-control                                                       | 56    | 61   |
+      | kill-access, freeze-access, kill-storage, freeze-storage, runners, moves  | 66    | 75   |
+
+  Scenario: a read that is held hears of the next result at once, at any node
+    When a lot of slow items is taken and read with a hold from where its list ends
+    Then each result is told within 100 ms of its run's end
+
+  Scenario: a hand-in held up on its way to the owner is not taken after a refusal
+    When hand-ins are held up on their way for longer than callers wait, to a queue that is full at times
+    Then no part of a lot runs that was refused at every try
+
+  Scenario: a grant that comes late begins nothing, though its lot was ended meanwhile
+    When grants of prompts are held up for 4 s while their lots are ended
+    Then what callers and runners saw breaks no rule
+
+  Scenario: what a slow queue owner has not heard is told again until it has
+    When endings are held up or lost on their way to the owner
+    Then what callers and runners saw breaks no rule
+    And no item was run more than twice as often as it had to be
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -1,7 +1,7 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { Ledger, QueueMachine, claimOf, type Change, type Claim, type ListedResult, type PassEnding, type PassEntry, type PassTask, type QueueCommand, type QueueResult, type TaskRecord } from "@chutewick/parts";
-import { Chance } from "@chutewick/simulator";
+import { Chance, PassPlay, type Fault, type PassPlayOptions } from "@chutewick/simulator";
 
 interface World {
   ledger: Ledger;
@@ -357,3 +357,131 @@
 }
 Then("no listed result ever changed, and no item stands twice", noFaults);
 Then("the waiting tokens never passed the allowance, and records never outlived their lots", noFaults);
+
+interface PlayWorld extends World {
+  plays: PassPlay[];
+  waits: number[];
+}
+
+function isMove(fault: string): boolean {
+  return fault === "moves";
+}
+
+function isNoMove(fault: string): boolean {
+  return fault !== "moves";
+}
+
+function lotsArePlayed(this: PlayWorld, named: string, first: string, last: string): void {
+  const faults = named.split(", ");
+  this.plays = [];
+  for (let seed = Number(first); seed <= Number(last); seed += 1) {
+    const play = new PassPlay({ seed, stormy: 18_000, calm: 20_000, faults: faults.filter(isNoMove) as Fault[], moves: faults.some(isMove), allowance: 700, lotEvery: 300 });
+    this.plays.push(play.run());
+  }
+  for (const fault of faults.filter(isNoMove)) {
+    let strikes = 0;
+    for (const { counts } of this.plays) strikes += counts[`fault ${fault}`] ?? 0;
+    ok(strikes > 0, fault);
+  }
+}
+When(/^lots on passages are played under ([a-z, -]+) with seeds (\d+) to (\d+)$/, lotsArePlayed);
+
+function breaksNoRule(this: PlayWorld): void {
+  const found: string[] = [];
+  for (const { options, breaches } of this.plays) for (const breach of breaches) found.push(`seed ${options.seed}: ${breach}`);
+  deepEqual(found.slice(0, 5), []);
+}
+Then("every fault struck, and what callers and runners saw breaks no rule", breaksNoRule);
+Then("what callers and runners saw breaks no rule", breaksNoRule);
+
+function slowItemsAreRead(this: PlayWorld): void {
+  const play = new PassPlay({ seed: 7, stormy: 0, calm: 0, faults: [], access: 3 });
+  Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 60 });
+  play.begin();
+  play.world.run(6_500);
+  this.waits = play.watchHeld(12_000);
+  this.plays = [play];
+  breaksNoRule.call(this);
+}
+When("a lot of slow items is taken and read with a hold from where its list ends", slowItemsAreRead);
+
+function toldWithin(this: PlayWorld, bound: number): void {
+  ok(this.waits.length >= 5, String(this.waits.length));
+  ok(Math.max(...this.waits) <= bound, this.waits.join(", "));
+}
+Then("each result is told within {int} ms of its run's end", toldWithin);
+
+interface Seen {
+  readonly kind: string;
+  readonly command?: { readonly kind: string };
+  readonly outcome?: { readonly value?: { readonly kind: string; readonly tasks?: readonly { readonly lot: string }[] } };
+}
+
+type Watch = (play: PassPlay, message: Seen) => number | undefined;
+
+/** Plays in which some messages are held up; strikes say how often. */
+function playWatched(seeds: number, options: Partial<PassPlayOptions>, watched: Watch): { plays: PassPlay[]; strikes: number } {
+  const plays: PassPlay[] = [];
+  let strikes = 0;
+  for (let seed = 0; seed < seeds; seed += 1) {
+    const play = new PassPlay({ seed, stormy: 18_000, calm: 22_000, faults: [], lotEvery: 250, ...options });
+    function watch(_from: string, _to: string, message: unknown): number | undefined {
+      if (play.world.now < 7_000 || play.world.now > 22_000) return undefined;
+      const held = watched(play, message as Seen);
+      if (held !== undefined) strikes += 1;
+      return held;
+    }
+    play.world.watch = watch;
+    plays.push(play.run());
+  }
+  return { plays, strikes };
+}
+
+function handInsAreHeldUp(this: PlayWorld): void {
+  function watched(play: PassPlay, { kind, command }: Seen): number | undefined {
+    return kind === "queue-inquiry" && command?.kind === "hand-in" && play.world.chance.happens(0.3) ? play.world.chance.between(900, 6_000) : undefined;
+  }
+  const { plays, strikes } = playWatched(10, { allowance: 300 }, watched);
+  ok(strikes > 100, String(strikes));
+  let refused = 0;
+  for (const { counts } of plays) refused += counts["hand-in refused"] ?? 0;
+  ok(refused > 100, String(refused));
+  this.plays = plays;
+}
+When("hand-ins are held up on their way for longer than callers wait, to a queue that is full at times", handInsAreHeldUp);
+Then("no part of a lot runs that was refused at every try", breaksNoRule);
+
+function grantsAreHeldUp(this: PlayWorld): void {
+  let ended = 0;
+  function watched(play: PassPlay, { kind, outcome }: Seen): number | undefined {
+    if (kind !== "queue-result" || outcome?.value?.kind !== "DRAWN" || outcome.value.tasks!.length === 0 || !play.world.chance.happens(0.1)) return undefined;
+    for (const { lot } of outcome.value.tasks!) if (play.endLot(lot)) ended += 1;
+    return 4_000;
+  }
+  const { plays, strikes } = playWatched(8, {}, watched);
+  ok(strikes > 30 && ended > 20, `${strikes} ${ended}`);
+  this.plays = plays;
+}
+When("grants of prompts are held up for 4 s while their lots are ended", grantsAreHeldUp);
+
+function endingsAreHeldUp(this: PlayWorld): void {
+  function watched(play: PassPlay, { kind, command }: Seen): number | undefined {
+    if (kind !== "queue-inquiry" || command?.kind !== "settle" || !play.world.chance.happens(0.2)) return undefined;
+    return play.world.chance.happens(0.5) ? Number.POSITIVE_INFINITY : play.world.chance.between(500, 5_000);
+  }
+  const { plays, strikes } = playWatched(8, {}, watched);
+  ok(strikes > 100, String(strikes));
+  this.plays = plays;
+}
+When("endings are held up or lost on their way to the owner", endingsAreHeldUp);
+
+function notRunTooOften(this: PlayWorld): void {
+  let runs = 0;
+  let items = 0;
+  for (const { counts } of this.plays) {
+    runs += counts["runs"] ?? 0;
+    items += (counts["item solved"] ?? 0) + (counts["item failed"] ?? 0);
+  }
+  ok(runs <= items * 2, `${runs} runs of ${items} items`);
+}
+Then("no item was run more than twice as often as it had to be", notRunTooOften);
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -293,16 +293,6 @@
   return all.includes(own) ? own : all[0]!;
 }
 
-/** The passage of a host and a path: of those whose prefix begins the path, the one with the longest. */
-function passageOf(value: Configuration, host: string, path: string): string | undefined {
-  let best: string | undefined;
-  for (const [key, each] of Object.entries(value.passages)) {
-    if (each.host !== host || !path.startsWith(each.prefix)) continue;
-    if (best === undefined || each.prefix.length > value.passages[best]!.prefix.length) best = key;
-  }
-  return best;
-}
-
 function poolQueues(value: Configuration, { poolRate, poolBurst }: Policy): QueuePlan[] {
   const limitsOf = new Map<string, Limits>();
   const counted = new Set<string>();
@@ -351,4 +341,4 @@
   return all;
 }
 
-export const configuration = { read, check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, passageOf, seasonsOf, blank };
+export const configuration = { read, check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, seasonsOf, blank };
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -7,6 +7,7 @@
 import { Membership, type Standing } from "./membership.js";
 import { PassLots } from "./pass-lots.js";
 import type { PassOutput } from "./pass.js";
+import { RelayCore } from "./relay-core.js";
 import type { DataMessage, QueueOutcome } from "./storage-core.js";
 
 /** An access node without I/O: live proxy and batch dispatcher (docs/design.md §5, §6). */
@@ -107,19 +108,13 @@
   readonly heardAt: number;
 }
 
-export interface PassRelay {
-  mayStart(go: number, now: number): string | undefined;
-  goEvent(go: number, event: PassEvent, now: number): PassOutput[];
-  beat(now: number): PassOutput[];
-}
-
 export class AccessCore {
   readonly membership: Membership;
   readonly choice: Choice;
   /** Lots of passages (§13.7). */
   readonly lots: PassLots;
-  /** Live inquiries on passages (§13.5), where the process has them. */
-  relay: PassRelay | undefined;
+  /** Live inquiries on passages (§13.5). */
+  readonly relay: RelayCore;
   #standing: Standing;
   #announced = new Map<string, Announced>();
   #live = new Map<string, number>();
@@ -148,7 +143,8 @@
     this.membership = new Membership(standing, seeds, now, telling, chosen);
     this.choice = new Choice(this.membership, standing);
     this.#errands = new Errands(this.membership);
-    this.lots = new PassLots(this.membership, this.choice, this.#errands);
+    this.relay = new RelayCore(this.membership, this.choice, chosen);
+    this.lots = new PassLots(this.membership, this.choice, this.#errands, this.relay);
   }
 
   #telling(): Telling {
@@ -162,11 +158,12 @@
     return { runners, lots: [...lots], turnedAway: [...turnedAway], burdens: this.choice.burdens() };
   }
 
-  get busy(): number { return this.#gos.size + this.#errands.size + this.lots.dispatcher.underWay; }
+  get busy(): number { return this.#gos.size + this.#errands.size + this.relay.busy + this.lots.dispatcher.underWay; }
 
   /** A planned stop: no new work; what is under way goes on. */
   leave(now: number): AccessOutput[] {
     this.#draining = true;
+    this.relay.leave();
     this.lots.leave();
     return this.membership.leave(now);
   }
@@ -184,7 +181,7 @@
         this.membership.receive(message, from, now);
         return [];
       case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
-      case "queue-result": return this.#errandTold(message.ticket, message.outcome, now);
+      case "queue-result": return this.#errandTold(message.ticket, message.outcome, now, message.held ?? 0);
       case "lot-ended": return this.lots.dropped(message.lot, now);
       case "control-result": {
         const errand = this.#controlErrands.get(message.ticket);
@@ -260,12 +257,12 @@
 
   /** The same for what runs on passages. */
   mayPass(go: number, now: number): string | undefined {
-    return this.lots.has(go) ? this.lots.mayStart(go, now) : this.relay === undefined ? "given up" : this.relay.mayStart(go, now);
+    return this.lots.has(go) ? this.lots.mayStart(go, now) : this.relay.mayStart(go, now);
   }
 
   passEvent(go: number, event: PassEvent, now: number): AccessOutput[] {
     this.#now = now;
-    return this.lots.has(go) ? this.lots.goEvent(go, event, now) : this.relay?.goEvent(go, event, now) ?? [];
+    return this.lots.has(go) ? this.lots.goEvent(go, event, now) : this.relay.goEvent(go, event, now);
   }
 
   /** Burden as the runner told it, and what this node sent since (§8.3). */
@@ -505,8 +502,8 @@
     return this.#errands.ask(queue, command, patience, told, now);
   }
 
-  #errandTold(ticket: string, ended: QueueOutcome, now: number): AccessOutput[] {
-    const outputs = this.#errands.told(ticket, ended, now);
+  #errandTold(ticket: string, ended: QueueOutcome, now: number, held: number): AccessOutput[] {
+    const outputs = this.#errands.told(ticket, ended, now, held);
     if (outputs !== undefined) return outputs;
     /** A prompt granted too late to be begun goes back at once, with its token. */
     if (ended.kind !== "confirmed" || ended.value.kind !== "TAKEN") return [];
@@ -538,8 +535,7 @@
       outputs.push(...this.#signsOfLife(now));
     }
     if (!this.#draining && this.membership.holds(now)) outputs.push(...this.#drive(now));
-    if (this.relay !== undefined) outputs.push(...this.relay.beat(now));
-    outputs.push(...this.lots.beat(now));
+    outputs.push(...this.relay.beat(now), ...this.lots.beat(now));
     return outputs;
   }
 
@@ -679,7 +675,7 @@
   status(now: number): Record<string, unknown> {
     return {
       identity: this.#standing.identity, zone: this.#standing.zone, place: this.membership.follower.place, configuration: this.membership.configuration.mark,
-      leaseLeft: Math.round(this.membership.leaseLeft(now)), live: this.#live.size, gos: this.#gos.size, counts: this.counts, runners: this.membership.runners(now),
+      leaseLeft: Math.round(this.membership.leaseLeft(now)), live: this.#live.size, gos: this.#gos.size, counts: { ...this.counts, ...this.relay.counts, ...this.lots.dispatcher.counts }, runners: this.membership.runners(now),
     };
   }
 }
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/errands.ts
@@ -64,7 +64,7 @@
   }
 
   /** undefined where nobody waits for it any more. */
-  told(ticket: string, ended: QueueOutcome, now: number): AccessOutput[] | undefined {
+  told(ticket: string, ended: QueueOutcome, now: number, held = 0): AccessOutput[] | undefined {
     const errand = this.#errands.get(ticket);
     if (errand === undefined) return undefined;
     const late = now - errand.since >= errand.patience;
@@ -78,7 +78,7 @@
     this.#errands.delete(ticket);
     /** A refusal is final only if no earlier send of this errand may still be taken. */
     const refusal = ended.kind === "elsewhere" || (ended.kind === "confirmed" && (ended.value.kind === "FULL" || ended.value.kind === "NO_ROOM"));
-    return errand.told(refusal && errand.doubtful ? { kind: "unknown" } : ended, now, errand.since);
+    return errand.told(refusal && errand.doubtful ? { kind: "unknown" } : ended, now, errand.since + held);
   }
 
   beat(now: number): AccessOutput[] {
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -24,6 +24,7 @@
 
 interface Run {
   readonly job: Job;
+  readonly pool: string;
   readonly runner: string;
   readonly incarnation: number;
   status: number | undefined;
@@ -36,8 +37,10 @@
 }
 
 interface Told {
-  claim: Claim;
-  ending: PassEnding;
+  readonly claim: Claim;
+  readonly ending: PassEnding;
+  /** Moment from which the item may be given up whatever became of it. */
+  readonly until: number;
 }
 
 interface Settling {
@@ -73,7 +76,10 @@
 
   /** A changed limit ends every pause. */
   hurry(): void {
-    for (const draw of this.#draws.values()) draw.resumeAt = 0;
+    for (const draw of this.#draws.values()) {
+      draw.resumeAt = 0;
+      draw.askedAt = undefined;
+    }
   }
 
   /** The last look, right before the first byte. */
@@ -83,7 +89,8 @@
     if (!this.#membership.holds(now)) return "no lease";
     if (now > run.job.until) return "the grant ran out";
     if (this.#ended.has(run.job.task.lot)) return "its lot is ended";
-    if (this.#passage(run.job.task.way) === undefined) return "its passage is gone";
+    const passage = this.#passage(run.job.task.way);
+    if (passage === undefined || !configuration.poolsOf(passage).includes(run.pool)) return "its passage is gone, or leads elsewhere";
     if (!this.#membership.isStanding(run.runner, run.incarnation, now)) return "the runner said goodbye, or was not heard of lately";
     return undefined;
   }
@@ -99,7 +106,7 @@
     for (const [go, run] of [...this.#runs]) {
       if (now - run.job.lifeAt > constants.promptSilence || now >= run.job.keepsUntil) outputs.push(...this.#end(go, run, "broken", undefined, this.#broken(run.job), now, true));
     }
-    if (now - this.#lifeAt >= constants.lifeEvery) {
+    if (now - this.#lifeAt >= constants.taskLifeEvery) {
       this.#lifeAt = now;
       outputs.push(...this.#signsOfLife());
     }
@@ -143,27 +150,33 @@
       draw = { resumeAt: 0, askedAt: undefined };
       this.#draws.set(queue, draw);
     }
-    if (this.draining || now < draw.resumeAt || draw.askedAt !== undefined && now - draw.askedAt < constants.grantLasts) return [];
+    if (this.draining || now < draw.resumeAt || draw.askedAt !== undefined && now - draw.askedAt < constants.grantLasts + constants.drawHold) return [];
     const { able, room } = this.#able(now);
     if (room < 1) return [];
     const held = draw;
     const askedAt = now;
     const self = this;
     held.askedAt = now;
-    function told(ended: QueueOutcome, later: number): AccessOutput[] {
+    function told(ended: QueueOutcome, later: number, since: number): AccessOutput[] {
       if (held.askedAt === askedAt) held.askedAt = undefined;
       if (ended.kind !== "confirmed" || ended.value.kind !== "DRAWN") {
         held.resumeAt = later + constants.emptyPause;
         return [];
       }
       const { tasks, more, wait } = ended.value;
-      if (more !== "some") held.resumeAt = later + (more === "EMPTY" ? constants.emptyPause : wait ?? constants.pauseMost);
+      /** The owner held the draw while the queue was empty: that was the pause. */
+      if (more === "RATE_LIMITED") held.resumeAt = later + (wait ?? constants.pauseMost);
       const outputs: AccessOutput[] = [];
-      for (const task of tasks) outputs.push(...self.#begin(queue, task, askedAt, later));
+      const begun: Claim[] = [];
+      for (const task of tasks) {
+        outputs.push(...self.#begin(queue, task, since, later));
+        begun.push({ lot: task.lot, index: task.index, go: task.go });
+      }
+      if (begun.length > 0) outputs.push(...self.#live(queue, begun));
       return [...outputs, ...self.#draw(queue, later)];
     }
     /** A grant that comes too late to be begun still has to be given back. */
-    return this.#errands.ask(queue, { kind: "draw", holder: this.#membership.address, most: Math.min(room, constants.drawMost), able }, constants.orphanAfter, told, now);
+    return this.#errands.ask(queue, { kind: "draw", holder: this.#membership.address, most: Math.min(room, constants.drawMost), able }, constants.orphanAfter, told, now, constants.drawHold);
   }
 
   #begin(queue: string, task: PassTask, askedAt: number, now: number): AccessOutput[] {
@@ -187,7 +200,7 @@
       if (chosen === undefined) continue;
       job.tried.add(chosen.runner);
       const go = this.#choice.nextGo();
-      this.#runs.set(go, { job, runner: chosen.runner, incarnation: chosen.incarnation, status: undefined });
+      this.#runs.set(go, { job, pool, runner: chosen.runner, incarnation: chosen.incarnation, status: undefined });
       this.#choice.begin(go, chosen.runner, job.inquiry, true, now);
       return [{ kind: "pass-run", go, address: chosen.address, work: { inquiry: job.inquiry, runner: chosen.runner, rank: constants.itemRank, until: job.keepsUntil, resumeAfter: job.upTo, events: true, repeatable: true } }];
     }
@@ -224,7 +237,8 @@
 
   #whole(go: number, run: Run, now: number): AccessOutput[] {
     const { job, status } = run;
-    if (status === 200 && job.texts.length > 0) return this.#end(go, run, "done", undefined, { kind: "solved", text: job.texts.join("\n"), events: job.texts.length }, now, false);
+    /** A run that was asked to go on after the last event of all ends without another. */
+    if (status === 200 && (job.texts.length > 0 || job.upTo !== undefined)) return this.#end(go, run, "done", undefined, { kind: "solved", text: job.texts.join("\n"), events: job.texts.length }, now, false);
     if (status === 422) return this.#end(go, run, "done", undefined, { kind: "never" }, now, false);
     if (status === 500) return this.#end(go, run, "failed", undefined, { kind: "trouble" }, now, false);
     return this.#end(go, run, "broken", undefined, this.#broken(job), now, false);
@@ -262,7 +276,7 @@
       this.#settlings.set(job.queue, settling);
     }
     const { lot, index, go } = job.task;
-    settling.pending.push({ claim: { lot, index, go }, ending });
+    settling.pending.push({ claim: { lot, index, go }, ending, until: job.keepsUntil });
     return this.#tell(job.queue, settling, now);
   }
 
@@ -273,12 +287,12 @@
     settling.pending = [];
     const self = this;
     function told(ended: QueueOutcome, later: number): AccessOutput[] {
-      /** Told by the owner for good, or after its patience left to the owner's watch over signs of life. */
-      void ended;
+      /** What no owner has taken for good is told again: by its go it counts once. Signs of life hold the claim meanwhile. */
+      if (ended.kind !== "confirmed") for (const each of settling.sent) if (later < each.until) settling.pending.push(each);
       settling.sent = [];
       return self.#tell(queue, settling, later);
     }
-    return this.#errands.ask(queue, { kind: "settle", endings: settling.sent }, constants.ownerPatience * 3, told, now);
+    return this.#errands.ask(queue, { kind: "settle", endings: bare(settling.sent) }, constants.ownerPatience, told, now);
   }
 
   /** The lot is ended: its runs are dropped, and none begins. */
@@ -309,12 +323,20 @@
     for (const { job } of this.#runs.values()) add(job.queue, job.task);
     for (const [queue, { pending, sent }] of this.#settlings) for (const { claim } of [...pending, ...sent]) add(queue, claim);
     const outputs: AccessOutput[] = [];
-    for (const [queue, tasks] of byQueue) {
-      const owner = this.#errands.owner(queue);
-      if (owner !== undefined) outputs.push({ kind: "send", to: owner, message: { kind: "life", queue, items: [], tasks } });
-    }
+    for (const [queue, tasks] of byQueue) outputs.push(...this.#live(queue, tasks));
     return outputs;
   }
+
+  #live(queue: string, tasks: readonly Claim[]): AccessOutput[] {
+    const owner = this.#errands.owner(queue);
+    return owner === undefined ? [] : [{ kind: "send", to: owner, message: { kind: "life", queue, items: [], tasks } }];
+  }
+}
+
+function bare(all: readonly Told[]): { claim: Claim; ending: PassEnding }[] {
+  const endings: { claim: Claim; ending: PassEnding }[] = [];
+  for (const { claim, ending } of all) endings.push({ claim, ending });
+  return endings;
 }
 
 /** Pools of a passage, one drawn by weight first; those of weight 0 never. */
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -7,6 +7,7 @@
 import type { Membership } from "./membership.js";
 import type { LotHandedIn, LotTold } from "./pass.js";
 import { PassDraw } from "./pass-draw.js";
+import type { RelayCore } from "./relay-core.js";
 import type { QueueOutcome } from "./storage-core.js";
 
 type Found = Extract<QueueOutcome, { kind: "confirmed" }>["value"];
@@ -15,25 +16,26 @@
 export class PassLots {
   #membership: Membership;
   #errands: Errands;
+  #relay: RelayCore;
   readonly dispatcher: PassDraw;
   /** In which queue a lot was seen. */
   #seenIn = new Map<string, string>();
   draining = false;
 
-  constructor(membership: Membership, choice: Choice, errands: Errands) {
+  constructor(membership: Membership, choice: Choice, errands: Errands, relay: RelayCore) {
     this.#membership = membership;
+    this.#relay = relay;
     this.#errands = errands;
     this.dispatcher = new PassDraw(membership, choice, errands);
   }
 
   handIn(ticket: string, { lot, host, path, entries }: LotHandedIn, now: number): AccessOutput[] {
     if (this.draining || !this.#membership.holds(now)) return [told(ticket, { kind: "refused", room: false, retryAfter: constants.retryAfter, reason: "this access node is cut off from the control group or about to stop" })];
-    const { value } = this.#membership.configuration;
-    const way = configuration.passageOf(value, host, path);
-    const passage = way === undefined ? undefined : value.passages[way];
-    if (passage === undefined || passage.kind !== "lot") return [told(ticket, { kind: "missing" })];
-    const queue = configuration.queueFor(value, passage, entries[0]?.model);
-    const command: QueueCommand = { kind: "hand-in", lot, way: way!, host, entries, allowance: passage.waitingTokens, goesMost: passage.goesMost, keeps: constants.lotDeadline };
+    const found = this.#relay.find(host, path);
+    if (found === undefined || found.passage.kind !== "lot") return [told(ticket, { kind: "missing" })];
+    const { name: way, passage } = found;
+    const queue = configuration.queueFor(this.#membership.configuration.value, passage, entries[0]?.model);
+    const command: QueueCommand = { kind: "hand-in", lot, way, host, entries, allowance: passage.waitingTokens, goesMost: passage.goesMost, keeps: constants.lotDeadline };
     const self = this;
     function ended(outcome: QueueOutcome): AccessOutput[] {
       if (outcome.kind === "unknown") return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -7,9 +7,10 @@
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
 export type QueueMessage =
-  /** hold in ms: a read of results where there is none yet is kept at the owner so long (§13.7). */
+  /** hold in ms: a read of results where there is none yet, or a draw where nothing waits, is kept at the owner so long (§13.7). */
   | { readonly kind: "queue-inquiry"; readonly ticket: string; readonly queue: string; readonly command: QueueCommand; readonly hold?: number }
-  | { readonly kind: "queue-result"; readonly ticket: string; readonly outcome: QueueOutcome }
+  /** held in ms: how long the owner kept the inquiry before it began to work on it. */
+  | { readonly kind: "queue-result"; readonly ticket: string; readonly outcome: QueueOutcome; readonly held?: number }
   | { readonly kind: "life"; readonly queue: string; readonly items: readonly Claim[]; readonly tasks?: readonly Claim[] }
   /** What is under way of this lot is dropped. */
   | { readonly kind: "lot-ended"; readonly lot: string };
@@ -30,14 +31,15 @@
 interface Waiting {
   readonly ticket: string;
   readonly to: string;
-  readonly command: QueueCommand;
+  readonly held: number;
 }
 
-/** A read of results that waits for one. */
+/** A read of results that waits for one, or a draw that waits for a prompt. */
 interface Held {
   readonly ticket: string;
   readonly to: string;
-  readonly command: Extract<QueueCommand, { kind: "results" }>;
+  readonly command: Extract<QueueCommand, { kind: "results" | "draw" }>;
+  readonly since: number;
   readonly until: number;
 }
 
@@ -45,7 +47,7 @@
   readonly chain: Chain;
   readonly machine: QueueMachine;
   /** Last sign of life of each claim, known at the owner alone and begun anew by the next. */
-  readonly life: Map<string, { go: number; at: number }>;
+  readonly life: Map<string, { go: number; at: number; taken?: boolean }>;
   ownedMark: number;
   lookedAt: number;
   limiting: boolean;
@@ -55,6 +57,8 @@
   /** Items lately refused for want of room. */
   refused: { at: number; count: number; season: string }[];
   held: Held[];
+  /** Since when the configuration has had no such passage, of those with items here. */
+  readonly gone: Map<string, number>;
 }
 
 export class StorageCore {
@@ -78,7 +82,7 @@
   #open(queue: string, now: number, holding?: ChainHolding): Partition {
     const machine = new QueueMachine();
     const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding);
-    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [] };
+    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [], gone: new Map() };
     this.#partitions.set(queue, partition);
     return partition;
   }
@@ -136,7 +140,7 @@
       case "life": {
         const partition = this.#partitions.get(message.queue);
         for (const { lot, index, go } of message.items) partition?.life.set(`item/${lot}/${String(index).padStart(6, "0")}`, { go, at: now });
-        for (const { lot, index, go } of message.tasks ?? []) partition?.life.set(taskKey(lot, index), { go, at: now });
+        for (const { lot, index, go } of message.tasks ?? []) partition?.life.set(taskKey(lot, index), { go, at: now, taken: true });
         return [];
       }
       default: return [];
@@ -184,33 +188,49 @@
         entered = { ...command, allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000 };
       }
     }
-    if (command.kind === "results" && hold > 0 && partition.chain.serves && !partition.machine.passes.isTold(partition.chain.ledger, command.lot, command.from)) {
-      partition.held.push({ ticket, to: from, command, until: now + hold });
+    if (hold > 0 && (command.kind === "results" || command.kind === "draw") && partition.chain.serves && !this.#isReady(partition, command, now)) {
+      partition.held.push({ ticket, to: from, command, since: now, until: now + hold });
       return [];
     }
     return this.#enter(partition, ticket, from, entered, now);
   }
 
-  /** Held reads that can be told now, or no longer wait, are asked of the chain like any read: a stale owner tells nothing. */
+  #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
+    if (command.kind === "results") return machine.passes.isTold(chain.ledger, command.lot, command.from);
+    return machine.passes.ready(chain.ledger, command.able, chain.time(now), 1) > 0;
+  }
+
+  /** What was held and can be told now, or waits no longer, is asked of the chain like any other: a stale owner tells nothing. */
   #tellHeld(partition: Partition, now: number): StorageOutput[] {
     if (partition.held.length === 0) return [];
     const outputs: StorageOutput[] = [];
     const { chain, machine } = partition;
-    const kept: Held[] = [];
-    const told: Held[] = [];
-    for (const held of partition.held) {
-      if (!chain.serves || now >= held.until || machine.passes.isTold(chain.ledger, held.command.lot, held.command.from)) told.push(held);
-      else kept.push(held);
+    const all = partition.held;
+    partition.held = [];
+    let draws = 0;
+    for (const { command } of all) if (command.kind === "draw") draws += 1;
+    for (const held of all) {
+      const { ticket, to, command, since } = held;
+      if (chain.serves && now < held.until && !this.#isReady(partition, command, now)) {
+        partition.held.push(held);
+        continue;
+      }
+      if (command.kind !== "draw") outputs.push(...this.#enter(partition, ticket, to, command, now, now - since));
+      else if (!this.membership.holds(now)) outputs.push(result(to, ticket, { kind: "elsewhere", reason: "the owner holds no lease" }));
+      else {
+        /** Each that waits gets its part, so that the work is spread. */
+        const most = Math.min(command.most, Math.ceil(machine.passes.ready(chain.ledger, command.able, chain.time(now), command.most * draws) / draws));
+        outputs.push(...this.#enter(partition, ticket, to, { ...command, most: Math.max(1, most) }, now, now - since));
+      }
+      if (command.kind === "draw") draws -= 1;
     }
-    partition.held = kept;
-    for (const { ticket, to, command } of told) outputs.push(...this.#enter(partition, ticket, to, command, now));
     return outputs;
   }
 
-  #enter(partition: Partition, ticket: string, to: string, command: QueueCommand, now: number): StorageOutput[] {
+  #enter(partition: Partition, ticket: string, to: string, command: QueueCommand, now: number, held = 0): StorageOutput[] {
     this.#ticketNumber += 1;
     const own = String(this.#ticketNumber);
-    this.#waiting.set(own, { ticket, to, command });
+    this.#waiting.set(own, { ticket, to, held });
     return this.#perform(partition, partition.chain.inquire(own, command, now), now);
   }
 
@@ -239,9 +259,9 @@
       partition.refused = partition.refused.filter(isLate, { since: now - constants.pressureLasts });
       partition.refused.push({ at: now, count: value.items, season: value.season });
     }
-    const outputs: StorageOutput[] = [result(waiting.to, waiting.ticket, { kind: "confirmed", value })];
+    const outputs: StorageOutput[] = [result(waiting.to, waiting.ticket, { kind: "confirmed", value }, waiting.held)];
     if (value.kind === "ENDED") for (const holder of value.holders) outputs.push({ kind: "send", to: holder, message: { kind: "lot-ended", lot: value.lot } });
-    if (value.kind === "SETTLED" && value.listed.length > 0 || value.kind === "ENDED") outputs.push(...this.#tellHeld(partition, now));
+    if (value.kind === "SETTLED" || value.kind === "ENDED" || value.kind === "HANDED") outputs.push(...this.#tellHeld(partition, now));
     return outputs;
   }
 
@@ -293,15 +313,36 @@
     for (const [key, go] of processing) if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     const tasks = machine.passes.processing();
-    for (const [key, { go }] of tasks) if (!lives(life, key, go, now)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
+    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
     for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
     if (orphans.length + lost.length > 0) outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length + lost.length } });
     if (orphans.length > 0) outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
     if (lost.length > 0) outputs.push(...this.#perform(partition, chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now), now));
+    outputs.push(...this.#dropGone(partition, now));
     if (machine.due(chain.ledger, chain.time(now))) outputs.push(...this.#perform(partition, chain.inquire("expire", { kind: "expire" } satisfies QueueCommand, now), now));
     return outputs;
   }
 
+  /** Items of passages that the configuration no longer has end with them. */
+  #dropGone(partition: Partition, now: number): StorageOutput[] {
+    const { chain, machine, gone } = partition;
+    const outputs: StorageOutput[] = [];
+    if (!this.membership.holds(now)) {
+      gone.clear();
+      return outputs;
+    }
+    const { passages } = this.membership.configuration.value;
+    const missing = new Set<string>();
+    for (const way of machine.passes.ways()) if (!Object.hasOwn(passages ?? {}, way) || passages[way]!.kind !== "lot") missing.add(way);
+    for (const way of [...gone.keys()]) if (!missing.has(way)) gone.delete(way);
+    for (const way of missing) {
+      const since = gone.get(way) ?? now;
+      gone.set(way, since);
+      if (now - since >= constants.passageGone) outputs.push(...this.#perform(partition, chain.inquire("drop-way", { kind: "drop-way", way } satisfies QueueCommand, now), now));
+    }
+    return outputs;
+  }
+
   /** A planned stop: control takes this machine out of the chains that keep two copies without it. */
   leave(now: number): StorageOutput[] {
     return this.membership.leave(now);
@@ -334,6 +375,16 @@
   return now - sign.at <= constants.orphanAfter;
 }
 
+/** The same for a prompt of a passage, whose dispatcher is to take it up at once. */
+function livesTask(life: Partition["life"], key: string, go: number, now: number): boolean {
+  const sign = life.get(key);
+  if (sign === undefined || sign.go !== go) {
+    life.set(key, { go, at: now });
+    return true;
+  }
+  return now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp);
+}
+
 function sharesOf(standing: QueueStanding): ShareClass[] {
   const classes: ShareClass[] = [];
   for (const { season, select, runners, target } of standingClasses(standing)) classes.push({ season, select, runners, share: target });
@@ -354,6 +405,6 @@
   return false;
 }
 
-function result(to: string, ticket: string, told: QueueOutcome): StorageOutput {
-  return { kind: "send", to, message: { kind: "queue-result", ticket, outcome: told } };
+function result(to: string, ticket: string, told: QueueOutcome, held = 0): StorageOutput {
+  return { kind: "send", to, message: { kind: "queue-result", ticket, outcome: told, ...(held > 0 ? { held } : {}) } };
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -148,6 +148,18 @@
   resultsMost: 900_000,
   /** prompts. Taken with one draw of a pool's queue: one entry for all, yet no dispatcher empties a queue that others could help with. */
   drawMost: 8,
+  /** ms. Rest of an item whose runs broke twice on end without an event; doubled with each further one, up to the most. */
+  restFirst: 200,
+  restMost: 2_000,
+  /** ms. Dispatchers of items pass on signs of life; a claim without one is taken back, so that lots due in 8 s are not late for one dead node. */
+  taskLifeEvery: 500,
+  taskOrphanAfter: 2_500,
+  /** ms. A claim that nobody took up within its grant's time and the way to here is taken back. */
+  claimTakenUp: 1_300,
+  /** ms. A draw from an empty queue is held at the owner so long: nothing waits for a pause to end, and idle nodes ask seldom. */
+  drawHold: 500,
+  /** ms. A passage missing from the configuration for so long takes its items with it. */
+  passageGone: 2_000,
   /** rank. Of items in a runner's own queue: live goes first (§8.3). */
   itemRank: 9,
   /** ms. How long a read of a lot looks for its owner, beyond the time it may be held; callers wait 1.5 s more than they allow. */
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -94,6 +94,9 @@
   readonly troubles: number;
   readonly tokens: number;
   readonly holder?: string;
+  /** Runs on end that broke without an event, and the moment before which it is not drawn again for that. */
+  readonly breaks?: number;
+  readonly restsUntil?: number;
 }
 
 /** What a run that broke had put out. */
@@ -195,8 +198,24 @@
   }
 
   /** Passages that have something unfinished here. */
-  ways(): IterableIterator<string> {
-    return this.#tokens.keys();
+  *ways(): Generator<string> {
+    for (const [way, tokens] of this.#tokens) if (tokens > 0 || (this.#waiting.get(way)?.length ?? 0) > 0) yield way;
+  }
+
+  /** Prompts of some passages that could be drawn now, counted up to a bound. */
+  ready(ledger: Ledger, able: readonly string[], time: number, most: number): number {
+    let count = 0;
+    for (const way of able) for (const [, key] of this.#waiting.get(way) ?? []) {
+      if (count >= most) return count;
+      if (this.#rests(ledger.read<TaskRecord>(key)!, time)) continue;
+      if (ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!.until > time) count += 1;
+    }
+    return count;
+  }
+
+  /** One that breaks again and again does not hold up those behind it. */
+  #rests(task: TaskRecord, time: number): boolean {
+    return (task.restsUntil ?? 0) > time;
   }
 
   /** Whether a position of a lot is listed, or will never be: what a held read waits for. */
@@ -269,7 +288,7 @@
       for (const [place, [sequence, key]] of waiting.entries()) {
         if (best !== undefined && sequence > best.sequence) break;
         const lot = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
-        if (lot.until <= time) continue;
+        if (lot.until <= time || this.#rests(ledger.read<TaskRecord>(key)!, time)) continue;
         best = { waiting, place, sequence, key, lot };
         break;
       }
@@ -342,13 +361,16 @@
           this.#list(ledger, key, task, lot, index, "failed", "", time);
           return true;
         }
-        this.#giveBack(ledger, key, { ...task, troubles }, lot);
+        this.#giveBack(ledger, key, { ...task, troubles, breaks: 0 }, lot);
         return false;
       }
-      case "broken":
-        if (ending.events > 0 && ending.upTo !== undefined) ledger.put(textKey, { ...joined(ledger.read<Partial>(textKey), ending), upTo: ending.upTo } satisfies Partial);
-        this.#giveBack(ledger, key, task, lot);
+      case "broken": {
+        const goesOn = ending.events > 0 && ending.upTo !== undefined;
+        if (goesOn) ledger.put(textKey, { ...joined(ledger.read<Partial>(textKey), ending), upTo: ending.upTo! } satisfies Partial);
+        const breaks = goesOn ? 0 : (task.breaks ?? 0) + 1;
+        this.#giveBack(ledger, key, { ...task, breaks, restsUntil: breaks < 2 ? 0 : time + Math.min(constants.restMost, constants.restFirst * 2 ** (breaks - 2)) }, lot);
         return false;
+      }
       case "unsent": {
         const held = ledger.read<Bucket>(keyBucket);
         if (limits !== undefined && held !== undefined) ledger.put(keyBucket, bucket.restore(held, limits, time));
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -126,6 +126,8 @@
 
 export class AccessMachine extends Machine {
   core!: AccessCore;
+  /** What passages tell, where a play has them. */
+  passing: ((output: PassOutput) => void) | undefined;
   #seeds: readonly string[];
   #hooks: AccessHooks;
   #sights = new Map<string, CallerSight>();
@@ -177,7 +179,10 @@
 
   perform(outputs: readonly AccessOutput[]): void {
     for (const output of outputs) {
-      if (isPassing(output)) continue;
+      if (isPassing(output)) {
+        this.passing?.(output);
+        continue;
+      }
       switch (output.kind) {
         case "send":
           this.world.send(this.address, output.to, output.message);
