--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,8 +51,43 @@
   },
 };
 
+/** Words that belong to the platform: its headers, paths and fields stay in platform/ (docs/platform.md). */
+const platformWords = /chutewick[-_](attempt-id|remaining-ms|expected-instance|answer-seal|not-executed|precedence|token-count|prompt-prefix|hold-ms|base-revision|serving-instance|weight-versions|expected-version|config)\b|\/chutewick\/(lots|items|report|instances|configuration|retire|readiness)|\b(guardMs|targetMs|maxAttempts|queueTokenCap|retentionS|completionTargetMs|gapTargetMs|pathPrefix|routeType|weightedSplit|capacitySlots|cacheTokens|callSequence|warmupLeftMs|reportIntervalMs|bindAddresses|internalPorts|seedNodes|faultTolerance|instanceId|startToken|nextToken|withinS|dead_lettered)\b/i;
+
+const outside = {
+  rules: {
+    words: {
+      meta: { type: "problem", schema: [], messages: { word: "a word of the platform outside platform/: {{word}}" } },
+      create(context) {
+        function look(node, text) {
+          const found = platformWords.exec(text);
+          if (found !== null) context.report({ node, messageId: "word", data: { word: found[0] } });
+        }
+        function literal(node) {
+          if (typeof node.value === "string") look(node, node.value);
+        }
+        function template(node) {
+          look(node, node.value.raw);
+        }
+        function identifier(node) {
+          look(node, node.name);
+        }
+        return { Literal: literal, TemplateElement: template, Identifier: identifier };
+      },
+    },
+  },
+};
+
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**"] },
+  { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
+  {
+    files: ["packages/**/*.ts", "programs/**/*.ts", "tools/**/*.ts", "examples/**/*.ts"],
+    plugins: { outside },
+    rules: {
+      "outside/words": "error",
+      "no-restricted-imports": ["error", { patterns: [{ group: ["@chutewick/platform*", "**/platform/**"], message: "the adapter is known to nobody" }] }],
+    },
+  },
   {
     files: ["**/*.ts"],
     extends: [...tseslint.configs.recommended],
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,45 @@
+Feature: the adapter only translates
+  What the platform says becomes the product's own words, and back, without loss (docs/platform.md).
+
+  Scenario: a whole document becomes pools and passages, and is told back as it was sent
+    Given a platform document with revision 7, a streaming, a bulk and a split safe route
+    When it is translated on top of nothing
+    Then the mark is 7 and the product's own check takes it
+    And the passages have the kinds stream, lot and safe, with their pools, bounds and allowances
+    And the document is told back as it was sent
+
+  Scenario: named items are put in and taken out
+    Given a platform document with revision 7, a streaming, a bulk and a split safe route
+    When it is translated on top of nothing
+    And a modification to revision 9 replaces the streaming route's pool and removes the bulk route
+    Then the mark is 9 and the product's own check takes it
+    And the passages have the kinds stream and safe
+
+  Scenario: an order sent again is known, also after later ones
+    Given a platform document with revision 7, a streaming, a bulk and a split safe route
+    When it is translated on top of nothing
+    And a modification to revision 9 replaces the streaming route's pool and removes the bulk route
+    Then both orders are known as taken, and others are not
+
+  Scenario Outline: what is invalid is refused by the adapter or by the product's check
+    Given a platform document with revision 7, a streaming, a bulk and a split safe route
+    When it is spoilt by <fault>
+    Then it is refused
+
+    Examples:
+      | fault                |
+      | cutting it short     |
+      | an unknown service   |
+      | the same place twice |
+      | weights of nothing   |
+      | no time to hold      |
+      | a name twice         |
+
+  Scenario: headers of a request become an inquiry, and go out to a runner again
+    When a request with its headers is read and sent on to a runner
+    Then the inquiry has its id, sizes, parts and patience
+    And the runner gets every header but those of one connection, with the rest of the time, its own id and the rank
+
+  Scenario: a settings file with fields nobody knows becomes our settings
+    When a settings file with more fields than are known is read
+    Then seeds stand at the first internal port, and the bounds are the deployment's
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./calendar.js";
 export * from "./explain.js";
 export * from "./service.js";
+export * from "./control-desk.js";
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,12 +1,17 @@
 import { randomUUID } from "node:crypto";
 import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, replyTrouble, settings as configured, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
-import { constants, outcome, type Outcome } from "@chutewick/parts";
+import { constants, outcome, type Outcome, type RunnerCard } from "@chutewick/parts";
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
+import type { ControlDesk, ControlFront } from "./control-desk.js";
 import { ControlCore, type ControlMessage, type ControlOutcome, type ControlOutput } from "./core.js";
 import type { Explained } from "./explain.js";
 import type { ControlCommand } from "./machine.js";
 
+export interface ControlExtras {
+  readonly fronts?: readonly ControlFront[];
+}
+
 /** The control process: sockets, folder and beats round the core (docs/design.md §10). */
 export class ControlProcess {
   #log: Log;
@@ -15,11 +20,13 @@
   #wire: Wire;
   #gateway: Gateway;
   #beat = new Beat();
-  #waiting = new Map<string, ServerResponse>();
+  #waiting = new Map<string, (outcome: ControlOutcome) => void>();
+  #fronts: readonly ControlFront[];
   #ticketNumber = 0;
 
-  private constructor(settings: Settings, log: Log, disk: Disk) {
+  private constructor(settings: Settings, log: Log, disk: Disk, extras: ControlExtras) {
     this.#log = log;
+    this.#fronts = extras.fronts ?? [];
     this.#disk = disk;
     const self = this;
     function receive(message: unknown, from: string): void {
@@ -44,15 +51,16 @@
     });
   }
 
-  static async open(settings: Settings, log: Log): Promise<Outcome<ControlProcess>> {
+  static async open(settings: Settings, log: Log, extras: ControlExtras = {}): Promise<Outcome<ControlProcess>> {
     const disk = await Disk.open(settings.data!, "control", settings.name, diskFailed(log));
     if (!disk.ok) return disk;
-    const control = new ControlProcess(settings, log, disk.value);
+    const control = new ControlProcess(settings, log, disk.value, extras);
     const trouble = await listen(control.#wire, control.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void { control.#perform(control.#core.beat(now, Date.now())); }
     control.#perform(control.#core.start(monotonic()));
     control.#beat.start(strike);
+    for (const front of control.#fronts) await front.open(control.#desk());
     log.info({ identity: disk.value.identity, wire: settings.wire, http: settings.http }, "control machine is up");
     return outcome.good(control);
   }
@@ -65,11 +73,26 @@
     function handedOver(): boolean { return !self.#core.isNeeded || monotonic() > until; }
     await settled(handedOver);
     this.#beat.stop();
+    for (const front of this.#fronts) await front.close();
     await this.#gateway.close();
     this.#wire.close();
     await this.#disk.close();
   }
 
+  /** What an interface beside our own may ask (§13.2). */
+  #desk(): ControlDesk {
+    const self = this;
+    function announce(card: Omit<RunnerCard, "age">, sequence: number): boolean {
+      const { told, outputs } = self.#core.announce(card, sequence, monotonic());
+      self.#perform(outputs);
+      return told.kind === "TAKEN";
+    }
+    function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void { self.#enter(command, told); }
+    function emptied(name: string): "emptying" | "emptied" | undefined { return self.#core.emptied(name, monotonic()); }
+    function isReady(): boolean { return self.#core.view !== undefined; }
+    return { isReady, announce, inquire, emptied };
+  }
+
   /** Owner of all arrivals of this process. */
   #owner(): ServiceSchema {
     const self = this;
@@ -117,9 +140,14 @@
   }
 
   #inquire(arrival: Arrival, command: ControlCommand): void {
+    function told(outcome: ControlOutcome): void { tell(arrival.reply, outcome); }
+    this.#enter(command, told);
+  }
+
+  #enter(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
     this.#ticketNumber += 1;
     const ticket = `http/${this.#ticketNumber}`;
-    this.#waiting.set(ticket, arrival.reply);
+    this.#waiting.set(ticket, told);
     this.#perform(this.#core.inquire(ticket, command, monotonic()));
   }
 
@@ -145,7 +173,7 @@
         case "result": {
           const waiting = this.#waiting.get(output.ticket);
           this.#waiting.delete(output.ticket);
-          if (waiting !== undefined) tell(waiting, output.result);
+          if (waiting !== undefined) waiting(output.result);
           break;
         }
         case "note":
--- /dev/null
+++ b/packages/data/src/access-desk.ts
@@ -0,0 +1,41 @@
+import type { PassInquiry } from "./dialect.js";
+import type { LotHandedIn, LotTold } from "./pass.js";
+
+/** What an interface (ours or an adapter's) may ask of an access node (docs/design.md §13.2). */
+export interface PassCaller {
+  head(status: number, headers: readonly string[]): void;
+  bytes(bytes: Uint8Array): void;
+  end(): void;
+  /** The result breaks off: the caller must see that it is not whole. */
+  cut(): void;
+  /** Our own final word; retryAfter in s. */
+  refused(status: number, retryAfter: number | undefined, reason: string): void;
+}
+
+export type LotCaller = (told: LotTold) => void;
+
+export interface AccessDesk {
+  /** Whether new callers are to be sent here. */
+  isReady(): boolean;
+  /** Whether this node is about to stop: connections are to be ended with their results. */
+  isStopping(): boolean;
+  /** Whether what is posted there is a lot, by the configuration known here. */
+  takesLots(host: string, path: string): boolean;
+  pass(inquiry: PassInquiry, caller: PassCaller): string;
+  handIn(lot: LotHandedIn, caller: LotCaller): string;
+  /** hold in ms: how long the answer may wait for a result at that position. */
+  readLot(lot: string, host: string, from: number, hold: number, caller: LotCaller): string;
+  readItem(lot: string, item: string, host: string, caller: LotCaller): string;
+  endLot(lot: string, host: string, caller: LotCaller): string;
+  /** The caller left. */
+  left(ticket: string): void;
+  /** The caller reads slowly, or again. */
+  slow(ticket: string): void;
+  ready(ticket: string): void;
+}
+
+/** An interface towards callers that stands beside our own. */
+export interface AccessFront {
+  open(desk: AccessDesk): Promise<void>;
+  close(): Promise<void>;
+}
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -5,8 +5,13 @@
 import type { ServiceSchema } from "moleculer";
 import { z } from "zod";
 import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
+import type { AccessDesk, AccessFront, LotCaller, PassCaller } from "./access-desk.js";
+import type { PassEvent, PassInquiry, RunnerDialect } from "./dialect.js";
 import { Links } from "./link.js";
-import { isPassing, type PassOutput } from "./pass.js";
+import { ownDialect } from "./own-dialect.js";
+import { PassConnections } from "./pass-link.js";
+import type { LotHandedIn, PassOutput } from "./pass.js";
+import { RelayCore } from "./relay-core.js";
 import type { DataMessage } from "./storage-core.js";
 
 /** The access process: callers, runners and links round the core (docs/design.md §10). */
@@ -22,6 +27,12 @@
   burden: z.number().min(0).max(1_000_000),
 });
 
+export interface AccessExtras {
+  /** How runners are spoken to on passages; ours where none is given. */
+  readonly dialect?: RunnerDialect;
+  readonly fronts?: readonly AccessFront[];
+}
+
 const farewell = z.strictObject({ incarnation: z.int().min(1) });
 
 export class AccessProcess {
@@ -32,11 +43,18 @@
   #links: Links;
   #beat = new Beat();
   #waiting = new Map<string, ServerResponse>();
+  #passing = new Map<string, PassCaller>();
+  #lotCallers = new Map<string, LotCaller>();
+  #fronts: readonly AccessFront[];
+  #passLinks: PassConnections;
+  #relay: RelayCore;
+  #isStopping = false;
   #ticketPrefix = randomUUID().slice(0, 8);
   #ticketNumber = 0;
 
-  private constructor(settings: Settings, log: Log) {
+  private constructor(settings: Settings, log: Log, extras: AccessExtras) {
     this.#log = log;
+    this.#fronts = extras.fronts ?? [];
     const self = this;
     function receive(message: unknown, from: string): void { self.#perform(self.#core.receive(message as DataMessage, from, monotonic())); }
     function mayStart(go: number): string | undefined { return self.#core.mayStart(go, monotonic()); }
@@ -44,6 +62,12 @@
     const identity = `${settings.name}-${randomUUID()}`;
     this.#core = new AccessCore({ identity, address: settings.wire, kind: "access", zone: settings.zone, http: settings.http }, settings.seeds, monotonic());
     this.#links = new Links(mayStart, told);
+    function mayPass(go: number): string | undefined { return self.#core.mayPass(go, monotonic()); }
+    function passed(go: number, event: PassEvent): void { self.#perform(self.#core.passEvent(go, event, monotonic())); }
+    function share(address: string): number { return self.#core.choice.share(address); }
+    this.#relay = new RelayCore(this.#core.membership, this.#core.choice, this.#core.membership.policy);
+    this.#core.relay = this.#relay;
+    this.#passLinks = new PassConnections({ dialect: extras.dialect ?? ownDialect, mayStart: mayPass, told: passed, share, now: monotonic });
     this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
     this.#gateway = new Gateway({
       address: settings.http, log, owners: [this.#owner()],
@@ -61,32 +85,91 @@
     });
   }
 
-  static async open(settings: Settings, log: Log): Promise<Outcome<AccessProcess>> {
-    const access = new AccessProcess(settings, log);
+  static async open(settings: Settings, log: Log, extras: AccessExtras = {}): Promise<Outcome<AccessProcess>> {
+    const access = new AccessProcess(settings, log, extras);
     const trouble = await listen(access.#wire, access.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
-    function strike(now: number): void { access.#perform(access.#core.beat(now, Date.now())); }
+    function strike(now: number): void {
+      access.#perform(access.#core.beat(now, Date.now()));
+      access.#passLinks.beat(now);
+    }
     access.#beat.start(strike);
+    for (const front of access.#fronts) await front.open(access.#desk());
     log.info({ wire: settings.wire, http: settings.http }, "access node is up");
     return outcome.good(access);
   }
 
   /** Planned stop: no new work, then what is under way finishes within its bound. */
   async close(): Promise<void> {
+    this.#isStopping = true;
     this.#perform(this.#core.leave(monotonic()));
     const self = this;
-    const until = monotonic() + constants.drainPatience;
-    function finished(): boolean { return self.#core.busy === 0 || monotonic() > until; }
+    const begun = monotonic();
+    const until = begun + this.#core.membership.policy.stopWithin;
+    /** Callers are sent here for a while after the word that this node is not ready; they are served all the same (§13.5). */
+    const from = this.#fronts.length === 0 ? begun : begun + constants.unreadyLasts;
+    function finished(): boolean { return (monotonic() > from && self.#core.busy === 0 && self.#relay.busy === 0) || monotonic() > until; }
     await settled(finished);
     this.#beat.stop();
+    for (const front of this.#fronts) await front.close();
+    this.#passLinks.close();
     await this.#gateway.close();
     this.#wire.close();
   }
 
+  /** What an interface beside our own may ask (§13.2). */
+  #desk(): AccessDesk {
+    const self = this;
+    function next(): string {
+      self.#ticketNumber += 1;
+      return `${self.#ticketPrefix}-${self.#ticketNumber}`;
+    }
+    function takesLots(host: string, path: string): boolean { return self.#relay.find(host, path)?.passage.kind === "lot"; }
+    function pass(inquiry: PassInquiry, caller: PassCaller): string {
+      const ticket = next();
+      self.#passing.set(ticket, caller);
+      self.#perform(self.#relay.arrive(ticket, inquiry, monotonic()));
+      return ticket;
+    }
+    function asked(caller: LotCaller, ask: (ticket: string) => readonly AccessOutput[]): string {
+      const ticket = next();
+      self.#lotCallers.set(ticket, caller);
+      self.#perform(ask(ticket));
+      return ticket;
+    }
+    function handIn(lot: LotHandedIn, caller: LotCaller): string {
+      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.handIn(ticket, lot, monotonic()); }
+      return asked(caller, ask);
+    }
+    function readLot(lot: string, host: string, from: number, hold: number, caller: LotCaller): string {
+      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.read(ticket, lot, host, from, hold, monotonic()); }
+      return asked(caller, ask);
+    }
+    function readItem(lot: string, item: string, _host: string, caller: LotCaller): string {
+      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.item(ticket, lot, item, monotonic()); }
+      return asked(caller, ask);
+    }
+    function endLot(lot: string, host: string, caller: LotCaller): string {
+      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.end(ticket, lot, host, monotonic()); }
+      return asked(caller, ask);
+    }
+    function left(ticket: string): void {
+      if (self.#lotCallers.delete(ticket)) return;
+      if (self.#passing.delete(ticket)) self.#perform(self.#relay.left(ticket, monotonic()));
+    }
+    function slow(ticket: string): void { self.#perform(self.#relay.slow(ticket)); }
+    function ready(ticket: string): void { self.#perform(self.#relay.ready(ticket)); }
+    function isReady(): boolean { return !self.#isStopping && self.#core.membership.serves(monotonic()); }
+    function isStopping(): boolean { return self.#isStopping; }
+    return {
+      isReady, isStopping, takesLots, pass, handIn, readLot, readItem, endLot, left, slow, ready,
+    };
+  }
+
   /** Owner of all arrivals of this process: events in, commands out. */
   #owner(): ServiceSchema {
     const self = this;
-    function status(arrival: Arrival): void { reply(arrival.reply, 200, { ...self.#core.status(monotonic()), counts: { ...self.#core.counts, sent: self.#wire.sent, dropped: self.#wire.dropped, refused: self.#wire.refused } }); }
+    function status(arrival: Arrival): void { reply(arrival.reply, 200, { ...self.#core.status(monotonic()), counts: { ...self.#core.counts, ...self.#relay.counts, ...self.#passLinks.counts, sent: self.#wire.sent, dropped: self.#wire.dropped, refused: self.#wire.refused } }); }
     async function measured(arrival: Arrival): Promise<void> {
       const { gos, live, leaseLeft } = self.#core.status(monotonic());
       reply(arrival.reply, 200, await metrics.read({ ...self.#core.counts, gos, live, leaseLeft, sent: self.#wire.sent, dropped: self.#wire.dropped }));
@@ -141,7 +224,6 @@
 
   #perform(outputs: readonly AccessOutput[]): void {
     for (const output of outputs) {
-      if (isPassing(output)) continue;
       switch (output.kind) {
         case "send":
           this.#wire.send(output.to, output.message);
@@ -156,11 +238,50 @@
           metrics.noted(output.text);
           this.#log.info(output.facts, output.text);
           break;
+        case "pass-run":
+          this.#passLinks.run(output.go, output.address, output.work);
+          break;
+        case "pass-abandon":
+          this.#passLinks.abandon(output.go);
+          break;
+        case "pass-pause":
+          this.#passLinks.pause(output.go);
+          break;
+        case "pass-resume":
+          this.#passLinks.resume(output.go);
+          break;
+        case "pass-head": case "pass-bytes": case "pass-end": case "pass-cut": case "pass-refused":
+          this.#toPassing(output);
+          break;
+        case "lot-told": {
+          const told = this.#lotCallers.get(output.ticket);
+          this.#lotCallers.delete(output.ticket);
+          told?.(output.told);
+          break;
+        }
         default: this.#toCaller(output);
       }
     }
   }
 
+  #toPassing(output: Extract<PassOutput, { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }>): void {
+    const to = this.#passing.get(output.ticket);
+    if (to === undefined) return;
+    switch (output.kind) {
+      case "pass-head": return to.head(output.status, output.headers);
+      case "pass-bytes": return to.bytes(output.bytes);
+      case "pass-end":
+        this.#passing.delete(output.ticket);
+        return to.end();
+      case "pass-cut":
+        this.#passing.delete(output.ticket);
+        return to.cut();
+      case "pass-refused":
+        this.#passing.delete(output.ticket);
+        return to.refused(output.status, output.retryAfter, output.reason);
+    }
+  }
+
   #toCaller(output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>): void {
     const to = this.#waiting.get(output.ticket);
     if (to === undefined) return;
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -14,3 +14,4 @@
 export * from "./relay-core.js";
 export * from "./storage-core.js";
 export * from "./storage-service.js";
+export * from "./access-desk.js";
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -168,6 +168,13 @@
   lotsRemembered: 20_000,
   /** bytes. Largest result of a fetch or of a one-shot inquiry: it is told whole or not at all. */
   resultMost: 16_777_216,
+  /** bytes. Largest body and largest head of an inquiry on a passage, where the deployment tells no smaller ones. */
+  passBodyMost: 16_777_216,
+  passHeadersMost: 65_536,
+  /** ms. After the word that a node is not ready, callers may still be sent to it for so long: two missed looks a second apart, and their way. */
+  unreadyLasts: 2_500,
+  /** ms. A caller's connection to a passage may stay idle this long; told in its results in whole seconds. */
+  passIdle: 14_000,
   /** inquiries. Live inquiries under way in one access node; more are told to try later. */
   liveMost: 600,
   /** ms. Taken off the time that a runner may keep a connection idle, so that none is used while it is being closed (§13.6). */
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -22,10 +22,26 @@
   readonly event: string;
 }
 
+/** An arrival with its bytes as they came, for interfaces that pass them on (§13.2). */
+export interface WholeArrival {
+  readonly method: string;
+  /** Path with its query, unchanged. */
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly rawHeaders: readonly string[];
+  readonly headers: IncomingMessage["headers"];
+  readonly body: Buffer;
+  readonly reply: ServerResponse;
+}
+
 export interface GatewayOptions {
   readonly address: string;
   readonly log: Log;
   readonly openings: readonly Opening[];
+  /** Event that carries every arrival whole, whatever its path; then there are no openings. */
+  readonly whole?: string;
+  /** bytes. Largest body of a whole arrival. */
+  readonly bodyMost?: number;
   /** Owners: services that take arrivals as events. */
   readonly owners: readonly ServiceSchema[];
 }
@@ -93,9 +109,15 @@
       else if (status >= 400 && status < 500) replyTrouble(response, 400, { trouble: "bad-body", reason: `the body cannot be read as JSON: ${error.message}` });
       else replyTrouble(response, 500, { trouble: "internal", reason: error.message });
     }
+    const { whole, bodyMost = constants.passBodyMost } = this.#options;
+    function taken(arrival: WholeArrival): void { void broker.emit(whole!, arrival); }
+    function gather(incoming: IncomingMessage, response: ServerResponse): void { readWhole(incoming, response, bodyMost, taken); }
     /** The library's own server cannot be told how often to look for slow callers. */
     function create(this: { server: Server; httpHandler: RequestListener }): void {
-      this.server = createServer({ headersTimeout: constants.headersPatience, requestTimeout: constants.bodyPatience, connectionsCheckingInterval: 1_000, keepAliveTimeout: 30_000 }, this.httpHandler);
+      const timing = whole === undefined
+        ? { headersTimeout: constants.headersPatience, requestTimeout: constants.bodyPatience, connectionsCheckingInterval: 1_000, keepAliveTimeout: 30_000 }
+        : { headersTimeout: constants.bodyPatience, requestTimeout: constants.bodyPatience * 2, connectionsCheckingInterval: 1_000, keepAliveTimeout: constants.passIdle, maxHeaderSize: constants.passHeadersMost };
+      this.server = createServer({ ...timing, noDelay: true }, whole === undefined ? this.httpHandler : gather);
     }
     const api = {
       name: "gateway",
@@ -124,6 +146,25 @@
   }
 }
 
+/** Reads a whole body, then hands it on at once; a larger one is answered 413. */
+function readWhole(incoming: IncomingMessage, response: ServerResponse, bodyMost: number, taken: (arrival: WholeArrival) => void): void {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  function arrived(chunk: Buffer): void {
+    size += chunk.length;
+    if (size <= bodyMost) chunks.push(chunk);
+  }
+  function ended(): void {
+    if (size > bodyMost) return replyTrouble(response, 413, { trouble: "body-too-large", reason: `the body may have ${bodyMost} bytes at most` });
+    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size);
+    taken({ method: incoming.method ?? "GET", path: incoming.url ?? "/", rawHeaders: incoming.rawHeaders, headers: incoming.headers, body, reply: response });
+  }
+  function failed(): void { response.destroy(); }
+  incoming.on("data", arrived);
+  incoming.once("end", ended);
+  incoming.once("error", failed);
+}
+
 function everyBody(): boolean {
   return true;
 }
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -30,8 +30,13 @@
     process.stderr.write(`chutewick ${program}: ${checked.reason}\n`);
     process.exit(2);
   }
-  const log = logs.open(program, checked.value.name, checked.value.logLevel);
-  const opened = await open(checked.value, log);
+  await start(program, checked.value, open);
+}
+
+/** Opens a daemon with settings that are checked already, and ends it in order on a signal. */
+export async function start(program: string, checked: Settings, open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>): Promise<void> {
+  const log = logs.open(program, checked.name, checked.logLevel);
+  const opened = await open(checked, log);
   if (!opened.ok) {
     log.fatal({ reason: opened.reason }, "cannot start");
     process.stderr.write(`chutewick ${program}: ${opened.reason}\n`);
