Deployment's bounds reach access nodes and storage machines; SIGHUP ends no process

The policy that follows from the bounds was not handed to two of the three processes, nor their names. What: SIGHUP is taken and noted; both processes get policy and name.

--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import { constants, outcome, type Outcome } from "@chutewick/parts";
-import { Beat, Gateway, Wire, explain, listen, metrics, monotonic, settled, reply, replyTrouble, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import { Beat, Gateway, Wire, explain, listen, metrics, monotonic, settings as configured, settled, reply, replyTrouble, type Arrival, type Log, type Settings } from "@chutewick/shell";
 import type { ServiceSchema } from "moleculer";
 import { z } from "zod";
 import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
@@ -11,7 +11,7 @@
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
 import type { LotHandedIn, PassOutput } from "./pass.js";
-import { RelayCore } from "./relay-core.js";
+import type { RelayCore } from "./relay-core.js";
 import type { DataMessage } from "./storage-core.js";
 
 /** The access process: callers, runners and links round the core (docs/design.md §10). */
@@ -60,13 +60,12 @@
     function mayStart(go: number): string | undefined { return self.#core.mayStart(go, monotonic()); }
     function told(go: number, event: GoEvent): void { self.#perform(self.#core.goEvent(go, event, monotonic())); }
     const identity = `${settings.name}-${randomUUID()}`;
-    this.#core = new AccessCore({ identity, address: settings.wire, kind: "access", zone: settings.zone, http: settings.http }, settings.seeds, monotonic());
+    this.#core = new AccessCore({ identity, address: settings.wire, kind: "access", zone: settings.zone, http: settings.http, name: settings.name }, settings.seeds, monotonic(), configured.policyOf(settings));
     this.#links = new Links(mayStart, told);
     function mayPass(go: number): string | undefined { return self.#core.mayPass(go, monotonic()); }
     function passed(go: number, event: PassEvent): void { self.#perform(self.#core.passEvent(go, event, monotonic())); }
     function share(address: string): number { return self.#core.choice.share(address); }
-    this.#relay = new RelayCore(this.#core.membership, this.#core.choice, this.#core.membership.policy);
-    this.#core.relay = this.#relay;
+    this.#relay = this.#core.relay;
     this.#passLinks = new PassConnections({ dialect: extras.dialect ?? ownDialect, mayStart: mayPass, told: passed, share, now: monotonic });
     this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
     this.#gateway = new Gateway({
@@ -108,7 +107,7 @@
     const until = begun + this.#core.membership.policy.stopWithin;
     /** Callers are sent here for a while after the word that this node is not ready; they are served all the same (§13.5). */
     const from = this.#fronts.length === 0 ? begun : begun + constants.unreadyLasts;
-    function finished(): boolean { return (monotonic() > from && self.#core.busy === 0 && self.#relay.busy === 0) || monotonic() > until; }
+    function finished(): boolean { return (monotonic() > from && self.#core.busy === 0) || monotonic() > until; }
     await settled(finished);
     this.#beat.stop();
     for (const front of this.#fronts) await front.close();
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -1,4 +1,4 @@
-import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, settings as configured, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
 import { constants, outcome, type ChainHolding, type Outcome } from "@chutewick/parts";
 import type { ServiceSchema } from "moleculer";
 import { StorageCore, type DataMessage, type StorageOutput } from "./storage-core.js";
@@ -19,7 +19,7 @@
     function receive(message: unknown, from: string): void { self.#perform(self.#core.receive(message as DataMessage, from, monotonic())); }
     const holdings = new Map<string, ChainHolding>();
     for (const chain of disk.chains()) holdings.set(chain, disk.holding(chain)!);
-    this.#core = new StorageCore({ identity: disk.identity, address: settings.wire, kind: "storage", zone: settings.zone, http: settings.http }, settings.seeds, holdings, monotonic());
+    this.#core = new StorageCore({ identity: disk.identity, address: settings.wire, kind: "storage", zone: settings.zone, http: settings.http, name: settings.name }, settings.seeds, holdings, monotonic(), configured.policyOf(settings));
     this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
     this.#gateway = new Gateway({ address: settings.http, log, owners: [this.#owner()], openings: [{ method: "GET", path: "/status", event: "operator.status" }, { method: "GET", path: "/metrics", event: "operator.metrics" }] });
   }
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -52,6 +52,9 @@
     log.info({}, "stopped");
     process.exit(0);
   }
+  /** Settings changed: what is kept open stays; addresses of control machines are learnt from control itself (§10.1). */
+  function changed(): void { log.info({}, "settings may have changed"); }
+  process.on("SIGHUP", changed);
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
 }
