--- a/features/relay.feature
+++ b/features/relay.feature
@@ -223,6 +223,25 @@
       When 20 inquiries with the shared part "manual" of 13000 tokens arrive for "shop.example" at "/read/x", one after the other
       Then all of them are sent to one runner
 
+    Scenario: Shared parts go elsewhere when their runner is busy for longer than reading them takes
+      When 60 inquiries with the shared part "manual" of 13000 tokens arrive for "shop.example" at "/read/x", all at once
+      Then they are sent to 3 runners
+
+    Scenario: A runner whose first signs are late gets less
+      Given the first sign of "p1" takes 200 ms, and of the others 20 ms
+      When 60 inquiries arrive for "shop.example" at "/fetch/x", one after the other
+      Then 1 to 12 of them are sent to the runner "p1"
+
+    Scenario: What other nodes have under way counts
+      Given another node has 6 live inquiries at "p1" and 6 at "p2"
+      When 5 inquiries arrive for "shop.example" at "/fetch/x"
+      Then 5 to 5 of them are sent to the runner "p3"
+
+    Scenario: Nodes share the connections that a pool allows
+      Given the pool "plain" allows 100 connections
+      And another node has 6 live inquiries at "p1" and 6 at "p2"
+      Then this node may have 45 connections to "p1"
+
     Scenario: Items leave room for live work
       When 10 inquiries arrive for "shop.example" at "/read/x"
       Then the room for items on "model" falls by 10
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When, type DataTable } from "@cucumber/cucumber";
 import { configuration, type MarkedConfiguration, type Passage } from "@chutewick/control";
 import { Choice, PassConnections, RelayCore, WholeEvent, ownDialect, type Membership, type PassEvent, type PassInquiry, type PassOutput, type PassWork, type Standing } from "@chutewick/data";
-import { policy, type RunnerCard } from "@chutewick/parts";
+import { policy, type NodeCard, type Roll, type RunnerCard } from "@chutewick/parts";
 import { monotonic, settled } from "@chutewick/shell";
 
 /** Stands in for what a node knows of its fleet. */
@@ -12,7 +12,7 @@
   cards: RunnerCard[] = [];
   closed = new Set<string>();
   may = true;
-  readonly roll = { nodes: [], runners: [] };
+  roll: Roll = { nodes: [], runners: [] };
 
   serves(): boolean { return this.may; }
   runners(): RunnerCard[] { return this.cards.filter(isOpen, this.closed); }
@@ -53,6 +53,7 @@
   look: string | undefined;
   held: number;
   idle: string;
+  signs: { address: string; late: number; usual: number };
 }
 
 const standing: Standing = { identity: "node-1", address: "here:1", kind: "access", zone: "north", http: "here:2" };
@@ -150,23 +151,32 @@
 }
 When("{int} inquiries arrive for {string} at {string}", manyArrive);
 
-function sharedArrive(this: World, count: number, name: string, size: number, host: string, path: string): void {
+function sharedApart(this: World, count: number, name: string, size: number, host: string, path: string): void { sharedArrive.call(this, count, name, size, host, path, 100); }
+
+function sharedAtOnce(this: World, count: number, name: string, size: number, host: string, path: string): void { sharedArrive.call(this, count, name, size, host, path, 0); }
+When("{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, all at once", sharedAtOnce);
+
+function sharedArrive(this: World, count: number, name: string, size: number, host: string, path: string, apart: number): void {
   this.arrived = [];
   for (let index = 0; index < count; index += 1) {
     const id = `shared-${index}`;
     this.arrived.push(id);
     take(this, this.core.arrive(id, inquiryOf(id, host, path, { parts: [{ name, size }, { name: id, size: 50 }] }), this.now));
+    if (apart === 0) continue;
     take(this, this.core.left(id, this.now));
-    this.now += 100;
+    this.now += apart;
   }
 }
-When("{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, one after the other", sharedArrive);
+When("{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, one after the other", sharedApart);
 
-function oneRunner(this: World): void {
+function toRunners(this: World, count: number): void {
   const found = new Set<string>();
   for (const id of this.arrived) for (const each of this.sent.get(id) ?? []) found.add(each.address);
-  equal(found.size, 1);
+  equal(found.size, count);
 }
+Then("they are sent to {int} runners", toRunners);
+
+function oneRunner(this: World): void { toRunners.call(this, 1); }
 Then("all of them are sent to one runner", oneRunner);
 
 function roomFalls(this: World, count: number): void { equal(this.choice.room("model", this.now), this.room - count); }
@@ -174,6 +184,47 @@
 
 function dropPool(this: World, _pool: string, count: number): void { roomFalls.call(this, count); }
 
+function signsAfter(this: World, runner: string, late: number, usual: number): void { this.signs = { address: `${runner}:80`, late, usual }; }
+Given("the first sign of {string} takes {int} ms, and of the others {int} ms", signsAfter);
+
+function arriveInTurn(this: World, count: number, host: string, path: string): void {
+  this.arrived = [];
+  for (let index = 0; index < count; index += 1) {
+    const id = `turn-${index}`;
+    this.arrived.push(id);
+    take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
+    this.now += latest(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
+    gives.call(this, id, 200, "label");
+  }
+}
+When("{int} inquiries arrive for {string} at {string}, one after the other", arriveInTurn);
+
+function toRunner(this: World, least: number, most: number, runner: string): void {
+  let count = 0;
+  for (const id of this.arrived) if (latest(this, id).address === `${runner}:80`) count += 1;
+  ok(count >= least && count <= most, `${count}`);
+}
+Then("{int} to {int} of them are sent to the runner {string}", toRunner);
+
+function othersHave(this: World, first: number, one: string, second: number, other: string): void {
+  const node: NodeCard = { ...standing, identity: "node-2", place: 1, free: true, leaving: false, telling: { burdens: [[one, first, 0], [other, second, 0]] } };
+  const here: NodeCard = { ...standing, place: 1, free: true, leaving: false, telling: {} };
+  this.known.roll = { nodes: [{ card: node, age: 100 }, { card: here, age: 100 }], runners: [] };
+}
+Given("another node has {int} live inquiries at {string} and {int} at {string}", othersHave);
+
+function allows(this: World, pool: string, connections: number): void {
+  const { value } = this.known.configuration;
+  this.known.configuration = { mark: 2, value: { ...value, pools: { ...value.pools, [pool]: { models: [], connections, probePath: "/health" } } } };
+}
+Given("the pool {string} allows {int} connections", allows);
+
+function mayConnect(this: World, count: number, runner: string): void {
+  this.choice.room("plain", this.now);
+  equal(this.choice.share(`${runner}:80`), count);
+}
+Then("this node may have {int} connections to {string}", mayConnect);
+
 function poolOf(world: World, sent: Sent): string | undefined {
   for (const each of world.known.cards) if (each.url === sent.address) return each.pool;
   return undefined;
