--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -22,8 +22,10 @@
   /** The same of all other nodes, as they last told. */
   othersLive: number;
   othersItems: number;
-  /** Tokens sent from here of which no first sign of work came back yet. */
+  /** ms of reading that was sent from here and of which no first sign of work came back yet. */
   reading: number;
+  /** Whether long prompts go here; short ones and items go to the others (§13.4). */
+  forLong: boolean;
   /** ms from the beginning to the first sign, of work that tells no tokens. */
   usual: number;
   /** Its first signs against what was expected: 1 is as expected, 2 twice as late. */
@@ -41,14 +43,39 @@
   readonly sight: Sight;
   readonly item: boolean;
   readonly beganAt: number;
-  /** Tokens to be read, where they are told. */
+  /** ms of reading, where tokens are told. */
   readonly reads: number | undefined;
+  readonly isLong: boolean;
   /** ms to the first sign, as expected. */
   readonly expected: number;
   readonly shared: Shared | undefined;
   begun: boolean;
 }
 
+/** What is known of an inquiry before a runner is chosen. */
+interface Prompt {
+  /** tokens; undefined where none are told. */
+  readonly tokens: number | undefined;
+  readonly shared: Shared | undefined;
+  /** Where its shared parts are kept, as far as all nodes can know. */
+  readonly home: Sight | undefined;
+  readonly isLong: boolean;
+  readonly item: boolean;
+}
+
+/** How the runners of a pool are divided between long prompts and the rest. */
+interface Division {
+  /** seats that the rest takes, smoothed. */
+  level: number;
+  /** works of long prompts of this node, smoothed. */
+  long: number;
+  longNow: number;
+  longAt: number;
+  /** Runners for the rest: the first so many by their hash. */
+  first: number;
+  at: number;
+}
+
 /** The parts of a prompt that others share. */
 interface Shared {
   readonly hash: number;
@@ -68,6 +95,7 @@
   #runners = new Map<string, Sight>();
   /** Where shared parts were read for this node lately: by their hash, the runner and when. */
   #readAt = new Map<number, Map<string, number>>();
+  #divisions = new Map<string, Division>();
   #lookedAt = Number.NEGATIVE_INFINITY;
   #nodes = 1;
   #chance: number;
@@ -95,15 +123,15 @@
   /** The runner of a pool at which an inquiry begins soonest, none of those tried; for items only within the room that live work leaves. */
   choose(pool: string, inquiry: PassInquiry, tried: ReadonlySet<string>, item: boolean, now: number): Chosen | undefined {
     this.#look(now);
-    const shared = sharedOf(inquiry);
-    const home = shared === undefined ? undefined : homeOf(shared, this.#pools.get(pool) ?? []);
+    const prompt = this.#prompt(pool, inquiry, item);
     let best: Sight | undefined;
     let least = Number.POSITIVE_INFINITY;
     for (const sight of this.#pools.get(pool) ?? []) {
       const { card } = sight;
       if (tried.has(card.id) || !carries(card, inquiry.model)) continue;
       if (burdenOf(sight, item) >= card.seats * (item ? constants.lotPart : constants.seatsMost)) continue;
-      let price = this.#expected(sight, inquiry, shared, home === sight, item, now) * (1 + this.#random() * constants.choiceJitter);
+      let price = this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
+      if (sight.forLong !== prompt.isLong && prompt.tokens !== undefined) price += prompt.isLong ? constants.longAway : constants.shortAway;
       if (card.zone !== this.#standing.zone) price += constants.otherZone;
       if (!this.#isWarm(card.url)) price += constants.coldPrice;
       if (now < sight.shyUntil || this.#isQuiet(sight, now)) price += constants.shyPrice;
@@ -115,16 +143,28 @@
     return best === undefined ? undefined : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
   }
 
+  #prompt(pool: string, inquiry: PassInquiry, item: boolean): Prompt {
+    const tokens = tokensOf(inquiry);
+    const isLong = !item && tokens !== undefined && tokens >= constants.longLeast;
+    const shared = sharedOf(inquiry);
+    return { tokens, shared, home: shared === undefined ? undefined : homeOf(shared, this.#pools.get(pool) ?? [], isLong), isLong, item };
+  }
+
   /** ms until the first sign of work. */
-  #expected(sight: Sight, inquiry: PassInquiry, shared: Shared | undefined, isHome: boolean, item: boolean, now: number): number {
+  #expected(sight: Sight, prompt: Prompt, now: number): number {
     const { seats } = sight.card;
-    const used = burdenOf(sight, item);
+    const used = burdenOf(sight, prompt.item);
     const over = Math.max(0, used + 1 - seats) / seats;
-    const told = tokensOf(inquiry);
-    if (told === undefined) return sight.usual * (1 + used / seats + over * constants.queueWeight);
-    let tokens = told + sight.reading;
-    if (shared !== undefined && (isHome || this.#wasRead(shared, sight, now))) tokens -= shared.size;
-    return (Math.max(0, tokens) / constants.tokensRead + used * constants.besidePrice + over * constants.seatWait + constants.firstLeast) * sight.slowness;
+    if (prompt.tokens === undefined) return sight.usual * (1 + used / seats + over * constants.queueWeight);
+    return (this.#reads(sight, prompt, now) + sight.reading + used * constants.besidePrice + over * constants.seatWait + constants.firstLeast) * sight.slowness;
+  }
+
+  /** ms that a runner reads a prompt for: what it does not keep, each token against all before it. */
+  #reads(sight: Sight, { tokens, shared, home }: Prompt, now: number): number {
+    const all = tokens ?? 0;
+    const kept = shared !== undefined && (home === sight || this.#wasRead(shared, sight, now)) ? Math.min(shared.size, all) : 0;
+    const unread = all - kept;
+    return unread / constants.tokensRead + unread * (all - unread / 2) / constants.pairsRead;
   }
 
   #wasRead(shared: Shared, sight: Sight, now: number): boolean {
@@ -134,7 +174,7 @@
 
   /** Work is there, and nothing is heard of it for longer than its reading takes. */
   #isQuiet(sight: Sight, now: number): boolean {
-    return sight.live + sight.items > 0 && now - sight.heardAt > constants.quietLeast + sight.reading / constants.tokensRead;
+    return sight.live + sight.items > 0 && now - sight.heardAt > constants.quietLeast + sight.reading;
   }
 
   /** Whether the runner of a go gives no sign at all, on any work of this node. */
@@ -160,17 +200,15 @@
   begin(go: number, runner: string, inquiry: PassInquiry, item: boolean, now: number): void {
     const sight = this.#runners.get(runner);
     if (sight === undefined) return;
-    const shared = sharedOf(inquiry);
-    const home = shared === undefined ? undefined : homeOf(shared, this.#pools.get(sight.card.pool!) ?? []);
-    const expected = this.#expected(sight, inquiry, shared, home === sight, item, now);
+    const prompt = this.#prompt(sight.card.pool!, inquiry, item);
+    const expected = this.#expected(sight, prompt, now);
     if (sight.live + sight.items === 0) sight.heardAt = now;
     if (item) sight.items += 1;
     else sight.live += 1;
-    const kept = shared !== undefined && (home === sight || this.#wasRead(shared, sight, now)) ? shared.size : 0;
-    const told = tokensOf(inquiry);
-    const reads = told === undefined ? undefined : Math.max(0, told - kept);
+    const reads = prompt.tokens === undefined ? undefined : this.#reads(sight, prompt, now);
     sight.reading += reads ?? 0;
-    this.#gos.set(go, { sight, item, beganAt: now, reads, expected, shared, begun: false });
+    this.#gos.set(go, { sight, item, beganAt: now, reads, isLong: prompt.isLong, expected, shared: prompt.shared, begun: false });
+    if (prompt.isLong) this.#long(sight.card.pool!, 1, now);
   }
 
   /** Any sign of a go's work. */
@@ -213,6 +251,7 @@
     if (go.item) sight.items -= 1;
     else sight.live -= 1;
     if (!go.begun) sight.reading -= go.reads ?? 0;
+    if (go.isLong) this.#long(sight.card.pool!, -1, now);
     if (how === "done" || how === "refused" || how === "failed") sight.heardAt = now;
     if (how === "done") sight.troubles = 0;
     if (how !== "refused" && how !== "unsent" && how !== "broken") return;
@@ -237,6 +276,44 @@
     return found;
   }
 
+  #division(pool: string, now: number): Division {
+    let division = this.#divisions.get(pool);
+    if (division === undefined) this.#divisions.set(pool, division = { level: 0, long: 0, longNow: 0, longAt: Number.NEGATIVE_INFINITY, first: Number.POSITIVE_INFINITY, at: now });
+    return division;
+  }
+
+  #long(pool: string, count: number, now: number): void {
+    const division = this.#division(pool, now);
+    division.longNow += count;
+    division.longAt = now;
+  }
+
+  /** As many runners for short prompts and items as they need, the same ones at every node; the rest for long prompts and what these share. */
+  #divide(pool: string, sights: Sight[], now: number): void {
+    const division = this.#division(pool, now);
+    const span = now - division.at;
+    division.at = now;
+    let used = 0;
+    let seats = 0;
+    for (const sight of sights) {
+      used += sight.live + sight.othersLive + sight.items + sight.othersItems;
+      seats += sight.card.seats;
+    }
+    division.long += (division.longNow - division.long) * Math.min(1, span / constants.longSmooth);
+    const level = Math.max(0, used - division.long * this.#nodes);
+    division.level += (level - division.level) * Math.min(1, span / (level > division.level ? constants.levelUp : constants.levelDown));
+    const most = sights.length - Math.max(1, Math.ceil(sights.length * constants.longPart));
+    if (sights.length < constants.divideLeast || now - division.longAt > constants.longLasts) division.first = Number.POSITIVE_INFINITY;
+    else {
+      const needed = division.level / (seats / sights.length) / constants.shortFill;
+      /** Down only when well below, so that homes of shared parts seldom move. */
+      if (needed > division.first || needed < division.first - constants.divideSlack || division.first > most) division.first = Math.ceil(needed);
+      division.first = between(division.first, 1, most);
+    }
+    if (division.first < sights.length) sights.sort(byHash);
+    for (let index = 0; index < sights.length; index += 1) sights[index]!.forLong = index >= division.first;
+  }
+
   /** What is known of the runners is read anew a few times in a beat, not for each inquiry. */
   #look(now: number): void {
     if (now - this.#lookedAt < constants.lookEvery && now >= this.#lookedAt) return;
@@ -262,7 +339,7 @@
       if (card.pool === undefined) continue;
       const key = keyOf(card.id, card.incarnation);
       const sight: Sight = held.get(key) ?? {
-        card, hash: hashOf(card.id), live: 0, items: 0, othersLive: 0, othersItems: 0, reading: 0, usual: constants.usualFirst, slowness: 1, heardAt: now, stands: true, shyUntil: 0, troubles: 0,
+        card, hash: hashOf(card.id), live: 0, items: 0, othersLive: 0, othersItems: 0, reading: 0, forLong: false, usual: constants.usualFirst, slowness: 1, heardAt: now, stands: true, shyUntil: 0, troubles: 0,
       };
       sight.card = card;
       sight.stands = true;
@@ -274,6 +351,7 @@
       if (list === undefined) this.#pools.set(card.pool, [sight]);
       else list.push(sight);
     }
+    for (const [pool, sights] of this.#pools) this.#divide(pool, sights, now);
     /** What still runs at runners that are heard of no more. */
     for (const [key, sight] of held) {
       if (this.#sights.has(key)) continue;
@@ -324,10 +402,12 @@
 }
 
 /** The runner that keeps shared parts: the same one at every node, and few move when runners come and go. */
-function homeOf(shared: Shared, sights: readonly Sight[]): Sight | undefined {
+function homeOf(shared: Shared, sights: readonly Sight[], isLong: boolean): Sight | undefined {
   let home: Sight | undefined;
   let most = -1;
+  const divided = sights.at(-1)?.forLong === true;
   for (const sight of sights) {
+    if (divided && sight.forLong !== isLong) continue;
     const rank = mixed(shared.hash ^ sight.hash);
     if (rank <= most) continue;
     most = rank;
@@ -336,6 +416,10 @@
   return home;
 }
 
+function byHash(one: Sight, other: Sight): number {
+  return one.hash - other.hash;
+}
+
 function between(value: number, least: number, most: number): number {
   return Math.min(Math.max(value, least), most);
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -205,6 +205,24 @@
   seatsMost: 1.5,
   /** tokens/ms. Prompts are read about so fast. */
   tokensRead: 150,
+  /** pairs/ms. Of the tokens read with all those before them: what makes a prompt of 40 000 take half a second. */
+  pairsRead: 5_400_000,
+  /** tokens. A prompt of this size holds up the streams beside it for longer than a piece of it takes. */
+  longLeast: 3_000,
+  /** ms. What it costs to send a long prompt to a runner for short ones, and the other way round. */
+  longAway: 150,
+  shortAway: 25,
+  /** runners of a pool from which it is divided, the part at least for long prompts, and the part of the seats that the rest fills. */
+  divideLeast: 4,
+  longPart: 0.25,
+  shortFill: 0.7,
+  /** runners that may be too many for the rest before one goes over to long prompts. */
+  divideSlack: 1.6,
+  /** ms. Smoothing of what the rest takes, up and down, and of this node's long prompts; without any for so long nothing is divided. */
+  levelUp: 500,
+  levelDown: 5_000,
+  longSmooth: 5_000,
+  longLasts: 10_000,
   /** ms. To the first sign of work beside the reading; what each work beside it adds; a whole round of seats that must first come free. */
   firstLeast: 20,
   besidePrice: 1,
