--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -24,7 +24,7 @@
   othersItems: number;
   /** ms of reading that was sent from here and of which no first sign of work came back yet. */
   reading: number;
-  /** Whether long prompts go here; short ones and items go to the others (§13.4). */
+  /** Whether long prompts and items go here; short live ones go to the others (§13.4). */
   forLong: boolean;
   /** ms from the beginning to the first sign, of work that tells no tokens. */
   usual: number;
@@ -63,15 +63,15 @@
   readonly item: boolean;
 }
 
-/** How the runners of a pool are divided between long prompts and the rest. */
+/** How the runners of a pool are divided between short live work and the rest. */
 interface Division {
-  /** seats that the rest takes, smoothed. */
+  /** seats that short live work takes, smoothed. */
   level: number;
   /** works of long prompts of this node, smoothed. */
   long: number;
   longNow: number;
   longAt: number;
-  /** Runners for the rest: the first so many by their hash. */
+  /** Runners for short live work: the first so many by their hash. */
   first: number;
   at: number;
 }
@@ -129,9 +129,9 @@
     for (const sight of this.#pools.get(pool) ?? []) {
       const { card } = sight;
       if (tried.has(card.id) || !carries(card, inquiry.model)) continue;
-      if (burdenOf(sight, item) >= card.seats * (item ? constants.lotPart : constants.seatsMost)) continue;
+      if (burdenOf(sight, item) >= card.seats * (item ? partOf(sight, this.#isDivided(pool)) : constants.seatsMost)) continue;
       let price = this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
-      if (sight.forLong !== prompt.isLong && prompt.tokens !== undefined) price += prompt.isLong ? constants.longAway : constants.shortAway;
+      if (prompt.tokens !== undefined) price += awayOf(sight, prompt);
       if (card.zone !== this.#standing.zone) price += constants.otherZone;
       if (!this.#isWarm(card.url)) price += constants.coldPrice;
       if (now < sight.shyUntil || this.#isQuiet(sight, now)) price += constants.shyPrice;
@@ -174,7 +174,7 @@
 
   /** Work is there, and nothing is heard of it for longer than its reading takes. */
   #isQuiet(sight: Sight, now: number): boolean {
-    return sight.live + sight.items > 0 && now - sight.heardAt > constants.quietLeast + sight.reading;
+    return sight.live + sight.items > 0 && now - sight.heardAt > sight.reading + (sight.card.models.length > 0 ? constants.quietReading : constants.quietLeast);
   }
 
   /** Whether the runner of a go gives no sign at all, on any work of this node. */
@@ -264,7 +264,7 @@
   room(pool: string, now: number): number {
     this.#look(now);
     let free = 0;
-    for (const sight of this.#pools.get(pool) ?? []) if (now >= sight.shyUntil) free += Math.max(0, sight.card.seats * constants.lotPart - burdenOf(sight, true));
+    for (const sight of this.#pools.get(pool) ?? []) if (now >= sight.shyUntil) free += Math.max(0, sight.card.seats * partOf(sight, this.#isDivided(pool)) - burdenOf(sight, true));
     const share = free / this.#nodes;
     return Math.floor(share) + (this.#random() < share % 1 ? 1 : 0);
   }
@@ -276,6 +276,10 @@
     return found;
   }
 
+  #isDivided(pool: string): boolean {
+    return (this.#divisions.get(pool)?.first ?? Number.POSITIVE_INFINITY) !== Number.POSITIVE_INFINITY;
+  }
+
   #division(pool: string, now: number): Division {
     let division = this.#divisions.get(pool);
     if (division === undefined) this.#divisions.set(pool, division = { level: 0, long: 0, longNow: 0, longAt: Number.NEGATIVE_INFINITY, first: Number.POSITIVE_INFINITY, at: now });
@@ -288,7 +292,7 @@
     division.longAt = now;
   }
 
-  /** As many runners for short prompts and items as they need, the same ones at every node; the rest for long prompts and what these share. */
+  /** As many runners for short live work as it needs, the same ones at every node; the rest for items, long prompts and what these share. */
   #divide(pool: string, sights: Sight[], now: number): void {
     const division = this.#division(pool, now);
     const span = now - division.at;
@@ -296,7 +300,7 @@
     let used = 0;
     let seats = 0;
     for (const sight of sights) {
-      used += sight.live + sight.othersLive + sight.items + sight.othersItems;
+      used += sight.live + sight.othersLive;
       seats += sight.card.seats;
     }
     division.long += (division.longNow - division.long) * Math.min(1, span / constants.longSmooth);
@@ -374,6 +378,18 @@
   return sight.live + sight.othersLive + (sight.items + sight.othersItems) * (item ? 1 : constants.itemWeight);
 }
 
+/** Part of a runner's seats up to which items go there: less where short live work goes, which would put them back. */
+function partOf(sight: Sight, divided: boolean): number {
+  return divided && !sight.forLong ? constants.lotPartShort : constants.lotPart;
+}
+
+/** ms. What it costs to send work to a runner that is meant for other work. */
+function awayOf(sight: Sight, prompt: Prompt): number {
+  if (prompt.item) return sight.forLong ? 0 : constants.itemAway;
+  if (prompt.isLong === sight.forLong) return 0;
+  return prompt.isLong ? constants.longAway : constants.shortAway;
+}
+
 function keyOf(runner: string, incarnation: number): string {
   return `${runner} ${incarnation}`;
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -209,16 +209,19 @@
   pairsRead: 5_400_000,
   /** tokens. A prompt of this size holds up the streams beside it for longer than a piece of it takes. */
   longLeast: 3_000,
-  /** ms. What it costs to send a long prompt to a runner for short ones, and the other way round. */
-  longAway: 150,
+  /** ms. What it costs to send a long prompt to a runner for short ones, where it would hold up every stream, the other way round, and an item. */
+  longAway: 600,
   shortAway: 25,
-  /** runners of a pool from which it is divided, the part at least for long prompts, and the part of the seats that the rest fills. */
+  itemAway: 10,
+  /** part of the seats up to which items go to a runner for short live work. */
+  lotPartShort: 0.5,
+  /** runners of a pool from which it is divided, the part at least for long prompts, and the part of the seats that short live work fills. */
   divideLeast: 4,
   longPart: 0.25,
-  shortFill: 0.7,
-  /** runners that may be too many for the rest before one goes over to long prompts. */
+  shortFill: 0.6,
+  /** runners that may be too many for short live work before one goes over to long prompts. */
   divideSlack: 1.6,
-  /** ms. Smoothing of what the rest takes, up and down, and of this node's long prompts; without any for so long nothing is divided. */
+  /** ms. Smoothing of what short live work takes, up and down, and of this node's long prompts; without any for so long nothing is divided. */
   levelUp: 500,
   levelDown: 5_000,
   longSmooth: 5_000,
@@ -245,6 +248,8 @@
   partsMost: 4_000,
   /** ms. A runner with work of this node that gives no sign for this long, beside its reading, is passed by. */
   quietLeast: 250,
+  /** ms. The same for a runner of models: it may be reading a long prompt of another node, for half a second. */
+  quietReading: 700,
   /** ms. A runner that refused, or that broke or was not reached, is passed by; twice as long with each trouble in a row. */
   shyRefused: 40,
   shyBroken: 150,
