--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -3,7 +3,7 @@
 import { dirname, join } from "node:path";
 import { constants, outcome, type Change, type ChainHolding, type ChainState, type ChainWrite, type Entry, type Outcome, type VoteState } from "@chutewick/parts";
 import { metrics } from "./metrics.js";
-import { open, type RootDatabase } from "lmdb";
+import type { RootDatabase } from "lmdb";
 
 /** One data folder, one process; a write counts only once it is synced (docs/design.md §10.2). */
 interface Meta {
@@ -48,6 +48,8 @@
         const damage = inspect(file);
         if (damage !== undefined) return outcome.bad(`${file}: ${damage}`);
       }
+      /** Only processes with a folder load its native code. */
+      const { open } = await import("lmdb");
       /** overlappingSync would resolve writes before they are synced. */
       const base = open({ path: folder, overlappingSync: false, compression: false, cache: false });
       let meta = base.get("meta") as Meta | undefined;
