--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -40,5 +40,7 @@
     And it holds no queue any more, and three whole copies of every queue stand again
     When that machine is told to stop
     Then it ends with 0
+    When an access node hears of changed settings while a stream runs, the stream ends whole
+    Then the node goes on
     When an access node is told to stop while a stream runs
     Then the stream ends whole and the node ends with 0
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -313,9 +313,9 @@
 }
 Then("it ends with 0", itEndsWithNought);
 
-async function anAccessNodeIsToldToStop(this: World): Promise<void> {
-  const { fleet } = this;
-  const world: World = this;
+/** Begins a stream at access-1 that a runner is at work on. */
+async function aStreamBegins(world: World): Promise<void> {
+  const { fleet } = world;
   const address = fleet.machine("access-1").http;
   async function begun(): Promise<boolean> {
     const running = post(address, "/ways/manifest", { prompt: { pieces: 60, pieceMs: 30 } });
@@ -334,7 +334,28 @@
     return false;
   }
   await fleet.until("a stream runs", begun);
-  ended = await fleet.kill("access-1", "SIGTERM");
+}
+
+/** The process would end by a signal that it does not take. */
+async function settingsChange(this: World): Promise<void> {
+  await aStreamBegins(this);
+  this.fleet.machine("access-1").child!.kill("SIGHUP");
+  const { status, text } = await this.stream;
+  equal(status, 200);
+  ok(text.endsWith('event: close\ndata: {"pieces":60}\n\n'), text.slice(-120));
+}
+When("an access node hears of changed settings while a stream runs, the stream ends whole", settingsChange);
+
+function nodeGoesOn(this: World): void {
+  const { child } = this.fleet.machine("access-1");
+  equal(child!.exitCode, null);
+  equal(child!.signalCode, null);
+}
+Then("the node goes on", nodeGoesOn);
+
+async function anAccessNodeIsToldToStop(this: World): Promise<void> {
+  await aStreamBegins(this);
+  ended = await this.fleet.kill("access-1", "SIGTERM");
 }
 When("an access node is told to stop while a stream runs", anAccessNodeIsToldToStop);
 
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -94,7 +94,7 @@
     }
     access.#beat.start(strike);
     for (const front of access.#fronts) await front.open(access.#desk());
-    log.info({ wire: settings.wire, http: settings.http }, "access node is up");
+    log.info({ wire: settings.wire, http: settings.http, startedIn: Math.round(performance.now()) }, "access node is up");
     return outcome.good(access);
   }
 
