Nothing is confirmed on fewer copies than one more than may be lost at once

Cause: chains and the control group confirmed on two synced copies whatever the deployment told; where two machines with disks may be lost at once a promise could go with both. What: chain and agreement take the least count from the policy: losses + 1. Test: features/copies.feature, 1 to 4 copies under losses of 1 and 2.

--- /dev/null
+++ b/features/copies.feature
@@ -0,0 +1,15 @@
+Feature: what is promised outlives as many lost disks as the deployment tells
+  Nothing is confirmed on fewer synced copies than one more than may be lost at once (docs/design.md §13.3).
+
+  Scenario Outline: <copies> copies where <losses> may be lost at once
+    When a chain of <copies> copies is asked for a change where <losses> machines may be lost at once
+    Then the change is <told>
+
+    Examples:
+      | losses | copies | told               |
+      | 1      | 1      | surely not taken   |
+      | 1      | 2      | confirmed on all 2 |
+      | 1      | 3      | confirmed on all 3 |
+      | 2      | 2      | surely not taken   |
+      | 2      | 3      | confirmed on all 3 |
+      | 2      | 4      | confirmed on all 4 |
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -94,8 +94,8 @@
     this.#policy = origin.policy ?? policy.usual;
     this.#sessions = new Sessions(this.#policy);
     this.#pacer = new Pacer(this.#policy);
-    this.#agreement = new Agreement(origin.member, origin.seeds, now, origin.votes, origin.founding ?? true, this.#policy.controlsWanted);
-    this.#chain = new Chain("control", origin.member, new ControlMachine(), now, origin.holding);
+    this.#agreement = new Agreement(origin.member, origin.seeds, now, origin.votes, origin.founding ?? true, this.#policy.controlsWanted, this.#policy.copiesLeast);
+    this.#chain = new Chain("control", origin.member, new ControlMachine(), now, origin.holding, this.#policy.copiesLeast);
     this.#coverFrom = now + constants.leaseLasts;
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
@@ -114,7 +114,7 @@
   }
 
   /** Whether the group still counts on this machine and could do without it. */
-  get isNeeded(): boolean { return this.#isMember && (this.#chain.view?.members.length ?? 0) > constants.copiesLeast; }
+  get isNeeded(): boolean { return this.#isMember && (this.#chain.view?.members.length ?? 0) > this.#policy.copiesLeast; }
 
   get #isMember(): boolean { return this.#chain.position >= 0; }
 
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -81,7 +81,7 @@
 
   #open(queue: string, now: number, holding?: ChainHolding): Partition {
     const machine = new QueueMachine();
-    const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding);
+    const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding, this.membership.policy.copiesLeast);
     const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [], gone: new Map() };
     this.#partitions.set(queue, partition);
     return partition;
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -124,7 +124,11 @@
   /** Entries whose changes are not at hand: the next moment without doubt is told as a whole. */
   #gap = false;
 
-  constructor(name: string, self: Member, machine: Machine, now: number, holding?: ChainHolding) {
+  /** Copies on which anything must be synced before it is confirmed: one more than may be lost at once (§13.3). */
+  #least: number;
+
+  constructor(name: string, self: Member, machine: Machine, now: number, holding?: ChainHolding, least: number = constants.copiesLeast) {
+    this.#least = least;
     this.name = name;
     this.#self = self;
     this.machine = machine;
@@ -163,7 +167,7 @@
 
   /** Owner with enough copies to confirm anything. */
   get serves(): boolean {
-    return this.isHead && this.#view!.members.length >= constants.copiesLeast;
+    return this.isHead && this.#view!.members.length >= this.#least;
   }
 
   get #ready(): boolean {
@@ -316,7 +320,7 @@
     if (position > 0) commands.push(this.#send(view.members[position - 1]!, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }));
     const successor = this.#successor;
     if (successor !== undefined) commands.push(...this.#sendEntries(successor, this.#passed, now));
-    else if (this.#synced > this.#confirmed && view.members.length >= constants.copiesLeast) {
+    else if (this.#synced > this.#confirmed && view.members.length >= this.#least) {
       commands.push(...this.#confirm(this.#synced, now));
       for (const member of view.members) if (!isSame(member, this.#self)) commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
     }
@@ -372,7 +376,7 @@
   /** What was copied, or stood on disk without its changes, is told as a whole once a view that confirms holds all of it. */
   #restore(): ChainCommand[] {
     const view = this.#view!;
-    if (!this.#gap || this.#confirmed !== this.#place || this.position < 0 || view.members.length < constants.copiesLeast) return [];
+    if (!this.#gap || this.#confirmed !== this.#place || this.position < 0 || view.members.length < this.#least) return [];
     this.#gap = false;
     return [{ kind: "restored", chain: this.name, place: this.#place, records: this.ledger.digest() }];
   }
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -89,7 +89,7 @@
     goesOnAlone: bounds.goesOnAlone,
     /** Silence of a runner is told from a late report after three that did not come. */
     runnerLasts: bounds.reportsEvery * 4,
-    copiesLeast: constants.copiesLeast, copiesWanted: losses + 2, othersLeast: losses + 1, controlsWanted: losses * 2 + 1,
+    copiesLeast: losses + 1, copiesWanted: losses + 2, othersLeast: losses + 1, controlsWanted: losses * 2 + 1,
     cancelWithin: bounds.cancelWithin, stopWithin: bounds.stopWithin,
     poolRate: usual.poolRate, poolBurst: usual.poolBurst, memory: bounds.memory, descriptors: bounds.descriptors,
   });
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -69,7 +69,11 @@
   /** machines. What the group is mended to. */
   #wanted: number;
 
-  constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState, founding = true, wanted: number = constants.copiesWanted) {
+  /** Copies on which the group confirms anything. */
+  #least: number;
+
+  constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState, founding = true, wanted: number = constants.copiesWanted, least: number = constants.copiesLeast) {
+    this.#least = least;
     this.#mayFound = founding || state?.founding !== undefined;
     this.#wanted = wanted;
     this.#self = self;
@@ -150,7 +154,7 @@
 
   /** The first view: only when all seeds are blank, and all three hold the same founding synced (§2.2). */
   #found(now: number): ViewCommand[] {
-    if (!this.#mayFound || !this.#seeds.includes(this.#self.address) || this.#seeds.length < constants.copiesLeast) return [];
+    if (!this.#mayFound || !this.#seeds.includes(this.#self.address) || this.#seeds.length < this.#least) return [];
     const members: Member[] = [];
     let same = true;
     for (const seed of this.#seeds) {
@@ -183,13 +187,13 @@
     const joiner = view.joiner !== undefined && this.heardWithin(view.joiner.identity, constants.memberSilence, now) ? view.joiner : undefined;
     if (!sameMembers(alive, view.members)) {
       /** One copy left confirms nothing: it goes on only where there is one to copy to. */
-      const next = joiner ?? (alive.length < constants.copiesLeast ? this.#candidate(view, now) : undefined);
-      return alive.length >= constants.copiesLeast || next !== undefined ? this.#next(view, alive, next, now) : undefined;
+      const next = joiner ?? (alive.length < this.#least ? this.#candidate(view, now) : undefined);
+      return alive.length >= this.#least || next !== undefined ? this.#next(view, alive, next, now) : undefined;
     }
     /** One that stops as planned leaves at once, as long as two stay. */
     const staying: Member[] = [];
     for (const member of alive) if (!this.#isLeaving(member.identity)) staying.push(member);
-    if (staying.length < alive.length && staying.length >= constants.copiesLeast) return this.#next(view, staying, joiner, now);
+    if (staying.length < alive.length && staying.length >= this.#least) return this.#next(view, staying, joiner, now);
     if (view.joiner !== undefined) {
       if (joiner === undefined) return this.#next(view, view.members, undefined, now);
       return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? this.#next(view, [...view.members, joiner], undefined, now) : undefined;
@@ -215,7 +219,7 @@
     }
     return {
       mark: view.mark + 1, members, ...(joiner === undefined ? {} : { joiner }), ...(voters.length > members.length ? { voters } : {}),
-      ...(members.length < constants.copiesLeast ? { holders } : {}),
+      ...(members.length < this.#least ? { holders } : {}),
     };
   }
 
