Division of a pool holds from the first second; items may fill it; known runners outlive a cut

Items were held to three quarters of the seats, below what came in (94 a second), so lots were late for minutes after a burst. A node back from a cut of 4.2 s knew no runner until control answered again.

Changed: a quarter of the runners at least for short work, wider limits for a change; items up to all seats (0.8 where short work goes); a node that does not hear control keeps the runners it knew six times as long, for live work only.

--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -282,7 +282,7 @@
 
   #division(pool: string, now: number): Division {
     let division = this.#divisions.get(pool);
-    if (division === undefined) this.#divisions.set(pool, division = { level: 0, long: 0, longNow: 0, longAt: Number.NEGATIVE_INFINITY, first: Number.POSITIVE_INFINITY, at: now });
+    if (division === undefined) this.#divisions.set(pool, division = { level: 0, long: 0, longNow: 0, longAt: now, first: Number.POSITIVE_INFINITY, at: now });
     return division;
   }
 
@@ -310,9 +310,9 @@
     if (sights.length < constants.divideLeast || now - division.longAt > constants.longLasts) division.first = Number.POSITIVE_INFINITY;
     else {
       const needed = division.level / (seats / sights.length) / constants.shortFill;
-      /** Down only when well below, so that homes of shared parts seldom move. */
-      if (needed > division.first || needed < division.first - constants.divideSlack || division.first > most) division.first = Math.ceil(needed);
-      division.first = between(division.first, 1, most);
+      /** Only when well above or below, so that homes of shared parts seldom move, and nodes seldom differ. */
+      if (needed > division.first + constants.divideOver || needed < division.first - constants.divideUnder || division.first > most) division.first = Math.ceil(needed);
+      division.first = between(division.first, Math.ceil(sights.length * constants.shortPart), most);
     }
     if (division.first < sights.length) sights.sort(byHash);
     for (let index = 0; index < sights.length; index += 1) sights[index]!.forLong = index >= division.first;
@@ -380,7 +380,7 @@
 
 /** Part of a runner's seats up to which items go there: less where short live work goes, which would put them back. */
 function partOf(sight: Sight, divided: boolean): number {
-  return divided && !sight.forLong ? constants.lotPartShort : constants.lotPart;
+  return divided && !sight.forLong ? constants.itemPartShort : constants.itemPart;
 }
 
 /** ms. What it costs to send work to a runner that is meant for other work. */
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -167,10 +167,12 @@
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
-      if (age > this.#policy.runnerLasts * 4) this.#told.delete(card.id);
+      if (age > this.#policy.runnerLasts * constants.aloneTimes) this.#told.delete(card.id);
       if (held === undefined || isNewerWord(card, heardAt, held, now - held.age)) known.set(card.id, { ...card, age });
     }
-    for (const card of known.values()) if (card.age <= this.#policy.runnerLasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
+    /** Cut off from control, a node goes on with the runners that it knew: those gone since are not reached, or say that they are others (§13.4). */
+    const lasts = this.#policy.goesOnAlone && !this.isNear(now) ? this.#policy.runnerLasts * constants.aloneTimes : this.#policy.runnerLasts;
+    for (const card of known.values()) if (card.age <= lasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
     return found;
   }
 
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -213,17 +213,20 @@
   longAway: 600,
   shortAway: 25,
   itemAway: 10,
-  /** part of the seats up to which items go to a runner for short live work. */
-  lotPartShort: 0.5,
+  /** part of the seats up to which items go to a runner: live work is let in before them and puts them back; less where short live work goes. */
+  itemPart: 1,
+  itemPartShort: 0.8,
   /** runners of a pool from which it is divided, the part at least for long prompts, and the part of the seats that short live work fills. */
   divideLeast: 4,
   longPart: 0.25,
-  shortFill: 0.6,
-  /** runners that may be too many for short live work before one goes over to long prompts. */
-  divideSlack: 1.6,
+  shortFill: 0.7,
+  /** runners that may be missing, or too many, for short live work before their number changes; and their part at least. */
+  divideOver: 0.4,
+  divideUnder: 1.8,
+  shortPart: 0.25,
   /** ms. Smoothing of what short live work takes, up and down, and of this node's long prompts; without any for so long nothing is divided. */
-  levelUp: 500,
-  levelDown: 5_000,
+  levelUp: 1_000,
+  levelDown: 8_000,
   longSmooth: 5_000,
   longLasts: 10_000,
   /** ms. To the first sign of work beside the reading; what each work beside it adds; a whole round of seats that must first come free. */
@@ -257,4 +260,6 @@
   /** connections to one runner: where its pool tells no limit, and the part of the limit that is used. */
   connectionsUntold: 64,
   connectionsPart: 0.9,
+  /** times as long as usual that a runner is known by a node cut off from control: cuts last some 5 s. */
+  aloneTimes: 6,
 } as const;
