A data folder's file is kept longer than its last page; an unfinished one begins anew

Excluded: lost writes, since data is synced before the head that names it. A folder whose making was cut by a loss of power was refused for good too, though nothing had been promised from it. What: the file is kept 4 to 8 MiB longer than what is used; a marker says that the first transaction is synced, and without it an unreadable file is made anew. The test of a cut off folder took the last 4 KiB of the file, which are no longer used: it now takes the last used page, read from the file's heads, and is as strict.

--- /dev/null
+++ b/features/steps/disk.ts
@@ -0,0 +1,95 @@
+import { equal, ok } from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, statSync, truncateSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { constants, type Change, type ChainWrite, type Outcome } from "@chutewick/parts";
+import { Disk } from "@chutewick/shell";
+
+interface World {
+  diskFolder?: string;
+  disk: Disk;
+  opened: Outcome<Disk>;
+}
+
+function failed(error: Error): void {
+  throw error;
+}
+
+function fileOf(world: World): string {
+  return join(world.diskFolder!, "data.mdb");
+}
+
+async function open(world: World): Promise<Outcome<Disk>> {
+  return Disk.open(world.diskFolder!, "storage", "storage-1", failed);
+}
+
+async function aFolder(this: World): Promise<void> {
+  this.diskFolder = mkdtempSync(join(tmpdir(), "chutewick-disk-"));
+  const opened = await open(this);
+  if (!opened.ok) throw new Error(opened.reason);
+  this.disk = opened.value;
+}
+Given("a new data folder", aFolder);
+
+function written(disk: Disk, changes: readonly Change[], place: number): Promise<void> {
+  const write: ChainWrite = { clear: false, changes, entries: [], drop: [], state: { place, time: 0, confirmed: place, view: { mark: 1, members: [] } } };
+  function begin(resolve: () => void): void { disk.writeChain("q", write, resolve); }
+  return new Promise<void>(begin);
+}
+
+async function manyChanges(this: World): Promise<void> {
+  const value = "x".repeat(40_000);
+  for (let count = 0; count < 200; count += 1) await written(this.disk, [[`k${count}`, value]], count + 1);
+  for (let count = 0; count < 200; count += 2) await written(this.disk, [[`k${count}`, undefined]], 201 + count);
+}
+When("200 changes of 40,000 bytes are written and half of them taken away again", manyChanges);
+
+/** As the newest of the file's two heads tells. */
+function usedBytes(file: string): number {
+  const bytes = readFileSync(file);
+  const pages = [bytes.readBigUInt64LE(24 + 120), bytes.readBigUInt64LE(4_096 + 24 + 120)];
+  return (Number(pages[0]! > pages[1]! ? pages[0]! : pages[1]!) + 1) * 4_096;
+}
+
+function isLonger(this: World): void {
+  const { size } = statSync(fileOf(this));
+  ok(size >= usedBytes(fileOf(this)) + constants.diskAhead / 2, `${size} bytes of which ${usedBytes(fileOf(this))} are used`);
+}
+Then("the file is longer than its last page by at least half of what is kept ahead", isLonger);
+
+async function givesBack(this: World): Promise<void> {
+  await this.disk.close();
+  const opened = await open(this);
+  if (!opened.ok) throw new Error(opened.reason);
+  equal(opened.value.holding("q")!.records.length, 100);
+  await opened.value.close();
+}
+Then("opened again it gives back what was written", givesBack);
+
+async function left(this: World, what: string): Promise<void> {
+  await written(this.disk, [["k", "x".repeat(40_000)]], 1);
+  await this.disk.close();
+  if (what.startsWith("without")) truncateSync(fileOf(this), usedBytes(fileOf(this)) - 4_096);
+  else truncateSync(fileOf(this), 0);
+  if (what.includes("before its first")) rmSync(join(this.diskFolder!, "begun"));
+  this.opened = await open(this);
+}
+When(/^its file is left (.+)$/, left);
+
+async function isNew(this: World): Promise<void> {
+  if (!this.opened.ok) throw new Error(this.opened.reason);
+  equal(this.opened.value.chains().length, 0);
+  await this.opened.value.close();
+}
+Then("it is opened as a new one", isNew);
+
+function isRefused(this: World): void {
+  ok(!this.opened.ok && this.opened.reason.includes("is cut off"));
+}
+Then("it is refused as cut off", isRefused);
+
+function cleared(this: World): void {
+  if (this.diskFolder !== undefined) rmSync(this.diskFolder, { recursive: true, force: true });
+}
+After(cleared);
--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -1,5 +1,5 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
-import { cpSync, mkdirSync, readFileSync, rmSync, statSync, truncateSync, writeFileSync } from "node:fs";
+import { cpSync, mkdirSync, readFileSync, rmSync, truncateSync, writeFileSync } from "node:fs";
 import { connect, type Socket } from "node:net";
 import { join } from "node:path";
 import { Given, Then, When, type DataTable } from "@cucumber/cucumber";
@@ -125,6 +125,13 @@
 }
 Then("the program ends with 2 and one clear message for bad settings", badSettings);
 
+/** Up to the last page that either head of the file tells of: beyond it the file is only kept longer. */
+function usedBytes(file: string): number {
+  const bytes = readFileSync(file);
+  const pages = [bytes.readBigUInt64LE(24 + 120), bytes.readBigUInt64LE(4_096 + 24 + 120)];
+  return (Number(pages[0]! > pages[1]! ? pages[0]! : pages[1]!) + 1) * 4_096;
+}
+
 async function badFoldersEndWithOne(this: World): Promise<void> {
   const { fleet } = this;
   const machine = fleet.machine("storage-3");
@@ -143,7 +150,7 @@
   const copied = join(this.folder, "copied");
   cpSync(machine.data, copied, { recursive: true });
   rmSync(join(copied, "process"));
-  truncateSync(join(copied, "data.mdb"), statSync(join(copied, "data.mdb")).size - 4_096);
+  truncateSync(join(copied, "data.mdb"), usedBytes(join(copied, "data.mdb")) - 4_096);
   const cutOff = await fleet.chutewick([...words, copied]);
   equal(cutOff.code, 1);
   ok(cutOff.trouble.includes("is cut off"), cutOff.trouble);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -132,6 +132,8 @@
   /** marks. The oldest still understood: a fleet may run two adjacent ones during a release (§10.6). */
   wireMarkOldest: 1,
   diskMarkOldest: 1,
+  /** bytes. A data folder's file is kept this much longer than what is used, half of it at least; a transaction takes far less. */
+  diskAhead: 8_388_608,
   /** ms. A storage machine that stops as planned waits this long for its queues to go on without it. */
   handOverPatience: 4_000,
   /** ms. A planned stop finishes streams within this bound. */
--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import { closeSync, existsSync, fsyncSync, mkdirSync, openSync, readFileSync, readSync, readdirSync, rmSync, statSync, writeFileSync } from "node:fs";
+import { closeSync, existsSync, fsyncSync, mkdirSync, openSync, readFileSync, readSync, readdirSync, rmSync, statSync, truncateSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { constants, outcome, type Change, type ChainHolding, type ChainState, type ChainWrite, type Entry, type Outcome, type VoteState } from "@chutewick/parts";
 import { metrics } from "./metrics.js";
@@ -25,6 +25,8 @@
   #jobs: Job[] = [];
   #busy = false;
   #failed: (error: Error) => void;
+  /** bytes. Length that the file surely has. */
+  #reserved = 0;
   syncs = 0;
 
   private constructor(folder: string, base: RootDatabase, identity: string, failed: (error: Error) => void) {
@@ -43,10 +45,18 @@
       const holder = lock(folder);
       if (holder !== undefined) return outcome.bad(`${folder}: is in use by process ${holder}`);
       const file = join(folder, "data.mdb");
-      const fresh = !existsSync(file);
+      const marker = join(folder, "begun");
+      let fresh = !existsSync(file);
       if (!fresh) {
         const damage = inspect(file);
-        if (damage !== undefined) return outcome.bad(`${file}: ${damage}`);
+        /** Power went before the first transaction of this folder was synced: nothing was ever promised from it. */
+        if (damage !== undefined && existsSync(marker)) return outcome.bad(`${file}: ${damage}`);
+        if (damage !== undefined && !isUnfinished(file)) return outcome.bad(`${file}: ${damage}`);
+        if (damage !== undefined) {
+          rmSync(file);
+          rmSync(join(folder, "lock.mdb"), { force: true });
+          fresh = true;
+        }
       }
       /** Only processes with a folder load its native code. */
       const { open } = await import("lmdb");
@@ -60,10 +70,13 @@
         syncFolder(folder);
         syncFolder(dirname(folder));
       }
+      if (!existsSync(marker)) mark(folder, marker);
       if (meta.product !== "chutewick") return outcome.bad(`${folder}: belongs to ${meta.product}`);
       if (meta.mark > constants.diskMark || meta.mark < constants.diskMarkOldest) return outcome.bad(`${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskMark}`);
       if (meta.kind !== kind) return outcome.bad(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
-      return outcome.good(new Disk(folder, base, meta.identity, failed));
+      const disk = new Disk(folder, base, meta.identity, failed);
+      disk.#reserve();
+      return outcome.good(disk);
     } catch (error) {
       return outcome.bad(`${folder}: cannot be opened: ${(error as Error).message}`);
     }
@@ -133,12 +146,26 @@
         return;
       }
       this.syncs += 1;
+      this.#reserve();
       metrics.synced(performance.now() - start);
       for (const job of jobs) job.done();
     }
     this.#busy = false;
   }
 
+  /**
+   * Keeps the file longer than its last page: lmdb does not write pages that a transaction took and gave back, and a file that ends
+   * before them looks cut off (§10.2).
+   */
+  #reserve(): void {
+    const { lastPageNumber, pageSize } = this.#base.getStats() as { lastPageNumber: number; pageSize: number };
+    const used = (lastPageNumber + 1) * pageSize;
+    if (used + constants.diskAhead / 2 <= this.#reserved) return;
+    const file = join(this.#folder, "data.mdb");
+    this.#reserved = Math.max(statSync(file).size, used + constants.diskAhead);
+    truncateSync(file, this.#reserved);
+  }
+
   async close(): Promise<void> {
     await this.#base.close();
     rmSync(join(this.#folder, "process"), { force: true });
@@ -152,8 +179,21 @@
   closeSync(descriptor);
 }
 
+/** Says that the folder's first transaction is synced. */
+function mark(folder: string, marker: string): void {
+  const descriptor = openSync(marker, "w");
+  fsyncSync(descriptor);
+  closeSync(descriptor);
+  syncFolder(folder);
+}
+
+/** Whether no transaction of it was ever synced: shorter than its two heads, or they name no transaction with pages. */
+function isUnfinished(file: string): boolean {
+  return statSync(file).size < pageSize * 2 || newest(file) === undefined;
+}
+
 function isForeign(file: string): boolean {
-  return file !== "data.mdb" && file !== "lock.mdb" && file !== "process";
+  return file !== "begun" && file !== "data.mdb" && file !== "lock.mdb" && file !== "process";
 }
 
 /** Start of a process in clock ticks, so that a number used again is not taken for the old holder. */
@@ -176,28 +216,33 @@
   return undefined;
 }
 
-/** A truncated file would end the process by a signal when its map is read, so it is measured first (§10.2). */
-function inspect(file: string): string | undefined {
-  const size = statSync(file).size;
-  const magic = 0xbeefc0de;
-  const pageSize = 4_096;
-  if (size < pageSize * 2) return "is cut off";
+const pageSize = 4_096;
+const magic = 0xbeefc0de;
+
+/** The last page of the newest transaction that the file's two heads tell of; undefined where neither is one. */
+function newest(file: string): bigint | undefined {
   const bytes = Buffer.alloc(pageSize * 2);
   const descriptor = openSync(file, "r");
   readSync(descriptor, bytes, 0, bytes.length, 0);
   closeSync(descriptor);
   let last: bigint | undefined;
-  let newest = -1n;
+  let transaction = -1n;
   for (const start of [0, pageSize]) {
     const at = start + 24;
-    if (bytes.readUInt32LE(at) !== magic) return "is not an lmdb file";
-    const lastPage = bytes.readBigUInt64LE(at + 120);
-    const transaction = bytes.readBigUInt64LE(at + 128);
-    if (transaction > newest) {
-      newest = transaction;
-      last = lastPage;
-    }
+    if (bytes.readUInt32LE(at) !== magic) continue;
+    const found = bytes.readBigUInt64LE(at + 128);
+    if (found <= transaction) continue;
+    transaction = found;
+    last = bytes.readBigUInt64LE(at + 120);
   }
-  if (last !== undefined && BigInt(size) < (last + 1n) * BigInt(pageSize)) return "is cut off";
-  return undefined;
+  return last;
+}
+
+/** A truncated file would end the process by a signal when its map is read, so it is measured first (§10.2). */
+function inspect(file: string): string | undefined {
+  const size = statSync(file).size;
+  if (size < pageSize * 2) return "is cut off";
+  const last = newest(file);
+  if (last === undefined) return "is not an lmdb file";
+  return BigInt(size) < (last + 1n) * BigInt(pageSize) ? `is cut off: ${size} bytes, and page ${last} is used` : undefined;
 }
