Control on a deployment: changes wait no longer than they must, one-way cuts, orders said again

Cause: after each new view every change waited a whole lease, a head that heard nobody was never voted out, and an order that got no clear result could meet "conflict" when it was said again after a later one.

What changed: - A new view asks the wait of a lease only where a lease may count that nobody who stays knows of (§13.8.5); the head tells a change as soon as the last member covers it; a new life at an address ends the old lease. - Greetings say whom the greeter hears; silence in one direction counts (§13.8.6). One that slept listens first. - put: `word`, the order as it came (default: origin); taken ones are remembered by digest (§13.8.1).

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -6,7 +6,7 @@
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
-import { ControlMachine, keys, type ControlCommand, type ControlResult, type EmptyingRecord, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
+import { ControlMachine, isRepeatable, keys, type ControlCommand, type ControlResult, type EmptyingRecord, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
 
 /** A control machine without I/O: chain, agreed view, feed, sessions, plans (docs/design.md §2, §4, §7, §8). */
 export type ControlMessage =
@@ -14,7 +14,7 @@
   | ViewMessage
   | FeedMessage
   | FellowMessage
-  | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number; readonly back?: Back | null }
+  | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number; readonly back?: Back | null; readonly rolled?: number }
   | { readonly kind: "lease"; readonly identity: string; readonly view: ChainView; readonly askedAt: number; readonly place: number; readonly roll: Roll; readonly controls: readonly string[]; readonly stamp?: Stamp }
   | { readonly kind: "roll"; readonly roll: Roll; readonly stamp?: Stamp; readonly back?: Back | null }
   /** Runners heard of just now, told at once (§13.8). */
@@ -36,6 +36,16 @@
   | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
 
+/** An inquiry that arrived here, entered at the head wherever that is. */
+interface Passed {
+  readonly ticket: string;
+  readonly command: ControlCommand;
+  readonly since: number;
+  sentAt: number;
+  /** The head that it was sent to. */
+  to: string | undefined;
+}
+
 interface Held {
   readonly ticket: string;
   /** Set where the inquiry came over the wire. */
@@ -86,7 +96,7 @@
   #laggingSince = new Map<string, { at: number; place: number }>();
   /** The last stamp of each other control machine. */
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
-  #passed = new Map<string, { ticket: string; since: number }>();
+  #passed = new Map<string, Passed>();
 
   constructor(origin: ControlOrigin, now: number) {
     this.#self = origin.member;
@@ -130,7 +140,7 @@
         return this.#vote(this.#agreement.receive(message, from, now), now);
       case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest":
         return message.chain === "control" ? this.#perform(this.#chain.receive(message, from, now), now) : [];
-      case "session": return this.#session(message.card, message.askedAt, lateness(message.back, this.#life, now), now);
+      case "session": return this.#session(message.card, message.askedAt, lateness(message.back, this.#life, now), message.rolled, now);
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
@@ -138,35 +148,58 @@
       case "runners":
         for (const card of message.runners) this.#sessions.announced(card, now - card.age);
         return [];
-      case "covered": return this.#coveredFrom(message.identity, message.mark, message.place);
+      case "covered": return this.#coveredFrom(message.identity, message.mark, message.place, now);
       case "control-inquiry": return this.#enter(message.ticket, message.command, from, now);
-      case "control-result": {
-        const held = this.#passed.get(message.ticket);
-        if (held === undefined) return [];
-        this.#passed.delete(message.ticket);
-        return [{ kind: "result", ticket: held.ticket, result: message.outcome }];
-      }
+      case "control-result": return this.#returned(message.ticket, message.outcome);
       default: return [];
     }
   }
 
   /** An operator's or node's inquiry: entered at the head, from wherever it arrived. */
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
-    const head = this.#chain.view?.members[0];
-    if (head === undefined) return [{ kind: "result", ticket, result: { kind: "not-run", reason: "the control group has no view yet" } }];
-    if (head.identity === this.#self.identity) return this.#enter(ticket, command, undefined, now);
     this.#ticketNumber += 1;
     const passed = `${this.#life}/${this.#ticketNumber}`;
-    this.#passed.set(passed, { ticket, since: now });
-    return [{ kind: "send", to: head.address, message: { kind: "control-inquiry", ticket: passed, command } }];
+    this.#passed.set(passed, { ticket, command, since: now, sentAt: now, to: undefined });
+    return this.#passOn(passed, now);
+  }
+
+  #passOn(passed: string, now: number): ControlOutput[] {
+    const held = this.#passed.get(passed)!;
+    const head = this.#chain.view?.members[0];
+    held.sentAt = now;
+    held.to = head?.address;
+    if (head === undefined) return this.#returned(passed, { kind: "not-run", reason: "the control group has no view yet" });
+    if (head.identity === this.#self.identity) return this.#enter(passed, held.command, undefined, now);
+    return [{ kind: "send", to: head.address, message: { kind: "control-inquiry", ticket: passed, command: held.command } }];
+  }
+
+  /** What is the same twice as once is entered again, where it was not entered or nothing is known of it, until its time is over. */
+  #returned(passed: string, result: ControlOutcome): ControlOutput[] {
+    const held = this.#passed.get(passed);
+    if (held === undefined || (result.kind !== "confirmed" && isRepeatable(held.command))) return [];
+    this.#passed.delete(passed);
+    return [{ kind: "result", ticket: held.ticket, result }];
+  }
+
+  #passAgain(now: number): ControlOutput[] {
+    const outputs: ControlOutput[] = [];
+    const head = this.#chain.view?.members[0]?.address;
+    for (const [passed, held] of [...this.#passed]) {
+      if (now - held.since > constants.confirmPatience) {
+        this.#passed.delete(passed);
+        outputs.push({ kind: "result", ticket: held.ticket, result: { kind: "unknown" } });
+      } else if (isRepeatable(held.command) && (now - held.sentAt > constants.passAgainEvery || (head !== undefined && head !== held.to))) outputs.push(...this.#passOn(passed, now));
+    }
+    return outputs;
   }
 
   #enter(ticket: string, command: ControlCommand, to: string | undefined, now: number): ControlOutput[] {
+    for (const held of this.#held.values()) if (held.ticket === ticket && held.to === to) return [];
     const named = command.kind === "empty" ? this.#named(command, now) : command;
     const refusal = named.kind === "empty" && this.#chain.serves ? this.#refuseEmptying(named, now) : undefined;
     if (refusal !== undefined) {
       const result: ControlOutcome = { kind: "confirmed", value: refusal, place: this.#feed.place };
-      return to === undefined ? [{ kind: "result", ticket, result }] : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome: result } }];
+      return to === undefined ? this.#returned(ticket, result) : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome: result } }];
     }
     this.#ticketNumber += 1;
     const own = `own/${this.#ticketNumber}`;
@@ -178,7 +211,7 @@
     const held = this.#held.get(own);
     if (held === undefined) return [];
     this.#held.delete(own);
-    if (held.to === undefined) return [{ kind: "result", ticket: held.ticket, result: ended }];
+    if (held.to === undefined) return this.#returned(held.ticket, ended);
     return [{ kind: "send", to: held.to, message: { kind: "control-result", ticket: held.ticket, outcome: ended } }];
   }
 
@@ -266,11 +299,25 @@
     return this.#vote(this.#agreement.written(ticket), now);
   }
 
+  /**
+   * Whether those who stay know of every lease that still counts (§7.2): no member left, or all had worked in the view before for
+   * longer than a lease lasts, and every majority of it has one that stays.
+   */
+  #knowsGrants(next: ChainView, now: number): boolean {
+    const before = this.#chain.view;
+    if (before === undefined || next.mark !== before.mark + 1 || before.members.length < constants.copiesLeast || next.members.length < constants.copiesLeast) return false;
+    let staying = 0;
+    for (const { identity } of before.members) if (next.members.some(hasIdentity, { identity })) staying += 1;
+    if (staying === before.members.length) return true;
+    const settled = this.#agreement.settledBefore;
+    return settled !== undefined && now - settled > constants.leaseLasts + constants.sleptLeast && staying >= before.members.length / 2;
+  }
+
   #vote(commands: ViewCommand[], now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     for (const command of commands) {
       if (command.kind === "decided") {
-        this.#coverFrom = now + constants.leaseLasts;
+        if (!this.#knowsGrants(command.view, now)) this.#coverFrom = now + constants.leaseLasts;
         this.#coveredBy.clear();
         outputs.push({ kind: "note", text: "view decided", facts: { mark: command.view.mark, members: command.view.members.length, joiner: command.view.joiner?.identity } });
         outputs.push(...this.#perform(this.#chain.adopt(command.view, now), now));
@@ -362,10 +409,10 @@
     return this.#command({ kind: "fleet", fleet: { mark: (fleet?.mark ?? 0) + 1, addresses: [...wanted].sort(), previous: held } }, now);
   }
 
-  #coveredFrom(identity: string, mark: number, place: number): ControlOutput[] {
+  #coveredFrom(identity: string, mark: number, place: number, now: number): ControlOutput[] {
     if (mark !== this.#chain.view?.mark) return [];
     this.#coveredBy.set(identity, Math.max(place, this.#coveredBy.get(identity) ?? 0));
-    return [];
+    return this.#release(now);
   }
 
   /** Tells the head how far this member's lease holders have come. */
@@ -388,7 +435,7 @@
     return outputs;
   }
 
-  #session(card: NodeCard, askedAt: number, late: number, now: number): ControlOutput[] {
+  #session(card: NodeCard, askedAt: number, late: number, rolled: number | undefined, now: number): ControlOutput[] {
     const stamp: Stamp = { life: this.#life, at: now };
     const view = this.#chain.view;
     if (view === undefined || !this.#isMember || !card.free || this.#lags(card, now)) {
@@ -402,11 +449,17 @@
     const outputs: ControlOutput[] = [];
     const news = this.#feed.since(card.place);
     if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
-    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#sessions.roll(now), controls: this.#agreement.addresses(), stamp } });
+    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#rollsFor(card, rolled) ? this.#sessions.rollForNodes(now) : nothing, controls: this.#agreement.addresses(), stamp } });
     outputs.push(...this.#cover(now));
     return outputs;
   }
 
+  /** One member sends a node the roll; the others only where it got none lately (§4.3). */
+  #rollsFor(card: NodeCard, rolled: number | undefined): boolean {
+    const members = this.#chain.view!.members;
+    return rolled === undefined || rolled >= constants.sessionEvery * 2 || members[duty.spread(card.identity) % members.length]!.identity === this.#self.identity;
+  }
+
   /** A node that does not keep up loses its lease here rather than hold up a change. */
   #lags(card: NodeCard, now: number): boolean {
     if (card.place >= this.#feed.place) {
@@ -423,7 +476,7 @@
 
   beat(now: number, wall: number): ControlOutput[] {
     this.#wall = wall;
-    if (now - this.#beatAt > constants.sleptLeast || !this.#agreement.isNear(now)) this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
+    if (now - this.#beatAt > constants.sleptLeast || !this.#agreement.isNear(now) || !this.#sessions.hearsAny(now)) this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
     this.#beatAt = now;
     const outputs: ControlOutput[] = [];
     outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark), now));
@@ -444,11 +497,7 @@
       for (const [identity, since] of this.#laggingSince) if (now - since.at > constants.sessionLasts * 8) this.#laggingSince.delete(identity);
     }
     for (const [own, held] of [...this.#held]) if (now - held.since > constants.confirmPatience) outputs.push(...this.#finish(own, { kind: "unknown" }));
-    for (const [ticket, held] of [...this.#passed]) {
-      if (now - held.since <= constants.confirmPatience) continue;
-      this.#passed.delete(ticket);
-      outputs.push({ kind: "result", ticket: held.ticket, result: { kind: "unknown" } });
-    }
+    outputs.push(...this.#passAgain(now));
     return outputs;
   }
 
@@ -668,6 +717,8 @@
   }
 }
 
+const nothing: Roll = { nodes: [], runners: [] };
+
 function cardOf(node: Roll["nodes"][number]): Record<string, unknown> {
   const { telling: _telling, ...card } = node.card;
   return { ...card, age: Math.round(node.age) };
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -1,10 +1,14 @@
+import { createHash } from "node:crypto";
 import { constants, type ChainView, type Ledger, type Limits, type Machine, type Selector } from "@chutewick/parts";
 import { configuration, type Configuration, type MarkedConfiguration } from "./configuration.js";
 
 /** Control state: configuration, placement of queues, goodbyes, emptying of machines (docs/design.md §9). */
 export type ControlCommand =
-  /** With the operator's own mark, if any, which goes up in steps of any size; and the operator's own text. */
-  | { kind: "put"; expected: number | undefined; mark?: number; value: unknown; origin?: string }
+  /**
+   * With the operator's own mark, if any, which goes up in steps of any size; the operator's own text of the whole; and the order
+   * word for word as it came, where it is not that text: said again, it is known as taken (§13.8).
+   */
+  | { kind: "put"; expected: number | undefined; mark?: number; value: unknown; origin?: string; word?: string }
   | { kind: "patch"; expected: number | undefined; change: unknown }
   | { kind: "goodbye"; runner: string; incarnation: number }
   | { kind: "forget-goodbyes" }
@@ -33,6 +37,11 @@
   readonly name?: string;
 }
 
+/** Orders taken lately, by their marks: one that is said again was taken, whatever came after it. */
+export interface TakenRecord {
+  readonly orders: readonly (readonly [mark: number, digest: string])[];
+}
+
 export interface Goodbye {
   readonly runner: string;
   /** This life and every earlier one is closed. */
@@ -85,7 +94,23 @@
   return `goodbye/${runner}`;
 }
 
-export const keys = { fleet: "fleet", configuration: "configuration", queue: "queue/", standing: "standing/", goodbye: "goodbye/", emptying: "emptying/", goodbyeKey };
+export const keys = { fleet: "fleet", configuration: "configuration", queue: "queue/", standing: "standing/", goodbye: "goodbye/", emptying: "emptying/", taken: "taken", goodbyeKey };
+
+interface Order {
+  readonly expected: number | undefined;
+  readonly mark?: number;
+  readonly origin?: string;
+  readonly word?: string;
+}
+
+/** Whether an order may be entered twice and is the same as once. */
+export function isRepeatable(command: ControlCommand): boolean {
+  switch (command.kind) {
+    case "read": case "goodbye": return true;
+    case "put": return command.mark !== undefined && (command.word ?? command.origin) !== undefined;
+    default: return false;
+  }
+}
 
 export class ControlMachine implements Machine {
   rebuild(): void {
@@ -138,15 +163,17 @@
   }
 
   /** Checked on the merged whole, so nothing of a refused change takes effect; one of two racers wins. */
-  #enter(ledger: Ledger, held: MarkedConfiguration, { expected, mark: own, origin }: { expected: number | undefined; mark?: number; origin?: string }, value: unknown): ControlResult {
-    /** The same word said again: it was taken. */
-    if (own !== undefined && own === held.mark && origin !== undefined && origin === held.origin) return { kind: "IN_FORCE", mark: own };
+  #enter(ledger: Ledger, held: MarkedConfiguration, { expected, mark: own, origin, word = origin }: Order, value: unknown): ControlResult {
+    const digest = word === undefined || own === undefined ? undefined : createHash("sha256").update(word).digest("base64");
+    const taken = ledger.read<TakenRecord>(keys.taken)?.orders ?? [];
+    if (digest !== undefined) for (const [mark, held] of taken) if (mark === own && held === digest) return { kind: "IN_FORCE", mark };
     if (expected !== undefined && expected !== null && expected !== held.mark) return { kind: "CONFLICT", mark: held.mark };
     const checked = configuration.check(value);
     if (!checked.ok) return { kind: "REFUSED", reason: checked.reason };
     if (own !== undefined && !(Number.isSafeInteger(own) && own > held.mark)) return { kind: "REFUSED", reason: `(whole): the mark ${own} must be a whole number above ${held.mark}, which is in force` };
     const mark = own ?? held.mark + 1;
     ledger.put(keys.configuration, { mark, value: checked.value, ...(origin === undefined ? {} : { origin }) } satisfies MarkedConfiguration);
+    if (digest !== undefined) ledger.put(keys.taken, { orders: [...taken.slice(1 - constants.ordersKept), [mark, digest]] } satisfies TakenRecord);
     const warnings = configuration.warnings(checked.value);
     return { kind: "IN_FORCE", mark, ...(warnings.length === 0 ? {} : { warnings }) };
   }
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -207,7 +207,7 @@
     this.#toldAt = now;
     const card: NodeCard = { ...this.#standing, place: this.follower.place, free: now >= this.#promisedUntil, leaving: this.#leaving, telling: this.#telling() };
     const sends: Send[] = [];
-    for (const to of this.#controls) sends.push({ kind: "send", to, message: { kind: "session", card, askedAt: now, back: giveBack(this.#stamps.get(to), now) } });
+    for (const to of this.#controls) sends.push({ kind: "send", to, message: { kind: "session", card, askedAt: now, back: giveBack(this.#stamps.get(to), now), ...(this.#roll.nodes.length > 0 ? { rolled: now - this.#rollAt } : {}) } });
     return sends;
   }
 
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -36,6 +36,10 @@
   lossesMost: 3,
   /** items. A pool's queue takes what its passages' own bounds on tokens let through. */
   poolWaiting: 10_000_000,
+  /** orders. Marks of configurations taken lately, by which one that is said again is known; an operator gives up long before. */
+  ordersKept: 64,
+  /** ms. An inquiry passed on to the head is sent again after this, where twice is as good as once. */
+  passAgainEvery: 500,
   /** copies. Nothing is confirmed on fewer synced copies (design rule). */
   copiesLeast: 2,
   /** copies. What a chain is mended to: any one machine may be lost with its disk. */
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -71,14 +71,14 @@
   /** A frozen node keeps its lease to its end, one that lags gets the next until it is known to lag. */
   const changeHeld = constants.leaseLasts + constants.lagLasts;
   atLeast("reportsEvery", bounds.reportsEvery, 1, "it must be at least");
-  atLeast("acknowledgeWithin", bounds.acknowledgeWithin, changeHeld + constants.resendAfter, "a frozen node's lease holds a change up; ms at least");
-  atLeast("contactWithin", bounds.contactWithin, constants.sessionLasts, "a node is bound once its session stands; ms at least");
-  atLeast("drainWithin", bounds.drainWithin, constants.connectPatience, "a runner may be picked just before and connected to; ms at least");
-  atLeast("applyWithin", bounds.applyWithin, constants.beatEvery, "nodes look at each beat; ms at least");
-  atLeast("cancelWithin", bounds.cancelWithin, constants.cancelLeast, "an item just granted must begin or come back; ms at least");
-  atLeast("stopWithin", bounds.stopWithin, constants.stopLeast, "what is under way ends or is handed over; ms at least");
-  atLeast("syncWithin", bounds.syncWithin, constants.sessionLasts, "a machine that is back is known by its session and copied to; ms at least");
-  atLeast("recoverWithin", bounds.recoverWithin, constants.memberSilence + constants.leaseLasts + constants.sessionLasts, "silence, a lease and a session pass first; ms at least");
+  atLeast("acknowledgeWithin", bounds.acknowledgeWithin, changeHeld + constants.resendAfter, "a frozen node's lease holds a change up, ms at least");
+  atLeast("contactWithin", bounds.contactWithin, constants.sessionLasts, "a node is bound once its session stands, ms at least");
+  atLeast("drainWithin", bounds.drainWithin, constants.connectPatience, "a runner may be picked just before and connected to, ms at least");
+  atLeast("applyWithin", bounds.applyWithin, constants.beatEvery, "nodes look at each beat, ms at least");
+  atLeast("cancelWithin", bounds.cancelWithin, constants.cancelLeast, "an item just granted must begin or come back, ms at least");
+  atLeast("stopWithin", bounds.stopWithin, constants.stopLeast, "what is under way ends or is handed over, ms at least");
+  atLeast("syncWithin", bounds.syncWithin, constants.sessionLasts, "a machine that is back is known by its session and copied to, ms at least");
+  atLeast("recoverWithin", bounds.recoverWithin, constants.memberSilence + constants.leaseLasts + constants.sessionLasts, "silence, a lease and a session pass first, ms at least");
   atLeast("memory", bounds.memory, constants.memoryLeast, "a process needs megabytes:");
   atLeast("descriptors", bounds.descriptors, constants.descriptorsLeast, "a process needs descriptors:");
   for (const [kind, count] of Object.entries(bounds.losses)) if (!Number.isInteger(count) || count < 0) found.push(`bounds.losses.${kind}: ${count} must be a whole number, 0 or more`);
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -139,6 +139,8 @@
   heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number): void {
     const held = this.#sessions.get(card.identity);
     const heardAt = now - age;
+    /** A new life at an address: the one before is over, and so is its lease. */
+    if (held === undefined) for (const session of this.#sessions.values()) if (session.card.address === card.address) session.leaseUntil = undefined;
     if (held === undefined) this.#sessions.set(card.identity, { card, heardAt, leaseUntil, taken: card.free ? card.place : 0 });
     else {
       if (card.free) held.taken = Math.max(held.taken, card.place);
@@ -169,6 +171,12 @@
     for (const [id, runner] of this.#runners) if (now - runner.heardAt > this.#policy.runnerLasts * 4) this.#runners.delete(id);
   }
 
+  /** Whether any node told of itself lately; where none did, this machine is the one that is away. */
+  hearsAny(now: number): boolean {
+    for (const session of this.#sessions.values()) if (now - session.heardAt <= constants.sessionEvery * 3) return true;
+    return false;
+  }
+
   live(kind: NodeCard["kind"], now: number): NodeCard[] {
     const found: NodeCard[] = [];
     for (const session of this.#sessions.values()) {
@@ -205,6 +213,14 @@
     return place;
   }
 
+  /** Without what only control acts upon. */
+  rollForNodes(now: number): Roll {
+    const { nodes, runners } = this.roll(now);
+    const told: RollNode[] = [];
+    for (const { card, age } of nodes) told.push({ card: { ...card, telling: { lots: card.telling.lots, burdens: card.telling.burdens, turnedAway: card.telling.turnedAway } }, age });
+    return { nodes: told, runners };
+  }
+
   roll(now: number): Roll {
     const nodes: RollNode[] = [];
     for (const session of this.#sessions.values()) {
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -16,7 +16,7 @@
 }
 
 export type ViewMessage =
-  | { readonly kind: "greet"; readonly member: Member; readonly view: ChainView | undefined; readonly founding: readonly Member[] | undefined; readonly copiedMark: number; readonly leaving?: boolean }
+  | { readonly kind: "greet"; readonly member: Member; readonly view: ChainView | undefined; readonly founding: readonly Member[] | undefined; readonly copiedMark: number; readonly leaving?: boolean; readonly hears?: readonly string[] }
   | { readonly kind: "prepare"; readonly mark: number; readonly ballot: Ballot }
   | { readonly kind: "promise"; readonly mark: number; readonly ballot: Ballot; readonly member: string; readonly accepted: VoteState["accepted"] }
   | { readonly kind: "accept"; readonly mark: number; readonly ballot: Ballot; readonly view: ChainView }
@@ -36,6 +36,8 @@
   readonly copiedMark: number;
   /** About to stop as planned: the view goes on without it at once (§8.6). */
   readonly leaving: boolean;
+  /** Whom it hears itself; an earlier release, or one that woke up just now, does not say. */
+  readonly hears: readonly string[] | undefined;
 }
 
 interface Try {
@@ -63,6 +65,9 @@
   #waiting = new Map<number, ViewCommand[]>();
   #copiedMark = 0;
   #leaving = false;
+  #beatAt: number;
+  #settledSince: number | undefined;
+  #settledBefore: number | undefined;
 
   /** Whether a first view may be founded here: never by a machine that came later with an empty folder (§2.2). */
   #mayFound: boolean;
@@ -79,6 +84,7 @@
     this.#self = self;
     this.#seeds = [...seeds].sort();
     this.#startedAt = now;
+    this.#beatAt = now;
     this.#state = state ?? { view: undefined, founding: undefined, promised: undefined, accepted: undefined };
     this.#round = this.#state.promised?.round ?? 0;
   }
@@ -94,9 +100,20 @@
     return identity === this.#self.identity ? this.#leaving : this.#neighbours.get(identity)?.leaving === true;
   }
 
+  /** Since when every member of the view before had told that it works in that view; undefined if one never did (§7.2). */
+  get settledBefore(): number | undefined { return this.#settledBefore; }
+
+  #settle(now: number): void {
+    const view = this.#state.view;
+    if (view === undefined || this.#settledSince !== undefined) return;
+    for (const { identity } of view.members) if (identity !== this.#self.identity && this.#neighbours.get(identity)?.view?.mark !== view.mark) return;
+    this.#settledSince = now;
+  }
+
+  /** One that does not hear a machine counts as silent to it, or a way cut in one direction would hold the chain up for ever (§2.3). */
   heardWithin(identity: string, within: number, now: number): boolean {
     const neighbour = this.#neighbours.get(identity);
-    return identity === this.#self.identity || (neighbour !== undefined && now - neighbour.heardAt <= within);
+    return identity === this.#self.identity || (neighbour !== undefined && now - neighbour.heardAt <= within && (neighbour.hears === undefined || neighbour.hears.includes(this.#self.identity)));
   }
 
   /** Whether enough of those who agree are heard: else this machine is the one that is away. */
@@ -134,6 +151,10 @@
     /** A copy that is done is told at once. */
     if (copiedMark > this.#copiedMark) this.#greetAt = Number.NEGATIVE_INFINITY;
     this.#copiedMark = copiedMark;
+    /** What was not heard in sleep is no silence of others. */
+    if (now - this.#beatAt > constants.sleptLeast) this.#startedAt = now;
+    this.#beatAt = now;
+    this.#settle(now);
     const commands: ViewCommand[] = [];
     if (now - this.#greetAt >= constants.greetEvery) {
       this.#greetAt = now;
@@ -225,10 +246,17 @@
     };
   }
 
+  /** One that some member does not hear would be voted out again as soon as it is in. */
+  #isHeardByAll(identity: string, view: ChainView, now: number): boolean {
+    for (const member of this.#alive(view.members, now)) if (this.#neighbours.get(member.identity)?.hears?.includes(identity) === false) return false;
+    return true;
+  }
+
   #candidate(view: ChainView, now: number): Member | undefined {
     const candidates: Member[] = [];
     for (const neighbour of this.#neighbours.values()) {
       const identity = neighbour.member.identity;
+      if (!this.#isHeardByAll(identity, view, now)) continue;
       if (now - neighbour.heardAt < constants.greetEvery * 3 && !neighbour.leaving && !this.#retired.has(identity) && !view.members.some(hasIdentity, { identity }) && !holdersOf(view).some(hasIdentity, { identity })) candidates.push(neighbour.member);
     }
     candidates.sort(byIdentity);
@@ -295,7 +323,13 @@
   }
 
   #greeting(): ViewMessage {
-    return { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark, leaving: this.#leaving };
+    return { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark, leaving: this.#leaving, ...(this.#beatAt - this.#startedAt < constants.memberSilence ? {} : { hears: this.#hears() }) };
+  }
+
+  #hears(): string[] {
+    const found: string[] = [];
+    for (const [identity, { heardAt }] of this.#neighbours) if (this.#beatAt - heardAt <= constants.memberSilence) found.push(identity);
+    return found;
   }
 
   #reply(to: string, message: ViewMessage, now: number): ViewCommand[] {
@@ -315,7 +349,8 @@
         this.#neighbours.delete(other);
       }
     }
-    this.#neighbours.set(identity, { member: message.member, heardAt: now, view: message.view, founding: message.founding, copiedMark: message.copiedMark, leaving: message.leaving === true });
+    this.#neighbours.set(identity, { member: message.member, heardAt: now, view: message.view, founding: message.founding, copiedMark: message.copiedMark, leaving: message.leaving === true, hears: message.hears });
+    this.#settle(now);
     if (message.view !== undefined && message.view.mark > (this.#state.view?.mark ?? 0)) return this.#decide(message.view);
     return [];
   }
@@ -324,6 +359,8 @@
     if (this.#state.view !== undefined && this.#state.view.mark >= view.mark) return [];
     this.#try = undefined;
     this.#wishSince = undefined;
+    this.#settledBefore = this.#settledSince;
+    this.#settledSince = undefined;
     const decided: ViewCommand = { kind: "decided", view };
     return this.#keep({ view, founding: undefined, promised: undefined, accepted: undefined }, [decided, ...this.#greetings()]);
   }
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -1,9 +1,17 @@
-import { constants, type VoteState } from "@chutewick/parts";
-import { ControlCore, type ControlCommand, type ControlMessage, type ControlOutcome, type ControlOutput } from "@chutewick/control";
+import { constants, type Policy, type RunnerCard, type VoteState } from "@chutewick/parts";
+import { ControlCore, type Announced, type ControlCommand, type ControlMessage, type ControlOutcome, type ControlOutput } from "@chutewick/control";
 import { AccessCore, StorageCore, isPassing, type AccessOutput, type DataMessage, type GoEvent, type PassOutput, type StorageOutput, type Work } from "@chutewick/data";
 import { Folder, Machine, type World } from "./world.js";
 import type { Runner } from "./runners.js";
 
+/** What a deployment's settings say beside addresses; read anew at each start. */
+export interface Setting {
+  readonly policy?: Policy;
+  /** False for all but the very first start. */
+  founding?: boolean;
+  readonly zone?: string;
+}
+
 /** The product's own cores under virtual time. */
 export class ControlMachine extends Machine {
   core!: ControlCore;
@@ -12,15 +20,18 @@
   #waiting = new Map<string, (told: ControlOutcome | undefined) => void>();
   #ticketNumber = 0;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[]) {
+  #setting: Setting;
+
+  constructor(world: World, name: string, address: string, seeds: readonly string[], setting: Setting = {}) {
     super(world, name, address);
     this.#seeds = seeds;
+    this.#setting = setting;
   }
 
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
     const { folder } = this;
-    this.core = new ControlCore({ member: { identity: folder.identity, address: this.address }, seeds: this.#seeds, life: `${folder.identity}/${this.life}`, votes: folder.votes === undefined ? undefined : folder.copy(folder.votes), holding: folder.holdings().get("control") }, this.world.now);
+    this.core = new ControlCore({ policy: this.#setting.policy, founding: this.#setting.founding, member: { identity: folder.identity, address: this.address }, seeds: this.#seeds, life: `${folder.identity}/${this.life}`, votes: folder.votes === undefined ? undefined : folder.copy(folder.votes), holding: folder.holdings().get("control") }, this.world.now);
     this.#perform(this.core.start(this.world.now));
   }
 
@@ -28,6 +39,13 @@
 
   arrived(message: unknown, from: string): void { this.#perform(this.core.receive(message as ControlMessage, from, this.world.now)); }
 
+  /** A runner's own report, numbered as it numbers them. */
+  announce(card: Omit<RunnerCard, "age">, sequence: number): Announced["kind"] {
+    const { told, outputs } = this.core.announce(card, sequence, this.world.now);
+    this.#perform(outputs);
+    return told.kind;
+  }
+
   protected override ended(): void {
     for (const told of this.#waiting.values()) told(undefined);
     this.#waiting.clear();
@@ -74,15 +92,17 @@
 export class StorageMachine extends Machine {
   core!: StorageCore;
   #seeds: readonly string[];
+  #setting: Setting;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[]) {
+  constructor(world: World, name: string, address: string, seeds: readonly string[], setting: Setting = {}) {
     super(world, name, address);
     this.#seeds = seeds;
+    this.#setting = setting;
   }
 
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
-    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: zoneNamed(this.name), http: this.address }, this.#seeds, this.folder.holdings(), this.world.now);
+    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: this.#setting.zone ?? zoneNamed(this.name), name: this.name, http: this.address }, this.#seeds, this.folder.holdings(), this.world.now, this.#setting.policy);
   }
 
   protected strike(): void { this.#perform(this.core.beat(this.world.now)); }
@@ -134,14 +154,17 @@
   #links = new Map<number, { runner: Runner; leave: () => void }>();
   #ticketNumber = 0;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[], hooks: AccessHooks) {
+  #setting: Setting;
+
+  constructor(world: World, name: string, address: string, seeds: readonly string[], hooks: AccessHooks, setting: Setting = {}) {
     super(world, name, address);
     this.#seeds = seeds;
     this.#hooks = hooks;
+    this.#setting = setting;
   }
 
   protected begin(): void {
-    this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", http: this.address }, this.#seeds, this.world.now);
+    this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", name: this.name, http: this.address }, this.#seeds, this.world.now, this.#setting.policy);
   }
 
   protected strike(): void { this.perform(this.core.beat(this.world.now, this.world.wall)); }
