In a rush a node takes others to do as it does; long prompts keep near half of a pool

Cause: after a closing fault 283 inquiries come within half a second, no node has heard of any other's burdens, and all of them send to the same four runners; then short work held nine of thirteen runners for six seconds more, and long prompts waited.

Changed: a node's own live work at a runner counts for half as much at each other node, where these told less; short work gets 55 in 100 of the runners at most and gives them back in 4 s.

--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -153,12 +153,17 @@
   /** ms until the first sign of work. */
   #expected(sight: Sight, prompt: Prompt, now: number): number {
     const { seats } = sight.card;
-    const used = burdenOf(sight, prompt.item);
+    const used = this.#crowd(sight, prompt.item);
     const over = Math.max(0, used + 1 - seats) / seats;
     if (prompt.tokens === undefined) return sight.usual * (1 + used / seats + over * constants.queueWeight);
     return (this.#reads(sight, prompt, now) + sight.reading + used * constants.besidePrice + over * constants.seatWait + constants.firstLeast) * sight.slowness;
   }
 
+  /** Seats taken: what others told is some 0.5 s old, and in a rush they send as this node does. */
+  #crowd(sight: Sight, item: boolean): number {
+    return burdenOf(sight, item) + Math.max(0, sight.live * (this.#nodes - 1) * constants.alikePart - sight.othersLive);
+  }
+
   /** ms that a runner reads a prompt for: what it does not keep, each token against all before it. */
   #reads(sight: Sight, { tokens, shared, home }: Prompt, now: number): number {
     const all = tokens ?? 0;
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -224,7 +224,7 @@
   itemPartShort: 0.8,
   /** runners of a pool from which it is divided, the part at least for long prompts, and the part of the seats that short live work fills. */
   divideLeast: 4,
-  longPart: 0.25,
+  longPart: 0.45,
   shortFill: 0.7,
   /** runners that may be missing, or too many, for short live work before their number changes; and their part at least. */
   divideOver: 0.4,
@@ -232,7 +232,7 @@
   shortPart: 0.25,
   /** ms. Smoothing of what short live work takes, up and down, and of this node's long prompts; without any for so long nothing is divided. */
   levelUp: 1_000,
-  levelDown: 8_000,
+  levelDown: 4_000,
   longSmooth: 5_000,
   longLasts: 10_000,
   /** ms. To the first sign of work beside the reading; what each work beside it adds; a whole round of seats that must first come free. */
@@ -250,6 +250,8 @@
   shyPrice: 2_000,
   /** part of an item's seat that live work counts as taken: items give way to it at the runner. */
   itemWeight: 0.25,
+  /** part of its own live work at a runner that a node takes every other node to have there. */
+  alikePart: 0.5,
   /** part of a new sight of a runner's speed that is believed. */
   learnPart: 0.1,
   /** ms. For how long, and of how many, it is remembered where shared parts were read. */
