A roll tells burdens as sums, so it grows with nodes plus runners, not with their product

What: the member that sends a node its roll sums the others' work by runner once a beat; control machines, which hear every node themselves, leave it out among each other. Tests: the scenario of other nodes' work goes through the sums, and what a node told itself is no part of them.

--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When, type DataTable } from "@cucumber/cucumber";
 import { configuration, type MarkedConfiguration, type Passage } from "@chutewick/control";
 import { Choice, PassConnections, RelayCore, WholeEvent, ownDialect, type Membership, type PassEvent, type PassInquiry, type PassOutput, type PassWork, type Standing } from "@chutewick/data";
-import { policy, type NodeCard, type Roll, type RunnerCard } from "@chutewick/parts";
+import { Sessions, policy, type NodeCard, type Roll, type RunnerCard } from "@chutewick/parts";
 import { monotonic, settled } from "@chutewick/shell";
 
 /** Stands in for what a node knows of its fleet. */
@@ -208,8 +208,16 @@
 
 function othersHave(this: World, first: number, one: string, second: number, other: string): void {
   const node: NodeCard = { ...standing, identity: "node-2", place: 1, free: true, leaving: false, telling: { burdens: [[one, first, 0], [other, second, 0]] } };
-  const here: NodeCard = { ...standing, place: 1, free: true, leaving: false, telling: {} };
-  this.known.roll = { nodes: [{ card: node, age: 100 }, { card: here, age: 100 }], runners: [] };
+  /** What this node told itself is no part of what it hears of the others. */
+  const here: NodeCard = { ...standing, place: 1, free: true, leaving: false, telling: { burdens: [[one, 3, 1], [other, 70, 0]] } };
+  const sessions = new Sessions();
+  for (const card of [node, here]) sessions.heard(card, 1_000, undefined, 0, 0);
+  this.known.roll = sessions.rollForNodes(1_100, here.identity);
+  deepEqual(this.known.roll.others, [[one, first, 0], [other, second, 0]].filter(isUnderWay));
+}
+
+function isUnderWay(burden: readonly (string | number)[]): boolean {
+  return Number(burden[1]) + Number(burden[2]) > 0;
 }
 Given("another node has {int} live inquiries at {string} and {int} at {string}", othersHave);
 
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -449,7 +449,7 @@
     const outputs: ControlOutput[] = [];
     const news = this.#feed.since(card.place);
     if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
-    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#rollsFor(card, rolled) ? this.#sessions.rollForNodes(now) : nothing, controls: this.#agreement.addresses(), stamp } });
+    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#rollsFor(card, rolled) ? this.#sessions.rollForNodes(now, card.identity) : nothing, controls: this.#agreement.addresses(), stamp } });
     outputs.push(...this.#cover(now));
     return outputs;
   }
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -337,12 +337,8 @@
     for (const { card, age } of this.#membership.roll.nodes) {
       if (card.kind !== "access" || age > constants.sessionLasts) continue;
       if (!card.leaving) nodes += 1;
-      if (card.identity === this.#standing.identity) continue;
-      for (const [runner, live, items] of card.telling.burdens ?? []) {
-        const sum = others.get(runner) ?? [0, 0];
-        others.set(runner, [sum[0] + live, sum[1] + items]);
-      }
     }
+    for (const [runner, live, items] of this.#membership.roll.others ?? []) others.set(runner, [live, items]);
     this.#nodes = Math.max(1, nodes);
     for (const card of this.#membership.runners(now)) {
       if (card.pool === undefined) continue;
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -32,7 +32,7 @@
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
   /** What this access node has under way on passages, by runner: live inquiries and items of lots. */
-  readonly burdens?: readonly (readonly [runner: string, live: number, items: number])[];
+  readonly burdens?: readonly RunnerBurden[];
   /** Live inquiries turned away for want of a seat lately, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
 }
@@ -68,8 +68,12 @@
 export interface Roll {
   readonly nodes: readonly RollNode[];
   readonly runners: readonly RunnerCard[];
+  /** Sums over all access nodes but the one that is told: work under way on passages, by runner (§13.4). */
+  readonly others?: readonly RunnerBurden[];
 }
 
+export type RunnerBurden = readonly [runner: string, live: number, items: number];
+
 interface Session {
   card: NodeCard;
   heardAt: number;
@@ -121,6 +125,9 @@
   #sessions = new Map<string, Session>();
   #runners = new Map<string, { card: RunnerCard; heardAt: number }>();
   #policy: Policy;
+  /** Work under way by runner, over all access nodes, summed once a beat. */
+  #sums = new Map<string, [live: number, items: number]>();
+  #summedAt = Number.NEGATIVE_INFINITY;
 
   constructor(chosen: Policy = policy.usual) {
     this.#policy = chosen;
@@ -146,7 +153,7 @@
       if (card.free) held.taken = Math.max(held.taken, card.place);
       if (leaseUntil !== undefined) held.leaseUntil = leaseUntil;
       if (heardAt >= held.heardAt || leaseUntil !== undefined) {
-        held.card = card;
+        held.card = leaseUntil === undefined && card.telling.burdens === undefined ? { ...card, telling: { ...card.telling, burdens: held.card.telling.burdens } } : card;
         held.heardAt = Math.max(heardAt, held.heardAt);
       }
     }
@@ -213,19 +220,42 @@
     return place;
   }
 
-  /** Without what only control acts upon. */
-  rollForNodes(now: number): Roll {
+  /** Without what only control acts upon; burdens as sums, so that a roll grows with nodes plus runners, not with their product. */
+  rollForNodes(now: number, identity: string): Roll {
     const { nodes, runners } = this.roll(now);
     const told: RollNode[] = [];
-    for (const { card, age } of nodes) told.push({ card: { ...card, telling: { lots: card.telling.lots, burdens: card.telling.burdens, turnedAway: card.telling.turnedAway } }, age });
-    return { nodes: told, runners };
+    for (const { card, age } of nodes) told.push({ card: { ...card, telling: { lots: card.telling.lots, turnedAway: card.telling.turnedAway } }, age });
+    return { nodes: told, runners, others: this.#othersThan(identity, now) };
+  }
+
+  #othersThan(identity: string, now: number): RunnerBurden[] {
+    if (now - this.#summedAt >= constants.beatEvery || now < this.#summedAt) {
+      this.#summedAt = now;
+      this.#sums = new Map();
+      for (const { card, heardAt } of this.#sessions.values()) {
+        if (card.kind !== "access" || now - heardAt > constants.sessionLasts) continue;
+        for (const [runner, live, items] of card.telling.burdens ?? []) {
+          const sum = this.#sums.get(runner) ?? [0, 0];
+          this.#sums.set(runner, [sum[0] + live, sum[1] + items]);
+        }
+      }
+    }
+    const own = new Map<string, RunnerBurden>();
+    for (const burden of this.#sessions.get(identity)?.card.telling.burdens ?? []) own.set(burden[0], burden);
+    const others: RunnerBurden[] = [];
+    for (const [runner, [live, items]] of this.#sums) {
+      const [, ownLive, ownItems] = own.get(runner) ?? [runner, 0, 0];
+      if (live > ownLive || items > ownItems) others.push([runner, Math.max(0, live - ownLive), Math.max(0, items - ownItems)]);
+    }
+    return others;
   }
 
   roll(now: number): Roll {
     const nodes: RollNode[] = [];
     for (const session of this.#sessions.values()) {
       const age = now - session.heardAt;
-      if (age <= constants.sessionLasts) nodes.push({ card: { ...session.card, telling: { ...session.card.telling, runners: [] } }, age });
+      /** Burdens are told to every control machine by the nodes themselves. */
+      if (age <= constants.sessionLasts) nodes.push({ card: { ...session.card, telling: { ...session.card.telling, runners: [], burdens: undefined } }, age });
     }
     const runners: RunnerCard[] = [];
     for (const { card, heardAt } of this.#runners.values()) {
