--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -184,7 +184,7 @@
     const { entry } = task;
     const inquiry: PassInquiry = {
       id: entry.id, method: "POST", host: task.host, path: entry.path, headers: entry.headers, body: entry.body, patience: undefined,
-      model: entry.model ?? undefined, tokensIn: entry.tokens, tokensOut: undefined, parts: [], resumeAfter: task.upTo ?? undefined,
+      model: entry.model ?? undefined, tokensIn: entry.tokens, tokensOut: undefined, parts: entry.parts ?? [], resumeAfter: task.upTo ?? undefined,
     };
     const until = askedAt + Math.min(constants.grantLasts, this.#membership.policy.cancelWithin);
     return this.#try({ queue, task, inquiry, until, keepsUntil: askedAt + task.remaining, tried: new Set(), texts: [], upTo: task.upTo ?? undefined, lifeAt: now }, now);
--- a/packages/data/src/pass.ts
+++ b/packages/data/src/pass.ts
@@ -1,4 +1,4 @@
-import type { PassWork } from "./dialect.js";
+import type { PassWork, PromptPart } from "./dialect.js";
 
 /** What passages tell the shell of an access node (docs/design.md §13). */
 export type PassOutput =
@@ -26,6 +26,8 @@
   /** Prompt's tokens plus the most to be put out. */
   readonly tokens: number;
   readonly model: string | undefined;
+  /** Parts of its prompt, where it is told that others share them. */
+  readonly parts?: readonly PromptPart[];
 }
 
 export interface LotHandedIn {
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -13,6 +13,8 @@
   /** Prompt's tokens plus the most to be put out. */
   readonly tokens: number;
   readonly model: string | undefined;
+  /** Parts of its prompt that others may share, by name and tokens. */
+  readonly parts?: readonly { readonly name: string; readonly size: number }[];
 }
 
 export interface Claim {
