--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -130,6 +130,16 @@
     Then the last telling is HANDED again
     And 0 items wait in the queue
 
+  Scenario: late items let those pass that can still be in time, and are first again before they are given up
+    When the lot "a" with 1 items of 10 tokens, wanted within 8000 ms, is handed in
+    And 7000 ms pass on the ledger
+    And the lot "b" with 1 items of 10 tokens, wanted within 8000 ms, is handed in
+    And the machine starts again from its records
+    Then the next prompt is item 0 of "b", from its start
+    When the drawn prompt ends as unsent
+    And 18000 ms pass on the ledger
+    Then the next prompt is item 0 of "a", from its start
+
   Scenario: a passage that is gone takes its items with it
     When the lot "a" with 2 items of 10 tokens is handed in
     And 1 prompt is drawn
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -45,6 +45,11 @@
 }
 When("the lot {string} with {int} items of {int} tokens is handed in", theLotIsHandedIn);
 
+function itIsHandedInWithin(this: World, lot: string, count: number, tokens: number, within: number): void {
+  this.told.push(apply(this, { ...handing(lot, count, tokens, this.allowance), within }));
+}
+When("the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in", itIsHandedInWithin);
+
 function spoken(told: QueueResult): string {
   if (told.kind === "HANDED" && told.again) return "HANDED again";
   return told.kind;
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -185,7 +185,7 @@
         if (passage === undefined || passage.kind !== "lot") return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such passage for lots" })];
         /** What the owner's configuration says binds, with an equal part of the allowance for each queue that lots of it may fall into. */
         const allowance = passage.waitingTokens === 0 ? 0 : Math.max(1, passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length));
-        entered = { ...command, allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000 };
+        entered = { ...command, allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000, within: passage.within };
       }
     }
     if (hold > 0 && (command.kind === "results" || command.kind === "draw") && partition.chain.serves && !this.#isReady(partition, command, now)) {
@@ -197,7 +197,7 @@
 
   #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
     if (command.kind === "results") return machine.passes.isTold(chain.ledger, command.lot, command.from);
-    return machine.passes.ready(chain.ledger, command.able, chain.time(now), 1) > 0;
+    return machine.passes.ready(command.able, chain.time(now), 1) > 0;
   }
 
   /** What was held and can be told now, or waits no longer, is asked of the chain like any other: a stale owner tells nothing. */
@@ -219,7 +219,7 @@
       else if (!this.membership.holds(now)) outputs.push(result(to, ticket, { kind: "elsewhere", reason: "the owner holds no lease" }));
       else {
         /** Each that waits gets its part, so that the work is spread. */
-        const most = Math.min(command.most, Math.ceil(machine.passes.ready(chain.ledger, command.able, chain.time(now), command.most * draws) / draws));
+        const most = Math.min(command.most, Math.ceil(machine.passes.ready(command.able, chain.time(now), command.most * draws) / draws));
         outputs.push(...this.#enter(partition, ticket, to, { ...command, most: Math.max(1, most) }, now, now - since));
       }
       if (command.kind === "draw") draws -= 1;
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -152,6 +152,10 @@
   resultsMost: 900_000,
   /** prompts. Taken with one draw of a pool's queue: one entry for all, yet no dispatcher empties a queue that others could help with. */
   drawMost: 8,
+  /** ms. Usual time from the draw of an item to the telling of its result: one drawn later than so long before it is due is late. */
+  runUsual: 1_500,
+  /** part. Of the time of keeping, in which late items let others pass; then they are first again, since nothing is worth less than given up. */
+  yieldPart: 0.6,
   /** ms. Rest of an item whose runs broke twice on end without an event; doubled with each further one, up to the most. */
   restFirst: 200,
   restMost: 2_000,
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -36,8 +36,8 @@
   | { readonly kind: "unsent" };
 
 export type PassCommand =
-  /** allowance in tokens, 0 for none; keeps in ms. Both and goesMost are entered by the owner from its configuration. */
-  | { kind: "hand-in"; lot: string; way: string; host: string; entries: readonly PassEntry[]; allowance: number; goesMost: number; keeps: number }
+  /** allowance in tokens, 0 for none; keeps and within in ms. These and goesMost are entered by the owner from its configuration. */
+  | { kind: "hand-in"; lot: string; way: string; host: string; entries: readonly PassEntry[]; allowance: number; goesMost: number; keeps: number; within?: number }
   /** One batch: the source's step for each prompt. able: passages whose runners have room at the dispatcher; others keep their place. */
   | { kind: "draw"; holder: string; most: number; able: readonly string[] }
   | { kind: "settle"; endings: readonly { claim: Claim; ending: PassEnding }[] }
@@ -84,6 +84,9 @@
   readonly goesMost: number;
   /** Moment of the ledger from which its items may be given up. */
   readonly until: number;
+  /** Moments from which its items let others pass, and from which they no longer do; none where no time is wanted. */
+  readonly yieldsFrom?: number;
+  readonly yieldsUntil?: number;
   readonly ended?: boolean;
   readonly finishedAt?: number;
 }
@@ -146,10 +149,30 @@
   return { text: `${left.text}\n${right.text}`, events: left.events + right.events };
 }
 
-type Place = [sequence: number, key: string];
+/** A waiting item in its place, with what its turn depends on. */
+interface Place {
+  readonly sequence: number;
+  readonly key: string;
+  readonly lot: PassLot;
+  readonly restsUntil: number;
+}
+
+function placeOf(key: string, task: TaskRecord, lot: PassLot): Place {
+  return { sequence: task.sequence, key, lot, restsUntil: task.restsUntil ?? 0 };
+}
 
 function sooner(left: Place, right: Place): number {
-  return left[0] - right[0];
+  return left.sequence - right.sequence;
+}
+
+/** Items whose time has run out are left to the expiry, and one that breaks again and again does not hold up those behind it. */
+function mayRun({ lot, restsUntil }: Place, time: number): boolean {
+  return lot.until > time && restsUntil <= time;
+}
+
+/** Late already, it lets those pass that still can be in time, though not for ever. */
+function yields({ lot }: Place, time: number): boolean {
+  return lot.yieldsFrom !== undefined && time >= lot.yieldsFrom && time < lot.yieldsUntil!;
 }
 
 function byAge(left: Bygone, right: Bygone): number {
@@ -175,9 +198,9 @@
     this.#soonest = Number.POSITIVE_INFINITY;
     for (const [, lot] of ledger.under<PassLot>("handed/")) this.#watch(lot);
     for (const [key, task] of ledger.under<TaskRecord>("task/")) {
-      const { way } = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
-      this.#weigh(way, task.tokens);
-      if (task.state === "queued") this.#waitingOf(way).push([task.sequence, key]);
+      const lot = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
+      this.#weigh(lot.way, task.tokens);
+      if (task.state === "queued") this.#waitingOf(lot.way).push(placeOf(key, task, lot));
       else this.#processing.set(key, { go: task.go, holder: task.holder! });
     }
     for (const waiting of this.#waiting.values()) waiting.sort(sooner);
@@ -205,21 +228,15 @@
   }
 
   /** Prompts of some passages that could be drawn now, counted up to a bound. */
-  ready(ledger: Ledger, able: readonly string[], time: number, most: number): number {
+  ready(able: readonly string[], time: number, most: number): number {
     let count = 0;
-    for (const way of able) for (const [, key] of this.#waiting.get(way) ?? []) {
+    for (const way of able) for (const place of this.#waiting.get(way) ?? []) {
       if (count >= most) return count;
-      if (this.#rests(ledger.read<TaskRecord>(key)!, time)) continue;
-      if (ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!.until > time) count += 1;
+      if (mayRun(place, time)) count += 1;
     }
     return count;
   }
 
-  /** One that breaks again and again does not hold up those behind it. */
-  #rests(task: TaskRecord, time: number): boolean {
-    return (task.restsUntil ?? 0) > time;
-  }
-
   /** Whether a position of a lot is listed, or will never be: what a held read waits for. */
   isTold(ledger: Ledger, lot: string, from: number): boolean {
     const held = ledger.read<PassLot>(handedKey(lot));
@@ -257,20 +274,25 @@
     for (const entry of entries) tokens += entry.tokens;
     const waiting = this.#tokens.get(way) ?? 0;
     if (command.allowance > 0 && waiting + tokens > command.allowance) return { kind: "NO_ROOM", tokens, waiting, allowance: command.allowance };
+    const { keeps, within } = command;
+    const record: PassLot = {
+      id: lot, way, host: command.host, total: entries.length, open: entries.length, listed: 0, goesMost: command.goesMost,
+      until: time + keeps + constants.deadlineGrace,
+      ...(within === undefined ? {} : { yieldsFrom: time + within - constants.runUsual, yieldsUntil: time + keeps * constants.yieldPart }),
+      ...(entries.length === 0 ? { finishedAt: time } : {}),
+    };
     let sequence = ledger.read<number>(keySequence) ?? 1;
     for (const [index, entry] of entries.entries()) {
       const key = numbered("task", lot, index);
-      ledger.put(key, { sequence, state: "queued", go: 0, troubles: 0, tokens: entry.tokens } satisfies TaskRecord);
+      const task: TaskRecord = { sequence, state: "queued", go: 0, troubles: 0, tokens: entry.tokens };
+      ledger.put(key, task);
       ledger.put(numbered("body", lot, index), entry);
-      this.#waitingOf(way).push([sequence, key]);
+      this.#waitingOf(way).push(placeOf(key, task, record));
       sequence += 1;
     }
     ledger.put(keySequence, sequence);
     this.#weigh(way, tokens);
-    this.#keep(ledger, {
-      id: lot, way, host: command.host, total: entries.length, open: entries.length, listed: 0, goesMost: command.goesMost,
-      until: time + command.keeps + constants.deadlineGrace, ...(entries.length === 0 ? { finishedAt: time } : {}),
-    });
+    this.#keep(ledger, record);
     return { kind: "HANDED", lot, again: false };
   }
 
@@ -281,23 +303,22 @@
     this.#bygones.splice(place, 0, bygone);
   }
 
-  /** The first in the queue whose passage has runners; items whose time has run out are left to the expiry, not run. */
+  /** The first in the queue whose passage has runners, and that can still be in time; else the first. */
   #first(ledger: Ledger, able: readonly string[], time: number): { key: string; task: TaskRecord; lot: PassLot } | undefined {
-    let best: { waiting: Place[]; place: number; sequence: number; key: string; lot: PassLot } | undefined;
+    let best: { waiting: Place[]; at: number; late: boolean } | undefined;
     for (const way of able) {
-      const waiting = this.#waiting.get(way);
-      if (waiting === undefined) continue;
-      for (const [place, [sequence, key]] of waiting.entries()) {
-        if (best !== undefined && sequence > best.sequence) break;
-        const lot = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
-        if (lot.until <= time || this.#rests(ledger.read<TaskRecord>(key)!, time)) continue;
-        best = { waiting, place, sequence, key, lot };
-        break;
+      const waiting = this.#waiting.get(way) ?? [];
+      for (const [at, place] of waiting.entries()) {
+        if (best !== undefined && !best.late && place.sequence > best.waiting[best.at]!.sequence) break;
+        if (!mayRun(place, time)) continue;
+        const late = yields(place, time);
+        if (best === undefined || best.late && !late || best.late === late && place.sequence < best.waiting[best.at]!.sequence) best = { waiting, at, late };
+        if (!late) break;
       }
     }
     if (best === undefined) return undefined;
-    best.waiting.splice(best.place, 1);
-    return { key: best.key, task: ledger.read<TaskRecord>(best.key)!, lot: best.lot };
+    const [{ key }] = best.waiting.splice(best.at, 1) as [Place];
+    return { key, task: ledger.read<TaskRecord>(key)!, lot: ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))! };
   }
 
   draw(ledger: Ledger, { holder, most, able }: Extract<PassCommand, { kind: "draw" }>, limits: Limits | undefined, time: number): PassResult {
@@ -384,15 +405,16 @@
 
   /** Back to its own place in the queue. */
   #giveBack(ledger: Ledger, key: string, { holder: _holder, ...task }: TaskRecord, lot: PassLot): void {
-    ledger.put(key, { ...task, state: "queued" } satisfies TaskRecord);
+    const back: TaskRecord = { ...task, state: "queued" };
+    ledger.put(key, back);
     const waiting = this.#waitingOf(lot.way);
     let [low, high] = [0, waiting.length];
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (waiting[middle]![0] < task.sequence) low = middle + 1;
+      if (waiting[middle]!.sequence < task.sequence) low = middle + 1;
       else high = middle;
     }
-    waiting.splice(low, 0, [task.sequence, key]);
+    waiting.splice(low, 0, placeOf(key, back, lot));
   }
 
   /** The item ends: it gets the next position of its lot, for good. */
@@ -444,7 +466,7 @@
 
   #leaveQueue(way: string, ended: ReadonlySet<string>): void {
     const kept: Place[] = [];
-    for (const place of this.#waitingOf(way)) if (!ended.has(place[1])) kept.push(place);
+    for (const place of this.#waitingOf(way)) if (!ended.has(place.key)) kept.push(place);
     this.#waiting.set(way, kept);
   }
 
