Refusals hold for sendings held up, waits of refused lots follow the drain, late items yield

Cause: while a queue's chain stalled for over a second, hand-ins were sent again, and a refusal of the second sending could not be told, since the first might be taken yet: in a burst with a store machine killed about 25 hand-ins ended unknown. Lots refused or late took turns before lots that could still be in time. Claims of draws that were confirmed late were taken back before their dispatchers heard.

A hand-in carries its ticket; a refusal of one that was sent again is entered under it for 60 s, so that no earlier sending is taken. A refusal tells the wait by what lately left the queue. Counting of a claim begins when its draw is confirmed. Hand-ins look 2 s for their owner.

--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -26,6 +26,18 @@
     And the lot "b" with 1 items of 201 tokens is handed in
     Then the last telling is HANDED
 
+  Scenario: a refusal that is to hold for earlier sendings holds for them, and not for the lot's next try
+    When the lot "a" with 2 items of 400 tokens is handed in
+    And 1 prompt is drawn
+    And sending "t" of the lot "b" with 1 items of 300 tokens is handed in again
+    And the drawn prompt ends as solved
+    And the machine starts again from its records
+    And sending "t" of the lot "b" with 1 items of 300 tokens is handed in
+    And sending "u" of the lot "b" with 1 items of 300 tokens is handed in
+    Then the tellings are HANDED, NO_ROOM, SETTLED, NO_ROOM, HANDED
+    When 60000 ms pass on the ledger
+    Then no refused sending is known any more
+
   Scenario: an ended lot weighs nothing, and nothing of it is drawn any more
     When the lot "a" with 3 items of 300 tokens is handed in
     And 1 prompt is drawn
@@ -140,6 +152,12 @@
     And 18000 ms pass on the ledger
     Then the next prompt is item 0 of "a", from its start
 
+  Scenario: a lot that was refused until it is late lets others pass from the start
+    When the lot "a" with 1 items of 10 tokens, wanted within 8000 ms, is handed in late
+    And the lot "b" with 1 items of 10 tokens, wanted within 8000 ms, is handed in
+    Then the next prompt is item 0 of "b", from its start
+    And the next prompt is item 0 of "a", from its start
+
   Scenario: a passage that is gone takes its items with it
     When the lot "a" with 2 items of 10 tokens is handed in
     And 1 prompt is drawn
@@ -173,6 +191,7 @@
   Scenario: a hand-in held up on its way to the owner is not taken after a refusal
     When hand-ins are held up on their way for longer than callers wait, to a queue that is full at times
     Then no part of a lot runs that was refused at every try
+    And most that were held up were refused or taken all the same
 
   Scenario: a grant that comes late begins nothing, though its lot was ended meanwhile
     When grants of prompts are held up for 4 s while their lots are ended
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -50,6 +50,21 @@
 }
 When("the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in", itIsHandedInWithin);
 
+function itIsHandedInLate(this: World, lot: string, count: number, tokens: number, within: number): void {
+  this.told.push(apply(this, { ...handing(lot, count, tokens, this.allowance), within, late: true }));
+}
+When("the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in late", itIsHandedInLate);
+
+function sendingIsHandedIn(this: World, ticket: string, lot: string, count: string, tokens: string, again: string | null): void {
+  this.told.push(apply(this, { ...handing(lot, Number(count), Number(tokens), this.allowance), ticket, final: again !== null }));
+}
+When(/^sending "(\w)" of the lot "(\w)" with (\d+) items of (\d+) tokens is handed in( again)?$/, sendingIsHandedIn);
+
+function noSendingIsKnown(this: World): void {
+  deepEqual([...this.ledger.under("turned/")], []);
+}
+Then("no refused sending is known any more", noSendingIsKnown);
+
 function spoken(told: QueueResult): string {
   if (told.kind === "HANDED" && told.again) return "HANDED again";
   return told.kind;
@@ -456,6 +471,16 @@
 When("hand-ins are held up on their way for longer than callers wait, to a queue that is full at times", handInsAreHeldUp);
 Then("no part of a lot runs that was refused at every try", breaksNoRule);
 
+function mostWereTold(this: PlayWorld): void {
+  let [sure, unsure] = [0, 0];
+  for (const { counts } of this.plays) {
+    sure += (counts["hand-in refused"] ?? 0) + (counts["hand-in taken"] ?? 0);
+    unsure += (counts["hand-in later"] ?? 0) + (counts["hand-in silence"] ?? 0);
+  }
+  ok(sure > unsure * 4, `${sure} ${unsure}`);
+}
+Then("most that were held up were refused or taken all the same", mostWereTold);
+
 function grantsAreHeldUp(this: PlayWorld): void {
   let ended = 0;
   function watched(play: PassPlay, { kind, outcome }: Seen): number | undefined {
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/errands.ts
@@ -39,7 +39,7 @@
   /** hold in ms: the owner may keep the result back so long. */
   ask(queue: string, command: QueueCommand, patience: number, told: ErrandTold, now: number, hold = 0): AccessOutput[] {
     const ticket = this.ticket();
-    const errand: Errand = { queue, command, since: now, patience, hold, told, sentTo: undefined, sentAt: now, doubtful: false };
+    const errand: Errand = { queue, command: command.kind === "hand-in" ? { ...command, ticket } : command, since: now, patience, hold, told, sentTo: undefined, sentAt: now, doubtful: false };
     this.#errands.set(ticket, errand);
     return this.#send(ticket, errand, now);
   }
@@ -59,8 +59,10 @@
     const owner = this.owner(errand.queue);
     errand.sentTo = owner;
     if (owner === undefined) return [];
+    /** Earlier sendings may be on their way: a refusal of this one is to hold for them too. */
+    const command = errand.doubtful && errand.command.kind === "hand-in" ? { ...errand.command, final: true } : errand.command;
     const left = Math.max(0, Math.min(errand.hold, errand.since + errand.hold - now));
-    return [{ kind: "send", to: owner, message: { kind: "queue-inquiry", ticket, queue: errand.queue, command: errand.command, ...(left > 0 ? { hold: left } : {}) } }];
+    return [{ kind: "send", to: owner, message: { kind: "queue-inquiry", ticket, queue: errand.queue, command, ...(left > 0 ? { hold: left } : {}) } }];
   }
 
   /** undefined where nobody waits for it any more. */
@@ -77,7 +79,7 @@
     }
     this.#errands.delete(ticket);
     /** A refusal is final only if no earlier send of this errand may still be taken. */
-    const refusal = ended.kind === "elsewhere" || (ended.kind === "confirmed" && (ended.value.kind === "FULL" || ended.value.kind === "NO_ROOM"));
+    const refusal = ended.kind === "elsewhere" || (ended.kind === "confirmed" && (ended.value.kind === "FULL" || ended.value.kind === "NO_ROOM" && ended.value.final !== true));
     return errand.told(refusal && errand.doubtful ? { kind: "unknown" } : ended, now, errand.since + held);
   }
 
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -45,10 +45,10 @@
         return [told(ticket, { kind: "taken" })];
       }
       if (outcome.value.kind !== "NO_ROOM") return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
-      const { tokens, waiting, allowance } = outcome.value;
-      return [told(ticket, { kind: "refused", room: true, retryAfter: constants.retryAfter, reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait` })];
+      const { tokens, waiting, allowance, wait } = outcome.value;
+      return [told(ticket, { kind: "refused", room: true, retryAfter: wait === undefined ? constants.retryAfter : Math.max(constants.emptyPause, wait) / 1_000, reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait` })];
     }
-    return this.#errands.ask(queue, command, constants.ownerPatience, ended, now);
+    return this.#errands.ask(queue, command, constants.handInPatience, ended, now);
   }
 
   #remember(lot: string, queue: string): void {
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -32,6 +32,7 @@
   readonly ticket: string;
   readonly to: string;
   readonly held: number;
+  readonly command: QueueCommand;
 }
 
 /** A read of results that waits for one, or a draw that waits for a prompt. */
@@ -47,7 +48,7 @@
   readonly chain: Chain;
   readonly machine: QueueMachine;
   /** Last sign of life of each claim, known at the owner alone and begun anew by the next. */
-  readonly life: Map<string, { go: number; at: number; taken?: boolean }>;
+  readonly life: Map<string, { go: number; at: number; taken?: boolean; place?: number }>;
   ownedMark: number;
   lookedAt: number;
   limiting: boolean;
@@ -59,6 +60,10 @@
   held: Held[];
   /** Since when the configuration has had no such passage, of those with items here. */
   readonly gone: Map<string, number>;
+  /** Tokens that left the queue lately. */
+  freed: { at: number; tokens: number }[];
+  /** When lots were refused first, of those that may come again. */
+  readonly refusedAt: Map<string, number>;
 }
 
 export class StorageCore {
@@ -82,7 +87,7 @@
   #open(queue: string, now: number, holding?: ChainHolding): Partition {
     const machine = new QueueMachine();
     const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding, this.membership.policy.copiesLeast);
-    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [], gone: new Map() };
+    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [], gone: new Map(), freed: [], refusedAt: new Map() };
     this.#partitions.set(queue, partition);
     return partition;
   }
@@ -185,7 +190,9 @@
         if (passage === undefined || passage.kind !== "lot") return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such passage for lots" })];
         /** What the owner's configuration says binds, with an equal part of the allowance for each queue that lots of it may fall into. */
         const allowance = passage.waitingTokens === 0 ? 0 : Math.max(1, passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length));
-        entered = { ...command, allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000, within: passage.within };
+        const refusedAt = partition.refusedAt.get(command.lot);
+        const late = refusedAt !== undefined && now - refusedAt > passage.aim;
+        entered = { ...command, ...(late ? { late } : {}), allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000, within: passage.within };
       }
     }
     if (hold > 0 && (command.kind === "results" || command.kind === "draw") && partition.chain.serves && !this.#isReady(partition, command, now)) {
@@ -230,7 +237,7 @@
   #enter(partition: Partition, ticket: string, to: string, command: QueueCommand, now: number, held = 0): StorageOutput[] {
     this.#ticketNumber += 1;
     const own = String(this.#ticketNumber);
-    this.#waiting.set(own, { ticket, to, held });
+    this.#waiting.set(own, { ticket, to, held, command });
     return this.#perform(partition, partition.chain.inquire(own, command, now), now);
   }
 
@@ -254,7 +261,12 @@
     this.#waiting.delete(own);
     if (told.kind === "elsewhere") return [result(waiting.to, waiting.ticket, { kind: "elsewhere", reason: "this machine is not the owner, or the queue has too few copies" })];
     if (told.kind === "unknown") return [result(waiting.to, waiting.ticket, { kind: "unknown" })];
-    const value = told.value as QueueResult;
+    let value = told.value as QueueResult;
+    if (value.kind === "SETTLED" && value.freed > 0) partition.freed.push({ at: now, tokens: value.freed });
+    if (value.kind === "NO_ROOM") value = this.#refusal(partition, value, waiting.command, now);
+    if (value.kind === "HANDED") partition.refusedAt.delete(value.lot);
+    /** A dispatcher can take up only what it was told of. */
+    if (value.kind === "DRAWN") for (const { lot, index, go } of value.tasks) partition.life.set(taskKey(lot, index), { go, at: now });
     if (value.kind === "FULL") {
       partition.refused = partition.refused.filter(isLate, { since: now - constants.pressureLasts });
       partition.refused.push({ at: now, count: value.items, season: value.season });
@@ -265,6 +277,22 @@
     return outputs;
   }
 
+  /** With the wait until what is too much has left, at the pace at which it lately did. */
+  #refusal(partition: Partition, value: Extract<QueueResult, { kind: "NO_ROOM" }>, command: QueueCommand, now: number): QueueResult {
+    if (command.kind === "hand-in" && !partition.refusedAt.has(command.lot)) {
+      partition.refusedAt.set(command.lot, now);
+      if (partition.refusedAt.size > constants.refusedRemembered) for (const first of partition.refusedAt.keys()) {
+        partition.refusedAt.delete(first);
+        break;
+      }
+    }
+    partition.freed = partition.freed.filter(isLate, { since: now - constants.drainCounted });
+    let freed = 0;
+    for (const { tokens } of partition.freed) freed += tokens;
+    if (freed === 0 || value.tokens > value.allowance) return value;
+    return { ...value, wait: Math.max(0, value.waiting + value.tokens - value.allowance) / freed * constants.drainCounted };
+  }
+
   written(queue: string, ticket: number, now: number): StorageOutput[] {
     this.#now = now;
     const partition = this.#partitions.get(queue);
@@ -313,7 +341,7 @@
     for (const [key, go] of processing) if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     const tasks = machine.passes.processing();
-    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
+    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now, chain)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
     for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
     if (orphans.length + lost.length > 0) outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length + lost.length } });
     if (orphans.length > 0) outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
@@ -376,12 +404,14 @@
 }
 
 /** The same for a prompt of a passage, whose dispatcher is to take it up at once. */
-function livesTask(life: Partition["life"], key: string, go: number, now: number): boolean {
+function livesTask(life: Partition["life"], key: string, go: number, now: number, { place, confirmed }: Chain): boolean {
   const sign = life.get(key);
   if (sign === undefined || sign.go !== go) {
-    life.set(key, { go, at: now });
+    life.set(key, { go, at: now, place });
     return true;
   }
+  /** What is not confirmed was not told yet. */
+  if (sign.place !== undefined && confirmed < sign.place) life.set(key, { ...sign, at: now });
   return now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp);
 }
 
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -170,6 +170,13 @@
   passageGone: 2_000,
   /** rank. Of items in a runner's own queue: live goes first (§8.3). */
   itemRank: 9,
+  /** ms. How long a hand-in looks for its owner: half of what its callers usually wait, so that they can turn to another node. */
+  handInPatience: 2_000,
+  /** ms. That a hand-in was refused for good is known this long: no message between processes is held up longer. */
+  turnedLasts: 60_000,
+  /** ms. Over which the owner of a queue counts what leaves it, for the wait that it tells; lots refused that it remembers. */
+  drainCounted: 3_000,
+  refusedRemembered: 5_000,
   /** ms. How long a read of a lot looks for its owner, beyond the time it may be held; callers wait 1.5 s more than they allow. */
   readPatience: 1_200,
   /** lots. Whose queue an access node remembers, so that reads ask one owner. */
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -37,7 +37,11 @@
 
 export type PassCommand =
   /** allowance in tokens, 0 for none; keeps and within in ms. These and goesMost are entered by the owner from its configuration. */
-  | { kind: "hand-in"; lot: string; way: string; host: string; entries: readonly PassEntry[]; allowance: number; goesMost: number; keeps: number; within?: number }
+  | { kind: "hand-in"; lot: string; way: string; host: string; entries: readonly PassEntry[]; allowance: number; goesMost: number; keeps: number; within?: number;
+      /** Refused before for longer than it may take to be in time: it lets others pass from the start. */
+      late?: boolean;
+      /** One sending of it, and whether earlier ones of the same may be on their way still: then a refusal holds for all of them. */
+      ticket?: string; final?: boolean }
   /** One batch: the source's step for each prompt. able: passages whose runners have room at the dispatcher; others keep their place. */
   | { kind: "draw"; holder: string; most: number; able: readonly string[] }
   | { kind: "settle"; endings: readonly { claim: Claim; ending: PassEnding }[] }
@@ -60,9 +64,11 @@
 
 export type PassResult =
   | { kind: "HANDED"; lot: string; again: boolean }
-  | { kind: "NO_ROOM"; tokens: number; waiting: number; allowance: number }
+  /** final: no earlier sending of the same ticket will be taken. wait in ms, an estimate of the owner's. */
+  | { kind: "NO_ROOM"; tokens: number; waiting: number; allowance: number; final?: boolean; wait?: number }
   | { kind: "DRAWN"; tasks: readonly PassTask[]; more: "some" | "EMPTY" | "RATE_LIMITED"; wait: number | undefined }
-  | { kind: "SETTLED"; listed: readonly string[]; stale: number }
+  /** freed: tokens that no longer wait. */
+  | { kind: "SETTLED"; listed: readonly string[]; stale: number; freed: number }
   | { kind: "ENDED"; lot: string; holders: readonly string[] }
   | { kind: "RESULTS"; lot: string; total: number; open: boolean; results: readonly ListedResult[] }
   | { kind: "BODY"; body: Uint8Array }
@@ -117,6 +123,11 @@
   readonly since: number;
 }
 
+/** A ticket refused for good: a sending of it that was held up on its way is not taken. */
+interface Turned {
+  readonly since: number;
+}
+
 const keySequence = "sequence";
 const keyBucket = "bucket";
 
@@ -128,6 +139,10 @@
   return `bygone/${lot}`;
 }
 
+function turnedKey(ticket: string): string {
+  return `turned/${ticket}`;
+}
+
 /** Names of lots are their callers': the number stands last and is of one length, so any name can be cut off again. */
 function numbered(kind: "task" | "body" | "text" | "result", lot: string, index: number): string {
   return `${kind}/${lot}/${String(index).padStart(6, "0")}`;
@@ -179,6 +194,10 @@
   return left.since - right.since || (left.lot < right.lot ? -1 : 1);
 }
 
+function earlier(left: readonly [number, string], right: readonly [number, string]): number {
+  return left[0] - right[0] || (left[1] < right[1] ? -1 : 1);
+}
+
 export class PassQueue {
   /** Derived from the ledger: what waits, by passage and in order of sequence. */
   #waiting = new Map<string, Place[]>();
@@ -189,6 +208,7 @@
   #dueAt = new Map<string, number>();
   #soonest = Number.POSITIVE_INFINITY;
   #bygones: Bygone[] = [];
+  #turned: [since: number, ticket: string][] = [];
 
   rebuild(ledger: Ledger): void {
     this.#waiting.clear();
@@ -207,6 +227,9 @@
     this.#bygones = [];
     for (const [, bygone] of ledger.under<Bygone>("bygone/")) this.#bygones.push(bygone);
     this.#bygones.sort(byAge);
+    this.#turned = [];
+    for (const [key, { since }] of ledger.under<Turned>("turned/")) this.#turned.push([since, key.slice("turned/".length)]);
+    this.#turned.sort(earlier);
   }
 
   get waiting(): number {
@@ -273,12 +296,19 @@
     let tokens = 0;
     for (const entry of entries) tokens += entry.tokens;
     const waiting = this.#tokens.get(way) ?? 0;
-    if (command.allowance > 0 && waiting + tokens > command.allowance) return { kind: "NO_ROOM", tokens, waiting, allowance: command.allowance };
+    const turned = command.ticket !== undefined && ledger.read(turnedKey(command.ticket)) !== undefined;
+    if (turned || command.allowance > 0 && waiting + tokens > command.allowance) {
+      if (command.final === true && !turned) {
+        ledger.put(turnedKey(command.ticket!), { since: time } satisfies Turned);
+        this.#turned.push([time, command.ticket!]);
+      }
+      return { kind: "NO_ROOM", tokens, waiting, allowance: command.allowance, ...(command.final === true ? { final: true } : {}) };
+    }
     const { keeps, within } = command;
     const record: PassLot = {
       id: lot, way, host: command.host, total: entries.length, open: entries.length, listed: 0, goesMost: command.goesMost,
       until: time + keeps + constants.deadlineGrace,
-      ...(within === undefined ? {} : { yieldsFrom: time + within - constants.runUsual, yieldsUntil: time + keeps * constants.yieldPart }),
+      ...(within === undefined ? {} : { yieldsFrom: command.late === true ? time : time + within - constants.runUsual, yieldsUntil: time + keeps * constants.yieldPart }),
       ...(entries.length === 0 ? { finishedAt: time } : {}),
     };
     let sequence = ledger.read<number>(keySequence) ?? 1;
@@ -353,6 +383,7 @@
   settle(ledger: Ledger, { endings }: Extract<PassCommand, { kind: "settle" }>, limits: Limits | undefined, time: number): PassResult {
     const listed = new Set<string>();
     let stale = 0;
+    let freed = 0;
     for (const { claim, ending } of endings) {
       const key = numbered("task", claim.lot, claim.index);
       const task = ledger.read<TaskRecord>(key);
@@ -362,9 +393,11 @@
         continue;
       }
       this.#processing.delete(key);
-      if (this.#settleOne(ledger, key, task, lot, claim.index, ending, limits, time)) listed.add(lot.id);
+      if (!this.#settleOne(ledger, key, task, lot, claim.index, ending, limits, time)) continue;
+      listed.add(lot.id);
+      freed += task.tokens;
     }
-    return { kind: "SETTLED", listed: [...listed], stale };
+    return { kind: "SETTLED", listed: [...listed], stale, freed };
   }
 
   /** True where the item is listed now. */
@@ -488,11 +521,11 @@
       this.#giveUp(ledger, lot, time);
       listed.push(id);
     }
-    return { kind: "SETTLED", listed, stale: 0 };
+    return { kind: "SETTLED", listed, stale: 0, freed: 0 };
   }
 
   due(time: number): boolean {
-    return this.#soonest <= time || this.#isForgotten(time);
+    return this.#soonest <= time || this.#isForgotten(time) || this.#isPast(time);
   }
 
   #isForgotten(time: number): boolean {
@@ -500,8 +533,17 @@
     return first !== undefined && first.since + constants.lotForgets <= time;
   }
 
+  #isPast(time: number): boolean {
+    const first = this.#turned[0];
+    return first !== undefined && first[0] + constants.turnedLasts <= time;
+  }
+
   expire(ledger: Ledger, time: number): number {
     let count = 0;
+    while (this.#isPast(time)) {
+      ledger.remove(turnedKey(this.#turned.shift()![1]));
+      count += 1;
+    }
     for (const [id, at] of [...this.#dueAt]) {
       if (at > time) continue;
       count += 1;
