Scenarios of the division; the one of other nodes' burdens told apart from what is guessed

The scenario 'What other nodes have under way counts' had 6 told works beside 5 own ones; a node now takes others to do as it does, so 4 own ones weigh 6. It has 9 told ones now and asks the same: all 5 go to the third runner.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -233,10 +233,19 @@
       Then 1 to 12 of them are sent to the runner "p1"
 
     Scenario: What other nodes have under way counts
-      Given another node has 6 live inquiries at "p1" and 6 at "p2"
+      Given another node has 9 live inquiries at "p1" and 9 at "p2"
       When 5 inquiries arrive for "shop.example" at "/fetch/x"
       Then 5 to 5 of them are sent to the runner "p3"
 
+    Scenario: Long prompts keep to runners of their own, and streams beside each other are short ones
+      Given runners
+        | id | pool  |
+        | m4 | model |
+        | m5 | model |
+        | m6 | model |
+      When 12 inquiries of 20000 tokens and 30 of 500 tokens arrive for "shop.example" at "/read/x" in turn
+      Then no runner has both
+
     Scenario: Nodes share the connections that a pool allows
       Given the pool "plain" allows 100 connections
       And another node has 6 live inquiries at "p1" and 6 at "p2"
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -199,6 +199,33 @@
 }
 When("{int} inquiries arrive for {string} at {string}, one after the other", arriveInTurn);
 
+function bothArrive(this: World, long: number, size: number, short: number, small: number, host: string, path: string): void {
+  this.arrived = [];
+  for (let index = 0; index < long + short; index += 1) {
+    const isLong = index % Math.ceil((long + short) / long) === 0;
+    const id = `${isLong ? "long" : "short"}-${index}`;
+    this.arrived.push(id);
+    this.now += 30;
+    take(this, this.core.arrive(id, inquiryOf(id, host, path, { tokensIn: isLong ? size : small }), this.now));
+    streams.call(this, id, 1, 1);
+    if (index >= 6) take(this, this.core.left(this.arrived[index - 6]!, this.now));
+  }
+}
+When("{int} inquiries of {int} tokens and {int} of {int} tokens arrive for {string} at {string} in turn", bothArrive);
+
+function noneHasBoth(this: World): void {
+  const kinds = new Map<string, Set<string>>();
+  for (const id of this.arrived) {
+    const { address } = latest(this, id);
+    const found = kinds.get(address) ?? new Set<string>();
+    found.add(id.split("-")[0]!);
+    kinds.set(address, found);
+  }
+  for (const [address, found] of kinds) equal(found.size, 1, address);
+  ok(kinds.size >= 3, `${kinds.size} runners had work`);
+}
+Then("no runner has both", noneHasBoth);
+
 function toRunner(this: World, least: number, most: number, runner: string): void {
   let count = 0;
   for (const id of this.arrived) if (latest(this, id).address === `${runner}:80`) count += 1;
