What a dispatcher had under way comes back as soon as it draws in a new life

Cause: after a kill of access nodes their prompts waited 1.3 s to 2.5 s for signs of life though the node drew again long before.

A draw names the life of its dispatcher; the owner takes back what an earlier life at that address holds. Without it the scenario's runs begin again only after the missing signs of life.

--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -188,6 +188,10 @@
     When a lot of slow items is taken and read with a hold from where its list ends
     Then each result is told within 100 ms of its run's end
 
+  Scenario: what a dispatcher had under way comes back as soon as it draws in a new life
+    When the only dispatcher dies amid its runs and begins anew
+    Then they begin again within 200 ms of its first draw
+
   Scenario: a hand-in held up on its way to the owner is not taken after a refusal
     When hand-ins are held up on their way for longer than callers wait, to a queue that is full at times
     Then no part of a lot runs that was refused at every try
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -431,6 +431,20 @@
 }
 Then("each result is told within {int} ms of its run's end", toldWithin);
 
+function theOnlyDispatcherDies(this: PlayWorld): void {
+  const play = new PassPlay({ seed: 9, stormy: 0, calm: 0, faults: [], access: 1, items: 3 });
+  Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
+  play.begin();
+  play.world.run(6_500);
+  this.waits = [play.watchNewLife()];
+}
+When("the only dispatcher dies amid its runs and begins anew", theOnlyDispatcherDies);
+
+function beganAgainWithin(this: PlayWorld, bound: number): void {
+  ok(this.waits[0]! <= bound, String(this.waits[0]));
+}
+Then("they begin again within {int} ms of its first draw", beganAgainWithin);
+
 interface Seen {
   readonly kind: string;
   readonly command?: { readonly kind: string };
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -176,7 +176,7 @@
       return [...outputs, ...self.#draw(queue, later)];
     }
     /** A grant that comes too late to be begun still has to be given back. */
-    return this.#errands.ask(queue, { kind: "draw", holder: this.#membership.address, most: Math.min(room, constants.drawMost), able }, constants.orphanAfter, told, now, constants.drawHold);
+    return this.#errands.ask(queue, { kind: "draw", holder: this.#membership.address, by: this.#membership.identity, most: Math.min(room, constants.drawMost), able }, constants.orphanAfter, told, now, constants.drawHold);
   }
 
   #begin(queue: string, task: PassTask, askedAt: number, now: number): AccessOutput[] {
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -195,11 +195,21 @@
         entered = { ...command, ...(late ? { late } : {}), allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000, within: passage.within };
       }
     }
+    const lost = command.kind === "draw" ? this.#takeBack(partition, command, now) : [];
     if (hold > 0 && (command.kind === "results" || command.kind === "draw") && partition.chain.serves && !this.#isReady(partition, command, now)) {
       partition.held.push({ ticket, to: from, command, since: now, until: now + hold });
-      return [];
+      return lost;
     }
-    return this.#enter(partition, ticket, from, entered, now);
+    return [...lost, ...this.#enter(partition, ticket, from, entered, now)];
+  }
+
+  /** A dispatcher that began anew at its address has lost what it had under way. */
+  #takeBack({ chain, machine }: Partition, { holder, by }: Extract<QueueCommand, { kind: "draw" }>, now: number): StorageOutput[] {
+    if (!chain.serves || by === undefined) return [];
+    const lost: { claim: Claim; ending: PassEnding }[] = [];
+    for (const [key, held] of machine.passes.processing()) if (held.holder === holder && held.by !== undefined && held.by !== by) lost.push(broken(key, held.go));
+    if (lost.length === 0) return [];
+    return this.#perform(this.#partitions.get(chain.name)!, chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now), now);
   }
 
   #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
@@ -341,7 +351,7 @@
     for (const [key, go] of processing) if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     const tasks = machine.passes.processing();
-    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now, chain)) lost.push({ claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } });
+    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now, chain)) lost.push(broken(key, go));
     for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
     if (orphans.length + lost.length > 0) outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length + lost.length } });
     if (orphans.length > 0) outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
@@ -415,6 +425,10 @@
   return now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp);
 }
 
+function broken(key: string, go: number): { claim: Claim; ending: PassEnding } {
+  return { claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } };
+}
+
 function sharesOf(standing: QueueStanding): ShareClass[] {
   const classes: ShareClass[] = [];
   for (const { season, select, runners, target } of standingClasses(standing)) classes.push({ season, select, runners, share: target });
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -43,7 +43,8 @@
       /** One sending of it, and whether earlier ones of the same may be on their way still: then a refusal holds for all of them. */
       ticket?: string; final?: boolean }
   /** One batch: the source's step for each prompt. able: passages whose runners have room at the dispatcher; others keep their place. */
-  | { kind: "draw"; holder: string; most: number; able: readonly string[] }
+  /** holder: address of the dispatcher; by: this life of it. */
+  | { kind: "draw"; holder: string; by?: string; most: number; able: readonly string[] }
   | { kind: "settle"; endings: readonly { claim: Claim; ending: PassEnding }[] }
   | { kind: "end"; lot: string }
   /** The passage is gone from the configuration: its items end with it. */
@@ -105,6 +106,7 @@
   readonly troubles: number;
   readonly tokens: number;
   readonly holder?: string;
+  readonly by?: string;
   /** Runs on end that broke without an event, and the moment before which it is not drawn again for that. */
   readonly breaks?: number;
   readonly restsUntil?: number;
@@ -203,7 +205,7 @@
   #waiting = new Map<string, Place[]>();
   /** Tokens of what has not ended, by passage. */
   #tokens = new Map<string, number>();
-  #processing = new Map<string, { go: number; holder: string }>();
+  #processing = new Map<string, { go: number; holder: string; by: string | undefined }>();
   /** Moment at which time alone ends something of each lot: its items are given up, or it is no longer kept. */
   #dueAt = new Map<string, number>();
   #soonest = Number.POSITIVE_INFINITY;
@@ -221,7 +223,7 @@
       const lot = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
       this.#weigh(lot.way, task.tokens);
       if (task.state === "queued") this.#waitingOf(lot.way).push(placeOf(key, task, lot));
-      else this.#processing.set(key, { go: task.go, holder: task.holder! });
+      else this.#processing.set(key, { go: task.go, holder: task.holder!, by: task.by });
     }
     for (const waiting of this.#waiting.values()) waiting.sort(sooner);
     this.#bygones = [];
@@ -241,7 +243,7 @@
   get lots(): number { return this.#dueAt.size; }
 
   /** Claims under way, for the owner's watch over signs of life. */
-  processing(): ReadonlyMap<string, { readonly go: number; readonly holder: string }> {
+  processing(): ReadonlyMap<string, { readonly go: number; readonly holder: string; readonly by: string | undefined }> {
     return this.#processing;
   }
 
@@ -351,7 +353,7 @@
     return { key, task: ledger.read<TaskRecord>(key)!, lot: ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))! };
   }
 
-  draw(ledger: Ledger, { holder, most, able }: Extract<PassCommand, { kind: "draw" }>, limits: Limits | undefined, time: number): PassResult {
+  draw(ledger: Ledger, { holder, by, most, able }: Extract<PassCommand, { kind: "draw" }>, limits: Limits | undefined, time: number): PassResult {
     const bucketBefore = ledger.read<Bucket>(keyBucket);
     if (limits === undefined || bucketBefore === undefined) return { kind: "DRAWN", tasks: [], more: "RATE_LIMITED", wait: undefined };
     let held: Bucket = bucketBefore;
@@ -370,8 +372,8 @@
       held = drawn.bucket;
       const { key, task, lot } = drawn.prompt;
       const go = task.go + 1;
-      ledger.put(key, { ...task, state: "processing", go, holder } satisfies TaskRecord);
-      this.#processing.set(key, { go, holder });
+      ledger.put(key, { ...task, state: "processing", go, holder, ...(by === undefined ? {} : { by }) } satisfies TaskRecord);
+      this.#processing.set(key, { go, holder, by });
       const { index } = claimOf(key, go);
       const partial = ledger.read<Partial>(numbered("text", lot.id, index));
       tasks.push({ lot: lot.id, index, go, way: lot.way, host: lot.host, entry: ledger.read<PassEntry>(numbered("body", lot.id, index))!, upTo: partial?.upTo, remaining: lot.until - time });
@@ -437,7 +439,7 @@
   }
 
   /** Back to its own place in the queue. */
-  #giveBack(ledger: Ledger, key: string, { holder: _holder, ...task }: TaskRecord, lot: PassLot): void {
+  #giveBack(ledger: Ledger, key: string, { holder: _holder, by: _by, ...task }: TaskRecord, lot: PassLot): void {
     const back: TaskRecord = { ...task, state: "queued" };
     ledger.put(key, back);
     const waiting = this.#waitingOf(lot.way);
--- a/tools/simulator/src/pass-play.ts
+++ b/tools/simulator/src/pass-play.ts
@@ -28,6 +28,7 @@
   troubles: number;
   finished: boolean;
   finishedAt: number;
+  begunAt: number;
   runs: number;
 }
 
@@ -259,6 +260,7 @@
       const { lot, item } = known;
       self.#look(lot, item, work, runner);
       item.runs += 1;
+      item.begunAt = world.now;
       self.#count("runs");
       if (item.poisoned) return fail(422);
       if (work.resumeAfter === undefined && world.chance.happens(manner.trouble)) {
@@ -337,7 +339,7 @@
     for (let index = 0; index < count; index += 1) {
       const item = `${id}-${index}`;
       entries.push({ id: item, path: `/slips/${item}`, headers: [], body: new TextEncoder().encode(`body of ${item}`), tokens: 10 + world.chance.below(20), model: "m" });
-      items.set(item, { id: item, events: 1 + world.chance.below(12), poisoned: world.chance.happens(0.02), troubles: 0, finished: false, finishedAt: 0, runs: 0 });
+      items.set(item, { id: item, events: 1 + world.chance.below(12), poisoned: world.chance.happens(0.02), troubles: 0, finished: false, finishedAt: 0, begunAt: 0, runs: 0 });
     }
     const lot: LotSight = { id, items, entries, tries: [], firstAt: world.now, takenAt: undefined, endAskedAt: undefined, endedAt: undefined, shown: [], doneAt: undefined };
     for (const item of items.values()) this.#itemOf.set(item.id, { lot, item });
@@ -521,6 +523,30 @@
     return waits;
   }
 
+  /** The only dispatcher dies amid its runs and begins anew; the ms from its first draw until the last of those runs begins again. */
+  watchNewLife(): number {
+    const { world } = this;
+    const [access] = this.accesses as [AccessMachine];
+    const lot = this.handIn();
+    world.run(world.now + 500);
+    const under: ItemSight[] = [];
+    for (const item of lot.items.values()) if (item.runs > 0 && !item.finished && !item.poisoned) under.push(item);
+    access.kill(false);
+    world.run(world.now + 100);
+    access.start();
+    const { address } = access;
+    let drawnAt = Number.POSITIVE_INFINITY;
+    function watch(from: string, _to: string, message: unknown): undefined {
+      const { kind, command } = message as { kind: string; command?: { kind: string } };
+      if (from === address && kind === "queue-inquiry" && command?.kind === "draw") drawnAt = Math.min(drawnAt, world.now);
+    }
+    world.watch = watch;
+    world.run(world.now + 10_000);
+    let last = under.length === 0 ? Number.POSITIVE_INFINITY : 0;
+    for (const item of under) last = Math.max(last, item.runs > 1 ? item.begunAt : Number.POSITIVE_INFINITY);
+    return last - drawnAt;
+  }
+
   // Faults: one machine of a kind at a time, back before the next
 
   #strike(fault: Fault): void {
