Capacity measured again: passages over sockets, a relay with 860 nodes, what still breaks first

What: the scale run measures passages too: choices and looks, items drawn and settled, idle queues by access nodes, and streams byte for byte through a real access process; a relay as proposed, messages alone, as a process with up to 860 hollow nodes; times of the processor in place of the clock's, since the machine is shared. Next to build: relays with differences by region, configuration by record, lots by pieces.

--- a/tools/scale/src/bus.ts
+++ b/tools/scale/src/bus.ts
@@ -1,5 +1,6 @@
 import { constants } from "@chutewick/parts";
 import { Packr } from "msgpackr";
+import { spent } from "./uses.js";
 
 /** Real cores on one loop under virtual time: every message is packed as the wire packs it, and what each station does is timed. */
 export interface Kept {
@@ -108,12 +109,12 @@
     const held = station.hollow ? undefined : Buffer.from(bytes);
     const self = this;
     function deliver(): void {
-      const start = performance.now();
+      const start = spent();
       const told: unknown = held === undefined ? message : self.#packer.unpack(held);
       station!.receive(told, from.address);
       station!.meter.heard += 1;
       station!.meter.heardBytes += length;
-      if (!station!.hollow) station!.meter.keep(kind, length, performance.now() - start);
+      if (!station!.hollow) station!.meter.keep(kind, length, spent() - start);
     }
     this.#waiting.push(deliver);
   }
@@ -142,9 +143,9 @@
         this.#drain();
       }
       for (const station of this.stations.values()) {
-        const start = performance.now();
+        const start = spent();
         station.strike();
-        if (!station.hollow) station.meter.keep("beat", 0, performance.now() - start);
+        if (!station.hollow) station.meter.keep("beat", 0, spent() - start);
         this.#drain();
       }
     }
--- a/tools/scale/src/folders.ts
+++ b/tools/scale/src/folders.ts
@@ -7,6 +7,7 @@
 import { heldBy } from "./heap.js";
 import type { Rows } from "./rows.js";
 import type { Point } from "./slope.js";
+import { spent } from "./uses.js";
 
 /** Three real chains over three real folders on a real disk, and the queue's machine by itself (docs/CAPACITY.md). */
 interface Copy {
@@ -258,12 +259,12 @@
     held.push({ at: [items], value: heldBy(build) });
     const { machine, ledger } = chain!;
     const count = Math.min(200, items);
-    const start = performance.now();
+    const start = spent();
     for (let number = 0; number < count; number += 1) {
       machine.apply(ledger, { kind: "pop", holder: "scale" } satisfies QueueCommand, 1);
       ledger.takeChanges();
     }
-    steps.push({ at: [items], value: (performance.now() - start) / count });
+    steps.push({ at: [items], value: (spent() - start) / count });
   }
   for (const size of [100, body / 2, body]) {
     function build(): Chain { return filled(Math.min(...waiting), size); }
--- a/tools/scale/src/plane.ts
+++ b/tools/scale/src/plane.ts
@@ -1,10 +1,12 @@
 import { Sessions, constants, type NodeCard } from "@chutewick/parts";
 import type { ControlCommand, ControlOutcome } from "@chutewick/control";
+import type { PassInquiry } from "@chutewick/data";
 import { Bus, meanOf, type Kept } from "./bus.js";
 import { heldBy } from "./heap.js";
 import type { Rows } from "./rows.js";
 import type { Point } from "./slope.js";
 import { AccessStation, ControlStation, HollowNode, StorageStation, configurationOf, hollowCard } from "./stations.js";
+import { spent } from "./uses.js";
 
 /** The control plane with hollow nodes and runners: sessions, rolls, feed, plans (docs/CAPACITY.md). */
 export interface PlaneSize {
@@ -116,13 +118,13 @@
     let started = 0;
     for (const wanted of underWay) {
       while (started < wanted) started += arrive(access, bus, started);
-      const start = performance.now();
+      const start = spent();
       const before = started;
       for (let number = 0; number < 20; number += 1) started += arrive(access, bus, started);
-      points.push({ at: [count, count * wanted], value: (performance.now() - start) / (started - before) });
+      points.push({ at: [count, count * wanted], value: (spent() - start) / (started - before) });
     }
   }
-  rows.add("access node", "choice of a runner and start of a stream, processor", "ms", ["runners", "runners x under way"], points);
+  rows.add("access node", "own ways: choice of a runner and start of a stream, processor", "ms", ["runners", "runners x under way"], points);
 }
 
 function arrive(access: AccessStation, bus: Bus, number: number): number {
@@ -130,6 +132,44 @@
   return 1;
 }
 
+/** The same on passages; what is known of runners and of other nodes' work is read anew a few times a second. */
+export function measurePassages(rows: Rows, runners: readonly number[], sizes: readonly PlaneSize[]): void {
+  const [choices, looks]: [Point[], Point[]] = [[], []];
+  for (const count of runners) {
+    const { bus, access } = planeOf({ nodes: 8, runners: count });
+    access.runs = 60_000;
+    let number = 0;
+    function pass(): void {
+      number += 1;
+      access.perform(access.core.relay.arrive(`pass/${number}`, inquiryOf(number), bus.now));
+    }
+    for (let turn = 0; turn < 200; turn += 1) pass();
+    const start = spent();
+    for (let turn = 0; turn < 200; turn += 1) pass();
+    choices.push({ at: [count], value: (spent() - start) / 200 });
+  }
+  for (const { nodes, runners: count } of sizes) {
+    const { bus, access } = planeOf({ nodes, runners: count, told: count });
+    const spans: number[] = [];
+    for (let turn = 0; turn < 60; turn += 1) {
+      /** Late enough that all is read anew, early enough that all that is told still counts. */
+      const later = bus.now + 0.001 * turn + (turn % 2) * constants.lookEvery;
+      const start = spent();
+      access.core.choice.stands({ runner: "nobody", incarnation: 1, address: "" }, later);
+      if (turn > 20 && turn % 2 === 1) spans.push(spent() - start);
+    }
+    let sum = 0;
+    for (const span of spans) sum += span;
+    looks.push({ at: [nodes, count], value: sum / spans.length });
+  }
+  rows.add("access node", "passages: choice of a runner and start, processor", "ms", ["runners of the pool"], choices);
+  rows.add("access node", "passages: one look at what all nodes have under way, processor", "ms", ["nodes", "runners"], looks);
+}
+
+function inquiryOf(number: number): PassInquiry {
+  return { id: `inquiry-${number}`, method: "POST", host: "scale.example", path: "/note/1", headers: [], body: new Uint8Array(200), patience: undefined, model: "model-1", tokensIn: 700, tokensOut: 300, parts: [], resumeAfter: undefined };
+}
+
 /** Runners that announce at one access node: the core's part of each, and what the node's session then carries. */
 export function measureAnnouncements(rows: Rows, runners: readonly number[]): void {
   const [busy, session]: [Point[], Point[]] = [[], []];
@@ -139,9 +179,9 @@
       for (let number = 0; number < count; number += 1) access.perform(access.core.announce(`announce/${number}`, hollowCard(`runner-${number}-7f3a91c2`, number), bus.now));
     }
     for (let turn = 0; turn < 20; turn += 1) announce();
-    const start = performance.now();
+    const start = spent();
     for (let turn = 0; turn < 20; turn += 1) announce();
-    busy.push({ at: [count], value: (performance.now() - start) / 20 / count });
+    busy.push({ at: [count], value: (spent() - start) / 20 / count });
     bus.clear();
     bus.run(bus.now + 1_000);
     session.push({ at: [count], value: access.meter.sentBytes / access.meter.sent });
@@ -158,27 +198,34 @@
   bus.run(bus.now + 3_000);
 }
 
-/** How the session's and the roll's size grows with the runners that a node tells it has work at. */
-export function measureTold(rows: Rows, told: readonly number[], nodes: number): void {
-  const session: Point[] = [];
-  const lease: Point[] = [];
-  for (const count of told) {
-    const { bus } = planeOf({ nodes, runners: Math.max(...told), told: count });
-    bus.clear();
-    bus.run(bus.now + 1_000);
-    /** The hollow nodes' alone: the real ones tell of no such work. */
-    let bytes = 0;
-    let messages = 0;
-    for (const station of bus.stations.values()) {
-      if (!(station instanceof HollowNode)) continue;
-      bytes += station.meter.sentBytes;
-      messages += station.meter.sent;
+/** How sessions and rolls grow with the runners that nodes tell they have work at; the roll tells sums by runner. */
+export function measureTold(rows: Rows, runners: readonly number[], nodes: number): void {
+  const [session, lease, heard]: [Point[], Point[], Point[]] = [[], [], []];
+  for (const count of runners) {
+    for (const told of [0, Math.floor(count / 2), count]) {
+      const { bus, member } = planeOf({ nodes, runners: count, told });
+      bus.clear();
+      bus.run(bus.now + 1_000);
+      let distinct = 0;
+      let announced = 0;
+      /** The hollow nodes' alone: the real ones tell of no such work. */
+      let bytes = 0;
+      let messages = 0;
+      for (const station of bus.stations.values()) {
+        if (!(station instanceof HollowNode)) continue;
+        bytes += station.meter.sentBytes;
+        messages += station.meter.sent;
+        distinct = Math.max(distinct, told === 0 ? 0 : Math.min(count, told * nodes));
+        announced = count / nodes;
+      }
+      session.push({ at: [announced, told], value: bytes / messages });
+      lease.push({ at: [count, distinct], value: bytesOf(bus.sizes.get("lease")) });
+      heard.push({ at: [count, told], value: meanOf(member.meter.kinds.get("session")) });
     }
-    session.push({ at: [count], value: bytes / messages });
-    lease.push({ at: [count * nodes], value: bytesOf(bus.sizes.get("lease")) });
   }
-  rows.add("access node", "one session out, by runners it has work at", "bytes", ["runners told of"], session);
-  rows.add("control member", "one lease out, by work told of by all nodes", "bytes", ["nodes x runners told of"], lease);
+  rows.add("access node", "one session out, by runners it has work at", "bytes", ["runners announced here", "runners told of"], session);
+  rows.add("control member", "one lease out, by runners at which any node has work", "bytes", ["runners", "runners told of by any node"], lease);
+  rows.add("control member", `one session heard and told back, by runners it tells of, ${nodes} nodes, processor`, "ms", ["runners", "runners told of"], heard);
 }
 
 /** A change of configuration: what goes to each node, and what it costs the head, by the size of the whole configuration. */
@@ -262,10 +309,10 @@
     const sessions = sessionsOf(nodes, 0);
     const addresses: string[] = [];
     for (const card of sessions.live("access", 0)) addresses.push(card.address);
-    const start = performance.now();
+    const start = spent();
     let count = 0;
     for (const address of addresses) if (sessions.taken(address) >= 0) count += 1;
-    looks.push({ at: [nodes * nodes], value: count === nodes ? performance.now() - start : Number.NaN });
+    looks.push({ at: [nodes * nodes], value: count === nodes ? spent() - start : Number.NaN });
   }
   rows.add("control head", "one look whether a majority took a change, processor", "ms", ["nodes x nodes"], looks);
 }
--- a/tools/scale/src/processes.ts
+++ b/tools/scale/src/processes.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Fleet } from "@chutewick/fleet";
@@ -6,53 +6,27 @@
 import { StandInRunner } from "@chutewick/runner";
 import { Membership, type DataMessage } from "@chutewick/data";
 import { constants, type RunnerCard, type Telling } from "@chutewick/parts";
-import { Wire, type Log } from "@chutewick/shell";
+import { Wire } from "@chutewick/shell";
 import type { ControlMessage } from "@chutewick/control";
+import { measurePassing, PassingRunner, type PassingSizes } from "./passing.js";
 import { hollowCard } from "./stations.js";
+import { pause, quiet, useOf, type Use } from "./uses.js";
 import type { Role, Rows } from "./rows.js";
 import type { Point } from "./slope.js";
 
 /** Real processes on loopback, with hollow nodes beside them that share this process (docs/CAPACITY.md). */
-interface Use {
-  /** ms of the processor. */
-  readonly processor: number;
-  /** Bytes resident. */
-  readonly memory: number;
-  /** Bytes written to storage. */
-  readonly written: number;
-}
-
-const tickMs = 10;
-const pageBytes = 4_096;
-
-function useOf(process: number): Use {
-  const line = readFileSync(`/proc/${process}/stat`, "utf8");
-  const fields = line.slice(line.lastIndexOf(")") + 2).split(" ");
-  const written = /^write_bytes: (\d+)$/m.exec(readFileSync(`/proc/${process}/io`, "utf8"));
-  return { processor: (Number(fields[11]) + Number(fields[12])) * tickMs, memory: Number(fields[21]) * pageBytes, written: Number(written?.[1] ?? 0) };
-}
-
-function pause(milliseconds: number): Promise<void> {
-  function begin(resolve: () => void): void { setTimeout(resolve, milliseconds); }
-  return new Promise<void>(begin);
-}
-
-function silent(): void { /* Hollow nodes keep no log. */ }
-
-/** A log that nobody reads. */
-export const quiet = { info: silent, error: silent, warn: silent, debug: silent } as unknown as Log;
-
 /** A hollow node with a wire of its own: its session and leases go over real sockets. */
 class WiredNode {
   readonly #wire: Wire;
   readonly #membership: Membership;
   #beating: NodeJS.Timeout | undefined;
 
-  constructor(number: number, net: number, seeds: readonly string[], runnersEach: number) {
+  /** Runners that are no hollow ones may announce here as well. */
+  constructor(number: number, net: number, seeds: readonly string[], runnersEach: number, announced: readonly RunnerCard[] = []) {
     const address = `127.${net}.${50 + (number >> 7)}.${1 + (number & 127)}:7100`;
     const self = this;
     function telling(): Telling {
-      const runners: RunnerCard[] = [];
+      const runners: RunnerCard[] = [...announced];
       for (let place = 0; place < runnersEach; place += 1) runners.push({ ...hollowCard(`runner-${number}-${place}-7f3a91c2`, number), burden: Math.floor(performance.now() / constants.announceEvery + place) % 16, age: Math.floor(performance.now() + place * 37) % constants.announceEvery });
       return { runners, lots: [], turnedAway: [] };
     }
@@ -90,12 +64,15 @@
   readonly streams: readonly number[];
   readonly pieces: readonly number[];
   readonly lots: readonly number[];
+  readonly passing: PassingSizes;
   readonly seconds: number;
 }
 
 const ways = {
   models: { reader: { adapters: [], bucket: { tokens: 2_000, windowSeconds: 1, capacity: 2_000 }, waiting: 100_000 } },
   ways: { note: { kind: "stream", model: "reader" }, manifest: { kind: "stream", model: "reader" }, label: { kind: "fetch" }, slips: { kind: "lot", model: "reader" } },
+  pools: { readers: { models: ["reader"] } },
+  passages: { note: { host: "scale.example", prefix: "/note/", kind: "stream", pools: [{ pool: "readers", weight: 1 }], goesMost: 2, guard: 60_000 } },
 };
 
 /** 3 control, 3 storage and 1 access process; then hollow nodes, runners, streams and lots, three sizes of each. */
@@ -105,6 +82,7 @@
   const fleet = new Fleet({ folder, access: 1, storage: 3, modelRunners: Math.min(...sizes.runners), plainRunners: 1, models: ["reader"], behaviour: { firstMs: 20, pieceMs: 2, pieces: 8, wholeMs: 10 }, seats: 400, net });
   const hollow: WiredNode[] = [];
   const more: StandInRunner[] = [];
+  const passing: PassingRunner[] = [];
   try {
     await fleet.start();
     await fleet.startRunners();
@@ -172,11 +150,24 @@
     }
     add(rows, lots, ["items a second"]);
 
+    note("real processes: streams on passages");
+    const seeds: string[] = [];
+    for (const machine of fleet.machines.values()) if (machine.kind === "control") seeds.push(machine.wire);
+    const cards: RunnerCard[] = [];
+    for (let number = 1; number <= 8; number += 1) {
+      const runner = new PassingRunner(number, net);
+      await runner.open();
+      passing.push(runner);
+      cards.push(runner.card);
+    }
+    const first = new WiredNode(0, net, seeds, sizes.runnersEach, cards);
+    await first.open();
+    hollow.push(first);
+    await measurePassing(rows, sizes.passing, net, seeds, passing);
+
     note("real processes: hollow nodes");
     const nodes = new Map<string, Point[]>();
     for (const runner of [...fleet.runners, ...more]) runner.crash();
-    const seeds: string[] = [];
-    for (const machine of fleet.machines.values()) if (machine.kind === "control") seeds.push(machine.wire);
     for (const count of sizes.hollow) {
       while (hollow.length < count) {
         const node = new WiredNode(hollow.length, net, seeds, sizes.runnersEach);
@@ -203,6 +194,7 @@
   } finally {
     for (const node of hollow) node.close();
     for (const runner of more) runner.crash();
+    for (const runner of passing) runner.close();
     await fleet.stop();
     rmSync(folder, { recursive: true, force: true });
   }
--- a/tools/scale/src/queues.ts
+++ b/tools/scale/src/queues.ts
@@ -1,3 +1,5 @@
+import { configuration } from "@chutewick/control";
+import type { LotEntry } from "@chutewick/data";
 import { constants } from "@chutewick/parts";
 import { Bus } from "./bus.js";
 import type { Rows } from "./rows.js";
@@ -13,21 +15,21 @@
 
 const seeds = ["10.9.0.1:7100", "10.9.0.2:7100", "10.9.0.3:7100"];
 
-function plantOf(models: number): Plant {
+function plantOf(models: number, nodes = 2): Plant {
   const bus = new Bus();
   const controls: ControlStation[] = [];
   for (const seed of seeds) controls.push(new ControlStation(bus, seed, seeds));
   const storages: StorageStation[] = [];
   for (let number = 1; number <= 3; number += 1) storages.push(new StorageStation(bus, `10.8.0.${number}:7100`, seeds, `zone-${number}`));
   const accesses: AccessStation[] = [];
-  for (let number = 1; number <= 2; number += 1) accesses.push(new AccessStation(bus, `10.7.0.${number}:7100`, seeds, `zone-${number}`));
+  for (let number = 1; number <= nodes; number += 1) accesses.push(new AccessStation(bus, `10.7.0.${number}:7100`, seeds, `zone-${number}`));
   bus.run(2_000);
   function nothing(): void { /* Looked at by what follows. */ }
   controls[0]!.inquire({ kind: "put", expected: 0, value: configurationOf(models, 0) }, nothing);
   function announce(): void {
     for (const access of accesses) {
       for (let number = 1; number <= 8; number += 1) {
-        const card = { id: `${access.address}/${number}`, incarnation: 1, url: `http://10.128.0.${number}:8080`, kind: "model" as const, models: modelsOf(models), labels: {}, seats: 64, zone: "zone-1", burden: 0 };
+        const card = { id: `${access.address}/${number}`, incarnation: 1, url: `http://10.128.0.${number}:8080`, kind: "model" as const, models: modelsOf(models), labels: {}, pool: "readers", seats: 200, zone: "zone-1", burden: 0 };
         access.perform(access.core.announce(`announce/${bus.now}/${number}`, card, bus.now));
       }
     }
@@ -65,6 +67,68 @@
   rows.add("storage owner", "idle queues: processor a second, owner and copies", "ms/s", ["queues"], owner);
 }
 
+/** Every access node draws from every queue of passages; an empty one holds each draw for a while. */
+export function measureDraws(rows: Rows, nodes: readonly number[], seconds: number): void {
+  const [messages, owner]: [Point[], Point[]] = [[], []];
+  for (const count of nodes) {
+    const { bus, storages } = plantOf(1, count);
+    bus.clear();
+    bus.run(bus.now + seconds * 1_000);
+    const kinds = ["queue-inquiry", "queue-result", "probe", "probed"];
+    let told = 0;
+    for (const kind of kinds) told += bus.sizes.get(kind)?.count ?? 0;
+    messages.push({ at: [count], value: told / seconds });
+    owner.push({ at: [count], value: sum(storages, "busy") / seconds });
+  }
+  rows.add("dispatcher", "idle queue of a passage: messages a second", "messages/s", ["access nodes"], messages);
+  rows.add("storage owner", "idle queue of a passage: processor a second, owner and copies", "ms/s", ["access nodes"], owner);
+}
+
+/** Items of passages: drawn in batches, settled in batches. */
+export function measurePassItems(rows: Rows, sizes: readonly ItemSize[], seconds: number): void {
+  const found = new Map<string, Point[]>();
+  const by = ["items a second", "bytes of bodies a second"];
+  for (const size of sizes) {
+    const { bus, storages, accesses } = plantOf(1);
+    const owner = storages.find(ownsPool);
+    if (owner === undefined) throw new Error("the passage's queue has no owner");
+    const copies = storages.filter(isOther, owner);
+    bus.clear();
+    const lot = 20;
+    for (let number = 0; number * lot < size.items; number += 1) {
+      const entries: LotEntry[] = [];
+      for (let place = number * lot; place < Math.min(size.items, (number + 1) * lot); place += 1) entries.push({ id: `item-${place}`, path: `/slips/${place}`, headers: [], body: new Uint8Array(size.body), tokens: 800, model: "model-1" });
+      const access = accesses[number % 2]!;
+      access.perform(access.core.lots.handIn(`scale/${number}`, { lot: `lot-${number}`, host: "scale.example", path: "/slips/x", entries }, bus.now));
+    }
+    bus.run(bus.now + seconds * 1_000);
+    const solved = accesses[0]!.solved + accesses[1]!.solved;
+    if (solved < size.items) throw new Error(`only ${solved} of ${size.items} items were run within the span: ${accesses[0]!.told.join()}`);
+    const at = [size.items / seconds, (size.items * size.body) / seconds];
+    for (const [role, stations] of [["storage owner", [owner]], ["storage replica", copies], ["dispatcher", accesses]] as const) {
+      const values: [string, number][] = [
+        ["messages in and out|messages/s", sum(stations, "sent") + sum(stations, "heard")], ["bytes out|bytes/s", sum(stations, "sentBytes")],
+        ["bytes in|bytes/s", sum(stations, "heardBytes")], ["processor, without the disk|ms/s", sum(stations, "busy")],
+      ];
+      for (const [name, value] of values) {
+        const points = found.get(`${role}|${name}`) ?? [];
+        points.push({ at, value: value / stations.length / seconds });
+        found.set(`${role}|${name}`, points);
+      }
+    }
+  }
+  for (const [name, points] of found) {
+    const [role, what, unit] = name.split("|");
+    rows.add(role as "dispatcher", `passages: ${what!} of items`, unit!, by, points);
+  }
+}
+
+function ownsPool(station: StorageStation): boolean {
+  const { queues } = station.core.status(station.bus.now) as { queues: Record<string, { owner: boolean }> };
+  for (const [queue, each] of Object.entries(queues)) if (each.owner && configuration.isPoolQueue(queue)) return true;
+  return false;
+}
+
 function sum(stations: readonly { readonly meter: { readonly sent: number; readonly sentBytes: number; readonly heard: number; readonly heardBytes: number; readonly busy: number } }[], what: "sent" | "sentBytes" | "heard" | "heardBytes" | "busy"): number {
   let total = 0;
   for (const { meter } of stations) total += meter[what];
@@ -121,7 +185,7 @@
 
 function owns(station: StorageStation): boolean {
   const { queues } = station.core.status(station.bus.now) as { queues: Record<string, { owner: boolean }> };
-  for (const queue of Object.values(queues)) if (queue.owner) return true;
+  for (const [queue, each] of Object.entries(queues)) if (each.owner && !configuration.isPoolQueue(queue)) return true;
   return false;
 }
 
--- a/tools/scale/src/size.ts
+++ b/tools/scale/src/size.ts
@@ -28,6 +28,8 @@
   itemWaits: 600,
   /** Bytes of an item's body. Taken: 768 tokens of its own at four bytes, and its names. */
   itemBody: 3_300,
+  /** Copies of each queue: two losses at once are borne, as on the grown sites. Taken. */
+  copies: 4,
   tenants: 8_600,
   /** Ways of one tenant. Taken. */
   waysPerTenant: 2,
@@ -108,20 +110,36 @@
   /** Leases that a node hears a second, of three control machines. */
   const asked = (3 * 1_000) / constants.sessionEvery;
   tell("access node", "messages of control in and out a second", asked * 2, "messages/s");
-  tell("access node", "bytes in a second, leases of three control machines", asked * lease, "bytes/s", size.budgetBytes);
+  tell("access node", "bytes in a second, leases of three control machines, one of them with the roll", asked * lease, "bytes/s", size.budgetBytes);
   tell("access node", "processor for control, leases and beats", (asked * rows.at("access node", "one lease heard, processor", at) + beats * rows.at("access node", "one beat, session told included, processor", at)) / 1_000, "cores", size.budgetCore);
   tell("access node", "bytes in a second, changes, on the mean", changes * changeBytes, "bytes/s", size.budgetBytes);
   tell("access node", "one change, processor", rows.at("access node", "one change of one way, processor", [ways]), "ms");
   tell("access node", "state: the configuration", rows.at("access node", "sketch: memory of the configuration", [ways]), "bytes", size.budgetMemory);
   /** Nodes grow with the traffic, so what one has open does not grow with the size. */
-  const open = (size.tokensPerSecond * size.tokenEvery) / 1_000 / size.accessNodes;
-  tell("access node", "streams open at once", open, "streams", constants.liveMost);
-  if (rows.find("access node", "live streams, memory") !== undefined) tell("access node", "streams open at once, process", rows.at("access node", "live streams, memory", [open]), "bytes");
-  tell("access node", "bytes out a second, sessions that tell of work at that many runners", rows.at("access node", "one session out, by runners it has work at", [Math.min(open, size.runners)]) * asked, "bytes/s", size.budgetBytes);
   const inquiries = size.inquiriesPerSecond / size.accessNodes;
-  tell("access node", "choices of a runner, processor", (inquiries * rows.at("access node", "choice of a runner and start of a stream, processor", [size.runners, size.runners * open])) / 1_000, "cores", oneCore);
+  const open = (size.tokensPerSecond * size.tokenEvery) / 1_000 / size.accessNodes;
+  tell("access node", "own ways: streams open at once, and may be", open, "streams", constants.liveMost);
+  if (rows.find("access node", "live streams, memory") !== undefined) tell("access node", "own ways: streams open at once, memory of the process", rows.at("access node", "live streams, memory", [open]), "bytes");
+  /** Runners at which one node has work, its streams spread evenly. */
+  const told = size.runners * (1 - Math.exp(-open / size.runners));
+  tell("access node", "passages: runners at which it has work, told in each session", told, "runners");
+  tell("access node", "passages: bytes out a second, sessions that tell of it", rows.at("access node", "one session out, by runners it has work at", [size.runners / size.accessNodes, told]) * asked, "bytes/s", size.budgetBytes);
+  const others = rows.find("control member", "one lease out, by runners at which any node has work")?.slopes[1] ?? Number.NaN;
+  tell("access node", "passages: bytes in a second, leases and sums of others' work", asked * (lease + others * size.runners), "bytes/s", size.budgetBytes);
+  const heardTold = rows.rows.find(isHeardTold);
+  tell("control member", "passages: sessions with what nodes have work at, processor more", (sessions * ((heardTold?.slopes[1] ?? Number.NaN) * told)) / 1_000, "cores", oneCore);
+  const looks = 1_000 / constants.lookEvery;
+  tell("access node", "passages: looks at all nodes' work, processor", (looks * rows.at("access node", "passages: one look at what all nodes have under way, processor", at)) / 1_000, "cores", oneCore);
+  tell("access node", "passages: choices of a runner among those of a model, processor", (inquiries * rows.at("access node", "passages: choice of a runner and start, processor", [size.runners / letter.models])) / 1_000, "cores", oneCore);
+  tell("access node", "passages: choices of a runner among all, processor", (inquiries * rows.at("access node", "passages: choice of a runner and start, processor", [size.runners])) / 1_000, "cores", oneCore);
+  const passed = rows.find("access node", "passages: streams, processor a second");
+  if (passed !== undefined) {
+    tell("access node", "passages: live streams, processor", rows.at("access node", passed.what, [inquiries, size.tokensPerSecond / size.tokensPerPiece / size.accessNodes]) / 1_000, "cores", oneCore);
+    tell("access node", "passages: live streams, memory of the process", rows.at("access node", "passages: streams, memory", [open]), "bytes");
+  }
+  tell("access node", "own ways: choices of a runner, processor", (inquiries * rows.at("access node", "own ways: choice of a runner and start of a stream, processor", [size.runners, size.runners * open])) / 1_000, "cores", oneCore);
   const pieces = size.tokensPerSecond / size.tokensPerPiece / size.accessNodes;
-  if (rows.find("access node", "live streams, processor a second") !== undefined) tell("access node", "live streams, processor", rows.at("access node", "live streams, processor a second", [inquiries, pieces]) / 1_000, "cores", oneCore);
+  if (rows.find("access node", "live streams, processor a second") !== undefined) tell("access node", "own ways: live streams, processor", rows.at("access node", "live streams, processor a second", [inquiries, pieces]) / 1_000, "cores", oneCore);
   tell("access node", "control away: messages both ways", rows.at("access node", "control away: messages both ways a second", [size.nodes]), "messages/s");
   tell("access node", "control away: bytes both ways", rows.at("access node", "control away: bytes both ways a second", [size.nodes]), "bytes/s", size.budgetBytes);
   tell("access node", "control away: processor", rows.at("access node", "control away: processor a second", [size.nodes]) / 1_000, "cores", size.budgetCore);
@@ -129,20 +147,25 @@
   const items = mean * size.itemsPeak;
   const busiest = items * size.busiestModel;
   const flow = [busiest, busiest * size.itemBody];
-  /** One step passes three syncs in a row and four hops, and a dispatcher asks for one prompt after another. */
-  const step = 3 * slowSync + 4 * hop;
-  tell("dispatcher", "steps a second that the busiest queue needs, and that two dispatchers can ask for", busiest, "steps/s", (constants.dispatchersPerQueue * 1_000) / step);
-  tell("dispatcher", "items under way that the busiest queue needs, and may have", busiest * size.itemRuns, "items", constants.dispatchersPerQueue * constants.dispatchWidth);
-  tell("dispatcher", "idle queues, messages of all machines", rows.at("dispatcher", "idle queues: messages of all machines a second", [size.models]), "messages/s");
-  tell("dispatcher", "its part of all items: messages in and out", (mean / size.accessNodes) * size.itemsPeak * (rows.find("dispatcher", "messages in and out of items")?.slopes[0] ?? Number.NaN), "messages/s");
-  if (rows.find("dispatcher", "lots, processor a second") !== undefined) tell("dispatcher", "its part of all items, processor", ((items / size.accessNodes) * rows.find("dispatcher", "lots, processor a second")!.slopes[0]!) / 1_000, "cores");
-  tell("storage owner", "entries a second of the busiest queue", busiest * 2, "entries/s");
-  tell("storage owner", "busiest queue: processor of the owner, without the disk", rows.at("storage owner", "processor, without the disk of items", flow) / 1_000, "cores", oneCore);
+  /** One step passes the syncs of all copies in a row and a hop more, and a dispatcher asks for one prompt after another. */
+  const step = size.copies * slowSync + (size.copies + 1) * hop;
+  tell("dispatcher", "own ways: steps a second that the busiest queue needs, and that two dispatchers can ask for", busiest, "steps/s", (constants.dispatchersPerQueue * 1_000) / step);
+  tell("dispatcher", "own ways: items under way that the busiest queue needs, and may have", busiest * size.itemRuns, "items", constants.dispatchersPerQueue * constants.dispatchWidth);
+  const draws = rows.find("dispatcher", "idle queue of a passage: messages a second")?.slopes[0] ?? Number.NaN;
+  tell("dispatcher", "passages: idle queues, messages of all machines", draws * size.accessNodes * size.models, "messages/s");
+  tell("storage owner", "passages: one idle queue, processor of owner and copies, cores alone", rows.at("storage owner", "idle queue of a passage: processor a second, owner and copies", [size.accessNodes]) / 1_000, "cores", oneCore);
+  tell("storage owner", "passages: one idle queue, processor of the owner, by the wire alone", (draws * size.accessNodes * rows.at("access node", "one message at one end of the wire, processor with sockets", [150])) / 1_000, "cores", oneCore);
+  tell("dispatcher", "own ways: idle queues, messages of all machines", rows.at("dispatcher", "idle queues: messages of all machines a second", [size.models]), "messages/s");
+  tell("dispatcher", "passages: its part of all items, messages in and out", (items / size.accessNodes) * (rows.find("dispatcher", "passages: messages in and out of items")?.slopes[0] ?? Number.NaN), "messages/s");
+  tell("dispatcher", "own ways: its part of all items, messages in and out", (mean / size.accessNodes) * size.itemsPeak * (rows.find("dispatcher", "messages in and out of items")?.slopes[0] ?? Number.NaN), "messages/s");
+  if (rows.find("dispatcher", "lots, processor a second") !== undefined) tell("dispatcher", "own ways: its part of all items, processor", ((items / size.accessNodes) * rows.find("dispatcher", "lots, processor a second")!.slopes[0]!) / 1_000, "cores");
+  tell("storage owner", "own ways: entries a second of the busiest queue", busiest * 2, "entries/s");
+  tell("storage owner", "busiest queue: processor of the owner, without the disk", rows.at("storage owner", "passages: processor, without the disk of items", flow) / 1_000, "cores", oneCore);
   if (rows.find("storage owner", "lots, processor a second") !== undefined) tell("storage owner", "busiest queue: processor of the owner, whole process", rows.at("storage owner", "lots, processor a second", [busiest]) / 1_000, "cores", oneCore);
-  tell("storage owner", "busiest queue: messages in and out", rows.at("storage owner", "messages in and out of items", flow), "messages/s");
-  tell("storage owner", "busiest queue: bytes out", rows.at("storage owner", "bytes out of items", flow), "bytes/s", link);
+  tell("storage owner", "busiest queue: messages in and out", rows.at("storage owner", "passages: messages in and out of items", flow), "messages/s");
+  tell("storage owner", "busiest queue: bytes out", rows.at("storage owner", "passages: bytes out of items", flow), "bytes/s", link);
   if (rows.find("storage replica", "lots, processor a second") !== undefined) tell("storage replica", "busiest queue: processor of one copy, whole process", rows.at("storage replica", "lots, processor a second", [busiest]) / 1_000, "cores", oneCore);
-  tell("storage replica", "busiest queue: messages in and out", rows.at("storage replica", "messages in and out of items", flow), "messages/s");
+  tell("storage replica", "busiest queue: messages in and out", rows.at("storage replica", "passages: messages in and out of items", flow), "messages/s");
   tell("storage replica", "busiest queue: bytes written to the disk of one copy", busiest * rows.at("storage replica", "bytes written to the disk for one item", [size.itemBody]), "bytes/s", diskRate);
   tell("storage owner", "the largest lot in one entry: items", size.lotItemsMost, "items", constants.lotItemsMost);
   tell("storage owner", "the largest lot in one entry: on the wire", rows.at("storage owner", `a lot in one entry, ${letter.itemBody} bytes a body: on the wire`, [size.lotItemsMost]), "bytes", constants.messageMost);
@@ -159,6 +182,10 @@
   return found;
 }
 
+function isHeardTold(row: Row): boolean {
+  return row.role === "control member" && row.what.startsWith("one session heard and told back, by runners it tells of");
+}
+
 /** The part of the size at which something first costs more than it may; undefined where it does not up to the whole size, 0 where it does at once. */
 export function breaksAt(rows: Rows, size: Size, place: number): number | undefined {
   function over(part: number): boolean {
@@ -233,6 +260,10 @@
   const announcing = (rows.find("runner link", "announcing, processor of the access node a second")?.slopes[0] ?? Number.NaN) / (1_000 / constants.announceEvery);
   const beats = (announcing * size.runners) / 1.2 / size.controlMachines;
   tell("control member", "processor: sessions, beats of runners, wire", (nodesOfRelay * heard + beats + wire(relayMessages, relayBytes + nodesOfRelay * session)) / 1_000, "cores", oneCore);
+  if (rows.find("control member", "sketch over sockets: a relay, processor a second") !== undefined) {
+    tell("control member", "processor of sessions, leases and burdens, measured over sockets", rows.at("control member", "sketch over sockets: a relay, processor a second", [nodesOfRelay]) / 1_000, "cores", oneCore);
+    tell("access node", "processor for control, measured over sockets: sessions with two relays", (2 * (rows.find("access node", "sketch over sockets: nodes of one relay in one process, processor a second")!.slopes[0] ?? 0)) / 1_000, "cores", size.budgetCore);
+  }
   tell("control member", "one change to its nodes, by the link", (nodesOfRelay * change) / link, "s", inForce);
   tell("control member", "the whole configuration to all its nodes, by the link", (nodesOfRelay * whole) / link, "s");
   tell("control member", "memory of the process", rest("control member", "process, memory") + control + cards, "bytes");
@@ -243,15 +274,15 @@
   const flow = [partRate, partRate * size.itemBody];
   for (const role of ["storage owner", "storage replica"] as const) {
     tell(role, "parts of queues in all, of at most 200 items a second", parts, "parts");
-    tell(role, "copies of parts at one machine", (parts * 3) / size.storageNodes, "copies");
+    tell(role, "copies of parts at one machine", (parts * size.copies) / size.storageNodes, "copies");
     tell(role, "state of one part in memory, bodies beside the ledger", ledger, "bytes");
     tell(role, "state of one part on disk, bodies", waitsOfPart * size.itemBody, "bytes");
     tell(role, "entries a second of one part, eight prompts or results in each", (2 * partRate) / batch, "entries/s");
-    tell(role, "messages in and out a second, one part, eight in each", ((rows.find(role, "messages in and out of items")?.slopes[0] ?? Number.NaN) * partRate) / batch, "messages/s");
-    tell(role, "bytes out a second, one part", rows.at(role, "bytes out of items", flow), "bytes/s", link);
+    tell(role, "messages in and out a second, one part, at most: as passages have it today", ((rows.find(role, "passages: messages in and out of items")?.slopes[0] ?? Number.NaN) * partRate), "messages/s");
+    tell(role, "bytes out a second, one part", rows.at(role, "passages: bytes out of items", flow), "bytes/s", link);
     if (rows.find(role, "lots, processor a second") !== undefined) tell(role, "processor of one part, at most: with today's one item in each entry", rows.at(role, "lots, processor a second", [partRate]) / 1_000, "cores", oneCore);
     tell(role, "bytes to the disk a second, one part: each body once, twice its bytes", partRate * size.itemBody * 2, "bytes/s", diskRate);
-    if (rows.find(role, "process, memory") !== undefined) tell(role, "memory of the process", rest(role, "process, memory") + (ledger * parts * 3) / size.storageNodes, "bytes", queueMemory + 100_000_000);
+    if (rows.find(role, "process, memory") !== undefined) tell(role, "memory of the process", rest(role, "process, memory") + (ledger * parts * size.copies) / size.storageNodes, "bytes", queueMemory + 100_000_000);
   }
   tell("storage owner", "the largest lot: pieces of 300 items", Math.ceil(size.lotItemsMost / pieceItems), "pieces");
   tell("storage owner", "the largest lot until told, nine pieces at once", (Math.ceil(size.lotItemsMost / pieceItems) / 9) * rows.at("storage owner", `a lot in one entry, ${letter.itemBody} bytes a body: until told`, [pieceItems]), "ms");
@@ -266,10 +297,10 @@
   const open = (size.tokensPerSecond * size.tokenEvery) / 1_000 / size.accessNodes;
   const pieces = size.tokensPerSecond / size.tokensPerPiece / size.accessNodes;
   tell("access node", "streams open at once", open, "streams");
-  if (rows.find("access node", "live streams, processor a second") !== undefined) {
+  if (rows.find("access node", "passages: streams, processor a second") !== undefined) {
     tell("access node", "pieces a second", pieces, "pieces/s");
-    tell("access node", "processor for live streams", rows.at("access node", "live streams, processor a second", [inquiries, pieces]) / 1_000, "cores", oneCore);
-    tell("access node", "memory of the process, with its streams", rows.at("access node", "live streams, memory", [open]) + held + cards, "bytes");
+    tell("access node", "processor for streams on passages", rows.at("access node", "passages: streams, processor a second", [inquiries, pieces]) / 1_000, "cores", oneCore);
+    tell("access node", "memory of the process, with its streams", rows.at("access node", "passages: streams, memory", [open]) + held + cards, "bytes");
   }
 
   const own = items / size.accessNodes;
--- a/tools/scale/src/sketches.ts
+++ b/tools/scale/src/sketches.ts
@@ -4,6 +4,7 @@
 import type { Rows } from "./rows.js";
 import type { Point } from "./slope.js";
 import { configurationOf, hollowCard } from "./stations.js";
+import { spent } from "./uses.js";
 
 /** Messages and records of the mechanisms that docs/CAPACITY.md proposes, in the wire's own encoding, at full size: none of them is built. */
 const packer = new Packr({ useRecords: false });
@@ -16,23 +17,23 @@
 /** ms of one act, the mean of many. */
 function timeOf(act: () => void, times = 200): number {
   for (let number = 0; number < times; number += 1) act();
-  const start = performance.now();
+  const start = spent();
   for (let number = 0; number < times; number += 1) act();
-  return (performance.now() - start) / times;
+  return (spent() - start) / times;
 }
 
 /** One message of a relay to all nodes of its cell: place in the roll, then a runner's slot, burden and age by turns. */
-function burdens(runners: number): unknown {
+export function burdensOf(runners: number, place: number): { kind: "burdens"; place: number; rows: readonly number[] } {
   const rows: number[] = [];
-  for (let slot = 0; slot < runners; slot += 1) rows.push(slot, (slot * 37) % 200, slot % 12);
-  return { kind: "burdens", place: 123_456, rows };
+  for (let slot = 0; slot < runners; slot += 1) rows.push(slot, (slot * 37 + place) % 200, slot % 12);
+  return { kind: "burdens", place, rows };
 }
 
 export function measureSketches(rows: Rows, tiny: boolean): void {
   const cells = tiny ? [18, 36, 72] : [180, 360, 720, 3_600];
   const [bytes, reading, packing, cards]: [Point[], Point[], Point[], Point[]] = [[], [], [], []];
   for (const runners of cells) {
-    const message = burdens(runners);
+    const message = burdensOf(runners, 123_456);
     const packed = Buffer.from(packer.pack(message));
     const held = new Map<number, { burden: number; age: number }>();
     function read(): void {
--- a/tools/scale/src/stations.ts
+++ b/tools/scale/src/stations.ts
@@ -1,7 +1,8 @@
 import { ControlCore, configuration, type ControlCommand, type ControlMessage, type ControlOutcome, type ControlOutput } from "@chutewick/control";
-import { AccessCore, Membership, StorageCore, type AccessOutput, type DataMessage, type GoEvent, type StorageOutput } from "@chutewick/data";
+import { AccessCore, Membership, StorageCore, type AccessOutput, type DataMessage, type GoEvent, type PassEvent, type StorageOutput } from "@chutewick/data";
 import { constants, type RunnerCard, type Telling } from "@chutewick/parts";
 import { Station, type Bus } from "./bus.js";
+import { spent } from "./uses.js";
 
 /** The product's own cores as stations, and hollow nodes that only keep their session. */
 export class ControlStation extends Station {
@@ -23,9 +24,9 @@
     this.#ticket += 1;
     const ticket = `operator/${this.#ticket}`;
     this.#waiting.set(ticket, told);
-    const start = performance.now();
+    const start = spent();
     this.#perform(this.core.inquire(ticket, command, this.bus.now));
-    this.meter.keep("change", 0, performance.now() - start);
+    this.meter.keep("change", 0, spent() - start);
   }
 
   #perform(outputs: readonly ControlOutput[]): void {
@@ -49,9 +50,9 @@
   }
 
   #timed(outputs: readonly ControlOutput[]): void {
-    const start = performance.now();
+    const start = spent();
     this.#perform(outputs);
-    this.meter.keep("written", 0, performance.now() - start);
+    this.meter.keep("written", 0, spent() - start);
   }
 }
 
@@ -77,9 +78,9 @@
       else if (output.kind === "write") {
         const { chain, ticket } = output;
         function written(): void {
-          const start = performance.now();
+          const start = spent();
           self.#perform(self.core.written(chain, ticket, self.bus.now));
-          self.meter.keep("written", 0, performance.now() - start);
+          self.meter.keep("written", 0, spent() - start);
         }
         this.writes += 1;
         this.bus.soon(written);
@@ -88,10 +89,14 @@
   }
 }
 
+const eventBytes = new TextEncoder().encode("id: 1\ndata: a result of an item, some twelve words of it, as a runner tells it\n\n");
+
 /** An access node with hollow runners behind it. */
 export class AccessStation extends Station {
   readonly core: AccessCore;
   readonly replies: { status: number; body: unknown }[] = [];
+  /** What became of lots of passages. */
+  readonly told: string[] = [];
   /** ms that an item or a live inquiry runs. */
   runs = 100;
   began = 0;
@@ -111,16 +116,37 @@
       if (output.kind === "send") this.bus.send(this, output.to, output.message);
       else if (output.kind === "reply") this.replies.push({ status: output.status, body: output.body });
       else if (output.kind === "run") this.#run(output.go);
+      else if (output.kind === "pass-run") this.#pass(output.go);
+      else if (output.kind === "lot-told") this.told.push(output.told.kind);
+    }
+  }
+
+  /** One work on a passage: a head, one event and the end. */
+  #pass(go: number): void {
+    const self = this;
+    this.began += 1;
+    function tell(event: PassEvent): void {
+      const start = spent();
+      self.perform(self.core.passEvent(go, event, self.bus.now));
+      self.meter.keep(event.kind, 0, spent() - start);
     }
+    function end(): void {
+      if (self.core.mayPass(go, self.bus.now) !== undefined) return tell({ kind: "unsent", reason: "too late" });
+      tell({ kind: "head", status: 200, headers: [], stamped: true });
+      tell({ kind: "event", number: 1, data: "a result of an item, some twelve words of it, as a runner tells it", bytes: eventBytes });
+      tell({ kind: "end" });
+      self.solved += 1;
+    }
+    this.bus.after(this.runs, end);
   }
 
   #run(go: number): void {
     const self = this;
     this.began += 1;
     function tell(event: GoEvent): void {
-      const start = performance.now();
+      const start = spent();
       self.perform(self.core.goEvent(go, event, self.bus.now));
-      self.meter.keep(event.kind, 0, performance.now() - start);
+      self.meter.keep(event.kind, 0, spent() - start);
     }
     function end(): void {
       if (self.core.mayStart(go, self.bus.now) !== undefined) return tell({ kind: "unsent", reason: "too late" });
@@ -172,12 +198,18 @@
 }
 
 export function hollowCard(id: string, number: number): Omit<RunnerCard, "age"> {
-  return { id, incarnation: 1_800_000_000_000, url: `http://10.128.${number >> 8}.${number & 255}:8080`, kind: "model", models: ["model-1"], labels: { pool: "a" }, seats: 16, zone: `zone-${number % 11}`, burden: 0 };
+  return { id, incarnation: 1_800_000_000_000, url: `http://10.128.${number >> 8}.${number & 255}:8080`, kind: "model", models: ["model-1"], labels: {}, pool: "readers", seats: 160, zone: `zone-${number % 11}`, burden: 0 };
 }
 
 /** So many models, each with its queue, and so many ways beside them. */
 export function configurationOf(models: number, ways: number): unknown {
-  const value: { models: Record<string, unknown>; ways: Record<string, unknown> } = { models: {}, ways: {} };
+  const value: { models: Record<string, unknown>; ways: Record<string, unknown>; pools: Record<string, unknown>; passages: Record<string, unknown> } = {
+    models: {}, ways: {}, pools: { readers: { models: ["model-1"], bucket: { tokens: 100_000, windowSeconds: 1, capacity: 100_000 } } },
+    passages: {
+      note: { host: "scale.example", prefix: "/note/", kind: "stream", pools: [{ pool: "readers", weight: 1 }], goesMost: 2, guard: 600_000 },
+      slips: { host: "scale.example", prefix: "/slips/", kind: "lot", pools: [{ pool: "readers", weight: 1 }], goesMost: 3, guard: 600_000, keeps: 600 },
+    },
+  };
   for (let number = 1; number <= models; number += 1) {
     value.models[`model-${number}`] = { bucket: { tokens: 100_000, windowSeconds: 1, capacity: 100_000 }, waiting: 1_000_000 };
     value.ways[`lot-${number}`] = { kind: "lot", model: `model-${number}` };
--- a/tools/scale/src/wires.ts
+++ b/tools/scale/src/wires.ts
@@ -1,7 +1,7 @@
 import { Wire } from "@chutewick/shell";
-import { quiet } from "./processes.js";
 import type { Rows } from "./rows.js";
 import type { Point } from "./slope.js";
+import { quiet } from "./uses.js";
 
 /** One message over a real socket, sent when the one before has come: what an end of the wire pays, sockets included. */
 export async function measureWire(rows: Rows, sizes: readonly number[], count: number): Promise<void> {
