--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -205,3 +205,7 @@
     When endings are held up or lost on their way to the owner
     Then what callers and runners saw breaks no rule
     And no item was run more than twice as often as it had to be
+
+  Scenario: a node that is cut off lets its callers of hand-ins go once its lease is gone
+    When a node is cut off and lots are handed in there
+    Then each of its callers hears within 1700 ms, and none that it was refused while it may be taken
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -529,3 +529,21 @@
   ok(runs <= items * 2, `${runs} runs of ${items} items`);
 }
 Then("no item was run more than twice as often as it had to be", notRunTooOften);
+
+function aNodeIsCutOff(this: PlayWorld): void {
+  const play = new PassPlay({ seed: 11, stormy: 0, calm: 0, faults: [], access: 1 });
+  play.begin();
+  play.world.run(6_500);
+  play.world.isolate("access-1");
+  this.waits = play.watchHandIns(12, 150);
+  this.plays = [play];
+}
+When("a node is cut off and lots are handed in there", aNodeIsCutOff);
+
+function eachHearsWithin(this: PlayWorld, bound: number): void {
+  equal(this.waits.length, 12);
+  ok(Math.max(...this.waits) <= bound, this.waits.join(", "));
+  ok((this.plays[0]!.counts["hand-in later"] ?? 0) > 0 && (this.plays[0]!.counts["hand-in refused"] ?? 0) > 0, JSON.stringify(this.plays[0]!.counts));
+  breaksNoRule.call(this);
+}
+Then("each of its callers hears within {int} ms, and none that it was refused while it may be taken", eachHearsWithin);
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/errands.ts
@@ -85,8 +85,11 @@
 
   beat(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
+    const near = this.#membership.holds(now);
     for (const [ticket, errand] of [...this.#errands]) {
-      if (now - errand.since >= errand.patience) {
+      /** A node that heard nothing of its owner and lost its lease is cut off: the caller does better at another. */
+      const hopeless = !near && errand.doubtful && errand.command.kind === "hand-in";
+      if (now - errand.since >= errand.patience || hopeless) {
         this.#errands.delete(ticket);
         outputs.push(...errand.told(errand.sentTo !== undefined || errand.doubtful ? { kind: "unknown" } : { kind: "elsewhere", reason: "the queue's owner cannot be reached" }, now, errand.since));
       } else if (errand.sentTo === undefined ? now - errand.sentAt >= constants.ownerRetry : !isOnce(errand.command) && now - errand.sentAt >= constants.grantLasts + errand.hold) {
--- a/tools/simulator/src/pass-play.ts
+++ b/tools/simulator/src/pass-play.ts
@@ -38,6 +38,7 @@
   readonly entries: readonly LotEntry[];
   readonly tries: string[];
   readonly firstAt: number;
+  toldAt: number | undefined;
   takenAt: number | undefined;
   endAskedAt: number | undefined;
   endedAt: number | undefined;
@@ -341,7 +342,7 @@
       entries.push({ id: item, path: `/slips/${item}`, headers: [], body: new TextEncoder().encode(`body of ${item}`), tokens: 10 + world.chance.below(20), model: "m" });
       items.set(item, { id: item, events: 1 + world.chance.below(12), poisoned: world.chance.happens(0.02), troubles: 0, finished: false, finishedAt: 0, begunAt: 0, runs: 0 });
     }
-    const lot: LotSight = { id, items, entries, tries: [], firstAt: world.now, takenAt: undefined, endAskedAt: undefined, endedAt: undefined, shown: [], doneAt: undefined };
+    const lot: LotSight = { id, items, entries, tries: [], firstAt: world.now, toldAt: undefined, takenAt: undefined, endAskedAt: undefined, endedAt: undefined, shown: [], doneAt: undefined };
     for (const item of items.values()) this.#itemOf.set(item.id, { lot, item });
     this.lots.push(lot);
     this.#tryLot(lot);
@@ -356,6 +357,7 @@
     }
     function told(what: LotTold | undefined): void {
       lot.tries.push(what === undefined ? "silence" : what.kind);
+      if (what !== undefined) lot.toldAt ??= world.now;
       self.#count(`hand-in ${lot.tries.at(-1)}`);
       if (what?.kind === "taken") {
         if (lot.takenAt === undefined) {
@@ -547,6 +549,27 @@
     return last - drawnAt;
   }
 
+  /** Lots handed in one after another, and how long each caller waited for its first word. */
+  watchHandIns(count: number, every: number): number[] {
+    const { world } = this;
+    const waits: number[] = [];
+    const lots: LotSight[] = [];
+    for (let number = 0; number < count; number += 1) {
+      lots.push(this.handIn());
+      world.run(world.now + every);
+    }
+    const until = world.now + 6_000;
+    while (world.now < until) {
+      world.run(world.now + 10);
+      for (const lot of lots) if (lot.toldAt !== undefined) waits.push(lot.toldAt - lot.firstAt);
+      if (waits.length === count) break;
+      if (world.now < until) waits.length = 0;
+    }
+    world.mend();
+    this.#closeBooks();
+    return waits;
+  }
+
   // Faults: one machine of a kind at a time, back before the next
 
   #strike(fault: Fault): void {
