Who comes while no runner is known is told to come back a little later

Cause: just after a start no runner is known for a few hundred ms; callers told to come back in 0.15 s were refused again, and have no third try.

Changed: 0.35 s while no runner of the pool is known or the node may not serve; a patience that is no number counts as none; with hundreds of runners the choice reads them anew more seldom.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -32,7 +32,7 @@
       Then the caller of "q1" gets "refused 404"
       Given the node may not serve
       When "q2" arrives for "shop.example" at "/nowhere/x"
-      Then the caller of "q2" gets "refused 503 after 0.15"
+      Then the caller of "q2" gets "refused 503 after 0.35"
 
     Scenario: Weights share inquiries over pools, and one of no weight gets none
       When 2000 inquiries arrive for "even.example" at "/x"
@@ -194,7 +194,7 @@
       When "q1" arrives for "shop.example" at "/read/x"
       Then the caller of "q1" gets ""
       When 50 ms pass
-      Then the caller of "q1" gets "refused 503 after 0.15"
+      Then the caller of "q1" gets "refused 503 after 0.35"
       When "q2" arrives for "shop.example" at "/read/x"
       And the runner "m9" of "model" is heard of
       And 30 ms pass
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -188,6 +188,12 @@
     return found !== undefined && this.#isQuiet(found.sight, now);
   }
 
+  /** Whether any runner of a pool is heard of. */
+  knows(pool: string, now: number): boolean {
+    this.#look(now);
+    return this.#pools.has(pool);
+  }
+
   /** Whether a life of a runner is heard of still. */
   stands(chosen: Chosen, now: number): boolean {
     this.#look(now);
@@ -325,7 +331,9 @@
 
   /** What is known of the runners is read anew a few times in a beat, not for each inquiry. */
   #look(now: number): void {
-    if (now - this.#lookedAt < constants.lookEvery && now >= this.#lookedAt) return;
+    /** With thousands of runners a look costs milliseconds: then more seldom. */
+    const span = Math.min(constants.lookMost, constants.lookEvery * (1 + this.#runners.size / constants.lookRunners));
+    if (now - this.#lookedAt < span && now >= this.#lookedAt) return;
     this.#lookedAt = now;
     this.#pools = new Map();
     this.#addresses = new Map();
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -109,7 +109,7 @@
 
   arrive(ticket: string, inquiry: PassInquiry, now: number): PassOutput[] {
     this.counts.passed += 1;
-    if (!this.#membership.serves(now)) return this.#turnAway(ticket, 503, constants.seatAfter, "this node may not serve now");
+    if (!this.#membership.serves(now)) return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(inquiry.host, inquiry.path);
     if (found === undefined) {
       this.counts.passUnknown += 1;
@@ -117,7 +117,8 @@
     }
     const { passage } = found;
     if (this.#bytes + inquiry.body.length > this.#policy.memory * constants.bodiesPart) return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
-    const deadline = now + Math.min(passage.guard, inquiry.patience ?? passage.guard);
+    const patience = inquiry.patience ?? passage.guard;
+    const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
     const live: Live = {
       ticket, inquiry, passage, pool: poolOf(passage, inquiry.id), arrivedAt: now, deadline, waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
@@ -381,7 +382,7 @@
       this.counts.passUnsure += 1;
       outputs.push({ kind: "pass-refused", ticket, status: now >= live.deadline ? 504 : 502, retryAfter: undefined, reason: live.why });
     } else {
-      outputs.push(...this.#turnAway(ticket, 503, live.retryAfter ?? constants.seatAfter, live.why));
+      outputs.push(...this.#turnAway(ticket, 503, live.retryAfter ?? (this.#choice.knows(live.pool, now) ? constants.seatAfter : constants.knownAfter), live.why));
     }
   }
 
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -216,8 +216,13 @@
   bodiesPart: 200_000,
   /** s. What a caller turned away for want of a seat is told, where the runner tells nothing shorter. */
   seatAfter: 0.15,
+  /** s. The same while no runner is known, as just after a start: runners report about once a second. */
+  knownAfter: 0.35,
   /** ms. Runners, burdens and nodes are read anew this often for the choice of a runner; a beat is 50. */
   lookEvery: 25,
+  /** runners for which the pause between looks is as much longer again; and the longest, ms: what others tell is as old. */
+  lookRunners: 100,
+  lookMost: 250,
   /** seats, as a part of those of a runner, that work may be sent for: beyond its own it queues a few. */
   seatsMost: 1.5,
   /** tokens/ms. Prompts are read about so fast. */
