--- a/features/steps/storm.ts
+++ b/features/steps/storm.ts
@@ -22,6 +22,11 @@
 }
 When("the seeds {int} to {int} are played with storms of losses", patience, theSeedsArePlayedWithLosses);
 
+function theSeedsArePlayedWithTwoLost(this: World, from: number, to: number): Promise<void> {
+  return play(this, from, to, { losses: true, twoLost: true, syncTakes: [5, 12] });
+}
+When("the seeds {int} to {int} are played with storms of losses of two at once", patience, theSeedsArePlayedWithTwoLost);
+
 function theSeedsArePlayedWithTokens(this: World, from: number, to: number, tokens: number, allowance: number): Promise<void> {
   return play(this, from, to, { tokens, allowance });
 }
--- a/features/storm.feature
+++ b/features/storm.feature
@@ -48,3 +48,7 @@
   Scenario: storms of losses of power, processes and disks, of many machines at one moment, on slow disks
     When the seeds 1 to 100 are played with storms of losses
     Then the checker finds nothing
+
+  Scenario: the same where two machines may be lost at once, with five control and five storage machines and four copies
+    When the seeds 1 to 40 are played with storms of losses of two at once
+    Then the checker finds nothing
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,5 +1,5 @@
 import {
-  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, holdersOf, lateness, policy,
+  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, holdersOf, lateness, presentOf, policy,
   type Back, type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard, type Policy, type RunnerCard,
   type Roll, type Stamp, type ViewCommand, type ViewMessage, type VoteState,
 } from "@chutewick/parts";
@@ -564,8 +564,7 @@
     const joiner = view.joiner;
     const joinerCard = joiner === undefined ? undefined : live.get(joiner.identity);
     /** Where the members are too few to confirm, those that confirmed last go on as soon as they are back (§1.5). */
-    const alive: Member[] = [];
-    for (const member of holdersOf(view)) if (live.has(member.identity)) alive.push(member);
+    const alive = presentOf(view, live);
     /** One that stops as planned leaves at once, as long as two stay. */
     const staying: Member[] = [];
     for (const member of alive) if (!live.get(member.identity)!.leaving) staying.push(member);
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -330,16 +330,26 @@
   }
 
   #sendEntries(to: Member, after: number, now: number): ChainCommand[] {
-    const entries: Entry[] = [];
-    for (const entry of this.#entries) {
-      if (entry.place > after && entry.place <= this.#synced && entries.length < constants.entriesInMessage) entries.push(entry);
-    }
+    const entries = this.#entriesAfter(after);
     if (entries.length === 0) return [];
     if (this.#taken >= this.#passed) this.#takenAt = now;
     this.#passed = Math.max(this.#passed, entries.at(-1)!.place);
     return [this.#send(to, { kind: "entries", entries, confirmed: this.#confirmed })];
   }
 
+  /** What is synced here after a place, as much as goes into one message, and one entry at least (§1.7). */
+  #entriesAfter(after: number): Entry[] {
+    const entries: Entry[] = [];
+    let weight = 0;
+    for (const entry of this.#entries) {
+      if (entry.place <= after || entry.place > this.#synced) continue;
+      weight += weightOf(entry.command);
+      if (entries.length === constants.entriesInMessage || (entries.length > 0 && weight > constants.messageWeight)) break;
+      entries.push(entry);
+    }
+    return entries;
+  }
+
   #confirm(place: number, now: number): ChainCommand[] {
     if (place <= this.#confirmed) return [];
     const commands: ChainCommand[] = [];
@@ -363,11 +373,17 @@
     return commands;
   }
 
+  /** From a place on, message by message as each is taken; that does not make the successor any less slow (§3.4). */
+  #sendAgain(to: Member, after: number, now: number): ChainCommand[] {
+    const since = this.#taken < this.#passed ? this.#takenAt : now;
+    this.#passed = after;
+    const commands = this.#sendEntries(to, after, now);
+    this.#takenAt = since;
+    return commands;
+  }
+
   #sendJoiner(joiner: Member): ChainCommand[] {
-    const entries: Entry[] = [];
-    for (const entry of this.#entries) {
-      if (entry.place > this.#joinerPassed && entry.place <= this.#synced && entries.length < constants.entriesInMessage) entries.push(entry);
-    }
+    const entries = this.#entriesAfter(this.#joinerPassed);
     if (entries.length === 0) return [];
     this.#joinerPassed = entries.at(-1)!.place;
     return [this.#send(joiner, { kind: "entries", entries, confirmed: this.#confirmed })];
@@ -487,7 +503,7 @@
     const asker = joiner ?? (this.#successor?.address === from ? this.#successor : undefined);
     if (asker === undefined) return [];
     if (place > 0 && place + 1 >= this.#firstKept && place <= this.#place) {
-      if (joiner === undefined) return this.#sendEntries(asker, place, now);
+      if (joiner === undefined) return this.#sendAgain(asker, place, now);
       this.#joinerPlace = place;
       this.#joinerPassed = place;
       return [...this.#sendJoiner(joiner), this.#send(joiner, { kind: "taken", place: this.#synced, confirmed: this.#confirmed })];
@@ -507,12 +523,10 @@
       this.#joinerPlace = this.#place;
       this.#joinerPassed = this.#place;
     }
-    const records = this.ledger.digest();
+    const parts = cutInPieces(this.ledger.digest());
     const pieces: DistributiveBare[] = [];
-    const count = Math.max(1, Math.ceil(records.length / constants.digestPiece));
-    for (let part = 0; part < count; part += 1) {
-      const piece = records.slice(part * constants.digestPiece, (part + 1) * constants.digestPiece);
-      pieces.push({ kind: "digest", series: this.#series, part, last: part === count - 1, place: this.#place, time: this.#time, records: piece });
+    for (const [part, records] of parts.entries()) {
+      pieces.push({ kind: "digest", series: this.#series, part, last: part === parts.length - 1, place: this.#place, time: this.#time, records });
     }
     this.#sending = { to, pieces };
     return this.#sendPieces();
@@ -576,7 +590,7 @@
     if (late && this.position >= 0) {
       this.#progressAt = now;
       const successor = this.#successor;
-      if (successor !== undefined && this.#synced > this.#taken) commands.push(...this.#sendEntries(successor, this.#taken, now));
+      if (successor !== undefined && this.#synced > this.#taken) commands.push(...this.#sendAgain(successor, this.#taken, now));
       for (const probe of this.#probes.values()) {
         if (now - probe.sentAt < constants.resendAfter) continue;
         probe.sentAt = now;
@@ -609,6 +623,35 @@
   return left !== undefined && right !== undefined && left.identity === right.identity;
 }
 
+/** Pieces of a digest: by number and by weight, and one where there is nothing (§1.7). */
+function cutInPieces(records: readonly Change[]): Change[][] {
+  const pieces: Change[][] = [[]];
+  let weight = 0;
+  for (const record of records) {
+    const own = weightOf(record);
+    const piece = pieces.at(-1)!;
+    if (piece.length === constants.digestPiece || (piece.length > 0 && weight + own > constants.messageWeight)) {
+      pieces.push([record]);
+      weight = own;
+    } else {
+      piece.push(record);
+      weight += own;
+    }
+  }
+  return pieces;
+}
+
+/** bytes. About what a value takes in a message; names of fields count as their letters. */
+function weightOf(value: unknown): number {
+  if (typeof value === "string") return value.length;
+  if (value instanceof Uint8Array) return value.byteLength;
+  if (typeof value !== "object" || value === null) return 8;
+  let weight = 8;
+  if (Array.isArray(value)) for (const each of value) weight += weightOf(each);
+  else for (const [name, each] of Object.entries(value)) weight += name.length + weightOf(each);
+  return weight;
+}
+
 /** Whether this machine's copy counts in the view: as a member's, or as one of those that held all when the chain last confirmed. */
 function holds(view: ChainView, self: Member): boolean {
   return positionOf(view, self) >= 0 || holdersOf(view).some(isMember, self);
@@ -625,6 +668,24 @@
   return view.holders ?? view.members;
 }
 
+/** Whether a member is there, by its identity. */
+export interface Presence {
+  has(identity: string): boolean;
+}
+
+/** Those of a view that are there, in the order in which they may go on; what was copied from a lone holder counts while just those holders stay (§1.5). */
+export function presentOf(view: ChainView, there: Presence): Member[] {
+  const present: Member[] = [];
+  const joined: Member[] = [];
+  let same = true;
+  for (const member of holdersOf(view)) {
+    if (there.has(member.identity)) present.push(member);
+    if (there.has(member.identity) !== view.members.some(isMember, member)) same = false;
+  }
+  for (const member of view.members) if (there.has(member.identity) && !holdersOf(view).some(isMember, member)) joined.push(member);
+  return same ? [...present, ...joined] : present;
+}
+
 function isMember(this: Member, member: Member): boolean {
   return member.identity === this.identity;
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -52,6 +52,8 @@
   feedKept: 2_000,
   /** entries. Most entries in one message between chain members. */
   entriesInMessage: 200,
+  /** bytes. Entries and pieces of a digest end here as well, whatever their number: a lot may weigh a megabyte, and four pieces a beat are 160 Mbit/s. */
+  messageWeight: 262_144,
   /** ms. A grant of a popped prompt not begun by then is given back; keeps cancel within 3 s. */
   grantLasts: 1_000,
   /** ms. A prompt without a sign of life is taken back. The source has 10 min; lots are due in 8 s. */
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -1,5 +1,5 @@
 import { constants } from "./constants.js";
-import { holdersOf, type ChainView, type Member } from "./chain.js";
+import { holdersOf, presentOf, type ChainView, type Member } from "./chain.js";
 
 /** The small agreed view that mends the control chain (docs/design.md §2). */
 export interface Ballot {
@@ -205,8 +205,10 @@
   #wish(now: number): ChainView | undefined {
     const view = this.#state.view!;
     /** Where the members are too few to confirm, those that confirmed last go on as soon as they are back (§1.5). */
-    const alive = this.#alive(holdersOf(view), now);
-    if (!this.isNear(now)) return undefined;
+    const there = new Set<string>();
+    for (const { identity } of this.#alive([...holdersOf(view), ...view.members], now)) there.add(identity);
+    const alive = presentOf(view, there);
+    if (alive.length === 0 || !this.isNear(now)) return undefined;
     const joiner = view.joiner !== undefined && this.heardWithin(view.joiner.identity, constants.memberSilence, now) ? view.joiner : undefined;
     if (!sameMembers(alive, view.members)) {
       /** One copy left confirms nothing: it goes on only where there is one to copy to. */
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -1,4 +1,4 @@
-import { constants, type ChainView } from "@chutewick/parts";
+import { constants, policy, type ChainView } from "@chutewick/parts";
 import { configuration, type Configuration, type ControlOutcome } from "@chutewick/control";
 import { check, type ChangeRecord, type GoodbyeRecord, type InquiryRecord, type LotRecord, type LotView, type Sight, type Violation } from "./checker.js";
 import { aims } from "./aims.js";
@@ -40,6 +40,8 @@
   readonly deadlineSeconds?: number;
   /** Storms of losses: above all power, processes and disks, of many machines at one moment, and machines replaced again and again. */
   readonly losses?: boolean;
+  /** Two machines may be lost at once with their disks: five control and five storage machines, four copies. */
+  readonly twoLost?: boolean;
   /** ms that a disk takes to sync. */
   readonly syncTakes?: readonly [least: number, most: number];
 }
@@ -101,9 +103,14 @@
     this.#stormy = options.stormy ?? 30_000;
     this.sight = { inquiries: [], lots: [], changes: [], reads: [], begins: [], goodbyes: [], runs: [], waiting: [], healedAt: 0, serviceAt: {}, deadline: (options.deadlineSeconds ?? 600) * 1_000, repaired: true, emptiedHolds: false };
     const { world, sight } = this;
+    const twoLost = options.twoLost === true;
+    /** Settings name three of the control machines (docs/design.md §13.8). */
     const seeds = ["control-1", "control-2", "control-3"];
-    for (const seed of seeds) this.controls.push(new ControlMachine(world, seed, seed, seeds));
-    for (let number = 1; number <= 3; number += 1) this.storages.push(new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds));
+    if (twoLost) world.policy = { ...policy.usual, copiesLeast: 3, copiesWanted: 4, controlsWanted: 5, othersLeast: 3 };
+    for (const name of twoLost ? [...seeds, "control-4", "control-5"] : seeds) this.controls.push(new ControlMachine(world, name, name, seeds));
+    this.#controlNumber = this.controls.length;
+    if (twoLost) this.#storageNumber = 5;
+    for (let number = 1; number <= (twoLost ? 5 : 3); number += 1) this.storages.push(new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds));
     const self = this;
     const hooks: AccessHooks = {
       runnerAt: runnerAt,
@@ -691,9 +698,14 @@
     if (this.world.now - this.#lastWipeAt < 1_000) return;
     /** Of control machines another may be away meanwhile, but none else without its disk (docs/design.md §2.3). */
     const control = this.controls.includes(machine as ControlMachine);
-    if (control ? this.#controlLost : !this.#whole()) return;
+    if (control && this.options.twoLost !== true ? this.#controlLost : !this.#whole()) return;
     this.#lastWipeAt = this.world.now;
     this.#controlLost ||= control;
+    this.#loseDisk(machine, lasts);
+    this.#loseAnother(machine, lasts);
+  }
+
+  #loseDisk(machine: Machine, lasts: number): void {
     this.note(`disk lost at ${machine.name}, back empty after ${Math.round(lasts)}`);
     machine.kill(true);
     machine.wipe();
@@ -701,6 +713,15 @@
     this.world.after(lasts, back);
   }
 
+  /** Where two may be lost at once, often a second machine loses its disk at the same moment. */
+  #loseAnother(machine: Machine, lasts: number): void {
+    if (this.options.twoLost !== true || this.world.chance.happens(0.4)) return;
+    const another = this.world.chance.pick<Machine>([...this.controls, ...this.storages]);
+    if (another === machine || another.folder === undefined) return;
+    this.#controlLost ||= this.controls.includes(another as ControlMachine);
+    this.#loseDisk(another, lasts);
+  }
+
   /** A planned stop and start of a storage or access machine. */
   #stop(): void {
     const { world } = this;
@@ -789,13 +810,14 @@
     const power = chance.happens(0.6);
     const lost = power ? chance.pick<Machine>([...this.controls, ...this.storages]) : undefined;
     const control = this.controls.includes(lost as ControlMachine);
-    const wipes = lost !== undefined && lost.alive && !(control ? this.#controlLost : !this.#whole());
+    const wipes = lost !== undefined && lost.alive && !(control && this.options.twoLost !== true ? this.#controlLost : !this.#whole());
     for (const machine of this.machines) this.#kill(machine, power, chance.between(300, 2_500));
     if (!wipes) return;
     this.#lastWipeAt = world.now;
     this.#controlLost ||= control;
     this.note(`disk lost at ${lost.name}`);
     lost.wipe();
+    this.#loseAnother(lost, 500);
   }
 
   addStorage(): void { this.#add(); }
@@ -852,7 +874,7 @@
       const view = control.folder?.votes?.view;
       if (view !== undefined && (newest === undefined || view.mark > newest.mark)) newest = view;
     }
-    if (newest === undefined || newest.members.length < 3) return false;
+    if (newest === undefined || newest.members.length < this.world.policy.controlsWanted) return false;
     for (const member of newest.members) {
       const holder = this.controls.find(holds, { identity: member.identity });
       if (holder === undefined) return false;
@@ -863,7 +885,7 @@
     for (const [key, view] of head.folder!.holdings().get("control")!.records) {
       if (!key.startsWith("queue/")) continue;
       const placed = view as ChainView;
-      if (placed.members.length < 3) return false;
+      if (placed.members.length < this.world.policy.copiesWanted) return false;
       for (const member of placed.members) {
         const held = this.storages.find(holds, { identity: member.identity })?.folder!.holdings().get(key.slice(6));
         if (held === undefined || held.state.view.mark !== placed.mark) return false;
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -31,7 +31,7 @@
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
     const { folder } = this;
-    this.core = new ControlCore({ policy: this.#setting.policy, founding: this.#setting.founding, member: { identity: folder.identity, address: this.address }, seeds: this.#seeds, life: `${folder.identity}/${this.life}`, votes: folder.votes === undefined ? undefined : folder.copy(folder.votes), holding: folder.holdings().get("control") }, this.world.now);
+    this.core = new ControlCore({ policy: this.#setting.policy ?? this.world.policy, founding: this.#setting.founding, member: { identity: folder.identity, address: this.address }, seeds: this.#seeds, life: `${folder.identity}/${this.life}`, votes: folder.votes === undefined ? undefined : folder.copy(folder.votes), holding: folder.holdings().get("control") }, this.world.now);
     this.#perform(this.core.start(this.world.now));
   }
 
@@ -102,7 +102,7 @@
 
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
-    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: this.#setting.zone ?? zoneNamed(this.name), name: this.name, http: this.address }, this.#seeds, this.folder.holdings(), this.world.now, this.#setting.policy);
+    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: this.#setting.zone ?? zoneNamed(this.name), name: this.name, http: this.address }, this.#seeds, this.folder.holdings(), this.world.now, this.#setting.policy ?? this.world.policy);
   }
 
   protected strike(): void { this.#perform(this.core.beat(this.world.now)); }
@@ -164,7 +164,7 @@
   }
 
   protected begin(): void {
-    this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", name: this.name, http: this.address }, this.#seeds, this.world.now, this.#setting.policy);
+    this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", name: this.name, http: this.address }, this.#seeds, this.world.now, this.#setting.policy ?? this.world.policy);
   }
 
   protected strike(): void { this.perform(this.core.beat(this.world.now, this.world.wall)); }
--- a/tools/simulator/src/main.ts
+++ b/tools/simulator/src/main.ts
@@ -2,13 +2,13 @@
 import { playAll, seeds } from "./crew.js";
 
 /** `npm run simulator -- --from 1 --to 100` */
-async function play(given: { from: number; to: number; stormy: number; calm: number; calmOnly: boolean; details: boolean; quiet: boolean; losses: boolean; allowance: number; tokens: number; season: number | undefined; access: number | undefined; jobs: number | undefined }): Promise<void> {
+async function play(given: { from: number; to: number; stormy: number; calm: number; calmOnly: boolean; details: boolean; quiet: boolean; losses: boolean; twoLost: boolean; allowance: number; tokens: number; season: number | undefined; access: number | undefined; jobs: number | undefined }): Promise<void> {
   let broken = 0;
   const recovery: number[] = [];
   const { from, to, stormy, calm, allowance, tokens, season } = given;
   /** At a firm's size as in features/storm.feature. */
   const size = given.access === undefined ? {} : { access: given.access, modelRunners: 13, plainRunners: 3, seats: 8, inquiryEvery: [4, 20] as const };
-  for (const played of await playAll(seeds(from, to, { faults: !given.calmOnly, stormy, calm, allowance, tokens, season, ...size, ...(given.losses ? { losses: true, syncTakes: [5, 12] as const } : {}) }), undefined, given.jobs)) {
+  for (const played of await playAll(seeds(from, to, { faults: !given.calmOnly, stormy, calm, allowance, tokens, season, ...size, twoLost: given.twoLost, ...(given.losses ? { losses: true, syncTakes: [5, 12] as const } : {}) }), undefined, given.jobs)) {
     recovery.push(played.back);
     if (given.quiet && played.violations.length === 0) continue;
     if (played.violations.length > 0) broken += 1;
@@ -32,7 +32,7 @@
   args: {
     from: option({ type: number, long: "from", defaultValue: one }), to: option({ type: number, long: "to", defaultValue: ten }),
     stormy: option({ type: number, long: "stormy", defaultValue: stormyUsual, description: "ms with faults" }), calm: option({ type: number, long: "calm", defaultValue: calmUsual, description: "ms after mending" }),
-    calmOnly: flag({ long: "calm-only" }), details: flag({ long: "details" }), losses: flag({ long: "losses", description: "storms of losses, on disks of 5 to 12 ms a sync" }), quiet: flag({ long: "quiet", description: "tell only seeds that broke a rule" }),
+    calmOnly: flag({ long: "calm-only" }), details: flag({ long: "details" }), losses: flag({ long: "losses", description: "storms of losses, on disks of 5 to 12 ms a sync" }), twoLost: flag({ long: "two-lost", description: "two machines may be lost at once" }), quiet: flag({ long: "quiet", description: "tell only seeds that broke a rule" }),
     allowance: option({ type: number, long: "allowance", defaultValue: allowanceUsual }),
     tokens: option({ type: number, long: "tokens", defaultValue: tokensUsual }),
     access: option({ type: optional(number), long: "access", description: "access nodes, with the firms' 13 and 3 runners: 7 or 9" }),
--- a/tools/simulator/src/world.ts
+++ b/tools/simulator/src/world.ts
@@ -1,4 +1,4 @@
-import { constants, type ChainHolding, type ChainState, type ChainWrite, type Change, type Entry, type VoteState } from "@chutewick/parts";
+import { constants, policy, type Policy, type ChainHolding, type ChainState, type ChainWrite, type Change, type Entry, type VoteState } from "@chutewick/parts";
 import { Packr } from "msgpackr";
 
 /** Virtual time, one seed, a network, disks and machines that fail (docs/testing.md). */
@@ -243,6 +243,8 @@
   loss = 0;
   delayMost = 3;
   wallStep = 0;
+  /** What every machine is told of its deployment. */
+  policy: Policy = policy.usual;
   /** ms that a disk takes to sync. */
   syncTakes: readonly [least: number, most: number] = [0.2, 2];
   events = 0;
