--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -33,6 +33,8 @@
   #askedAt = Number.NEGATIVE_INFINITY;
   #promises = new Set<string>();
   #permitUntil = Number.NEGATIVE_INFINITY;
+  /** A lease was held in this life: only from then on does this node know all that was confirmed before (§7.4). */
+  #heldLease = false;
   /** A life before this one may have promised. */
   #promisedUntil: number;
   #leaving = false;
@@ -94,7 +96,7 @@
   /** Asks and promises among nodes while control is away (§7.4). */
   fellow(message: FellowMessage, from: string, now: number): Send[] {
     if (message.kind === "fellow-ask") {
-      const promises = !this.#policy.goesOnAlone && this.follower.place > 0 && !this.isNear(now);
+      const promises = !this.#policy.goesOnAlone && this.#heldLease && !this.isNear(now);
       if (promises) this.#promisedUntil = now + constants.permitLasts;
       return [{ kind: "send", to: from, message: { kind: "fellow-tell", askedAt: message.askedAt, place: this.follower.place, promises, runners: this.#telling().runners ?? [], closed: [...this.#saidHere] } }];
     }
@@ -125,7 +127,7 @@
   #askFellows(now: number): Send[] {
     if (this.#policy.goesOnAlone) return [];
     const fellows = this.#fellows;
-    if (this.isNear(now) || this.follower.place === 0 || !fellows.includes(this.address) || now - this.#askedAt < constants.sessionEvery) return [];
+    if (this.isNear(now) || !this.#heldLease || !fellows.includes(this.address) || now - this.#askedAt < constants.sessionEvery) return [];
     this.#askedAt = now;
     this.#promisedUntil = now + constants.permitLasts;
     this.#promises = new Set([this.address]);
@@ -190,6 +192,7 @@
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
+      this.#heldLease ||= this.#lease.holds(now, this.follower.place);
       if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
       /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
       if (message.roll.nodes.length > 0 && message.askedAt >= this.#rollAt) {
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -121,6 +121,8 @@
   #copiedMark = 0;
   /** Place that a joiner's source told in this view, asked for once the copy is here: only up to there is the copy whole. */
   #sourcePlace: number | undefined;
+  /** When this joiner last stood where its source did; a word of that is withdrawn when it grows old. */
+  #wholeAt = 0;
   /** Entries whose changes are not at hand: the next moment without doubt is told as a whole. */
   #gap = false;
 
@@ -302,7 +304,7 @@
     const commands: ChainCommand[] = [];
     commands.push(...this.#pass(now));
     if (isSame(this.#view!.joiner, this.#self)) {
-      this.#countCopy();
+      this.#countCopy(now);
       if ((write.whole && this.#place > 0) || write.adopts) commands.push(this.#send(this.#source!, { kind: "want", place: this.#place }));
     }
     return commands;
@@ -398,8 +400,10 @@
   }
 
   /** A joiner's copy counts when it has reached the place where its source stood after the copying. */
-  #countCopy(): void {
-    if (this.#sourcePlace !== undefined && this.#synced >= this.#sourcePlace && this.#parts === undefined) this.#copiedMark = this.#view!.mark;
+  #countCopy(now: number): void {
+    if (this.#sourcePlace === undefined || this.#synced < this.#sourcePlace || this.#parts !== undefined) return;
+    this.#copiedMark = this.#view!.mark;
+    this.#wholeAt = now;
   }
 
   receive(message: ChainMessage, from: string, now: number): ChainCommand[] {
@@ -453,7 +457,7 @@
     }
     if (isSame(view.joiner, this.#self) && this.#source!.address === from) {
       this.#sourcePlace = place;
-      this.#countCopy();
+      this.#countCopy(now);
       return [];
     }
     if (this.#successor?.address !== from) return [];
@@ -554,6 +558,10 @@
     if (parts.last === undefined || parts.pieces.size !== parts.last + 1) return [];
     this.#parts = undefined;
     if (message.place < this.#place) return [];
+    if (message.place === 0 && this.#copiedMark === message.mark) {
+      this.#countCopy(now);
+      return [];
+    }
     const records: Change[] = [];
     for (let part = 0; part <= parts.last; part += 1) records.push(...parts.pieces.get(part)!);
     this.ledger.clear();
@@ -582,7 +590,8 @@
       this.#parts = undefined;
       commands.push(this.#send(source!, { kind: "want", place: this.#place }));
     }
-    if (joins && this.#parts === undefined && this.#copiedMark < this.#view.mark && this.#writes.size === 0 && now - this.#progressAt > constants.resendAfter) {
+    if (joins && this.#copiedMark > 0 && now - this.#wholeAt > constants.resendAfter * 4) this.#copiedMark = 0;
+    if (joins && this.#parts === undefined && this.#writes.size === 0 && now - this.#progressAt > constants.resendAfter) {
       this.#progressAt = now;
       commands.push(this.#send(source!, { kind: "want", place: this.#place }));
       return commands;
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -768,7 +768,7 @@
     const { world, controls } = this;
     this.#controlNumber += 1;
     const name = `control-${this.#controlNumber}`;
-    const blank = new ControlMachine(world, name, name, ["control-1", "control-2", "control-3"]);
+    const blank = new ControlMachine(world, name, name, this.#seedsNow(gone));
     controls[controls.indexOf(gone)] = blank;
     gone.retired = true;
     function begin(): void { if (!blank.alive) blank.start(); }
@@ -780,7 +780,7 @@
     const { world, storages } = this;
     this.#storageNumber += 1;
     const name = `storage-${this.#storageNumber}`;
-    const blank = new StorageMachine(world, name, name, ["control-1", "control-2", "control-3"]);
+    const blank = new StorageMachine(world, name, name, this.#seedsNow());
     storages[storages.indexOf(gone)] = blank;
     gone.retired = true;
     /** The end of the storm may have started it before. */
@@ -791,6 +791,13 @@
     world.after(after, begin);
   }
 
+  /** The operator's list as it stands when a machine is set up. */
+  #seedsNow(gone?: ControlMachine): string[] {
+    const seeds: string[] = [];
+    for (const control of this.controls) if (control !== gone && seeds.length < 3) seeds.push(control.address);
+    return seeds;
+  }
+
   /** A storage machine is gone for good; an empty one comes at a new address. */
   #replaceStorage(): void {
     const { world } = this;
