A copy goes as fast as its pieces are taken, so a slow link no longer begins it anew for ever

Four pieces a beat went out whatever the link carried, the wire dropped what was over its backlog, and after 2 s the copy was begun anew. What: digest-got says which piece came; four are on their way, unheard ones go out again, a receiver that never says so is served as before. Test: features/copies.feature fails without it (copy never whole) and passes with it.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -13,3 +13,13 @@
       | 2      | 2      | surely not taken   |
       | 2      | 3      | confirmed on all 3 |
       | 2      | 4      | confirmed on all 4 |
+
+  Scenario Outline: a machine is copied to over a link that drops what it cannot carry, <kind>
+    Given two copies of a chain with 20,000 records, and a blank machine <kind>
+    When the link to it carries 2 pieces of the copy each beat, holds 6 more and drops the others
+    Then the copy is <told> within 10 s
+
+    Examples:
+      | kind                                | told  |
+      | that tells what it got              | whole |
+      | that hears pieces one beat later    | whole |
--- a/features/steps/copies.ts
+++ b/features/steps/copies.ts
@@ -1,8 +1,11 @@
 import { deepEqual, equal } from "node:assert/strict";
-import { Then, When } from "@cucumber/cucumber";
-import { Chain, policy, type Bounds, type ChainCommand, type ChainResult, type Ledger, type Machine, type Member, type Policy } from "@chutewick/parts";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Chain, policy, type Bounds, type ChainCommand, type ChainMessage, type ChainResult, type Ledger, type Machine, type Member, type Policy } from "@chutewick/parts";
 
 interface World {
+  joiner: Chain;
+  source: Chain;
+  late: boolean;
   result: ChainResult | undefined;
   synced: number;
 }
@@ -74,3 +77,73 @@
   deepEqual(this.synced, count);
 }
 Then("the change is confirmed on all {int}", onAll);
+
+class Shelf implements Machine {
+  apply(ledger: Ledger, command: unknown): unknown {
+    const { from } = command as { from: number };
+    for (let index = from; index < from + 1_000; index += 1) ledger.put(`k${index}`, index);
+    return from;
+  }
+
+  rebuild(): void {
+    // Nothing is derived.
+  }
+}
+
+const [head, tail, blank]: Member[] = [{ identity: "m0", address: "a0" }, { identity: "m1", address: "a1" }, { identity: "m2", address: "a2" }];
+
+function twoCopies(this: World, kind: string): void {
+  this.late = kind.includes("later");
+  const pair = new Map<string, Chain>([["a0", new Chain("q", head!, new Shelf(), 0)], ["a1", new Chain("q", tail!, new Shelf(), 0)]]);
+  const queue: [string, ChainCommand][] = [];
+  for (const [address, chain] of pair) for (const command of chain.adopt({ mark: 1, members: [head!, tail!] }, 0)) queue.push([address, command]);
+  function settle(): void {
+    while (queue.length > 0) {
+      const [address, command] = queue.shift()!;
+      if (command.kind === "send") for (const next of pair.get(command.to)!.receive(command.message, address, 0)) queue.push([command.to, next]);
+      if (command.kind === "write") for (const next of pair.get(address)!.written(command.ticket, 0)) queue.push([address, next]);
+    }
+  }
+  settle();
+  for (let from = 0; from < 20_000; from += 1_000) {
+    for (const command of pair.get("a0")!.inquire(`t${from}`, { from }, 0)) queue.push(["a0", command]);
+    settle();
+  }
+  this.source = pair.get("a1")!;
+  this.joiner = new Chain("q", blank!, new Shelf(), 0);
+}
+Given(/^two copies of a chain with 20,000 records, and a blank machine (.+)$/, twoCopies);
+
+/** The head's part of the view does not matter to the copy: it goes from the tail to the blank. */
+function copiedOver(this: World, each: number, holds: number): void {
+  const { joiner, source, late } = this;
+  const chains = new Map<string, Chain>([["a1", source], ["a2", joiner]]);
+  const link: ChainMessage[] = [];
+  let waiting: ChainMessage[] = [];
+  let now = 0;
+  function perform(address: string, commands: readonly ChainCommand[]): void {
+    for (const command of commands) {
+      if (command.kind === "write") perform(address, chains.get(address)!.written(command.ticket, now));
+      else if (command.kind === "send" && command.to === "a2" && command.message.kind === "digest") {
+        if (link.length < each + holds) link.push(command.message);
+      } else if (command.kind === "send" && chains.has(command.to)) perform(command.to, chains.get(command.to)!.receive(command.message, address, now));
+    }
+  }
+  const view = { mark: 2, members: [head!, tail!], joiner: blank! };
+  for (const [address, chain] of chains) perform(address, chain.adopt(view, now));
+  while (now < 10_000 && joiner.copiedMark !== 2) {
+    now += 50;
+    const carried = link.splice(0, each);
+    const arrived = late ? waiting : carried;
+    waiting = late ? carried : [];
+    for (const message of arrived) perform("a2", joiner.receive(message, "a1", now));
+    for (const [address, chain] of chains) perform(address, chain.beat(now));
+  }
+}
+When("the link to it carries {int} pieces of the copy each beat, holds {int} more and drops the others", copiedOver);
+
+function isWhole(this: World): void {
+  equal(this.joiner.copiedMark, 2);
+  equal(this.joiner.ledger.size, 20_000);
+}
+Then("the copy is whole within 10 s", isWhole);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -138,7 +138,7 @@
     switch (message.kind) {
       case "greet": case "prepare": case "promise": case "accept": case "accepted": case "overtaken":
         return this.#vote(this.#agreement.receive(message, from, now), now);
-      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest":
+      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest": case "digest-got":
         return message.chain === "control" ? this.#perform(this.#chain.receive(message, from, now), now) : [];
       case "session": return this.#session(message.card, message.askedAt, lateness(message.back, this.#life, now), message.rolled, now);
       case "roll":
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -129,7 +129,7 @@
   receive(message: DataMessage, from: string, now: number): StorageOutput[] {
     this.#now = now;
     switch (message.kind) {
-      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest": {
+      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest": case "digest-got": {
         const partition = this.#partitions.get((message as ChainMessage).chain);
         return partition === undefined ? [] : this.#perform(partition, partition.chain.receive(message as ChainMessage, from, now), now);
       }
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -33,6 +33,8 @@
   | { readonly kind: "probed"; readonly number: number }
   | { readonly kind: "want"; readonly place: number }
   | { readonly kind: "digest"; readonly series: number; readonly part: number; readonly last: boolean; readonly place: number; readonly time: number; readonly records: readonly Change[] }
+  /** A piece of a digest has come, so the next may follow (§1.8). */
+  | { readonly kind: "digest-got"; readonly series: number; readonly part: number }
 );
 
 /** What is to be written, all of it or nothing, before `written(ticket)` is called. */
@@ -116,7 +118,7 @@
   #digestFor: Member | undefined;
   #series = 0;
   /** Pieces of a copy still to be sent, a few with each beat. */
-  #sending: { readonly to: Member; readonly pieces: DistributiveBare[] } | undefined;
+  #sending: Sending | undefined;
   #parts: { series: number; pieces: Map<number, readonly Change[]>; last: number | undefined; at: number } | undefined;
   #copiedMark = 0;
   /** Place that a joiner's source told in this view, asked for once the copy is here: only up to there is the copy whole. */
@@ -327,7 +329,7 @@
       for (const member of view.members) if (!isSame(member, this.#self)) commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
     }
     commands.push(...this.#restore());
-    if (this.#digestFor !== undefined && this.#synced === this.#place) commands.push(...this.#sendDigest(this.#digestFor));
+    if (this.#digestFor !== undefined && this.#synced === this.#place) commands.push(...this.#sendDigest(this.#digestFor, now));
     return commands;
   }
 
@@ -417,6 +419,7 @@
       case "probed": return this.#receiveProbed(message.number);
       case "want": return this.#receiveWant(message.place, from, now);
       case "digest": return this.#receiveDigest(message, from, now);
+      case "digest-got": return this.#receiveGot(message.series, message.part, from, now);
     }
   }
 
@@ -516,11 +519,11 @@
       this.#digestFor = asker;
       return [];
     }
-    return this.#sendDigest(asker);
+    return this.#sendDigest(asker, now);
   }
 
   /** A whole copy in pieces, taken only when all of it is synced here, so a copy never runs ahead (§1.4). */
-  #sendDigest(to: Member): ChainCommand[] {
+  #sendDigest(to: Member, now: number): ChainCommand[] {
     this.#digestFor = undefined;
     this.#series += 1;
     if (isSame(this.#view!.joiner, to)) {
@@ -532,7 +535,7 @@
     for (const [part, records] of parts.entries()) {
       pieces.push({ kind: "digest", series: this.#series, part, last: part === parts.length - 1, place: this.#place, time: this.#time, records });
     }
-    this.#sending = { to, pieces };
+    this.#sending = { to, pieces, sent: 0, got: new Set(), at: now, isDeaf: false };
     return this.#sendPieces();
   }
 
@@ -540,8 +543,37 @@
     const commands: ChainCommand[] = [];
     const sending = this.#sending;
     if (sending === undefined) return commands;
-    for (const piece of sending.pieces.splice(0, constants.digestPiecesEachBeat)) commands.push(this.#send(sending.to, piece));
-    if (sending.pieces.length === 0) this.#sending = undefined;
+    const { to, pieces } = sending;
+    const upTo = Math.min(pieces.length, sending.isDeaf ? sending.sent + constants.digestPiecesEachBeat : sending.got.size + constants.digestPiecesOut);
+    for (; sending.sent < upTo; sending.sent += 1) commands.push(this.#send(to, pieces[sending.sent]!));
+    if (sending.isDeaf && sending.sent === pieces.length) this.#sending = undefined;
+    return commands;
+  }
+
+  /** Pieces follow as fast as they are taken: more than the link carries would be dropped, and the copy begun anew for ever (§1.8). */
+  #receiveGot(series: number, part: number, from: string, now: number): ChainCommand[] {
+    const sending = this.#sending;
+    if (sending === undefined || series !== this.#series || sending.to.address !== from || sending.got.has(part)) return [];
+    sending.got.add(part);
+    sending.at = now;
+    sending.isDeaf = false;
+    if (sending.got.size === sending.pieces.length) this.#sending = undefined;
+    return this.#sendPieces();
+  }
+
+  /** Pieces of which nothing is heard go out again; one that never says that it got any is of an earlier release, and gets a few each beat. */
+  #sendPiecesAgain(now: number): ChainCommand[] {
+    const sending = this.#sending;
+    if (sending === undefined || sending.isDeaf) return this.#sendPieces();
+    if (now - sending.at < constants.resendAfter * (sending.got.size === 0 ? 6 : 2)) return [];
+    sending.at = now;
+    const commands: ChainCommand[] = [];
+    if (sending.got.size === 0) {
+      sending.isDeaf = true;
+      sending.sent = 0;
+      return this.#sendPieces();
+    }
+    for (let part = 0; part < sending.sent; part += 1) if (!sending.got.has(part)) commands.push(this.#send(sending.to, sending.pieces[part]!));
     return commands;
   }
 
@@ -552,15 +584,16 @@
     }
     const parts = this.#parts;
     parts.at = now;
+    const got: ChainCommand = this.#send(this.#source!, { kind: "digest-got", series: message.series, part: message.part });
     parts.pieces.set(message.part, message.records);
     if (message.last) parts.last = message.part;
     this.#progressAt = now;
-    if (parts.last === undefined || parts.pieces.size !== parts.last + 1) return [];
+    if (parts.last === undefined || parts.pieces.size !== parts.last + 1) return [got];
     this.#parts = undefined;
-    if (message.place < this.#place) return [];
+    if (message.place < this.#place) return [got];
     if (message.place === 0 && this.#copiedMark === message.mark) {
       this.#countCopy(now);
-      return [];
+      return [got];
     }
     const records: Change[] = [];
     for (let part = 0; part <= parts.last; part += 1) records.push(...parts.pieces.get(part)!);
@@ -576,12 +609,12 @@
     if (joins) this.#confirmed = message.place;
     if (joins && message.place === 0) this.#sourcePlace = 0;
     this.#gap = true;
-    return [this.#write(true, records, [], [], now)];
+    return [got, this.#write(true, records, [], [], now)];
   }
 
   beat(now: number): ChainCommand[] {
     if (this.#view === undefined || !this.#ready) return [];
-    const commands: ChainCommand[] = this.#sendPieces();
+    const commands: ChainCommand[] = this.#sendPiecesAgain(now);
     const late = now - this.#progressAt > constants.resendAfter;
     const source = this.#source;
     const joins = isSame(this.#view.joiner, this.#self);
@@ -621,6 +654,18 @@
   }
 }
 
+/** A digest on its way. */
+interface Sending {
+  readonly to: Member;
+  readonly pieces: readonly DistributiveBare[];
+  sent: number;
+  readonly got: Set<number>;
+  /** When something of it was last heard, or it was last sent again. */
+  at: number;
+  /** Whether the other side says nothing of what it got. */
+  isDeaf: boolean;
+}
+
 type DistributiveBare = ChainMessage extends infer Each ? (Each extends unknown ? Omit<Each, "chain" | "mark"> : never) : never;
 
 function positionOf(view: ChainView, member: Member): number {
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -46,6 +46,8 @@
   copiesWanted: 3,
   /** records. Size of one piece of a digest: below 1 MiB for usual items, so beats pass in between. */
   digestPiece: 400,
+  /** pieces. On their way to one that is copied to, until it says that it got one: some MiB, which any link of storage machines carries in a beat or two. */
+  digestPiecesOut: 4,
   /** pieces. Sent to one that is copied to in each beat, so a copy leaves the link and the disk to live work (§1.4). */
   digestPiecesEachBeat: 4,
   /** entries. Feed entries kept for nodes that follow; older places get a digest instead. */
