An earlier word of a node that comes after a later one takes nothing back

A node's regular word (place 7) came after the word in which it said that it had the change (place 8), and the control machine took it back until the next word 300 ms later. An added message of the copy only moved the chances: any harmless message did the same on the code before. What: a word of the same life with an earlier moment of the node's own clock is passed over; the lease it asked for ends before the one already noted.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -23,3 +23,10 @@
       | kind                                | told  |
       | that tells what it got              | whole |
       | that hears pieces one beat later    | whole |
+
+  Scenario: an earlier word of a node that comes after a later one takes nothing back
+    Given a control machine heard a node say place 8 at its 1,000 ms
+    When the node's word of place 7 at its 999 ms comes after it
+    Then the control machine counts the node at place 8
+    When the node's word of place 0 at its 50 ms comes, in a new life
+    Then the control machine counts the node at place 0
--- a/features/steps/copies.ts
+++ b/features/steps/copies.ts
@@ -1,8 +1,9 @@
 import { deepEqual, equal } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Chain, policy, type Bounds, type ChainCommand, type ChainMessage, type ChainResult, type Ledger, type Machine, type Member, type Policy } from "@chutewick/parts";
+import { Chain, Sessions, policy, type Bounds, type NodeCard, type ChainCommand, type ChainMessage, type ChainResult, type Ledger, type Machine, type Member, type Policy } from "@chutewick/parts";
 
 interface World {
+  sessions: Sessions;
   joiner: Chain;
   source: Chain;
   late: boolean;
@@ -147,3 +148,27 @@
   equal(this.joiner.ledger.size, 20_000);
 }
 Then("the copy is whole within 10 s", isWhole);
+
+function said(sessions: Sessions, place: number, askedAt: number): void {
+  const card: NodeCard = { identity: "storage-1", address: "a", kind: "storage", zone: "z", http: "h", leaving: false, free: true, place, telling: {} };
+  sessions.heard(card, 10_000, 11_400, 0, 0, askedAt);
+}
+
+function heardLater(this: World): void {
+  this.sessions = new Sessions();
+  said(this.sessions, 8, 1_000);
+}
+Given("a control machine heard a node say place 8 at its 1,000 ms", heardLater);
+
+function earlierWord(this: World): void { said(this.sessions, 7, 999); }
+When("the node's word of place 7 at its 999 ms comes after it", earlierWord);
+
+/** More than a second before: no message is that late on a standing session. */
+function newLife(this: World): void {
+  said(this.sessions, 8, 20_000);
+  said(this.sessions, 0, 50);
+}
+When("the node's word of place 0 at its 50 ms comes, in a new life", newLife);
+
+function countedAt(this: World, place: number): void { equal(this.sessions.covered(100, 10_001), place); }
+Then("the control machine counts the node at place {int}", countedAt);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -440,12 +440,12 @@
     const view = this.#chain.view;
     if (view === undefined || !this.#isMember || !card.free || this.#lags(card, now)) {
       const news = view === undefined || !this.#isMember ? undefined : this.#feed.since(card.place);
-      this.#sessions.heard(card, now, undefined, 0, late);
+      this.#sessions.heard(card, now, undefined, 0, late, askedAt);
       const controls = this.#agreement.addresses();
       const told: ControlOutput[] = news === undefined ? [] : [{ kind: "send", to: card.address, message: news }];
       return view === undefined ? [] : [...told, { kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: { nodes: [], runners: [] }, controls, stamp } }];
     }
-    this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late);
+    this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late, askedAt);
     const outputs: ControlOutput[] = [];
     const news = this.#feed.since(card.place);
     if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -80,6 +80,8 @@
   /** End of the lease granted here, or undefined where the session is known by hearsay. */
   leaseUntil: number | undefined;
   taken: number;
+  /** Moment of the last word heard from the node itself, by its own clock. */
+  askedAt?: number;
 }
 
 /** A later life of a runner counts before an earlier one, whenever heard; within a life the later word does, by its number where it has one (§7.5). */
@@ -143,15 +145,18 @@
   }
 
   /** Late: how long the message may have been on its way, which makes the runners' words in it older. */
-  heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number): void {
+  heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number, askedAt?: number): void {
     const held = this.#sessions.get(card.identity);
+    /** An earlier word of the same life that came after a later one: it says where the node stood, not where it stands (§4.2). */
+    if (held?.askedAt !== undefined && askedAt !== undefined && askedAt < held.askedAt && held.askedAt - askedAt < constants.nearLasts) return;
     const heardAt = now - age;
     /** A new life at an address: the one before is over, and so is its lease. */
     if (held === undefined) for (const session of this.#sessions.values()) if (session.card.address === card.address) session.leaseUntil = undefined;
-    if (held === undefined) this.#sessions.set(card.identity, { card, heardAt, leaseUntil, taken: card.free ? card.place : 0 });
+    if (held === undefined) this.#sessions.set(card.identity, { card, heardAt, leaseUntil, taken: card.free ? card.place : 0, askedAt });
     else {
       if (card.free) held.taken = Math.max(held.taken, card.place);
       if (leaseUntil !== undefined) held.leaseUntil = leaseUntil;
+      if (askedAt !== undefined) held.askedAt = askedAt;
       if (heardAt >= held.heardAt || leaseUntil !== undefined) {
         held.card = leaseUntil === undefined && card.telling.burdens === undefined ? { ...card, telling: { ...card.telling, burdens: held.card.telling.burdens } } : card;
         held.heardAt = Math.max(heardAt, held.heardAt);
