One type for an item handed in, one reading of a data file's used pages in the tests

Read again: an item of a lot was described twice, by the access node and by the queue that keeps it, field for field; and two steps read the last used page from a data file's heads in the same way. The access node's type is now the queue's, and both steps call one function.

--- a/features/steps/disk.ts
+++ b/features/steps/disk.ts
@@ -1,10 +1,11 @@
 import { equal, ok } from "node:assert/strict";
-import { mkdtempSync, readFileSync, rmSync, statSync, truncateSync } from "node:fs";
+import { mkdtempSync, rmSync, statSync, truncateSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { constants, type Change, type ChainWrite, type Outcome } from "@chutewick/parts";
 import { Disk } from "@chutewick/shell";
+import { usedBytes } from "./folder.js";
 
 interface World {
   diskFolder?: string;
@@ -45,13 +46,6 @@
 }
 When("200 changes of 40,000 bytes are written and half of them taken away again", manyChanges);
 
-/** As the newest of the file's two heads tells. */
-function usedBytes(file: string): number {
-  const bytes = readFileSync(file);
-  const pages = [bytes.readBigUInt64LE(24 + 120), bytes.readBigUInt64LE(4_096 + 24 + 120)];
-  return (Number(pages[0]! > pages[1]! ? pages[0]! : pages[1]!) + 1) * 4_096;
-}
-
 function isLonger(this: World): void {
   const { size } = statSync(fileOf(this));
   ok(size >= usedBytes(fileOf(this)) + constants.diskAhead / 2, `${size} bytes of which ${usedBytes(fileOf(this))} are used`);
--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -6,6 +6,7 @@
 import type { Fleet } from "@chutewick/fleet";
 import { Wire, log } from "@chutewick/shell";
 import { request } from "undici";
+import { usedBytes } from "./folder.js";
 
 interface World {
   fleet: Fleet;
@@ -125,13 +126,6 @@
 }
 Then("the program ends with 2 and one clear message for bad settings", badSettings);
 
-/** Up to the last page that either head of the file tells of: beyond it the file is only kept longer. */
-function usedBytes(file: string): number {
-  const bytes = readFileSync(file);
-  const pages = [bytes.readBigUInt64LE(24 + 120), bytes.readBigUInt64LE(4_096 + 24 + 120)];
-  return (Number(pages[0]! > pages[1]! ? pages[0]! : pages[1]!) + 1) * 4_096;
-}
-
 async function badFoldersEndWithOne(this: World): Promise<void> {
   const { fleet } = this;
   const machine = fleet.machine("storage-3");
--- a/packages/data/src/pass.ts
+++ b/packages/data/src/pass.ts
@@ -1,4 +1,5 @@
-import type { PassWork, PromptPart } from "./dialect.js";
+import type { PassEntry } from "@chutewick/parts";
+import type { PassWork } from "./dialect.js";
 
 /** What passages tell the shell of an access node (docs/design.md §13). */
 export type PassOutput =
@@ -16,19 +17,8 @@
   | { readonly kind: "pass-refused"; readonly ticket: string; readonly status: 404 | 408 | 413 | 429 | 502 | 503 | 504; readonly retryAfter: number | undefined; readonly reason: string }
   | { readonly kind: "lot-told"; readonly ticket: string; readonly told: LotTold };
 
-/** One item of a lot as it was handed in. */
-export interface LotEntry {
-  readonly id: string;
-  readonly path: string;
-  /** Names and values in turn. */
-  readonly headers: readonly string[];
-  readonly body: Uint8Array;
-  /** Prompt's tokens plus the most to be put out. */
-  readonly tokens: number;
-  readonly model: string | undefined;
-  /** Parts of its prompt, where it is told that others share them. */
-  readonly parts?: readonly PromptPart[];
-}
+/** One item of a lot as it was handed in: what the queue keeps of it. */
+export type LotEntry = PassEntry;
 
 export interface LotHandedIn {
   readonly lot: string;
