--- a/examples/embed/src/index.ts
+++ b/examples/embed/src/index.ts
@@ -1,4 +1,12 @@
-import { Chain, type ChainCommand, type ChainMessage, type ChainView, type Ledger, type Machine, type Member } from "@chutewick/parts";
+import {
+  Chain,
+  type ChainCommand,
+  type ChainMessage,
+  type ChainView,
+  type Ledger,
+  type Machine,
+  type Member,
+} from "@chutewick/parts";
 
 /**
  * A replicated counter out of `@chutewick/parts`: three members in one process, messages handed over by a loop,
@@ -44,7 +52,8 @@
 
   /** A view comes from whoever decides views; here, from the caller. */
   adopt(view: ChainView): void {
-    for (const [name, chain] of this.#chains) if (this.#alive.has(name)) this.#perform(name, chain.adopt(view, this.#now));
+    for (const [name, chain] of this.#chains)
+      if (this.#alive.has(name)) this.#perform(name, chain.adopt(view, this.#now));
     this.#settle();
   }
 
@@ -65,17 +74,21 @@
     while (this.#queue.length > 0) {
       const { to, from, message } = this.#queue.shift()!;
       this.#now += 1;
-      if (this.#alive.has(to)) this.#perform(to, this.#chains.get(to)!.receive(message, from, this.#now));
+      if (this.#alive.has(to))
+        this.#perform(to, this.#chains.get(to)!.receive(message, from, this.#now));
     }
   }
 
   #perform(name: string, commands: readonly ChainCommand[]): void {
     const chain = this.#chains.get(name)!;
     for (const command of commands) {
-      if (command.kind === "send") this.#queue.push({ to: command.to, from: name, message: command.message });
+      if (command.kind === "send")
+        this.#queue.push({ to: command.to, from: name, message: command.message });
       /** A real program syncs `command.write` first, and calls `written` only then. */
-      else if (command.kind === "write") this.#perform(name, chain.written(command.ticket, this.#now));
-      else if (command.kind === "result" && command.result.kind === "confirmed") this.#results.set(command.ticket, command.result.value);
+      else if (command.kind === "write")
+        this.#perform(name, chain.written(command.ticket, this.#now));
+      else if (command.kind === "result" && command.result.kind === "confirmed")
+        this.#results.set(command.ticket, command.result.value);
     }
   }
 }
--- a/features/steps/bucket.ts
+++ b/features/steps/bucket.ts
@@ -18,7 +18,9 @@
   #refill(now: number): void {
     const moment = BigInt(now);
     if (moment > this.#at) {
-      this.#millionths += ((moment - this.#at) * BigInt(this.#limits.tokens) * 1_000_000n) / BigInt(this.#limits.windowSeconds);
+      this.#millionths +=
+        ((moment - this.#at) * BigInt(this.#limits.tokens) * 1_000_000n) /
+        BigInt(this.#limits.windowSeconds);
       this.#at = moment;
     }
     const most = BigInt(this.#limits.capacity) * 1_000_000_000n;
@@ -42,7 +44,13 @@
     this.#millionths = before;
     this.#at = at;
     if (this.#limits.tokens === 0) return { kind: "RATE_LIMITED" };
-    return { kind: "RATE_LIMITED", wait: Number((missing * BigInt(this.#limits.windowSeconds)) / (BigInt(this.#limits.tokens) * 1_000n)) / 1_000 };
+    return {
+      kind: "RATE_LIMITED",
+      wait:
+        Number(
+          (missing * BigInt(this.#limits.windowSeconds)) / (BigInt(this.#limits.tokens) * 1_000n),
+        ) / 1_000,
+    };
   }
 
   relimit(limits: Limits, now: number): void {
@@ -77,7 +85,10 @@
 }
 
 function near(left: number | undefined, right: number | undefined, within: number): boolean {
-  return left === right || (left !== undefined && right !== undefined && Math.abs(left - right) <= within);
+  return (
+    left === right ||
+    (left !== undefined && right !== undefined && Math.abs(left - right) <= within)
+  );
 }
 
 function seeds(this: World, seeds: number) {
@@ -89,7 +100,11 @@
 function eachPlaysDrawsLimitChangesHandBacks(this: World, steps: number) {
   for (let seed = 0; seed < this.seeds; seed += 1) {
     const chance = new Chance(seed);
-    let limits: Limits = { tokens: chance.below(40), windowSeconds: 1 + chance.below(60), capacity: 1 + chance.below(20) };
+    let limits: Limits = {
+      tokens: chance.below(40),
+      windowSeconds: 1 + chance.below(60),
+      capacity: 1 + chance.below(20),
+    };
     let now = 1_000_000;
     let held = bucket.full(limits, now);
     const model = new Model(limits, now);
@@ -99,7 +114,11 @@
       if (kind === 0) now -= chance.below(5_000);
       else now += chance.below(2_500);
       if (kind === 1) {
-        const after = { tokens: chance.below(40), windowSeconds: 1 + chance.below(60), capacity: 1 + chance.below(20) };
+        const after = {
+          tokens: chance.below(40),
+          windowSeconds: 1 + chance.below(60),
+          capacity: 1 + chance.below(20),
+        };
         held = bucket.relimit(held, limits, after, now);
         model.relimit(after, now);
         limits = after;
@@ -109,28 +128,42 @@
       } else if (kind === 3) waiting += chance.below(10);
       else {
         const there = waiting;
-        function take(): string | undefined { return there > 0 ? "prompt" : undefined; }
+        function take(): string | undefined {
+          return there > 0 ? "prompt" : undefined;
+        }
         const drawn = bucket.draw(held, limits, now, take);
         const expected = model.draw(now, waiting);
         const wait = drawn.kind === "RATE_LIMITED" ? drawn.wait : undefined;
-        if (drawn.kind !== expected.kind || !near(wait, expected.wait, 0.01)) this.differences.push(`seed ${seed} step ${step}: ${JSON.stringify(drawn)} against ${JSON.stringify(expected)}`);
+        if (drawn.kind !== expected.kind || !near(wait, expected.wait, 0.01))
+          this.differences.push(
+            `seed ${seed} step ${step}: ${JSON.stringify(drawn)} against ${JSON.stringify(expected)}`,
+          );
         if (drawn.kind === "TAKEN") {
           held = drawn.bucket;
           waiting -= 1;
         }
       }
-      if (!near(bucket.level(held, limits, now), model.level(now), 1e-6)) this.differences.push(`seed ${seed} step ${step}: level`);
+      if (!near(bucket.level(held, limits, now), model.level(now), 1e-6))
+        this.differences.push(`seed ${seed} step ${step}: level`);
     }
   }
 }
-When("each plays {int} draws, limit changes, hand-backs and clock steps on both", eachPlaysDrawsLimitChangesHandBacks);
+When(
+  "each plays {int} draws, limit changes, hand-backs and clock steps on both",
+  eachPlaysDrawsLimitChangesHandBacks,
+);
 
 function everyResultWaitAndLevelIsThe(this: World): void {
   deepEqual(this.differences.slice(0, 5), []);
 }
 Then("every result, wait and level is the same", everyResultWaitAndLevelIsThe);
 
-function aBucketOfTokensPerSWith(this: World, tokens: number, windowSeconds: number, capacity: number) {
+function aBucketOfTokensPerSWith(
+  this: World,
+  tokens: number,
+  windowSeconds: number,
+  capacity: number,
+) {
   this.limits = { tokens, windowSeconds, capacity };
   this.held = bucket.full(this.limits, 0);
   this.taken = 0;
@@ -163,12 +196,18 @@
     }
   }
 }
-When("a dispatcher that sleeps each exact wait draws for {int} s of virtual time", aDispatcherThatSleepsEachExactWait);
+When(
+  "a dispatcher that sleeps each exact wait draws for {int} s of virtual time",
+  aDispatcherThatSleepsEachExactWait,
+);
 
 function promptsWereTakenTheBurstAndThe(this: World, expected: number) {
   ok(Math.abs(this.taken - expected) <= 1, `${this.taken} were taken`);
 }
-Then("{int} prompts were taken, the burst and the refill, with one to spare at most", promptsWereTakenTheBurstAndThe);
+Then(
+  "{int} prompts were taken, the burst and the refill, with one to spare at most",
+  promptsWereTakenTheBurstAndThe,
+);
 
 function noWaitWasFollowedByASecond(this: World): void {
   equal(this.second, 0);
@@ -176,7 +215,8 @@
 Then("no wait was followed by a second rate-limited result", noWaitWasFollowedByASecond);
 
 function anEmptyQueueIsAskedTimes(this: World, times: number) {
-  for (let time = 0; time < times; time += 1) equal(bucket.draw(this.held, this.limits, time, none).kind, "EMPTY");
+  for (let time = 0; time < times; time += 1)
+    equal(bucket.draw(this.held, this.limits, time, none).kind, "EMPTY");
 }
 When("an empty queue is asked {int} times", anEmptyQueueIsAskedTimes);
 
@@ -189,7 +229,10 @@
   for (let time = 0; time < 2; time += 1) {
     const drawn = bucket.draw(this.held, this.limits, time, prompt);
     if (drawn.kind === "TAKEN") this.held = drawn.bucket;
-    this.results.push({ kind: drawn.kind, ...(drawn.kind === "RATE_LIMITED" ? { wait: drawn.wait } : {}) });
+    this.results.push({
+      kind: drawn.kind,
+      ...(drawn.kind === "RATE_LIMITED" ? { wait: drawn.wait } : {}),
+    });
   }
 }
 When("two prompts are drawn", twoPromptsAreDrawn);
--- a/features/steps/copies.ts
+++ b/features/steps/copies.ts
@@ -1,6 +1,19 @@
 import { deepEqual, equal } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Chain, Sessions, policy, type Bounds, type NodeCard, type ChainCommand, type ChainMessage, type ChainResult, type Ledger, type Machine, type Member, type Policy } from "@chutewick/parts";
+import {
+  Chain,
+  Sessions,
+  policy,
+  type Bounds,
+  type NodeCard,
+  type ChainCommand,
+  type ChainMessage,
+  type ChainResult,
+  type Ledger,
+  type Machine,
+  type Member,
+  type Policy,
+} from "@chutewick/parts";
 
 interface World {
   sessions: Sessions;
@@ -25,8 +38,20 @@
 
 function bounds(losses: number): Bounds {
   return {
-    reportsEvery: 1_200, contactWithin: 4_000, acknowledgeWithin: 5_000, drainWithin: 2_500, applyWithin: 2_500, cancelWithin: 3_000, stopWithin: 8_000, syncWithin: 6_000, recoverWithin: 15_000,
-    losses: { machines: losses, zones: 0, regions: 0 }, memory: 250, descriptors: 4_100, disk: 130, goesOnAlone: true,
+    reportsEvery: 1_200,
+    contactWithin: 4_000,
+    acknowledgeWithin: 5_000,
+    drainWithin: 2_500,
+    applyWithin: 2_500,
+    cancelWithin: 3_000,
+    stopWithin: 8_000,
+    syncWithin: 6_000,
+    recoverWithin: 15_000,
+    losses: { machines: losses, zones: 0, regions: 0 },
+    memory: 250,
+    descriptors: 4_100,
+    disk: 130,
+    goesOnAlone: true,
   };
 }
 
@@ -40,19 +65,24 @@
 function asked(this: World, copies: number, losses: number): void {
   const { copiesLeast } = policyFor(losses);
   const members: Member[] = [];
-  for (let index = 0; index < copies; index += 1) members.push({ identity: `m${index}`, address: `a${index}` });
+  for (let index = 0; index < copies; index += 1)
+    members.push({ identity: `m${index}`, address: `a${index}` });
   const chains = new Map<string, Chain>();
   const synced = new Set<string>();
-  for (const member of members) chains.set(member.address, new Chain("q", member, new Counter(), 0, undefined, copiesLeast));
+  for (const member of members)
+    chains.set(member.address, new Chain("q", member, new Counter(), 0, undefined, copiesLeast));
   const queue: [string, ChainCommand][] = [];
-  function add(address: string, commands: readonly ChainCommand[]): void { for (const command of commands) queue.push([address, command]); }
+  function add(address: string, commands: readonly ChainCommand[]): void {
+    for (const command of commands) queue.push([address, command]);
+  }
   for (const [address, chain] of chains) add(address, chain.adopt({ mark: 1, members }, 0));
   let now = 0;
   for (let round = 0; round < 200 && this.result === undefined; round += 1) {
     now += 10;
     while (queue.length > 0) {
       const [address, command] = queue.shift()!;
-      if (command.kind === "send") add(command.to, chains.get(command.to)!.receive(command.message, address, now));
+      if (command.kind === "send")
+        add(command.to, chains.get(command.to)!.receive(command.message, address, now));
       else if (command.kind === "write") {
         if (command.write.entries.length > 0) synced.add(address);
         add(address, chains.get(address)!.written(command.ticket, now));
@@ -66,7 +96,10 @@
   }
 }
 
-When("a chain of {int} copies is asked for a change where {int} machines may be lost at once", asked);
+When(
+  "a chain of {int} copies is asked for a change where {int} machines may be lost at once",
+  asked,
+);
 
 function surelyNot(this: World): void {
   equal(this.result?.kind, "elsewhere");
@@ -91,23 +124,37 @@
   }
 }
 
-const [head, tail, blank]: Member[] = [{ identity: "m0", address: "a0" }, { identity: "m1", address: "a1" }, { identity: "m2", address: "a2" }];
+const [head, tail, blank]: Member[] = [
+  { identity: "m0", address: "a0" },
+  { identity: "m1", address: "a1" },
+  { identity: "m2", address: "a2" },
+];
 
 function twoCopies(this: World, kind: string): void {
   this.late = kind.includes("later");
-  const pair = new Map<string, Chain>([["a0", new Chain("q", head!, new Shelf(), 0)], ["a1", new Chain("q", tail!, new Shelf(), 0)]]);
+  const pair = new Map<string, Chain>([
+    ["a0", new Chain("q", head!, new Shelf(), 0)],
+    ["a1", new Chain("q", tail!, new Shelf(), 0)],
+  ]);
   const queue: [string, ChainCommand][] = [];
-  for (const [address, chain] of pair) for (const command of chain.adopt({ mark: 1, members: [head!, tail!] }, 0)) queue.push([address, command]);
+  for (const [address, chain] of pair)
+    for (const command of chain.adopt({ mark: 1, members: [head!, tail!] }, 0))
+      queue.push([address, command]);
   function settle(): void {
     while (queue.length > 0) {
       const [address, command] = queue.shift()!;
-      if (command.kind === "send") for (const next of pair.get(command.to)!.receive(command.message, address, 0)) queue.push([command.to, next]);
-      if (command.kind === "write") for (const next of pair.get(address)!.written(command.ticket, 0)) queue.push([address, next]);
+      if (command.kind === "send")
+        for (const next of pair.get(command.to)!.receive(command.message, address, 0))
+          queue.push([command.to, next]);
+      if (command.kind === "write")
+        for (const next of pair.get(address)!.written(command.ticket, 0))
+          queue.push([address, next]);
     }
   }
   settle();
   for (let from = 0; from < 20_000; from += 1_000) {
-    for (const command of pair.get("a0")!.inquire(`t${from}`, { from }, 0)) queue.push(["a0", command]);
+    for (const command of pair.get("a0")!.inquire(`t${from}`, { from }, 0))
+      queue.push(["a0", command]);
     settle();
   }
   this.source = pair.get("a1")!;
@@ -118,16 +165,25 @@
 /** The head's part of the view does not matter to the copy: it goes from the tail to the blank. */
 function copiedOver(this: World, each: number, holds: number): void {
   const { joiner, source, late } = this;
-  const chains = new Map<string, Chain>([["a1", source], ["a2", joiner]]);
+  const chains = new Map<string, Chain>([
+    ["a1", source],
+    ["a2", joiner],
+  ]);
   const link: ChainMessage[] = [];
   let waiting: ChainMessage[] = [];
   let now = 0;
   function perform(address: string, commands: readonly ChainCommand[]): void {
     for (const command of commands) {
-      if (command.kind === "write") perform(address, chains.get(address)!.written(command.ticket, now));
-      else if (command.kind === "send" && command.to === "a2" && command.message.kind === "digest") {
+      if (command.kind === "write")
+        perform(address, chains.get(address)!.written(command.ticket, now));
+      else if (
+        command.kind === "send" &&
+        command.to === "a2" &&
+        command.message.kind === "digest"
+      ) {
         if (link.length < each + holds) link.push(command.message);
-      } else if (command.kind === "send" && chains.has(command.to)) perform(command.to, chains.get(command.to)!.receive(command.message, address, now));
+      } else if (command.kind === "send" && chains.has(command.to))
+        perform(command.to, chains.get(command.to)!.receive(command.message, address, now));
     }
   }
   const view = { mark: 2, members: [head!, tail!], joiner: blank! };
@@ -141,7 +197,10 @@
     for (const [address, chain] of chains) perform(address, chain.beat(now));
   }
 }
-When("the link to it carries {int} pieces of the copy each beat, holds {int} more and drops the others", copiedOver);
+When(
+  "the link to it carries {int} pieces of the copy each beat, holds {int} more and drops the others",
+  copiedOver,
+);
 
 function isWhole(this: World): void {
   equal(this.joiner.copiedMark, 2);
@@ -150,7 +209,17 @@
 Then("the copy is whole within 10 s", isWhole);
 
 function said(sessions: Sessions, place: number, askedAt: number): void {
-  const card: NodeCard = { identity: "storage-1", address: "a", kind: "storage", zone: "z", http: "h", leaving: false, free: true, place, telling: {} };
+  const card: NodeCard = {
+    identity: "storage-1",
+    address: "a",
+    kind: "storage",
+    zone: "z",
+    http: "h",
+    leaving: false,
+    free: true,
+    place,
+    telling: {},
+  };
   sessions.heard(card, 10_000, 11_400, 0, 0, askedAt);
 }
 
@@ -160,7 +229,9 @@
 }
 Given("a control machine heard a node say place 8 at its 1,000 ms", heardLater);
 
-function earlierWord(this: World): void { said(this.sessions, 7, 999); }
+function earlierWord(this: World): void {
+  said(this.sessions, 7, 999);
+}
 When("the node's word of place 7 at its 999 ms comes after it", earlierWord);
 
 /** More than a second before: no message is that late on a standing session. */
@@ -170,5 +241,7 @@
 }
 When("the node's word of place 0 at its 50 ms comes, in a new life", newLife);
 
-function countedAt(this: World, place: number): void { equal(this.sessions.covered(100, 10_001), place); }
+function countedAt(this: World, place: number): void {
+  equal(this.sessions.covered(100, 10_001), place);
+}
 Then("the control machine counts the node at place {int}", countedAt);
--- a/features/steps/copy.ts
+++ b/features/steps/copy.ts
@@ -1,6 +1,13 @@
 import { equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Chain, type ChainCommand, type ChainView, type Ledger, type Machine, type Member } from "@chutewick/parts";
+import {
+  Chain,
+  type ChainCommand,
+  type ChainView,
+  type Ledger,
+  type Machine,
+  type Member,
+} from "@chutewick/parts";
 import { Packr } from "msgpackr";
 
 interface World {
@@ -45,13 +52,18 @@
     const [address, command] = queue.shift()!;
     let after: readonly ChainCommand[] = [];
     let at = address;
-    if (command.kind === "write") after = world.chains.get(address)!.written(command.ticket, world.now);
+    if (command.kind === "write")
+      after = world.chains.get(address)!.written(command.ticket, world.now);
     else if (command.kind === "send") {
       const bytes = packer.pack(command.message);
       world.heaviest = Math.max(world.heaviest, bytes.byteLength);
       at = command.to;
-      if (!world.away.has(at) && !world.away.has(address)) after = world.chains.get(at)!.receive(packer.unpack(bytes) as typeof command.message, address, world.now);
-    } else if (command.kind === "result" && command.result.kind === "confirmed") world.confirmed += 1;
+      if (!world.away.has(at) && !world.away.has(address))
+        after = world.chains
+          .get(at)!
+          .receive(packer.unpack(bytes) as typeof command.message, address, world.now);
+    } else if (command.kind === "result" && command.result.kind === "confirmed")
+      world.confirmed += 1;
     for (const each of after) queue.push([at, each]);
   }
 }
@@ -72,12 +84,29 @@
   for (let number = 0; number < count; number += 1) {
     world.entered += 1;
     world.now += 1;
-    play(world, first.address, world.chains.get(first.address)!.inquire(`t${world.entered}`, { key: `key-${world.entered}`, value: new Uint8Array(weight) }, world.now));
+    play(
+      world,
+      first.address,
+      world.chains
+        .get(first.address)!
+        .inquire(
+          `t${world.entered}`,
+          { key: `key-${world.entered}`, value: new Uint8Array(weight) },
+          world.now,
+        ),
+    );
   }
 }
 
 function begin(world: World): void {
-  Object.assign(world, { chains: new Map(), away: new Set(), heaviest: 0, now: 0, confirmed: 0, entered: 0 });
+  Object.assign(world, {
+    chains: new Map(),
+    away: new Set(),
+    heaviest: 0,
+    now: 0,
+    confirmed: 0,
+    entered: 0,
+  });
   chainOf(world, first);
   chainOf(world, second);
   adopt(world, { mark: 1, members: [first, second] });
@@ -112,7 +141,10 @@
   enter(this, count, weight);
   equal(this.confirmed, 0);
 }
-Given("a chain of two members whose second is away while {int} entries of {int} bytes each are entered", enteredAlone);
+Given(
+  "a chain of two members whose second is away while {int} entries of {int} bytes each are entered",
+  enteredAlone,
+);
 
 function isBack(this: World): void {
   this.away.clear();
--- a/features/steps/deployment.ts
+++ b/features/steps/deployment.ts
@@ -1,9 +1,21 @@
 import { deepEqual, equal, match, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { ControlMachine as Records, keys, type ControlOutcome, type ControlResult } from "@chutewick/control";
+import {
+  ControlMachine as Records,
+  keys,
+  type ControlOutcome,
+  type ControlResult,
+} from "@chutewick/control";
 import { Ledger, policy, type Bounds } from "@chutewick/parts";
 import { settings } from "@chutewick/shell";
-import { Deployment, configurationOf, plans, smallBounds, type ControlMachine, type Machine } from "@chutewick/simulator";
+import {
+  Deployment,
+  configurationOf,
+  plans,
+  smallBounds,
+  type ControlMachine,
+  type Machine,
+} from "@chutewick/simulator";
 
 interface World {
   ledger: Ledger;
@@ -27,12 +39,18 @@
 Then("the bounds of a small site give runners {int} ms and {int} copies", smallGives);
 
 function lossesAskFor(losses: number, controls: number, copies: number): void {
-  const worked = policy.from({ ...smallBounds, losses: { machines: losses, zones: 0, regions: 0 } });
+  const worked = policy.from({
+    ...smallBounds,
+    losses: { machines: losses, zones: 0, regions: 0 },
+  });
   ok(worked.ok);
   equal(worked.value.controlsWanted, controls);
   equal(worked.value.copiesWanted, copies);
 }
-Then("the bounds of a site with {int} losses ask for {int} control machines and {int} copies", lossesAskFor);
+Then(
+  "the bounds of a site with {int} losses ask for {int} control machines and {int} copies",
+  lossesAskFor,
+);
 
 function boundsAreRefused(table: { hashes(): Record<string, string>[] }): void {
   for (const { bound, value } of table.hashes()) {
@@ -46,7 +64,13 @@
 }
 Then("these bounds are refused, naming them:", boundsAreRefused);
 
-const here = { name: "a", zone: "a", wire: "127.0.0.1:1", http: "127.0.0.1:2", seeds: ["127.0.0.1:3"] };
+const here = {
+  name: "a",
+  zone: "a",
+  wire: "127.0.0.1:1",
+  http: "127.0.0.1:2",
+  seeds: ["127.0.0.1:3"],
+};
 
 function settingsAreRefused(): void {
   ok(settings.check({ ...here, bounds: smallBounds }).ok);
@@ -77,12 +101,20 @@
 Given("a control machine's records", recordsOf);
 
 function anOrder(this: World, text: string, mark: number, expected: number): void {
-  this.result = this.records.apply(this.ledger, { kind: "put", expected, mark, value: configurationOf(text.length), origin: text }, 1);
+  this.result = this.records.apply(
+    this.ledger,
+    { kind: "put", expected, mark, value: configurationOf(text.length), origin: text },
+    1,
+  );
 }
 When("the order {string} with mark {int} is entered, built on {int}", anOrder);
 
 function anInvalidOrder(this: World, mark: number, expected: number): void {
-  this.result = this.records.apply(this.ledger, { kind: "put", expected, mark, value: { pools: 3 }, origin: "x" }, 1);
+  this.result = this.records.apply(
+    this.ledger,
+    { kind: "put", expected, mark, value: { pools: 3 }, origin: "x" },
+    1,
+  );
 }
 When("an order that is invalid with mark {int} is entered, built on {int}", anInvalidOrder);
 
@@ -113,14 +145,29 @@
   const told = this.records.apply(this.ledger, { kind: "read" }, 1);
   ok(told.kind === "CONFIGURATION");
   deepEqual([told.mark, told.value.pools, told.value.passages], [3, {}, {}]);
-  equal(this.records.apply(this.ledger, { kind: "patch", expected: 3, change: configurationOf(1) }, 1).kind, "IN_FORCE");
+  equal(
+    this.records.apply(this.ledger, { kind: "patch", expected: 3, change: configurationOf(1) }, 1)
+      .kind,
+    "IN_FORCE",
+  );
 }
 Then("what is read has no pools, and a change is taken", hasNoPools);
 
 // Deployments
 
-function aDeployment(this: World, controls: number, storages: number, accesses: number, losses: number): void {
-  this.deployment = new Deployment(controls * 100 + storages * 10 + accesses, { controls, storages, accesses, losses });
+function aDeployment(
+  this: World,
+  controls: number,
+  storages: number,
+  accesses: number,
+  losses: number,
+): void {
+  this.deployment = new Deployment(controls * 100 + storages * 10 + accesses, {
+    controls,
+    storages,
+    accesses,
+    losses,
+  });
   for (const machine of this.deployment.machines) machine.start();
   this.deployment.founded();
   this.mark = 0;
@@ -129,14 +176,31 @@
   change.call(this, 2_000);
   this.deployment.after(4);
 }
-Given("a deployment with {int} control, {int} storage and {int} access machines, standing up to {int} loss(es)", aDeployment);
+Given(
+  "a deployment with {int} control, {int} storage and {int} access machines, standing up to {int} loss(es)",
+  aDeployment,
+);
 
 function change(this: World, within: number): void {
   const { deployment } = this;
   const mark = this.mark + 3;
   const at = deployment.one();
-  const { told, took } = deployment.order({ kind: "put", expected: this.mark, mark, value: configurationOf(this.models), origin: `text ${mark}` }, at, 8_000);
-  deepEqual(told === undefined ? "nothing" : told.kind === "confirmed" ? told.value : told, { kind: "IN_FORCE", mark }, `at ${at.name} after ${took} ms`);
+  const { told, took } = deployment.order(
+    {
+      kind: "put",
+      expected: this.mark,
+      mark,
+      value: configurationOf(this.models),
+      origin: `text ${mark}`,
+    },
+    at,
+    8_000,
+  );
+  deepEqual(
+    told === undefined ? "nothing" : told.kind === "confirmed" ? told.value : told,
+    { kind: "IN_FORCE", mark },
+    `at ${at.name} after ${took} ms`,
+  );
   ok(took <= within, `told after ${took} ms`);
   this.mark = mark;
 }
@@ -153,11 +217,17 @@
   change.call(this, within);
   everyNodeHas.call(this);
 }
-Then(/^the next change is told as confirmed within (\d+) ms, and every access node (?:that runs )?has it$/, nextChangeOf);
-function nextChangeOf(this: World, within: string): void { nextChange.call(this, Number(within)); }
+Then(
+  /^the next change is told as confirmed within (\d+) ms, and every access node (?:that runs )?has it$/,
+  nextChangeOf,
+);
+function nextChangeOf(this: World, within: string): void {
+  nextChange.call(this, Number(within));
+}
 
 function everyNodeHas(this: World): void {
-  for (const node of this.deployment.accesses) if (node.alive && !node.frozen) equal(this.deployment.mark(node), this.mark, node.name);
+  for (const node of this.deployment.accesses)
+    if (node.alive && !node.frozen) equal(this.deployment.mark(node), this.mark, node.name);
 }
 Then("every access node has the newest mark", everyNodeHas);
 
@@ -199,7 +269,9 @@
 When("{word} is gone for good", goneForGood);
 
 function isAdded(this: World, name: string): void {
-  const machine = name.startsWith("control") ? this.deployment.addControl(name) : this.deployment.addStorage(name);
+  const machine = name.startsWith("control")
+    ? this.deployment.addControl(name)
+    : this.deployment.addStorage(name);
   this.deployment.founded();
   machine.start();
 }
@@ -242,7 +314,9 @@
 }
 
 function groupHas(this: World, count: number, seconds: number): void {
-  function isSo({ deployment }: World): boolean { return deployment.members.length === count && deployment.members.every(lives, deployment); }
+  function isSo({ deployment }: World): boolean {
+    return deployment.members.length === count && deployment.members.every(lives, deployment);
+  }
   ok(until(this, seconds, isSo) !== undefined, `members are ${this.deployment.members.join(", ")}`);
 }
 Then("the control group has {int} members within {int} s", groupHas);
@@ -265,7 +339,13 @@
 
 function everyNodeServes(this: World, seconds: number): void {
   function isSo({ deployment, mark }: World): boolean {
-    for (const node of deployment.accesses) if (!node.core.membership.serves(deployment.world.now) || deployment.mark(node) !== mark || deployment.known(node, "r-1") === undefined) return false;
+    for (const node of deployment.accesses)
+      if (
+        !node.core.membership.serves(deployment.world.now) ||
+        deployment.mark(node) !== mark ||
+        deployment.known(node, "r-1") === undefined
+      )
+        return false;
     return true;
   }
   ok(until(this, seconds, isSo) !== undefined);
@@ -275,7 +355,11 @@
 function everyQueueIsOwned(this: World, seconds: number): void {
   function isSo({ deployment }: World): boolean {
     const owned = new Set<string>();
-    for (const machine of deployment.storages) for (const [queue, { owner }] of Object.entries(machine.core.status(deployment.world.now)["queues"] as Record<string, { owner: boolean }>)) if (owner) owned.add(queue);
+    for (const machine of deployment.storages)
+      for (const [queue, { owner }] of Object.entries(
+        machine.core.status(deployment.world.now)["queues"] as Record<string, { owner: boolean }>,
+      ))
+        if (owner) owned.add(queue);
     return owned.size === deployment.queues().size && owned.size > 0;
   }
   ok(until(this, seconds, isSo) !== undefined);
@@ -285,7 +369,16 @@
 // Runners
 
 function reportsTo(this: World, id: string, name: string, sequence: number, url: string): void {
-  equal(this.deployment.report(id, "readers", sequence, this.deployment.machine(name) as ControlMachine, url), "TAKEN");
+  equal(
+    this.deployment.report(
+      id,
+      "readers",
+      sequence,
+      this.deployment.machine(name) as ControlMachine,
+      url,
+    ),
+    "TAKEN",
+  );
 }
 When("the runner {string} reports to {word} as number {int} from {string}", reportsTo);
 
@@ -295,24 +388,31 @@
 When("the runner {string} reports for good", reportsForGood);
 
 function everyNodeKnows(this: World, id: string, url: string): void {
-  for (const node of this.deployment.accesses) equal(this.deployment.known(node, id), url, node.name);
+  for (const node of this.deployment.accesses)
+    equal(this.deployment.known(node, id), url, node.name);
 }
 Then("every access node knows {string} at {string}", everyNodeKnows);
 
 function noNodeKnows(this: World, id: string): void {
-  for (const node of this.deployment.accesses) equal(this.deployment.known(node, id), undefined, node.name);
+  for (const node of this.deployment.accesses)
+    equal(this.deployment.known(node, id), undefined, node.name);
 }
 Then("no access node knows {string}", noNodeKnows);
 
 function saysGoodbye(this: World, id: string, name: string, within: number): void {
-  const { told, took } = this.deployment.order({ kind: "goodbye", runner: id, incarnation: 1 }, this.deployment.machine(name) as ControlMachine, 6_000);
+  const { told, took } = this.deployment.order(
+    { kind: "goodbye", runner: id, incarnation: 1 },
+    this.deployment.machine(name) as ControlMachine,
+    6_000,
+  );
   ok(told?.kind === "confirmed");
   ok(took <= within, `${took} ms`);
 }
 When("the runner {string} says goodbye to {word} within {int} ms", saysGoodbye);
 
 function everyControlTells(this: World, id: string): void {
-  for (const machine of this.deployment.controls) equal(this.deployment.report(id, "readers", 99, machine), "SAID_GOODBYE", machine.name);
+  for (const machine of this.deployment.controls)
+    equal(this.deployment.report(id, "readers", 99, machine), "SAID_GOODBYE", machine.name);
 }
 Then("every control machine tells the runner {string} that it said goodbye", everyControlTells);
 
@@ -320,13 +420,15 @@
 
 function empty(world: World, name: string): ControlOutcome | undefined {
   const { deployment } = world;
-  return deployment.order({ kind: "empty", identity: name, wanted: true }, deployment.one(), 4_000).told;
+  return deployment.order({ kind: "empty", identity: name, wanted: true }, deployment.one(), 4_000)
+    .told;
 }
 
 function emptyingIsAsked(this: World, name: string): void {
   const told = empty(this, name);
   deepEqual(told?.kind === "confirmed" ? told.value : told, { kind: "DONE" });
-  for (const { core } of this.deployment.controls) equal(core.emptied("nobody", this.deployment.world.now), undefined);
+  for (const { core } of this.deployment.controls)
+    equal(core.emptied("nobody", this.deployment.world.now), undefined);
 }
 When("emptying {string} is asked for", emptyingIsAsked);
 
@@ -338,7 +440,8 @@
 
 function isEmptied(this: World, name: string, seconds: number): void {
   function isSo({ deployment }: World): boolean {
-    for (const { core } of deployment.controls) if (core.emptied(name, deployment.world.now) === "emptied") return true;
+    for (const { core } of deployment.controls)
+      if (core.emptied(name, deployment.world.now) === "emptied") return true;
     return false;
   }
   ok(!isSo(this));
@@ -357,7 +460,12 @@
 Then("no queue is at {string}, and each has {int} copies", noQueueAt);
 
 function eachHasCopies(this: World, copies: number): void {
-  for (const [queue, members] of this.deployment.queues()) equal(members.filter(lives, this.deployment).length, copies, `${queue} is at ${members.join(", ")}`);
+  for (const [queue, members] of this.deployment.queues())
+    equal(
+      members.filter(lives, this.deployment).length,
+      copies,
+      `${queue} is at ${members.join(", ")}`,
+    );
 }
 Then("each queue has {int} copies at machines that live", eachHasCopies);
 
@@ -369,8 +477,10 @@
   this.struck = head;
   const others = deployment.controls.filter(isOther, head);
   switch (how) {
-    case "is frozen": return head.freeze();
-    case "is killed": return head.kill(false);
+    case "is frozen":
+      return head.freeze();
+    case "is killed":
+      return head.kill(false);
     case "is cut off from the others":
       for (const other of others) deployment.world.cut(head.address, other.address);
       return;
@@ -380,10 +490,14 @@
     case "hears the others no more":
       for (const other of others) deployment.silence(other.address, head.address);
       return;
-    case "cannot reach one of the others": return deployment.world.cut(head.address, others[0]!.address);
+    case "cannot reach one of the others":
+      return deployment.world.cut(head.address, others[0]!.address);
   }
 }
-When(/^the head (is frozen|is killed|is cut off from the others|is heard by the others no more|hears the others no more|cannot reach one of the others)$/, theHead);
+When(
+  /^the head (is frozen|is killed|is cut off from the others|is heard by the others no more|hears the others no more|cannot reach one of the others)$/,
+  theHead,
+);
 
 function isOther(this: Machine, machine: Machine): boolean {
   return machine !== this;
@@ -396,4 +510,3 @@
   if (!this.struck.alive) this.struck.start();
 }
 When("the head is as before", theHeadIsAsBefore);
-
--- a/features/steps/disk.ts
+++ b/features/steps/disk.ts
@@ -34,21 +34,34 @@
 Given("a new data folder", aFolder);
 
 function written(disk: Disk, changes: readonly Change[], place: number): Promise<void> {
-  const write: ChainWrite = { clear: false, changes, entries: [], drop: [], state: { place, time: 0, confirmed: place, view: { mark: 1, members: [] } } };
-  function begin(resolve: () => void): void { disk.writeChain("q", write, resolve); }
+  const write: ChainWrite = {
+    clear: false,
+    changes,
+    entries: [],
+    drop: [],
+    state: { place, time: 0, confirmed: place, view: { mark: 1, members: [] } },
+  };
+  function begin(resolve: () => void): void {
+    disk.writeChain("q", write, resolve);
+  }
   return new Promise<void>(begin);
 }
 
 async function manyChanges(this: World): Promise<void> {
   const value = "x".repeat(40_000);
-  for (let count = 0; count < 200; count += 1) await written(this.disk, [[`k${count}`, value]], count + 1);
-  for (let count = 0; count < 200; count += 2) await written(this.disk, [[`k${count}`, undefined]], 201 + count);
+  for (let count = 0; count < 200; count += 1)
+    await written(this.disk, [[`k${count}`, value]], count + 1);
+  for (let count = 0; count < 200; count += 2)
+    await written(this.disk, [[`k${count}`, undefined]], 201 + count);
 }
 When("200 changes of 40,000 bytes are written and half of them taken away again", manyChanges);
 
 function isLonger(this: World): void {
   const { size } = statSync(fileOf(this));
-  ok(size >= usedBytes(fileOf(this)) + constants.diskAhead / 2, `${size} bytes of which ${usedBytes(fileOf(this))} are used`);
+  ok(
+    size >= usedBytes(fileOf(this)) + constants.diskAhead / 2,
+    `${size} bytes of which ${usedBytes(fileOf(this))} are used`,
+  );
 }
 Then("the file is longer than its last page by at least half of what is kept ahead", isLonger);
 
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -10,10 +10,14 @@
 setDefaultTimeout(90_000);
 
 export const firmConfiguration = {
-  models: { reader: { adapters: ["customs"], bucket: { tokens: 100, windowSeconds: 1, capacity: 100 } } },
+  models: {
+    reader: { adapters: ["customs"], bucket: { tokens: 100, windowSeconds: 1, capacity: 100 } },
+  },
   ways: {
-    manifest: { kind: "stream", model: "reader" }, check: { kind: "one-shot", model: "reader" },
-    label: { kind: "fetch" }, slips: { kind: "lot", model: "reader" },
+    manifest: { kind: "stream", model: "reader" },
+    check: { kind: "one-shot", model: "reader" },
+    label: { kind: "fetch" },
+    slips: { kind: "lot", model: "reader" },
   },
 };
 
@@ -34,25 +38,53 @@
   items: { index: number; state: string; result?: { of: string }[] }[];
 }
 
-async function begin(world: World, access: number, modelRunners: number, plainRunners: number, storage: number): Promise<void> {
+async function begin(
+  world: World,
+  access: number,
+  modelRunners: number,
+  plainRunners: number,
+  storage: number,
+): Promise<void> {
   world.folder = mkdtempSync(join(tmpdir(), "chutewick-"));
   world.asked = [];
   world.lots = 0;
-  world.fleet = new Fleet({ folder: world.folder, access, storage, modelRunners, plainRunners, models: ["reader"], net: 1 });
+  world.fleet = new Fleet({
+    folder: world.folder,
+    access,
+    storage,
+    modelRunners,
+    plainRunners,
+    models: ["reader"],
+    net: 1,
+  });
   await world.fleet.start();
   await world.fleet.ready();
   await world.fleet.startRunners();
 }
 
-function aFleet(this: World, access: number, modelRunners: number, plainRunners: number): Promise<void> {
+function aFleet(
+  this: World,
+  access: number,
+  modelRunners: number,
+  plainRunners: number,
+): Promise<void> {
   return begin(this, access, modelRunners, plainRunners, 3);
 }
 Given("a fleet with {int} access nodes, {int} model runners and {int} plain runner", aFleet);
 
-function aFleetWithStorage(this: World, access: number, modelRunners: number, plainRunners: number, storage: number): Promise<void> {
+function aFleetWithStorage(
+  this: World,
+  access: number,
+  modelRunners: number,
+  plainRunners: number,
+  storage: number,
+): Promise<void> {
   return begin(this, access, modelRunners, plainRunners, storage);
 }
-Given("a fleet with {int} access nodes, {int} model runners, {int} plain runner and {int} storage machines", aFleetWithStorage);
+Given(
+  "a fleet with {int} access nodes, {int} model runners, {int} plain runner and {int} storage machines",
+  aFleetWithStorage,
+);
 
 async function afterScenario(this: World): Promise<void> {
   if (this.fleet === undefined) return;
@@ -61,8 +93,16 @@
 }
 After(afterScenario);
 
-async function post(address: string, path: string, body: unknown): Promise<{ status: number; text: string }> {
-  const told = await request(`http://${address}${path}`, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify(body) });
+async function post(
+  address: string,
+  path: string,
+  body: unknown,
+): Promise<{ status: number; text: string }> {
+  const told = await request(`http://${address}${path}`, {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify(body),
+  });
   return { status: told.statusCode, text: await told.body.text() };
 }
 
@@ -147,7 +187,8 @@
   for (const item of view!.items) {
     indexes.push(item.index);
     equal(item.state, "solved");
-    for (const piece of item.result!) ok(piece.of.startsWith(`${world.lot}/${item.index}/`), `${piece.of} for item ${item.index}`);
+    for (const piece of item.result!)
+      ok(piece.of.startsWith(`${world.lot}/${item.index}/`), `${piece.of} for item ${item.index}`);
   }
   deepEqual(indexes, [...Array(20).keys()]);
 }
@@ -160,7 +201,9 @@
 
 async function theOwnerOfTheQueueIsKilled(this: World): Promise<void> {
   const status = await this.fleet.control("GET", "/status");
-  const view = (status.body["queues"] as Record<string, { members: { identity: string }[] }>)["reader"]!;
+  const view = (status.body["queues"] as Record<string, { members: { identity: string }[] }>)[
+    "reader"
+  ]!;
   await handIn(this);
   await this.fleet.kill(nameOf(view.members[0]!.identity));
 }
@@ -185,7 +228,14 @@
   async function confirmed(): Promise<boolean> {
     at += 1;
     try {
-      const told = await fleet.control("PATCH", "/configuration", { ways: { check: { labels: { tried: String(at) } } } }, undefined, at % alive, 3_000);
+      const told = await fleet.control(
+        "PATCH",
+        "/configuration",
+        { ways: { check: { labels: { tried: String(at) } } } },
+        undefined,
+        at % alive,
+        3_000,
+      );
       return told.status === 200;
     } catch {
       return false;
@@ -197,7 +247,10 @@
 
 function noOneShotInquiryRanTwice(this: World): void {
   const runs = new Map<string, number>();
-  for (const runner of this.fleet.runners) for (const run of runner.runs) if (typeof run.prompt === "string" && run.prompt.startsWith("check ")) runs.set(run.prompt, (runs.get(run.prompt) ?? 0) + 1);
+  for (const runner of this.fleet.runners)
+    for (const run of runner.runs)
+      if (typeof run.prompt === "string" && run.prompt.startsWith("check "))
+        runs.set(run.prompt, (runs.get(run.prompt) ?? 0) + 1);
   equal(runs.size, this.asked.length);
   for (const [prompt, count] of runs) equal(count, 1, prompt);
 }
@@ -213,7 +266,11 @@
   const address = fleet.machine("access-2").http;
   async function refuses(): Promise<boolean> {
     const prompt = `check ${asked.length}`;
-    const told = await request(`http://${address}/ways/check`, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify({ prompt }) });
+    const told = await request(`http://${address}/ways/check`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ prompt }),
+    });
     const text = await told.body.text();
     if (told.statusCode === 200) {
       asked.push(prompt);
@@ -226,7 +283,10 @@
   }
   await fleet.until("the cut off node takes no new work", refuses);
 }
-Then("access-2 tells callers not-run, with a time to come back, and nothing of it runs", accessTellsNotRun);
+Then(
+  "access-2 tells callers not-run, with a time to come back, and nothing of it runs",
+  accessTellsNotRun,
+);
 
 function allLinksAreMended(this: World): void {
   this.fleet.relay.mend();
@@ -266,7 +326,11 @@
 async function itNeverTellsTheOldMark(this: World): Promise<void> {
   const { fleet } = this;
   const place = Number(this.frozen.split("-")[1]) - 1;
-  const newest = Number((await fleet.control("GET", "/configuration", undefined, undefined, (place + 1) % 3)).body["mark"]);
+  const newest = Number(
+    (await fleet.control("GET", "/configuration", undefined, undefined, (place + 1) % 3)).body[
+      "mark"
+    ],
+  );
   async function tells(): Promise<boolean> {
     const told = await fleet.control("GET", "/configuration", undefined, undefined, place);
     if (told.status !== 200) return false;
@@ -280,7 +344,9 @@
 async function theOwnerIsEmptied(this: World): Promise<void> {
   await handIn(this);
   const status = await this.fleet.control("GET", "/status");
-  const { identity } = (status.body["queues"] as Record<string, { members: { identity: string }[] }>)["reader"]!.members[0]!;
+  const { identity } = (
+    status.body["queues"] as Record<string, { members: { identity: string }[] }>
+  )["reader"]!.members[0]!;
   const told = await this.fleet.chutewick(["machine", "empty", identity]);
   equal(told.code, 0, told.trouble);
   this.emptied = identity;
@@ -291,11 +357,17 @@
   const { fleet, emptied } = this;
   async function empty(): Promise<boolean> {
     const { body } = await fleet.control("GET", "/status");
-    return (body["emptying"] as Record<string, { queuesLeft: number }>)[emptied]?.queuesLeft === 0 && body["safeToLoseOne"] === true;
+    return (
+      (body["emptying"] as Record<string, { queuesLeft: number }>)[emptied]?.queuesLeft === 0 &&
+      body["safeToLoseOne"] === true
+    );
   }
   await fleet.until("the machine is empty", empty);
 }
-Then("it holds no queue any more, and three whole copies of every queue stand again", itHoldsNoQueue);
+Then(
+  "it holds no queue any more, and three whole copies of every queue stand again",
+  itHoldsNoQueue,
+);
 
 function nameOf(identity: string): string {
   return identity.split("-").slice(0, 2).join("-");
@@ -330,7 +402,9 @@
     return undefined;
   }
   async function isRunning(): Promise<boolean> {
-    for (const runner of fleet.runners) for (const run of runner.runs) if (run.ending === "running" && typeof run.prompt === "object") return true;
+    for (const runner of fleet.runners)
+      for (const run of runner.runs)
+        if (run.ending === "running" && typeof run.prompt === "object") return true;
     return false;
   }
   await fleet.until("a stream runs", begun);
@@ -344,7 +418,10 @@
   equal(status, 200);
   ok(text.endsWith('event: close\ndata: {"pieces":60}\n\n'), text.slice(-120));
 }
-When("an access node hears of changed settings while a stream runs, the stream ends whole", settingsChange);
+When(
+  "an access node hears of changed settings while a stream runs, the stream ends whole",
+  settingsChange,
+);
 
 function nodeGoesOn(this: World): void {
   const { child } = this.fleet.machine("access-1");
@@ -383,13 +460,18 @@
       const told = (await (await request(`http://${address}/metrics`)).body.json()) as Metrics;
       if (kind !== "access") ok(told.sync_seconds["all"]!.count > 0, `${address} synced nothing`);
       for (const queue of Object.values(told.queues ?? {})) if (queue.owner) owners += 1;
-      for (const [name, count] of Object.entries(told.results_total)) if (name === "event=inquiry.arrived,status=200") inquiries += count;
+      for (const [name, count] of Object.entries(told.results_total))
+        if (name === "event=inquiry.arrived,status=200") inquiries += count;
       const first = told.first_result_seconds["event=inquiry.arrived"];
-      if (kind === "access") ok(first !== undefined && first.count === first.within["+Inf"], `${address} timed nothing`);
+      if (kind === "access")
+        ok(first !== undefined && first.count === first.within["+Inf"], `${address} timed nothing`);
     }
   }
   /** At each access node a one-shot inquiry and a stream. */
   equal(inquiries, asked.length * 2);
   equal(owners, 2);
 }
-Then("every process tells its metrics, and they agree with what was served", everyProcessTellsMetrics);
+Then(
+  "every process tells its metrics, and they agree with what was served",
+  everyProcessTellsMetrics,
+);
--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -19,11 +19,17 @@
   const [host, port] = this.fleet.http("access")[0]!.split(":");
   const socket: Socket = connect(Number(port), host);
   let text = "";
-  function told(chunk: Buffer): void { text += chunk.toString(); }
+  function told(chunk: Buffer): void {
+    text += chunk.toString();
+  }
   socket.on("data", told);
-  socket.write("POST /ways/check HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 1000\r\n\r\n{\"prompt\":");
+  socket.write(
+    'POST /ways/check HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 1000\r\n\r\n{"prompt":',
+  );
   function ended(resolve: (text: string) => void): void {
-    function closed(): void { resolve(text); }
+    function closed(): void {
+      resolve(text);
+    }
     socket.once("close", closed);
     socket.on("error", closed);
   }
@@ -35,7 +41,11 @@
   this.access = this.fleet.http("access")[0]!;
   const { fleet, access } = this;
   async function knows(): Promise<boolean> {
-    const told = await request(`http://${access}/ways/check`, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify({ prompt: "known" }) });
+    const told = await request(`http://${access}/ways/check`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ prompt: "known" }),
+    });
     await told.body.dump();
     return told.statusCode === 200;
   }
@@ -45,13 +55,24 @@
 
 function written(body: string): string {
   if (body === "2 MiB") return JSON.stringify({ prompt: "x".repeat(2 * 1_048_576) });
-  if (body.includes("1001 prompts")) return JSON.stringify({ key: "a", items: new Array(1_001).fill(1) });
+  if (body.includes("1001 prompts"))
+    return JSON.stringify({ key: "a", items: new Array(1_001).fill(1) });
   return body;
 }
 
 async function eachHasItsStatus(this: World, table: DataTable): Promise<void> {
-  for (const row of table.hashes() as { method: "GET" | "POST" | "DELETE"; path: string; body: string; status: string; trouble: string }[]) {
-    const told = await request(`http://${this.access}${row.path}`, { method: row.method, headers: { "content-type": "application/json" }, ...(row.body === "" ? {} : { body: written(row.body) }) });
+  for (const row of table.hashes() as {
+    method: "GET" | "POST" | "DELETE";
+    path: string;
+    body: string;
+    status: string;
+    trouble: string;
+  }[]) {
+    const told = await request(`http://${this.access}${row.path}`, {
+      method: row.method,
+      headers: { "content-type": "application/json" },
+      ...(row.body === "" ? {} : { body: written(row.body) }),
+    });
     const text = await told.body.text();
     equal(told.statusCode, Number(row.status), `${row.method} ${row.path} ${row.body}: ${text}`);
     const body = JSON.parse(text) as { trouble: string; reason: string };
@@ -72,7 +93,9 @@
 
 async function emptyingIsRefused(this: World): Promise<void> {
   const status = await this.fleet.control("GET", "/status");
-  const storage = (status.body["nodes"] as { identity: string; kind: string }[]).find(isStorage)!.identity;
+  const storage = (status.body["nodes"] as { identity: string; kind: string }[]).find(
+    isStorage,
+  )!.identity;
   const unknown = await this.fleet.chutewick(["machine", "empty", "nobody"]);
   equal(unknown.code, 3);
   ok(unknown.trouble.includes("there is no such storage machine"), unknown.trouble);
@@ -83,7 +106,10 @@
   equal(kept.code, 3);
   ok(kept.trouble.includes("is not being emptied"), kept.trouble);
 }
-Then("emptying is refused with the reason for a machine that is unknown, needed or not being emptied", emptyingIsRefused);
+Then(
+  "emptying is refused with the reason for a machine that is unknown, needed or not being emptied",
+  emptyingIsRefused,
+);
 
 function isStorage(node: { kind: string }): boolean {
   return node.kind === "storage";
@@ -104,7 +130,9 @@
   deepEqual(codes, [0, 4], JSON.stringify(both));
   const told = await this.fleet.control("GET", "/configuration");
   equal(told.body["mark"], 2);
-  const configuration = told.body["configuration"] as { ways: Record<string, { labels: Record<string, string> }> };
+  const configuration = told.body["configuration"] as {
+    ways: Record<string, { labels: Record<string, string> }>;
+  };
   equal(configuration.ways["check"]!.labels["by"], both[0].code === 0 ? "one" : "other");
 }
 Then("of two operators who build on mark 1 one wins and the other is told so", ofTwoOperators);
@@ -129,7 +157,20 @@
 async function badFoldersEndWithOne(this: World): Promise<void> {
   const { fleet } = this;
   const machine = fleet.machine("storage-3");
-  const words = ["storage", "--name", "storage-9", "--zone", "a", "--wire", "127.1.2.9:7100", "--http", "127.1.2.9:7200", "--seeds", "127.1.1.1:7100,127.1.1.2:7100,127.1.1.3:7100", "--data"];
+  const words = [
+    "storage",
+    "--name",
+    "storage-9",
+    "--zone",
+    "a",
+    "--wire",
+    "127.1.2.9:7100",
+    "--http",
+    "127.1.2.9:7200",
+    "--seeds",
+    "127.1.1.1:7100,127.1.1.2:7100,127.1.1.3:7100",
+    "--data",
+  ];
   const used = await fleet.chutewick([...words, machine.data]);
   equal(used.code, 1, used.out);
   ok(used.trouble.includes("in use by process"), used.trouble);
@@ -152,17 +193,28 @@
   equal(kind.code, 1);
   ok(kind.trouble.includes("belongs to a storage machine"), kind.trouble);
 }
-Then("a storage machine whose folder is cut off, foreign, another kind's or in use ends with 1", badFoldersEndWithOne);
+Then(
+  "a storage machine whose folder is cut off, foreign, another kind's or in use ends with 1",
+  badFoldersEndWithOne,
+);
 
 async function anotherWireMark(this: World): Promise<void> {
   const said: unknown[] = [];
   const quiet = log.open("test", "stranger", "fatal");
-  function told(_facts: unknown, text: string): void { said.push(text); }
+  function told(_facts: unknown, text: string): void {
+    said.push(text);
+  }
   quiet.error = told as typeof quiet.error;
   function receive(): void {
     // Nothing is expected.
   }
-  const stranger = new Wire({ address: "127.1.9.1:7100", listen: "127.1.9.1:7100", log: quiet, receive, mark: 999 });
+  const stranger = new Wire({
+    address: "127.1.9.1:7100",
+    listen: "127.1.9.1:7100",
+    log: quiet,
+    receive,
+    mark: 999,
+  });
   await stranger.open();
   stranger.send(this.fleet.machine("control-1").wire, { kind: "session" });
   async function refused(): Promise<boolean> {
--- a/features/steps/lot.ts
+++ b/features/steps/lot.ts
@@ -1,6 +1,13 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Ledger, QueueMachine, type Ending, type Item, type QueueCommand, type QueueResult } from "@chutewick/parts";
+import {
+  Ledger,
+  QueueMachine,
+  type Ending,
+  type Item,
+  type QueueCommand,
+  type QueueResult,
+} from "@chutewick/parts";
 import { Chance } from "@chutewick/simulator";
 
 interface World {
@@ -31,14 +38,28 @@
   this.popped = [];
   this.differences = [];
   this.lists = [];
-  apply(this, { kind: "limit", limits: { tokens: tokens, windowSeconds, capacity: tokens }, share: allowance, mark: 1 });
+  apply(this, {
+    kind: "limit",
+    limits: { tokens: tokens, windowSeconds, capacity: tokens },
+    share: allowance,
+    mark: 1,
+  });
 }
 Given("a queue with {int} tokens per {int} s and an allowance of {int} waiting items", aQueue);
 
 function admission(lot: string, count: number, allowance: number): QueueCommand {
   const prompts: unknown[] = [];
   for (let index = 0; index < count; index += 1) prompts.push({ lot, index });
-  return { kind: "admit", lot, way: "slips", body: `${lot} ${count}`, prompts, labels: {}, lasts: 600_000, allowance };
+  return {
+    kind: "admit",
+    lot,
+    way: "slips",
+    body: `${lot} ${count}`,
+    prompts,
+    labels: {},
+    lasts: 600_000,
+    allowance,
+  };
 }
 
 function aLotIsHandedIn(this: World, lot: string, count: number): void {
@@ -91,7 +112,10 @@
   this.results.push(apply(this, { kind: "record", lot, index, go, ending: endingOf(kind) }));
   this.now = now;
 }
-When(/^a prompt is popped and recorded as (solved|trouble|broken|unsent)$/, aPromptIsPoppedAndRecorded);
+When(
+  /^a prompt is popped and recorded as (solved|trouble|broken|unsent)$/,
+  aPromptIsPoppedAndRecorded,
+);
 
 function aPromptIsTakenBack(this: World): void {
   const { lot, index, go } = pop(this);
@@ -101,7 +125,9 @@
 
 function theFirstGoRecords(this: World): void {
   const { lot, index, go } = this.popped[0]!;
-  this.results.push(apply(this, { kind: "record", lot, index, go, ending: { kind: "solved", result: ["late"] } }));
+  this.results.push(
+    apply(this, { kind: "record", lot, index, go, ending: { kind: "solved", result: ["late"] } }),
+  );
 }
 When("the first go records another result", theFirstGoRecords);
 
@@ -166,10 +192,23 @@
   if (kind < 6) return { kind: "pop", holder: "dispatcher" };
   if (kind === 6) return { kind: "cancel", lot };
   if (kind === 7) return { kind: "expire" };
-  if (kind === 8) return { kind: "limit", limits: { tokens: chance.below(50), windowSeconds: 1, capacity: 1 + chance.below(20) }, share: 40, mark: chance.below(50) };
+  if (kind === 8)
+    return {
+      kind: "limit",
+      limits: { tokens: chance.below(50), windowSeconds: 1, capacity: 1 + chance.below(20) },
+      share: 40,
+      mark: chance.below(50),
+    };
   if (claim === undefined) return { kind: "count" };
-  if (kind === 9) return { kind: "reset", items: [{ lot: claim.lot, index: claim.index, go: claim.go }] };
-  return { kind: "record", lot: claim.lot, index: claim.index, go: claim.go, ending: endingOf(["solved", "trouble", "broken", "unsent"][chance.below(4)]!) };
+  if (kind === 9)
+    return { kind: "reset", items: [{ lot: claim.lot, index: claim.index, go: claim.go }] };
+  return {
+    kind: "record",
+    lot: claim.lot,
+    index: claim.index,
+    go: claim.go,
+    ending: endingOf(["solved", "trouble", "broken", "unsent"][chance.below(4)]!),
+  };
 }
 
 function seedsArePlayed(this: World, seeds: number, steps: number): void {
@@ -186,12 +225,16 @@
       const command = draw(chance, claims);
       const result = leftMachine.apply(left, command, now);
       const other = rightMachine.apply(right, command, now);
-      if (JSON.stringify(result) !== JSON.stringify(other)) this.differences.push(`seed ${seed} step ${step}: ${JSON.stringify(result)} against ${JSON.stringify(other)}`);
+      if (JSON.stringify(result) !== JSON.stringify(other))
+        this.differences.push(
+          `seed ${seed} step ${step}: ${JSON.stringify(result)} against ${JSON.stringify(other)}`,
+        );
       if (result.kind === "TAKEN") claims.push(result);
       const changes = left.takeChanges();
       for (const [key, value] of changes) {
         if (key.startsWith("item/") && value === undefined) shown.delete(key);
-        if (key.startsWith("item/") && value !== undefined) lookAt(this.lists, seed, key, value as Item, shown);
+        if (key.startsWith("item/") && value !== undefined)
+          lookAt(this.lists, seed, key, value as Item, shown);
       }
       if (step === steps >> 1) {
         const copy = new Ledger();
@@ -203,23 +246,38 @@
       }
     }
     const sorted = JSON.stringify(left.digest().sort(byKey));
-    if (sorted !== JSON.stringify(right.digest().sort(byKey))) this.differences.push(`seed ${seed}: records differ`);
+    if (sorted !== JSON.stringify(right.digest().sort(byKey)))
+      this.differences.push(`seed ${seed}: records differ`);
     for (const [, lot] of left.under<{ id: string; items: number }>("lot/")) {
       const status = leftMachine.apply(left, { kind: "status", lot: lot.id }, now);
       ok(status.kind === "LOT");
-      for (const [place, item] of status.items.entries()) if (item.index !== place) this.lists.push(`seed ${seed}: ${lot.id} lists ${item.index} at ${place}`);
-      if (status.items.length !== lot.items) this.lists.push(`seed ${seed}: ${lot.id} lists ${status.items.length}`);
+      for (const [place, item] of status.items.entries())
+        if (item.index !== place)
+          this.lists.push(`seed ${seed}: ${lot.id} lists ${item.index} at ${place}`);
+      if (status.items.length !== lot.items)
+        this.lists.push(`seed ${seed}: ${lot.id} lists ${status.items.length}`);
     }
   }
 }
-When("{int} seeds of {int} random commands are played on two machines, one of them rebuilt from records half-way", seedsArePlayed);
+When(
+  "{int} seeds of {int} random commands are played on two machines, one of them rebuilt from records half-way",
+  seedsArePlayed,
+);
 
 /** A lot whose time of keeping is over may be handed in anew; until then a final item stays as it is. */
-function lookAt(lists: string[], seed: number, key: string, item: Item, shown: Map<string, string>): void {
+function lookAt(
+  lists: string[],
+  seed: number,
+  key: string,
+  item: Item,
+  shown: Map<string, string>,
+): void {
   const told = JSON.stringify([item.state, item.result, item.reason]);
   const before = shown.get(key);
-  if (before !== undefined && before !== told && item.go > 0) lists.push(`seed ${seed}: ${key} was ${before}, then ${told}`);
-  if (item.state === "solved" || item.state === "failed" || item.state === "cancelled") shown.set(key, told);
+  if (before !== undefined && before !== told && item.go > 0)
+    lists.push(`seed ${seed}: ${key} was ${before}, then ${told}`);
+  if (item.state === "solved" || item.state === "failed" || item.state === "cancelled")
+    shown.set(key, told);
 }
 
 function byKey(left: readonly [string, unknown], right: readonly [string, unknown]): number {
--- a/features/steps/marks.ts
+++ b/features/steps/marks.ts
@@ -31,12 +31,16 @@
   for (const kind of kinds) {
     const message: unknown = packer.unpack(Buffer.from(this.kept.messages[kind]!, "base64"));
     equal((message as { kind: string }).kind, kind);
-    for (const machine of [campaign.controls[0]!, campaign.storages[0]!, campaign.accesses[0]!]) machine.arrived(message, "stranger");
+    for (const machine of [campaign.controls[0]!, campaign.storages[0]!, campaign.accesses[0]!])
+      machine.arrived(message, "stranger");
   }
   campaign.world.run(8_000);
   ok(campaign.controls.some(isHead), "the fleet has a head still");
 }
-Then("every kind of its messages is taken by today's control, storage and access machines", everyKindIsTaken);
+Then(
+  "every kind of its messages is taken by today's control, storage and access machines",
+  everyKindIsTaken,
+);
 
 function isHead(machine: { core: { isHead: boolean } }): boolean {
   return machine.core.isHead;
@@ -45,10 +49,15 @@
 function aFleetStartsFromFolders(this: World): void {
   const campaign = new Campaign({ seed: 2, faults: false, tokens: 6 });
   for (const machine of [...campaign.controls, ...campaign.storages]) {
-    const kept = packer.unpack(Buffer.from(this.kept.folders[machine.name]!, "base64")) as { identity: string; votes: VoteState | undefined; holdings: [string, ChainHolding][] };
+    const kept = packer.unpack(Buffer.from(this.kept.folders[machine.name]!, "base64")) as {
+      identity: string;
+      votes: VoteState | undefined;
+      holdings: [string, ChainHolding][];
+    };
     const folder = new Folder(kept.identity);
     folder.votes = kept.votes;
-    for (const [chain, { state, records, entries }] of kept.holdings) folder.write(chain, { clear: true, changes: records, entries, drop: [], state });
+    for (const [chain, { state, records, entries }] of kept.holdings)
+      folder.write(chain, { clear: true, changes: records, entries, drop: [], state });
     machine.folder = folder;
   }
   campaign.begin();
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -1,6 +1,19 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Ledger, QueueMachine, claimOf, type Change, type Claim, type ListedResult, type PassEnding, type PassEntry, type PassTask, type QueueCommand, type QueueResult, type TaskRecord } from "@chutewick/parts";
+import {
+  Ledger,
+  QueueMachine,
+  claimOf,
+  type Change,
+  type Claim,
+  type ListedResult,
+  type PassEnding,
+  type PassEntry,
+  type PassTask,
+  type QueueCommand,
+  type QueueResult,
+  type TaskRecord,
+} from "@chutewick/parts";
 import { Chance, PassPlay, type Fault, type PassPlayOptions } from "@chutewick/simulator";
 
 interface World {
@@ -20,7 +33,13 @@
   return told;
 }
 
-function aPassagesQueue(this: World, tokens: number, windowSeconds: number, capacity: number, allowance: number): void {
+function aPassagesQueue(
+  this: World,
+  tokens: number,
+  windowSeconds: number,
+  capacity: number,
+  allowance: number,
+): void {
   this.ledger = new Ledger();
   this.machine = new QueueMachine();
   this.machine.rebuild(this.ledger);
@@ -30,14 +49,45 @@
   this.drawn = [];
   this.differences = [];
   this.faults = [];
-  apply(this, { kind: "limit", limits: { tokens, windowSeconds, capacity }, share: 1_000, mark: 1 });
-}
-Given("a passage's queue with {int} tokens per {int} s, bursts of {int}, and {int} tokens that may wait", aPassagesQueue);
-
-function handing(lot: string, count: number, tokens: number, allowance: number, way = "slips"): Extract<QueueCommand, { kind: "hand-in" }> {
+  apply(this, {
+    kind: "limit",
+    limits: { tokens, windowSeconds, capacity },
+    share: 1_000,
+    mark: 1,
+  });
+}
+Given(
+  "a passage's queue with {int} tokens per {int} s, bursts of {int}, and {int} tokens that may wait",
+  aPassagesQueue,
+);
+
+function handing(
+  lot: string,
+  count: number,
+  tokens: number,
+  allowance: number,
+  way = "slips",
+): Extract<QueueCommand, { kind: "hand-in" }> {
   const entries: PassEntry[] = [];
-  for (let index = 0; index < count; index += 1) entries.push({ id: `${lot}-${index}`, path: `/slips/${index}`, headers: ["tag", String(index)], body: new TextEncoder().encode(`body ${index}`), tokens, model: "m" });
-  return { kind: "hand-in", lot, way, host: "hub.example", entries, allowance, goesMost: 3, keeps: 40_000 };
+  for (let index = 0; index < count; index += 1)
+    entries.push({
+      id: `${lot}-${index}`,
+      path: `/slips/${index}`,
+      headers: ["tag", String(index)],
+      body: new TextEncoder().encode(`body ${index}`),
+      tokens,
+      model: "m",
+    });
+  return {
+    kind: "hand-in",
+    lot,
+    way,
+    host: "hub.example",
+    entries,
+    allowance,
+    goesMost: 3,
+    keeps: 40_000,
+  };
 }
 
 function theLotIsHandedIn(this: World, lot: string, count: number, tokens: number): void {
@@ -45,20 +95,56 @@
 }
 When("the lot {string} with {int} items of {int} tokens is handed in", theLotIsHandedIn);
 
-function itIsHandedInWithin(this: World, lot: string, count: number, tokens: number, within: number): void {
+function itIsHandedInWithin(
+  this: World,
+  lot: string,
+  count: number,
+  tokens: number,
+  within: number,
+): void {
   this.told.push(apply(this, { ...handing(lot, count, tokens, this.allowance), within }));
 }
-When("the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in", itIsHandedInWithin);
-
-function itIsHandedInLate(this: World, lot: string, count: number, tokens: number, within: number): void {
-  this.told.push(apply(this, { ...handing(lot, count, tokens, this.allowance), within, late: true }));
-}
-When("the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in late", itIsHandedInLate);
-
-function sendingIsHandedIn(this: World, ticket: string, lot: string, count: string, tokens: string, again: string | null): void {
-  this.told.push(apply(this, { ...handing(lot, Number(count), Number(tokens), this.allowance), ticket, final: again !== null }));
-}
-When(/^sending "(\w)" of the lot "(\w)" with (\d+) items of (\d+) tokens is handed in( again)?$/, sendingIsHandedIn);
+When(
+  "the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in",
+  itIsHandedInWithin,
+);
+
+function itIsHandedInLate(
+  this: World,
+  lot: string,
+  count: number,
+  tokens: number,
+  within: number,
+): void {
+  this.told.push(
+    apply(this, { ...handing(lot, count, tokens, this.allowance), within, late: true }),
+  );
+}
+When(
+  "the lot {string} with {int} items of {int} tokens, wanted within {int} ms, is handed in late",
+  itIsHandedInLate,
+);
+
+function sendingIsHandedIn(
+  this: World,
+  ticket: string,
+  lot: string,
+  count: string,
+  tokens: string,
+  again: string | null,
+): void {
+  this.told.push(
+    apply(this, {
+      ...handing(lot, Number(count), Number(tokens), this.allowance),
+      ticket,
+      final: again !== null,
+    }),
+  );
+}
+When(
+  /^sending "(\w)" of the lot "(\w)" with (\d+) items of (\d+) tokens is handed in( again)?$/,
+  sendingIsHandedIn,
+);
 
 function noSendingIsKnown(this: World): void {
   deepEqual([...this.ledger.under("turned/")], []);
@@ -94,7 +180,11 @@
 }
 Then("{int} items wait in the queue", itemsWaitInTheQueue);
 
-function ask(world: World, most: number, able: readonly string[] = ["slips"]): Extract<QueueResult, { kind: "DRAWN" }> {
+function ask(
+  world: World,
+  most: number,
+  able: readonly string[] = ["slips"],
+): Extract<QueueResult, { kind: "DRAWN" }> {
   const told = apply(world, { kind: "draw", holder: "node", most, able });
   ok(told.kind === "DRAWN", told.kind);
   return told;
@@ -122,12 +212,22 @@
 function promptsCame(this: World, count: number, more: string, wait: string | undefined): void {
   const last = this.told.at(-1)!;
   ok(last.kind === "DRAWN");
-  deepEqual([last.tasks.length, last.more, wait === undefined ? undefined : Math.round(last.wait! * 1_000) / 1_000], [count, more, wait === undefined ? undefined : Number(wait)]);
+  deepEqual(
+    [
+      last.tasks.length,
+      last.more,
+      wait === undefined ? undefined : Math.round(last.wait! * 1_000) / 1_000,
+    ],
+    [count, more, wait === undefined ? undefined : Number(wait)],
+  );
 }
 function cameSoMany(this: World, count: string, more: string, wait: string | null): void {
   promptsCame.call(this, Number(count), more, wait ?? undefined);
 }
-Then(/^(\d+) prompts came, and then (EMPTY|RATE_LIMITED)(?: with a wait of (\d+) ms)?$/, cameSoMany);
+Then(
+  /^(\d+) prompts came, and then (EMPTY|RATE_LIMITED)(?: with a wait of (\d+) ms)?$/,
+  cameSoMany,
+);
 
 function nothingIsDrawn(this: World): void {
   deepEqual(ask(this, 8).tasks, []);
@@ -166,9 +266,19 @@
 }
 When(/^the drawn prompt ends as (solved|never|unsent)$/, theDrawnPromptEnds);
 
-function theDrawnPromptBreaks(this: World, upTo: number, first: string, second: string | null): void {
+function theDrawnPromptBreaks(
+  this: World,
+  upTo: number,
+  first: string,
+  second: string | null,
+): void {
   const texts = second === null ? [first] : [first, second];
-  settle(this, this.drawn[0]!, { kind: "broken", text: texts.join("\n"), events: texts.length, upTo });
+  settle(this, this.drawn[0]!, {
+    kind: "broken",
+    text: texts.join("\n"),
+    events: texts.length,
+    upTo,
+  });
 }
 function breaksAfter(this: World, upTo: string, first: string, second: string | null): void {
   theDrawnPromptBreaks.call(this, Number(upTo), first, second);
@@ -183,7 +293,10 @@
 function theNextPromptIs(this: World, index: number, lot: string, upTo: number | undefined): void {
   promptsAreDrawn.call(this, 1);
   const [task] = this.drawn as [PassTask];
-  deepEqual([task.lot, task.index, task.upTo, task.entry.path], [lot, index, upTo, `/slips/${index}`]);
+  deepEqual(
+    [task.lot, task.index, task.upTo, task.entry.path],
+    [lot, index, upTo, `/slips/${index}`],
+  );
 }
 function fromItsStart(this: World, index: number, lot: string): void {
   theNextPromptIs.call(this, index, lot, undefined);
@@ -205,8 +318,19 @@
   return told.results;
 }
 
-function positionIs(this: World, place: string, lot: string, index: string, state: string, text: string | null): void {
-  deepEqual(listed(this, lot, Number(place))[0], { item: `${lot}-${index}`, state, text: (text ?? "").replaceAll("/", "\n") });
+function positionIs(
+  this: World,
+  place: string,
+  lot: string,
+  index: string,
+  state: string,
+  text: string | null,
+): void {
+  deepEqual(listed(this, lot, Number(place))[0], {
+    item: `${lot}-${index}`,
+    state,
+    text: (text ?? "").replaceAll("/", "\n"),
+  });
 }
 Then(/^position (\d+) of "(\w+)" is item (\d+), (solved|failed)(?: with "(.*)")?$/, positionIs);
 
@@ -241,7 +365,10 @@
 function claimsUnderWay(this: World, lot: string): void {
   const claims: Claim[] = [];
   for (const [key, { go }] of this.machine.passes.processing()) claims.push(claimOf(key, go));
-  deepEqual(claims, [{ lot, index: 0, go: 1 }, { lot, index: 1, go: 1 }]);
+  deepEqual(claims, [
+    { lot, index: 0, go: 1 },
+    { lot, index: 1, go: 1 },
+  ]);
 }
 Then("the claims under way are 0 and 1 of {string}", claimsUnderWay);
 
@@ -276,8 +403,21 @@
   const lot = `lot/${chance.below(14)}`;
   const task = claims[chance.below(Math.max(1, claims.length))];
   const kind = chance.below(14);
-  if (kind < 3) return handing(lot, 1 + (lot.length % 5), 1 + chance.below(40), 400, chance.happens(0.5) ? "slips" : "tags");
-  if (kind < 7) return { kind: "draw", holder: "node", most: 1 + chance.below(6), able: chance.happens(0.3) ? ["tags"] : ["slips", "tags"] };
+  if (kind < 3)
+    return handing(
+      lot,
+      1 + (lot.length % 5),
+      1 + chance.below(40),
+      400,
+      chance.happens(0.5) ? "slips" : "tags",
+    );
+  if (kind < 7)
+    return {
+      kind: "draw",
+      holder: "node",
+      most: 1 + chance.below(6),
+      able: chance.happens(0.3) ? ["tags"] : ["slips", "tags"],
+    };
   if (kind === 7) return { kind: "end", lot };
   if (kind === 8) return { kind: "expire" };
   if (kind === 9 && chance.happens(0.05)) return { kind: "drop-way", way: "tags" };
@@ -287,7 +427,13 @@
     const one = claims[chance.below(claims.length)]!;
     const way = ["solved", "never", "trouble", "broken", "unsent"][chance.below(5)]!;
     const upTo = (one.upTo ?? 0) + 1;
-    endings.push({ claim: claimIn(one), ending: way === "broken" ? { kind: "broken", text: `event ${upTo}`, events: 1, upTo } : endingOf(way) });
+    endings.push({
+      claim: claimIn(one),
+      ending:
+        way === "broken"
+          ? { kind: "broken", text: `event ${upTo}`, events: 1, upTo }
+          : endingOf(way),
+    });
   }
   return { kind: "settle", endings };
 }
@@ -305,20 +451,27 @@
     const claims: PassTask[] = [];
     const shown = new Map<string, string>();
     let now = 0;
-    const limit: QueueCommand = { kind: "limit", limits: { tokens: 40, windowSeconds: 1, capacity: 12 }, share: 40, mark: 1 };
+    const limit: QueueCommand = {
+      kind: "limit",
+      limits: { tokens: 40, windowSeconds: 1, capacity: 12 },
+      share: 40,
+      mark: 1,
+    };
     leftMachine.apply(left, limit, now);
     rightMachine.apply(right, limit, now);
     for (let step = 0; step < steps; step += 1) {
       now += chance.below(chance.below(30) === 0 ? 120_000 : 300);
       const command = randomCommand(chance, claims);
       const told = leftMachine.apply(left, command, now);
-      if (JSON.stringify(told) !== JSON.stringify(rightMachine.apply(right, command, now))) this.differences.push(`seed ${seed} step ${step}: ${JSON.stringify(told)}`);
+      if (JSON.stringify(told) !== JSON.stringify(rightMachine.apply(right, command, now)))
+        this.differences.push(`seed ${seed} step ${step}: ${JSON.stringify(told)}`);
       if (told.kind === "DRAWN") claims.push(...told.tasks);
       for (const [key, value] of left.takeChanges()) {
         if (!key.startsWith("result/")) continue;
         const before = shown.get(key);
         if (value === undefined) shown.delete(key);
-        else if (before !== undefined && before !== JSON.stringify(value)) this.faults.push(`seed ${seed}: ${key} changed`);
+        else if (before !== undefined && before !== JSON.stringify(value))
+          this.faults.push(`seed ${seed}: ${key} changed`);
         else shown.set(key, JSON.stringify(value));
       }
       if (step === steps >> 1) {
@@ -330,17 +483,27 @@
       }
       this.faults.push(...lookAt(left, seed, step));
     }
-    if (JSON.stringify(left.digest().sort(byKey)) !== JSON.stringify(right.digest().sort(byKey))) this.differences.push(`seed ${seed}: records differ`);
+    if (JSON.stringify(left.digest().sort(byKey)) !== JSON.stringify(right.digest().sort(byKey)))
+      this.differences.push(`seed ${seed}: records differ`);
   }
 }
-When("{int} seeds of {int} random commands on passages are played on two machines, one of them rebuilt half-way", seedsOfPassages);
+When(
+  "{int} seeds of {int} random commands on passages are played on two machines, one of them rebuilt half-way",
+  seedsOfPassages,
+);
 
 /** What must hold after every step, worked out from the records alone. */
 function lookAt(ledger: Ledger, seed: number, step: number): string[] {
   const faults: string[] = [];
   const waiting = new Map<string, number>();
   const lots = new Map<string, { way: string; open: number; listed: number; total: number }>();
-  for (const [key, lot] of ledger.under<{ way: string; open: number; listed: number; total: number }>("handed/")) lots.set(key.slice("handed/".length), lot);
+  for (const [key, lot] of ledger.under<{
+    way: string;
+    open: number;
+    listed: number;
+    total: number;
+  }>("handed/"))
+    lots.set(key.slice("handed/".length), lot);
   const open = new Map<string, number>();
   for (const [key, task] of ledger.under<TaskRecord>("task/")) {
     const { lot } = claimOf(key, 0);
@@ -348,7 +511,8 @@
     const way = lots.get(lot)?.way ?? "none";
     waiting.set(way, (waiting.get(way) ?? 0) + task.tokens);
   }
-  for (const [way, tokens] of waiting) if (tokens > 400) faults.push(`seed ${seed} step ${step}: ${tokens} tokens wait on ${way}`);
+  for (const [way, tokens] of waiting)
+    if (tokens > 400) faults.push(`seed ${seed} step ${step}: ${tokens} tokens wait on ${way}`);
   const items = new Map<string, Set<string>>();
   for (const kind of ["task", "body", "text", "result"]) {
     for (const [key, value] of ledger.under<ListedResult>(`${kind}/`)) {
@@ -356,13 +520,16 @@
       if (!lots.has(lot)) faults.push(`seed ${seed} step ${step}: ${key} outlived its lot`);
       if (kind !== "result") continue;
       const seen = items.get(lot) ?? new Set<string>();
-      if (seen.has(value.item)) faults.push(`seed ${seed} step ${step}: ${value.item} stands twice`);
+      if (seen.has(value.item))
+        faults.push(`seed ${seed} step ${step}: ${value.item} stands twice`);
       items.set(lot, seen.add(value.item));
     }
   }
   for (const [id, lot] of lots) {
-    if ((open.get(id) ?? 0) !== lot.open) faults.push(`seed ${seed} step ${step}: ${id} has ${lot.open} open`);
-    if ((items.get(id)?.size ?? 0) !== lot.listed) faults.push(`seed ${seed} step ${step}: ${id} has ${lot.listed} listed`);
+    if ((open.get(id) ?? 0) !== lot.open)
+      faults.push(`seed ${seed} step ${step}: ${id} has ${lot.open} open`);
+    if ((items.get(id)?.size ?? 0) !== lot.listed)
+      faults.push(`seed ${seed} step ${step}: ${id} has ${lot.listed} listed`);
   }
   return faults;
 }
@@ -376,7 +543,10 @@
   deepEqual(this.faults.slice(0, 5), []);
 }
 Then("no listed result ever changed, and no item stands twice", noFaults);
-Then("the waiting tokens never passed the allowance, and records never outlived their lots", noFaults);
+Then(
+  "the waiting tokens never passed the allowance, and records never outlived their lots",
+  noFaults,
+);
 
 interface PlayWorld extends World {
   plays: PassPlay[];
@@ -395,7 +565,15 @@
   const faults = named.split(", ");
   this.plays = [];
   for (let seed = Number(first); seed <= Number(last); seed += 1) {
-    const play = new PassPlay({ seed, stormy: 18_000, calm: 20_000, faults: faults.filter(isNoMove) as Fault[], moves: faults.some(isMove), allowance: 700, lotEvery: 300 });
+    const play = new PassPlay({
+      seed,
+      stormy: 18_000,
+      calm: 20_000,
+      faults: faults.filter(isNoMove) as Fault[],
+      moves: faults.some(isMove),
+      allowance: 700,
+      lotEvery: 300,
+    });
     this.plays.push(play.run());
   }
   for (const fault of faults.filter(isNoMove)) {
@@ -408,7 +586,8 @@
 
 function breaksNoRule(this: PlayWorld): void {
   const found: string[] = [];
-  for (const { options, breaches } of this.plays) for (const breach of breaches) found.push(`seed ${options.seed}: ${breach}`);
+  for (const { options, breaches } of this.plays)
+    for (const breach of breaches) found.push(`seed ${options.seed}: ${breach}`);
   deepEqual(found.slice(0, 5), []);
 }
 Then("every fault struck, and what callers and runners saw breaks no rule", breaksNoRule);
@@ -423,7 +602,10 @@
   this.plays = [play];
   breaksNoRule.call(this);
 }
-When("a lot of slow items is taken and read with a hold from where its list ends", slowItemsAreRead);
+When(
+  "a lot of slow items is taken and read with a hold from where its list ends",
+  slowItemsAreRead,
+);
 
 function toldWithin(this: PlayWorld, bound: number): void {
   ok(this.waits.length >= 5, String(this.waits.length));
@@ -448,17 +630,33 @@
 interface Seen {
   readonly kind: string;
   readonly command?: { readonly kind: string };
-  readonly outcome?: { readonly value?: { readonly kind: string; readonly tasks?: readonly { readonly lot: string }[] } };
+  readonly outcome?: {
+    readonly value?: {
+      readonly kind: string;
+      readonly tasks?: readonly { readonly lot: string }[];
+    };
+  };
 }
 
 type Watch = (play: PassPlay, message: Seen) => number | undefined;
 
 /** Plays in which some messages are held up; strikes say how often. */
-function playWatched(seeds: number, options: Partial<PassPlayOptions>, watched: Watch): { plays: PassPlay[]; strikes: number } {
+function playWatched(
+  seeds: number,
+  options: Partial<PassPlayOptions>,
+  watched: Watch,
+): { plays: PassPlay[]; strikes: number } {
   const plays: PassPlay[] = [];
   let strikes = 0;
   for (let seed = 0; seed < seeds; seed += 1) {
-    const play = new PassPlay({ seed, stormy: 18_000, calm: 22_000, faults: [], lotEvery: 250, ...options });
+    const play = new PassPlay({
+      seed,
+      stormy: 18_000,
+      calm: 22_000,
+      faults: [],
+      lotEvery: 250,
+      ...options,
+    });
     function watch(_from: string, _to: string, message: unknown): number | undefined {
       if (play.world.now < 7_000 || play.world.now > 22_000) return undefined;
       const held = watched(play, message as Seen);
@@ -473,7 +671,9 @@
 
 function handInsAreHeldUp(this: PlayWorld): void {
   function watched(play: PassPlay, { kind, command }: Seen): number | undefined {
-    return kind === "queue-inquiry" && command?.kind === "hand-in" && play.world.chance.happens(0.3) ? play.world.chance.between(900, 6_000) : undefined;
+    return kind === "queue-inquiry" && command?.kind === "hand-in" && play.world.chance.happens(0.3)
+      ? play.world.chance.between(900, 6_000)
+      : undefined;
   }
   const { plays, strikes } = playWatched(10, { allowance: 300 }, watched);
   ok(strikes > 100, String(strikes));
@@ -482,7 +682,10 @@
   ok(refused > 100, String(refused));
   this.plays = plays;
 }
-When("hand-ins are held up on their way for longer than callers wait, to a queue that is full at times", handInsAreHeldUp);
+When(
+  "hand-ins are held up on their way for longer than callers wait, to a queue that is full at times",
+  handInsAreHeldUp,
+);
 Then("no part of a lot runs that was refused at every try", breaksNoRule);
 
 function mostWereTold(this: PlayWorld): void {
@@ -498,7 +701,13 @@
 function grantsAreHeldUp(this: PlayWorld): void {
   let ended = 0;
   function watched(play: PassPlay, { kind, outcome }: Seen): number | undefined {
-    if (kind !== "queue-result" || outcome?.value?.kind !== "DRAWN" || outcome.value.tasks!.length === 0 || !play.world.chance.happens(0.1)) return undefined;
+    if (
+      kind !== "queue-result" ||
+      outcome?.value?.kind !== "DRAWN" ||
+      outcome.value.tasks!.length === 0 ||
+      !play.world.chance.happens(0.1)
+    )
+      return undefined;
     for (const { lot } of outcome.value.tasks!) if (play.endLot(lot)) ended += 1;
     return 4_000;
   }
@@ -510,8 +719,11 @@
 
 function endingsAreHeldUp(this: PlayWorld): void {
   function watched(play: PassPlay, { kind, command }: Seen): number | undefined {
-    if (kind !== "queue-inquiry" || command?.kind !== "settle" || !play.world.chance.happens(0.2)) return undefined;
-    return play.world.chance.happens(0.5) ? Number.POSITIVE_INFINITY : play.world.chance.between(500, 5_000);
+    if (kind !== "queue-inquiry" || command?.kind !== "settle" || !play.world.chance.happens(0.2))
+      return undefined;
+    return play.world.chance.happens(0.5)
+      ? Number.POSITIVE_INFINITY
+      : play.world.chance.between(500, 5_000);
   }
   const { plays, strikes } = playWatched(8, {}, watched);
   ok(strikes > 100, String(strikes));
@@ -543,7 +755,14 @@
 function eachHearsWithin(this: PlayWorld, bound: number): void {
   equal(this.waits.length, 12);
   ok(Math.max(...this.waits) <= bound, this.waits.join(", "));
-  ok((this.plays[0]!.counts["hand-in later"] ?? 0) > 0 && (this.plays[0]!.counts["hand-in refused"] ?? 0) > 0, JSON.stringify(this.plays[0]!.counts));
+  ok(
+    (this.plays[0]!.counts["hand-in later"] ?? 0) > 0 &&
+      (this.plays[0]!.counts["hand-in refused"] ?? 0) > 0,
+    JSON.stringify(this.plays[0]!.counts),
+  );
   breaksNoRule.call(this);
 }
-Then("each of its callers hears within {int} ms, and none that it was refused while it may be taken", eachHearsWithin);
+Then(
+  "each of its callers hears within {int} ms, and none that it was refused while it may be taken",
+  eachHearsWithin,
+);
--- a/features/steps/platform-fleet.ts
+++ b/features/steps/platform-fleet.ts
@@ -54,8 +54,13 @@
     if (performance.now() > last) throw new Error(`not in time: ${what}`);
     if (!busy && !done) {
       busy = true;
-      function told(value: boolean): void { done = value; busy = false; }
-      function failed(): void { busy = false; }
+      function told(value: boolean): void {
+        done = value;
+        busy = false;
+      }
+      function failed(): void {
+        busy = false;
+      }
       holds().then(told, failed);
     }
     return done;
@@ -69,17 +74,59 @@
   const path = join(system.folder, `${name}.json`);
   const data = join(system.folder, name);
   if (kind !== "access") mkdirSync(data, { recursive: true });
-  writeFileSync(path, JSON.stringify({
-    nodeName: name, role: roles[kind], machineClass: kind, serves: [kind === "core" ? "control" : kind], ip, zone: ["a", "b", "c"][index % 3], region: "r",
-    bindAddresses: kind === "access" ? { access: `${ip}:8144`, readiness: `${ip}:8140` } : kind === "core" ? { control: `${ip}:8146` } : {},
-    internalPorts: [7_660, 7_675], seedNodes: ["127.9.1.1:8146", "127.9.1.2:8146", "127.9.1.3:8146"], initialStart: founding,
-    limits: { cpuShare: 1, cores: 1, memoryMb: 400, fileDescriptors: 4_100, linkMbps: 1_000, diskMb: 500 }, dataPath: kind === "access" ? null : data, reportIntervalMs: 400,
-    faultTolerance: { machines: 1, zones: 0, regions: 0 },
-    bounds: { seedLagS: 3, contactMs: 3_000, ackMs: 4_000, syncS: 5, drainMs: 2_000, graceS: 8, applyMs: 2_000, recoveryS: 12, cancelMs: 3_000, settleMs: 1_000, quotaExcess: 0.1 },
-  }));
-  const child = spawn(process.execPath, ["platform/dist/main.js", roles[kind]], { env: { ...process.env, CHUTEWICK_CONFIG: path }, stdio: "ignore" });
+  writeFileSync(
+    path,
+    JSON.stringify({
+      nodeName: name,
+      role: roles[kind],
+      machineClass: kind,
+      serves: [kind === "core" ? "control" : kind],
+      ip,
+      zone: ["a", "b", "c"][index % 3],
+      region: "r",
+      bindAddresses:
+        kind === "access"
+          ? { access: `${ip}:8144`, readiness: `${ip}:8140` }
+          : kind === "core"
+            ? { control: `${ip}:8146` }
+            : {},
+      internalPorts: [7_660, 7_675],
+      seedNodes: ["127.9.1.1:8146", "127.9.1.2:8146", "127.9.1.3:8146"],
+      initialStart: founding,
+      limits: {
+        cpuShare: 1,
+        cores: 1,
+        memoryMb: 400,
+        fileDescriptors: 4_100,
+        linkMbps: 1_000,
+        diskMb: 500,
+      },
+      dataPath: kind === "access" ? null : data,
+      reportIntervalMs: 400,
+      faultTolerance: { machines: 1, zones: 0, regions: 0 },
+      bounds: {
+        seedLagS: 3,
+        contactMs: 3_000,
+        ackMs: 4_000,
+        syncS: 5,
+        drainMs: 2_000,
+        graceS: 8,
+        applyMs: 2_000,
+        recoveryS: 12,
+        cancelMs: 3_000,
+        settleMs: 1_000,
+        quotaExcess: 0.1,
+      },
+    }),
+  );
+  const child = spawn(process.execPath, ["platform/dist/main.js", roles[kind]], {
+    env: { ...process.env, CHUTEWICK_CONFIG: path },
+    stdio: "ignore",
+  });
   const machine: Machine = { name, ip, child, ended: undefined };
-  function ended(code: number | null): void { machine.ended = code; }
+  function ended(code: number | null): void {
+    machine.ended = code;
+  }
   child.once("exit", ended);
   system.machines.push(machine);
   return machine;
@@ -88,7 +135,15 @@
 /** A runner of its own making: five events for tokens, the path for plain work. */
 function standIn(system: System, index: number, service: string): Promise<StandIn> {
   const address = `127.9.8.${index}:8000`;
-  const runner: StandIn = { id: `i-${index}`, address, service, server: createServer(serve), ran: [], state: "in_service", calls: 0 };
+  const runner: StandIn = {
+    id: `i-${index}`,
+    address,
+    service,
+    server: createServer(serve),
+    ran: [],
+    state: "in_service",
+    calls: 0,
+  };
   function serve(incoming: IncomingMessage, response: ServerResponse): void {
     const id = String(incoming.headers["chutewick-attempt-id"] ?? "");
     if (incoming.headers["chutewick-expected-instance"] !== runner.id) {
@@ -99,7 +154,9 @@
     incoming.resume();
     const head = { "chutewick-attempt-id": id, "chutewick-answer-seal": `seal-${id}` };
     if (service === "printer") {
-      response.writeHead(200, { ...head, "content-type": "text/plain" }).end(`label ${incoming.url}`);
+      response
+        .writeHead(200, { ...head, "content-type": "text/plain" })
+        .end(`label ${incoming.url}`);
       return;
     }
     response.writeHead(200, { ...head, "content-type": "text/event-stream" });
@@ -113,12 +170,16 @@
       response.end();
     }
     const beats = setInterval(tell, slow ? 250 : 4);
-    function left(): void { clearInterval(beats); }
+    function left(): void {
+      clearInterval(beats);
+    }
     response.once("close", left);
   }
   system.runners.push(runner);
   function listen(resolve: (runner: StandIn) => void): void {
-    function listening(): void { resolve(runner); }
+    function listening(): void {
+      resolve(runner);
+    }
     runner.server.listen(8_000, `127.9.8.${index}`, listening);
   }
   return new Promise<StandIn>(listen);
@@ -127,16 +188,39 @@
 async function report(runner: StandIn): Promise<number> {
   runner.calls += 1;
   const body = JSON.stringify({
-    service: runner.service, address: runner.address, zone: "a", revision: "v1", capacitySlots: 8, state: runner.state, warmupLeftMs: 0, phase: "both",
-    models: runner.service === "reader" ? [{ name: "m", revision: 1, adapters: [] }] : [], callSequence: runner.calls,
+    service: runner.service,
+    address: runner.address,
+    zone: "a",
+    revision: "v1",
+    capacitySlots: 8,
+    state: runner.state,
+    warmupLeftMs: 0,
+    phase: "both",
+    models: runner.service === "reader" ? [{ name: "m", revision: 1, adapters: [] }] : [],
+    callSequence: runner.calls,
   });
-  const told = await request(`http://127.9.1.${1 + (runner.calls % 3)}:8146/chutewick/instances/${runner.id}/report`, { method: "POST", body });
+  const told = await request(
+    `http://127.9.1.${1 + (runner.calls % 3)}:8146/chutewick/instances/${runner.id}/report`,
+    { method: "POST", body },
+  );
   await told.body.dump();
   return told.statusCode;
 }
 
-async function aSystem(this: World, cores: number, stores: number, accesses: number, models: number, plains: number): Promise<void> {
-  const system: System = { folder: mkdtempSync(join(tmpdir(), "chutewick-platform-")), machines: [], runners: [], beat: undefined };
+async function aSystem(
+  this: World,
+  cores: number,
+  stores: number,
+  accesses: number,
+  models: number,
+  plains: number,
+): Promise<void> {
+  const system: System = {
+    folder: mkdtempSync(join(tmpdir(), "chutewick-platform-")),
+    machines: [],
+    runners: [],
+    beat: undefined,
+  };
   this.system = system;
   for (let index = 1; index <= cores; index += 1) start(system, "core", index, true);
   for (let index = 1; index <= stores; index += 1) start(system, "storage", index, true);
@@ -148,7 +232,11 @@
   }
   system.beat = setInterval(beat, 400);
 }
-Given("a system of {int} core, {int} storage and {int} access machines with {int} model runners and {int} plain runner", { timeout: 30_000 }, aSystem);
+Given(
+  "a system of {int} core, {int} storage and {int} access machines with {int} model runners and {int} plain runner",
+  { timeout: 30_000 },
+  aSystem,
+);
 
 function ignored(): void {
   // The next report goes to the next machine.
@@ -158,12 +246,57 @@
   return JSON.stringify({
     revision: 5,
     routes: [
-      { name: "notes", host: "shop.example", pathPrefix: "/notes/", routeType: "streaming", guardMs: 4_000, targetMs: 500, precedence: 0, service: "reader", maxAttempts: 2, affinity: true, resumable: true, gapTargetMs: 600 },
-      { name: "slips", host: "shop.example", pathPrefix: "/slips/", routeType: "bulk", guardMs: 6_000, targetMs: 500, precedence: 2, service: "reader", maxAttempts: 3, affinity: true, resumable: true, completionTargetMs: 8_000, queueTokenCap: 100_000, retentionS: 40 },
-      { name: "labels", host: "shop.example", pathPrefix: "/labels/", routeType: "safe", guardMs: 2_000, targetMs: 300, precedence: 2, service: "printer", maxAttempts: 2, affinity: false, resumable: false },
+      {
+        name: "notes",
+        host: "shop.example",
+        pathPrefix: "/notes/",
+        routeType: "streaming",
+        guardMs: 4_000,
+        targetMs: 500,
+        precedence: 0,
+        service: "reader",
+        maxAttempts: 2,
+        affinity: true,
+        resumable: true,
+        gapTargetMs: 600,
+      },
+      {
+        name: "slips",
+        host: "shop.example",
+        pathPrefix: "/slips/",
+        routeType: "bulk",
+        guardMs: 6_000,
+        targetMs: 500,
+        precedence: 2,
+        service: "reader",
+        maxAttempts: 3,
+        affinity: true,
+        resumable: true,
+        completionTargetMs: 8_000,
+        queueTokenCap: 100_000,
+        retentionS: 40,
+      },
+      {
+        name: "labels",
+        host: "shop.example",
+        pathPrefix: "/labels/",
+        routeType: "safe",
+        guardMs: 2_000,
+        targetMs: 300,
+        precedence: 2,
+        service: "printer",
+        maxAttempts: 2,
+        affinity: false,
+        resumable: false,
+      },
     ],
     services: [
-      { name: "reader", healthPath: "/health", maxConnections: 100, engine: { capacitySlots: 8, cacheTokens: 100_000, models: [{ name: "m" }] } },
+      {
+        name: "reader",
+        healthPath: "/health",
+        maxConnections: 100,
+        engine: { capacitySlots: 8, cacheTokens: 100_000, models: [{ name: "m" }] },
+      },
       { name: "printer", healthPath: "/health", maxConnections: 100 },
     ],
     limits: {},
@@ -171,7 +304,11 @@
 }
 
 async function order(body: string, base: number, core = 1): Promise<number> {
-  const told = await request(`http://127.9.1.${core}:8146/chutewick/configuration/replace`, { method: "POST", headers: { "chutewick-base-revision": String(base), "content-type": "application/json" }, body });
+  const told = await request(`http://127.9.1.${core}:8146/chutewick/configuration/replace`, {
+    method: "POST",
+    headers: { "chutewick-base-revision": String(base), "content-type": "application/json" },
+    body,
+  });
   await told.body.dump();
   return told.statusCode;
 }
@@ -179,14 +316,34 @@
 async function firstDocument(this: World): Promise<void> {
   this.document = documentOf();
   const { document } = this;
-  async function taken(): Promise<boolean> { return (await order(document, 0)) === 200; }
+  async function taken(): Promise<boolean> {
+    return (await order(document, 0)) === 200;
+  }
   await until("the first document is taken", taken);
 }
-When("the first document is sent to a core machine until it is taken", { timeout: 30_000 }, firstDocument);
-
-async function ask(node: number, method: "GET" | "POST" | "DELETE", path: string, headers: Record<string, string> = {}, body?: string): Promise<{ status: number; text: string; stamp: string | undefined }> {
-  const told = await request(`http://127.9.3.${node}:8144${path}`, { method, headers: { host: "shop.example", ...headers }, body });
-  return { status: told.statusCode, text: await told.body.text(), stamp: told.headers["chutewick-answer-seal"] as string | undefined };
+When(
+  "the first document is sent to a core machine until it is taken",
+  { timeout: 30_000 },
+  firstDocument,
+);
+
+async function ask(
+  node: number,
+  method: "GET" | "POST" | "DELETE",
+  path: string,
+  headers: Record<string, string> = {},
+  body?: string,
+): Promise<{ status: number; text: string; stamp: string | undefined }> {
+  const told = await request(`http://127.9.3.${node}:8144${path}`, {
+    method,
+    headers: { host: "shop.example", ...headers },
+    body,
+  });
+  return {
+    status: told.statusCode,
+    text: await told.body.text(),
+    stamp: told.headers["chutewick-answer-seal"] as string | undefined,
+  };
 }
 
 async function areReady(): Promise<void> {
@@ -205,7 +362,13 @@
 
 function live(): Record<string, string> {
   tries += 1;
-  return { "chutewick-attempt-id": `t${tries}`, "chutewick-remaining-ms": "4000", "chutewick-model": "m", "chutewick-token-count": "20,5", "chutewick-prompt-prefix": "aa:10,bb:10" };
+  return {
+    "chutewick-attempt-id": `t${tries}`,
+    "chutewick-remaining-ms": "4000",
+    "chutewick-model": "m",
+    "chutewick-token-count": "20,5",
+    "chutewick-prompt-prefix": "aa:10,bb:10",
+  };
 }
 
 async function safeAnswered(): Promise<void> {
@@ -213,16 +376,24 @@
     const headers = live();
     const told = await ask(1, "POST", "/labels/7?x=1", headers, "{}");
     if (told.status !== 200) return false;
-    deepEqual([told.text, told.stamp], ["label /labels/7?x=1", `seal-${headers["chutewick-attempt-id"]}`]);
+    deepEqual(
+      [told.text, told.stamp],
+      ["label /labels/7?x=1", `seal-${headers["chutewick-attempt-id"]}`],
+    );
     return true;
   }
   await until("a safe request is served", served);
 }
-Then("a safe request is answered with the runner's bytes and stamp", { timeout: 30_000 }, safeAnswered);
+Then(
+  "a safe request is answered with the runner's bytes and stamp",
+  { timeout: 30_000 },
+  safeAnswered,
+);
 
 function events(path: string): string {
   let text = "";
-  for (let index = 0; index < 5; index += 1) text += `id: ${index}\ndata: piece ${index} of ${path}\n\n`;
+  for (let index = 0; index < 5; index += 1)
+    text += `id: ${index}\ndata: piece ${index} of ${path}\n\n`;
   return text;
 }
 
@@ -254,14 +425,28 @@
 async function lotEnds(this: World): Promise<void> {
   const entries: unknown[] = [];
   for (let index = 0; index < 6; index += 1) {
-    entries.push({ instanceId: `item-${index}`, path: `/slips/${index}`, headers: { "Chutewick-Model": "m", "Chutewick-Token-Count": "40,5" }, body: Buffer.from(`slip ${index}`).toString("base64"), tokens: 45 });
+    entries.push({
+      instanceId: `item-${index}`,
+      path: `/slips/${index}`,
+      headers: { "Chutewick-Model": "m", "Chutewick-Token-Count": "40,5" },
+      body: Buffer.from(`slip ${index}`).toString("base64"),
+      tokens: 45,
+    });
   }
   const body = JSON.stringify({ entries });
   const headers = { "chutewick-attempt-id": lotId, "content-type": "application/json" };
-  async function taken(): Promise<boolean> { return (await ask(1, "POST", `/slips/${lotId}`, headers, body)).status === 202; }
+  async function taken(): Promise<boolean> {
+    return (await ask(1, "POST", `/slips/${lotId}`, headers, body)).status === 202;
+  }
   await until("the lot is taken", taken);
-  equal((await ask(2, "POST", `/slips/${lotId}`, headers, body)).status, 202, "taken once, and told again");
-  async function ended(): Promise<boolean> { return (await readLot(2)).results.length === 6; }
+  equal(
+    (await ask(2, "POST", `/slips/${lotId}`, headers, body)).status,
+    202,
+    "taken once, and told again",
+  );
+  async function ended(): Promise<boolean> {
+    return (await readLot(2)).results.length === 6;
+  }
   await until("every item is listed", ended);
   const [first, second] = [await readLot(1), await readLot(2)];
   deepEqual(first, second);
@@ -277,7 +462,11 @@
   }
   deepEqual([seen.size, first.total, first.nextToken], [6, 6, 6]);
 }
-Then("a lot of 6 items ends with every item once, in an order that does not change", { timeout: 40_000 }, lotEnds);
+Then(
+  "a lot of 6 items ends with every item once, in an order that does not change",
+  { timeout: 40_000 },
+  lotEnds,
+);
 
 async function unknownPath(): Promise<void> {
   equal((await ask(1, "POST", "/nowhere/1", live(), "x")).status, 404);
@@ -285,7 +474,10 @@
 Then("a request nobody has a route for is answered 404", unknownPath);
 
 async function ownStatus(this: World): Promise<void> {
-  const told = (await (await request("http://127.9.1.1:7661/status")).body.json()) as { nodes: unknown[]; runners: unknown[] };
+  const told = (await (await request("http://127.9.1.1:7661/status")).body.json()) as {
+    nodes: unknown[];
+    runners: unknown[];
+  };
   deepEqual([told.nodes.length, told.runners.length], [6, 3]);
   const metrics = await request("http://127.9.3.1:7661/metrics");
   equal(metrics.statusCode, 200);
@@ -297,7 +489,11 @@
 
 async function sentAgain(this: World): Promise<void> {
   const newer = this.document.replace('"revision":5', '"revision":9');
-  said = [await order(this.document, 0, 2), await order(newer, 3, 3), await order(newer.slice(0, 200), 5)];
+  said = [
+    await order(this.document, 0, 2),
+    await order(newer, 3, 3),
+    await order(newer.slice(0, 200), 5),
+  ];
 }
 When("the same document is sent again", { timeout: 20_000 }, sentAgain);
 
@@ -310,14 +506,17 @@
   const [runner] = this.system!.runners as [StandIn, ...StandIn[]];
   runner.state = "draining";
   this.drained = runner;
-  async function acknowledged(): Promise<boolean> { return (await report(runner)) === 200; }
+  async function acknowledged(): Promise<boolean> {
+    return (await report(runner)) === 200;
+  }
   await until("the goodbye is acknowledged", acknowledged);
 }
 When("a runner says that it is draining", { timeout: 30_000 }, drains);
 
 async function reachesNoMore(this: World): Promise<void> {
   const before = this.drained.ran.length;
-  for (let count = 0; count < 20; count += 1) equal((await ask(1 + (count % 2), "POST", `/notes/${count}`, live(), "x")).status, 200);
+  for (let count = 0; count < 20; count += 1)
+    equal((await ask(1 + (count % 2), "POST", `/notes/${count}`, live(), "x")).status, 200);
   equal(this.drained.ran.length, before);
 }
 Then("no request reaches it any more", { timeout: 20_000 }, reachesNoMore);
@@ -328,7 +527,9 @@
   const ran = system.runners[1]!.ran;
   const before = ran.length;
   this.stream = ask(2, "POST", "/notes/slow", live(), "x");
-  async function runs(): Promise<boolean> { return Promise.resolve(ran.length > before); }
+  async function runs(): Promise<boolean> {
+    return Promise.resolve(ran.length > before);
+  }
   await until("the stream runs", runs);
   stopped.child.kill("SIGTERM");
 }
@@ -338,21 +539,33 @@
   const { status, text } = await this.stream;
   deepEqual([status, text], [200, events("/notes/slow")]);
   const stopped = this.system!.machines.find(isNamed, { name: "access-a-2" })!;
-  async function ended(): Promise<boolean> { return Promise.resolve(stopped.ended !== undefined); }
+  async function ended(): Promise<boolean> {
+    return Promise.resolve(stopped.ended !== undefined);
+  }
   await until("the process ends", ended);
   equal(stopped.ended, 0);
 }
-Then("the stream of the stopped machine comes whole, and it ends with 0", { timeout: 30_000 }, stoppedWhole);
+Then(
+  "the stream of the stopped machine comes whole, and it ends with 0",
+  { timeout: 30_000 },
+  stoppedWhole,
+);
 
 function isNamed(this: { name: string }, machine: Machine): boolean {
   return machine.name === this.name;
 }
 
 async function toBeEmptied(): Promise<void> {
-  const told = await request("http://127.9.1.2:8146/chutewick/retire/storage-a-1/begin", { method: "POST", body: JSON.stringify({ withinS: 10 }) });
+  const told = await request("http://127.9.1.2:8146/chutewick/retire/storage-a-1/begin", {
+    method: "POST",
+    body: JSON.stringify({ withinS: 10 }),
+  });
   await told.body.dump();
   equal(told.statusCode, 200);
-  const unknown = await request("http://127.9.1.2:8146/chutewick/retire/storage-z-9/begin", { method: "POST", body: "{}" });
+  const unknown = await request("http://127.9.1.2:8146/chutewick/retire/storage-z-9/begin", {
+    method: "POST",
+    body: "{}",
+  });
   await unknown.body.dump();
   equal(unknown.statusCode, 404);
 }
@@ -366,10 +579,16 @@
   await until("the machine is empty", completed);
   this.system!.machines.find(isNamed, { name: "storage-a-1" })!.child.kill("SIGKILL");
   const before = JSON.stringify(this.read);
-  async function same(): Promise<boolean> { return JSON.stringify(await readLot(1)) === before; }
+  async function same(): Promise<boolean> {
+    return JSON.stringify(await readLot(1)) === before;
+  }
   await until("the lot is read as before", same);
 }
-Then("its state turns to completed, and the lot is read as before", { timeout: 40_000 }, turnsCompleted);
+Then(
+  "its state turns to completed, and the lot is read as before",
+  { timeout: 40_000 },
+  turnsCompleted,
+);
 
 function ended(this: World): void {
   const { system } = this;
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -5,7 +5,14 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { configuration, type Configuration } from "@chutewick/control";
 import type { PassInquiry } from "@chutewick/data";
-import { PlatformDialect, dialect, documents, platformSettings, type PlatformSettings, type Translated } from "@chutewick/platform";
+import {
+  PlatformDialect,
+  dialect,
+  documents,
+  platformSettings,
+  type PlatformSettings,
+  type Translated,
+} from "@chutewick/platform";
 
 interface World {
   document: Record<string, unknown>;
@@ -22,12 +29,60 @@
   this.document = {
     revision: 7,
     routes: [
-      { name: "notes", host: "shop.example", pathPrefix: "/notes/", routeType: "streaming", guardMs: 3_000, targetMs: 250, precedence: 0, service: "reader", maxAttempts: 2, affinity: true, resumable: true, gapTargetMs: 300 },
-      { name: "slips", host: "shop.example", pathPrefix: "/slips/", routeType: "bulk", guardMs: 6_000, targetMs: 500, precedence: 2, service: "reader", maxAttempts: 3, affinity: true, resumable: true, completionTargetMs: 8_000, queueTokenCap: 9_000, retentionS: 40 },
-      { name: "labels", host: "shop.example", pathPrefix: "/labels/", routeType: "safe", guardMs: 2_000, targetMs: 150, precedence: 2, weightedSplit: [{ service: "printer", weight: 9 }, { service: "reader", weight: 1 }], maxAttempts: 2, affinity: false },
+      {
+        name: "notes",
+        host: "shop.example",
+        pathPrefix: "/notes/",
+        routeType: "streaming",
+        guardMs: 3_000,
+        targetMs: 250,
+        precedence: 0,
+        service: "reader",
+        maxAttempts: 2,
+        affinity: true,
+        resumable: true,
+        gapTargetMs: 300,
+      },
+      {
+        name: "slips",
+        host: "shop.example",
+        pathPrefix: "/slips/",
+        routeType: "bulk",
+        guardMs: 6_000,
+        targetMs: 500,
+        precedence: 2,
+        service: "reader",
+        maxAttempts: 3,
+        affinity: true,
+        resumable: true,
+        completionTargetMs: 8_000,
+        queueTokenCap: 9_000,
+        retentionS: 40,
+      },
+      {
+        name: "labels",
+        host: "shop.example",
+        pathPrefix: "/labels/",
+        routeType: "safe",
+        guardMs: 2_000,
+        targetMs: 150,
+        precedence: 2,
+        weightedSplit: [
+          { service: "printer", weight: 9 },
+          { service: "reader", weight: 1 },
+        ],
+        maxAttempts: 2,
+        affinity: false,
+      },
     ],
     services: [
-      { name: "reader", healthPath: "/well", maxConnections: 120, protocol: "h1", engine: { capacitySlots: 16, cacheTokens: 232_000, models: [{ name: "m" }] } },
+      {
+        name: "reader",
+        healthPath: "/well",
+        maxConnections: 120,
+        protocol: "h1",
+        engine: { capacitySlots: 16, cacheTokens: 232_000, models: [{ name: "m" }] },
+      },
       { name: "printer", healthPath: "/well", maxConnections: 100, protocol: "h1" },
     ],
     limits: { maxHeaderBytes: 16_384, unheardOf: true },
@@ -49,10 +104,17 @@
 
 function modified(this: World): void {
   const changed = { ...listed(this)[0], service: "printer" };
-  this.modification = JSON.stringify({ revision: 9, upsert: { routes: [changed] }, remove: { routes: ["slips"] } });
+  this.modification = JSON.stringify({
+    revision: 9,
+    upsert: { routes: [changed] },
+    remove: { routes: ["slips"] },
+  });
   this.told = documents.modified(this.modification, 7, this.first.origin);
 }
-When("a modification to revision 9 replaces the streaming route's pool and removes the bulk route", modified);
+When(
+  "a modification to revision 9 replaces the streaming route's pool and removes the bulk route",
+  modified,
+);
 
 function checked(told: Translated | undefined): Configuration {
   ok(told !== undefined, "the adapter reads it");
@@ -69,14 +131,29 @@
 
 function threeKinds(this: World): void {
   const { passages, pools } = checked(this.told);
-  deepEqual([passages["notes"]!.kind, passages["slips"]!.kind, passages["labels"]!.kind], ["stream", "lot", "safe"]);
-  deepEqual(passages["labels"]!.pools, [{ pool: "printer", weight: 9 }, { pool: "reader", weight: 1 }]);
+  deepEqual(
+    [passages["notes"]!.kind, passages["slips"]!.kind, passages["labels"]!.kind],
+    ["stream", "lot", "safe"],
+  );
+  deepEqual(passages["labels"]!.pools, [
+    { pool: "printer", weight: 9 },
+    { pool: "reader", weight: 1 },
+  ]);
   const { goesMost, waitingTokens, keeps, within, guard } = passages["slips"]!;
-  deepEqual({ goesMost, waitingTokens, keeps, within, guard }, { goesMost: 3, waitingTokens: 9_000, keeps: 40, within: 8_000, guard: 6_000 });
+  deepEqual(
+    { goesMost, waitingTokens, keeps, within, guard },
+    { goesMost: 3, waitingTokens: 9_000, keeps: 40, within: 8_000, guard: 6_000 },
+  );
   const { seats, memoryTokens, connections, models } = pools["reader"]!;
-  deepEqual({ seats, memoryTokens, connections, models }, { seats: 16, memoryTokens: 232_000, connections: 120, models: ["m"] });
+  deepEqual(
+    { seats, memoryTokens, connections, models },
+    { seats: 16, memoryTokens: 232_000, connections: 120, models: ["m"] },
+  );
 }
-Then("the passages have the kinds stream, lot and safe, with their pools, bounds and allowances", threeKinds);
+Then(
+  "the passages have the kinds stream, lot and safe, with their pools, bounds and allowances",
+  threeKinds,
+);
 
 function twoKinds(this: World): void {
   const { passages } = checked(this.told);
@@ -100,14 +177,22 @@
 Then("both orders are known as taken, and others are not", bothKnown);
 
 function spoilt(this: World, fault: string): void {
-  const [notes, slips, labels] = listed(this) as [Record<string, unknown>, Record<string, unknown>, Record<string, unknown>];
+  const [notes, slips, labels] = listed(this) as [
+    Record<string, unknown>,
+    Record<string, unknown>,
+    Record<string, unknown>,
+  ];
   if (fault === "an unknown service") notes["service"] = "nobody";
   if (fault === "the same place twice") slips["pathPrefix"] = notes["pathPrefix"];
   if (fault === "weights of nothing") labels["weightedSplit"] = [{ service: "printer", weight: 0 }];
   if (fault === "no time to hold") notes["guardMs"] = 0;
   if (fault === "a name twice") slips["name"] = notes["name"];
   const text = JSON.stringify(this.document);
-  this.told = documents.replaced(fault === "cutting it short" ? text.slice(0, text.length / 2) : text, 0, undefined);
+  this.told = documents.replaced(
+    fault === "cutting it short" ? text.slice(0, text.length / 2) : text,
+    0,
+    undefined,
+  );
 }
 When("it is spoilt by {}", spoilt);
 
@@ -118,42 +203,104 @@
 
 function sentOn(this: World): void {
   const headers = {
-    host: "shop.example", connection: "keep-alive, x-hop", "x-hop": "1", "x-kept": "yes", "content-length": "3", "chutewick-attempt-id": "a1", "chutewick-remaining-ms": "4000",
-    "chutewick-model": "m", "chutewick-token-count": "1460,80", "chutewick-prompt-prefix": "5c1e:800,91bd:660", "last-event-id": "4",
+    host: "shop.example",
+    connection: "keep-alive, x-hop",
+    "x-hop": "1",
+    "x-kept": "yes",
+    "content-length": "3",
+    "chutewick-attempt-id": "a1",
+    "chutewick-remaining-ms": "4000",
+    "chutewick-model": "m",
+    "chutewick-token-count": "1460,80",
+    "chutewick-prompt-prefix": "5c1e:800,91bd:660",
+    "last-event-id": "4",
   };
   const rawHeaders: string[] = [];
   for (const [name, value] of Object.entries(headers)) rawHeaders.push(name, value);
   this.inquiry = dialect.inquiry("POST", "/notes/2f?x=1", rawHeaders, headers, Buffer.from("abc"))!;
-  this.sent = new PlatformDialect().headers({ inquiry: this.inquiry, runner: "r-1", rank: 2, until: 3_600.7, resumeAfter: 4, events: true, repeatable: false }, 100);
+  this.sent = new PlatformDialect().headers(
+    {
+      inquiry: this.inquiry,
+      runner: "r-1",
+      rank: 2,
+      until: 3_600.7,
+      resumeAfter: 4,
+      events: true,
+      repeatable: false,
+    },
+    100,
+  );
 }
 When("a request with its headers is read and sent on to a runner", sentOn);
 
 function isRead(this: World): void {
   const { id, model, tokensIn, tokensOut, parts, patience, resumeAfter, path } = this.inquiry;
-  deepEqual({ id, model, tokensIn, tokensOut, patience, resumeAfter, path }, { id: "a1", model: "m", tokensIn: 1_460, tokensOut: 80, patience: 4_000, resumeAfter: 4, path: "/notes/2f?x=1" });
-  deepEqual(parts, [{ name: "5c1e", size: 800 }, { name: "91bd", size: 660 }]);
+  deepEqual(
+    { id, model, tokensIn, tokensOut, patience, resumeAfter, path },
+    {
+      id: "a1",
+      model: "m",
+      tokensIn: 1_460,
+      tokensOut: 80,
+      patience: 4_000,
+      resumeAfter: 4,
+      path: "/notes/2f?x=1",
+    },
+  );
+  deepEqual(parts, [
+    { name: "5c1e", size: 800 },
+    { name: "91bd", size: 660 },
+  ]);
 }
 Then("the inquiry has its id, sizes, parts and patience", isRead);
 
 function isSent(this: World): void {
   const told = new Map<string, string>();
-  for (let index = 0; index < this.sent.length; index += 2) told.set(this.sent[index]!.toLowerCase(), this.sent[index + 1]!);
+  for (let index = 0; index < this.sent.length; index += 2)
+    told.set(this.sent[index]!.toLowerCase(), this.sent[index + 1]!);
   for (const name of ["connection", "x-hop", "content-length"]) ok(!told.has(name), name);
   deepEqual(
-    [told.get("host"), told.get("x-kept"), told.get("chutewick-attempt-id"), told.get("chutewick-remaining-ms"), told.get("chutewick-expected-instance"), told.get("chutewick-precedence"), told.get("last-event-id")],
+    [
+      told.get("host"),
+      told.get("x-kept"),
+      told.get("chutewick-attempt-id"),
+      told.get("chutewick-remaining-ms"),
+      told.get("chutewick-expected-instance"),
+      told.get("chutewick-precedence"),
+      told.get("last-event-id"),
+    ],
     ["shop.example", "yes", "a1", "3500", "r-1", "2", "4"],
   );
 }
-Then("the runner gets every header but those of one connection, with the rest of the time, its own id and the rank", isSent);
+Then(
+  "the runner gets every header but those of one connection, with the rest of the time, its own id and the rank",
+  isSent,
+);
 
 function aSettingsFile(this: World): void {
   const folder = mkdtempSync(join(tmpdir(), "chutewick-"));
   const path = join(folder, "boot.json");
-  writeFileSync(path, JSON.stringify({
-    nodeName: "storage-a-1", role: "storage", machineClass: "storage", serves: ["storage"], ip: "10.0.0.5", zone: "a", bindAddresses: {}, internalPorts: [7_660, 7_675],
-    seedNodes: ["10.0.0.1:8146", "10.0.0.2:8146"], initialStart: true, limits: { memoryMb: 400, fileDescriptors: 8_200, diskMb: 560, cpuShare: 0.6 }, dataPath: "/data/x",
-    reportIntervalMs: 1_200, faultTolerance: { machines: 2, zones: 0, regions: 0 }, bounds: { contactMs: 4_000, drainMs: 2_500, graceS: 8, unheardOf: 1 }, unheardOf: [],
-  }));
+  writeFileSync(
+    path,
+    JSON.stringify({
+      nodeName: "storage-a-1",
+      role: "storage",
+      machineClass: "storage",
+      serves: ["storage"],
+      ip: "10.0.0.5",
+      zone: "a",
+      bindAddresses: {},
+      internalPorts: [7_660, 7_675],
+      seedNodes: ["10.0.0.1:8146", "10.0.0.2:8146"],
+      initialStart: true,
+      limits: { memoryMb: 400, fileDescriptors: 8_200, diskMb: 560, cpuShare: 0.6 },
+      dataPath: "/data/x",
+      reportIntervalMs: 1_200,
+      faultTolerance: { machines: 2, zones: 0, regions: 0 },
+      bounds: { contactMs: 4_000, drainMs: 2_500, graceS: 8, unheardOf: 1 },
+      unheardOf: [],
+    }),
+  );
   process.env["CHUTEWICK_CONFIG"] = path;
   this.settings = platformSettings.read();
   delete process.env["CHUTEWICK_CONFIG"];
@@ -164,6 +311,9 @@
 function areOurs(this: World): void {
   const { own } = this.settings;
   deepEqual(own.seeds, ["10.0.0.1:7660", "10.0.0.2:7660"]);
-  deepEqual([own.name, own.zone, own.wire, own.http, own.data], ["storage-a-1", "a", "10.0.0.5:7660", "10.0.0.5:7661", "/data/x"]);
+  deepEqual(
+    [own.name, own.zone, own.wire, own.http, own.data],
+    ["storage-a-1", "a", "10.0.0.5:7660", "10.0.0.5:7661", "/data/x"],
+  );
 }
 Then("seeds stand at the first internal port, and the bounds are the deployment's", areOurs);
--- a/features/steps/proof.ts
+++ b/features/steps/proof.ts
@@ -10,11 +10,20 @@
   played: Played[];
 }
 
-async function theSeedsArePlayedWithTheFault(this: World, from: number, to: number, aim: string): Promise<void> {
+async function theSeedsArePlayedWithTheFault(
+  this: World,
+  from: number,
+  to: number,
+  aim: string,
+): Promise<void> {
   this.aim = aim;
   this.played = await playAll(seeds(from, to, { ...aims[aim]!.options, aim }));
 }
-When("the seeds {int} to {int} are played with the fault {string}", patience, theSeedsArePlayedWithTheFault);
+When(
+  "the seeds {int} to {int} are played with the fault {string}",
+  patience,
+  theSeedsArePlayedWithTheFault,
+);
 
 function itStruck(this: World, least: number): void {
   let all = 0;
@@ -25,7 +34,8 @@
 
 export function breachesOf(played: readonly Played[]): string[] {
   const lines: string[] = [];
-  for (const { options, violations } of played) for (const { rule, facts } of violations) lines.push(`seed ${options.seed}: ${rule}: ${facts}`);
+  for (const { options, violations } of played)
+    for (const { rule, facts } of violations) lines.push(`seed ${options.seed}: ${rule}: ${facts}`);
   return lines;
 }
 
@@ -35,15 +45,31 @@
 Then("nothing broke", nothingBroke);
 
 function serviceIsBackWithin(this: World, most: number): void {
-  for (const { options, back } of this.played) ok(back <= most, `seed ${options.seed}: live work, lots and changes are back after ${Math.round(back)} ms`);
+  for (const { options, back } of this.played)
+    ok(
+      back <= most,
+      `seed ${options.seed}: live work, lots and changes are back after ${Math.round(back)} ms`,
+    );
 }
 Then("live work, lots and changes are back within {int} ms", serviceIsBackWithin);
 
-async function theSeedsArePlayedWithoutTheGuard(this: World, from: number, to: number, guard: string): Promise<void> {
+async function theSeedsArePlayedWithoutTheGuard(
+  this: World,
+  from: number,
+  to: number,
+  guard: string,
+): Promise<void> {
   ok(Object.hasOwn(guards, guard), guard);
-  this.played = await playAll(seeds(from, to, { ...aims[this.aim]!.options, aim: this.aim }), guard);
+  this.played = await playAll(
+    seeds(from, to, { ...aims[this.aim]!.options, aim: this.aim }),
+    guard,
+  );
 }
-When("the seeds {int} to {int} are played without the guard {string}", patience, theSeedsArePlayedWithoutTheGuard);
+When(
+  "the seeds {int} to {int} are played without the guard {string}",
+  patience,
+  theSeedsArePlayedWithoutTheGuard,
+);
 
 function theRuleBreaks(this: World, rule: string): void {
   equal(rule, aims[this.aim]!.rule);
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -2,7 +2,19 @@
 import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
 import { After, Given, Then, When, type DataTable } from "@cucumber/cucumber";
 import { configuration, type MarkedConfiguration, type Passage } from "@chutewick/control";
-import { Choice, PassConnections, RelayCore, WholeEvent, ownDialect, type Membership, type PassEvent, type PassInquiry, type PassOutput, type PassWork, type Standing } from "@chutewick/data";
+import {
+  Choice,
+  PassConnections,
+  RelayCore,
+  WholeEvent,
+  ownDialect,
+  type Membership,
+  type PassEvent,
+  type PassInquiry,
+  type PassOutput,
+  type PassWork,
+  type Standing,
+} from "@chutewick/data";
 import { Sessions, policy, type NodeCard, type Roll, type RunnerCard } from "@chutewick/parts";
 import { monotonic, settled } from "@chutewick/shell";
 
@@ -14,9 +26,15 @@
   may = true;
   roll: Roll = { nodes: [], runners: [] };
 
-  serves(): boolean { return this.may; }
-  runners(): RunnerCard[] { return this.cards.filter(isOpen, this.closed); }
-  isClosed(runner: string): boolean { return this.closed.has(runner); }
+  serves(): boolean {
+    return this.may;
+  }
+  runners(): RunnerCard[] {
+    return this.cards.filter(isOpen, this.closed);
+  }
+  isClosed(runner: string): boolean {
+    return this.closed.has(runner);
+  }
 }
 
 function isOpen(this: Set<string>, card: RunnerCard): boolean {
@@ -56,18 +74,45 @@
   signs: { address: string; late: number; usual: number };
 }
 
-const standing: Standing = { identity: "node-1", address: "here:1", kind: "access", zone: "north", http: "here:2" };
+const standing: Standing = {
+  identity: "node-1",
+  address: "here:1",
+  kind: "access",
+  zone: "north",
+  http: "here:2",
+};
 
 function card(id: string, pool: string): RunnerCard {
-  return { id, incarnation: 1, url: `${id}:80`, kind: pool === "model" ? "model" : "plain", models: [], labels: {}, seats: 16, zone: "south", burden: 0, pool, age: 0 };
+  return {
+    id,
+    incarnation: 1,
+    url: `${id}:80`,
+    kind: pool === "model" ? "model" : "plain",
+    models: [],
+    labels: {},
+    seats: 16,
+    zone: "south",
+    burden: 0,
+    pool,
+    age: 0,
+  };
 }
 
 function passages(this: World, table: DataTable): void {
   const found: Record<string, Passage> = {};
   for (const row of table.hashes()) {
     found[row["name"]!] = {
-      host: row["host"]!, prefix: row["prefix"]!, kind: row["kind"] as Passage["kind"], pools: shares(row["pools"]!), rank: 0, goesMost: Number(row["gos"]), guard: Number(row["guard"]),
-      aim: Number(row["aim"]), resumable: row["resumable"] === "yes", affinity: false, waitingTokens: 0,
+      host: row["host"]!,
+      prefix: row["prefix"]!,
+      kind: row["kind"] as Passage["kind"],
+      pools: shares(row["pools"]!),
+      rank: 0,
+      goesMost: Number(row["gos"]),
+      guard: Number(row["guard"]),
+      aim: Number(row["aim"]),
+      resumable: row["resumable"] === "yes",
+      affinity: false,
+      waitingTokens: 0,
     };
   }
   this.known = new KnownFleet();
@@ -83,7 +128,8 @@
 
 function shares(text: string): Passage["pools"] {
   const found: Passage["pools"] = [];
-  for (const part of text.split(", ")) found.push({ pool: part.split(" ")[0]!, weight: Number(part.split(" ")[1]) });
+  for (const part of text.split(", "))
+    found.push({ pool: part.split(" ")[0]!, weight: Number(part.split(" ")[1]) });
   return found;
 }
 
@@ -92,12 +138,20 @@
 }
 Given("runners", runners);
 
-function mayNotServe(this: World): void { this.known.may = false; }
+function mayNotServe(this: World): void {
+  this.known.may = false;
+}
 Given("the node may not serve", mayNotServe);
 
 function weights(this: World, name: string, text: string): void {
   const { value } = this.known.configuration;
-  this.known.configuration = { mark: 2, value: { ...value, passages: { ...value.passages, [name]: { ...value.passages[name]!, pools: shares(text) } } } };
+  this.known.configuration = {
+    mark: 2,
+    value: {
+      ...value,
+      passages: { ...value.passages, [name]: { ...value.passages[name]!, pools: shares(text) } },
+    },
+  };
 }
 Given("the weights of {string} are {string}", weights);
 
@@ -106,14 +160,37 @@
 }
 Given("no runner of {string} is known", noRunner);
 
-function heardOf(this: World, id: string, pool: string): void { this.known.cards.push(card(id, pool)); }
+function heardOf(this: World, id: string, pool: string): void {
+  this.known.cards.push(card(id, pool));
+}
 When("the runner {string} of {string} is heard of", heardOf);
 
-function refusesAll(this: World, id: string): void { this.refusing.add(`${id}:80`); }
+function refusesAll(this: World, id: string): void {
+  this.refusing.add(`${id}:80`);
+}
 Given("the runner {string} refuses all", refusesAll);
 
-function inquiryOf(id: string, host: string, path: string, more: Partial<PassInquiry> = {}): PassInquiry {
-  return { id, method: "POST", host, path, headers: ["Host", host], body: new Uint8Array(0), patience: undefined, model: undefined, tokensIn: undefined, tokensOut: undefined, parts: [], resumeAfter: undefined, ...more };
+function inquiryOf(
+  id: string,
+  host: string,
+  path: string,
+  more: Partial<PassInquiry> = {},
+): PassInquiry {
+  return {
+    id,
+    method: "POST",
+    host,
+    path,
+    headers: ["Host", host],
+    body: new Uint8Array(0),
+    patience: undefined,
+    model: undefined,
+    tokensIn: undefined,
+    tokensOut: undefined,
+    parts: [],
+    resumeAfter: undefined,
+    ...more,
+  };
 }
 
 function take(world: World, outputs: readonly PassOutput[]): void {
@@ -123,19 +200,41 @@
     const list = world.sent.get(output.work.inquiry.id) ?? [];
     list.push(output);
     world.sent.set(output.work.inquiry.id, list);
-    if (world.refusing.has(output.address) && world.core.mayStart(output.go, world.now) === undefined) {
-      take(world, world.core.goEvent(output.go, { kind: "refused", status: 503, retryAfter: 0.1, otherRunner: false }, world.now));
+    if (
+      world.refusing.has(output.address) &&
+      world.core.mayStart(output.go, world.now) === undefined
+    ) {
+      take(
+        world,
+        world.core.goEvent(
+          output.go,
+          { kind: "refused", status: 503, retryAfter: 0.1, otherRunner: false },
+          world.now,
+        ),
+      );
     }
   }
 }
 
-function arrives(this: World, id: string, host: string, path: string): void { take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now)); }
+function arrives(this: World, id: string, host: string, path: string): void {
+  take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
+}
 When("{string} arrives for {string} at {string}", arrives);
 
-function arrivesWith(this: World, id: string, host: string, path: string, patience: number): void { take(this, this.core.arrive(id, inquiryOf(id, host, path, { patience }), this.now)); }
+function arrivesWith(this: World, id: string, host: string, path: string, patience: number): void {
+  take(this, this.core.arrive(id, inquiryOf(id, host, path, { patience }), this.now));
+}
 When("{string} arrives for {string} at {string} with a patience of {int} ms", arrivesWith);
 
-function arrivesAfter(this: World, id: string, host: string, path: string, resumeAfter: number): void { take(this, this.core.arrive(id, inquiryOf(id, host, path, { resumeAfter }), this.now)); }
+function arrivesAfter(
+  this: World,
+  id: string,
+  host: string,
+  path: string,
+  resumeAfter: number,
+): void {
+  take(this, this.core.arrive(id, inquiryOf(id, host, path, { resumeAfter }), this.now));
+}
 When("{string} arrives for {string} at {string} after event {int}", arrivesAfter);
 
 function manyArrive(this: World, count: number, host: string, path: string): void {
@@ -151,40 +250,93 @@
 }
 When("{int} inquiries arrive for {string} at {string}", manyArrive);
 
-function sharedApart(this: World, count: number, name: string, size: number, host: string, path: string): void { sharedArrive.call(this, count, name, size, host, path, 100); }
-
-function sharedAtOnce(this: World, count: number, name: string, size: number, host: string, path: string): void { sharedArrive.call(this, count, name, size, host, path, 0); }
-When("{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, all at once", sharedAtOnce);
+function sharedApart(
+  this: World,
+  count: number,
+  name: string,
+  size: number,
+  host: string,
+  path: string,
+): void {
+  sharedArrive.call(this, count, name, size, host, path, 100);
+}
 
-function sharedArrive(this: World, count: number, name: string, size: number, host: string, path: string, apart: number): void {
+function sharedAtOnce(
+  this: World,
+  count: number,
+  name: string,
+  size: number,
+  host: string,
+  path: string,
+): void {
+  sharedArrive.call(this, count, name, size, host, path, 0);
+}
+When(
+  "{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, all at once",
+  sharedAtOnce,
+);
+
+function sharedArrive(
+  this: World,
+  count: number,
+  name: string,
+  size: number,
+  host: string,
+  path: string,
+  apart: number,
+): void {
   this.arrived = [];
   for (let index = 0; index < count; index += 1) {
     const id = `shared-${index}`;
     this.arrived.push(id);
-    take(this, this.core.arrive(id, inquiryOf(id, host, path, { parts: [{ name, size }, { name: id, size: 50 }] }), this.now));
+    take(
+      this,
+      this.core.arrive(
+        id,
+        inquiryOf(id, host, path, {
+          parts: [
+            { name, size },
+            { name: id, size: 50 },
+          ],
+        }),
+        this.now,
+      ),
+    );
     if (apart === 0) continue;
     take(this, this.core.left(id, this.now));
     this.now += apart;
   }
 }
-When("{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, one after the other", sharedApart);
+When(
+  "{int} inquiries with the shared part {string} of {int} tokens arrive for {string} at {string}, one after the other",
+  sharedApart,
+);
 
 function toRunners(this: World, count: number): void {
   const found = new Set<string>();
-  for (const id of this.arrived) for (const each of this.sent.get(id) ?? []) found.add(each.address);
+  for (const id of this.arrived)
+    for (const each of this.sent.get(id) ?? []) found.add(each.address);
   equal(found.size, count);
 }
 Then("they are sent to {int} runners", toRunners);
 
-function oneRunner(this: World): void { toRunners.call(this, 1); }
+function oneRunner(this: World): void {
+  toRunners.call(this, 1);
+}
 Then("all of them are sent to one runner", oneRunner);
 
-function roomFalls(this: World, count: number): void { equal(this.choice.room("model", this.now), this.room - count); }
+function roomFalls(this: World, count: number): void {
+  equal(this.choice.room("model", this.now), this.room - count);
+}
 Then("the room for items on {string} falls by {int}", dropPool);
 
-function dropPool(this: World, _pool: string, count: number): void { roomFalls.call(this, count); }
+function dropPool(this: World, _pool: string, count: number): void {
+  roomFalls.call(this, count);
+}
 
-function signsAfter(this: World, runner: string, late: number, usual: number): void { this.signs = { address: `${runner}:80`, late, usual }; }
+function signsAfter(this: World, runner: string, late: number, usual: number): void {
+  this.signs = { address: `${runner}:80`, late, usual };
+}
 Given("the first sign of {string} takes {int} ms, and of the others {int} ms", signsAfter);
 
 function arriveInTurn(this: World, count: number, host: string, path: string): void {
@@ -193,25 +345,44 @@
     const id = `turn-${index}`;
     this.arrived.push(id);
     take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
-    this.now += latest(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
+    this.now +=
+      latest(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
     gives.call(this, id, 200, "label");
   }
 }
 When("{int} inquiries arrive for {string} at {string}, one after the other", arriveInTurn);
 
-function bothArrive(this: World, long: number, size: number, short: number, small: number, host: string, path: string): void {
+function bothArrive(
+  this: World,
+  long: number,
+  size: number,
+  short: number,
+  small: number,
+  host: string,
+  path: string,
+): void {
   this.arrived = [];
   for (let index = 0; index < long + short; index += 1) {
     const isLong = index % Math.ceil((long + short) / long) === 0;
     const id = `${isLong ? "long" : "short"}-${index}`;
     this.arrived.push(id);
     this.now += 30;
-    take(this, this.core.arrive(id, inquiryOf(id, host, path, { tokensIn: isLong ? size : small }), this.now));
+    take(
+      this,
+      this.core.arrive(
+        id,
+        inquiryOf(id, host, path, { tokensIn: isLong ? size : small }),
+        this.now,
+      ),
+    );
     streams.call(this, id, 1, 1);
     if (index >= 6) take(this, this.core.left(this.arrived[index - 6]!, this.now));
   }
 }
-When("{int} inquiries of {int} tokens and {int} of {int} tokens arrive for {string} at {string} in turn", bothArrive);
+When(
+  "{int} inquiries of {int} tokens and {int} of {int} tokens arrive for {string} at {string} in turn",
+  bothArrive,
+);
 
 function noneHasBoth(this: World): void {
   const kinds = new Map<string, Set<string>>();
@@ -234,13 +405,42 @@
 Then("{int} to {int} of them are sent to the runner {string}", toRunner);
 
 function othersHave(this: World, first: number, one: string, second: number, other: string): void {
-  const node: NodeCard = { ...standing, identity: "node-2", place: 1, free: true, leaving: false, telling: { burdens: [[one, first, 0], [other, second, 0]] } };
+  const node: NodeCard = {
+    ...standing,
+    identity: "node-2",
+    place: 1,
+    free: true,
+    leaving: false,
+    telling: {
+      burdens: [
+        [one, first, 0],
+        [other, second, 0],
+      ],
+    },
+  };
   /** What this node told itself is no part of what it hears of the others. */
-  const here: NodeCard = { ...standing, place: 1, free: true, leaving: false, telling: { burdens: [[one, 3, 1], [other, 70, 0]] } };
+  const here: NodeCard = {
+    ...standing,
+    place: 1,
+    free: true,
+    leaving: false,
+    telling: {
+      burdens: [
+        [one, 3, 1],
+        [other, 70, 0],
+      ],
+    },
+  };
   const sessions = new Sessions();
   for (const card of [node, here]) sessions.heard(card, 1_000, undefined, 0, 0);
   this.known.roll = sessions.rollForNodes(1_100, here.identity);
-  deepEqual(this.known.roll.others, [[one, first, 0], [other, second, 0]].filter(isUnderWay));
+  deepEqual(
+    this.known.roll.others,
+    [
+      [one, first, 0],
+      [other, second, 0],
+    ].filter(isUnderWay),
+  );
 }
 
 function isUnderWay(burden: readonly (string | number)[]): boolean {
@@ -250,7 +450,13 @@
 
 function allows(this: World, pool: string, connections: number): void {
   const { value } = this.known.configuration;
-  this.known.configuration = { mark: 2, value: { ...value, pools: { ...value.pools, [pool]: { models: [], connections, probePath: "/health" } } } };
+  this.known.configuration = {
+    mark: 2,
+    value: {
+      ...value,
+      pools: { ...value.pools, [pool]: { models: [], connections, probePath: "/health" } },
+    },
+  };
 }
 Given("the pool {string} allows {int} connections", allows);
 
@@ -271,7 +477,9 @@
   return found;
 }
 
-function sentToPool(this: World, id: string, pool: string): void { equal(poolOf(this, latest(this, id)), pool); }
+function sentToPool(this: World, id: string, pool: string): void {
+  equal(poolOf(this, latest(this, id)), pool);
+}
 Then("{string} is sent to the pool {string}", sentToPool);
 
 function countToPool(this: World, least: number, most: number, pool: string): void {
@@ -288,7 +496,9 @@
 }
 Then("{int} of them were sent to {string} first", sentFirst);
 
-function sentTimes(this: World, id: string, count: number): void { equal(this.sent.get(id)?.length, count); }
+function sentTimes(this: World, id: string, count: number): void {
+  equal(this.sent.get(id)?.length, count);
+}
 Then("{string} was sent to {int} runner(s)", sentTimes);
 
 function tells(world: World, id: string, ...all: PassEvent[]): void {
@@ -296,13 +506,23 @@
   for (const told of all) take(world, world.core.goEvent(go, told, world.now));
 }
 
-function begins(world: World, id: string): void { equal(world.core.mayStart(latest(world, id).go, world.now), undefined); }
+function begins(world: World, id: string): void {
+  equal(world.core.mayStart(latest(world, id).go, world.now), undefined);
+}
 
-function bytes(text: string): Uint8Array { return Buffer.from(text); }
+function bytes(text: string): Uint8Array {
+  return Buffer.from(text);
+}
 
 function gives(this: World, id: string, status: number, body: string): void {
   begins(this, id);
-  tells(this, id, { kind: "head", status, headers: ["X", "1"], stamped: true }, { kind: "data", bytes: bytes(body) }, { kind: "end" });
+  tells(
+    this,
+    id,
+    { kind: "head", status, headers: ["X", "1"], stamped: true },
+    { kind: "data", bytes: bytes(body) },
+    { kind: "end" },
+  );
 }
 When("the runner of {string} answers {int} with {string}", gives);
 
@@ -315,7 +535,13 @@
 
 function unstamped(this: World, id: string, status: number): void {
   begins(this, id);
-  tells(this, id, { kind: "head", status, headers: [], stamped: false }, { kind: "data", bytes: bytes("stray") }, { kind: "end" });
+  tells(
+    this,
+    id,
+    { kind: "head", status, headers: [], stamped: false },
+    { kind: "data", bytes: bytes("stray") },
+    { kind: "end" },
+  );
 }
 When("the runner of {string} answers {int} without a stamp", unstamped);
 
@@ -325,7 +551,9 @@
 }
 When("the go of {string} is refused with a wait of {float} s", refused);
 
-function unsent(this: World, id: string): void { tells(this, id, { kind: "unsent", reason: "nobody is there" }); }
+function unsent(this: World, id: string): void {
+  tells(this, id, { kind: "unsent", reason: "nobody is there" });
+}
 When("the go of {string} was not sent", unsent);
 
 function breaks(this: World, id: string): void {
@@ -334,17 +562,22 @@
 }
 When("the go of {string} breaks", breaks);
 
-function ends(this: World, id: string): void { tells(this, id, { kind: "end" }); }
+function ends(this: World, id: string): void {
+  tells(this, id, { kind: "end" });
+}
 When("the go of {string} ends", ends);
 
 function streams(this: World, id: string, from: number, to: number): void {
   begins(this, id);
   tells(this, id, { kind: "head", status: 200, headers: [], stamped: true });
-  for (let number = from; number <= to; number += 1) tells(this, id, { kind: "event", number, data: "", bytes: bytes(`event ${number}`) });
+  for (let number = from; number <= to; number += 1)
+    tells(this, id, { kind: "event", number, data: "", bytes: bytes(`event ${number}`) });
 }
 When("the runner of {string} streams events {int} to {int}", streams);
 
-function streamsNone(this: World, id: string): void { streams.call(this, id, 1, 0); }
+function streamsNone(this: World, id: string): void {
+  streams.call(this, id, 1, 0);
+}
 When("the runner of {string} streams no events", streamsNone);
 
 function streamsUnnumbered(this: World, id: string): void {
@@ -353,19 +586,29 @@
 }
 When("the runner of {string} streams an event without a number", streamsUnnumbered);
 
-function saysGoodbye(this: World, id: string): void { this.known.closed.add(latest(this, id).work.runner); }
+function saysGoodbye(this: World, id: string): void {
+  this.known.closed.add(latest(this, id).work.runner);
+}
 When("the runner of {string} says goodbye", saysGoodbye);
 
-function mayNotStart(this: World, id: string, reason: string): void { equal(this.core.mayStart(latest(this, id).go, this.now), reason); }
+function mayNotStart(this: World, id: string, reason: string): void {
+  equal(this.core.mayStart(latest(this, id).go, this.now), reason);
+}
 Then("the go of {string} may not start: {string}", mayNotStart);
 
-function mayStart(this: World, id: string): void { begins(this, id); }
+function mayStart(this: World, id: string): void {
+  begins(this, id);
+}
 Then("the go of {string} may start", mayStart);
 
-function goesOnAfter(this: World, id: string, number: number): void { equal(latest(this, id).work.resumeAfter, number); }
+function goesOnAfter(this: World, id: string, number: number): void {
+  equal(latest(this, id).work.resumeAfter, number);
+}
 Then("the go of {string} goes on after event {int}", goesOnAfter);
 
-function has(this: World, id: string, left: number): void { equal(latest(this, id).work.until - this.now, left); }
+function has(this: World, id: string, left: number): void {
+  equal(latest(this, id).work.until - this.now, left);
+}
 Then("the runner of {string} has {int} ms", has);
 
 function pass(this: World, span: number): void {
@@ -382,7 +625,10 @@
     else if (output.kind === "pass-bytes") told.push(Buffer.from(output.bytes).toString());
     else if (output.kind === "pass-end") told.push("end");
     else if (output.kind === "pass-cut") told.push("cut");
-    else if (output.kind === "pass-refused") told.push(`refused ${output.status}${output.retryAfter === undefined ? "" : ` after ${output.retryAfter}`}`);
+    else if (output.kind === "pass-refused")
+      told.push(
+        `refused ${output.status}${output.retryAfter === undefined ? "" : ` after ${output.retryAfter}`}`,
+      );
   }
   equal(told.join("; "), expected);
 }
@@ -391,27 +637,41 @@
 function linkDoes(world: World, id: string, kind: PassOutput["kind"]): void {
   const { go } = latest(world, id);
   let found = false;
-  for (const output of world.outputs) if (output.kind === kind && "go" in output && output.go === go) found = true;
+  for (const output of world.outputs)
+    if (output.kind === kind && "go" in output && output.go === go) found = true;
   ok(found, kind);
 }
 
-function brokenOff(this: World, id: string): void { linkDoes(this, id, "pass-abandon"); }
+function brokenOff(this: World, id: string): void {
+  linkDoes(this, id, "pass-abandon");
+}
 Then("the link of {string} is broken off", brokenOff);
 function wasBrokenOff(this: World, id: string): void {
   let found = 0;
-  for (const output of this.outputs) if (output.kind === "pass-abandon" && output.go === this.sent.get(id)![0]!.go) found += 1;
+  for (const output of this.outputs)
+    if (output.kind === "pass-abandon" && output.go === this.sent.get(id)![0]!.go) found += 1;
   equal(found, 1);
 }
 Then("the link of {string} was broken off", wasBrokenOff);
-function pauses(this: World, id: string): void { linkDoes(this, id, "pass-pause"); }
+function pauses(this: World, id: string): void {
+  linkDoes(this, id, "pass-pause");
+}
 Then("the link of {string} pauses", pauses);
-function resumes(this: World, id: string): void { linkDoes(this, id, "pass-resume"); }
+function resumes(this: World, id: string): void {
+  linkDoes(this, id, "pass-resume");
+}
 Then("the link of {string} goes on", resumes);
-function slow(this: World, id: string): void { take(this, this.core.slow(id)); }
+function slow(this: World, id: string): void {
+  take(this, this.core.slow(id));
+}
 When("the caller of {string} reads slowly", slow);
-function ready(this: World, id: string): void { take(this, this.core.ready(id)); }
+function ready(this: World, id: string): void {
+  take(this, this.core.ready(id));
+}
 When("the caller of {string} reads again", ready);
-function leaves(this: World, id: string): void { take(this, this.core.left(id, this.now)); }
+function leaves(this: World, id: string): void {
+  take(this, this.core.left(id, this.now));
+}
 When("the caller of {string} leaves", leaves);
 
 function nothing(this: World): void {
@@ -438,26 +698,64 @@
 const chunked = "Transfer-Encoding: chunked\r\n";
 
 const scripts: Record<string, Script> = {
-  "answers each inquiry"(world, _number, id, socket) { socket.write(whole(world, id)); },
-  "answers for another inquiry"(world, _number, _id, socket) { socket.write(whole(world, "w-999")); },
-  "answers without an id"(_world, _number, _id, socket) { socket.write(`${head(undefined, "Content-Length: 5\r\n")}whole`); },
-  "cuts the body short"(_world, _number, id, socket) { socket.end(`${head(id, "Content-Length: 5\r\n")}who`); },
-  "cuts a chunked body short"(_world, _number, id, socket) { socket.end(head(id, chunked) + chunk("whole")); },
-  "sends what is not an answer"(_world, _number, _id, socket) { socket.write("it is late\r\n\r\n"); },
-  "closes after the inquiry"(_world, _number, _id, socket) { socket.end(); },
-  "resets after the inquiry"(_world, _number, _id, socket) { socket.resetAndDestroy(); },
-  "encodes the body"(_world, _number, id, socket) { socket.write(`${head(id, "Content-Length: 5\r\nContent-Encoding: gzip\r\n")}whole`); },
-  "ends the body with the connection alone"(_world, _number, id, socket) { socket.end(`${head(id, "")}whole`); },
-  "ends the stream within an event"(_world, _number, id, socket) { socket.write(`${head(id, chunked)}${chunk("id: 1\ndata: a\n\nid: 2\nda")}0\r\n\r\n`); },
-  "answers twice"(world, _number, id, socket) { socket.write(whole(world, id) + whole(world, id)); },
-  "answers the second inquiry for the first"(world, number, id, socket) { socket.write(whole(world, number === 1 ? id : "w-1")); },
+  "answers each inquiry"(world, _number, id, socket) {
+    socket.write(whole(world, id));
+  },
+  "answers for another inquiry"(world, _number, _id, socket) {
+    socket.write(whole(world, "w-999"));
+  },
+  "answers without an id"(_world, _number, _id, socket) {
+    socket.write(`${head(undefined, "Content-Length: 5\r\n")}whole`);
+  },
+  "cuts the body short"(_world, _number, id, socket) {
+    socket.end(`${head(id, "Content-Length: 5\r\n")}who`);
+  },
+  "cuts a chunked body short"(_world, _number, id, socket) {
+    socket.end(head(id, chunked) + chunk("whole"));
+  },
+  "sends what is not an answer"(_world, _number, _id, socket) {
+    socket.write("it is late\r\n\r\n");
+  },
+  "closes after the inquiry"(_world, _number, _id, socket) {
+    socket.end();
+  },
+  "resets after the inquiry"(_world, _number, _id, socket) {
+    socket.resetAndDestroy();
+  },
+  "encodes the body"(_world, _number, id, socket) {
+    socket.write(`${head(id, "Content-Length: 5\r\nContent-Encoding: gzip\r\n")}whole`);
+  },
+  "ends the body with the connection alone"(_world, _number, id, socket) {
+    socket.end(`${head(id, "")}whole`);
+  },
+  "ends the stream within an event"(_world, _number, id, socket) {
+    socket.write(`${head(id, chunked)}${chunk("id: 1\ndata: a\n\nid: 2\nda")}0\r\n\r\n`);
+  },
+  "answers twice"(world, _number, id, socket) {
+    socket.write(whole(world, id) + whole(world, id));
+  },
+  "answers the second inquiry for the first"(world, number, id, socket) {
+    socket.write(whole(world, number === 1 ? id : "w-1"));
+  },
   "refuses the first inquiry"(world, number, id, socket) {
-    socket.write(number === 1 ? `${head(id, "Content-Length: 4\r\nChutewick-Taken: no\r\nRetry-After: 0.2\r\n", "503 Full")}full` : whole(world, id));
+    socket.write(
+      number === 1
+        ? `${head(id, "Content-Length: 4\r\nChutewick-Taken: no\r\nRetry-After: 0.2\r\n", "503 Full")}full`
+        : whole(world, id),
+    );
+  },
+  "closes each connection after its answer"(_world, _number, id, socket) {
+    socket.end(`${head(id, "Content-Length: 5\r\n")}whole`);
   },
-  "closes each connection after its answer"(_world, _number, id, socket) { socket.end(`${head(id, "Content-Length: 5\r\n")}whole`); },
   "streams 4 events byte by byte"(_world, _number, id, socket) {
     let text = head(id, chunked);
-    for (let number = 1; number <= 4; number += 1) text += chunk(`mark: 7\nid: ${number * 2}\r\ndata: piece ${number}\ndata: ä\n${number % 2 === 0 ? "\r\n" : "\n"}`.replace(/\r?\n\r\n$/, "\r\n\r\n"));
+    for (let number = 1; number <= 4; number += 1)
+      text += chunk(
+        `mark: 7\nid: ${number * 2}\r\ndata: piece ${number}\ndata: ä\n${number % 2 === 0 ? "\r\n" : "\n"}`.replace(
+          /\r?\n\r\n$/,
+          "\r\n\r\n",
+        ),
+      );
     text += "0\r\n\r\n";
     const all = Buffer.from(text);
     let at = 0;
@@ -533,9 +831,15 @@
     }
     world.server.listen(0, "127.0.0.1", up);
   }
-  function mayStart(): string | undefined { return world.look; }
-  function told(go: number, event: PassEvent): void { world.events.get(go)!.push(event); }
-  function share(): number { return world.share; }
+  function mayStart(): string | undefined {
+    return world.look;
+  }
+  function told(go: number, event: PassEvent): void {
+    world.events.get(go)!.push(event);
+  }
+  function share(): number {
+    return world.share;
+  }
   world.links = new PassConnections({ dialect: ownDialect, mayStart, told, share, now: monotonic });
   return new Promise<void>(begin);
 }
@@ -549,24 +853,43 @@
   world.server?.close();
 }
 
-function stopAfter(this: World): void { stop(this); }
+function stopAfter(this: World): void {
+  stop(this);
+}
 After(stopAfter);
 
-function keeps(this: World, span: number): void { this.idle = `Keep-Alive: timeout=${span}\r\n`; }
+function keeps(this: World, span: number): void {
+  this.idle = `Keep-Alive: timeout=${span}\r\n`;
+}
 Given("it tells that it keeps connections {int} s", keeps);
 
-function mayHave(this: World, count: number): void { this.share = count; }
+function mayHave(this: World, count: number): void {
+  this.share = count;
+}
 Given("the node may have {int} connections", mayHave);
 
-function lookSays(this: World, reason: string): void { this.look = reason; }
+function lookSays(this: World, reason: string): void {
+  this.look = reason;
+}
 Given("the last look says {string}", lookSays);
 
-function begin(world: World, more: Partial<PassWork> = {}, inquiry: Partial<PassInquiry> = {}): number {
+function begin(
+  world: World,
+  more: Partial<PassWork> = {},
+  inquiry: Partial<PassInquiry> = {},
+): number {
   world.works += 1;
   const go = world.works;
   world.events.set(go, []);
   world.links.run(go, world.address, {
-    inquiry: inquiryOf(`w-${go}`, "shop.example", "/run/x?y=1", inquiry), runner: "r1", rank: 1, until: monotonic() + 20_000, resumeAfter: undefined, events: false, repeatable: false, ...more,
+    inquiry: inquiryOf(`w-${go}`, "shop.example", "/run/x?y=1", inquiry),
+    runner: "r1",
+    rank: 1,
+    until: monotonic() + 20_000,
+    resumeAfter: undefined,
+    events: false,
+    repeatable: false,
+    ...more,
   });
   return go;
 }
@@ -577,7 +900,9 @@
 }
 
 function over(world: World, go: number): Promise<void> {
-  function holds(): boolean { return isOver(world, go); }
+  function holds(): boolean {
+    return isOver(world, go);
+  }
   return settled(holds);
 }
 
@@ -596,7 +921,9 @@
   for (let index = 0; index < count; index += 1) {
     const from = monotonic();
     await over(this, begin(this));
-    function passed(): boolean { return monotonic() - from >= span; }
+    function passed(): boolean {
+      return monotonic() - from >= span;
+    }
     if (index < count - 1) await settled(passed);
   }
 }
@@ -620,13 +947,19 @@
 }
 Then("each has the result {string}", eachHas);
 
-function sawConnections(this: World, count: number): void { equal(this.sockets.length, count); }
+function sawConnections(this: World, count: number): void {
+  equal(this.sockets.length, count);
+}
 Then("the runner saw {int} connection(s)", sawConnections);
 
-function sawNoInquiry(this: World): void { equal(this.inquiries, 0); }
+function sawNoInquiry(this: World): void {
+  equal(this.inquiries, 0);
+}
 Then("the runner saw no inquiry", sawNoInquiry);
 
-function lastWord(this: World, word: string): void { equal(this.events.get(this.works)!.at(-1)!.kind, word); }
+function lastWord(this: World, word: string): void {
+  equal(this.events.get(this.works)!.at(-1)!.kind, word);
+}
 Then("its last word is {string}", lastWord);
 
 function lastWords(this: World, words: string): void {
@@ -638,17 +971,22 @@
 
 async function isEnded(this: World): Promise<void> {
   const world = this;
-  function holds(): boolean { return world.sockets[0]?.destroyed === true; }
+  function holds(): boolean {
+    return world.sockets[0]?.destroyed === true;
+  }
   await settled(holds);
 }
 Then("the runner's connection is ended", isEnded);
 
-async function asEvents(this: World): Promise<void> { await over(this, begin(this, { events: true })); }
+async function asEvents(this: World): Promise<void> {
+  await over(this, begin(this, { events: true }));
+}
 When("a work runs as a series of events", asEvents);
 
 function toldEvents(this: World, from: number, to: number): void {
   const found: WholeEvent[] = [];
-  for (const each of this.events.get(1)!) if (each.kind === "event") found.push(each as unknown as WholeEvent);
+  for (const each of this.events.get(1)!)
+    if (each.kind === "event") found.push(each as unknown as WholeEvent);
   equal(found.length, to - from + 1);
   for (let number = from; number <= to; number += 1) {
     const each = found[number - from]!;
@@ -663,7 +1001,9 @@
 async function pausedReader(this: World): Promise<void> {
   const world = this;
   const go = begin(this, { events: true });
-  function came(): boolean { return world.events.get(go)!.length > 2; }
+  function came(): boolean {
+    return world.events.get(go)!.length > 2;
+  }
   await settled(came);
   this.links.pause(go);
 }
@@ -683,26 +1023,35 @@
 }
 Then("the runner is held up", heldUp);
 
-function goesOn(this: World): void { this.links.resume(1); }
+function goesOn(this: World): void {
+  this.links.resume(1);
+}
 When("the reader goes on", goesOn);
 
 async function moreCome(this: World): Promise<void> {
   const world = this;
-  function holds(): boolean { return world.events.get(1)!.length > world.works + 10; }
+  function holds(): boolean {
+    return world.events.get(1)!.length > world.works + 10;
+  }
   await settled(holds);
 }
 Then("more events come", moreCome);
 
 async function givenUp(this: World): Promise<void> {
   const world = this;
-  function holds(): boolean { return world.inquiries === 1; }
+  function holds(): boolean {
+    return world.inquiries === 1;
+  }
   await settled(holds);
   this.links.abandon(1);
 }
 When("it is given up", givenUp);
 
 async function runsWith(this: World, body: string, name: string, value: string): Promise<void> {
-  await over(this, begin(this, {}, { body: Buffer.from(body), headers: ["Host", "shop.example", name, value] }));
+  await over(
+    this,
+    begin(this, {}, { body: Buffer.from(body), headers: ["Host", "shop.example", name, value] }),
+  );
 }
 When("a work runs with the body {string} and the header {string} {string}", runsWith);
 
--- a/features/steps/scale.ts
+++ b/features/steps/scale.ts
@@ -1,6 +1,16 @@
 import { equal, ok, throws } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { breaksAt, letter, lineThrough, roles, scale, told, type Line, type Point, type Rows } from "@chutewick/scale";
+import {
+  breaksAt,
+  letter,
+  lineThrough,
+  roles,
+  scale,
+  told,
+  type Line,
+  type Point,
+  type Rows,
+} from "@chutewick/scale";
 
 interface World {
   rows: Rows;
@@ -39,7 +49,10 @@
 /** Lots of the tables are of the usual sizes' bodies, and whole processes are not begun here: these alone may lack. */
 function everyValueStands(this: World): void {
   let values = 0;
-  for (const { role, what, value } of [...told.full(this.rows, letter), ...told.proposed(this.rows, letter)]) {
+  for (const { role, what, value } of [
+    ...told.full(this.rows, letter),
+    ...told.proposed(this.rows, letter),
+  ]) {
     if (Number.isFinite(value)) values += 1;
     else ok(/largest lot|process|beat/.test(what), `${role}, ${what}: no value`);
   }
@@ -54,7 +67,10 @@
   const place = lines.findIndex(isOneLot);
   const part = breaksAt(this.rows, letter, place);
   const { value, budget } = lines[place]!;
-  ok(part !== undefined && Math.abs(part * value - budget!) < 1, `${part} of ${value} is not ${budget}`);
+  ok(
+    part !== undefined && Math.abs(part * value - budget!) < 1,
+    `${part} of ${value} is not ${budget}`,
+  );
   ok(text.includes(`${Math.floor(letter.nodes * part)} nodes`));
 }
 Then("the tables name all roles, and where something breaks", theTablesNameAll);
@@ -63,7 +79,11 @@
   return line.what === "the largest lot in one entry: items";
 }
 
-const measured: readonly Point[] = [{ at: [10], value: 1_000 }, { at: [20], value: 2_000 }, { at: [40], value: 4_000 }];
+const measured: readonly Point[] = [
+  { at: [10], value: 1_000 },
+  { at: [20], value: 2_000 },
+  { at: [40], value: 4_000 },
+];
 
 function bytesForEachNode(this: World, each: number): void {
   const points: Point[] = [];
@@ -75,12 +95,22 @@
 function theLineGives(this: World, each: number): void {
   const { slopes, rest, fit } = this.line;
   equal(slopes.length, 1);
-  for (const [found, wanted] of [[slopes[0]!, each], [rest, 0], [fit, 1]] as const) ok(Math.abs(found - wanted) < 1e-6, `${found} in place of ${wanted}`);
+  for (const [found, wanted] of [
+    [slopes[0]!, each],
+    [rest, 0],
+    [fit, 1],
+  ] as const)
+    ok(Math.abs(found - wanted) < 1e-6, `${found} in place of ${wanted}`);
 }
 Then("the line through them gives {int} for each node and nothing besides", theLineGives);
 
 function tooFewSizes(): void {
-  function begin(): void { lineThrough([{ at: [1, 2], value: 1 }, { at: [2, 4], value: 2 }]); }
+  function begin(): void {
+    lineThrough([
+      { at: [1, 2], value: 1 },
+      { at: [2, 4], value: 2 },
+    ]);
+  }
   throws(begin);
 }
 Then("a line through two sizes for two variables is refused", tooFewSizes);
--- a/packages/control/src/calendar.ts
+++ b/packages/control/src/calendar.ts
@@ -33,18 +33,21 @@
   } catch {
     return `zone: ${one.zone} is not a time zone, such as America/Lima`;
   }
-  if (one.calendar.trim().split(/\s+/).length !== 5) return "calendar: must have five fields: minute, hour, day, month, day of the week";
+  if (one.calendar.trim().split(/\s+/).length !== 5)
+    return "calendar: must have five fields: minute, hour, day, month, day of the week";
   let moments: number[];
   try {
     moments = startsFrom(one, start - 1, constants.windowsChecked);
   } catch (error) {
     return `calendar: ${(error as Error).message}`;
   }
-  if (moments.length === 0 || moments[0]! >= end) return "calendar: never opens between start and end";
+  if (moments.length === 0 || moments[0]! >= end)
+    return "calendar: never opens between start and end";
   const lasts = one.lastsMinutes * 60_000;
   for (const [place, moment] of moments.entries()) {
     const next = moments[place + 1];
-    if (next !== undefined && next < moment + lasts) return `lastsMinutes: the window of ${new Date(moment).toISOString()} is not over when the next opens, at ${new Date(next).toISOString()}`;
+    if (next !== undefined && next < moment + lasts)
+      return `lastsMinutes: the window of ${new Date(moment).toISOString()} is not over when the next opens, at ${new Date(next).toISOString()}`;
   }
   return undefined;
 }
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,17 +1,33 @@
-import { constants, outcome, policy, type Labels, type Policy, type Limits, type Outcome, type Season } from "@chutewick/parts";
+import {
+  constants,
+  outcome,
+  policy,
+  type Labels,
+  type Policy,
+  type Limits,
+  type Outcome,
+  type Season,
+} from "@chutewick/parts";
 import { explain } from "@chutewick/shell";
 import { calendars, type Calendar } from "./calendar.js";
 import { z } from "zod";
 
 /** The operators' configuration, read and checked whole before it is entered (docs/design.md §9). */
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes, 63 at most" });
-const labelName = z.string().regex(/^[a-z0-9][a-z0-9./-]{0,62}$/, { error: "must be lower-case letters, digits, dots, slashes and dashes" });
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, {
+  error: "must be lower-case letters, digits and dashes, 63 at most",
+});
+const labelName = z.string().regex(/^[a-z0-9][a-z0-9./-]{0,62}$/, {
+  error: "must be lower-case letters, digits, dots, slashes and dashes",
+});
 const labels = z.record(labelName, z.string().min(1).max(63));
 
 const limits = z.strictObject({
   tokens: z.number().min(0, { error: "must not be negative" }).max(1_000_000),
   windowSeconds: z.number().positive({ error: "must be more than 0" }).max(86_400),
-  capacity: z.number().min(1, { error: "must be 1 or more, or no prompt could ever be taken" }).max(1_000_000),
+  capacity: z
+    .number()
+    .min(1, { error: "must be 1 or more, or no prompt could ever be taken" })
+    .max(1_000_000),
 });
 
 const model = z.strictObject({
@@ -32,13 +48,21 @@
   deadlineSeconds: z.number().positive().max(86_400).optional(),
 });
 
-const selector = z.union([
-  z.strictObject({ label: labelName, equals: z.string().min(1) }),
-  z.strictObject({ label: labelName, in: z.array(z.string().min(1)).min(1, { error: "must name at least one value" }) }),
-  z.strictObject({ label: labelName, exists: z.boolean() }),
-], { error: "must be one of {label, equals}, {label, in} or {label, exists}" });
-
-const moment = z.string().refine(isMoment, { error: "must be a date and time with its zone, such as 2026-12-24T00:00:00-05:00" });
+const selector = z.union(
+  [
+    z.strictObject({ label: labelName, equals: z.string().min(1) }),
+    z.strictObject({
+      label: labelName,
+      in: z.array(z.string().min(1)).min(1, { error: "must name at least one value" }),
+    }),
+    z.strictObject({ label: labelName, exists: z.boolean() }),
+  ],
+  { error: "must be one of {label, equals}, {label, in} or {label, exists}" },
+);
+
+const moment = z.string().refine(isMoment, {
+  error: "must be a date and time with its zone, such as 2026-12-24T00:00:00-05:00",
+});
 
 const season = z.strictObject({
   start: moment,
@@ -46,7 +70,10 @@
   select: z.array(selector).min(1, { error: "must select something" }),
   /** Which runners its lots may use, by their labels. */
   runners: z.array(selector).default([]),
-  waiting: z.int().min(1, { error: "must be 1 or more; leave the season out to allow nothing new" }).max(10_000_000),
+  waiting: z
+    .int()
+    .min(1, { error: "must be 1 or more; leave the season out to allow nothing new" })
+    .max(10_000_000),
   bucket: limits.optional(),
   /** Opens again and again between start and end: five fields of cron in this zone, each time for so long. */
   calendar: z.string().max(200).optional(),
@@ -121,13 +148,21 @@
 function read(held: MarkedConfiguration | undefined): MarkedConfiguration {
   if (held === undefined) return blank;
   const { pools, passages } = held.value as Partial<Configuration>;
-  return pools === undefined || passages === undefined ? { ...held, value: { ...blank.value, ...held.value } } : held;
+  return pools === undefined || passages === undefined
+    ? { ...held, value: { ...blank.value, ...held.value } }
+    : held;
 }
 
-export const blank: MarkedConfiguration = { mark: 0, value: { pools: {}, passages: {}, models: {}, ways: {}, seasons: {} } };
+export const blank: MarkedConfiguration = {
+  mark: 0,
+  value: { pools: {}, passages: {}, models: {}, ways: {}, seasons: {} },
+};
 
 function isMoment(text: string): boolean {
-  return /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2})?(Z|[+-]\d{2}:\d{2})$/.test(text) && Number.isFinite(Date.parse(text));
+  return (
+    /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2})?(Z|[+-]\d{2}:\d{2})$/.test(text) &&
+    Number.isFinite(Date.parse(text))
+  );
 }
 
 /** The whole check: shape first, then what the parts say of each other. */
@@ -137,61 +172,95 @@
   const value = parsed.data;
   const found: string[] = [];
   for (const [key, each] of Object.entries(value.models)) {
-    if (new Set(each.adapters).size !== each.adapters.length) found.push(`models.${key}.adapters: names one adapter twice`);
-    for (const adapter of Object.keys(each.adapterBuckets)) if (!each.adapters.includes(adapter)) found.push(`models.${key}.adapterBuckets.${adapter}: is not an adapter of this model`);
-    for (const adapter of Object.keys(each.adapterLabels)) if (!each.adapters.includes(adapter)) found.push(`models.${key}.adapterLabels.${adapter}: is not an adapter of this model`);
+    if (new Set(each.adapters).size !== each.adapters.length)
+      found.push(`models.${key}.adapters: names one adapter twice`);
+    for (const adapter of Object.keys(each.adapterBuckets))
+      if (!each.adapters.includes(adapter))
+        found.push(`models.${key}.adapterBuckets.${adapter}: is not an adapter of this model`);
+    for (const adapter of Object.keys(each.adapterLabels))
+      if (!each.adapters.includes(adapter))
+        found.push(`models.${key}.adapterLabels.${adapter}: is not an adapter of this model`);
   }
   for (const [key, each] of Object.entries(value.ways)) {
     if (each.kind === "fetch") {
-      if (each.model !== undefined || each.adapter !== undefined) found.push(`ways.${key}.model: a fetch goes to plain runners and names no model`);
+      if (each.model !== undefined || each.adapter !== undefined)
+        found.push(`ways.${key}.model: a fetch goes to plain runners and names no model`);
       continue;
     }
     if (each.model === undefined) found.push(`ways.${key}.model: is needed for this kind`);
-    else if (!Object.hasOwn(value.models, each.model)) found.push(`ways.${key}.model: there is no model ${each.model}`);
-    else if (each.adapter !== undefined && !value.models[each.model]!.adapters.includes(each.adapter)) found.push(`ways.${key}.adapter: ${each.model} has no adapter ${each.adapter}`);
-    if (each.deadlineSeconds !== undefined && each.kind !== "lot") found.push(`ways.${key}.deadlineSeconds: is for lots only`);
+    else if (!Object.hasOwn(value.models, each.model))
+      found.push(`ways.${key}.model: there is no model ${each.model}`);
+    else if (
+      each.adapter !== undefined &&
+      !value.models[each.model]!.adapters.includes(each.adapter)
+    )
+      found.push(`ways.${key}.adapter: ${each.model} has no adapter ${each.adapter}`);
+    if (each.deadlineSeconds !== undefined && each.kind !== "lot")
+      found.push(`ways.${key}.deadlineSeconds: is for lots only`);
   }
   const places = new Set<string>();
   for (const [key, each] of Object.entries(value.passages)) {
     const place = `${each.host}${each.prefix}`;
-    if (places.has(place)) found.push(`passages.${key}.prefix: another passage has the same host and prefix`);
+    if (places.has(place))
+      found.push(`passages.${key}.prefix: another passage has the same host and prefix`);
     places.add(place);
     let weights = 0;
     for (const { pool: name, weight } of each.pools) {
       weights += weight;
-      if (!Object.hasOwn(value.pools, name)) found.push(`passages.${key}.pools: there is no pool ${name}`);
+      if (!Object.hasOwn(value.pools, name))
+        found.push(`passages.${key}.pools: there is no pool ${name}`);
     }
     if (weights <= 0) found.push(`passages.${key}.pools: the weights sum to 0`);
   }
   for (const [key, each] of Object.entries(value.seasons)) {
     const recurring = calendarOf(each);
-    if (recurring === "half") found.push(`seasons.${key}.calendar: calendar, zone and lastsMinutes go together`);
+    if (recurring === "half")
+      found.push(`seasons.${key}.calendar: calendar, zone and lastsMinutes go together`);
     else if (recurring !== undefined && Date.parse(each.end) > Date.parse(each.start)) {
       const reason = calendars.refuse(recurring, Date.parse(each.start), Date.parse(each.end));
       if (reason !== undefined) found.push(`seasons.${key}.${reason}`);
     }
-    if (Date.parse(each.end) <= Date.parse(each.start)) found.push(`seasons.${key}.end: must be after the start`);
+    if (Date.parse(each.end) <= Date.parse(each.start))
+      found.push(`seasons.${key}.end: must be after the start`);
     const contradiction = contradicts(each.select);
-    if (contradiction !== undefined) found.push(`seasons.${key}.select: can select nothing, since ${contradiction}`);
+    if (contradiction !== undefined)
+      found.push(`seasons.${key}.select: can select nothing, since ${contradiction}`);
     const impossible = contradicts(each.runners);
-    if (impossible !== undefined) found.push(`seasons.${key}.runners: can select no runner, since ${impossible}`);
+    if (impossible !== undefined)
+      found.push(`seasons.${key}.runners: can select no runner, since ${impossible}`);
   }
   return found.length > 0 ? outcome.bad(found.join("; ")) : outcome.good(value);
 }
 
-function calendarOf({ calendar, zone, lastsMinutes }: { calendar?: string; zone?: string; lastsMinutes?: number }): Calendar | "half" | undefined {
+function calendarOf({
+  calendar,
+  zone,
+  lastsMinutes,
+}: {
+  calendar?: string;
+  zone?: string;
+  lastsMinutes?: number;
+}): Calendar | "half" | undefined {
   if (calendar === undefined && zone === undefined && lastsMinutes === undefined) return undefined;
-  return calendar === undefined || zone === undefined || lastsMinutes === undefined ? "half" : { calendar, zone, lastsMinutes };
+  return calendar === undefined || zone === undefined || lastsMinutes === undefined
+    ? "half"
+    : { calendar, zone, lastsMinutes };
 }
 
 /** What is allowed but looks like a slip: labels that nothing in the configuration carries. */
 function warnings(value: Configuration): string[] {
   const carried = new Set<string>(["way"]);
-  for (const { labels: each } of queues(value)) for (const key of Object.keys(each)) carried.add(key);
-  for (const each of Object.values(value.ways)) for (const key of Object.keys(each.labels)) carried.add(key);
+  for (const { labels: each } of queues(value))
+    for (const key of Object.keys(each)) carried.add(key);
+  for (const each of Object.values(value.ways))
+    for (const key of Object.keys(each.labels)) carried.add(key);
   const found: string[] = [];
   for (const [key, each] of Object.entries(value.seasons)) {
-    for (const { label } of each.select) if (!carried.has(label)) found.push(`seasons.${key}.select: no model, adapter or way carries the label ${label}; only lots that bring it are selected`);
+    for (const { label } of each.select)
+      if (!carried.has(label))
+        found.push(
+          `seasons.${key}.select: no model, adapter or way carries the label ${label}; only lots that bring it are selected`,
+        );
   }
   return found;
 }
@@ -211,7 +280,8 @@
     if (held === undefined) allowed.set(each.label, values);
     else for (const value of held) if (!values.has(value)) held.delete(value);
   }
-  for (const label of present) if (absent.has(label)) return `${label} must both exist and not exist`;
+  for (const label of present)
+    if (absent.has(label)) return `${label} must both exist and not exist`;
   for (const [label, values] of allowed) if (values.size === 0) return `${label} can have no value`;
   return undefined;
 }
@@ -219,7 +289,10 @@
 /** A small change: objects are merged, null takes a key away (as RFC 7396 has it). */
 function patch(target: unknown, change: unknown): unknown {
   if (typeof change !== "object" || change === null || Array.isArray(change)) return change;
-  const base: Record<string, unknown> = typeof target === "object" && target !== null && !Array.isArray(target) ? { ...(target as Record<string, unknown>) } : {};
+  const base: Record<string, unknown> =
+    typeof target === "object" && target !== null && !Array.isArray(target)
+      ? { ...(target as Record<string, unknown>) }
+      : {};
   for (const [key, value] of Object.entries(change)) {
     if (key === "__proto__") continue;
     if (value === null) delete base[key];
@@ -231,7 +304,9 @@
 /** Labels that a lot brings of its own; undefined where they are none. */
 function labelsOf(input: unknown): Labels | undefined {
   const parsed = labels.safeParse(input);
-  return parsed.success && Object.keys(parsed.data).length <= constants.lotLabelsMost ? parsed.data : undefined;
+  return parsed.success && Object.keys(parsed.data).length <= constants.lotLabelsMost
+    ? parsed.data
+    : undefined;
 }
 
 /** One queue per model and per adapter (the source's rule), and one per model that lots of passages ask for (§13.7). */
@@ -282,7 +357,8 @@
 /** Queues that lots of a passage may fall into. */
 function queuesOf(value: Configuration, passage: Passage): string[] {
   const found = new Set<string>();
-  for (const name of poolsOf(passage)) for (const each of modelsOf(value.pools[name]!)) found.add(poolQueue(each));
+  for (const name of poolsOf(passage))
+    for (const each of modelsOf(value.pools[name]!)) found.add(poolQueue(each));
   return [...found];
 }
 
@@ -303,18 +379,31 @@
       counted.add(key);
       const each = value.pools[key]!;
       const own = each.bucket ?? { tokens: poolRate, windowSeconds: 1, capacity: poolBurst };
-      for (const carried of modelsOf(each)) limitsOf.set(poolQueue(carried), together(limitsOf.get(poolQueue(carried)), own));
+      for (const carried of modelsOf(each))
+        limitsOf.set(poolQueue(carried), together(limitsOf.get(poolQueue(carried)), own));
     }
   }
   const plans: QueuePlan[] = [];
-  for (const [queue, all] of limitsOf) plans.push({ queue, pooled: true, model: queue.slice(poolQueue("").length), limits: all, waiting: constants.poolWaiting, labels: {} });
+  for (const [queue, all] of limitsOf)
+    plans.push({
+      queue,
+      pooled: true,
+      model: queue.slice(poolQueue("").length),
+      limits: all,
+      waiting: constants.poolWaiting,
+      labels: {},
+    });
   return plans;
 }
 
 /** What several pools allow for one model together. */
 function together(left: Limits | undefined, right: Limits): Limits {
   if (left === undefined) return right;
-  return { tokens: left.tokens / left.windowSeconds + right.tokens / right.windowSeconds, windowSeconds: 1, capacity: left.capacity + right.capacity };
+  return {
+    tokens: left.tokens / left.windowSeconds + right.tokens / right.windowSeconds,
+    windowSeconds: 1,
+    capacity: left.capacity + right.capacity,
+  };
 }
 
 function queues(value: Configuration, chosen: Policy = policy.usual): QueuePlan[] {
@@ -322,7 +411,14 @@
   for (const [key, each] of Object.entries(value.models)) {
     const common = { model: key, waiting: each.waiting, labels: { ...each.labels, model: key } };
     plans.push({ queue: queueOf(key, undefined), limits: each.bucket, ...common });
-    for (const adapter of each.adapters) plans.push({ queue: queueOf(key, adapter), adapter, limits: each.adapterBuckets[adapter] ?? each.bucket, ...common, labels: { ...common.labels, ...each.adapterLabels?.[adapter], model: key, adapter } });
+    for (const adapter of each.adapters)
+      plans.push({
+        queue: queueOf(key, adapter),
+        adapter,
+        limits: each.adapterBuckets[adapter] ?? each.bucket,
+        ...common,
+        labels: { ...common.labels, ...each.adapterLabels?.[adapter], model: key, adapter },
+      });
   }
   plans.push(...poolQueues(value, chosen));
   return plans;
@@ -332,13 +428,37 @@
 function seasonsOf(value: Configuration, wall: number): Season[] {
   const all: Season[] = [];
   for (const [key, each] of Object.entries(value.seasons)) {
-    const one = { name: key, select: each.select, runners: each.runners ?? [], waiting: each.waiting, ...(each.bucket === undefined ? {} : { limits: each.bucket }) };
+    const one = {
+      name: key,
+      select: each.select,
+      runners: each.runners ?? [],
+      waiting: each.waiting,
+      ...(each.bucket === undefined ? {} : { limits: each.bucket }),
+    };
     const [start, end] = [Date.parse(each.start), Date.parse(each.end)];
     const recurring = calendarOf(each);
     if (recurring === undefined || recurring === "half") all.push({ ...one, start, end });
-    else for (const window of calendars.windows(recurring, start, end, wall)) all.push({ ...one, ...window });
+    else
+      for (const window of calendars.windows(recurring, start, end, wall))
+        all.push({ ...one, ...window });
   }
   return all;
 }
 
-export const configuration = { read, check, warnings, patch, labelsOf, queues, queueOf, modelOf, poolQueue, isPoolQueue, queueFor, poolsOf, queuesOf, seasonsOf, blank };
+export const configuration = {
+  read,
+  check,
+  warnings,
+  patch,
+  labelsOf,
+  queues,
+  queueOf,
+  modelOf,
+  poolQueue,
+  isPoolQueue,
+  queueFor,
+  poolsOf,
+  queuesOf,
+  seasonsOf,
+  blank,
+};
