--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,12 +1,47 @@
 import {
-  Agreement, Chain, Feed, Sessions, constants, duty, giveBack, holdersOf, lateness, presentOf, policy,
-  type Back, type ChainCommand, type ChainHolding, type ChainMessage, type ChainView, type ChainWrite, type FeedMessage, type FellowMessage, type Member, type NodeCard, type Policy, type RunnerCard,
-  type Roll, type Stamp, type ViewCommand, type ViewMessage, type VoteState,
+  Agreement,
+  Chain,
+  Feed,
+  Sessions,
+  constants,
+  duty,
+  giveBack,
+  holdersOf,
+  lateness,
+  presentOf,
+  policy,
+  type Back,
+  type ChainCommand,
+  type ChainHolding,
+  type ChainMessage,
+  type ChainView,
+  type ChainWrite,
+  type FeedMessage,
+  type FellowMessage,
+  type Member,
+  type NodeCard,
+  type Policy,
+  type RunnerCard,
+  type Roll,
+  type Stamp,
+  type ViewCommand,
+  type ViewMessage,
+  type VoteState,
 } from "@chutewick/parts";
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
-import { ControlMachine, isRepeatable, keys, type ControlCommand, type ControlResult, type EmptyingRecord, type FleetRecord, type Goodbye, type QueueStanding } from "./machine.js";
+import {
+  ControlMachine,
+  isRepeatable,
+  keys,
+  type ControlCommand,
+  type ControlResult,
+  type EmptyingRecord,
+  type FleetRecord,
+  type Goodbye,
+  type QueueStanding,
+} from "./machine.js";
 
 /** A control machine without I/O: chain, agreed view, feed, sessions, plans (docs/design.md §2, §4, §7, §8). */
 export type ControlMessage =
@@ -14,12 +49,37 @@
   | ViewMessage
   | FeedMessage
   | FellowMessage
-  | { readonly kind: "session"; readonly card: NodeCard; readonly askedAt: number; readonly back?: Back | null; readonly rolled?: number }
-  | { readonly kind: "lease"; readonly identity: string; readonly view: ChainView; readonly askedAt: number; readonly place: number; readonly roll: Roll; readonly controls: readonly string[]; readonly stamp?: Stamp }
-  | { readonly kind: "roll"; readonly roll: Roll; readonly stamp?: Stamp; readonly back?: Back | null }
+  | {
+      readonly kind: "session";
+      readonly card: NodeCard;
+      readonly askedAt: number;
+      readonly back?: Back | null;
+      readonly rolled?: number;
+    }
+  | {
+      readonly kind: "lease";
+      readonly identity: string;
+      readonly view: ChainView;
+      readonly askedAt: number;
+      readonly place: number;
+      readonly roll: Roll;
+      readonly controls: readonly string[];
+      readonly stamp?: Stamp;
+    }
+  | {
+      readonly kind: "roll";
+      readonly roll: Roll;
+      readonly stamp?: Stamp;
+      readonly back?: Back | null;
+    }
   /** Runners heard of just now, told at once (§13.8). */
   | { readonly kind: "runners"; readonly runners: readonly RunnerCard[] }
-  | { readonly kind: "covered"; readonly identity: string; readonly mark: number; readonly place: number }
+  | {
+      readonly kind: "covered";
+      readonly identity: string;
+      readonly mark: number;
+      readonly place: number;
+    }
   | { readonly kind: "control-inquiry"; readonly ticket: string; readonly command: ControlCommand }
   | { readonly kind: "control-result"; readonly ticket: string; readonly outcome: ControlOutcome };
 
@@ -31,7 +91,12 @@
 
 export type ControlOutput =
   | { readonly kind: "send"; readonly to: string; readonly message: ControlMessage }
-  | { readonly kind: "write"; readonly chain: string; readonly ticket: number; readonly write: ChainWrite }
+  | {
+      readonly kind: "write";
+      readonly chain: string;
+      readonly ticket: number;
+      readonly write: ChainWrite;
+    }
   | { readonly kind: "vote"; readonly ticket: number; readonly state: VoteState }
   | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
@@ -104,19 +169,44 @@
     this.#policy = origin.policy ?? policy.usual;
     this.#sessions = new Sessions(this.#policy);
     this.#pacer = new Pacer(this.#policy);
-    this.#agreement = new Agreement(origin.member, origin.seeds, now, origin.votes, origin.founding ?? true, this.#policy.controlsWanted, this.#policy.copiesLeast);
-    this.#chain = new Chain("control", origin.member, new ControlMachine(), now, origin.holding, this.#policy.copiesLeast);
+    this.#agreement = new Agreement(
+      origin.member,
+      origin.seeds,
+      now,
+      origin.votes,
+      origin.founding ?? true,
+      this.#policy.controlsWanted,
+      this.#policy.copiesLeast,
+    );
+    this.#chain = new Chain(
+      "control",
+      origin.member,
+      new ControlMachine(),
+      now,
+      origin.holding,
+      this.#policy.copiesLeast,
+    );
     this.#coverFrom = now + constants.leaseLasts;
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
-    if (origin.holding !== undefined && origin.holding.state.place === origin.holding.state.confirmed && this.#chain.position >= 0) {
+    if (
+      origin.holding !== undefined &&
+      origin.holding.state.place === origin.holding.state.confirmed &&
+      this.#chain.position >= 0
+    ) {
       this.#feed.restore(origin.holding.state.place, origin.holding.records);
     }
   }
 
-  get view(): ChainView | undefined { return this.#chain.view; }
-  get place(): number { return this.#feed.place; }
-  get isHead(): boolean { return this.#chain.isHead; }
+  get view(): ChainView | undefined {
+    return this.#chain.view;
+  }
+  get place(): number {
+    return this.#feed.place;
+  }
+  get isHead(): boolean {
+    return this.#chain.isHead;
+  }
 
   /** A planned stop: the others take the view over at once (§8.6). */
   leave(now: number): ControlOutput[] {
@@ -124,9 +214,13 @@
   }
 
   /** Whether the group still counts on this machine and could do without it. */
-  get isNeeded(): boolean { return this.#isMember && (this.#chain.view?.members.length ?? 0) > this.#policy.copiesLeast; }
+  get isNeeded(): boolean {
+    return this.#isMember && (this.#chain.view?.members.length ?? 0) > this.#policy.copiesLeast;
+  }
 
-  get #isMember(): boolean { return this.#chain.position >= 0; }
+  get #isMember(): boolean {
+    return this.#chain.position >= 0;
+  }
 
   /** Called once after start: a view decided before a crash may not have reached the chain. */
   start(now: number): ControlOutput[] {
@@ -136,11 +230,32 @@
 
   receive(message: ControlMessage, from: string, now: number): ControlOutput[] {
     switch (message.kind) {
-      case "greet": case "prepare": case "promise": case "accept": case "accepted": case "overtaken":
+      case "greet":
+      case "prepare":
+      case "promise":
+      case "accept":
+      case "accepted":
+      case "overtaken":
         return this.#vote(this.#agreement.receive(message, from, now), now);
-      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest": case "digest-got":
-        return message.chain === "control" ? this.#perform(this.#chain.receive(message, from, now), now) : [];
-      case "session": return this.#session(message.card, message.askedAt, lateness(message.back, this.#life, now), message.rolled, now);
+      case "entries":
+      case "taken":
+      case "confirm":
+      case "probe":
+      case "probed":
+      case "want":
+      case "digest":
+      case "digest-got":
+        return message.chain === "control"
+          ? this.#perform(this.#chain.receive(message, from, now), now)
+          : [];
+      case "session":
+        return this.#session(
+          message.card,
+          message.askedAt,
+          lateness(message.back, this.#life, now),
+          message.rolled,
+          now,
+        );
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
@@ -148,10 +263,14 @@
       case "runners":
         for (const card of message.runners) this.#sessions.announced(card, now - card.age);
         return [];
-      case "covered": return this.#coveredFrom(message.identity, message.mark, message.place, now);
-      case "control-inquiry": return this.#enter(message.ticket, message.command, from, now);
-      case "control-result": return this.#returned(message.ticket, message.outcome);
-      default: return [];
+      case "covered":
+        return this.#coveredFrom(message.identity, message.mark, message.place, now);
+      case "control-inquiry":
+        return this.#enter(message.ticket, message.command, from, now);
+      case "control-result":
+        return this.#returned(message.ticket, message.outcome);
+      default:
+        return [];
     }
   }
 
@@ -168,15 +287,27 @@
     const head = this.#chain.view?.members[0];
     held.sentAt = now;
     held.to = head?.address;
-    if (head === undefined) return this.#returned(passed, { kind: "not-run", reason: "the control group has no view yet" });
-    if (head.identity === this.#self.identity) return this.#enter(passed, held.command, undefined, now);
-    return [{ kind: "send", to: head.address, message: { kind: "control-inquiry", ticket: passed, command: held.command } }];
+    if (head === undefined)
+      return this.#returned(passed, {
+        kind: "not-run",
+        reason: "the control group has no view yet",
+      });
+    if (head.identity === this.#self.identity)
+      return this.#enter(passed, held.command, undefined, now);
+    return [
+      {
+        kind: "send",
+        to: head.address,
+        message: { kind: "control-inquiry", ticket: passed, command: held.command },
+      },
+    ];
   }
 
   /** What is the same twice as once is entered again, where it was not entered or nothing is known of it, until its time is over. */
   #returned(passed: string, result: ControlOutcome): ControlOutput[] {
     const held = this.#passed.get(passed);
-    if (held === undefined || (result.kind !== "confirmed" && isRepeatable(held.command))) return [];
+    if (held === undefined || (result.kind !== "confirmed" && isRepeatable(held.command)))
+      return [];
     this.#passed.delete(passed);
     return [{ kind: "result", ticket: held.ticket, result }];
   }
@@ -188,18 +319,30 @@
       if (now - held.since > constants.confirmPatience) {
         this.#passed.delete(passed);
         outputs.push({ kind: "result", ticket: held.ticket, result: { kind: "unknown" } });
-      } else if (isRepeatable(held.command) && (now - held.sentAt > constants.passAgainEvery || (head !== undefined && head !== held.to))) outputs.push(...this.#passOn(passed, now));
+      } else if (
+        isRepeatable(held.command) &&
+        (now - held.sentAt > constants.passAgainEvery || (head !== undefined && head !== held.to))
+      )
+        outputs.push(...this.#passOn(passed, now));
     }
     return outputs;
   }
 
-  #enter(ticket: string, command: ControlCommand, to: string | undefined, now: number): ControlOutput[] {
+  #enter(
+    ticket: string,
+    command: ControlCommand,
+    to: string | undefined,
+    now: number,
+  ): ControlOutput[] {
     for (const held of this.#held.values()) if (held.ticket === ticket && held.to === to) return [];
     const named = command.kind === "empty" ? this.#named(command, now) : command;
-    const refusal = named.kind === "empty" && this.#chain.serves ? this.#refuseEmptying(named, now) : undefined;
+    const refusal =
+      named.kind === "empty" && this.#chain.serves ? this.#refuseEmptying(named, now) : undefined;
     if (refusal !== undefined) {
       const result: ControlOutcome = { kind: "confirmed", value: refusal, place: this.#feed.place };
-      return to === undefined ? this.#returned(ticket, result) : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome: result } }];
+      return to === undefined
+        ? this.#returned(ticket, result)
+        : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome: result } }];
     }
     this.#ticketNumber += 1;
     const own = `own/${this.#ticketNumber}`;
@@ -212,14 +355,23 @@
     if (held === undefined) return [];
     this.#held.delete(own);
     if (held.to === undefined) return this.#returned(held.ticket, ended);
-    return [{ kind: "send", to: held.to, message: { kind: "control-result", ticket: held.ticket, outcome: ended } }];
+    return [
+      {
+        kind: "send",
+        to: held.to,
+        message: { kind: "control-result", ticket: held.ticket, outcome: ended },
+      },
+    ];
   }
 
   /** A machine called by its name in the deployment: the identity of its disk, and the name beside it. */
   #named(command: Extract<ControlCommand, { kind: "empty" }>, now: number): ControlCommand {
     const known = this.#emptying(now);
-    for (const [identity, { name }] of known) if (name === command.identity) return { ...command, identity, name };
-    for (const card of this.#sessions.live("storage", now)) if (card.name === command.identity) return { ...command, identity: card.identity, name: card.name };
+    for (const [identity, { name }] of known)
+      if (name === command.identity) return { ...command, identity, name };
+    for (const card of this.#sessions.live("storage", now))
+      if (card.name === command.identity)
+        return { ...command, identity: card.identity, name: card.name };
     return command;
   }
 
@@ -239,21 +391,34 @@
   }
 
   /** Why a storage machine may not be emptied now, or need not be kept (§8.7). */
-  #refuseEmptying({ identity, wanted, name }: Extract<ControlCommand, { kind: "empty" }>, now: number): ControlResult | undefined {
+  #refuseEmptying(
+    { identity, wanted, name }: Extract<ControlCommand, { kind: "empty" }>,
+    now: number,
+  ): ControlResult | undefined {
     const emptying = this.#emptying(now);
     const called = name ?? identity;
-    if (!wanted) return emptying.has(identity) ? undefined : { kind: "REFUSED", reason: `${called}: is not being emptied` };
+    if (!wanted)
+      return emptying.has(identity)
+        ? undefined
+        : { kind: "REFUSED", reason: `${called}: is not being emptied` };
     let known = false;
     let others = 0;
     for (const card of this.#sessions.live("storage", now)) {
       if (card.identity === identity) known = true;
       else if (!card.leaving && !emptying.has(card.identity)) others += 1;
     }
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.members.some(hasIdentity, { identity })) known = true;
-    if (emptying.has(identity)) return { kind: "UNDER_WAY", reason: `${called}: is being emptied already` };
-    if (!known) return { kind: "UNKNOWN_MACHINE", reason: `${called}: there is no such storage machine` };
+    for (const [, view] of this.#feed.under<ChainView>(keys.queue))
+      if (view.members.some(hasIdentity, { identity })) known = true;
+    if (emptying.has(identity))
+      return { kind: "UNDER_WAY", reason: `${called}: is being emptied already` };
+    if (!known)
+      return { kind: "UNKNOWN_MACHINE", reason: `${called}: there is no such storage machine` };
     const { othersLeast } = this.#policy;
-    if (others < othersLeast) return { kind: "TOO_FEW", reason: `${called}: only ${others} other machines could take its queues, and ${othersLeast} copies are promised; add one first` };
+    if (others < othersLeast)
+      return {
+        kind: "TOO_FEW",
+        reason: `${called}: only ${others} other machines could take its queues, and ${othersLeast} copies are promised; add one first`,
+      };
     return undefined;
   }
 
@@ -261,32 +426,44 @@
   emptied(machine: string, now: number): "emptying" | "emptied" | undefined {
     const mine = new Set<string>();
     const emptying = this.#emptying(now);
-    for (const [identity, { name }] of emptying) if (identity === machine || name === machine) mine.add(identity);
+    for (const [identity, { name }] of emptying)
+      if (identity === machine || name === machine) mine.add(identity);
     if (mine.size === 0) return undefined;
     const others = new Set<string>();
-    for (const card of this.#sessions.live("storage", now)) if (!emptying.has(card.identity) && !card.leaving) others.add(card.identity);
-    const wanted = Math.max(this.#policy.copiesLeast, Math.min(this.#policy.copiesWanted, others.size));
+    for (const card of this.#sessions.live("storage", now))
+      if (!emptying.has(card.identity) && !card.leaving) others.add(card.identity);
+    const wanted = Math.max(
+      this.#policy.copiesLeast,
+      Math.min(this.#policy.copiesWanted, others.size),
+    );
     for (const [, view] of this.#feed.under<ChainView>(keys.queue)) {
       let copies = 0;
       for (const { identity } of view.members) {
         if (mine.has(identity)) return "emptying";
         if (others.has(identity)) copies += 1;
       }
-      if (copies < wanted || (view.joiner !== undefined && mine.has(view.joiner.identity))) return "emptying";
+      if (copies < wanted || (view.joiner !== undefined && mine.has(view.joiner.identity)))
+        return "emptying";
     }
     return "emptied";
   }
 
   /** A runner's own word, told here; what is new in it goes to all at once, the rest with the roll (§13.8). */
-  announce(card: Omit<RunnerCard, "age">, sequence: number, now: number): { told: Announced; outputs: ControlOutput[] } {
-    if ((this.#feed.read<Goodbye>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >= card.incarnation) return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
+  announce(
+    card: Omit<RunnerCard, "age">,
+    sequence: number,
+    now: number,
+  ): { told: Announced; outputs: ControlOutput[] } {
+    if ((this.#feed.read<Goodbye>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >= card.incarnation)
+      return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
     const word: RunnerCard = { ...card, sequence, age: 0 };
     const { news } = this.#sessions.announced(word, now);
     const outputs: ControlOutput[] = [];
     if (news) {
       const message: ControlMessage = { kind: "runners", runners: [word] };
       for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message });
-      for (const node of this.#sessions.live("access", now)) outputs.push({ kind: "send", to: node.address, message });
+      for (const node of this.#sessions.live("access", now))
+        outputs.push({ kind: "send", to: node.address, message });
     }
     return { told: { kind: "TAKEN" }, outputs };
   }
@@ -305,12 +482,23 @@
    */
   #knowsGrants(next: ChainView, now: number): boolean {
     const before = this.#chain.view;
-    if (before === undefined || next.mark !== before.mark + 1 || before.members.length < constants.copiesLeast || next.members.length < constants.copiesLeast) return false;
+    if (
+      before === undefined ||
+      next.mark !== before.mark + 1 ||
+      before.members.length < constants.copiesLeast ||
+      next.members.length < constants.copiesLeast
+    )
+      return false;
     let staying = 0;
-    for (const { identity } of before.members) if (next.members.some(hasIdentity, { identity })) staying += 1;
+    for (const { identity } of before.members)
+      if (next.members.some(hasIdentity, { identity })) staying += 1;
     if (staying === before.members.length) return true;
     const settled = this.#agreement.settledBefore;
-    return settled !== undefined && now - settled > constants.leaseLasts + constants.sleptLeast && staying >= before.members.length / 2;
+    return (
+      settled !== undefined &&
+      now - settled > constants.leaseLasts + constants.sleptLeast &&
+      staying >= before.members.length / 2
+    );
   }
 
   #vote(commands: ViewCommand[], now: number): ControlOutput[] {
@@ -319,10 +507,20 @@
       if (command.kind === "decided") {
         if (!this.#knowsGrants(command.view, now)) this.#coverFrom = now + constants.leaseLasts;
         this.#coveredBy.clear();
-        outputs.push({ kind: "note", text: "view decided", facts: { mark: command.view.mark, members: command.view.members.length, joiner: command.view.joiner?.identity } });
+        outputs.push({
+          kind: "note",
+          text: "view decided",
+          facts: {
+            mark: command.view.mark,
+            members: command.view.members.length,
+            joiner: command.view.joiner?.identity,
+          },
+        });
         outputs.push(...this.#perform(this.#chain.adopt(command.view, now), now));
       } else if (command.kind === "send" && command.to === this.#self.address) {
-        outputs.push(...this.#vote(this.#agreement.receive(command.message, this.#self.address, now), now));
+        outputs.push(
+          ...this.#vote(this.#agreement.receive(command.message, this.#self.address, now), now),
+        );
       } else outputs.push(command);
     }
     return outputs;
@@ -333,7 +531,8 @@
     let news = false;
     for (const command of commands) {
       switch (command.kind) {
-        case "send": case "write":
+        case "send":
+        case "write":
           outputs.push(command);
           break;
         case "confirmed":
@@ -344,17 +543,27 @@
           this.#feed.restore(command.place, command.records);
           news = true;
           break;
-        case "result": outputs.push(...this.#chainResult(command.ticket, command.result, now)); break;
+        case "result":
+          outputs.push(...this.#chainResult(command.ticket, command.result, now));
+          break;
       }
     }
     if (news) outputs.push(...this.#feedAll(now), ...this.#cover(now));
     return outputs;
   }
 
-  #chainResult(own: string, result: Extract<ChainCommand, { kind: "result" }>["result"], now: number): ControlOutput[] {
+  #chainResult(
+    own: string,
+    result: Extract<ChainCommand, { kind: "result" }>["result"],
+    now: number,
+  ): ControlOutput[] {
     const held = this.#held.get(own);
     if (held === undefined) return [];
-    if (result.kind === "elsewhere") return this.#finish(own, { kind: "not-run", reason: "this control machine is not the head, or the group has too few copies" });
+    if (result.kind === "elsewhere")
+      return this.#finish(own, {
+        kind: "not-run",
+        reason: "this control machine is not the head, or the group has too few copies",
+      });
     if (result.kind === "unknown") return this.#finish(own, { kind: "unknown" });
     held.result = { value: result.value as ControlResult, place: result.place };
     return this.#release(now);
@@ -366,9 +575,16 @@
     const view = this.#chain.view;
     if (view === undefined) return outputs;
     let covered = this.#ownCover(now);
-    for (const member of view.members) if (member.identity !== this.#self.identity) covered = Math.min(covered, this.#coveredBy.get(member.identity) ?? 0);
+    for (const member of view.members)
+      if (member.identity !== this.#self.identity)
+        covered = Math.min(covered, this.#coveredBy.get(member.identity) ?? 0);
     for (const [own, held] of this.#held) {
-      if (held.result !== undefined && held.result.place <= covered && this.#fleetTook(held.result.place)) outputs.push(...this.#finish(own, { kind: "confirmed", ...held.result }));
+      if (
+        held.result !== undefined &&
+        held.result.place <= covered &&
+        this.#fleetTook(held.result.place)
+      )
+        outputs.push(...this.#finish(own, { kind: "confirmed", ...held.result }));
     }
     return outputs;
   }
@@ -382,7 +598,10 @@
     /** Nodes that go on alone promise nothing to each other (§13.3). */
     if (this.#policy.goesOnAlone) return true;
     const fleet = this.#feed.read<FleetRecord>(keys.fleet);
-    return fleet === undefined || (this.#majorityTook(fleet.addresses, place) && this.#majorityTook(fleet.previous, place));
+    return (
+      fleet === undefined ||
+      (this.#majorityTook(fleet.addresses, place) && this.#majorityTook(fleet.previous, place))
+    );
   }
 
   #majorityTook(addresses: readonly string[], place: number): boolean {
@@ -394,9 +613,11 @@
   /** The fleet by address: who is there is added, who was away for long is left out, one change after another. */
   #planFleet(now: number): ControlOutput[] {
     const fleet = this.#feed.read<FleetRecord>(keys.fleet);
-    if (fleet !== undefined && fleet.mark !== this.#fleetSeen.mark) this.#fleetSeen = { mark: fleet.mark, place: this.#feed.place };
+    if (fleet !== undefined && fleet.mark !== this.#fleetSeen.mark)
+      this.#fleetSeen = { mark: fleet.mark, place: this.#feed.place };
     const wanted = new Set<string>();
-    for (const kind of ["access", "storage"] as const) for (const card of this.#sessions.live(kind, now)) wanted.add(card.address);
+    for (const kind of ["access", "storage"] as const)
+      for (const card of this.#sessions.live(kind, now)) wanted.add(card.address);
     for (const address of wanted) this.#seenAt.set(address, now);
     for (const address of fleet?.addresses ?? []) {
       const seenAt = this.#seenAt.get(address) ?? now;
@@ -406,7 +627,13 @@
     const held = fleet?.addresses ?? [];
     if (wanted.size === held.length && held.every(isWithin, wanted)) return [];
     if (fleet !== undefined && !this.#fleetTook(this.#fleetSeen.place)) return [];
-    return this.#command({ kind: "fleet", fleet: { mark: (fleet?.mark ?? 0) + 1, addresses: [...wanted].sort(), previous: held } }, now);
+    return this.#command(
+      {
+        kind: "fleet",
+        fleet: { mark: (fleet?.mark ?? 0) + 1, addresses: [...wanted].sort(), previous: held },
+      },
+      now,
+    );
   }
 
   #coveredFrom(identity: string, mark: number, place: number, now: number): ControlOutput[] {
@@ -422,7 +649,13 @@
     if (this.#chain.isHead) return this.#release(now);
     const place = this.#ownCover(now);
     if (place === 0) return [];
-    return [{ kind: "send", to: view.members[0]!.address, message: { kind: "covered", identity: this.#self.identity, mark: view.mark, place } }];
+    return [
+      {
+        kind: "send",
+        to: view.members[0]!.address,
+        message: { kind: "covered", identity: this.#self.identity, mark: view.mark, place },
+      },
+    ];
   }
 
   #feedAll(now: number): ControlOutput[] {
@@ -435,21 +668,61 @@
     return outputs;
   }
 
-  #session(card: NodeCard, askedAt: number, late: number, rolled: number | undefined, now: number): ControlOutput[] {
+  #session(
+    card: NodeCard,
+    askedAt: number,
+    late: number,
+    rolled: number | undefined,
+    now: number,
+  ): ControlOutput[] {
     const stamp: Stamp = { life: this.#life, at: now };
     const view = this.#chain.view;
     if (view === undefined || !this.#isMember || !card.free || this.#lags(card, now)) {
       const news = view === undefined || !this.#isMember ? undefined : this.#feed.since(card.place);
       this.#sessions.heard(card, now, undefined, 0, late, askedAt);
       const controls = this.#agreement.addresses();
-      const told: ControlOutput[] = news === undefined ? [] : [{ kind: "send", to: card.address, message: news }];
-      return view === undefined ? [] : [...told, { kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: { nodes: [], runners: [] }, controls, stamp } }];
+      const told: ControlOutput[] =
+        news === undefined ? [] : [{ kind: "send", to: card.address, message: news }];
+      return view === undefined
+        ? []
+        : [
+            ...told,
+            {
+              kind: "send",
+              to: card.address,
+              message: {
+                kind: "lease",
+                identity: this.#self.identity,
+                view,
+                askedAt: Number.NEGATIVE_INFINITY,
+                place: 0,
+                roll: { nodes: [], runners: [] },
+                controls,
+                stamp,
+              },
+            },
+          ];
     }
     this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late, askedAt);
     const outputs: ControlOutput[] = [];
     const news = this.#feed.since(card.place);
     if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
-    outputs.push({ kind: "send", to: card.address, message: { kind: "lease", identity: this.#self.identity, view, askedAt, place: this.#feed.place, roll: this.#rollsFor(card, rolled) ? this.#sessions.rollForNodes(now, card.identity) : nothing, controls: this.#agreement.addresses(), stamp } });
+    outputs.push({
+      kind: "send",
+      to: card.address,
+      message: {
+        kind: "lease",
+        identity: this.#self.identity,
+        view,
+        askedAt,
+        place: this.#feed.place,
+        roll: this.#rollsFor(card, rolled)
+          ? this.#sessions.rollForNodes(now, card.identity)
+          : nothing,
+        controls: this.#agreement.addresses(),
+        stamp,
+      },
+    });
     outputs.push(...this.#cover(now));
     return outputs;
   }
@@ -457,7 +730,11 @@
   /** One member sends a node the roll; the others only where it got none lately (§4.3). */
   #rollsFor(card: NodeCard, rolled: number | undefined): boolean {
     const members = this.#chain.view!.members;
-    return rolled === undefined || rolled >= constants.sessionEvery * 2 || members[duty.spread(card.identity) % members.length]!.identity === this.#self.identity;
+    return (
+      rolled === undefined ||
+      rolled >= constants.sessionEvery * 2 ||
+      members[duty.spread(card.identity) % members.length]!.identity === this.#self.identity
+    );
   }
 
   /** A node that does not keep up loses its lease here rather than hold up a change. */
@@ -476,7 +753,12 @@
 
   beat(now: number, wall: number): ControlOutput[] {
     this.#wall = wall;
-    if (now - this.#beatAt > constants.sleptLeast || !this.#agreement.isNear(now) || !this.#sessions.hearsAny(now)) this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
+    if (
+      now - this.#beatAt > constants.sleptLeast ||
+      !this.#agreement.isNear(now) ||
+      !this.#sessions.hearsAny(now)
+    )
+      this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
     this.#beatAt = now;
     const outputs: ControlOutput[] = [];
     outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark), now));
@@ -485,7 +767,17 @@
     if (now - this.#rollAt >= constants.greetEvery) {
       this.#rollAt = now;
       const roll = this.#sessions.roll(now);
-      for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message: { kind: "roll", roll, stamp: { life: this.#life, at: now }, back: giveBack(this.#stamps.get(to), now) } });
+      for (const to of this.#agreement.addresses())
+        outputs.push({
+          kind: "send",
+          to,
+          message: {
+            kind: "roll",
+            roll,
+            stamp: { life: this.#life, at: now },
+            back: giveBack(this.#stamps.get(to), now),
+          },
+        });
     }
     if (now - this.#planAt >= constants.planEvery) {
       this.#planAt = now;
@@ -494,9 +786,12 @@
     if (now - this.#forgetAt > constants.sessionLasts) {
       this.#forgetAt = now;
       this.#sessions.forget(now);
-      for (const [identity, since] of this.#laggingSince) if (now - since.at > constants.sessionLasts * 8) this.#laggingSince.delete(identity);
+      for (const [identity, since] of this.#laggingSince)
+        if (now - since.at > constants.sessionLasts * 8) this.#laggingSince.delete(identity);
     }
-    for (const [own, held] of [...this.#held]) if (now - held.since > constants.confirmPatience) outputs.push(...this.#finish(own, { kind: "unknown" }));
+    for (const [own, held] of [...this.#held])
+      if (now - held.since > constants.confirmPatience)
+        outputs.push(...this.#finish(own, { kind: "unknown" }));
     outputs.push(...this.#passAgain(now));
     return outputs;
   }
@@ -504,7 +799,8 @@
   /** The head's duty: place queues, take the lost and the slow out, bring copies up (§8.2). */
   #plan(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    if (!this.#chain.serves || this.#chain.confirmed !== this.#chain.place || now < this.#planFrom) return outputs;
+    if (!this.#chain.serves || this.#chain.confirmed !== this.#chain.place || now < this.#planFrom)
+      return outputs;
     if (!this.#policy.goesOnAlone) outputs.push(...this.#planFleet(now));
     for (const [, goodbye] of this.#feed.under<Goodbye>(keys.goodbye)) {
       if (goodbye.at + constants.goodbyeKept > this.#chain.time(now)) continue;
@@ -521,45 +817,71 @@
     for (const queue of wanted) {
       if (this.#feed.read(keys.queue + queue) !== undefined) continue;
       const able: string[] = [];
-      for (const card of live) if (!emptying.has(card.identity) && !card.leaving) able.push(card.identity);
+      for (const card of live)
+        if (!emptying.has(card.identity) && !card.leaving) able.push(card.identity);
       if (able.length < this.#policy.copiesLeast) continue;
       const members: Member[] = [];
-      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(0, this.#policy.copiesWanted)) members.push({ identity, address: byIdentity.get(identity)!.address });
+      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(
+        0,
+        this.#policy.copiesWanted,
+      ))
+        members.push({ identity, address: byIdentity.get(identity)!.address });
       outputs.push(...this.#command({ kind: "place", queue, view: { mark: 1, members } }, now));
     }
-    for (const [queue, standing] of this.#pacer.plan({ value: marked.value, ...this.#surroundings(live, now) })) {
+    for (const [queue, standing] of this.#pacer.plan({
+      value: marked.value,
+      ...this.#surroundings(live, now),
+    })) {
       outputs.push(...this.#command({ kind: "stand", queue, standing }, now));
     }
     this.#moved = false;
     for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) {
       const queue = key.slice(keys.queue.length);
       const next = this.#review(queue, view, byIdentity, emptying);
-      if (next !== undefined) outputs.push(...this.#command({ kind: "review", queue, view: next }, now));
+      if (next !== undefined)
+        outputs.push(...this.#command({ kind: "review", queue, view: next }, now));
     }
     return outputs;
   }
 
   #surroundings(storage: readonly NodeCard[], now: number): Omit<Surroundings, "value"> {
     const standings = new Map<string, QueueStanding>();
-    for (const [key, standing] of this.#feed.under<QueueStanding>(keys.standing)) standings.set(key.slice(keys.standing.length), standing);
+    for (const [key, standing] of this.#feed.under<QueueStanding>(keys.standing))
+      standings.set(key.slice(keys.standing.length), standing);
     const reports = new Map<string, ShareReport>();
     for (const card of storage) {
       for (const [queue, shareMark, held, need, classes] of card.telling.shares ?? []) {
         /** Only the owner's word counts, and of two only that under the newer share. */
-        if (this.#feed.read<ChainView>(keys.queue + queue)?.members[0]?.identity !== card.identity) continue;
+        if (this.#feed.read<ChainView>(keys.queue + queue)?.members[0]?.identity !== card.identity)
+          continue;
         const told = new Map<string, { held: number; need: number }>();
-        for (const [season, heldOf, needOf] of classes ?? [[standings.get(queue)?.season ?? "", held, need] as const]) told.set(season, { held: heldOf, need: needOf });
+        for (const [season, heldOf, needOf] of classes ?? [
+          [standings.get(queue)?.season ?? "", held, need] as const,
+        ])
+          told.set(season, { held: heldOf, need: needOf });
         reports.set(queue, { shareMark, classes: told });
       }
     }
-    return { now, wall: this.#wall, standings, reports, runners: this.#sessions.roll(now).runners, access: this.#sessions.live("access", now) };
+    return {
+      now,
+      wall: this.#wall,
+      standings,
+      reports,
+      runners: this.#sessions.roll(now).runners,
+      access: this.#sessions.live("access", now),
+    };
   }
 
   #command(command: ControlCommand, now: number): ControlOutput[] {
     return this.#perform(this.#chain.inquire(`plan/${now}`, command, now), now);
   }
 
-  #review(queue: string, view: ChainView, live: ReadonlyMap<string, NodeCard>, emptying: ReadonlySet<string>): ChainView | undefined {
+  #review(
+    queue: string,
+    view: ChainView,
+    live: ReadonlyMap<string, NodeCard>,
+    emptying: ReadonlySet<string>,
+  ): ChainView | undefined {
     const mark = view.mark + 1;
     const joiner = view.joiner;
     const joinerCard = joiner === undefined ? undefined : live.get(joiner.identity);
@@ -570,13 +892,21 @@
     for (const member of alive) if (!live.get(member.identity)!.leaving) staying.push(member);
     const keep = joinerCard === undefined ? {} : { joiner };
     const holding = view.holders === undefined ? {} : { holders: view.holders };
-    if (staying.length < alive.length && staying.length >= this.#policy.copiesLeast) return { mark, members: staying, ...keep };
+    if (staying.length < alive.length && staying.length >= this.#policy.copiesLeast)
+      return { mark, members: staying, ...keep };
     if (alive.length !== view.members.length || !alive.every(isOf, view.members)) {
-      return alive.length >= this.#policy.copiesLeast ? { mark, members: alive, ...keep } : this.#lone(view, alive, live, emptying);
+      return alive.length >= this.#policy.copiesLeast
+        ? { mark, members: alive, ...keep }
+        : this.#lone(view, alive, live, emptying);
     }
     for (const card of live.values()) {
       for (const [stuckQueue, stuckMark, identity] of card.telling.stuck ?? []) {
-        if (stuckQueue !== queue || stuckMark !== view.mark || view.members.length <= this.#policy.copiesLeast) continue;
+        if (
+          stuckQueue !== queue ||
+          stuckMark !== view.mark ||
+          view.members.length <= this.#policy.copiesLeast
+        )
+          continue;
         const members: Member[] = [];
         for (const member of view.members) if (member.identity !== identity) members.push(member);
         if (members.length < view.members.length) return { mark, members, ...keep };
@@ -585,7 +915,8 @@
     if (joiner !== undefined) {
       if (joinerCard === undefined) return { mark, members: view.members, ...holding };
       for (const [copiedQueue, copiedMark] of joinerCard.telling.copied ?? []) {
-        if (copiedQueue === queue && copiedMark === view.mark) return { mark, members: [...view.members, joiner] };
+        if (copiedQueue === queue && copiedMark === view.mark)
+          return { mark, members: [...view.members, joiner] };
       }
       return undefined;
     }
@@ -594,16 +925,25 @@
       const doubled = sharingZone(view.members, live);
       const surplus = leaving ?? this.#mostBurdened(doubled.length > 0 ? doubled : view.members);
       const members: Member[] = [];
-      for (const member of view.members) if (member.identity !== surplus.identity) members.push(member);
+      for (const member of view.members)
+        if (member.identity !== surplus.identity) members.push(member);
       return { mark, members };
     }
     const able: string[] = [];
-    for (const card of live.values()) if (!card.leaving && !emptying.has(card.identity) && !view.members.some(hasIdentity, { identity: card.identity })) able.push(card.identity);
+    for (const card of live.values())
+      if (
+        !card.leaving &&
+        !emptying.has(card.identity) &&
+        !view.members.some(hasIdentity, { identity: card.identity })
+      )
+        able.push(card.identity);
     /** Nowhere to copy to: one that is emptied leaves as long as enough stay. */
     if (able.length === 0) {
-      if (leaving === undefined || view.members.length <= this.#policy.copiesLeast) return undefined;
+      if (leaving === undefined || view.members.length <= this.#policy.copiesLeast)
+        return undefined;
       const members: Member[] = [];
-      for (const member of view.members) if (member.identity !== leaving.identity) members.push(member);
+      for (const member of view.members)
+        if (member.identity !== leaving.identity) members.push(member);
       return { mark, members };
     }
     const counted = leaving === undefined ? view.members.length : view.members.length - 1;
@@ -611,46 +951,77 @@
     const zones = zonesOf(view.members, live);
     let identity = ranked[0]!;
     for (const other of ranked) {
-      const [otherNew, heldNew] = [!zones.has(live.get(other)!.zone), !zones.has(live.get(identity)!.zone)];
-      if (otherNew !== heldNew ? otherNew : this.#queuesAt(other) < this.#queuesAt(identity)) identity = other;
+      const [otherNew, heldNew] = [
+        !zones.has(live.get(other)!.zone),
+        !zones.has(live.get(identity)!.zone),
+      ];
+      if (otherNew !== heldNew ? otherNew : this.#queuesAt(other) < this.#queuesAt(identity))
+        identity = other;
     }
     /** Two copies in one zone while another zone has a place: that comes before balance (§8.2). */
     const { zone } = live.get(identity)!;
     const gainsZone = sharingZone(view.members, live).length > 0 && !zones.has(zone);
     /** A move within a zone takes the place of a machine of that zone; else zones would be doubled and mended in turn. */
     const rivals: Member[] = [];
-    for (const member of view.members) if (!zones.has(zone) || live.get(member.identity)!.zone === zone) rivals.push(member);
+    for (const member of view.members)
+      if (!zones.has(zone) || live.get(member.identity)!.zone === zone) rivals.push(member);
     /** Balance: one queue at a time goes from the machine with most to the one with fewest. */
-    if (counted >= this.#policy.copiesWanted && (this.#moved || this.#copying() || !gainsZone && this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2)) return undefined;
+    if (
+      counted >= this.#policy.copiesWanted &&
+      (this.#moved ||
+        this.#copying() ||
+        (!gainsZone &&
+          this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2))
+    )
+      return undefined;
     if (counted >= this.#policy.copiesWanted) this.#moved = true;
-    return { mark, members: view.members, ...holding, joiner: { identity, address: live.get(identity)!.address } };
+    return {
+      mark,
+      members: view.members,
+      ...holding,
+      joiner: { identity, address: live.get(identity)!.address },
+    };
   }
 
   #queuesAt(identity: string): number {
     let count = 0;
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.members.some(hasIdentity, { identity }) || view.joiner?.identity === identity) count += 1;
+    for (const [, view] of this.#feed.under<ChainView>(keys.queue))
+      if (view.members.some(hasIdentity, { identity }) || view.joiner?.identity === identity)
+        count += 1;
     return count;
   }
 
   #copying(): boolean {
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue)) if (view.joiner !== undefined || view.members.length !== this.#policy.copiesWanted) return true;
+    for (const [, view] of this.#feed.under<ChainView>(keys.queue))
+      if (view.joiner !== undefined || view.members.length !== this.#policy.copiesWanted)
+        return true;
     return false;
   }
 
   /** The member whose machine keeps most queues; the owner only if it alone does, since moving it costs a pause. */
   #mostBurdened(members: readonly Member[]): Member {
     let most = members.at(-1)!;
-    for (const member of [...members].reverse()) if (this.#queuesAt(member.identity) > this.#queuesAt(most.identity)) most = member;
+    for (const member of [...members].reverse())
+      if (this.#queuesAt(member.identity) > this.#queuesAt(most.identity)) most = member;
     return most;
   }
 
   /** Too few copies left to confirm: each holds all that was confirmed, serves nothing, and is copied from; who comes back goes on at once (§1.5, §8.2). */
-  #lone(view: ChainView, alive: readonly Member[], live: ReadonlyMap<string, NodeCard>, emptying: ReadonlySet<string>): ChainView | undefined {
+  #lone(
+    view: ChainView,
+    alive: readonly Member[],
+    live: ReadonlyMap<string, NodeCard>,
+    emptying: ReadonlySet<string>,
+  ): ChainView | undefined {
     const holders = holdersOf(view);
     const able: string[] = [];
-    for (const identity of live.keys()) if (!emptying.has(identity) && !holders.some(hasIdentity, { identity })) able.push(identity);
+    for (const identity of live.keys())
+      if (!emptying.has(identity) && !holders.some(hasIdentity, { identity })) able.push(identity);
     if (alive.length === 0 || able.length === 0) return undefined;
-    const joiner = view.joiner !== undefined && live.has(view.joiner.identity) ? view.joiner : { identity: able.sort()[0]!, address: live.get(able[0]!)!.address };
+    const joiner =
+      view.joiner !== undefined && live.has(view.joiner.identity)
+        ? view.joiner
+        : { identity: able.sort()[0]!, address: live.get(able[0]!)!.address };
     return { mark: view.mark + 1, members: alive, joiner, holders };
   }
 
@@ -671,19 +1042,34 @@
   status(now: number): Record<string, unknown> {
     const roll = this.#sessions.roll(now);
     const queues: Record<string, unknown> = {};
-    for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) queues[key.slice(keys.queue.length)] = view;
+    for (const [key, view] of this.#feed.under<ChainView>(keys.queue))
+      queues[key.slice(keys.queue.length)] = view;
     const emptying: Record<string, unknown> = {};
-    for (const [key] of this.#feed.under(keys.emptying)) emptying[key.slice(keys.emptying.length)] = { queuesLeft: this.#queuesAt(key.slice(keys.emptying.length)) };
+    for (const [key] of this.#feed.under(keys.emptying))
+      emptying[key.slice(keys.emptying.length)] = {
+        queuesLeft: this.#queuesAt(key.slice(keys.emptying.length)),
+      };
     return {
-      self: this.#self, place: this.#feed.place, configuration: this.#feed.read<MarkedConfiguration>(keys.configuration)?.mark ?? 0,
-      view: this.#chain.view, head: this.#chain.isHead, nodes: roll.nodes.map(cardOf), runners: roll.runners, queues, standings: this.#standings(now), emptying, safeToLoseOne: this.#safe(now), safeToLoseZone: this.#zoneless(now),
+      self: this.#self,
+      place: this.#feed.place,
+      configuration: this.#feed.read<MarkedConfiguration>(keys.configuration)?.mark ?? 0,
+      view: this.#chain.view,
+      head: this.#chain.isHead,
+      nodes: roll.nodes.map(cardOf),
+      runners: roll.runners,
+      queues,
+      standings: this.#standings(now),
+      emptying,
+      safeToLoseOne: this.#safe(now),
+      safeToLoseZone: this.#zoneless(now),
     };
   }
 
   #standings(now: number): Record<string, unknown> {
     const { standings, reports } = this.#surroundings(this.#sessions.live("storage", now), now);
     const told: Record<string, unknown> = {};
-    for (const [queue, standing] of standings) told[queue] = { ...standing, report: reportOf(reports.get(queue)) };
+    for (const [queue, standing] of standings)
+      told[queue] = { ...standing, report: reportOf(reports.get(queue)) };
     return told;
   }
 
@@ -695,8 +1081,10 @@
     for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) {
       for (const zone of zonesOf(view.members, live)) {
         let others = 0;
-        for (const member of view.members) if (live.has(member.identity) && live.get(member.identity)!.zone !== zone) others += 1;
-        if (others < this.#policy.copiesLeast) told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
+        for (const member of view.members)
+          if (live.has(member.identity) && live.get(member.identity)!.zone !== zone) others += 1;
+        if (others < this.#policy.copiesLeast)
+          told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
       }
     }
     return Object.keys(told).length === 0 ? true : told;
@@ -725,7 +1113,8 @@
 
 function zonesOf(members: readonly Member[], live: ReadonlyMap<string, NodeCard>): Set<string> {
   const zones = new Set<string>();
-  for (const member of members) if (live.has(member.identity)) zones.add(live.get(member.identity)!.zone);
+  for (const member of members)
+    if (live.has(member.identity)) zones.add(live.get(member.identity)!.zone);
   return zones;
 }
 
@@ -758,7 +1147,9 @@
 }
 
 function reportOf(report: ShareReport | undefined): Record<string, unknown> | undefined {
-  return report === undefined ? undefined : { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
+  return report === undefined
+    ? undefined
+    : { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
 }
 
 function isIn(this: ReadonlySet<string>, member: Member): boolean {
--- a/packages/control/src/explain.ts
+++ b/packages/control/src/explain.ts
@@ -1,4 +1,11 @@
-import { constants, season as seasons, type Labels, type RunnerCard, type Season, type Selector } from "@chutewick/parts";
+import {
+  constants,
+  season as seasons,
+  type Labels,
+  type RunnerCard,
+  type Season,
+  type Selector,
+} from "@chutewick/parts";
 import { configuration, type Configuration, type QueuePlan } from "./configuration.js";
 import { standingClasses, type QueueStanding } from "./machine.js";
 import { governingIn, type ShareReport } from "./pace.js";
@@ -20,7 +27,9 @@
   readonly runners: readonly RunnerCard[];
 }
 
-export type Explained = { readonly kind: "EXPLAINED"; readonly value: Record<string, unknown> } | { readonly kind: "REFUSED"; readonly reason: string };
+export type Explained =
+  | { readonly kind: "EXPLAINED"; readonly value: Record<string, unknown> }
+  | { readonly kind: "REFUSED"; readonly reason: string };
 
 function refused(reason: string): Explained {
   return { kind: "REFUSED", reason };
@@ -36,13 +45,20 @@
   }
   if (model === undefined) return "model: name a model or a way";
   const queue = configuration.queueOf(model, adapter);
-  return configuration.queues(value).find(isQueue, { queue }) ?? `model: there is no model or adapter ${queue}`;
+  return (
+    configuration.queues(value).find(isQueue, { queue }) ??
+    `model: there is no model or adapter ${queue}`
+  );
 }
 
 function explain(asked: Asked, known: Known): Explained {
   const plan = planOf(asked, known.value);
   if (typeof plan === "string") return refused(plan);
-  const labels: Labels = { ...asked.labels, ...(asked.way === undefined ? {} : { ...known.value.ways[asked.way]!.labels, way: asked.way }), ...plan.labels };
+  const labels: Labels = {
+    ...asked.labels,
+    ...(asked.way === undefined ? {} : { ...known.value.ways[asked.way]!.labels, way: asked.way }),
+    ...plan.labels,
+  };
   const calendar = configuration.seasonsOf(known.value, known.wall);
   const governing = seasons.deciding(calendar, labels, known.wall);
   const name = governing?.name ?? "";
@@ -56,33 +72,79 @@
   return {
     kind: "EXPLAINED",
     value: {
-      queue: plan.queue, labels, season: governing?.name ?? null, ...(governing === undefined ? {} : { opensAt: iso(governing.start), closesAt: iso(governing.end) }),
-      allowance: governing?.waiting ?? plan.waiting, shareOfThisQueue: held?.target ?? 0, stillGranted: held?.granted ?? 0,
-      mayComeToWait: told?.held ?? null, waitingOrRefusedLately: told?.need ?? null,
-      bucket: standing?.base ?? plan.limits, pace: standing?.limits ?? null, eighthsOfBucket: standing?.pace ?? null,
-      runners: chosen, nextChange: next === undefined ? null : iso(next), why: why(governing, mine, known, standing, chosen.length),
+      queue: plan.queue,
+      labels,
+      season: governing?.name ?? null,
+      ...(governing === undefined
+        ? {}
+        : { opensAt: iso(governing.start), closesAt: iso(governing.end) }),
+      allowance: governing?.waiting ?? plan.waiting,
+      shareOfThisQueue: held?.target ?? 0,
+      stillGranted: held?.granted ?? 0,
+      mayComeToWait: told?.held ?? null,
+      waitingOrRefusedLately: told?.need ?? null,
+      bucket: standing?.base ?? plan.limits,
+      pace: standing?.limits ?? null,
+      eighthsOfBucket: standing?.pace ?? null,
+      runners: chosen,
+      nextChange: next === undefined ? null : iso(next),
+      why: why(governing, mine, known, standing, chosen.length),
     },
   };
 }
 
-function why(governing: Season | undefined, mine: readonly Season[], known: Known, standing: QueueStanding | undefined, runners: number): string {
+function why(
+  governing: Season | undefined,
+  mine: readonly Season[],
+  known: Known,
+  standing: QueueStanding | undefined,
+  runners: number,
+): string {
   const parts: string[] = [];
-  if (governing === undefined) parts.push(mine.length === 0 ? "no season selects these labels: the model's own waiting and bucket hold" : "a season selects these labels, but none is open now: the model's own waiting and bucket hold");
+  if (governing === undefined)
+    parts.push(
+      mine.length === 0
+        ? "no season selects these labels: the model's own waiting and bucket hold"
+        : "a season selects these labels, but none is open now: the model's own waiting and bucket hold",
+    );
   else {
     const others: string[] = [];
-    for (const one of seasons.opened(mine, known.wall)) if (one.name !== governing.name) others.push(one.name);
-    parts.push(others.length === 0 ? `season ${governing.name} is the only open one that selects these labels` : `season ${governing.name} started last of the open ones that select these labels (${others.join(", ")})`);
-    if (governing.limits !== undefined && standing !== undefined && JSON.stringify(standing.base) !== JSON.stringify(governing.limits)) parts.push("its bucket does not hold here, since it does not select the queue by the labels of model and adapter alone, or a later one does");
+    for (const one of seasons.opened(mine, known.wall))
+      if (one.name !== governing.name) others.push(one.name);
+    parts.push(
+      others.length === 0
+        ? `season ${governing.name} is the only open one that selects these labels`
+        : `season ${governing.name} started last of the open ones that select these labels (${others.join(", ")})`,
+    );
+    if (
+      governing.limits !== undefined &&
+      standing !== undefined &&
+      JSON.stringify(standing.base) !== JSON.stringify(governing.limits)
+    )
+      parts.push(
+        "its bucket does not hold here, since it does not select the queue by the labels of model and adapter alone, or a later one does",
+      );
   }
   if (runners === 0) parts.push("no runner that is there now may take these lots, so they wait");
-  else if (standing !== undefined) parts.push(standing.pace === constants.paceSteps ? "live work leaves room for the whole pace" : `live work leaves ${standing.pace} eighths of the pace`);
+  else if (standing !== undefined)
+    parts.push(
+      standing.pace === constants.paceSteps
+        ? "live work leaves room for the whole pace"
+        : `live work leaves ${standing.pace} eighths of the pace`,
+    );
   return parts.join("; ");
 }
 
-function runnersFor(plan: { model: string; queue: string }, selectors: readonly Selector[], runners: readonly RunnerCard[]): string[] {
+function runnersFor(
+  plan: { model: string; queue: string },
+  selectors: readonly Selector[],
+  runners: readonly RunnerCard[],
+): string[] {
   const found: string[] = [];
   for (const runner of runners) {
-    const serves = runner.kind === "model" && (runner.models.includes(plan.model) || runner.models.includes(plan.queue));
+    const serves =
+      runner.kind === "model" &&
+      (runner.models.includes(plan.model) || runner.models.includes(plan.queue));
     if (serves && seasons.matches(selectors, runner.labels)) found.push(runner.id);
   }
   return found.sort();
@@ -90,27 +152,47 @@
 
 /** What a season that is not entered yet would select, were it open now. */
 function preview(input: unknown, known: Known): Explained {
-  const entered = configuration.check(configuration.patch(known.value, { seasons: { preview: null } }));
+  const entered = configuration.check(
+    configuration.patch(known.value, { seasons: { preview: null } }),
+  );
   if (!entered.ok) return refused(entered.reason);
-  const checked = configuration.check({ ...entered.value, seasons: { ...entered.value.seasons, preview: input } });
+  const checked = configuration.check({
+    ...entered.value,
+    seasons: { ...entered.value.seasons, preview: input },
+  });
   if (!checked.ok) return refused(checked.reason.replaceAll("seasons.preview.", ""));
   const { value } = checked;
-  const one: Season = { name: "preview", start: 0, end: 1, select: value.seasons["preview"]!.select, runners: value.seasons["preview"]!.runners, waiting: value.seasons["preview"]!.waiting };
+  const one: Season = {
+    name: "preview",
+    start: 0,
+    end: 1,
+    select: value.seasons["preview"]!.select,
+    runners: value.seasons["preview"]!.runners,
+    waiting: value.seasons["preview"]!.waiting,
+  };
   const queues: Record<string, unknown> = {};
   for (const plan of configuration.queues(value)) {
     const { seasons: found, whole } = governingIn([one], plan, value);
-    if (found.length > 0) queues[plan.queue] = { lots: whole ? "all" : "those that bring or whose way has the labels", runners: runnersFor(plan, one.runners, known.runners) };
+    if (found.length > 0)
+      queues[plan.queue] = {
+        lots: whole ? "all" : "those that bring or whose way has the labels",
+        runners: runnersFor(plan, one.runners, known.runners),
+      };
   }
   const ways: string[] = [];
   for (const [name, way] of Object.entries(value.ways)) {
     if (way.kind !== "lot") continue;
-    const plan = configuration.queues(value).find(isQueue, { queue: configuration.queueOf(way.model!, way.adapter) })!;
+    const plan = configuration
+      .queues(value)
+      .find(isQueue, { queue: configuration.queueOf(way.model!, way.adapter) })!;
     if (seasons.mayMatch(one.select, { ...way.labels, ...plan.labels, way: name })) ways.push(name);
   }
   const next: string[] = [];
-  for (const each of configuration.seasonsOf(value, known.wall)) if (each.name === "preview") next.push(`${iso(each.start)} to ${iso(each.end)}`);
+  for (const each of configuration.seasonsOf(value, known.wall))
+    if (each.name === "preview") next.push(`${iso(each.start)} to ${iso(each.end)}`);
   const mine: string[] = [];
-  for (const warning of configuration.warnings(value)) if (warning.startsWith("seasons.preview.")) mine.push(warning.replace("seasons.preview.", ""));
+  for (const warning of configuration.warnings(value))
+    if (warning.startsWith("seasons.preview.")) mine.push(warning.replace("seasons.preview.", ""));
   return { kind: "EXPLAINED", value: { queues, ways, opens: next, warnings: mine } };
 }
 
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -1,5 +1,12 @@
 import { createHash } from "node:crypto";
-import { constants, type ChainView, type Ledger, type Limits, type Machine, type Selector } from "@chutewick/parts";
+import {
+  constants,
+  type ChainView,
+  type Ledger,
+  type Limits,
+  type Machine,
+  type Selector,
+} from "@chutewick/parts";
 import { configuration, type Configuration, type MarkedConfiguration } from "./configuration.js";
 
 /** Control state: configuration, placement of queues, goodbyes, emptying of machines (docs/design.md §9). */
@@ -8,7 +15,14 @@
    * With the operator's own mark, if any, which goes up in steps of any size; the operator's own text of the whole; and the order
    * word for word as it came, where it is not that text: said again, it is known as taken (§13.8).
    */
-  | { kind: "put"; expected: number | undefined; mark?: number; value: unknown; origin?: string; word?: string }
+  | {
+      kind: "put";
+      expected: number | undefined;
+      mark?: number;
+      value: unknown;
+      origin?: string;
+      word?: string;
+    }
   | { kind: "patch"; expected: number | undefined; change: unknown }
   | { kind: "goodbye"; runner: string; incarnation: number }
   | { kind: "forget-goodbyes" }
@@ -87,14 +101,33 @@
 
 export function standingClasses(standing: QueueStanding | undefined): readonly StandingClass[] {
   if (standing === undefined) return [];
-  return standing.classes ?? [{ season: standing.season ?? "", select: [], runners: [], target: standing.target, granted: standing.granted }];
+  return (
+    standing.classes ?? [
+      {
+        season: standing.season ?? "",
+        select: [],
+        runners: [],
+        target: standing.target,
+        granted: standing.granted,
+      },
+    ]
+  );
 }
 
 function goodbyeKey(runner: string): string {
   return `goodbye/${runner}`;
 }
 
-export const keys = { fleet: "fleet", configuration: "configuration", queue: "queue/", standing: "standing/", goodbye: "goodbye/", emptying: "emptying/", taken: "taken", goodbyeKey };
+export const keys = {
+  fleet: "fleet",
+  configuration: "configuration",
+  queue: "queue/",
+  standing: "standing/",
+  goodbye: "goodbye/",
+  emptying: "emptying/",
+  taken: "taken",
+  goodbyeKey,
+};
 
 interface Order {
   readonly expected: number | undefined;
@@ -106,9 +139,13 @@
 /** Whether an order may be entered twice and is the same as once. */
 export function isRepeatable(command: ControlCommand): boolean {
   switch (command.kind) {
-    case "read": case "goodbye": return true;
-    case "put": return command.mark !== undefined && (command.word ?? command.origin) !== undefined;
-    default: return false;
+    case "read":
+    case "goodbye":
+      return true;
+    case "put":
+      return command.mark !== undefined && (command.word ?? command.origin) !== undefined;
+    default:
+      return false;
   }
 }
 
@@ -121,16 +158,35 @@
     const command = input as ControlCommand;
     const held = configuration.read(ledger.read<MarkedConfiguration>(keys.configuration));
     switch (command.kind) {
-      case "read": return { kind: "CONFIGURATION", mark: held.mark, value: held.value, ...(held.origin === undefined ? {} : { origin: held.origin }) };
-      case "put": return this.#enter(ledger, held, command, command.value);
-      case "patch": return this.#enter(ledger, held, { expected: command.expected }, configuration.patch(held.value, command.change));
+      case "read":
+        return {
+          kind: "CONFIGURATION",
+          mark: held.mark,
+          value: held.value,
+          ...(held.origin === undefined ? {} : { origin: held.origin }),
+        };
+      case "put":
+        return this.#enter(ledger, held, command, command.value);
+      case "patch":
+        return this.#enter(
+          ledger,
+          held,
+          { expected: command.expected },
+          configuration.patch(held.value, command.change),
+        );
       case "goodbye": {
         const key = keys.goodbyeKey(command.runner);
-        if ((ledger.read<Goodbye>(key)?.incarnation ?? 0) < command.incarnation) ledger.put(key, { runner: command.runner, incarnation: command.incarnation, at: time } satisfies Goodbye);
+        if ((ledger.read<Goodbye>(key)?.incarnation ?? 0) < command.incarnation)
+          ledger.put(key, {
+            runner: command.runner,
+            incarnation: command.incarnation,
+            at: time,
+          } satisfies Goodbye);
         return { kind: "DONE" };
       }
       case "forget-goodbyes": {
-        for (const [key, goodbye] of [...ledger.under<Goodbye>(keys.goodbye)]) if (goodbye.at + constants.goodbyeKept < time) ledger.remove(key);
+        for (const [key, goodbye] of [...ledger.under<Goodbye>(keys.goodbye)])
+          if (goodbye.at + constants.goodbyeKept < time) ledger.remove(key);
         return { kind: "DONE" };
       }
       case "place":
@@ -155,7 +211,11 @@
         return { kind: "DONE" };
       }
       case "empty": {
-        if (command.wanted) ledger.put(keys.emptying + command.identity, { since: time, ...(command.name === undefined ? {} : { name: command.name }) } satisfies EmptyingRecord);
+        if (command.wanted)
+          ledger.put(keys.emptying + command.identity, {
+            since: time,
+            ...(command.name === undefined ? {} : { name: command.name }),
+          } satisfies EmptyingRecord);
         else ledger.remove(keys.emptying + command.identity);
         return { kind: "DONE" };
       }
@@ -163,17 +223,39 @@
   }
 
   /** Checked on the merged whole, so nothing of a refused change takes effect; one of two racers wins. */
-  #enter(ledger: Ledger, held: MarkedConfiguration, { expected, mark: own, origin, word = origin }: Order, value: unknown): ControlResult {
-    const digest = word === undefined || own === undefined ? undefined : createHash("sha256").update(word).digest("base64");
+  #enter(
+    ledger: Ledger,
+    held: MarkedConfiguration,
+    { expected, mark: own, origin, word = origin }: Order,
+    value: unknown,
+  ): ControlResult {
+    const digest =
+      word === undefined || own === undefined
+        ? undefined
+        : createHash("sha256").update(word).digest("base64");
     const taken = ledger.read<TakenRecord>(keys.taken)?.orders ?? [];
-    if (digest !== undefined) for (const [mark, held] of taken) if (mark === own && held === digest) return { kind: "IN_FORCE", mark };
-    if (expected !== undefined && expected !== null && expected !== held.mark) return { kind: "CONFLICT", mark: held.mark };
+    if (digest !== undefined)
+      for (const [mark, held] of taken)
+        if (mark === own && held === digest) return { kind: "IN_FORCE", mark };
+    if (expected !== undefined && expected !== null && expected !== held.mark)
+      return { kind: "CONFLICT", mark: held.mark };
     const checked = configuration.check(value);
     if (!checked.ok) return { kind: "REFUSED", reason: checked.reason };
-    if (own !== undefined && !(Number.isSafeInteger(own) && own > held.mark)) return { kind: "REFUSED", reason: `(whole): the mark ${own} must be a whole number above ${held.mark}, which is in force` };
+    if (own !== undefined && !(Number.isSafeInteger(own) && own > held.mark))
+      return {
+        kind: "REFUSED",
+        reason: `(whole): the mark ${own} must be a whole number above ${held.mark}, which is in force`,
+      };
     const mark = own ?? held.mark + 1;
-    ledger.put(keys.configuration, { mark, value: checked.value, ...(origin === undefined ? {} : { origin }) } satisfies MarkedConfiguration);
-    if (digest !== undefined) ledger.put(keys.taken, { orders: [...taken.slice(1 - constants.ordersKept), [mark, digest]] } satisfies TakenRecord);
+    ledger.put(keys.configuration, {
+      mark,
+      value: checked.value,
+      ...(origin === undefined ? {} : { origin }),
+    } satisfies MarkedConfiguration);
+    if (digest !== undefined)
+      ledger.put(keys.taken, {
+        orders: [...taken.slice(1 - constants.ordersKept), [mark, digest]],
+      } satisfies TakenRecord);
     const warnings = configuration.warnings(checked.value);
     return { kind: "IN_FORCE", mark, ...(warnings.length === 0 ? {} : { warnings }) };
   }
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -1,4 +1,16 @@
-import { constants, policy, sameLimits, season as seasons, type Labels, type Limits, type NodeCard, type Policy, type RunnerCard, type Season, type Selector } from "@chutewick/parts";
+import {
+  constants,
+  policy,
+  sameLimits,
+  season as seasons,
+  type Labels,
+  type Limits,
+  type NodeCard,
+  type Policy,
+  type RunnerCard,
+  type Season,
+  type Selector,
+} from "@chutewick/parts";
 import { configuration, type Configuration, type QueuePlan } from "./configuration.js";
 import { standingClasses, type QueueStanding, type StandingClass } from "./machine.js";
 
@@ -70,26 +82,52 @@
       const { queue } = plan;
       planned.add(queue);
       const governing = governingIn(opened, plan, around.value);
-      for (const one of governing.seasons) wish(`season ${one.name}`, one.waiting, { queue, season: one.name, select: one.select, runners: one.runners, wanted: 0 });
-      if (!governing.whole) wish(`queue ${queue}`, plan.waiting, { queue, season: "", select: all, runners: all, wanted: 0 });
+      for (const one of governing.seasons)
+        wish(`season ${one.name}`, one.waiting, {
+          queue,
+          season: one.name,
+          select: one.select,
+          runners: one.runners,
+          wanted: 0,
+        });
+      if (!governing.whole)
+        wish(`queue ${queue}`, plan.waiting, {
+          queue,
+          season: "",
+          select: all,
+          runners: all,
+          wanted: 0,
+        });
       const deciding = seasons.deciding(calendar, plan.labels, around.wall);
       const runners = governing.whole && governing.seasons.every(isChoosy) ? governing.seasons : [];
-      drafts.set(queue, { season: governing.seasons[0]?.name ?? null, base: deciding?.limits ?? plan.limits, pace: this.#paceOf(plan.queue, plan.model, plan.adapter, runners, around), classes: [] });
+      drafts.set(queue, {
+        season: governing.seasons[0]?.name ?? null,
+        base: deciding?.limits ?? plan.limits,
+        pace: this.#paceOf(plan.queue, plan.model, plan.adapter, runners, around),
+        classes: [],
+      });
     }
     /** What a queue still holds of seasons that are over, and queues no longer configured, weigh on until they are drained. */
     for (const [queue, standing] of around.standings) {
       if (!drafts.has(queue)) {
         const [model, adapter] = configuration.modelOf(queue);
-        drafts.set(queue, { season: standing.season, base: standing.base ?? standing.limits, pace: this.#paceOf(queue, model, adapter, [], around), classes: [] });
+        drafts.set(queue, {
+          season: standing.season,
+          base: standing.base ?? standing.limits,
+          pace: this.#paceOf(queue, model, adapter, [], around),
+          classes: [],
+        });
       }
       for (const { season, select, runners, granted } of standingClasses(standing)) {
         const group = season === "" ? `queue ${queue}` : `season ${season}`;
         if (groups.get(group)?.wishes.some(isOf, { queue }) === true) continue;
         /** A class that a draining lot may still be in stays, so that its runners are known. */
-        if (granted > 0 || !planned.has(queue)) wish(group, 0, { queue, season, select, runners, wanted: 0 });
+        if (granted > 0 || !planned.has(queue))
+          wish(group, 0, { queue, season, select, runners, wanted: 0 });
       }
     }
-    for (const { allowance, wishes } of groups.values()) settle(share(wishes, allowance, around), allowance, around, drafts);
+    for (const { allowance, wishes } of groups.values())
+      settle(share(wishes, allowance, around), allowance, around, drafts);
     const changes: [string, QueueStanding][] = [];
     for (const [queue, draft] of drafts) {
       const next = entered(around.standings.get(queue), draft);
@@ -99,31 +137,55 @@
   }
 
   /** Pools are paced by whoever draws from their queues, who knows what room there is (§13.4). */
-  #paceOf(queue: string, model: string, adapter: string | undefined, choosy: readonly Season[], around: Surroundings): number {
-    return configuration.isPoolQueue(queue) ? constants.paceSteps : this.#pace(model, adapter, choosy, around);
+  #paceOf(
+    queue: string,
+    model: string,
+    adapter: string | undefined,
+    choosy: readonly Season[],
+    around: Surroundings,
+  ): number {
+    return configuration.isPoolQueue(queue)
+      ? constants.paceSteps
+      : this.#pace(model, adapter, choosy, around);
   }
 
   /** Room that live work leaves on the runners of a model, in steps; down at once, up only when it lasts. */
-  #pace(model: string, adapter: string | undefined, choosy: readonly Season[], around: Surroundings): number {
+  #pace(
+    model: string,
+    adapter: string | undefined,
+    choosy: readonly Season[],
+    around: Surroundings,
+  ): number {
     const name = configuration.queueOf(model, adapter);
     const lots = new Map<string, number>();
     let turnedAway = 0;
     for (const card of around.access) {
-      for (const [runner, count] of card.telling.lots ?? []) lots.set(runner, (lots.get(runner) ?? 0) + count);
-      for (const [from, count] of card.telling.turnedAway ?? []) if (from === model) turnedAway += count;
+      for (const [runner, count] of card.telling.lots ?? [])
+        lots.set(runner, (lots.get(runner) ?? 0) + count);
+      for (const [from, count] of card.telling.turnedAway ?? [])
+        if (from === model) turnedAway += count;
     }
     let seatsOfAll = 0;
     let free = 0;
     for (const runner of around.runners) {
-      if (runner.kind !== "model" || !(runner.models.includes(model) || runner.models.includes(name))) continue;
+      if (
+        runner.kind !== "model" ||
+        !(runner.models.includes(model) || runner.models.includes(name))
+      )
+        continue;
       if (choosy.length > 0 && !choosy.some(takes, runner)) continue;
       const seats = runner.seats * constants.lotPart;
       seatsOfAll += seats;
-      if (runner.age <= constants.burdenLasts) free += Math.max(0, seats - Math.max(0, runner.burden - (lots.get(runner.id) ?? 0)));
+      if (runner.age <= constants.burdenLasts)
+        free += Math.max(0, seats - Math.max(0, runner.burden - (lots.get(runner.id) ?? 0)));
     }
-    const room = seatsOfAll === 0 || turnedAway > 0 ? 0 : Math.min(1, free / seatsOfAll + constants.paceSlack);
+    const room =
+      seatsOfAll === 0 || turnedAway > 0 ? 0 : Math.min(1, free / seatsOfAll + constants.paceSlack);
     const step = Math.floor(room * constants.paceSteps);
-    const held = this.#paces.get(name) ?? { step: seatsOfAll === 0 ? constants.paceSteps : step, roomSince: undefined };
+    const held = this.#paces.get(name) ?? {
+      step: seatsOfAll === 0 ? constants.paceSteps : step,
+      roomSince: undefined,
+    };
     this.#paces.set(name, held);
     if (seatsOfAll === 0) return held.step;
     if (step <= held.step) {
@@ -141,10 +203,15 @@
 }
 
 /** The seasons that may hold lots of a queue, in the order in which they are asked, and whether they select every lot of it. */
-export function governingIn(opened: readonly Season[], plan: QueuePlan, value: Configuration): { seasons: Season[]; whole: boolean } {
+export function governingIn(
+  opened: readonly Season[],
+  plan: QueuePlan,
+  value: Configuration,
+): { seasons: Season[]; whole: boolean } {
   const known: Labels[] = [];
   for (const [key, way] of Object.entries(value.ways)) {
-    if (way.kind === "lot" && way.model === plan.model && way.adapter === plan.adapter) known.push({ ...way.labels, ...plan.labels, way: key });
+    if (way.kind === "lot" && way.model === plan.model && way.adapter === plan.adapter)
+      known.push({ ...way.labels, ...plan.labels, way: key });
   }
   if (known.length === 0) known.push(plan.labels);
   const found: Season[] = [];
@@ -185,7 +252,8 @@
 }
 
 function classIn(around: Surroundings, queue: string, season: string): StandingClass | undefined {
-  for (const each of standingClasses(around.standings.get(queue))) if (each.season === season) return each;
+  for (const each of standingClasses(around.standings.get(queue)))
+    if (each.season === season) return each;
   return undefined;
 }
 
@@ -201,14 +269,23 @@
   const found: Wish[] = [];
   for (const [place, wish] of wishes.entries()) {
     const held = classIn(around, wish.queue, wish.season);
-    const near = held !== undefined && targets <= allowance && Math.abs(held.target - cuts[place]!) <= allowance / wishes.length / 4 && wishes.length > 1;
+    const near =
+      held !== undefined &&
+      targets <= allowance &&
+      Math.abs(held.target - cuts[place]!) <= allowance / wishes.length / 4 &&
+      wishes.length > 1;
     found.push({ ...wish, wanted: near ? held.target : cuts[place]! });
   }
   return found;
 }
 
 /** Lowers first; raises only by what is surely free: the sum of what may come to wait never passes the allowance. */
-function settle(wishes: readonly Wish[], allowance: number, around: Surroundings, drafts: ReadonlyMap<string, Draft>): void {
+function settle(
+  wishes: readonly Wish[],
+  allowance: number,
+  around: Surroundings,
+  drafts: ReadonlyMap<string, Draft>,
+): void {
   let committed = 0;
   const granted = new Map<string, number>();
   for (const { queue, season } of wishes) {
@@ -216,7 +293,10 @@
     if (standing === undefined) continue;
     const report = around.reports.get(queue);
     const told = report?.classes.get(season)?.held ?? 0;
-    const known = report !== undefined && report.shareMark === around.standings.get(queue)!.shareMark ? Math.max(standing.target, Math.min(standing.granted, told)) : standing.granted;
+    const known =
+      report !== undefined && report.shareMark === around.standings.get(queue)!.shareMark
+        ? Math.max(standing.target, Math.min(standing.granted, told))
+        : standing.granted;
     granted.set(queue, known);
     committed += known;
   }
@@ -231,12 +311,17 @@
       target = has + more;
       may = target;
     }
-    drafts.get(queue)!.classes.push({ season, select, runners, target, granted: Math.max(may, target) });
+    drafts
+      .get(queue)!
+      .classes.push({ season, select, runners, target, granted: Math.max(may, target) });
   }
 }
 
 /** The standing to be entered, or undefined where all is as it stands. */
-function entered(standing: QueueStanding | undefined, { season, base, pace, classes }: Draft): QueueStanding | undefined {
+function entered(
+  standing: QueueStanding | undefined,
+  { season, base, pace, classes }: Draft,
+): QueueStanding | undefined {
   const limits = paced(base, pace);
   let target = 0;
   let granted = 0;
@@ -244,15 +329,34 @@
     target += each.target;
     granted += each.granted;
   }
-  if (standing === undefined) return { mark: 1, shareMark: 1, season, base, limits, pace, target, granted, classes };
+  if (standing === undefined)
+    return { mark: 1, shareMark: 1, season, base, limits, pace, target, granted, classes };
   const told = shape(classes, false);
-  const sameShare = sameLimits(standing.limits, limits) && told === shape(standingClasses(standing), false);
-  if (sameShare && standing.pace === pace && standing.season === season && shape(classes, true) === shape(standingClasses(standing), true)) return undefined;
-  return { mark: standing.mark + 1, shareMark: standing.shareMark + (sameShare ? 0 : 1), season, base, limits, pace, target, granted, classes };
+  const sameShare =
+    sameLimits(standing.limits, limits) && told === shape(standingClasses(standing), false);
+  if (
+    sameShare &&
+    standing.pace === pace &&
+    standing.season === season &&
+    shape(classes, true) === shape(standingClasses(standing), true)
+  )
+    return undefined;
+  return {
+    mark: standing.mark + 1,
+    shareMark: standing.shareMark + (sameShare ? 0 : 1),
+    season,
+    base,
+    limits,
+    pace,
+    target,
+    granted,
+    classes,
+  };
 }
 
 function shape(classes: readonly StandingClass[], withGranted: boolean): string {
   const rows: unknown[] = [];
-  for (const { season, select, runners, target, granted } of classes) rows.push([season, select, runners, target, withGranted ? granted : 0]);
+  for (const { season, select, runners, target, granted } of classes)
+    rows.push([season, select, runners, target, withGranted ? granted : 0]);
   return JSON.stringify(rows);
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,10 +1,31 @@
 import { randomUUID } from "node:crypto";
-import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, replyTrouble, settings as configured, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import {
+  Beat,
+  Disk,
+  Gateway,
+  Wire,
+  diskFailed,
+  listen,
+  metrics,
+  monotonic,
+  reply,
+  replyTrouble,
+  settings as configured,
+  settled,
+  type Arrival,
+  type Log,
+  type Settings,
+} from "@chutewick/shell";
 import { constants, outcome, type Outcome, type RunnerCard } from "@chutewick/parts";
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
 import type { ControlDesk, ControlFront } from "./control-desk.js";
-import { ControlCore, type ControlMessage, type ControlOutcome, type ControlOutput } from "./core.js";
+import {
+  ControlCore,
+  type ControlMessage,
+  type ControlOutcome,
+  type ControlOutput,
+} from "./core.js";
 import type { Explained } from "./explain.js";
 import type { ControlCommand } from "./machine.js";
 
@@ -33,10 +54,28 @@
       self.#perform(self.#core.receive(message as ControlMessage, from, monotonic()));
     }
     const member = { identity: disk.identity, address: settings.wire };
-    this.#core = new ControlCore({ member, seeds: settings.seeds, life: randomUUID(), votes: disk.votes(), holding: disk.holding("control"), policy: configured.policyOf(settings), founding: settings.founding }, monotonic());
-    this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
+    this.#core = new ControlCore(
+      {
+        member,
+        seeds: settings.seeds,
+        life: randomUUID(),
+        votes: disk.votes(),
+        holding: disk.holding("control"),
+        policy: configured.policyOf(settings),
+        founding: settings.founding,
+      },
+      monotonic(),
+    );
+    this.#wire = new Wire({
+      address: settings.wire,
+      listen: settings.wireListen ?? settings.wire,
+      log,
+      receive,
+    });
     this.#gateway = new Gateway({
-      address: settings.http, log, owners: [this.#owner()],
+      address: settings.http,
+      log,
+      owners: [this.#owner()],
       openings: [
         { method: "GET", path: "/status", event: "operator.status" },
         { method: "GET", path: "/metrics", event: "operator.metrics" },
@@ -51,17 +90,26 @@
     });
   }
 
-  static async open(settings: Settings, log: Log, extras: ControlExtras = {}): Promise<Outcome<ControlProcess>> {
+  static async open(
+    settings: Settings,
+    log: Log,
+    extras: ControlExtras = {},
+  ): Promise<Outcome<ControlProcess>> {
     const disk = await Disk.open(settings.data!, "control", settings.name, diskFailed(log));
     if (!disk.ok) return disk;
     const control = new ControlProcess(settings, log, disk.value, extras);
     const trouble = await listen(control.#wire, control.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
-    function strike(now: number): void { control.#perform(control.#core.beat(now, Date.now())); }
+    function strike(now: number): void {
+      control.#perform(control.#core.beat(now, Date.now()));
+    }
     control.#perform(control.#core.start(monotonic()));
     control.#beat.start(strike);
     for (const front of control.#fronts) await front.open(control.#desk());
-    log.info({ identity: disk.value.identity, wire: settings.wire, http: settings.http }, "control machine is up");
+    log.info(
+      { identity: disk.value.identity, wire: settings.wire, http: settings.http },
+      "control machine is up",
+    );
     return outcome.good(control);
   }
 
@@ -70,7 +118,9 @@
     this.#perform(this.#core.leave(monotonic()));
     const self = this;
     const until = monotonic() + constants.handOverPatience;
-    function handedOver(): boolean { return !self.#core.isNeeded || monotonic() > until; }
+    function handedOver(): boolean {
+      return !self.#core.isNeeded || monotonic() > until;
+    }
     await settled(handedOver);
     this.#beat.stop();
     for (const front of this.#fronts) await front.close();
@@ -87,36 +137,84 @@
       self.#perform(outputs);
       return told.kind === "TAKEN";
     }
-    function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void { self.#enter(command, told); }
-    function emptied(name: string): "emptying" | "emptied" | undefined { return self.#core.emptied(name, monotonic()); }
-    function isReady(): boolean { return self.#core.view !== undefined; }
+    function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
+      self.#enter(command, told);
+    }
+    function emptied(name: string): "emptying" | "emptied" | undefined {
+      return self.#core.emptied(name, monotonic());
+    }
+    function isReady(): boolean {
+      return self.#core.view !== undefined;
+    }
     return { isReady, announce, inquire, emptied };
   }
 
   /** Owner of all arrivals of this process. */
   #owner(): ServiceSchema {
     const self = this;
-    function status(arrival: Arrival): void { reply(arrival.reply, 200, { ...self.#core.status(monotonic()), counts: { syncs: self.#disk.syncs, sent: self.#wire.sent, dropped: self.#wire.dropped, refused: self.#wire.refused } }); }
-    function get(arrival: Arrival): void { self.#inquire(arrival, { kind: "read" }); }
+    function status(arrival: Arrival): void {
+      reply(arrival.reply, 200, {
+        ...self.#core.status(monotonic()),
+        counts: {
+          syncs: self.#disk.syncs,
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+          refused: self.#wire.refused,
+        },
+      });
+    }
+    function get(arrival: Arrival): void {
+      self.#inquire(arrival, { kind: "read" });
+    }
     function put(arrival: Arrival): void {
       const expected = expectedMark(arrival);
-      if (!expected.ok) return replyTrouble(arrival.reply, 400, { trouble: "bad-mark", reason: expected.reason });
+      if (!expected.ok)
+        return replyTrouble(arrival.reply, 400, { trouble: "bad-mark", reason: expected.reason });
       self.#inquire(arrival, { kind: "put", expected: expected.value, value: arrival.body });
     }
     function patch(arrival: Arrival): void {
       const expected = expectedMark(arrival);
-      if (!expected.ok) return replyTrouble(arrival.reply, 400, { trouble: "bad-mark", reason: expected.reason });
-      if (typeof arrival.body !== "object" || arrival.body === null || Array.isArray(arrival.body)) return replyTrouble(arrival.reply, 422, { trouble: "refused", reason: "(whole): a small change must be one JSON object" });
+      if (!expected.ok)
+        return replyTrouble(arrival.reply, 400, { trouble: "bad-mark", reason: expected.reason });
+      if (typeof arrival.body !== "object" || arrival.body === null || Array.isArray(arrival.body))
+        return replyTrouble(arrival.reply, 422, {
+          trouble: "refused",
+          reason: "(whole): a small change must be one JSON object",
+        });
       self.#inquire(arrival, { kind: "patch", expected: expected.value, change: arrival.body });
     }
-    function empty(arrival: Arrival): void { self.#inquire(arrival, { kind: "empty", identity: arrival.parameters["identity"]!, wanted: true }); }
-    function keep(arrival: Arrival): void { self.#inquire(arrival, { kind: "empty", identity: arrival.parameters["identity"]!, wanted: false }); }
+    function empty(arrival: Arrival): void {
+      self.#inquire(arrival, {
+        kind: "empty",
+        identity: arrival.parameters["identity"]!,
+        wanted: true,
+      });
+    }
+    function keep(arrival: Arrival): void {
+      self.#inquire(arrival, {
+        kind: "empty",
+        identity: arrival.parameters["identity"]!,
+        wanted: false,
+      });
+    }
     async function measured(arrival: Arrival): Promise<void> {
       const { place, configuration: mark, head, view } = self.#core.status(monotonic());
-      reply(arrival.reply, 200, await metrics.read({ place, configuration: mark, head, view, sent: self.#wire.sent, dropped: self.#wire.dropped }));
+      reply(
+        arrival.reply,
+        200,
+        await metrics.read({
+          place,
+          configuration: mark,
+          head,
+          view,
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+        }),
+      );
     }
     function explained(arrival: Arrival, told: Explained): void {
-      if (told.kind === "REFUSED") replyTrouble(arrival.reply, 422, { trouble: "refused", reason: told.reason });
+      if (told.kind === "REFUSED")
+        replyTrouble(arrival.reply, 422, { trouble: "refused", reason: told.reason });
       else reply(arrival.reply, 200, told.value);
     }
     function explain(arrival: Arrival): void {
@@ -125,22 +223,37 @@
       for (const text of labels.split(",")) {
         const cut = text.indexOf("=");
         if (cut > 0) own[text.slice(0, cut)] = text.slice(cut + 1);
-        else if (text !== "") return replyTrouble(arrival.reply, 422, { trouble: "refused", reason: `labels: ${text} must be key=value` });
+        else if (text !== "")
+          return replyTrouble(arrival.reply, 422, {
+            trouble: "refused",
+            reason: `labels: ${text} must be key=value`,
+          });
       }
       explained(arrival, self.#core.explain({ way, model, adapter, labels: own }, monotonic()));
     }
-    function preview(arrival: Arrival): void { explained(arrival, self.#core.preview(arrival.body, monotonic())); }
+    function preview(arrival: Arrival): void {
+      explained(arrival, self.#core.preview(arrival.body, monotonic()));
+    }
     return {
       name: "control",
       events: {
-        "operator.status": status, "operator.metrics": measured, "operator.explain": explain, "operator.preview": preview, "operator.configuration.get": get, "operator.configuration.put": put,
-        "operator.configuration.patch": patch, "operator.empty": empty, "operator.keep": keep,
+        "operator.status": status,
+        "operator.metrics": measured,
+        "operator.explain": explain,
+        "operator.preview": preview,
+        "operator.configuration.get": get,
+        "operator.configuration.put": put,
+        "operator.configuration.patch": patch,
+        "operator.empty": empty,
+        "operator.keep": keep,
       },
     };
   }
 
   #inquire(arrival: Arrival, command: ControlCommand): void {
-    function told(outcome: ControlOutcome): void { tell(arrival.reply, outcome); }
+    function told(outcome: ControlOutcome): void {
+      tell(arrival.reply, outcome);
+    }
     this.#enter(command, told);
   }
 
@@ -160,13 +273,17 @@
           break;
         case "write": {
           const { ticket } = output;
-          function written(): void { self.#perform(self.#core.writtenChain(ticket, monotonic())); }
+          function written(): void {
+            self.#perform(self.#core.writtenChain(ticket, monotonic()));
+          }
           this.#disk.writeChain(output.chain, output.write, written);
           break;
         }
         case "vote": {
           const { ticket } = output;
-          function written(): void { self.#perform(self.#core.writtenVote(ticket, monotonic())); }
+          function written(): void {
+            self.#perform(self.#core.writtenVote(ticket, monotonic()));
+          }
           this.#disk.writeVotes(output.state, written);
           break;
         }
@@ -189,20 +306,56 @@
 function expectedMark(arrival: Arrival): Outcome<number | undefined> {
   const text = arrival.headers["if-match"];
   if (text === undefined) return outcome.good(undefined);
-  const mark = Number(text.replaceAll("\"", ""));
-  return Number.isInteger(mark) && mark >= 0 ? outcome.good(mark) : outcome.bad("If-Match must hold a mark, a whole number");
+  const mark = Number(text.replaceAll('"', ""));
+  return Number.isInteger(mark) && mark >= 0
+    ? outcome.good(mark)
+    : outcome.bad("If-Match must hold a mark, a whole number");
 }
 
 function tell(to: ServerResponse, result: ControlOutcome): void {
   metrics.changed(result.kind === "confirmed" ? result.value.kind : result.kind);
-  if (result.kind === "not-run") return replyTrouble(to, 503, { trouble: "not-run", reason: result.reason, retryAfter: constants.retryAfter });
-  if (result.kind === "unknown") return replyTrouble(to, 504, { trouble: "unknown", reason: "whether the change takes effect is not known yet; read the configuration and its mark" });
+  if (result.kind === "not-run")
+    return replyTrouble(to, 503, {
+      trouble: "not-run",
+      reason: result.reason,
+      retryAfter: constants.retryAfter,
+    });
+  if (result.kind === "unknown")
+    return replyTrouble(to, 504, {
+      trouble: "unknown",
+      reason:
+        "whether the change takes effect is not known yet; read the configuration and its mark",
+    });
   const value = result.value;
   switch (value.kind) {
-    case "IN_FORCE": return reply(to, 200, { mark: value.mark, ...(value.warnings === undefined ? {} : { warnings: value.warnings }) });
-    case "CONFLICT": return replyTrouble(to, 409, { trouble: "conflict", reason: `the mark is ${value.mark} by now; nothing was changed`, mark: value.mark });
-    case "UNKNOWN_MACHINE": case "TOO_FEW": case "UNDER_WAY": case "REFUSED": return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
-    case "DONE": return reply(to, 200, { done: true });
-    case "CONFIGURATION": return reply(to, 200, { mark: value.mark, configuration: value.value, ...(value.origin === undefined ? {} : { origin: value.origin }) }, { etag: `"${value.mark}"` });
+    case "IN_FORCE":
+      return reply(to, 200, {
+        mark: value.mark,
+        ...(value.warnings === undefined ? {} : { warnings: value.warnings }),
+      });
+    case "CONFLICT":
+      return replyTrouble(to, 409, {
+        trouble: "conflict",
+        reason: `the mark is ${value.mark} by now; nothing was changed`,
+        mark: value.mark,
+      });
+    case "UNKNOWN_MACHINE":
+    case "TOO_FEW":
+    case "UNDER_WAY":
+    case "REFUSED":
+      return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
+    case "DONE":
+      return reply(to, 200, { done: true });
+    case "CONFIGURATION":
+      return reply(
+        to,
+        200,
+        {
+          mark: value.mark,
+          configuration: value.value,
+          ...(value.origin === undefined ? {} : { origin: value.origin }),
+        },
+        { etag: `"${value.mark}"` },
+      );
   }
 }
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -1,6 +1,27 @@
 import { createHash } from "node:crypto";
-import { constants, duty, policy, season, type ChainView, type Ending, type Policy, type QueueCommand, type QueueResult, type RunnerCard, type Selector, type Telling } from "@chutewick/parts";
-import { configuration, keys, standingClasses, type ControlCommand, type ControlOutcome, type QueueStanding, type Way } from "@chutewick/control";
+import {
+  constants,
+  duty,
+  policy,
+  season,
+  type ChainView,
+  type Ending,
+  type Policy,
+  type QueueCommand,
+  type QueueResult,
+  type RunnerCard,
+  type Selector,
+  type Telling,
+} from "@chutewick/parts";
+import {
+  configuration,
+  keys,
+  standingClasses,
+  type ControlCommand,
+  type ControlOutcome,
+  type QueueStanding,
+  type Way,
+} from "@chutewick/control";
 import { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
 import { Errands, type ErrandTold } from "./errands.js";
@@ -20,14 +41,36 @@
 
 export type AccessOutput =
   | { readonly kind: "send"; readonly to: string; readonly message: DataMessage }
-  | { readonly kind: "reply"; readonly ticket: string; readonly status: number; readonly body: unknown }
-  | { readonly kind: "reply-bytes"; readonly ticket: string; readonly status: number; readonly type: string; readonly bytes: Uint8Array }
+  | {
+      readonly kind: "reply";
+      readonly ticket: string;
+      readonly status: number;
+      readonly body: unknown;
+    }
+  | {
+      readonly kind: "reply-bytes";
+      readonly ticket: string;
+      readonly status: number;
+      readonly type: string;
+      readonly bytes: Uint8Array;
+    }
   | { readonly kind: "stream-open"; readonly ticket: string }
-  | { readonly kind: "stream-piece"; readonly ticket: string; readonly number: number; readonly data: unknown }
+  | {
+      readonly kind: "stream-piece";
+      readonly ticket: string;
+      readonly number: number;
+      readonly data: unknown;
+    }
   | { readonly kind: "stream-close"; readonly ticket: string; readonly pieces: number }
   | { readonly kind: "stream-trouble"; readonly ticket: string; readonly body: Trouble }
   /** Send to a runner; `mayStart(go)` is asked again at the last moment before the first byte. */
-  | { readonly kind: "run"; readonly go: number; readonly url: string; readonly work: Work; readonly silence: number }
+  | {
+      readonly kind: "run";
+      readonly go: number;
+      readonly url: string;
+      readonly work: Work;
+      readonly silence: number;
+    }
   | { readonly kind: "abandon"; readonly go: number }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> }
   | PassOutput;
@@ -51,7 +94,12 @@
   | { readonly kind: "piece"; readonly number: number; readonly data: unknown }
   | { readonly kind: "closed"; readonly pieces: number }
   | { readonly kind: "whole"; readonly value: unknown }
-  | { readonly kind: "bytes"; readonly status: number; readonly type: string; readonly bytes: Uint8Array };
+  | {
+      readonly kind: "bytes";
+      readonly status: number;
+      readonly type: string;
+      readonly bytes: Uint8Array;
+    };
 
 interface Live {
   readonly kind: "live";
@@ -132,14 +180,32 @@
   #struckAt: number;
   #wokeAt = Number.NEGATIVE_INFINITY;
   #turnedAway: { at: number; model: string }[] = [];
-  readonly counts = { live: 0, done: 0, notRun: 0, mayHaveRun: 0, runnerFailed: 0, popped: 0, solved: 0, troubled: 0, givenBack: 0, broken: 0 };
-
-  constructor(standing: Standing, seeds: readonly string[], now: number, chosen: Policy = policy.usual) {
+  readonly counts = {
+    live: 0,
+    done: 0,
+    notRun: 0,
+    mayHaveRun: 0,
+    runnerFailed: 0,
+    popped: 0,
+    solved: 0,
+    troubled: 0,
+    givenBack: 0,
+    broken: 0,
+  };
+
+  constructor(
+    standing: Standing,
+    seeds: readonly string[],
+    now: number,
+    chosen: Policy = policy.usual,
+  ) {
     this.#standing = standing;
     this.#now = now;
     this.#struckAt = now;
     const self = this;
-    function telling(): Telling { return self.#telling(); }
+    function telling(): Telling {
+      return self.#telling();
+    }
     this.membership = new Membership(standing, seeds, now, telling, chosen);
     this.choice = new Choice(this.membership, standing);
     this.#errands = new Errands(this.membership);
@@ -149,16 +215,28 @@
 
   #telling(): Telling {
     const runners: RunnerCard[] = [];
-    for (const { card, heardAt } of this.#announced.values()) runners.push({ ...card, age: Math.max(0, this.#now - heardAt) });
+    for (const { card, heardAt } of this.#announced.values())
+      runners.push({ ...card, age: Math.max(0, this.#now - heardAt) });
     const lots = new Map<string, number>();
-    for (const go of this.#gos.values()) if (go.job.kind === "prompt") lots.set(go.runner, (lots.get(go.runner) ?? 0) + 1);
+    for (const go of this.#gos.values())
+      if (go.job.kind === "prompt") lots.set(go.runner, (lots.get(go.runner) ?? 0) + 1);
     const turnedAway = new Map<string, number>();
-    this.#turnedAway = this.#turnedAway.filter(isLate, { since: this.#now - constants.pressureLasts });
-    for (const { model } of this.#turnedAway) turnedAway.set(model, (turnedAway.get(model) ?? 0) + 1);
-    return { runners, lots: [...lots], turnedAway: [...turnedAway], burdens: this.choice.burdens() };
+    this.#turnedAway = this.#turnedAway.filter(isLate, {
+      since: this.#now - constants.pressureLasts,
+    });
+    for (const { model } of this.#turnedAway)
+      turnedAway.set(model, (turnedAway.get(model) ?? 0) + 1);
+    return {
+      runners,
+      lots: [...lots],
+      turnedAway: [...turnedAway],
+      burdens: this.choice.burdens(),
+    };
   }
 
-  get busy(): number { return this.#gos.size + this.#errands.size + this.relay.busy + this.lots.dispatcher.underWay; }
+  get busy(): number {
+    return this.#gos.size + this.#errands.size + this.relay.busy + this.lots.dispatcher.underWay;
+  }
 
   /** A planned stop: no new work; what is under way goes on. */
   leave(now: number): AccessOutput[] {
@@ -171,18 +249,24 @@
   receive(message: DataMessage, from: string, now: number): AccessOutput[] {
     this.#now = now;
     switch (message.kind) {
-      case "feed": case "feed-digest":
+      case "feed":
+      case "feed-digest":
         if (!this.membership.receive(message, from, now)) return [];
         /** Limits may have changed: waits told under the old ones no longer bind. */
         for (const draw of this.#draws.values()) draw.resumeAt = 0;
         this.lots.dispatcher.hurry();
         return this.membership.tell(now);
-      case "lease": case "runners":
+      case "lease":
+      case "runners":
         this.membership.receive(message, from, now);
         return [];
-      case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
-      case "queue-result": return this.#errandTold(message.ticket, message.outcome, now, message.held ?? 0);
-      case "lot-ended": return this.lots.dropped(message.lot, now);
+      case "fellow-ask":
+      case "fellow-tell":
+        return this.membership.fellow(message, from, now);
+      case "queue-result":
+        return this.#errandTold(message.ticket, message.outcome, now, message.held ?? 0);
+      case "lot-ended":
+        return this.lots.dropped(message.lot, now);
       case "control-result": {
         const errand = this.#controlErrands.get(message.ticket);
         if (errand === undefined) return [];
@@ -193,31 +277,92 @@
         this.#controlErrands.delete(message.ticket);
         return errand.told(message.outcome);
       }
-      default: return [];
+      default:
+        return [];
     }
   }
 
   // Live inquiries (§6)
 
-  arrive(ticket: string, wayName: string, body: unknown, path: string | undefined, now: number): AccessOutput[] {
+  arrive(
+    ticket: string,
+    wayName: string,
+    body: unknown,
+    path: string | undefined,
+    now: number,
+  ): AccessOutput[] {
     this.#now = now;
     this.counts.live += 1;
     const marked = this.membership.configuration;
-    if (!this.membership.holds(now) || this.#draining) return this.#notRun(ticket, "this access node is cut off from the control group or about to stop", constants.retryAfter);
+    if (!this.membership.holds(now) || this.#draining)
+      return this.#notRun(
+        ticket,
+        "this access node is cut off from the control group or about to stop",
+        constants.retryAfter,
+      );
     const way = Object.hasOwn(marked.value.ways, wayName) ? marked.value.ways[wayName] : undefined;
-    if (way === undefined) return [trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` })];
-    if (way.kind === "lot") return [trouble(ticket, 405, { trouble: "wrong-kind", reason: `${wayName} takes lots: hand them in at /lots/${wayName}` })];
-    if ((way.kind === "fetch") !== (path !== undefined)) return [trouble(ticket, 405, { trouble: "wrong-kind", reason: way.kind === "fetch" ? `${wayName} is fetched with GET` : `${wayName} takes inquiries by POST` })];
+    if (way === undefined)
+      return [
+        trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
+      ];
+    if (way.kind === "lot")
+      return [
+        trouble(ticket, 405, {
+          trouble: "wrong-kind",
+          reason: `${wayName} takes lots: hand them in at /lots/${wayName}`,
+        }),
+      ];
+    if ((way.kind === "fetch") !== (path !== undefined))
+      return [
+        trouble(ticket, 405, {
+          trouble: "wrong-kind",
+          reason:
+            way.kind === "fetch"
+              ? `${wayName} is fetched with GET`
+              : `${wayName} takes inquiries by POST`,
+        }),
+      ];
     let work: Work;
     if (way.kind === "fetch") work = { kind: "fetch", inquiry: ticket, path: path! };
     else {
-      if (typeof body !== "object" || body === null || Array.isArray(body)) return [trouble(ticket, 400, { trouble: "bad-body", reason: "the body must be one JSON object" })];
+      if (typeof body !== "object" || body === null || Array.isArray(body))
+        return [
+          trouble(ticket, 400, { trouble: "bad-body", reason: "the body must be one JSON object" }),
+        ];
       const prompt = (body as Record<string, unknown>)["prompt"];
-      if (prompt === undefined) return [trouble(ticket, 400, { trouble: "bad-body", reason: "prompt: is needed" })];
-      work = { kind: way.kind, inquiry: ticket, body: { inquiry: ticket, model: way.model, ...(way.adapter === undefined ? {} : { adapter: way.adapter }), prompt } };
+      if (prompt === undefined)
+        return [trouble(ticket, 400, { trouble: "bad-body", reason: "prompt: is needed" })];
+      work = {
+        kind: way.kind,
+        inquiry: ticket,
+        body: {
+          inquiry: ticket,
+          model: way.model,
+          ...(way.adapter === undefined ? {} : { adapter: way.adapter }),
+          prompt,
+        },
+      };
     }
-    if (this.#live.size >= constants.liveMost) return this.#notRun(ticket, "this access node has as many inquiries under way as it takes", constants.retryAfter);
-    return this.#tryLive({ kind: "live", ticket, way, work, tried: new Set(), doubts: 0, retryAfter: undefined, begun: false, next: 0 }, now);
+    if (this.#live.size >= constants.liveMost)
+      return this.#notRun(
+        ticket,
+        "this access node has as many inquiries under way as it takes",
+        constants.retryAfter,
+      );
+    return this.#tryLive(
+      {
+        kind: "live",
+        ticket,
+        way,
+        work,
+        tried: new Set(),
+        doubts: 0,
+        retryAfter: undefined,
+        begun: false,
+        next: 0,
+      },
+      now,
+    );
   }
 
   #notRun(ticket: string, reason: string, retryAfter: number): AccessOutput[] {
@@ -227,20 +372,52 @@
 
   #tryLive(live: Live, now: number): AccessOutput[] {
     const kind = live.work.kind === "fetch" ? "plain" : "model";
-    const runner = live.tried.size >= constants.runnersTried ? undefined : this.#choose(kind, live.way.model, live.way.adapter, live.way.runners, live.tried, 1, now, live.doubts);
+    const runner =
+      live.tried.size >= constants.runnersTried
+        ? undefined
+        : this.#choose(
+            kind,
+            live.way.model,
+            live.way.adapter,
+            live.way.runners,
+            live.tried,
+            1,
+            now,
+            live.doubts,
+          );
     if (runner === undefined) {
       /** Only want of seats holds lots back: one that cannot reach its runners says nothing of their room (§8.5). */
-      if (live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)) this.#turnedAway.push({ at: now, model: live.way.model });
-      return this.#notRun(live.ticket, live.tried.size === 0 ? "no runner for this way is known here now" : live.retryAfter === undefined ? "no runner tried could be reached" : "every runner tried is full", live.retryAfter ?? constants.retryAfter);
+      if (live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0))
+        this.#turnedAway.push({ at: now, model: live.way.model });
+      return this.#notRun(
+        live.ticket,
+        live.tried.size === 0
+          ? "no runner for this way is known here now"
+          : live.retryAfter === undefined
+            ? "no runner tried could be reached"
+            : "every runner tried is full",
+        live.retryAfter ?? constants.retryAfter,
+      );
     }
     live.tried.add(runner.id);
     if (this.#burden(runner, now) >= runner.seats) live.doubts += 1;
     return this.#start(live, runner, live.work, constants.runnerSilence, now);
   }
 
-  #start(job: Live | Prompt, runner: RunnerCard, work: Work, silence: number, now: number): AccessOutput[] {
+  #start(
+    job: Live | Prompt,
+    runner: RunnerCard,
+    work: Work,
+    silence: number,
+    now: number,
+  ): AccessOutput[] {
     this.#goNumber += 1;
-    this.#gos.set(this.#goNumber, { job, runner: runner.id, incarnation: runner.incarnation, startedAt: now });
+    this.#gos.set(this.#goNumber, {
+      job,
+      runner: runner.id,
+      incarnation: runner.incarnation,
+      startedAt: now,
+    });
     if (job.kind === "live") this.#live.set(job.ticket, this.#goNumber);
     return [{ kind: "run", go: this.#goNumber, url: runner.url, work, silence }];
   }
@@ -250,7 +427,8 @@
     const held = this.#gos.get(go);
     if (held === undefined) return "given up";
     if (!this.membership.holds(now)) return "no lease";
-    if (!this.membership.isStanding(held.runner, held.incarnation, now)) return "the runner said goodbye, or was not heard of lately";
+    if (!this.membership.isStanding(held.runner, held.incarnation, now))
+      return "the runner said goodbye, or was not heard of lately";
     if (held.job.kind === "prompt" && now > held.job.until) return "the grant ran out";
     return undefined;
   }
@@ -262,7 +440,9 @@
 
   passEvent(go: number, event: PassEvent, now: number): AccessOutput[] {
     this.#now = now;
-    return this.lots.has(go) ? this.lots.goEvent(go, event, now) : this.relay.goEvent(go, event, now);
+    return this.lots.has(go)
+      ? this.lots.goEvent(go, event, now)
+      : this.relay.goEvent(go, event, now);
   }
 
   /** Burden as the runner told it, and what this node sent since (§8.3). */
@@ -277,19 +457,37 @@
     return Math.max(own, runner.burden + since);
   }
 
-  #choose(kind: RunnerCard["kind"], model: string | undefined, adapter: string | undefined, wanted: Readonly<Record<string, string>>, tried: ReadonlySet<string>, part: number, now: number, doubts = 0, selectors: readonly Selector[] = []): RunnerCard | undefined {
+  #choose(
+    kind: RunnerCard["kind"],
+    model: string | undefined,
+    adapter: string | undefined,
+    wanted: Readonly<Record<string, string>>,
+    tried: ReadonlySet<string>,
+    part: number,
+    now: number,
+    doubts = 0,
+    selectors: readonly Selector[] = [],
+  ): RunnerCard | undefined {
     let best: RunnerCard | undefined;
     let bestDraw = Number.NEGATIVE_INFINITY;
     for (const card of this.membership.runners(now)) {
       if (card.kind !== kind || tried.has(card.id)) continue;
-      if (model !== undefined && !card.models.includes(configuration.queueOf(model, adapter)) && !card.models.includes(model)) continue;
+      if (
+        model !== undefined &&
+        !card.models.includes(configuration.queueOf(model, adapter)) &&
+        !card.models.includes(model)
+      )
+        continue;
       if (!carries(card.labels, wanted) || !season.matches(selectors, card.labels)) continue;
       const free = card.seats * part - this.#burden(card, now);
       /** A live inquiry may try some that look full, last of all: burdens are up to a second old. */
       if (free <= 0 && (part < 1 || doubts >= constants.fullTried)) continue;
       /** Drawn by free seats, not the freest always: nodes that see the same burdens would all go to the same runner. */
-      const weight = free <= 0 ? 0.01 / (1 - free) : free * (card.zone === this.#standing.zone ? 1.2 : 1);
-      const chance = (duty.spread(`${this.#standing.identity}/${this.#goNumber}/${card.id}`) + 1) / 4_294_967_297;
+      const weight =
+        free <= 0 ? 0.01 / (1 - free) : free * (card.zone === this.#standing.zone ? 1.2 : 1);
+      const chance =
+        (duty.spread(`${this.#standing.identity}/${this.#goNumber}/${card.id}`) + 1) /
+        4_294_967_297;
       const draw = Math.log(chance) / weight;
       if (draw > bestDraw) {
         best = card;
@@ -311,7 +509,9 @@
     this.#now = now;
     const go = this.#gos.get(number);
     if (go === undefined) return [];
-    return go.job.kind === "live" ? this.#liveEvent(number, go.job, event, now) : this.#promptEvent(number, go.job, event, now);
+    return go.job.kind === "live"
+      ? this.#liveEvent(number, go.job, event, now)
+      : this.#promptEvent(number, go.job, event, now);
   }
 
   #endLive(number: number, live: Live): void {
@@ -325,62 +525,113 @@
       case "unsent":
       case "refused":
         this.#endLive(number, live);
-        if (event.kind === "refused") live.retryAfter = Math.min(live.retryAfter ?? Number.POSITIVE_INFINITY, event.retryAfter);
+        if (event.kind === "refused")
+          live.retryAfter = Math.min(live.retryAfter ?? Number.POSITIVE_INFINITY, event.retryAfter);
         return this.#tryLive(live, now);
       case "troubled":
       case "broken": {
         this.#endLive(number, live);
         if (event.kind === "troubled") this.counts.runnerFailed += 1;
         else this.counts.mayHaveRun += 1;
-        const body: Trouble = event.kind === "troubled" ? { trouble: "runner-failed", reason: event.reason } : { trouble: "may-have-run", reason: event.reason };
-        return live.begun ? [{ kind: "stream-trouble", ticket, body }] : [trouble(ticket, 502, body)];
+        const body: Trouble =
+          event.kind === "troubled"
+            ? { trouble: "runner-failed", reason: event.reason }
+            : { trouble: "may-have-run", reason: event.reason };
+        return live.begun
+          ? [{ kind: "stream-trouble", ticket, body }]
+          : [trouble(ticket, 502, body)];
       }
       case "opened":
         live.begun = true;
         return [{ kind: "stream-open", ticket }];
       case "piece":
-        if (event.number !== live.next) return this.#tornLive(number, live, `piece ${live.next} is missing: ${event.number} came`);
+        if (event.number !== live.next)
+          return this.#tornLive(
+            number,
+            live,
+            `piece ${live.next} is missing: ${event.number} came`,
+          );
         live.next += 1;
         return [{ kind: "stream-piece", ticket, number: event.number, data: event.data }];
       case "closed":
-        if (event.pieces !== live.next) return this.#tornLive(number, live, `the runner closed with ${event.pieces} pieces, and ${live.next} came`);
+        if (event.pieces !== live.next)
+          return this.#tornLive(
+            number,
+            live,
+            `the runner closed with ${event.pieces} pieces, and ${live.next} came`,
+          );
         this.#endLive(number, live);
         this.counts.done += 1;
         return [{ kind: "stream-close", ticket, pieces: event.pieces }];
       case "whole":
         this.#endLive(number, live);
         this.counts.done += 1;
-        return [{ kind: "reply", ticket, status: 200, body: { inquiry: ticket, result: event.value } }];
+        return [
+          { kind: "reply", ticket, status: 200, body: { inquiry: ticket, result: event.value } },
+        ];
       case "bytes":
         this.#endLive(number, live);
         this.counts.done += 1;
-        return [{ kind: "reply-bytes", ticket, status: event.status, type: event.type, bytes: event.bytes }];
+        return [
+          {
+            kind: "reply-bytes",
+            ticket,
+            status: event.status,
+            type: event.type,
+            bytes: event.bytes,
+          },
+        ];
     }
   }
 
   #tornLive(number: number, live: Live, reason: string): AccessOutput[] {
     this.#endLive(number, live);
     this.counts.mayHaveRun += 1;
-    return [{ kind: "abandon", go: number }, { kind: "stream-trouble", ticket: live.ticket, body: { trouble: "may-have-run", reason } }];
+    return [
+      { kind: "abandon", go: number },
+      { kind: "stream-trouble", ticket: live.ticket, body: { trouble: "may-have-run", reason } },
+    ];
   }
 
   // Runners (§7)
 
   announce(ticket: string, card: Omit<RunnerCard, "age">, now: number): AccessOutput[] {
     if (this.membership.isClosed(card.id, card.incarnation)) {
-      return [trouble(ticket, 409, { trouble: "said-goodbye", reason: "this incarnation said goodbye; announce again under a higher one" })];
+      return [
+        trouble(ticket, 409, {
+          trouble: "said-goodbye",
+          reason: "this incarnation said goodbye; announce again under a higher one",
+        }),
+      ];
     }
     if ((this.#announced.get(card.id)?.card.incarnation ?? 0) > card.incarnation) {
-      return [trouble(ticket, 409, { trouble: "older-incarnation", reason: "a later life of this runner has announced already" })];
+      return [
+        trouble(ticket, 409, {
+          trouble: "older-incarnation",
+          reason: "a later life of this runner has announced already",
+        }),
+      ];
     }
     /** What is read just after a sleep may have been said long before it, and before a goodbye (§7.5). */
     this.#lookAwake(now);
-    if (now - this.#wokeAt < constants.wakingLasts) return [{ kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } }];
+    if (now - this.#wokeAt < constants.wakingLasts)
+      return [
+        { kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } },
+      ];
     this.#announced.set(card.id, { card: { ...card, age: 0 }, heardAt: now });
     this.membership.heardRunner({ ...card, age: 0 }, now);
     /** One that is cut off can pass nothing on: the runner is to tell another as well. */
-    if (!this.membership.holds(now) || this.#draining) return [trouble(ticket, 503, { trouble: "not-run", reason: "this access node is cut off or about to stop; announce at another", retryAfter: constants.retryAfter })];
-    return [{ kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } }];
+    if (!this.membership.holds(now) || this.#draining)
+      return [
+        trouble(ticket, 503, {
+          trouble: "not-run",
+          reason: "this access node is cut off or about to stop; announce at another",
+          retryAfter: constants.retryAfter,
+        }),
+      ];
+    return [
+      { kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } },
+    ];
   }
 
   #lookAwake(now: number): void {
@@ -390,12 +641,22 @@
 
   goodbye(ticket: string, runner: string, incarnation: number, now: number): AccessOutput[] {
     this.membership.close(runner, incarnation);
-    if ((this.#announced.get(runner)?.card.incarnation ?? Number.POSITIVE_INFINITY) <= incarnation) this.#announced.delete(runner);
+    if ((this.#announced.get(runner)?.card.incarnation ?? Number.POSITIVE_INFINITY) <= incarnation)
+      this.#announced.delete(runner);
     function told(ended: ControlOutcome): AccessOutput[] {
-      if (ended.kind === "confirmed") return [{ kind: "reply", ticket, status: 200, body: { done: true, newWorkWithin: 0 } }];
-      return [trouble(ticket, 504, { trouble: "unknown", reason: "the goodbye is not confirmed everywhere; say it again before leaving" })];
+      if (ended.kind === "confirmed")
+        return [{ kind: "reply", ticket, status: 200, body: { done: true, newWorkWithin: 0 } }];
+      return [
+        trouble(ticket, 504, {
+          trouble: "unknown",
+          reason: "the goodbye is not confirmed everywhere; say it again before leaving",
+        }),
+      ];
     }
-    return [...this.membership.spread(), ...this.#control({ kind: "goodbye", runner, incarnation }, told, now)];
+    return [
+      ...this.membership.spread(),
+      ...this.#control({ kind: "goodbye", runner, incarnation }, told, now),
+    ];
   }
 
   #control(command: ControlCommand, told: ControlErrand["told"], now: number): AccessOutput[] {
@@ -408,46 +669,156 @@
   #sendControl(ticket: string, errand: ControlErrand, now: number): AccessOutput[] {
     errand.sentAt = now;
     const head = this.membership.head;
-    return head === undefined ? [] : [{ kind: "send", to: head, message: { kind: "control-inquiry", ticket, command: errand.command } }];
+    return head === undefined
+      ? []
+      : [
+          {
+            kind: "send",
+            to: head,
+            message: { kind: "control-inquiry", ticket, command: errand.command },
+          },
+        ];
   }
 
   // Lots (§5)
 
-  handIn(ticket: string, wayName: string, key: unknown, items: unknown, labels: unknown, now: number): AccessOutput[] {
+  handIn(
+    ticket: string,
+    wayName: string,
+    key: unknown,
+    items: unknown,
+    labels: unknown,
+    now: number,
+  ): AccessOutput[] {
     const marked = this.membership.configuration;
-    if (!this.membership.holds(now) || this.#draining) return this.#notRun(ticket, "this access node is cut off from the control group or about to stop", constants.retryAfter);
+    if (!this.membership.holds(now) || this.#draining)
+      return this.#notRun(
+        ticket,
+        "this access node is cut off from the control group or about to stop",
+        constants.retryAfter,
+      );
     const way = Object.hasOwn(marked.value.ways, wayName) ? marked.value.ways[wayName] : undefined;
-    if (way === undefined) return [trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` })];
-    if (way.kind !== "lot") return [trouble(ticket, 405, { trouble: "wrong-kind", reason: `${wayName} does not take lots` })];
-    if (typeof key !== "string" || key.length === 0 || key.length > 200) return [trouble(ticket, 400, { trouble: "bad-body", reason: "key: must be a text of 1 to 200 characters of the caller's own" })];
-    if (!Array.isArray(items) || items.length === 0) return [trouble(ticket, 400, { trouble: "bad-body", reason: "items: must be a list with at least one prompt" })];
-    if (items.length > constants.lotItemsMost) return [trouble(ticket, 413, { trouble: "lot-too-large", reason: `items: ${constants.lotItemsMost} at most` })];
+    if (way === undefined)
+      return [
+        trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
+      ];
+    if (way.kind !== "lot")
+      return [
+        trouble(ticket, 405, { trouble: "wrong-kind", reason: `${wayName} does not take lots` }),
+      ];
+    if (typeof key !== "string" || key.length === 0 || key.length > 200)
+      return [
+        trouble(ticket, 400, {
+          trouble: "bad-body",
+          reason: "key: must be a text of 1 to 200 characters of the caller's own",
+        }),
+      ];
+    if (!Array.isArray(items) || items.length === 0)
+      return [
+        trouble(ticket, 400, {
+          trouble: "bad-body",
+          reason: "items: must be a list with at least one prompt",
+        }),
+      ];
+    if (items.length > constants.lotItemsMost)
+      return [
+        trouble(ticket, 413, {
+          trouble: "lot-too-large",
+          reason: `items: ${constants.lotItemsMost} at most`,
+        }),
+      ];
     const own = configuration.labelsOf(labels ?? {});
-    if (own === undefined) return [trouble(ticket, 400, { trouble: "bad-body", reason: "labels: must be an object of label names and values, such as {\"shift\": \"night\"}, 20 at most" })];
+    if (own === undefined)
+      return [
+        trouble(ticket, 400, {
+          trouble: "bad-body",
+          reason:
+            'labels: must be an object of label names and values, such as {"shift": "night"}, 20 at most',
+        }),
+      ];
     const queue = configuration.queueOf(way.model!, way.adapter);
     const lot = lotName(queue, wayName, key);
-    const body = createHash("sha256").update(JSON.stringify(Object.keys(own).length === 0 ? items : [own, items])).digest("base64url");
-    const lasts = way.deadlineSeconds === undefined ? constants.lotDeadline : way.deadlineSeconds * 1_000;
-    const command: QueueCommand = { kind: "admit", lot, way: wayName, body, prompts: items, labels: { ...own, ...way.labels, way: wayName }, lasts, allowance: 0 };
+    const body = createHash("sha256")
+      .update(JSON.stringify(Object.keys(own).length === 0 ? items : [own, items]))
+      .digest("base64url");
+    const lasts =
+      way.deadlineSeconds === undefined ? constants.lotDeadline : way.deadlineSeconds * 1_000;
+    const command: QueueCommand = {
+      kind: "admit",
+      lot,
+      way: wayName,
+      body,
+      prompts: items,
+      labels: { ...own, ...way.labels, way: wayName },
+      lasts,
+      allowance: 0,
+    };
     const { counts } = this;
     const self = this;
     const count = items.length;
     function told(ended: QueueOutcome, later: number, since: number): AccessOutput[] {
-      if (ended.kind === "unknown") return [trouble(ticket, 504, { trouble: "unknown", reason: "whether the lot was accepted is not known yet; look it up, or hand it in again under the same key", lot, lookUp: `/lots/${lot}` })];
+      if (ended.kind === "unknown")
+        return [
+          trouble(ticket, 504, {
+            trouble: "unknown",
+            reason:
+              "whether the lot was accepted is not known yet; look it up, or hand it in again under the same key",
+            lot,
+            lookUp: `/lots/${lot}`,
+          }),
+        ];
       if (ended.kind === "elsewhere") {
         counts.notRun += 1;
-        return [trouble(ticket, 503, { trouble: "not-run", reason: ended.reason, retryAfter: constants.retryAfter })];
+        return [
+          trouble(ticket, 503, {
+            trouble: "not-run",
+            reason: ended.reason,
+            retryAfter: constants.retryAfter,
+          }),
+        ];
       }
       const value = ended.value;
-      if (value.kind === "ADMITTED") return [{ kind: "reply", ticket, status: 202, body: { lot: value.lot, items: count, lookUp: `/lots/${value.lot}`, endsWithin: Math.max(0, Math.min(lasts, value.remaining - (later - since))) / 1_000 } }];
+      if (value.kind === "ADMITTED")
+        return [
+          {
+            kind: "reply",
+            ticket,
+            status: 202,
+            body: {
+              lot: value.lot,
+              items: count,
+              lookUp: `/lots/${value.lot}`,
+              endsWithin: Math.max(0, Math.min(lasts, value.remaining - (later - since))) / 1_000,
+            },
+          },
+        ];
       if (value.kind === "GONE") return [trouble(ticket, 410, goneLot(value))];
-      if (value.kind === "CONFLICT") return [trouble(ticket, 409, { trouble: "conflict", reason: "this key was used with another body", lot: value.lot })];
+      if (value.kind === "CONFLICT")
+        return [
+          trouble(ticket, 409, {
+            trouble: "conflict",
+            reason: "this key was used with another body",
+            lot: value.lot,
+          }),
+        ];
       if (value.kind === "FULL") {
-        const reason = count > value.allowance ? `a lot of ${count} items is more than the ${value.allowance} that may wait in this queue now` : `the queue may hold ${value.allowance} waiting items now and holds ${value.waiting}, those under way included`;
+        const reason =
+          count > value.allowance
+            ? `a lot of ${count} items is more than the ${value.allowance} that may wait in this queue now`
+            : `the queue may hold ${value.allowance} waiting items now and holds ${value.waiting}, those under way included`;
         /** No wait by the queue's own rate: then the moment at which a season gives it room, if one does. */
         const change = value.wait === undefined ? self.#roomAt(queue, count) : undefined;
         const wait = value.wait ?? (change === undefined ? undefined : change - self.#wall);
-        return [trouble(ticket, 429, { trouble: "refused", reason, ...(wait === undefined ? {} : { retryAfter: Math.max(constants.retryAfter, wait / 1_000) }), ...(change === undefined ? {} : { roomAt: new Date(change).toISOString() }) })];
+        return [
+          trouble(ticket, 429, {
+            trouble: "refused",
+            reason,
+            ...(wait === undefined
+              ? {}
+              : { retryAfter: Math.max(constants.retryAfter, wait / 1_000) }),
+            ...(change === undefined ? {} : { roomAt: new Date(change).toISOString() }),
+          }),
+        ];
       }
       return [trouble(ticket, 500, { trouble: "internal", reason: value.kind })];
     }
@@ -458,13 +829,27 @@
   #roomAt(queue: string, count: number): number | undefined {
     const { value } = this.membership.configuration;
     const plan = configuration.queues(value).find(isQueue, { queue });
-    return plan === undefined ? undefined : season.roomAt(configuration.seasonsOf(value, this.#wall), plan.labels, plan.waiting, this.#wall, count);
+    return plan === undefined
+      ? undefined
+      : season.roomAt(
+          configuration.seasonsOf(value, this.#wall),
+          plan.labels,
+          plan.waiting,
+          this.#wall,
+          count,
+        );
   }
 
   /** Only a node that surely has the newest configuration may say that there is no such queue. */
   #missing(ticket: string, queue: string | undefined, now: number): AccessOutput[] | undefined {
-    if (queue !== undefined && this.membership.follower.read(keys.queue + queue) !== undefined) return undefined;
-    if (!this.membership.holds(now)) return this.#notRun(ticket, "this access node is cut off from the control group", constants.retryAfter);
+    if (queue !== undefined && this.membership.follower.read(keys.queue + queue) !== undefined)
+      return undefined;
+    if (!this.membership.holds(now))
+      return this.#notRun(
+        ticket,
+        "this access node is cut off from the control group",
+        constants.retryAfter,
+      );
     return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
   }
 
@@ -473,12 +858,40 @@
     const missing = this.#missing(ticket, queue, now);
     if (missing !== undefined) return missing;
     function told(ended: QueueOutcome): AccessOutput[] {
-      if (ended.kind !== "confirmed") return [trouble(ticket, 503, { trouble: "not-run", reason: "the lot's owner cannot answer now", retryAfter: constants.retryAfter })];
+      if (ended.kind !== "confirmed")
+        return [
+          trouble(ticket, 503, {
+            trouble: "not-run",
+            reason: "the lot's owner cannot answer now",
+            retryAfter: constants.retryAfter,
+          }),
+        ];
       const value = ended.value;
       if (value.kind === "GONE") return [trouble(ticket, 410, goneLot(value))];
-      if (value.kind !== "LOT") return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot, or it ended more than a day ago" })];
+      if (value.kind !== "LOT")
+        return [
+          trouble(ticket, 404, {
+            trouble: "unknown-lot",
+            reason: "there is no such lot, or it ended more than a day ago",
+          }),
+        ];
       const { id, way, items, open, cancelled } = value.lot;
-      return [{ kind: "reply", ticket, status: 200, body: { lot: id, way, items: value.items, of: items, open, state: open === 0 ? (cancelled ? "cancelled" : "done") : cancelled ? "cancelling" : "open" } }];
+      return [
+        {
+          kind: "reply",
+          ticket,
+          status: 200,
+          body: {
+            lot: id,
+            way,
+            items: value.items,
+            of: items,
+            open,
+            state:
+              open === 0 ? (cancelled ? "cancelled" : "done") : cancelled ? "cancelling" : "open",
+          },
+        },
+      ];
     }
     return this.#errand(queue!, { kind: "status", lot }, constants.ownerPatience, told, now);
   }
@@ -488,17 +901,45 @@
     const missing = this.#missing(ticket, queue, now);
     if (missing !== undefined) return missing;
     function told(ended: QueueOutcome): AccessOutput[] {
-      if (ended.kind === "elsewhere") return [trouble(ticket, 503, { trouble: "not-run", reason: ended.reason, retryAfter: constants.retryAfter })];
-      if (ended.kind === "unknown") return [trouble(ticket, 504, { trouble: "unknown", reason: "whether the lot is cancelled is not known yet; cancel it again", lot })];
-      if (ended.value.kind !== "CANCELLED") return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
-      return [{ kind: "reply", ticket, status: 200, body: { lot, stopped: ended.value.stopped, newItemsWithin: constants.grantLasts / 1_000 } }];
+      if (ended.kind === "elsewhere")
+        return [
+          trouble(ticket, 503, {
+            trouble: "not-run",
+            reason: ended.reason,
+            retryAfter: constants.retryAfter,
+          }),
+        ];
+      if (ended.kind === "unknown")
+        return [
+          trouble(ticket, 504, {
+            trouble: "unknown",
+            reason: "whether the lot is cancelled is not known yet; cancel it again",
+            lot,
+          }),
+        ];
+      if (ended.value.kind !== "CANCELLED")
+        return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
+      return [
+        {
+          kind: "reply",
+          ticket,
+          status: 200,
+          body: { lot, stopped: ended.value.stopped, newItemsWithin: constants.grantLasts / 1_000 },
+        },
+      ];
     }
     return this.#errand(queue!, { kind: "cancel", lot }, constants.ownerPatience, told, now);
   }
 
   // Errands to owners of queues and to control
 
-  #errand(queue: string, command: QueueCommand, patience: number, told: ErrandTold, now: number): AccessOutput[] {
+  #errand(
+    queue: string,
+    command: QueueCommand,
+    patience: number,
+    told: ErrandTold,
+    now: number,
+  ): AccessOutput[] {
     return this.#errands.ask(queue, command, patience, told, now);
   }
 
@@ -508,7 +949,13 @@
     /** A prompt granted too late to be begun goes back at once, with its token. */
     if (ended.kind !== "confirmed" || ended.value.kind !== "TAKEN") return [];
     const { lot, index, go } = ended.value;
-    return this.#errand(queueOfLot(lot)!, { kind: "record", lot, index, go, ending: { kind: "unsent" } }, constants.ownerPatience, nothing, now);
+    return this.#errand(
+      queueOfLot(lot)!,
+      { kind: "record", lot, index, go, ending: { kind: "unsent" } },
+      constants.ownerPatience,
+      nothing,
+      now,
+    );
   }
 
   #errandsBeat(now: number): AccessOutput[] {
@@ -517,7 +964,8 @@
       if (now - errand.since >= constants.confirmPatience) {
         this.#controlErrands.delete(ticket);
         outputs.push(...errand.told({ kind: "unknown" }));
-      } else if (now - errand.sentAt >= constants.grantLasts) outputs.push(...this.membership.spread(), ...this.#sendControl(ticket, errand, now));
+      } else if (now - errand.sentAt >= constants.grantLasts)
+        outputs.push(...this.membership.spread(), ...this.#sendControl(ticket, errand, now));
     }
     return outputs;
   }
@@ -529,7 +977,8 @@
     this.#wall = wall;
     this.#lookAwake(now);
     const outputs: AccessOutput[] = [...this.membership.beat(now), ...this.#errandsBeat(now)];
-    for (const [id, { heardAt }] of this.#announced) if (now - heardAt > constants.runnerLasts) this.#announced.delete(id);
+    for (const [id, { heardAt }] of this.#announced)
+      if (now - heardAt > constants.runnerLasts) this.#announced.delete(id);
     if (now - this.#lifeAt >= constants.lifeEvery) {
       this.#lifeAt = now;
       outputs.push(...this.#signsOfLife(now));
@@ -547,7 +996,13 @@
     for (const [key] of this.membership.follower.under<ChainView>(keys.queue)) {
       const queue = key.slice(keys.queue.length);
       if (configuration.isPoolQueue(queue)) continue;
-      if (!duty.rank(queue, access).slice(0, constants.dispatchersPerQueue).includes(this.#standing.identity)) continue;
+      if (
+        !duty
+          .rank(queue, access)
+          .slice(0, constants.dispatchersPerQueue)
+          .includes(this.#standing.identity)
+      )
+        continue;
       let draw = this.#draws.get(queue);
       if (draw === undefined) {
         draw = { resumeAt: 0, popping: undefined, underWay: 0 };
@@ -559,8 +1014,19 @@
     return outputs;
   }
 
-  #pop(queue: string, model: string, adapter: string | undefined, draw: Draw, now: number): AccessOutput[] {
-    if (draw.popping !== undefined || now < draw.resumeAt || draw.underWay >= constants.dispatchWidth) return [];
+  #pop(
+    queue: string,
+    model: string,
+    adapter: string | undefined,
+    draw: Draw,
+    now: number,
+  ): AccessOutput[] {
+    if (
+      draw.popping !== undefined ||
+      now < draw.resumeAt ||
+      draw.underWay >= constants.dispatchWidth
+    )
+      return [];
     const unable = this.#unable(queue, model, adapter, now);
     if (unable === undefined) return [];
     const self = this;
@@ -576,13 +1042,39 @@
       if (value.kind === "TAKEN") {
         self.counts.popped += 1;
         draw.underWay += 1;
-        const prompt: Prompt = { kind: "prompt", queue, lot: value.lot, index: value.index, claim: value.go, prompt: value.prompt, way: value.way, runners: value.runners ?? [], until: askedAt + constants.grantLasts, tried: new Set(), pieces: [], lifeAt: later };
-        return [...self.#tryPrompt(prompt, model, adapter, later), ...self.#pop(queue, model, adapter, draw, later)];
+        const prompt: Prompt = {
+          kind: "prompt",
+          queue,
+          lot: value.lot,
+          index: value.index,
+          claim: value.go,
+          prompt: value.prompt,
+          way: value.way,
+          runners: value.runners ?? [],
+          until: askedAt + constants.grantLasts,
+          tried: new Set(),
+          pieces: [],
+          lifeAt: later,
+        };
+        return [
+          ...self.#tryPrompt(prompt, model, adapter, later),
+          ...self.#pop(queue, model, adapter, draw, later),
+        ];
       }
-      draw.resumeAt = later + (value.kind === "RATE_LIMITED" ? value.wait ?? constants.pauseMost : constants.emptyPause);
+      draw.resumeAt =
+        later +
+        (value.kind === "RATE_LIMITED"
+          ? (value.wait ?? constants.pauseMost)
+          : constants.emptyPause);
       return [];
     }
-    return this.#errand(queue, { kind: "pop", holder: this.#standing.identity, ...(unable.length === 0 ? {} : { unable }) }, constants.grantLasts, told, now);
+    return this.#errand(
+      queue,
+      { kind: "pop", holder: this.#standing.identity, ...(unable.length === 0 ? {} : { unable }) },
+      constants.grantLasts,
+      told,
+      now,
+    );
   }
 
   #wantedBy(way: string): Readonly<Record<string, string>> {
@@ -590,17 +1082,48 @@
   }
 
   /** Seasons of a queue whose runners have no room now; undefined where no runner has. */
-  #unable(queue: string, model: string, adapter: string | undefined, now: number): string[] | undefined {
-    if (this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now) === undefined) return undefined;
+  #unable(
+    queue: string,
+    model: string,
+    adapter: string | undefined,
+    now: number,
+  ): string[] | undefined {
+    if (this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now) === undefined)
+      return undefined;
     const unable: string[] = [];
-    for (const { season: name, runners } of standingClasses(this.membership.follower.read<QueueStanding>(keys.standing + queue))) {
-      if (runners.length > 0 && this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now, 0, runners) === undefined) unable.push(name);
+    for (const { season: name, runners } of standingClasses(
+      this.membership.follower.read<QueueStanding>(keys.standing + queue),
+    )) {
+      if (
+        runners.length > 0 &&
+        this.#choose("model", model, adapter, {}, new Set(), constants.lotPart, now, 0, runners) ===
+          undefined
+      )
+        unable.push(name);
     }
     return unable;
   }
 
-  #tryPrompt(prompt: Prompt, model: string, adapter: string | undefined, now: number): AccessOutput[] {
-    const runner = now > prompt.until || prompt.tried.size >= constants.runnersTried ? undefined : this.#choose("model", model, adapter, this.#wantedBy(prompt.way), prompt.tried, constants.lotPart, now, 0, prompt.runners);
+  #tryPrompt(
+    prompt: Prompt,
+    model: string,
+    adapter: string | undefined,
+    now: number,
+  ): AccessOutput[] {
+    const runner =
+      now > prompt.until || prompt.tried.size >= constants.runnersTried
+        ? undefined
+        : this.#choose(
+            "model",
+            model,
+            adapter,
+            this.#wantedBy(prompt.way),
+            prompt.tried,
+            constants.lotPart,
+            now,
+            0,
+            prompt.runners,
+          );
     if (runner === undefined) {
       const draw = this.#draws.get(prompt.queue)!;
       draw.resumeAt = Math.max(draw.resumeAt, now + constants.emptyPause * 2);
@@ -608,14 +1131,31 @@
     }
     prompt.tried.add(runner.id);
     const inquiry = `${prompt.lot}/${prompt.index}/${prompt.claim}`;
-    return this.#start(prompt, runner, { kind: "stream", inquiry, body: { inquiry, model, ...(adapter === undefined ? {} : { adapter }), prompt: prompt.prompt } }, constants.promptSilence, now);
+    return this.#start(
+      prompt,
+      runner,
+      {
+        kind: "stream",
+        inquiry,
+        body: {
+          inquiry,
+          model,
+          ...(adapter === undefined ? {} : { adapter }),
+          prompt: prompt.prompt,
+        },
+      },
+      constants.promptSilence,
+      now,
+    );
   }
 
   #promptEvent(number: number, prompt: Prompt, event: GoEvent, now: number): AccessOutput[] {
     switch (event.kind) {
-      case "opened": return [];
+      case "opened":
+        return [];
       case "piece":
-        if (event.number !== prompt.pieces.length) return this.#endPrompt(number, prompt, { kind: "broken" }, now, true);
+        if (event.number !== prompt.pieces.length)
+          return this.#endPrompt(number, prompt, { kind: "broken" }, now, true);
         prompt.pieces.push(event.data);
         prompt.lifeAt = now;
         return [];
@@ -623,20 +1163,37 @@
         return event.pieces === prompt.pieces.length
           ? this.#endPrompt(number, prompt, { kind: "solved", result: prompt.pieces }, now, false)
           : this.#endPrompt(number, prompt, { kind: "broken" }, now, false);
-      case "troubled": return this.#endPrompt(number, prompt, { kind: "trouble", reason: event.reason }, now, false);
+      case "troubled":
+        return this.#endPrompt(
+          number,
+          prompt,
+          { kind: "trouble", reason: event.reason },
+          now,
+          false,
+        );
       case "unsent":
       case "refused": {
         this.#gos.delete(number);
         const [model, adapter] = configuration.modelOf(prompt.queue);
         return this.#tryPrompt(prompt, model, adapter, now);
       }
-      default: return this.#endPrompt(number, prompt, { kind: "broken" }, now, false);
+      default:
+        return this.#endPrompt(number, prompt, { kind: "broken" }, now, false);
     }
   }
 
-  #endPrompt(number: number, prompt: Prompt, ending: Ending, now: number, abandon: boolean): AccessOutput[] {
+  #endPrompt(
+    number: number,
+    prompt: Prompt,
+    ending: Ending,
+    now: number,
+    abandon: boolean,
+  ): AccessOutput[] {
     this.#gos.delete(number);
-    return [...(abandon ? [{ kind: "abandon", go: number } as const] : []), ...this.#record(prompt, ending, now)];
+    return [
+      ...(abandon ? [{ kind: "abandon", go: number } as const] : []),
+      ...this.#record(prompt, ending, now),
+    ];
   }
 
   #record(prompt: Prompt, ending: Ending, now: number): AccessOutput[] {
@@ -646,7 +1203,13 @@
     else if (ending.kind === "trouble") this.counts.troubled += 1;
     else if (ending.kind === "unsent") this.counts.givenBack += 1;
     else this.counts.broken += 1;
-    return this.#errand(prompt.queue, { kind: "record", lot: prompt.lot, index: prompt.index, go: prompt.claim, ending }, constants.ownerPatience * 3, nothing, now);
+    return this.#errand(
+      prompt.queue,
+      { kind: "record", lot: prompt.lot, index: prompt.index, go: prompt.claim, ending },
+      constants.ownerPatience * 3,
+      nothing,
+      now,
+    );
   }
 
   /** Runners report on themselves alone: the sign of life of a prompt is its tokens, seen here (§5.4). */
@@ -667,15 +1230,23 @@
     const outputs: AccessOutput[] = [];
     for (const [queue, items] of byQueue) {
       const owner = this.membership.follower.read<ChainView>(keys.queue + queue)?.members[0];
-      if (owner !== undefined) outputs.push({ kind: "send", to: owner.address, message: { kind: "life", queue, items } });
+      if (owner !== undefined)
+        outputs.push({ kind: "send", to: owner.address, message: { kind: "life", queue, items } });
     }
     return outputs;
   }
 
   status(now: number): Record<string, unknown> {
     return {
-      identity: this.#standing.identity, zone: this.#standing.zone, place: this.membership.follower.place, configuration: this.membership.configuration.mark,
-      leaseLeft: Math.round(this.membership.leaseLeft(now)), live: this.#live.size, gos: this.#gos.size, counts: { ...this.counts, ...this.relay.counts, ...this.lots.dispatcher.counts }, runners: this.membership.runners(now),
+      identity: this.#standing.identity,
+      zone: this.#standing.zone,
+      place: this.membership.follower.place,
+      configuration: this.membership.configuration.mark,
+      leaseLeft: Math.round(this.membership.leaseLeft(now)),
+      live: this.#live.size,
+      gos: this.#gos.size,
+      counts: { ...this.counts, ...this.relay.counts, ...this.lots.dispatcher.counts },
+      runners: this.membership.runners(now),
     };
   }
 }
@@ -692,7 +1263,10 @@
   return [];
 }
 
-function carries(labels: Readonly<Record<string, string>>, wanted: Readonly<Record<string, string>>): boolean {
+function carries(
+  labels: Readonly<Record<string, string>>,
+  wanted: Readonly<Record<string, string>>,
+): boolean {
   for (const [key, value] of Object.entries(wanted)) if (labels[key] !== value) return false;
   return true;
 }
@@ -707,8 +1281,23 @@
   return cut <= 0 ? undefined : lot.slice(0, cut);
 }
 
-function goneLot({ lot, way, items, cancelled, endedBefore }: Extract<QueueResult, { kind: "GONE" }>): Trouble {
-  return { trouble: "gone", reason: "this lot was accepted and ended; its results are no longer kept, and it does not run again", lot, way, of: items, state: cancelled ? "cancelled" : "done", endedBefore: Math.round(endedBefore / 1_000) };
+function goneLot({
+  lot,
+  way,
+  items,
+  cancelled,
+  endedBefore,
+}: Extract<QueueResult, { kind: "GONE" }>): Trouble {
+  return {
+    trouble: "gone",
+    reason:
+      "this lot was accepted and ended; its results are no longer kept, and it does not run again",
+    lot,
+    way,
+    of: items,
+    state: cancelled ? "cancelled" : "done",
+    endedBefore: Math.round(endedBefore / 1_000),
+  };
 }
 
 function trouble(ticket: string, status: number, body: Trouble): AccessOutput {
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -1,7 +1,22 @@
 import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import { constants, outcome, type Outcome } from "@chutewick/parts";
-import { Beat, Gateway, Wire, explain, listen, metrics, monotonic, settings as configured, settled, reply, replyTrouble, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import {
+  Beat,
+  Gateway,
+  Wire,
+  explain,
+  listen,
+  metrics,
+  monotonic,
+  settings as configured,
+  settled,
+  reply,
+  replyTrouble,
+  type Arrival,
+  type Log,
+  type Settings,
+} from "@chutewick/shell";
 import type { ServiceSchema } from "moleculer";
 import { z } from "zod";
 import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
@@ -56,20 +71,57 @@
     this.#log = log;
     this.#fronts = extras.fronts ?? [];
     const self = this;
-    function receive(message: unknown, from: string): void { self.#perform(self.#core.receive(message as DataMessage, from, monotonic())); }
-    function mayStart(go: number): string | undefined { return self.#core.mayStart(go, monotonic()); }
-    function told(go: number, event: GoEvent): void { self.#perform(self.#core.goEvent(go, event, monotonic())); }
+    function receive(message: unknown, from: string): void {
+      self.#perform(self.#core.receive(message as DataMessage, from, monotonic()));
+    }
+    function mayStart(go: number): string | undefined {
+      return self.#core.mayStart(go, monotonic());
+    }
+    function told(go: number, event: GoEvent): void {
+      self.#perform(self.#core.goEvent(go, event, monotonic()));
+    }
     const identity = `${settings.name}-${randomUUID()}`;
-    this.#core = new AccessCore({ identity, address: settings.wire, kind: "access", zone: settings.zone, http: settings.http, name: settings.name }, settings.seeds, monotonic(), configured.policyOf(settings));
+    this.#core = new AccessCore(
+      {
+        identity,
+        address: settings.wire,
+        kind: "access",
+        zone: settings.zone,
+        http: settings.http,
+        name: settings.name,
+      },
+      settings.seeds,
+      monotonic(),
+      configured.policyOf(settings),
+    );
     this.#links = new Links(mayStart, told);
-    function mayPass(go: number): string | undefined { return self.#core.mayPass(go, monotonic()); }
-    function passed(go: number, event: PassEvent): void { self.#perform(self.#core.passEvent(go, event, monotonic())); }
-    function share(address: string): number { return self.#core.choice.share(address); }
+    function mayPass(go: number): string | undefined {
+      return self.#core.mayPass(go, monotonic());
+    }
+    function passed(go: number, event: PassEvent): void {
+      self.#perform(self.#core.passEvent(go, event, monotonic()));
+    }
+    function share(address: string): number {
+      return self.#core.choice.share(address);
+    }
     this.#relay = this.#core.relay;
-    this.#passLinks = new PassConnections({ dialect: extras.dialect ?? ownDialect, mayStart: mayPass, told: passed, share, now: monotonic });
-    this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
+    this.#passLinks = new PassConnections({
+      dialect: extras.dialect ?? ownDialect,
+      mayStart: mayPass,
+      told: passed,
+      share,
+      now: monotonic,
+    });
+    this.#wire = new Wire({
+      address: settings.wire,
+      listen: settings.wireListen ?? settings.wire,
+      log,
+      receive,
+    });
     this.#gateway = new Gateway({
-      address: settings.http, log, owners: [this.#owner()],
+      address: settings.http,
+      log,
+      owners: [this.#owner()],
       openings: [
         { method: "GET", path: "/status", event: "operator.status" },
         { method: "GET", path: "/metrics", event: "operator.metrics" },
@@ -84,7 +136,11 @@
     });
   }
 
-  static async open(settings: Settings, log: Log, extras: AccessExtras = {}): Promise<Outcome<AccessProcess>> {
+  static async open(
+    settings: Settings,
+    log: Log,
+    extras: AccessExtras = {},
+  ): Promise<Outcome<AccessProcess>> {
     const access = new AccessProcess(settings, log, extras);
     const trouble = await listen(access.#wire, access.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
@@ -94,7 +150,10 @@
     }
     access.#beat.start(strike);
     for (const front of access.#fronts) await front.open(access.#desk());
-    log.info({ wire: settings.wire, http: settings.http, startedIn: Math.round(performance.now()) }, "access node is up");
+    log.info(
+      { wire: settings.wire, http: settings.http, startedIn: Math.round(performance.now()) },
+      "access node is up",
+    );
     return outcome.good(access);
   }
 
@@ -107,7 +166,9 @@
     const until = begun + this.#core.membership.policy.stopWithin;
     /** Callers are sent here for a while after the word that this node is not ready; they are served all the same (§13.5). */
     const from = this.#fronts.length === 0 ? begun : begun + constants.unreadyLasts;
-    function finished(): boolean { return (monotonic() > from && self.#core.busy === 0) || monotonic() > until; }
+    function finished(): boolean {
+      return (monotonic() > from && self.#core.busy === 0) || monotonic() > until;
+    }
     await settled(finished);
     this.#beat.stop();
     for (const front of this.#fronts) await front.close();
@@ -123,7 +184,9 @@
       self.#ticketNumber += 1;
       return `${self.#ticketPrefix}-${self.#ticketNumber}`;
     }
-    function takesLots(host: string, path: string): boolean { return self.#relay.find(host, path)?.passage.kind === "lot"; }
+    function takesLots(host: string, path: string): boolean {
+      return self.#relay.find(host, path)?.passage.kind === "lot";
+    }
     function pass(inquiry: PassInquiry, caller: PassCaller): string {
       const ticket = next();
       self.#passing.set(ticket, caller);
@@ -137,73 +200,187 @@
       return ticket;
     }
     function handIn(lot: LotHandedIn, caller: LotCaller): string {
-      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.handIn(ticket, lot, monotonic()); }
+      function ask(ticket: string): readonly AccessOutput[] {
+        return self.#core.lots.handIn(ticket, lot, monotonic());
+      }
       return asked(caller, ask);
     }
-    function readLot(lot: string, host: string, from: number, hold: number, caller: LotCaller): string {
-      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.read(ticket, lot, host, from, hold, monotonic()); }
+    function readLot(
+      lot: string,
+      host: string,
+      from: number,
+      hold: number,
+      caller: LotCaller,
+    ): string {
+      function ask(ticket: string): readonly AccessOutput[] {
+        return self.#core.lots.read(ticket, lot, host, from, hold, monotonic());
+      }
       return asked(caller, ask);
     }
     function readItem(lot: string, item: string, _host: string, caller: LotCaller): string {
-      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.item(ticket, lot, item, monotonic()); }
+      function ask(ticket: string): readonly AccessOutput[] {
+        return self.#core.lots.item(ticket, lot, item, monotonic());
+      }
       return asked(caller, ask);
     }
     function endLot(lot: string, host: string, caller: LotCaller): string {
-      function ask(ticket: string): readonly AccessOutput[] { return self.#core.lots.end(ticket, lot, host, monotonic()); }
+      function ask(ticket: string): readonly AccessOutput[] {
+        return self.#core.lots.end(ticket, lot, host, monotonic());
+      }
       return asked(caller, ask);
     }
     function left(ticket: string): void {
       if (self.#lotCallers.delete(ticket)) return;
       if (self.#passing.delete(ticket)) self.#perform(self.#relay.left(ticket, monotonic()));
     }
-    function slow(ticket: string): void { self.#perform(self.#relay.slow(ticket)); }
-    function ready(ticket: string): void { self.#perform(self.#relay.ready(ticket)); }
-    function isReady(): boolean { return !self.#isStopping && self.#core.membership.serves(monotonic()); }
-    function isStopping(): boolean { return self.#isStopping; }
+    function slow(ticket: string): void {
+      self.#perform(self.#relay.slow(ticket));
+    }
+    function ready(ticket: string): void {
+      self.#perform(self.#relay.ready(ticket));
+    }
+    function isReady(): boolean {
+      return !self.#isStopping && self.#core.membership.serves(monotonic());
+    }
+    function isStopping(): boolean {
+      return self.#isStopping;
+    }
     return {
-      isReady, isStopping, takesLots, pass, handIn, readLot, readItem, endLot, left, slow, ready,
+      isReady,
+      isStopping,
+      takesLots,
+      pass,
+      handIn,
+      readLot,
+      readItem,
+      endLot,
+      left,
+      slow,
+      ready,
     };
   }
 
   /** Owner of all arrivals of this process: events in, commands out. */
   #owner(): ServiceSchema {
     const self = this;
-    function status(arrival: Arrival): void { reply(arrival.reply, 200, { ...self.#core.status(monotonic()), counts: { ...self.#core.counts, ...self.#relay.counts, ...self.#passLinks.counts, sent: self.#wire.sent, dropped: self.#wire.dropped, refused: self.#wire.refused } }); }
+    function status(arrival: Arrival): void {
+      reply(arrival.reply, 200, {
+        ...self.#core.status(monotonic()),
+        counts: {
+          ...self.#core.counts,
+          ...self.#relay.counts,
+          ...self.#passLinks.counts,
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+          refused: self.#wire.refused,
+        },
+      });
+    }
     async function measured(arrival: Arrival): Promise<void> {
       const { gos, live, leaseLeft } = self.#core.status(monotonic());
-      reply(arrival.reply, 200, await metrics.read({ ...self.#core.counts, gos, live, leaseLeft, sent: self.#wire.sent, dropped: self.#wire.dropped }));
+      reply(
+        arrival.reply,
+        200,
+        await metrics.read({
+          ...self.#core.counts,
+          gos,
+          live,
+          leaseLeft,
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+        }),
+      );
     }
     function inquiry(arrival: Arrival): void {
-      self.#perform(self.#core.arrive(self.#ticket(arrival), arrival.parameters["way"]!, arrival.body, undefined, monotonic()));
+      self.#perform(
+        self.#core.arrive(
+          self.#ticket(arrival),
+          arrival.parameters["way"]!,
+          arrival.body,
+          undefined,
+          monotonic(),
+        ),
+      );
     }
     function fetched(arrival: Arrival): void {
       const way = arrival.parameters["way"]!;
       const path = arrival.path.slice(`/ways/${way}`.length);
-      self.#perform(self.#core.arrive(self.#ticket(arrival), way, undefined, path === "" ? "/" : path, monotonic()));
+      self.#perform(
+        self.#core.arrive(
+          self.#ticket(arrival),
+          way,
+          undefined,
+          path === "" ? "/" : path,
+          monotonic(),
+        ),
+      );
     }
     function handedIn(arrival: Arrival): void {
       const body = arrival.body as { key?: unknown; items?: unknown; labels?: unknown } | null;
       const unknown = Object.keys(body ?? {}).filter(isNoField);
-      if (unknown.length > 0) return replyTrouble(arrival.reply, 400, { trouble: "bad-body", reason: `${unknown[0]}: is not a field of a lot` });
-      self.#perform(self.#core.handIn(self.#ticket(arrival), arrival.parameters["way"]!, body?.key, body?.items, body?.labels, monotonic()));
+      if (unknown.length > 0)
+        return replyTrouble(arrival.reply, 400, {
+          trouble: "bad-body",
+          reason: `${unknown[0]}: is not a field of a lot`,
+        });
+      self.#perform(
+        self.#core.handIn(
+          self.#ticket(arrival),
+          arrival.parameters["way"]!,
+          body?.key,
+          body?.items,
+          body?.labels,
+          monotonic(),
+        ),
+      );
+    }
+    function lookUp(arrival: Arrival): void {
+      self.#perform(
+        self.#core.lookUp(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic()),
+      );
+    }
+    function cancel(arrival: Arrival): void {
+      self.#perform(
+        self.#core.cancel(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic()),
+      );
     }
-    function lookUp(arrival: Arrival): void { self.#perform(self.#core.lookUp(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic())); }
-    function cancel(arrival: Arrival): void { self.#perform(self.#core.cancel(self.#ticket(arrival), arrival.parameters["lot"]!, monotonic())); }
     function announced(arrival: Arrival): void {
       const checked = announcement.safeParse(arrival.body);
-      if (!checked.success) return replyTrouble(arrival.reply, 400, { trouble: "bad-body", reason: explain(checked.error) });
+      if (!checked.success)
+        return replyTrouble(arrival.reply, 400, {
+          trouble: "bad-body",
+          reason: explain(checked.error),
+        });
       self.#perform(self.#core.announce(self.#ticket(arrival), checked.data, monotonic()));
     }
     function goodbye(arrival: Arrival): void {
       const checked = farewell.safeParse(arrival.body);
-      if (!checked.success) return replyTrouble(arrival.reply, 400, { trouble: "bad-body", reason: explain(checked.error) });
-      self.#perform(self.#core.goodbye(self.#ticket(arrival), arrival.parameters["runner"]!, checked.data.incarnation, monotonic()));
+      if (!checked.success)
+        return replyTrouble(arrival.reply, 400, {
+          trouble: "bad-body",
+          reason: explain(checked.error),
+        });
+      self.#perform(
+        self.#core.goodbye(
+          self.#ticket(arrival),
+          arrival.parameters["runner"]!,
+          checked.data.incarnation,
+          monotonic(),
+        ),
+      );
     }
     return {
       name: "access",
       events: {
-        "operator.status": status, "operator.metrics": measured, "inquiry.arrived": inquiry, "inquiry.fetch": fetched, "lot.handed-in": handedIn, "lot.look-up": lookUp,
-        "lot.cancel": cancel, "runner.announced": announced, "runner.goodbye": goodbye,
+        "operator.status": status,
+        "operator.metrics": measured,
+        "inquiry.arrived": inquiry,
+        "inquiry.fetch": fetched,
+        "lot.handed-in": handedIn,
+        "lot.look-up": lookUp,
+        "lot.cancel": cancel,
+        "runner.announced": announced,
+        "runner.goodbye": goodbye,
       },
     };
   }
@@ -249,7 +426,11 @@
         case "pass-resume":
           this.#passLinks.resume(output.go);
           break;
-        case "pass-head": case "pass-bytes": case "pass-end": case "pass-cut": case "pass-refused":
+        case "pass-head":
+        case "pass-bytes":
+        case "pass-end":
+        case "pass-cut":
+        case "pass-refused":
           this.#toPassing(output);
           break;
         case "lot-told": {
@@ -258,17 +439,25 @@
           told?.(output.told);
           break;
         }
-        default: this.#toCaller(output);
+        default:
+          this.#toCaller(output);
       }
     }
   }
 
-  #toPassing(output: Extract<PassOutput, { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }>): void {
+  #toPassing(
+    output: Extract<
+      PassOutput,
+      { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }
+    >,
+  ): void {
     const to = this.#passing.get(output.ticket);
     if (to === undefined) return;
     switch (output.kind) {
-      case "pass-head": return to.head(output.status, output.headers);
-      case "pass-bytes": return to.bytes(output.bytes);
+      case "pass-head":
+        return to.head(output.status, output.headers);
+      case "pass-bytes":
+        return to.bytes(output.bytes);
       case "pass-end":
         this.#passing.delete(output.ticket);
         return to.end();
@@ -281,7 +470,9 @@
     }
   }
 
-  #toCaller(output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>): void {
+  #toCaller(
+    output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>,
+  ): void {
     const to = this.#waiting.get(output.ticket);
     if (to === undefined) return;
     switch (output.kind) {
@@ -293,12 +484,19 @@
       case "reply-bytes":
         this.#waiting.delete(output.ticket);
         metrics.resulted(to, output.status);
-        to.writeHead(output.status, { "content-type": output.type, "content-length": String(output.bytes.length) });
+        to.writeHead(output.status, {
+          "content-type": output.type,
+          "content-length": String(output.bytes.length),
+        });
         to.end(output.bytes);
         break;
       case "stream-open":
         metrics.resulted(to, 200);
-        to.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store", "chutewick-inquiry": output.ticket });
+        to.writeHead(200, {
+          "content-type": "text/event-stream",
+          "cache-control": "no-store",
+          "chutewick-inquiry": output.ticket,
+        });
         to.flushHeaders();
         break;
       case "stream-piece":
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -112,7 +112,9 @@
     this.#isWarm = isWarm;
   }
 
-  get zone(): string { return this.#standing.zone; }
+  get zone(): string {
+    return this.#standing.zone;
+  }
 
   /** Numbers all goes of this process. */
   nextGo(): number {
@@ -121,7 +123,13 @@
   }
 
   /** The runner of a pool at which an inquiry begins soonest, none of those tried; for items only within the room that live work leaves. */
-  choose(pool: string, inquiry: PassInquiry, tried: ReadonlySet<string>, item: boolean, now: number): Chosen | undefined {
+  choose(
+    pool: string,
+    inquiry: PassInquiry,
+    tried: ReadonlySet<string>,
+    item: boolean,
+    now: number,
+  ): Chosen | undefined {
     this.#look(now);
     const prompt = this.#prompt(pool, inquiry, item);
     let best: Sight | undefined;
@@ -129,8 +137,13 @@
     for (const sight of this.#pools.get(pool) ?? []) {
       const { card } = sight;
       if (tried.has(card.id) || !carries(card, inquiry.model)) continue;
-      if (burdenOf(sight, item) >= card.seats * (item ? partOf(sight, this.#isDivided(pool)) : constants.seatsMost)) continue;
-      let price = this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
+      if (
+        burdenOf(sight, item) >=
+        card.seats * (item ? partOf(sight, this.#isDivided(pool)) : constants.seatsMost)
+      )
+        continue;
+      let price =
+        this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
       if (prompt.tokens !== undefined) price += awayOf(sight, prompt);
       if (card.zone !== this.#standing.zone) price += constants.otherZone;
       if (!this.#isWarm(card.url)) price += constants.coldPrice;
@@ -140,14 +153,22 @@
         best = sight;
       }
     }
-    return best === undefined ? undefined : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
+    return best === undefined
+      ? undefined
+      : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
   }
 
   #prompt(pool: string, inquiry: PassInquiry, item: boolean): Prompt {
     const tokens = tokensOf(inquiry);
     const isLong = !item && tokens !== undefined && tokens >= constants.longLeast;
     const shared = sharedOf(inquiry);
-    return { tokens, shared, home: shared === undefined ? undefined : homeOf(shared, this.#pools.get(pool) ?? [], isLong), isLong, item };
+    return {
+      tokens,
+      shared,
+      home: shared === undefined ? undefined : homeOf(shared, this.#pools.get(pool) ?? [], isLong),
+      isLong,
+      item,
+    };
   }
 
   /** ms until the first sign of work. */
@@ -155,21 +176,35 @@
     const { seats } = sight.card;
     const used = this.#crowd(sight, prompt.item);
     const over = Math.max(0, used + 1 - seats) / seats;
-    if (prompt.tokens === undefined) return sight.usual * (1 + used / seats + over * constants.queueWeight);
-    return (this.#reads(sight, prompt, now) + sight.reading + used * constants.besidePrice + over * constants.seatWait + constants.firstLeast) * sight.slowness;
+    if (prompt.tokens === undefined)
+      return sight.usual * (1 + used / seats + over * constants.queueWeight);
+    return (
+      (this.#reads(sight, prompt, now) +
+        sight.reading +
+        used * constants.besidePrice +
+        over * constants.seatWait +
+        constants.firstLeast) *
+      sight.slowness
+    );
   }
 
   /** Seats taken: what others told is some 0.5 s old, and in a rush they send as this node does. */
   #crowd(sight: Sight, item: boolean): number {
-    return burdenOf(sight, item) + Math.max(0, sight.live * (this.#nodes - 1) * constants.alikePart - sight.othersLive);
+    return (
+      burdenOf(sight, item) +
+      Math.max(0, sight.live * (this.#nodes - 1) * constants.alikePart - sight.othersLive)
+    );
   }
 
   /** ms that a runner reads a prompt for: what it does not keep, each token against all before it. */
   #reads(sight: Sight, { tokens, shared, home }: Prompt, now: number): number {
     const all = tokens ?? 0;
-    const kept = shared !== undefined && (home === sight || this.#wasRead(shared, sight, now)) ? Math.min(shared.size, all) : 0;
+    const kept =
+      shared !== undefined && (home === sight || this.#wasRead(shared, sight, now))
+        ? Math.min(shared.size, all)
+        : 0;
     const unread = all - kept;
-    return unread / constants.tokensRead + unread * (all - unread / 2) / constants.pairsRead;
+    return unread / constants.tokensRead + (unread * (all - unread / 2)) / constants.pairsRead;
   }
 
   #wasRead(shared: Shared, sight: Sight, now: number): boolean {
@@ -179,7 +214,12 @@
 
   /** Work is there, and nothing is heard of it for longer than its reading takes. */
   #isQuiet(sight: Sight, now: number): boolean {
-    return sight.live + sight.items > 0 && now - sight.heardAt > sight.reading + (sight.card.models.length > 0 ? constants.quietReading : constants.quietLeast);
+    return (
+      sight.live + sight.items > 0 &&
+      now - sight.heardAt >
+        sight.reading +
+          (sight.card.models.length > 0 ? constants.quietReading : constants.quietLeast)
+    );
   }
 
   /** Whether the runner of a go gives no sign at all, on any work of this node. */
@@ -203,8 +243,13 @@
   /** Connections that this node may have to the runner at an address: what its pool allows, shared by all access nodes. */
   share(address: string): number {
     const sight = this.#addresses.get(address);
-    const most = sight === undefined ? 0 : this.#membership.configuration.value.pools?.[sight.card.pool ?? ""]?.connections ?? 0;
-    return most === 0 ? constants.connectionsUntold : Math.max(1, Math.floor(most * constants.connectionsPart / this.#nodes));
+    const most =
+      sight === undefined
+        ? 0
+        : (this.#membership.configuration.value.pools?.[sight.card.pool ?? ""]?.connections ?? 0);
+    return most === 0
+      ? constants.connectionsUntold
+      : Math.max(1, Math.floor((most * constants.connectionsPart) / this.#nodes));
   }
 
   /** A go begins at a runner, gives a first sign of work, and ends. */
@@ -218,7 +263,16 @@
     else sight.live += 1;
     const reads = prompt.tokens === undefined ? undefined : this.#reads(sight, prompt, now);
     sight.reading += reads ?? 0;
-    this.#gos.set(go, { sight, item, beganAt: now, reads, isLong: prompt.isLong, expected, shared: prompt.shared, begun: false });
+    this.#gos.set(go, {
+      sight,
+      item,
+      beganAt: now,
+      reads,
+      isLong: prompt.isLong,
+      expected,
+      shared: prompt.shared,
+      begun: false,
+    });
     if (prompt.isLong) this.#long(sight.card.pool!, 1, now);
   }
 
@@ -238,7 +292,15 @@
     sight.reading -= go.reads ?? 0;
     const took = now - go.beganAt;
     if (go.reads === undefined) sight.usual += (took - sight.usual) * constants.learnPart;
-    else if (!go.item) sight.slowness += (between((took + constants.firstLeast) / (go.expected + constants.firstLeast) * sight.slowness, 0.5, 4) - sight.slowness) * constants.learnPart;
+    else if (!go.item)
+      sight.slowness +=
+        (between(
+          ((took + constants.firstLeast) / (go.expected + constants.firstLeast)) * sight.slowness,
+          0.5,
+          4,
+        ) -
+          sight.slowness) *
+        constants.learnPart;
     if (go.shared !== undefined) this.#remember(go.shared, sight.card.id, now);
   }
 
@@ -275,7 +337,12 @@
   room(pool: string, now: number): number {
     this.#look(now);
     let free = 0;
-    for (const sight of this.#pools.get(pool) ?? []) if (now >= sight.shyUntil) free += Math.max(0, sight.card.seats * partOf(sight, this.#isDivided(pool)) - burdenOf(sight, true));
+    for (const sight of this.#pools.get(pool) ?? [])
+      if (now >= sight.shyUntil)
+        free += Math.max(
+          0,
+          sight.card.seats * partOf(sight, this.#isDivided(pool)) - burdenOf(sight, true),
+        );
     const share = free / this.#nodes;
     return Math.floor(share) + (this.#random() < share % 1 ? 1 : 0);
   }
@@ -283,17 +350,31 @@
   /** What this node tells the others. */
   burdens(): [runner: string, live: number, items: number][] {
     const found: [string, number, number][] = [];
-    for (const { card, live, items } of this.#sights.values()) if (live > 0 || items > 0) found.push([card.id, live, items]);
+    for (const { card, live, items } of this.#sights.values())
+      if (live > 0 || items > 0) found.push([card.id, live, items]);
     return found;
   }
 
   #isDivided(pool: string): boolean {
-    return (this.#divisions.get(pool)?.first ?? Number.POSITIVE_INFINITY) !== Number.POSITIVE_INFINITY;
+    return (
+      (this.#divisions.get(pool)?.first ?? Number.POSITIVE_INFINITY) !== Number.POSITIVE_INFINITY
+    );
   }
 
   #division(pool: string, now: number): Division {
     let division = this.#divisions.get(pool);
-    if (division === undefined) this.#divisions.set(pool, division = { level: 0, long: 0, longNow: 0, longAt: now, first: Number.POSITIVE_INFINITY, at: now });
+    if (division === undefined)
+      this.#divisions.set(
+        pool,
+        (division = {
+          level: 0,
+          long: 0,
+          longNow: 0,
+          longAt: now,
+          first: Number.POSITIVE_INFINITY,
+          at: now,
+        }),
+      );
     return division;
   }
 
@@ -316,23 +397,39 @@
     }
     division.long += (division.longNow - division.long) * Math.min(1, span / constants.longSmooth);
     const level = Math.max(0, used - division.long * this.#nodes);
-    division.level += (level - division.level) * Math.min(1, span / (level > division.level ? constants.levelUp : constants.levelDown));
+    division.level +=
+      (level - division.level) *
+      Math.min(1, span / (level > division.level ? constants.levelUp : constants.levelDown));
     const most = sights.length - Math.max(1, Math.ceil(sights.length * constants.longPart));
-    if (sights.length < constants.divideLeast || now - division.longAt > constants.longLasts) division.first = Number.POSITIVE_INFINITY;
+    if (sights.length < constants.divideLeast || now - division.longAt > constants.longLasts)
+      division.first = Number.POSITIVE_INFINITY;
     else {
       const needed = division.level / (seats / sights.length) / constants.shortFill;
       /** Only when well above or below, so that homes of shared parts seldom move, and nodes seldom differ. */
-      if (needed > division.first + constants.divideOver || needed < division.first - constants.divideUnder || division.first > most) division.first = Math.ceil(needed);
-      division.first = between(division.first, Math.ceil(sights.length * constants.shortPart), most);
+      if (
+        needed > division.first + constants.divideOver ||
+        needed < division.first - constants.divideUnder ||
+        division.first > most
+      )
+        division.first = Math.ceil(needed);
+      division.first = between(
+        division.first,
+        Math.ceil(sights.length * constants.shortPart),
+        most,
+      );
     }
     if (division.first < sights.length) sights.sort(byHash);
-    for (let index = 0; index < sights.length; index += 1) sights[index]!.forLong = index >= division.first;
+    for (let index = 0; index < sights.length; index += 1)
+      sights[index]!.forLong = index >= division.first;
   }
 
   /** What is known of the runners is read anew a few times in a beat, not for each inquiry. */
   #look(now: number): void {
     /** With thousands of runners a look costs milliseconds: then more seldom. */
-    const span = Math.min(constants.lookMost, constants.lookEvery * (1 + this.#runners.size / constants.lookRunners));
+    const span = Math.min(
+      constants.lookMost,
+      constants.lookEvery * (1 + this.#runners.size / constants.lookRunners),
+    );
     if (now - this.#lookedAt < span && now >= this.#lookedAt) return;
     this.#lookedAt = now;
     this.#pools = new Map();
@@ -346,13 +443,27 @@
       if (card.kind !== "access" || age > constants.sessionLasts) continue;
       if (!card.leaving) nodes += 1;
     }
-    for (const [runner, live, items] of this.#membership.roll.others ?? []) others.set(runner, [live, items]);
+    for (const [runner, live, items] of this.#membership.roll.others ?? [])
+      others.set(runner, [live, items]);
     this.#nodes = Math.max(1, nodes);
     for (const card of this.#membership.runners(now)) {
       if (card.pool === undefined) continue;
       const key = keyOf(card.id, card.incarnation);
       const sight: Sight = held.get(key) ?? {
-        card, hash: hashOf(card.id), live: 0, items: 0, othersLive: 0, othersItems: 0, reading: 0, forLong: false, usual: constants.usualFirst, slowness: 1, heardAt: now, stands: true, shyUntil: 0, troubles: 0,
+        card,
+        hash: hashOf(card.id),
+        live: 0,
+        items: 0,
+        othersLive: 0,
+        othersItems: 0,
+        reading: 0,
+        forLong: false,
+        usual: constants.usualFirst,
+        slowness: 1,
+        heardAt: now,
+        stands: true,
+        shyUntil: 0,
+        troubles: 0,
       };
       sight.card = card;
       sight.stands = true;
@@ -384,7 +495,11 @@
 
 /** Seats that a work finds taken: an item gives way to live work, though not for nothing. */
 function burdenOf(sight: Sight, item: boolean): number {
-  return sight.live + sight.othersLive + (sight.items + sight.othersItems) * (item ? 1 : constants.itemWeight);
+  return (
+    sight.live +
+    sight.othersLive +
+    (sight.items + sight.othersItems) * (item ? 1 : constants.itemWeight)
+  );
 }
 
 /** Part of a runner's seats up to which items go there: less where short live work goes, which would put them back. */
@@ -456,7 +571,8 @@
 /** Spread evenly over 32 bits. */
 export function hashOf(text: string): number {
   let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  for (let index = 0; index < text.length; index += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
   return mixed(hash);
 }
 
--- a/packages/data/src/dialect.ts
+++ b/packages/data/src/dialect.ts
@@ -63,7 +63,10 @@
 export interface RunnerDialect {
   /** Names and values of all headers of a work as it goes out at a moment (ms, monotonic). */
   headers(work: PassWork, now: number): string[];
-  read(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ResultHead;
+  read(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): ResultHead;
 }
 
 /** What the links to runners tell of one go. */
@@ -71,12 +74,27 @@
   /** No byte went out: it did not run. */
   | { readonly kind: "unsent"; readonly reason: string }
   /** The runner states that it did not run it. */
-  | { readonly kind: "refused"; readonly status: number; readonly retryAfter: number | undefined; readonly otherRunner: boolean }
+  | {
+      readonly kind: "refused";
+      readonly status: number;
+      readonly retryAfter: number | undefined;
+      readonly otherRunner: boolean;
+    }
   /** Headers are names and values in turn, without those of one connection alone. */
-  | { readonly kind: "head"; readonly status: number; readonly headers: readonly string[]; readonly stamped: boolean }
+  | {
+      readonly kind: "head";
+      readonly status: number;
+      readonly headers: readonly string[];
+      readonly stamped: boolean;
+    }
   | { readonly kind: "data"; readonly bytes: Uint8Array }
   /** A whole event: its number (undefined where it bears none), its data, and its bytes as they came. */
-  | { readonly kind: "event"; readonly number: number | undefined; readonly data: string; readonly bytes: Uint8Array }
+  | {
+      readonly kind: "event";
+      readonly number: number | undefined;
+      readonly data: string;
+      readonly bytes: Uint8Array;
+    }
   /** The whole body has come, and its end as the protocol has it. */
   | { readonly kind: "end" }
   /** Bytes went out, and no whole result of this inquiry came back: it may have run. */
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/errands.ts
@@ -30,16 +30,35 @@
     this.#membership = membership;
   }
 
-  get size(): number { return this.#errands.size; }
+  get size(): number {
+    return this.#errands.size;
+  }
 
   values(): IterableIterator<Errand> {
     return this.#errands.values();
   }
 
   /** hold in ms: the owner may keep the result back so long. */
-  ask(queue: string, command: QueueCommand, patience: number, told: ErrandTold, now: number, hold = 0): AccessOutput[] {
+  ask(
+    queue: string,
+    command: QueueCommand,
+    patience: number,
+    told: ErrandTold,
+    now: number,
+    hold = 0,
+  ): AccessOutput[] {
     const ticket = this.ticket();
-    const errand: Errand = { queue, command: command.kind === "hand-in" ? { ...command, ticket } : command, since: now, patience, hold, told, sentTo: undefined, sentAt: now, doubtful: false };
+    const errand: Errand = {
+      queue,
+      command: command.kind === "hand-in" ? { ...command, ticket } : command,
+      since: now,
+      patience,
+      hold,
+      told,
+      sentTo: undefined,
+      sentAt: now,
+      doubtful: false,
+    };
     this.#errands.set(ticket, errand);
     return this.#send(ticket, errand, now);
   }
@@ -60,9 +79,24 @@
     errand.sentTo = owner;
     if (owner === undefined) return [];
     /** Earlier sendings may be on their way: a refusal of this one is to hold for them too. */
-    const command = errand.doubtful && errand.command.kind === "hand-in" ? { ...errand.command, final: true } : errand.command;
+    const command =
+      errand.doubtful && errand.command.kind === "hand-in"
+        ? { ...errand.command, final: true }
+        : errand.command;
     const left = Math.max(0, Math.min(errand.hold, errand.since + errand.hold - now));
-    return [{ kind: "send", to: owner, message: { kind: "queue-inquiry", ticket, queue: errand.queue, command, ...(left > 0 ? { hold: left } : {}) } }];
+    return [
+      {
+        kind: "send",
+        to: owner,
+        message: {
+          kind: "queue-inquiry",
+          ticket,
+          queue: errand.queue,
+          command,
+          ...(left > 0 ? { hold: left } : {}),
+        },
+      },
+    ];
   }
 
   /** undefined where nobody waits for it any more. */
@@ -79,8 +113,16 @@
     }
     this.#errands.delete(ticket);
     /** A refusal is final only if no earlier send of this errand may still be taken. */
-    const refusal = ended.kind === "elsewhere" || (ended.kind === "confirmed" && (ended.value.kind === "FULL" || ended.value.kind === "NO_ROOM" && ended.value.final !== true));
-    return errand.told(refusal && errand.doubtful ? { kind: "unknown" } : ended, now, errand.since + held);
+    const refusal =
+      ended.kind === "elsewhere" ||
+      (ended.kind === "confirmed" &&
+        (ended.value.kind === "FULL" ||
+          (ended.value.kind === "NO_ROOM" && ended.value.final !== true)));
+    return errand.told(
+      refusal && errand.doubtful ? { kind: "unknown" } : ended,
+      now,
+      errand.since + held,
+    );
   }
 
   beat(now: number): AccessOutput[] {
@@ -91,8 +133,20 @@
       const hopeless = !near && errand.doubtful && errand.command.kind === "hand-in";
       if (now - errand.since >= errand.patience || hopeless) {
         this.#errands.delete(ticket);
-        outputs.push(...errand.told(errand.sentTo !== undefined || errand.doubtful ? { kind: "unknown" } : { kind: "elsewhere", reason: "the queue's owner cannot be reached" }, now, errand.since));
-      } else if (errand.sentTo === undefined ? now - errand.sentAt >= constants.ownerRetry : !isOnce(errand.command) && now - errand.sentAt >= constants.grantLasts + errand.hold) {
+        outputs.push(
+          ...errand.told(
+            errand.sentTo !== undefined || errand.doubtful
+              ? { kind: "unknown" }
+              : { kind: "elsewhere", reason: "the queue's owner cannot be reached" },
+            now,
+            errand.since,
+          ),
+        );
+      } else if (
+        errand.sentTo === undefined
+          ? now - errand.sentAt >= constants.ownerRetry
+          : !isOnce(errand.command) && now - errand.sentAt >= constants.grantLasts + errand.hold
+      ) {
         if (errand.sentTo !== undefined) errand.doubtful = true;
         outputs.push(...this.#send(ticket, errand, now));
       }
--- a/packages/data/src/events.ts
+++ b/packages/data/src/events.ts
@@ -14,7 +14,11 @@
   }
 
   get #rows(): string[] {
-    this.#text ??= Buffer.from(this.bytes.buffer, this.bytes.byteOffset, this.bytes.byteLength).toString("utf8");
+    this.#text ??= Buffer.from(
+      this.bytes.buffer,
+      this.bytes.byteOffset,
+      this.bytes.byteLength,
+    ).toString("utf8");
     return this.#text.split(/\r\n|\n|\r/);
   }
 
--- a/packages/data/src/link.ts
+++ b/packages/data/src/link.ts
@@ -9,7 +9,10 @@
   #mayStart: (go: number) => string | undefined;
   #told: (go: number, event: GoEvent) => void;
 
-  constructor(mayStart: (go: number) => string | undefined, told: (go: number, event: GoEvent) => void) {
+  constructor(
+    mayStart: (go: number) => string | undefined,
+    told: (go: number, event: GoEvent) => void,
+  ) {
     this.#mayStart = mayStart;
     this.#told = told;
   }
@@ -29,9 +32,16 @@
     let sent = false;
     let unsent = "";
     /** The last look before the first byte: connecting may have taken long, and this process may have slept. */
-    function connector(options: { hostname: string; port: string }, callback: (error: Error | null, socket: Socket | null) => void): void {
+    function connector(
+      options: { hostname: string; port: string },
+      callback: (error: Error | null, socket: Socket | null) => void,
+    ): void {
       let settled = false;
-      const socket = connectSocket({ host: options.hostname, port: Number(options.port), noDelay: true });
+      const socket = connectSocket({
+        host: options.hostname,
+        port: Number(options.port),
+        noDelay: true,
+      });
       function settle(error: Error | null): void {
         if (settled) return;
         settled = true;
@@ -45,17 +55,33 @@
         sent = true;
         callback(null, socket);
       }
-      function late(): void { settle(new Error("the runner cannot be reached in time")); }
-      function failed(error: Error): void { settle(error); }
+      function late(): void {
+        settle(new Error("the runner cannot be reached in time"));
+      }
+      function failed(error: Error): void {
+        settle(error);
+      }
       function connected(): void {
         const reason = self.#mayStart(go);
-        settle(sent ? new Error("a connection is used once") : reason === undefined ? null : new Error(reason));
+        settle(
+          sent
+            ? new Error("a connection is used once")
+            : reason === undefined
+              ? null
+              : new Error(reason),
+        );
       }
       const patience = setTimeout(late, constants.connectPatience);
       socket.once("error", failed);
       socket.once("connect", connected);
     }
-    const line = new Client(url, { connect: connector as never, pipelining: 1, headersTimeout: silence, bodyTimeout: silence, maxResponseSize: work.kind === "stream" ? -1 : constants.resultMost });
+    const line = new Client(url, {
+      connect: connector as never,
+      pipelining: 1,
+      headersTimeout: silence,
+      bodyTimeout: silence,
+      maxResponseSize: work.kind === "stream" ? -1 : constants.resultMost,
+    });
     this.#open.set(go, line);
     function tell(event: GoEvent): void {
       if (self.#open.get(go) === line) self.#told(go, event);
@@ -64,27 +90,51 @@
       await this.#exchange(line, work, tell);
     } catch (error) {
       const reason = (error as Error).message;
-      tell(sent ? { kind: "broken", reason: `the link to the runner broke: ${reason}` } : { kind: "unsent", reason: unsent === "" ? reason : unsent });
+      tell(
+        sent
+          ? { kind: "broken", reason: `the link to the runner broke: ${reason}` }
+          : { kind: "unsent", reason: unsent === "" ? reason : unsent },
+      );
     }
     if (this.#open.get(go) === line) this.#open.delete(go);
     void line.destroy();
   }
 
   async #exchange(line: Client, work: Work, tell: (event: GoEvent) => void): Promise<void> {
-    const options: Dispatcher.RequestOptions = work.kind === "fetch"
-      ? { method: "GET", path: work.path, headers: { "chutewick-inquiry": work.inquiry }, reset: true }
-      : { method: "POST", path: work.kind === "stream" ? "/stream" : "/run", headers: { "content-type": "application/json", "chutewick-inquiry": work.inquiry }, body: JSON.stringify(work.body), reset: true };
+    const options: Dispatcher.RequestOptions =
+      work.kind === "fetch"
+        ? {
+            method: "GET",
+            path: work.path,
+            headers: { "chutewick-inquiry": work.inquiry },
+            reset: true,
+          }
+        : {
+            method: "POST",
+            path: work.kind === "stream" ? "/stream" : "/run",
+            headers: { "content-type": "application/json", "chutewick-inquiry": work.inquiry },
+            body: JSON.stringify(work.body),
+            reset: true,
+          };
     const response = await line.request(options);
     const status = response.statusCode;
     if ((status === 429 || status === 503) && response.headers["chutewick-taken"] === "no") {
       await response.body.dump();
       const wait = Number(response.headers["retry-after"]);
-      return tell({ kind: "refused", retryAfter: wait > 0 && Number.isFinite(wait) ? wait : constants.retryAfter });
+      return tell({
+        kind: "refused",
+        retryAfter: wait > 0 && Number.isFinite(wait) ? wait : constants.retryAfter,
+      });
     }
     if (work.kind === "fetch") {
       const bytes = await response.body.bytes();
       if (status >= 500) return tell({ kind: "troubled", reason: `the runner answered ${status}` });
-      return tell({ kind: "bytes", status, type: String(response.headers["content-type"] ?? "application/octet-stream"), bytes });
+      return tell({
+        kind: "bytes",
+        status,
+        type: String(response.headers["content-type"] ?? "application/octet-stream"),
+        bytes,
+      });
     }
     if (status !== 200) {
       const text = (await response.body.text()).slice(0, 200);
@@ -95,8 +145,15 @@
       return tell({ kind: "broken", reason: "the runner answered for another inquiry" });
     }
     if (work.kind === "one-shot") {
-      const value = JSON.parse(await response.body.text()) as { inquiry?: unknown; result?: unknown };
-      if (value.inquiry !== work.inquiry || value.result === undefined) return tell({ kind: "broken", reason: "the runner answered for another inquiry, or without a result" });
+      const value = JSON.parse(await response.body.text()) as {
+        inquiry?: unknown;
+        result?: unknown;
+      };
+      if (value.inquiry !== work.inquiry || value.result === undefined)
+        return tell({
+          kind: "broken",
+          reason: "the runner answered for another inquiry, or without a result",
+        });
       return tell({ kind: "whole", value: value.result });
     }
     tell({ kind: "opened" });
@@ -122,8 +179,10 @@
   try {
     const data = JSON.parse(event.data) as { pieces?: number; reason?: string };
     if (event.name === "close") return { kind: "closed", pieces: Number(data.pieces) };
-    if (event.name === "trouble") return { kind: "troubled", reason: String(data.reason ?? "the runner told no reason") };
-    if (event.name === "message" && /^\d+$/.test(event.id)) return { kind: "piece", number: Number(event.id), data };
+    if (event.name === "trouble")
+      return { kind: "troubled", reason: String(data.reason ?? "the runner told no reason") };
+    if (event.name === "message" && /^\d+$/.test(event.id))
+      return { kind: "piece", number: Number(event.id), data };
   } catch {
     return { kind: "broken", reason: "the runner's stream holds what is not JSON" };
   }
