--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -1,5 +1,28 @@
-import { Follower, Lease, constants, giveBack, holdersOf, isNewerWord, policy, type Policy, type FeedMessage, type FellowMessage, type NodeCard, type Roll, type RunnerCard, type Stamp, type Telling } from "@chutewick/parts";
-import { configuration, keys, type ControlMessage, type FleetRecord, type Goodbye, type MarkedConfiguration } from "@chutewick/control";
+import {
+  Follower,
+  Lease,
+  constants,
+  giveBack,
+  holdersOf,
+  isNewerWord,
+  policy,
+  type Policy,
+  type FeedMessage,
+  type FellowMessage,
+  type NodeCard,
+  type Roll,
+  type RunnerCard,
+  type Stamp,
+  type Telling,
+} from "@chutewick/parts";
+import {
+  configuration,
+  keys,
+  type ControlMessage,
+  type FleetRecord,
+  type Goodbye,
+  type MarkedConfiguration,
+} from "@chutewick/control";
 
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
 export interface Standing {
@@ -44,22 +67,42 @@
   #telling: () => Telling;
   #policy: Policy;
 
-  constructor(standing: Standing, seeds: readonly string[], now: number, telling: () => Telling, chosen: Policy = policy.usual) {
+  constructor(
+    standing: Standing,
+    seeds: readonly string[],
+    now: number,
+    telling: () => Telling,
+    chosen: Policy = policy.usual,
+  ) {
     this.#policy = chosen;
-    this.#promisedUntil = chosen.goesOnAlone ? Number.NEGATIVE_INFINITY : now + constants.permitLasts;
+    this.#promisedUntil = chosen.goesOnAlone
+      ? Number.NEGATIVE_INFINITY
+      : now + constants.permitLasts;
     this.#standing = standing;
     this.#seeds = seeds;
     this.#controls = new Set(seeds);
     this.#telling = telling;
   }
 
-  get identity(): string { return this.#standing.identity; }
-  get address(): string { return this.#standing.address; }
-  get zone(): string { return this.#standing.zone; }
-  get roll(): Roll { return this.#roll; }
-  get configuration(): MarkedConfiguration { return configuration.read(this.follower.read<MarkedConfiguration>(keys.configuration)); }
+  get identity(): string {
+    return this.#standing.identity;
+  }
+  get address(): string {
+    return this.#standing.address;
+  }
+  get zone(): string {
+    return this.#standing.zone;
+  }
+  get roll(): Roll {
+    return this.#roll;
+  }
+  get configuration(): MarkedConfiguration {
+    return configuration.read(this.follower.read<MarkedConfiguration>(keys.configuration));
+  }
   /** Where changes to control state are entered. */
-  get head(): string | undefined { return this.#lease.view?.members[0]?.address; }
+  get head(): string | undefined {
+    return this.#lease.view?.members[0]?.address;
+  }
 
   /** From now on this node hands over what it does. */
   leave(now: number): Send[] {
@@ -69,7 +112,10 @@
 
   /** Whether new work may be taken at this moment. */
   holds(now: number): boolean {
-    return this.follower.place > 0 && (this.#lease.holds(now, this.follower.place) || now < this.#permitUntil);
+    return (
+      this.follower.place > 0 &&
+      (this.#lease.holds(now, this.follower.place) || now < this.#permitUntil)
+    );
   }
 
   /** Whether live work on passages may begin: also on what is known, where the deployment lets a node go on alone (§13.3). */
@@ -77,7 +123,9 @@
     return this.configuration.mark > 0 && (this.#policy.goesOnAlone || this.holds(now));
   }
 
-  get policy(): Policy { return this.#policy; }
+  get policy(): Policy {
+    return this.#policy;
+  }
 
   /** Whether a majority of the control group was heard lately. */
   isNear(now: number): boolean {
@@ -85,7 +133,9 @@
     if (view === undefined) return true;
     let heard = 0;
     const granters = holdersOf(view);
-    for (const { identity } of granters) if (now - (this.#heardAt.get(identity) ?? Number.NEGATIVE_INFINITY) <= constants.nearLasts) heard += 1;
+    for (const { identity } of granters)
+      if (now - (this.#heardAt.get(identity) ?? Number.NEGATIVE_INFINITY) <= constants.nearLasts)
+        heard += 1;
     return heard > granters.length / 2;
   }
 
@@ -98,7 +148,20 @@
     if (message.kind === "fellow-ask") {
       const promises = !this.#policy.goesOnAlone && this.#heldLease && !this.isNear(now);
       if (promises) this.#promisedUntil = now + constants.permitLasts;
-      return [{ kind: "send", to: from, message: { kind: "fellow-tell", askedAt: message.askedAt, place: this.follower.place, promises, runners: this.#telling().runners ?? [], closed: [...this.#saidHere] } }];
+      return [
+        {
+          kind: "send",
+          to: from,
+          message: {
+            kind: "fellow-tell",
+            askedAt: message.askedAt,
+            place: this.follower.place,
+            promises,
+            runners: this.#telling().runners ?? [],
+            closed: [...this.#saidHere],
+          },
+        },
+      ];
     }
     /** No older than from the asking: the telling came after it. */
     for (const card of message.runners) this.heardRunner(card, message.askedAt - card.age);
@@ -110,7 +173,8 @@
       return [];
     }
     this.#promises.add(from);
-    if (this.#promises.size > this.#fellows.length / 2) this.#permitUntil = Math.max(this.#permitUntil, this.#askedAt + constants.permitLasts);
+    if (this.#promises.size > this.#fellows.length / 2)
+      this.#permitUntil = Math.max(this.#permitUntil, this.#askedAt + constants.permitLasts);
     return [];
   }
 
@@ -120,19 +184,43 @@
     for (const card of this.live("access")) told.add(card.address);
     told.delete(this.address);
     const sends: Send[] = [];
-    for (const to of told) sends.push({ kind: "send", to, message: { kind: "fellow-tell", askedAt: Number.NEGATIVE_INFINITY, place: this.follower.place, promises: false, runners: [], closed: [...this.#saidHere] } });
+    for (const to of told)
+      sends.push({
+        kind: "send",
+        to,
+        message: {
+          kind: "fellow-tell",
+          askedAt: Number.NEGATIVE_INFINITY,
+          place: this.follower.place,
+          promises: false,
+          runners: [],
+          closed: [...this.#saidHere],
+        },
+      });
     return sends;
   }
 
   #askFellows(now: number): Send[] {
     if (this.#policy.goesOnAlone) return [];
     const fellows = this.#fellows;
-    if (this.isNear(now) || !this.#heldLease || !fellows.includes(this.address) || now - this.#askedAt < constants.sessionEvery) return [];
+    if (
+      this.isNear(now) ||
+      !this.#heldLease ||
+      !fellows.includes(this.address) ||
+      now - this.#askedAt < constants.sessionEvery
+    )
+      return [];
     this.#askedAt = now;
     this.#promisedUntil = now + constants.permitLasts;
     this.#promises = new Set([this.address]);
     const sends: Send[] = [];
-    for (const to of fellows) if (to !== this.address) sends.push({ kind: "send", to, message: { kind: "fellow-ask", askedAt: now, place: this.follower.place } });
+    for (const to of fellows)
+      if (to !== this.address)
+        sends.push({
+          kind: "send",
+          to,
+          message: { kind: "fellow-ask", askedAt: now, place: this.follower.place },
+        });
     return sends;
   }
 
@@ -142,7 +230,13 @@
 
   /** A goodbye closes this life of the runner and every earlier one, which may stand at the same address (§7.5). */
   isClosed(runner: string, incarnation: number): boolean {
-    return incarnation <= Math.max(this.follower.read<Goodbye>(keys.goodbyeKey(runner))?.incarnation ?? 0, this.#saidHere.get(runner) ?? 0);
+    return (
+      incarnation <=
+      Math.max(
+        this.follower.read<Goodbye>(keys.goodbyeKey(runner))?.incarnation ?? 0,
+        this.#saidHere.get(runner) ?? 0,
+      )
+    );
   }
 
   /** A goodbye said here counts here at once. */
@@ -153,42 +247,53 @@
   /** A word of a runner that came here not by control. */
   heardRunner(card: RunnerCard, heardAt: number): void {
     const held = this.#told.get(card.id);
-    if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt)) this.#told.set(card.id, { card, heardAt });
+    if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt))
+      this.#told.set(card.id, { card, heardAt });
   }
 
   /** Whether a life of a runner was heard of lately and has not said goodbye: asked again before the first byte. */
   isStanding(runner: string, incarnation: number, now: number): boolean {
-    for (const card of this.runners(now)) if (card.id === runner && card.incarnation === incarnation) return true;
+    for (const card of this.runners(now))
+      if (card.id === runner && card.incarnation === incarnation) return true;
     return false;
   }
 
   runners(now: number): RunnerCard[] {
     const found: RunnerCard[] = [];
     const known = new Map<string, RunnerCard>();
-    for (const card of this.#roll.runners) known.set(card.id, { ...card, age: card.age + now - this.#rollAt });
+    for (const card of this.#roll.runners)
+      known.set(card.id, { ...card, age: card.age + now - this.#rollAt });
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
       if (age > this.#policy.runnerLasts * constants.aloneTimes) this.#told.delete(card.id);
-      if (held === undefined || isNewerWord(card, heardAt, held, now - held.age)) known.set(card.id, { ...card, age });
+      if (held === undefined || isNewerWord(card, heardAt, held, now - held.age))
+        known.set(card.id, { ...card, age });
     }
     /** Cut off from control, a node goes on with the runners that it knew: those gone since are not reached, or say that they are others (§13.4). */
-    const lasts = this.#policy.goesOnAlone && !this.isNear(now) ? this.#policy.runnerLasts * constants.aloneTimes : this.#policy.runnerLasts;
-    for (const card of known.values()) if (card.age <= lasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
+    const lasts =
+      this.#policy.goesOnAlone && !this.isNear(now)
+        ? this.#policy.runnerLasts * constants.aloneTimes
+        : this.#policy.runnerLasts;
+    for (const card of known.values())
+      if (card.age <= lasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
     return found;
   }
 
   live(kind: NodeCard["kind"]): NodeCard[] {
     const found: NodeCard[] = [];
-    for (const { card, age } of this.#roll.nodes) if (card.kind === kind && !card.leaving && age <= constants.sessionLasts) found.push(card);
+    for (const { card, age } of this.#roll.nodes)
+      if (card.kind === kind && !card.leaving && age <= constants.sessionLasts) found.push(card);
     return found;
   }
 
   /** True when the feed brought something new. */
   receive(message: ControlMessage, from: string, now: number): boolean {
-    if (message.kind === "feed" || message.kind === "feed-digest") return this.follower.receive(message as FeedMessage);
+    if (message.kind === "feed" || message.kind === "feed-digest")
+      return this.follower.receive(message as FeedMessage);
     /** Runners that control heard of just now; ages in it count from here, as goodbyes are confirmed before they are told (§13.8). */
-    if (message.kind === "runners") for (const card of message.runners) this.heardRunner(card, now - card.age);
+    if (message.kind === "runners")
+      for (const card of message.runners) this.heardRunner(card, now - card.age);
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
@@ -200,7 +305,8 @@
         this.#rollAt = message.askedAt;
       }
       const controls = new Set<string>([...this.#seeds, ...message.controls]);
-      for (const member of [...message.view.members, ...holdersOf(message.view)]) controls.add(member.address);
+      for (const member of [...message.view.members, ...holdersOf(message.view)])
+        controls.add(member.address);
       this.#controls = controls;
     }
     return false;
@@ -208,9 +314,26 @@
 
   tell(now: number): Send[] {
     this.#toldAt = now;
-    const card: NodeCard = { ...this.#standing, place: this.follower.place, free: now >= this.#promisedUntil, leaving: this.#leaving, telling: this.#telling() };
+    const card: NodeCard = {
+      ...this.#standing,
+      place: this.follower.place,
+      free: now >= this.#promisedUntil,
+      leaving: this.#leaving,
+      telling: this.#telling(),
+    };
     const sends: Send[] = [];
-    for (const to of this.#controls) sends.push({ kind: "send", to, message: { kind: "session", card, askedAt: now, back: giveBack(this.#stamps.get(to), now), ...(this.#roll.nodes.length > 0 ? { rolled: now - this.#rollAt } : {}) } });
+    for (const to of this.#controls)
+      sends.push({
+        kind: "send",
+        to,
+        message: {
+          kind: "session",
+          card,
+          askedAt: now,
+          back: giveBack(this.#stamps.get(to), now),
+          ...(this.#roll.nodes.length > 0 ? { rolled: now - this.#rollAt } : {}),
+        },
+      });
     return sends;
   }
 
@@ -218,6 +341,8 @@
     const asks = this.#askFellows(now);
     /** The moment a promise ends, control is told so. */
     const freed = this.#toldAt < this.#promisedUntil && now >= this.#promisedUntil;
-    return now - this.#toldAt >= constants.sessionEvery || freed ? [...asks, ...this.tell(now)] : asks;
+    return now - this.#toldAt >= constants.sessionEvery || freed
+      ? [...asks, ...this.tell(now)]
+      : asks;
   }
 }
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -1,4 +1,11 @@
-import { constants, duty, type ChainView, type Claim, type PassEnding, type PassTask } from "@chutewick/parts";
+import {
+  constants,
+  duty,
+  type ChainView,
+  type Claim,
+  type PassEnding,
+  type PassTask,
+} from "@chutewick/parts";
 import { configuration, keys, type Passage } from "@chutewick/control";
 import type { AccessOutput } from "./access-core.js";
 import type { Choice, GoEnd } from "./choice.js";
@@ -68,7 +75,9 @@
     this.#errands = errands;
   }
 
-  get underWay(): number { return this.#runs.size; }
+  get underWay(): number {
+    return this.#runs.size;
+  }
 
   has(go: number): boolean {
     return this.#runs.has(go);
@@ -90,8 +99,10 @@
     if (now > run.job.until) return "the grant ran out";
     if (this.#ended.has(run.job.task.lot)) return "its lot is ended";
     const passage = this.#passage(run.job.task.way);
-    if (passage === undefined || !configuration.poolsOf(passage).includes(run.pool)) return "its passage is gone, or leads elsewhere";
-    if (!this.#membership.isStanding(run.runner, run.incarnation, now)) return "the runner said goodbye, or was not heard of lately";
+    if (passage === undefined || !configuration.poolsOf(passage).includes(run.pool))
+      return "its passage is gone, or leads elsewhere";
+    if (!this.#membership.isStanding(run.runner, run.incarnation, now))
+      return "the runner said goodbye, or was not heard of lately";
     return undefined;
   }
 
@@ -104,7 +115,8 @@
   beat(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
     for (const [go, run] of [...this.#runs]) {
-      if (now - run.job.lifeAt > constants.promptSilence || now >= run.job.keepsUntil) outputs.push(...this.#end(go, run, "broken", undefined, this.#broken(run.job), now, true));
+      if (now - run.job.lifeAt > constants.promptSilence || now >= run.job.keepsUntil)
+        outputs.push(...this.#end(go, run, "broken", undefined, this.#broken(run.job), now, true));
     }
     if (now - this.#lifeAt >= constants.taskLifeEvery) {
       this.#lifeAt = now;
@@ -118,7 +130,9 @@
   #able(now: number): { able: string[]; room: number } {
     const able: string[] = [];
     const rooms = new Map<string, number>();
-    for (const [way, passage] of Object.entries(this.#membership.configuration.value.passages ?? {})) {
+    for (const [way, passage] of Object.entries(
+      this.#membership.configuration.value.passages ?? {},
+    )) {
       if (passage.kind !== "lot") continue;
       let has = false;
       for (const pool of configuration.poolsOf(passage)) {
@@ -150,7 +164,12 @@
       draw = { resumeAt: 0, askedAt: undefined };
       this.#draws.set(queue, draw);
     }
-    if (this.draining || now < draw.resumeAt || draw.askedAt !== undefined && now - draw.askedAt < constants.grantLasts + constants.drawHold) return [];
+    if (
+      this.draining ||
+      now < draw.resumeAt ||
+      (draw.askedAt !== undefined && now - draw.askedAt < constants.grantLasts + constants.drawHold)
+    )
+      return [];
     const { able, room } = this.#able(now);
     if (room < 1) return [];
     const held = draw;
@@ -176,33 +195,97 @@
       return [...outputs, ...self.#draw(queue, later)];
     }
     /** A grant that comes too late to be begun still has to be given back. */
-    return this.#errands.ask(queue, { kind: "draw", holder: this.#membership.address, by: this.#membership.identity, most: Math.min(room, constants.drawMost), able }, constants.orphanAfter, told, now, constants.drawHold);
+    return this.#errands.ask(
+      queue,
+      {
+        kind: "draw",
+        holder: this.#membership.address,
+        by: this.#membership.identity,
+        most: Math.min(room, constants.drawMost),
+        able,
+      },
+      constants.orphanAfter,
+      told,
+      now,
+      constants.drawHold,
+    );
   }
 
   #begin(queue: string, task: PassTask, askedAt: number, now: number): AccessOutput[] {
     this.counts.drawn += 1;
     const { entry } = task;
     const inquiry: PassInquiry = {
-      id: entry.id, method: "POST", host: task.host, path: entry.path, headers: entry.headers, body: entry.body, patience: undefined,
-      model: entry.model ?? undefined, tokensIn: entry.tokens, tokensOut: undefined, parts: entry.parts ?? [], resumeAfter: task.upTo ?? undefined,
+      id: entry.id,
+      method: "POST",
+      host: task.host,
+      path: entry.path,
+      headers: entry.headers,
+      body: entry.body,
+      patience: undefined,
+      model: entry.model ?? undefined,
+      tokensIn: entry.tokens,
+      tokensOut: undefined,
+      parts: entry.parts ?? [],
+      resumeAfter: task.upTo ?? undefined,
     };
     const until = askedAt + Math.min(constants.grantLasts, this.#membership.policy.cancelWithin);
-    return this.#try({ queue, task, inquiry, until, keepsUntil: askedAt + task.remaining, tried: new Set(), texts: [], upTo: task.upTo ?? undefined, lifeAt: now }, now);
+    return this.#try(
+      {
+        queue,
+        task,
+        inquiry,
+        until,
+        keepsUntil: askedAt + task.remaining,
+        tried: new Set(),
+        texts: [],
+        upTo: task.upTo ?? undefined,
+        lifeAt: now,
+      },
+      now,
+    );
   }
 
   /** The newest configuration says where it runs: by weight, then any pool of the passage that has a runner for it. */
   #try(job: Job, now: number): AccessOutput[] {
     const passage = this.#passage(job.task.way);
-    if (passage === undefined || now > job.until || job.tried.size >= constants.runnersTried || this.draining || this.#ended.has(job.task.lot)) return this.#settle(job, { kind: "unsent" }, now);
+    if (
+      passage === undefined ||
+      now > job.until ||
+      job.tried.size >= constants.runnersTried ||
+      this.draining ||
+      this.#ended.has(job.task.lot)
+    )
+      return this.#settle(job, { kind: "unsent" }, now);
     this.#drawNumber += 1;
     for (const pool of byWeight(passage, `${this.#membership.identity}/${this.#drawNumber}`)) {
       const chosen = this.#choice.choose(pool, job.inquiry, job.tried, true, now);
       if (chosen === undefined) continue;
       job.tried.add(chosen.runner);
       const go = this.#choice.nextGo();
-      this.#runs.set(go, { job, pool, runner: chosen.runner, incarnation: chosen.incarnation, status: undefined });
+      this.#runs.set(go, {
+        job,
+        pool,
+        runner: chosen.runner,
+        incarnation: chosen.incarnation,
+        status: undefined,
+      });
       this.#choice.begin(go, chosen.runner, job.inquiry, true, now);
-      return [{ kind: "pass-run", go, address: chosen.address, work: { inquiry: job.inquiry, runner: chosen.runner, rank: constants.itemRank, until: job.keepsUntil, resumeAfter: job.upTo, events: true, repeatable: true } }];
+      return [
+        {
+          kind: "pass-run",
+          go,
+          address: chosen.address,
+          work: {
+            inquiry: job.inquiry,
+            runner: chosen.runner,
+            rank: constants.itemRank,
+            until: job.keepsUntil,
+            resumeAfter: job.upTo,
+            events: true,
+            repeatable: true,
+          },
+        },
+      ];
     }
     const draw = this.#draws.get(job.queue)!;
     draw.resumeAt = Math.max(draw.resumeAt, now + constants.emptyPause);
@@ -215,32 +298,49 @@
     const { job } = run;
     job.lifeAt = now;
     switch (event.kind) {
-      case "unsent": return this.#again(go, run, "unsent", undefined, now);
-      case "refused": return this.#again(go, run, "refused", event.retryAfter, now);
+      case "unsent":
+        return this.#again(go, run, "unsent", undefined, now);
+      case "refused":
+        return this.#again(go, run, "refused", event.retryAfter, now);
       case "head":
         run.status = event.status;
-        if (event.status < 300 && !event.stamped) return this.#end(go, run, "broken", undefined, this.#broken(job), now, true);
+        if (event.status < 300 && !event.stamped)
+          return this.#end(go, run, "broken", undefined, this.#broken(job), now, true);
+        return [];
+      case "data":
         return [];
-      case "data": return [];
       case "event": {
         /** Only what surely follows counts: a run that skips or repeats is broken off. */
-        if (event.number === undefined || job.upTo !== undefined && event.number !== job.upTo + 1) return this.#end(go, run, "broken", undefined, this.#broken(job), now, true);
+        if (event.number === undefined || (job.upTo !== undefined && event.number !== job.upTo + 1))
+          return this.#end(go, run, "broken", undefined, this.#broken(job), now, true);
         if (job.texts.length === 0) this.#choice.first(go, now);
         job.texts.push(event.data);
         job.upTo = event.number;
         return [];
       }
-      case "end": return this.#whole(go, run, now);
-      case "broken": return this.#end(go, run, "broken", undefined, this.#broken(job), now, false);
+      case "end":
+        return this.#whole(go, run, now);
+      case "broken":
+        return this.#end(go, run, "broken", undefined, this.#broken(job), now, false);
     }
   }
 
   #whole(go: number, run: Run, now: number): AccessOutput[] {
     const { job, status } = run;
     /** A run that was asked to go on after the last event of all ends without another. */
-    if (status === 200 && (job.texts.length > 0 || job.upTo !== undefined)) return this.#end(go, run, "done", undefined, { kind: "solved", text: job.texts.join("\n"), events: job.texts.length }, now, false);
+    if (status === 200 && (job.texts.length > 0 || job.upTo !== undefined))
+      return this.#end(
+        go,
+        run,
+        "done",
+        undefined,
+        { kind: "solved", text: job.texts.join("\n"), events: job.texts.length },
+        now,
+        false,
+      );
     if (status === 422) return this.#end(go, run, "done", undefined, { kind: "never" }, now, false);
-    if (status === 500) return this.#end(go, run, "failed", undefined, { kind: "trouble" }, now, false);
+    if (status === 500)
+      return this.#end(go, run, "failed", undefined, { kind: "trouble" }, now, false);
     return this.#end(go, run, "broken", undefined, this.#broken(job), now, false);
   }
 
@@ -249,13 +349,27 @@
   }
 
   /** Nothing ran: another runner may be tried while the grant holds. */
-  #again(go: number, { job }: Run, how: GoEnd, retryAfter: number | undefined, now: number): AccessOutput[] {
+  #again(
+    go: number,
+    { job }: Run,
+    how: GoEnd,
+    retryAfter: number | undefined,
+    now: number,
+  ): AccessOutput[] {
     this.#runs.delete(go);
     this.#choice.end(go, how, retryAfter, now);
     return this.#try(job, now);
   }
 
-  #end(go: number, { job }: Run, how: GoEnd, retryAfter: number | undefined, ending: PassEnding, now: number, abandon: boolean): AccessOutput[] {
+  #end(
+    go: number,
+    { job }: Run,
+    how: GoEnd,
+    retryAfter: number | undefined,
+    ending: PassEnding,
+    now: number,
+    abandon: boolean,
+  ): AccessOutput[] {
     this.#runs.delete(go);
     this.#choice.end(go, how, retryAfter, now);
     const outputs: AccessOutput[] = abandon ? [{ kind: "pass-abandon", go }] : [];
@@ -288,20 +402,28 @@
     const self = this;
     function told(ended: QueueOutcome, later: number): AccessOutput[] {
       /** What no owner has taken for good is told again: by its go it counts once. Signs of life hold the claim meanwhile. */
-      if (ended.kind !== "confirmed") for (const each of settling.sent) if (later < each.until) settling.pending.push(each);
+      if (ended.kind !== "confirmed")
+        for (const each of settling.sent) if (later < each.until) settling.pending.push(each);
       settling.sent = [];
       return self.#tell(queue, settling, later);
     }
-    return this.#errands.ask(queue, { kind: "settle", endings: bare(settling.sent) }, constants.ownerPatience, told, now);
+    return this.#errands.ask(
+      queue,
+      { kind: "settle", endings: bare(settling.sent) },
+      constants.ownerPatience,
+      told,
+      now,
+    );
   }
 
   /** The lot is ended: its runs are dropped, and none begins. */
   ended(lot: string, now: number): AccessOutput[] {
     this.#ended.add(lot);
-    if (this.#ended.size > constants.lotsRemembered) for (const first of this.#ended) {
-      this.#ended.delete(first);
-      break;
-    }
+    if (this.#ended.size > constants.lotsRemembered)
+      for (const first of this.#ended) {
+        this.#ended.delete(first);
+        break;
+      }
     const outputs: AccessOutput[] = [];
     for (const [go, run] of [...this.#runs]) {
       if (run.job.task.lot !== lot) continue;
@@ -321,7 +443,8 @@
       byQueue.set(queue, claims);
     }
     for (const { job } of this.#runs.values()) add(job.queue, job.task);
-    for (const [queue, { pending, sent }] of this.#settlings) for (const { claim } of [...pending, ...sent]) add(queue, claim);
+    for (const [queue, { pending, sent }] of this.#settlings)
+      for (const { claim } of [...pending, ...sent]) add(queue, claim);
     const outputs: AccessOutput[] = [];
     for (const [queue, tasks] of byQueue) outputs.push(...this.#live(queue, tasks));
     return outputs;
@@ -329,7 +452,9 @@
 
   #live(queue: string, tasks: readonly Claim[]): AccessOutput[] {
     const owner = this.#errands.owner(queue);
-    return owner === undefined ? [] : [{ kind: "send", to: owner, message: { kind: "life", queue, items: [], tasks } }];
+    return owner === undefined
+      ? []
+      : [{ kind: "send", to: owner, message: { kind: "life", queue, items: [], tasks } }];
   }
 }
 
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -5,7 +5,17 @@
 import { EventReader } from "./events.js";
 
 /** Headers of one connection alone, which are not passed on. */
-const ofConnection = new Set(["connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"]);
+const ofConnection = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
 
 export interface PassOptions {
   readonly dialect: RunnerDialect;
@@ -97,7 +107,7 @@
 
   #host(address: string): Host {
     let host = this.#hosts.get(address);
-    if (host === undefined) this.#hosts.set(address, host = { idle: [], waiting: [], open: 0 });
+    if (host === undefined) this.#hosts.set(address, (host = { idle: [], waiting: [], open: 0 }));
     return host;
   }
 
@@ -125,13 +135,32 @@
   #connect(run: Run, host: Host): void {
     const self = this;
     const cut = run.address.lastIndexOf(":");
-    const socket = connectSocket({ host: run.address.slice(0, cut), port: Number(run.address.slice(cut + 1)), noDelay: true, keepAlive: true, keepAliveInitialDelay: 1_000 });
-    const line: Line = { address: run.address, socket, speaker: undefined, run: undefined, works: 0, usedAt: 0, idleMost: undefined, lost: false };
+    const socket = connectSocket({
+      host: run.address.slice(0, cut),
+      port: Number(run.address.slice(cut + 1)),
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: 1_000,
+    });
+    const line: Line = {
+      address: run.address,
+      socket,
+      speaker: undefined,
+      run: undefined,
+      works: 0,
+      usedAt: 0,
+      idleMost: undefined,
+      lost: false,
+    };
     host.open += 1;
     this.counts.connected += 1;
     let reason = "the runner cannot be reached in time";
-    function late(): void { socket.destroy(); }
-    function failed(error: Error): void { reason = error.message; }
+    function late(): void {
+      socket.destroy();
+    }
+    function failed(error: Error): void {
+      reason = error.message;
+    }
     function closed(): void {
       clearTimeout(patience);
       self.#drop(line);
@@ -154,13 +183,26 @@
 
   #speaker(line: Line): Client {
     let used = false;
-    function connector(_options: unknown, callback: (error: Error | null, socket: Socket | null) => void): void {
+    function connector(
+      _options: unknown,
+      callback: (error: Error | null, socket: Socket | null) => void,
+    ): void {
       if (used || line.socket.destroyed) return callback(new Error("the connection is gone"), null);
       used = true;
-      function hand(): void { callback(null, line.socket); }
+      function hand(): void {
+        callback(null, line.socket);
+      }
       queueMicrotask(hand);
     }
-    return new Client(`http://${line.address}`, { connect: connector as never, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 600_000, keepAliveMaxTimeout: 600_000, keepAliveTimeoutThreshold: 0 });
+    return new Client(`http://${line.address}`, {
+      connect: connector as never,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 600_000,
+      keepAliveMaxTimeout: 600_000,
+      keepAliveTimeoutThreshold: 0,
+    });
   }
 
   #start(line: Line, run: Run): void {
@@ -177,7 +219,15 @@
     const { inquiry } = run.work;
     const method = inquiry.method as Dispatcher.HttpMethod;
     try {
-      line.speaker!.dispatch({ method, path: inquiry.path, headers: this.#options.dialect.headers(run.work, this.#options.now()), body: inquiry.body.length === 0 ? null : inquiry.body }, run);
+      line.speaker!.dispatch(
+        {
+          method,
+          path: inquiry.path,
+          headers: this.#options.dialect.headers(run.work, this.#options.now()),
+          body: inquiry.body.length === 0 ? null : inquiry.body,
+        },
+        run,
+      );
     } catch (error) {
       run.onError(error as Error);
     }
@@ -198,7 +248,12 @@
     for (;;) {
       const next = host.waiting[0];
       if (next === undefined) return;
-      if (!next.gone && host.idle.length === 0 && host.open >= Math.max(1, this.#options.share(next.address))) return;
+      if (
+        !next.gone &&
+        host.idle.length === 0 &&
+        host.open >= Math.max(1, this.#options.share(next.address))
+      )
+        return;
       host.waiting.shift();
       if (!next.gone) this.#place(next);
     }
@@ -216,30 +271,55 @@
     line.socket.destroy();
     if (host.waiting.length > 0) {
       const self = this;
-      function serve(): void { self.#serve(host); }
+      function serve(): void {
+        self.#serve(host);
+      }
       queueMicrotask(serve);
     }
   }
 
   /** Of a run: what the runner's head says is judged here. */
-  judge(run: Run, status: number, found: Record<string, string | string[] | undefined>, passed: string[]): void {
+  judge(
+    run: Run,
+    status: number,
+    found: Record<string, string | string[] | undefined>,
+    passed: string[],
+  ): void {
     const line = run.line!;
-    if (found["connection"] !== undefined && String(found["connection"]).toLowerCase().includes("close")) line.idleMost = 0;
+    if (
+      found["connection"] !== undefined &&
+      String(found["connection"]).toLowerCase().includes("close")
+    )
+      line.idleMost = 0;
     else line.idleMost = idleOf(found["keep-alive"]);
     const head = this.#options.dialect.read(status, found);
-    const foreign = head.id === undefined ? !(head.notRun && line.works === 1) : head.id !== run.work.inquiry.id;
+    const foreign =
+      head.id === undefined ? !(head.notRun && line.works === 1) : head.id !== run.work.inquiry.id;
     if (foreign) {
       this.counts.poisoned += 1;
       return this.break(run, "the runner's result is that of another inquiry");
     }
     if (head.notRun || head.otherRunner) {
       run.ignores = true;
-      return this.#options.told(run.go, { kind: "refused", status, retryAfter: head.retryAfter, otherRunner: head.otherRunner });
+      return this.#options.told(run.go, {
+        kind: "refused",
+        status,
+        retryAfter: head.retryAfter,
+        otherRunner: head.otherRunner,
+      });
     }
     const encoding = found["content-encoding"];
-    if (encoding !== undefined && encoding !== "identity") return this.break(run, "the body is encoded, which the runner's own never is");
+    if (encoding !== undefined && encoding !== "identity")
+      return this.break(run, "the body is encoded, which the runner's own never is");
     const bare = status === 204 || status === 304 || run.work.inquiry.method === "HEAD";
-    if (!bare && found["content-length"] === undefined && !String(found["transfer-encoding"] ?? "").toLowerCase().includes("chunked")) return this.break(run, "the end of the result could not be known");
+    if (
+      !bare &&
+      found["content-length"] === undefined &&
+      !String(found["transfer-encoding"] ?? "")
+        .toLowerCase()
+        .includes("chunked")
+    )
+      return this.break(run, "the end of the result could not be known");
     run.reader = run.work.events && status >= 200 && status < 300 ? new EventReader() : undefined;
     this.#options.told(run.go, { kind: "head", status, headers: passed, stamped: head.stamped });
   }
@@ -254,7 +334,9 @@
     const line = run.line!;
     run.line = undefined;
     /** After the parser has looked at all that came: more bytes than a result end the connection first. */
-    function rest(): void { self.#rest(line); }
+    function rest(): void {
+      self.#rest(line);
+    }
     setImmediate(rest);
     if (run.reader?.open !== true) return this.finish(run, { kind: "end" });
     line.idleMost = 0;
@@ -321,11 +403,14 @@
       const value = raw[index + 1]!.toString("latin1");
       const key = name.toLowerCase();
       const held = found[key];
-      found[key] = held === undefined ? value : Array.isArray(held) ? [...held, value] : [held, value];
-      if (key === "connection") for (const part of value.split(",")) named.add(part.trim().toLowerCase());
+      found[key] =
+        held === undefined ? value : Array.isArray(held) ? [...held, value] : [held, value];
+      if (key === "connection")
+        for (const part of value.split(",")) named.add(part.trim().toLowerCase());
       else if (!ofConnection.has(key)) passed.push(name, value);
     }
-    if (!this.gone) this.#links.judge(this, status, found, named.size === 0 ? passed : without(passed, named));
+    if (!this.gone)
+      this.#links.judge(this, status, found, named.size === 0 ? passed : without(passed, named));
     return this.#mayGoOn();
   }
 
@@ -343,7 +428,12 @@
   onError(error: Error): void {
     const line = this.line;
     this.line = undefined;
-    this.#links.finish(this, this.#sent ? { kind: "broken", reason: `the link to the runner broke: ${error.message}` } : { kind: "unsent", reason: error.message });
+    this.#links.finish(
+      this,
+      this.#sent
+        ? { kind: "broken", reason: `the link to the runner broke: ${error.message}` }
+        : { kind: "unsent", reason: error.message },
+    );
     if (line !== undefined) line.socket.destroy();
   }
 
@@ -357,7 +447,8 @@
 function fresh(line: Line, repeatable: boolean, now: number): boolean {
   if (line.lost || line.socket.destroyed || line.socket.readableLength > 0) return false;
   const told = line.idleMost;
-  const most = told === undefined ? constants.idleUntold * (repeatable ? 3 : 1) : told - constants.idleMargin;
+  const most =
+    told === undefined ? constants.idleUntold * (repeatable ? 3 : 1) : told - constants.idleMargin;
   return now - line.usedAt <= most;
 }
 
@@ -368,7 +459,8 @@
 
 function without(passed: readonly string[], named: ReadonlySet<string>): string[] {
   const found: string[] = [];
-  for (let index = 0; index + 1 < passed.length; index += 2) if (!named.has(passed[index]!.toLowerCase())) found.push(passed[index]!, passed[index + 1]!);
+  for (let index = 0; index + 1 < passed.length; index += 2)
+    if (!named.has(passed[index]!.toLowerCase())) found.push(passed[index]!, passed[index + 1]!);
   return found;
 }
 
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -30,23 +30,65 @@
   }
 
   handIn(ticket: string, { lot, host, path, entries }: LotHandedIn, now: number): AccessOutput[] {
-    if (this.draining || !this.#membership.holds(now)) return [told(ticket, { kind: "refused", room: false, retryAfter: constants.retryAfter, reason: "this access node is cut off from the control group or about to stop" })];
+    if (this.draining || !this.#membership.holds(now))
+      return [
+        told(ticket, {
+          kind: "refused",
+          room: false,
+          retryAfter: constants.retryAfter,
+          reason: "this access node is cut off from the control group or about to stop",
+        }),
+      ];
     const found = this.#relay.find(host, path);
-    if (found === undefined || found.passage.kind !== "lot") return [told(ticket, { kind: "missing" })];
+    if (found === undefined || found.passage.kind !== "lot")
+      return [told(ticket, { kind: "missing" })];
     const { name: way, passage } = found;
-    const queue = configuration.queueFor(this.#membership.configuration.value, passage, entries[0]?.model);
-    const command: QueueCommand = { kind: "hand-in", lot, way, host, entries, allowance: passage.waitingTokens, goesMost: passage.goesMost, keeps: constants.lotDeadline };
+    const queue = configuration.queueFor(
+      this.#membership.configuration.value,
+      passage,
+      entries[0]?.model,
+    );
+    const command: QueueCommand = {
+      kind: "hand-in",
+      lot,
+      way,
+      host,
+      entries,
+      allowance: passage.waitingTokens,
+      goesMost: passage.goesMost,
+      keeps: constants.lotDeadline,
+    };
     const self = this;
     function ended(outcome: QueueOutcome): AccessOutput[] {
-      if (outcome.kind === "unknown") return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
-      if (outcome.kind === "elsewhere") return [told(ticket, { kind: "refused", room: false, retryAfter: constants.retryAfter, reason: outcome.reason })];
+      if (outcome.kind === "unknown")
+        return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
+      if (outcome.kind === "elsewhere")
+        return [
+          told(ticket, {
+            kind: "refused",
+            room: false,
+            retryAfter: constants.retryAfter,
+            reason: outcome.reason,
+          }),
+        ];
       if (outcome.value.kind === "HANDED") {
         self.#remember(lot, queue);
         return [told(ticket, { kind: "taken" })];
       }
-      if (outcome.value.kind !== "NO_ROOM") return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
+      if (outcome.value.kind !== "NO_ROOM")
+        return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
       const { tokens, waiting, allowance, wait } = outcome.value;
-      return [told(ticket, { kind: "refused", room: true, retryAfter: wait === undefined ? constants.retryAfter : Math.max(constants.emptyPause, wait) / 1_000, reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait` })];
+      return [
+        told(ticket, {
+          kind: "refused",
+          room: true,
+          retryAfter:
+            wait === undefined
+              ? constants.retryAfter
+              : Math.max(constants.emptyPause, wait) / 1_000,
+          reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait`,
+        }),
+      ];
     }
     return this.#errands.ask(queue, command, constants.handInPatience, ended, now);
   }
@@ -62,17 +104,33 @@
   }
 
   /** from: the first position wanted; hold in ms. */
-  read(ticket: string, lot: string, _host: string, from: number, hold: number, now: number): AccessOutput[] {
+  read(
+    ticket: string,
+    lot: string,
+    _host: string,
+    from: number,
+    hold: number,
+    now: number,
+  ): AccessOutput[] {
     function found(value: Found): AccessOutput[] | undefined {
       if (value.kind !== "RESULTS") return undefined;
-      return [told(ticket, { kind: "results", total: value.total, results: value.results, next: from + value.results.length })];
+      return [
+        told(ticket, {
+          kind: "results",
+          total: value.total,
+          results: value.results,
+          next: from + value.results.length,
+        }),
+      ];
     }
     return this.#seek(ticket, lot, { kind: "results", lot, from }, found, now, hold);
   }
 
   item(ticket: string, lot: string, item: string, now: number): AccessOutput[] {
     function found(value: Found): AccessOutput[] | undefined {
-      return value.kind === "BODY" ? [told(ticket, { kind: "body", bytes: value.body })] : undefined;
+      return value.kind === "BODY"
+        ? [told(ticket, { kind: "body", bytes: value.body })]
+        : undefined;
     }
     return this.#seek(ticket, lot, { kind: "read-item", lot, item }, found, now);
   }
@@ -80,27 +138,42 @@
   end(ticket: string, lot: string, _host: string, now: number): AccessOutput[] {
     const self = this;
     function found(value: Found, later: number): AccessOutput[] | undefined {
-      return value.kind === "ENDED" ? [told(ticket, { kind: "ended" }), ...self.dispatcher.ended(lot, later)] : undefined;
+      return value.kind === "ENDED"
+        ? [told(ticket, { kind: "ended" }), ...self.dispatcher.ended(lot, later)]
+        : undefined;
     }
     return this.#seek(ticket, lot, { kind: "end", lot }, found, now);
   }
 
   /** No queue stands in a lot's name: where it was seen is asked, or the owners of all queues of their kind, which are few. */
-  #seek(ticket: string, lot: string, command: QueueCommand, found: (value: Found, now: number) => AccessOutput[] | undefined, now: number, hold = 0): AccessOutput[] {
+  #seek(
+    ticket: string,
+    lot: string,
+    command: QueueCommand,
+    found: (value: Found, now: number) => AccessOutput[] | undefined,
+    now: number,
+    hold = 0,
+  ): AccessOutput[] {
     const queues: string[] = [];
     const seen = this.#seenIn.get(lot);
     if (seen !== undefined) queues.push(seen);
-    else for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
-      const queue = key.slice(keys.queue.length);
-      if (configuration.isPoolQueue(queue)) queues.push(queue);
-    }
+    else
+      for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
+        const queue = key.slice(keys.queue.length);
+        if (configuration.isPoolQueue(queue)) queues.push(queue);
+      }
     const self = this;
     let open = queues.length;
     let sure = this.#membership.holds(now);
     let ended = false;
     function close(): AccessOutput[] {
       ended = true;
-      return [told(ticket, sure ? { kind: "missing" } : { kind: "later", retryAfter: constants.retryAfter })];
+      return [
+        told(
+          ticket,
+          sure ? { kind: "missing" } : { kind: "later", retryAfter: constants.retryAfter },
+        ),
+      ];
     }
     if (open === 0) return close();
     const outputs: AccessOutput[] = [];
@@ -119,7 +192,9 @@
         if (!self.#membership.holds(later)) sure = false;
         return open === 0 ? close() : [];
       }
-      outputs.push(...this.#errands.ask(queue, command, constants.readPatience + hold, answered, now, hold));
+      outputs.push(
+        ...this.#errands.ask(queue, command, constants.readPatience + hold, answered, now, hold),
+      );
     }
     return outputs;
   }
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -71,7 +71,20 @@
   #wokeAt = Number.NEGATIVE_INFINITY;
   /** Bytes of the bodies of inquiries under way. */
   #bytes = 0;
-  readonly counts = { passed: 0, passedWhole: 0, passedOn: 0, passRefused: 0, passUnsure: 0, passCut: 0, passLeft: 0, passUnknown: 0, passGos: 0, passWaited: 0, passResumed: 0, passRescued: 0 };
+  readonly counts = {
+    passed: 0,
+    passedWhole: 0,
+    passedOn: 0,
+    passRefused: 0,
+    passUnsure: 0,
+    passCut: 0,
+    passLeft: 0,
+    passUnknown: 0,
+    passGos: 0,
+    passWaited: 0,
+    passResumed: 0,
+    passRescued: 0,
+  };
 
   constructor(membership: Membership, choice: Choice, policy: Policy) {
     this.#membership = membership;
@@ -79,10 +92,16 @@
     this.#policy = policy;
   }
 
-  get busy(): number { return this.#live.size; }
-  get leaving(): boolean { return this.#leaving; }
+  get busy(): number {
+    return this.#live.size;
+  }
+  get leaving(): boolean {
+    return this.#leaving;
+  }
 
-  has(go: number): boolean { return this.#gos.has(go); }
+  has(go: number): boolean {
+    return this.#gos.has(go);
+  }
 
   /** A planned stop: what comes on connections that are open still is served; the shell opens no new ones. */
   leave(): void {
@@ -95,12 +114,17 @@
     if (this.#indexed !== marked) {
       this.#indexed = marked;
       this.#index = new Map();
-      for (const [name, passage] of Object.entries(marked.value.passages ?? {})) this.#index.set(`${plain(passage.host)}${passage.prefix}`, { name, passage });
+      for (const [name, passage] of Object.entries(marked.value.passages ?? {}))
+        this.#index.set(`${plain(passage.host)}${passage.prefix}`, { name, passage });
     }
     const base = plain(host);
     let end = path.search(/[?#]/);
     if (end < 0) end = path.length;
-    for (let cut = path.lastIndexOf("/", end - 1); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf("/", cut - 1)) {
+    for (
+      let cut = path.lastIndexOf("/", end - 1);
+      cut >= 0;
+      cut = cut === 0 ? -1 : path.lastIndexOf("/", cut - 1)
+    ) {
       const found = this.#index.get(base + path.slice(0, cut + 1));
       if (found !== undefined) return found;
     }
@@ -109,21 +133,39 @@
 
   arrive(ticket: string, inquiry: PassInquiry, now: number): PassOutput[] {
     this.counts.passed += 1;
-    if (!this.#membership.serves(now)) return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
+    if (!this.#membership.serves(now))
+      return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(inquiry.host, inquiry.path);
     if (found === undefined) {
       this.counts.passUnknown += 1;
       return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
     }
     const { passage } = found;
-    if (this.#bytes + inquiry.body.length > this.#policy.memory * constants.bodiesPart) return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
+    if (this.#bytes + inquiry.body.length > this.#policy.memory * constants.bodiesPart)
+      return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
     const patience = inquiry.patience ?? passage.guard;
     const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
     const live: Live = {
-      ticket, inquiry, passage, pool: poolOf(passage, inquiry.id), arrivedAt: now, deadline, waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
-      repeatable: passage.kind === "safe" || (passage.kind === "stream" && passage.resumable), tried: new Set(), sent: 0, unsent: 0, go: undefined,
-      mayHaveRun: false, retryAfter: undefined, opened: false, last: inquiry.resumeAfter, numbered: true, slow: false, why: "no runner is known",
+      ticket,
+      inquiry,
+      passage,
+      pool: poolOf(passage, inquiry.id),
+      arrivedAt: now,
+      deadline,
+      waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
+      repeatable: passage.kind === "safe" || (passage.kind === "stream" && passage.resumable),
+      tried: new Set(),
+      sent: 0,
+      unsent: 0,
+      go: undefined,
+      mayHaveRun: false,
+      retryAfter: undefined,
+      opened: false,
+      last: inquiry.resumeAfter,
+      numbered: true,
+      slow: false,
+      why: "no runner is known",
     };
     this.#live.set(ticket, live);
     this.#bytes += inquiry.body.length;
@@ -163,7 +205,8 @@
     const { runner, incarnation } = go.chosen;
     if (now >= go.until - constants.worthLeast) return "too little time is left";
     if (!this.#membership.serves(now)) return "this node may not serve now";
-    if (this.#membership.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now)) return "the runner is gone";
+    if (this.#membership.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now))
+      return "the runner is gone";
     go.began = true;
     go.heardAt = now;
     return undefined;
@@ -196,7 +239,8 @@
       case "refused":
         go.live.sent += 1;
         go.live.why = event.otherRunner ? "another runner stands there" : "the runner has no seat";
-        if (event.retryAfter !== undefined) go.live.retryAfter = Math.min(event.retryAfter, go.live.retryAfter ?? event.retryAfter);
+        if (event.retryAfter !== undefined)
+          go.live.retryAfter = Math.min(event.retryAfter, go.live.retryAfter ?? event.retryAfter);
         this.#part(go, "refused", event.retryAfter, now);
         this.#goOn(go.live, now, outputs);
         break;
@@ -214,7 +258,8 @@
     this.#struckAt = now;
     const awake = now - this.#wokeAt > constants.rescueAfter;
     for (const live of this.#live.values()) {
-      if (awake && now < live.deadline && live.repeatable && live.go !== undefined) this.#rescue(live, live.go, now, outputs);
+      if (awake && now < live.deadline && live.repeatable && live.go !== undefined)
+        this.#rescue(live, live.go, now, outputs);
       if (now < live.deadline) continue;
       live.why = "the time is up";
       if (live.go?.began === true) live.mayHaveRun = true;
@@ -225,17 +270,37 @@
 
   /** What may be repeated goes on elsewhere when its runner gives no sign at all, on any work: it is dark, so nobody is at work on it. */
   #rescue(live: Live, go: Go, now: number, outputs: PassOutput[]): void {
-    if (!go.began || now - go.heardAt < constants.rescueAfter || !this.#mayTry(live, now, 1) || !this.#choice.isQuiet(go.number, now)) return;
+    if (
+      !go.began ||
+      now - go.heardAt < constants.rescueAfter ||
+      !this.#mayTry(live, now, 1) ||
+      !this.#choice.isQuiet(go.number, now)
+    )
+      return;
     if (live.opened && (live.passage.kind !== "stream" || !live.numbered)) return;
     this.counts.passRescued += 1;
     this.#spoilt(go, "the runner gives no sign", now, outputs);
   }
 
-  #head(go: Go, status: number, headers: readonly string[], stamped: boolean, now: number, outputs: PassOutput[]): void {
+  #head(
+    go: Go,
+    status: number,
+    headers: readonly string[],
+    stamped: boolean,
+    now: number,
+    outputs: PassOutput[],
+  ): void {
     const { live } = go;
-    if ((status >= 200 && status < 300 && !stamped) || promises.has(status)) return this.#spoilt(go, "the runner's result bears no stamp, or promises what it may not", now, outputs);
+    if ((status >= 200 && status < 300 && !stamped) || promises.has(status))
+      return this.#spoilt(
+        go,
+        "the runner's result bears no stamp, or promises what it may not",
+        now,
+        outputs,
+      );
     /** Of a run that goes on for another only its events count. */
-    if (live.opened && (status < 200 || status >= 300)) return this.#spoilt(go, `the runner answered ${status}`, now, outputs);
+    if (live.opened && (status < 200 || status >= 300))
+      return this.#spoilt(go, `the runner answered ${status}`, now, outputs);
     if (status >= 500 && live.repeatable && this.#mayTry(live, now, 1)) {
       live.sent += 1;
       live.mayHaveRun = true;
@@ -249,7 +314,13 @@
     else this.#choice.first(go.number, now);
   }
 
-  #event(go: Go, number: number | undefined, bytes: Uint8Array, now: number, outputs: PassOutput[]): void {
+  #event(
+    go: Go,
+    number: number | undefined,
+    bytes: Uint8Array,
+    now: number,
+    outputs: PassOutput[],
+  ): void {
     const { live } = go;
     if (number === undefined) live.numbered = false;
     /** A run that goes on for another may tell again what came before. */
@@ -272,14 +343,20 @@
     go.size += bytes.length;
     if (go.size <= constants.wholeMost) return;
     this.#open(go, outputs);
-    for (const each of go.kept) outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes: each });
+    for (const each of go.kept)
+      outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes: each });
     go.kept = [];
   }
 
   #open(go: Go, outputs: PassOutput[]): void {
     if (go.live.opened) return;
     go.live.opened = true;
-    outputs.push({ kind: "pass-head", ticket: go.live.ticket, status: go.head!.status, headers: go.head!.headers });
+    outputs.push({
+      kind: "pass-head",
+      ticket: go.live.ticket,
+      status: go.head!.status,
+      headers: go.head!.headers,
+    });
   }
 
   #end(go: Go, now: number, outputs: PassOutput[]): void {
@@ -307,7 +384,8 @@
     live.mayHaveRun = true;
     live.why = reason;
     this.#part(go, "broken", undefined, now);
-    if (live.repeatable && (!live.opened || (live.passage.kind === "stream" && live.numbered))) return this.#goOn(live, now, outputs);
+    if (live.repeatable && (!live.opened || (live.passage.kind === "stream" && live.numbered)))
+      return this.#goOn(live, now, outputs);
     this.#giveUp(live, now, outputs);
   }
 
@@ -319,7 +397,11 @@
   }
 
   #mayTry(live: Live, now: number, more: number): boolean {
-    return live.sent + more < live.passage.goesMost && live.unsent < constants.unsentMost && now < live.deadline - constants.worthLeast;
+    return (
+      live.sent + more < live.passage.goesMost &&
+      live.unsent < constants.unsentMost &&
+      now < live.deadline - constants.worthLeast
+    );
   }
 
   /** At another runner, or with our own last word at once. */
@@ -338,7 +420,17 @@
     }
     this.#waiting.delete(live);
     const number = this.#choice.nextGo();
-    const go: Go = { number, live, chosen, until: live.deadline, began: false, heardAt: now, head: undefined, kept: [], size: 0 };
+    const go: Go = {
+      number,
+      live,
+      chosen,
+      until: live.deadline,
+      began: false,
+      heardAt: now,
+      head: undefined,
+      kept: [],
+      size: 0,
+    };
     live.go = go;
     live.tried.add(chosen.runner);
     this.#gos.set(number, go);
@@ -346,8 +438,13 @@
     this.counts.passGos += 1;
     if (live.opened) this.counts.passResumed += 1;
     const work: PassWork = {
-      inquiry: live.inquiry, runner: chosen.runner, rank: Math.min(4, live.passage.rank), until: go.until, resumeAfter: live.last,
-      events: live.passage.kind === "stream", repeatable: live.repeatable,
+      inquiry: live.inquiry,
+      runner: chosen.runner,
+      rank: Math.min(4, live.passage.rank),
+      until: go.until,
+      resumeAfter: live.last,
+      events: live.passage.kind === "stream",
+      repeatable: live.repeatable,
     };
     outputs.push({ kind: "pass-run", go: number, address: chosen.address, work });
     if (live.slow) outputs.push({ kind: "pass-pause", go: number });
@@ -380,9 +477,23 @@
       outputs.push({ kind: "pass-cut", ticket });
     } else if (live.mayHaveRun) {
       this.counts.passUnsure += 1;
-      outputs.push({ kind: "pass-refused", ticket, status: now >= live.deadline ? 504 : 502, retryAfter: undefined, reason: live.why });
+      outputs.push({
+        kind: "pass-refused",
+        ticket,
+        status: now >= live.deadline ? 504 : 502,
+        retryAfter: undefined,
+        reason: live.why,
+      });
     } else {
-      outputs.push(...this.#turnAway(ticket, 503, live.retryAfter ?? (this.#choice.knows(live.pool, now) ? constants.seatAfter : constants.knownAfter), live.why));
+      outputs.push(
+        ...this.#turnAway(
+          ticket,
+          503,
+          live.retryAfter ??
+            (this.#choice.knows(live.pool, now) ? constants.seatAfter : constants.knownAfter),
+          live.why,
+        ),
+      );
     }
   }
 
@@ -396,7 +507,12 @@
     this.#part(go, how, undefined, now);
   }
 
-  #turnAway(ticket: string, status: 404 | 503, retryAfter: number | undefined, reason: string): PassOutput[] {
+  #turnAway(
+    ticket: string,
+    status: 404 | 503,
+    retryAfter: number | undefined,
+    reason: string,
+  ): PassOutput[] {
     if (status === 503) this.counts.passRefused += 1;
     return [{ kind: "pass-refused", ticket, status, retryAfter, reason }];
   }
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -1,17 +1,58 @@
 import {
-  Chain, QueueMachine, claimOf, classesOf, constants, policy, taskKey,
-  type Claim, type PassEnding, type Policy, type ChainCommand, type ChainHolding, type ChainMessage, type ChainResult, type ChainView, type ChainWrite, type QueueCommand, type QueueResult, type ShareClass, type ShareTelling, type Telling,
+  Chain,
+  QueueMachine,
+  claimOf,
+  classesOf,
+  constants,
+  policy,
+  taskKey,
+  type Claim,
+  type PassEnding,
+  type Policy,
+  type ChainCommand,
+  type ChainHolding,
+  type ChainMessage,
+  type ChainResult,
+  type ChainView,
+  type ChainWrite,
+  type QueueCommand,
+  type QueueResult,
+  type ShareClass,
+  type ShareTelling,
+  type Telling,
 } from "@chutewick/parts";
-import { configuration, keys, standingClasses, type ControlMessage, type QueueStanding } from "@chutewick/control";
+import {
+  configuration,
+  keys,
+  standingClasses,
+  type ControlMessage,
+  type QueueStanding,
+} from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
 export type QueueMessage =
   /** hold in ms: a read of results where there is none yet, or a draw where nothing waits, is kept at the owner so long (§13.7). */
-  | { readonly kind: "queue-inquiry"; readonly ticket: string; readonly queue: string; readonly command: QueueCommand; readonly hold?: number }
+  | {
+      readonly kind: "queue-inquiry";
+      readonly ticket: string;
+      readonly queue: string;
+      readonly command: QueueCommand;
+      readonly hold?: number;
+    }
   /** held in ms: how long the owner kept the inquiry before it began to work on it. */
-  | { readonly kind: "queue-result"; readonly ticket: string; readonly outcome: QueueOutcome; readonly held?: number }
-  | { readonly kind: "life"; readonly queue: string; readonly items: readonly Claim[]; readonly tasks?: readonly Claim[] }
+  | {
+      readonly kind: "queue-result";
+      readonly ticket: string;
+      readonly outcome: QueueOutcome;
+      readonly held?: number;
+    }
+  | {
+      readonly kind: "life";
+      readonly queue: string;
+      readonly items: readonly Claim[];
+      readonly tasks?: readonly Claim[];
+    }
   /** What is under way of this lot is dropped. */
   | { readonly kind: "lot-ended"; readonly lot: string };
 
@@ -25,7 +66,12 @@
 
 export type StorageOutput =
   | { readonly kind: "send"; readonly to: string; readonly message: DataMessage }
-  | { readonly kind: "write"; readonly chain: string; readonly ticket: number; readonly write: ChainWrite }
+  | {
+      readonly kind: "write";
+      readonly chain: string;
+      readonly ticket: number;
+      readonly write: ChainWrite;
+    }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
 
 interface Waiting {
@@ -73,10 +119,18 @@
   #waiting = new Map<string, Waiting>();
   #ticketNumber = 0;
 
-  constructor(standing: Standing, seeds: readonly string[], holdings: ReadonlyMap<string, ChainHolding>, now: number, chosen: Policy = policy.usual) {
+  constructor(
+    standing: Standing,
+    seeds: readonly string[],
+    holdings: ReadonlyMap<string, ChainHolding>,
+    now: number,
+    chosen: Policy = policy.usual,
+  ) {
     this.#standing = standing;
     const self = this;
-    function telling(): Telling { return self.#telling(); }
+    function telling(): Telling {
+      return self.#telling();
+    }
     this.membership = new Membership(standing, seeds, now, telling, chosen);
     this.#now = now;
     for (const [queue, holding] of holdings) this.#open(queue, now, holding);
@@ -86,8 +140,29 @@
 
   #open(queue: string, now: number, holding?: ChainHolding): Partition {
     const machine = new QueueMachine();
-    const chain = new Chain(queue, { identity: this.#standing.identity, address: this.#standing.address }, machine, now, holding, this.membership.policy.copiesLeast);
-    const partition: Partition = { chain, machine, life: new Map(), ownedMark: 0, lookedAt: 0, limiting: false, enteredMark: 0, shareMark: 0, refused: [], held: [], gone: new Map(), freed: [], refusedAt: new Map() };
+    const chain = new Chain(
+      queue,
+      { identity: this.#standing.identity, address: this.#standing.address },
+      machine,
+      now,
+      holding,
+      this.membership.policy.copiesLeast,
+    );
+    const partition: Partition = {
+      chain,
+      machine,
+      life: new Map(),
+      ownedMark: 0,
+      lookedAt: 0,
+      limiting: false,
+      enteredMark: 0,
+      shareMark: 0,
+      refused: [],
+      held: [],
+      gone: new Map(),
+      freed: [],
+      refusedAt: new Map(),
+    };
     this.#partitions.set(queue, partition);
     return partition;
   }
@@ -106,7 +181,9 @@
       if (!chain.serves || share === undefined || shareMark !== share.mark) continue;
       const open = machine.open();
       const needs = new Map(open);
-      for (const { at, count, season } of refused) if (this.#now - at <= constants.pressureLasts) needs.set(season, (needs.get(season) ?? 0) + count);
+      for (const { at, count, season } of refused)
+        if (this.#now - at <= constants.pressureLasts)
+          needs.set(season, (needs.get(season) ?? 0) + count);
       const classes: ShareTelling[] = [];
       let [allHeld, allNeed] = [0, 0];
       for (const { season, share: may } of classesOf(share)) {
@@ -129,26 +206,53 @@
   receive(message: DataMessage, from: string, now: number): StorageOutput[] {
     this.#now = now;
     switch (message.kind) {
-      case "entries": case "taken": case "confirm": case "probe": case "probed": case "want": case "digest": case "digest-got": {
+      case "entries":
+      case "taken":
+      case "confirm":
+      case "probe":
+      case "probed":
+      case "want":
+      case "digest":
+      case "digest-got": {
         const partition = this.#partitions.get((message as ChainMessage).chain);
-        return partition === undefined ? [] : this.#perform(partition, partition.chain.receive(message as ChainMessage, from, now), now);
+        return partition === undefined
+          ? []
+          : this.#perform(
+              partition,
+              partition.chain.receive(message as ChainMessage, from, now),
+              now,
+            );
       }
-      case "feed": case "feed-digest": {
+      case "feed":
+      case "feed-digest": {
         if (!this.membership.receive(message, from, now)) return [];
         return [...this.#views(now), ...this.membership.tell(now)];
       }
       case "lease":
         this.membership.receive(message, from, now);
         return [];
-      case "fellow-ask": case "fellow-tell": return this.membership.fellow(message, from, now);
-      case "queue-inquiry": return this.#inquire(message.ticket, message.queue, message.command, from, now, message.hold ?? 0);
+      case "fellow-ask":
+      case "fellow-tell":
+        return this.membership.fellow(message, from, now);
+      case "queue-inquiry":
+        return this.#inquire(
+          message.ticket,
+          message.queue,
+          message.command,
+          from,
+          now,
+          message.hold ?? 0,
+        );
       case "life": {
         const partition = this.#partitions.get(message.queue);
-        for (const { lot, index, go } of message.items) partition?.life.set(`item/${lot}/${String(index).padStart(6, "0")}`, { go, at: now });
-        for (const { lot, index, go } of message.tasks ?? []) partition?.life.set(taskKey(lot, index), { go, at: now, taken: true });
+        for (const { lot, index, go } of message.items)
+          partition?.life.set(`item/${lot}/${String(index).padStart(6, "0")}`, { go, at: now });
+        for (const { lot, index, go } of message.tasks ?? [])
+          partition?.life.set(taskKey(lot, index), { go, at: now, taken: true });
         return [];
       }
-      default: return [];
+      default:
+        return [];
     }
   }
 
@@ -163,40 +267,105 @@
         partition = this.#open(queue, now);
       }
       if ((partition.chain.view?.mark ?? 0) < view.mark) {
-        outputs.push({ kind: "note", text: "queue view", facts: { queue, mark: view.mark, members: view.members.length, joiner: view.joiner?.identity } });
+        outputs.push({
+          kind: "note",
+          text: "queue view",
+          facts: {
+            queue,
+            mark: view.mark,
+            members: view.members.length,
+            joiner: view.joiner?.identity,
+          },
+        });
         outputs.push(...this.#perform(partition, partition.chain.adopt(view, now), now));
       }
     }
     return outputs;
   }
 
-  #inquire(ticket: string, queue: string, command: QueueCommand, from: string, now: number, hold: number): StorageOutput[] {
+  #inquire(
+    ticket: string,
+    queue: string,
+    command: QueueCommand,
+    from: string,
+    now: number,
+    hold: number,
+  ): StorageOutput[] {
     const partition = this.#partitions.get(queue);
-    if (partition === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "this queue is not kept here" })];
+    if (partition === undefined)
+      return [result(from, ticket, { kind: "elsewhere", reason: "this queue is not kept here" })];
     let entered = command;
     /** What a configuration or a season governs needs a lease; records and cancels never wait for one (§7). */
-    if (command.kind === "admit" || command.kind === "pop" || command.kind === "hand-in" || command.kind === "draw") {
-      if (!this.membership.holds(now)) return [result(from, ticket, { kind: "elsewhere", reason: "the owner holds no lease" })];
+    if (
+      command.kind === "admit" ||
+      command.kind === "pop" ||
+      command.kind === "hand-in" ||
+      command.kind === "draw"
+    ) {
+      if (!this.membership.holds(now))
+        return [result(from, ticket, { kind: "elsewhere", reason: "the owner holds no lease" })];
       const { value } = this.membership.configuration;
       if (command.kind === "admit") {
         const plan = configuration.queues(value).find(isQueue, { queue });
-        if (plan === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such queue" })];
-        if (partition.machine.share(partition.chain.ledger) === undefined) return [result(from, ticket, { kind: "elsewhere", reason: "the queue has no share of waiting work yet" })];
+        if (plan === undefined)
+          return [
+            result(from, ticket, {
+              kind: "elsewhere",
+              reason: "the configuration has no such queue",
+            }),
+          ];
+        if (partition.machine.share(partition.chain.ledger) === undefined)
+          return [
+            result(from, ticket, {
+              kind: "elsewhere",
+              reason: "the queue has no share of waiting work yet",
+            }),
+          ];
         /** A lot brings labels of its own and of its way; those of model and adapter are the configuration's. */
-        entered = { ...command, allowance: plan.waiting, labels: { ...command.labels, ...plan.labels } };
+        entered = {
+          ...command,
+          allowance: plan.waiting,
+          labels: { ...command.labels, ...plan.labels },
+        };
       }
       if (command.kind === "hand-in") {
-        const passage = Object.hasOwn(value.passages, command.way) ? value.passages[command.way] : undefined;
-        if (passage === undefined || passage.kind !== "lot") return [result(from, ticket, { kind: "elsewhere", reason: "the configuration has no such passage for lots" })];
+        const passage = Object.hasOwn(value.passages, command.way)
+          ? value.passages[command.way]
+          : undefined;
+        if (passage === undefined || passage.kind !== "lot")
+          return [
+            result(from, ticket, {
+              kind: "elsewhere",
+              reason: "the configuration has no such passage for lots",
+            }),
+          ];
         /** What the owner's configuration says binds, with an equal part of the allowance for each queue that lots of it may fall into. */
-        const allowance = passage.waitingTokens === 0 ? 0 : Math.max(1, passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length));
+        const allowance =
+          passage.waitingTokens === 0
+            ? 0
+            : Math.max(
+                1,
+                passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length),
+              );
         const refusedAt = partition.refusedAt.get(command.lot);
         const late = refusedAt !== undefined && now - refusedAt > passage.aim;
-        entered = { ...command, ...(late ? { late } : {}), allowance, goesMost: passage.goesMost, keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000, within: passage.within };
+        entered = {
+          ...command,
+          ...(late ? { late } : {}),
+          allowance,
+          goesMost: passage.goesMost,
+          keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000,
+          within: passage.within,
+        };
       }
     }
     const lost = command.kind === "draw" ? this.#takeBack(partition, command, now) : [];
-    if (hold > 0 && (command.kind === "results" || command.kind === "draw") && partition.chain.serves && !this.#isReady(partition, command, now)) {
+    if (
+      hold > 0 &&
+      (command.kind === "results" || command.kind === "draw") &&
+      partition.chain.serves &&
+      !this.#isReady(partition, command, now)
+    ) {
       partition.held.push({ ticket, to: from, command, since: now, until: now + hold });
       return lost;
     }
@@ -204,16 +373,27 @@
   }
 
   /** A dispatcher that began anew at its address has lost what it had under way. */
-  #takeBack({ chain, machine }: Partition, { holder, by }: Extract<QueueCommand, { kind: "draw" }>, now: number): StorageOutput[] {
+  #takeBack(
+    { chain, machine }: Partition,
+    { holder, by }: Extract<QueueCommand, { kind: "draw" }>,
+    now: number,
+  ): StorageOutput[] {
     if (!chain.serves || by === undefined) return [];
     const lost: { claim: Claim; ending: PassEnding }[] = [];
-    for (const [key, held] of machine.passes.processing()) if (held.holder === holder && held.by !== undefined && held.by !== by) lost.push(broken(key, held.go));
+    for (const [key, held] of machine.passes.processing())
+      if (held.holder === holder && held.by !== undefined && held.by !== by)
+        lost.push(broken(key, held.go));
     if (lost.length === 0) return [];
-    return this.#perform(this.#partitions.get(chain.name)!, chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now), now);
+    return this.#perform(
+      this.#partitions.get(chain.name)!,
+      chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now),
+      now,
+    );
   }
 
   #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
-    if (command.kind === "results") return machine.passes.isTold(chain.ledger, command.lot, command.from);
+    if (command.kind === "results")
+      return machine.passes.isTold(chain.ledger, command.lot, command.from);
     return machine.passes.ready(command.able, chain.time(now), 1) > 0;
   }
 
@@ -232,19 +412,42 @@
         partition.held.push(held);
         continue;
       }
-      if (command.kind !== "draw") outputs.push(...this.#enter(partition, ticket, to, command, now, now - since));
-      else if (!this.membership.holds(now)) outputs.push(result(to, ticket, { kind: "elsewhere", reason: "the owner holds no lease" }));
+      if (command.kind !== "draw")
+        outputs.push(...this.#enter(partition, ticket, to, command, now, now - since));
+      else if (!this.membership.holds(now))
+        outputs.push(result(to, ticket, { kind: "elsewhere", reason: "the owner holds no lease" }));
       else {
         /** Each that waits gets its part, so that the work is spread. */
-        const most = Math.min(command.most, Math.ceil(machine.passes.ready(command.able, chain.time(now), command.most * draws) / draws));
-        outputs.push(...this.#enter(partition, ticket, to, { ...command, most: Math.max(1, most) }, now, now - since));
+        const most = Math.min(
+          command.most,
+          Math.ceil(
+            machine.passes.ready(command.able, chain.time(now), command.most * draws) / draws,
+          ),
+        );
+        outputs.push(
+          ...this.#enter(
+            partition,
+            ticket,
+            to,
+            { ...command, most: Math.max(1, most) },
+            now,
+            now - since,
+          ),
+        );
       }
       if (command.kind === "draw") draws -= 1;
     }
     return outputs;
   }
 
-  #enter(partition: Partition, ticket: string, to: string, command: QueueCommand, now: number, held = 0): StorageOutput[] {
+  #enter(
+    partition: Partition,
+    ticket: string,
+    to: string,
+    command: QueueCommand,
+    now: number,
+    held = 0,
+  ): StorageOutput[] {
     this.#ticketNumber += 1;
     const own = String(this.#ticketNumber);
     this.#waiting.set(own, { ticket, to, held, command });
@@ -255,7 +458,8 @@
     const outputs: StorageOutput[] = [];
     for (const command of commands) {
       if (command.kind === "send" || command.kind === "write") outputs.push(command);
-      else if (command.kind === "result") outputs.push(...this.#ended(partition, command.ticket, command.result, now));
+      else if (command.kind === "result")
+        outputs.push(...this.#ended(partition, command.ticket, command.result, now));
     }
     return outputs;
   }
@@ -263,50 +467,80 @@
   #ended(partition: Partition, own: string, told: ChainResult, now: number): StorageOutput[] {
     if (own === `limit/${partition.chain.name}`) {
       partition.limiting = false;
-      if (told.kind === "confirmed") partition.shareMark = Math.max(partition.shareMark, partition.enteredMark);
+      if (told.kind === "confirmed")
+        partition.shareMark = Math.max(partition.shareMark, partition.enteredMark);
       return [];
     }
     const waiting = this.#waiting.get(own);
     if (waiting === undefined) return [];
     this.#waiting.delete(own);
-    if (told.kind === "elsewhere") return [result(waiting.to, waiting.ticket, { kind: "elsewhere", reason: "this machine is not the owner, or the queue has too few copies" })];
+    if (told.kind === "elsewhere")
+      return [
+        result(waiting.to, waiting.ticket, {
+          kind: "elsewhere",
+          reason: "this machine is not the owner, or the queue has too few copies",
+        }),
+      ];
     if (told.kind === "unknown") return [result(waiting.to, waiting.ticket, { kind: "unknown" })];
     let value = told.value as QueueResult;
-    if (value.kind === "SETTLED" && value.freed > 0) partition.freed.push({ at: now, tokens: value.freed });
+    if (value.kind === "SETTLED" && value.freed > 0)
+      partition.freed.push({ at: now, tokens: value.freed });
     if (value.kind === "NO_ROOM") value = this.#refusal(partition, value, waiting.command, now);
     if (value.kind === "HANDED") partition.refusedAt.delete(value.lot);
     /** A dispatcher can take up only what it was told of. */
-    if (value.kind === "DRAWN") for (const { lot, index, go } of value.tasks) partition.life.set(taskKey(lot, index), { go, at: now });
+    if (value.kind === "DRAWN")
+      for (const { lot, index, go } of value.tasks)
+        partition.life.set(taskKey(lot, index), { go, at: now });
     if (value.kind === "FULL") {
-      partition.refused = partition.refused.filter(isLate, { since: now - constants.pressureLasts });
+      partition.refused = partition.refused.filter(isLate, {
+        since: now - constants.pressureLasts,
+      });
       partition.refused.push({ at: now, count: value.items, season: value.season });
     }
-    const outputs: StorageOutput[] = [result(waiting.to, waiting.ticket, { kind: "confirmed", value }, waiting.held)];
-    if (value.kind === "ENDED") for (const holder of value.holders) outputs.push({ kind: "send", to: holder, message: { kind: "lot-ended", lot: value.lot } });
-    if (value.kind === "SETTLED" || value.kind === "ENDED" || value.kind === "HANDED") outputs.push(...this.#tellHeld(partition, now));
+    const outputs: StorageOutput[] = [
+      result(waiting.to, waiting.ticket, { kind: "confirmed", value }, waiting.held),
+    ];
+    if (value.kind === "ENDED")
+      for (const holder of value.holders)
+        outputs.push({ kind: "send", to: holder, message: { kind: "lot-ended", lot: value.lot } });
+    if (value.kind === "SETTLED" || value.kind === "ENDED" || value.kind === "HANDED")
+      outputs.push(...this.#tellHeld(partition, now));
     return outputs;
   }
 
   /** With the wait until what is too much has left, at the pace at which it lately did. */
-  #refusal(partition: Partition, value: Extract<QueueResult, { kind: "NO_ROOM" }>, command: QueueCommand, now: number): QueueResult {
+  #refusal(
+    partition: Partition,
+    value: Extract<QueueResult, { kind: "NO_ROOM" }>,
+    command: QueueCommand,
+    now: number,
+  ): QueueResult {
     if (command.kind === "hand-in" && !partition.refusedAt.has(command.lot)) {
       partition.refusedAt.set(command.lot, now);
-      if (partition.refusedAt.size > constants.refusedRemembered) for (const first of partition.refusedAt.keys()) {
-        partition.refusedAt.delete(first);
-        break;
-      }
+      if (partition.refusedAt.size > constants.refusedRemembered)
+        for (const first of partition.refusedAt.keys()) {
+          partition.refusedAt.delete(first);
+          break;
+        }
     }
     partition.freed = partition.freed.filter(isLate, { since: now - constants.drainCounted });
     let freed = 0;
     for (const { tokens } of partition.freed) freed += tokens;
     if (freed === 0 || value.tokens > value.allowance) return value;
-    return { ...value, wait: Math.max(0, value.waiting + value.tokens - value.allowance) / freed * constants.drainCounted };
+    return {
+      ...value,
+      wait:
+        (Math.max(0, value.waiting + value.tokens - value.allowance) / freed) *
+        constants.drainCounted,
+    };
   }
 
   written(queue: string, ticket: number, now: number): StorageOutput[] {
     this.#now = now;
     const partition = this.#partitions.get(queue);
-    return partition === undefined ? [] : this.#perform(partition, partition.chain.written(ticket, now), now);
+    return partition === undefined
+      ? []
+      : this.#perform(partition, partition.chain.written(ticket, now), now);
   }
 
   beat(now: number): StorageOutput[] {
@@ -336,28 +570,66 @@
     const standing = this.membership.follower.read<QueueStanding>(keys.standing + chain.name);
     const share = machine.share(chain.ledger);
     /** A new owner enters nothing new, but has what it holds confirmed once before it tells of it. */
-    if (!partition.limiting && (standing !== undefined && standing.shareMark > (share?.mark ?? 0) || partition.shareMark < (share?.mark ?? 0))) {
+    if (
+      !partition.limiting &&
+      ((standing !== undefined && standing.shareMark > (share?.mark ?? 0)) ||
+        partition.shareMark < (share?.mark ?? 0))
+    ) {
       partition.limiting = true;
-      const entered = standing !== undefined && standing.shareMark > (share?.mark ?? 0) ? standing : undefined;
+      const entered =
+        standing !== undefined && standing.shareMark > (share?.mark ?? 0) ? standing : undefined;
       const command: QueueCommand = {
-        kind: "limit", limits: entered?.limits ?? share!.limits, share: entered?.target ?? share!.share, mark: entered?.shareMark ?? share!.mark,
+        kind: "limit",
+        limits: entered?.limits ?? share!.limits,
+        share: entered?.target ?? share!.share,
+        mark: entered?.shareMark ?? share!.mark,
         classes: entered === undefined ? classesOf(share) : sharesOf(entered),
       };
       partition.enteredMark = command.mark;
-      outputs.push(...this.#perform(partition, chain.inquire(`limit/${chain.name}`, command, now), now));
+      outputs.push(
+        ...this.#perform(partition, chain.inquire(`limit/${chain.name}`, command, now), now),
+      );
     }
     const orphans: Claim[] = [];
     const processing = machine.processing();
-    for (const [key, go] of processing) if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
+    for (const [key, go] of processing)
+      if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     const tasks = machine.passes.processing();
-    for (const [key, { go }] of tasks) if (!livesTask(life, key, go, now, chain)) lost.push(broken(key, go));
+    for (const [key, { go }] of tasks)
+      if (!livesTask(life, key, go, now, chain)) lost.push(broken(key, go));
     for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
-    if (orphans.length + lost.length > 0) outputs.push({ kind: "note", text: "claims without a sign of life are taken back", facts: { queue: chain.name, count: orphans.length + lost.length } });
-    if (orphans.length > 0) outputs.push(...this.#perform(partition, chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now), now));
-    if (lost.length > 0) outputs.push(...this.#perform(partition, chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now), now));
+    if (orphans.length + lost.length > 0)
+      outputs.push({
+        kind: "note",
+        text: "claims without a sign of life are taken back",
+        facts: { queue: chain.name, count: orphans.length + lost.length },
+      });
+    if (orphans.length > 0)
+      outputs.push(
+        ...this.#perform(
+          partition,
+          chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now),
+          now,
+        ),
+      );
+    if (lost.length > 0)
+      outputs.push(
+        ...this.#perform(
+          partition,
+          chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now),
+          now,
+        ),
+      );
     outputs.push(...this.#dropGone(partition, now));
-    if (machine.due(chain.ledger, chain.time(now))) outputs.push(...this.#perform(partition, chain.inquire("expire", { kind: "expire" } satisfies QueueCommand, now), now));
+    if (machine.due(chain.ledger, chain.time(now)))
+      outputs.push(
+        ...this.#perform(
+          partition,
+          chain.inquire("expire", { kind: "expire" } satisfies QueueCommand, now),
+          now,
+        ),
+      );
     return outputs;
   }
 
@@ -371,12 +643,20 @@
     }
     const { passages } = this.membership.configuration.value;
     const missing = new Set<string>();
-    for (const way of machine.passes.ways()) if (!Object.hasOwn(passages ?? {}, way) || passages[way]!.kind !== "lot") missing.add(way);
+    for (const way of machine.passes.ways())
+      if (!Object.hasOwn(passages ?? {}, way) || passages[way]!.kind !== "lot") missing.add(way);
     for (const way of [...gone.keys()]) if (!missing.has(way)) gone.delete(way);
     for (const way of missing) {
       const since = gone.get(way) ?? now;
       gone.set(way, since);
-      if (now - since >= constants.passageGone) outputs.push(...this.#perform(partition, chain.inquire("drop-way", { kind: "drop-way", way } satisfies QueueCommand, now), now));
+      if (now - since >= constants.passageGone)
+        outputs.push(
+          ...this.#perform(
+            partition,
+            chain.inquire("drop-way", { kind: "drop-way", way } satisfies QueueCommand, now),
+            now,
+          ),
+        );
     }
     return outputs;
   }
@@ -396,15 +676,34 @@
   status(now: number): Record<string, unknown> {
     const queues: Record<string, unknown> = {};
     for (const [queue, { chain, machine }] of this.#partitions) {
-      const count = chain.serves ? machine.apply(chain.ledger, { kind: "count" }, chain.time(now)) : undefined;
-      queues[queue] = { view: chain.view, place: chain.place, confirmed: chain.confirmed, owner: chain.serves, count };
+      const count = chain.serves
+        ? machine.apply(chain.ledger, { kind: "count" }, chain.time(now))
+        : undefined;
+      queues[queue] = {
+        view: chain.view,
+        place: chain.place,
+        confirmed: chain.confirmed,
+        owner: chain.serves,
+        count,
+      };
     }
-    return { identity: this.#standing.identity, zone: this.#standing.zone, place: this.membership.follower.place, leaseLeft: Math.round(this.membership.leaseLeft(now)), queues };
+    return {
+      identity: this.#standing.identity,
+      zone: this.#standing.zone,
+      place: this.membership.follower.place,
+      leaseLeft: Math.round(this.membership.leaseLeft(now)),
+      queues,
+    };
   }
 }
 
 /** Whether a claim showed a sign of life lately; one seen for the first time begins to count now. */
-function lives(life: Map<string, { go: number; at: number }>, key: string, go: number, now: number): boolean {
+function lives(
+  life: Map<string, { go: number; at: number }>,
+  key: string,
+  go: number,
+  now: number,
+): boolean {
   const sign = life.get(key);
   if (sign === undefined || sign.go !== go) {
     life.set(key, { go, at: now });
@@ -414,7 +713,13 @@
 }
 
 /** The same for a prompt of a passage, whose dispatcher is to take it up at once. */
-function livesTask(life: Partition["life"], key: string, go: number, now: number, { place, confirmed }: Chain): boolean {
+function livesTask(
+  life: Partition["life"],
+  key: string,
+  go: number,
+  now: number,
+  { place, confirmed }: Chain,
+): boolean {
   const sign = life.get(key);
   if (sign === undefined || sign.go !== go) {
     life.set(key, { go, at: now, place });
@@ -422,16 +727,22 @@
   }
   /** What is not confirmed was not told yet. */
   if (sign.place !== undefined && confirmed < sign.place) life.set(key, { ...sign, at: now });
-  return now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp);
+  return (
+    now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp)
+  );
 }
 
 function broken(key: string, go: number): { claim: Claim; ending: PassEnding } {
-  return { claim: claimOf(key, go), ending: { kind: "broken", text: "", events: 0, upTo: undefined } };
+  return {
+    claim: claimOf(key, go),
+    ending: { kind: "broken", text: "", events: 0, upTo: undefined },
+  };
 }
 
 function sharesOf(standing: QueueStanding): ShareClass[] {
   const classes: ShareClass[] = [];
-  for (const { season, select, runners, target } of standingClasses(standing)) classes.push({ season, select, runners, share: target });
+  for (const { season, select, runners, target } of standingClasses(standing))
+    classes.push({ season, select, runners, share: target });
   return classes;
 }
 
@@ -450,5 +761,9 @@
 }
 
 function result(to: string, ticket: string, told: QueueOutcome, held = 0): StorageOutput {
-  return { kind: "send", to, message: { kind: "queue-result", ticket, outcome: told, ...(held > 0 ? { held } : {}) } };
+  return {
+    kind: "send",
+    to,
+    message: { kind: "queue-result", ticket, outcome: told, ...(held > 0 ? { held } : {}) },
+  };
 }
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -1,4 +1,19 @@
-import { Beat, Disk, Gateway, Wire, diskFailed, listen, metrics, monotonic, reply, settings as configured, settled, type Arrival, type Log, type Settings } from "@chutewick/shell";
+import {
+  Beat,
+  Disk,
+  Gateway,
+  Wire,
+  diskFailed,
+  listen,
+  metrics,
+  monotonic,
+  reply,
+  settings as configured,
+  settled,
+  type Arrival,
+  type Log,
+  type Settings,
+} from "@chutewick/shell";
 import { constants, outcome, type ChainHolding, type Outcome } from "@chutewick/parts";
 import type { ServiceSchema } from "moleculer";
 import { StorageCore, type DataMessage, type StorageOutput } from "./storage-core.js";
@@ -16,12 +31,40 @@
     this.#log = log;
     this.#disk = disk;
     const self = this;
-    function receive(message: unknown, from: string): void { self.#perform(self.#core.receive(message as DataMessage, from, monotonic())); }
+    function receive(message: unknown, from: string): void {
+      self.#perform(self.#core.receive(message as DataMessage, from, monotonic()));
+    }
     const holdings = new Map<string, ChainHolding>();
     for (const chain of disk.chains()) holdings.set(chain, disk.holding(chain)!);
-    this.#core = new StorageCore({ identity: disk.identity, address: settings.wire, kind: "storage", zone: settings.zone, http: settings.http, name: settings.name }, settings.seeds, holdings, monotonic(), configured.policyOf(settings));
-    this.#wire = new Wire({ address: settings.wire, listen: settings.wireListen ?? settings.wire, log, receive });
-    this.#gateway = new Gateway({ address: settings.http, log, owners: [this.#owner()], openings: [{ method: "GET", path: "/status", event: "operator.status" }, { method: "GET", path: "/metrics", event: "operator.metrics" }] });
+    this.#core = new StorageCore(
+      {
+        identity: disk.identity,
+        address: settings.wire,
+        kind: "storage",
+        zone: settings.zone,
+        http: settings.http,
+        name: settings.name,
+      },
+      settings.seeds,
+      holdings,
+      monotonic(),
+      configured.policyOf(settings),
+    );
+    this.#wire = new Wire({
+      address: settings.wire,
+      listen: settings.wireListen ?? settings.wire,
+      log,
+      receive,
+    });
+    this.#gateway = new Gateway({
+      address: settings.http,
+      log,
+      owners: [this.#owner()],
+      openings: [
+        { method: "GET", path: "/status", event: "operator.status" },
+        { method: "GET", path: "/metrics", event: "operator.metrics" },
+      ],
+    });
   }
 
   static async open(settings: Settings, log: Log): Promise<Outcome<StorageProcess>> {
@@ -30,7 +73,9 @@
     const storage = new StorageProcess(settings, log, disk.value);
     const trouble = await listen(storage.#wire, storage.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
-    function strike(now: number): void { storage.#perform(storage.#core.beat(now)); }
+    function strike(now: number): void {
+      storage.#perform(storage.#core.beat(now));
+    }
     storage.#beat.start(strike);
     log.info({ identity: disk.value.identity, wire: settings.wire }, "storage machine is up");
     return outcome.good(storage);
@@ -42,7 +87,9 @@
     this.#perform(this.#core.leave(monotonic()));
     const self = this;
     const until = monotonic() + constants.handOverPatience;
-    function handedOver(): boolean { return self.#core.held === 0 || monotonic() > until; }
+    function handedOver(): boolean {
+      return self.#core.held === 0 || monotonic() > until;
+    }
     if (held > 0) await settled(handedOver);
     this.#beat.stop();
     await this.#gateway.close();
@@ -53,11 +100,32 @@
   #owner(): ServiceSchema {
     const self = this;
     function status(arrival: Arrival): void {
-      reply(arrival.reply, 200, { ...self.#core.status(monotonic()), counts: { syncs: self.#disk.syncs, sent: self.#wire.sent, dropped: self.#wire.dropped, refused: self.#wire.refused } });
+      reply(arrival.reply, 200, {
+        ...self.#core.status(monotonic()),
+        counts: {
+          syncs: self.#disk.syncs,
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+          refused: self.#wire.refused,
+        },
+      });
     }
     async function measured(arrival: Arrival): Promise<void> {
       const { queues } = self.#core.status(monotonic());
-      reply(arrival.reply, 200, await metrics.read({ queues: countsOf(queues as Record<string, { owner: boolean; place: number; confirmed: number; count?: unknown }>), sent: self.#wire.sent, dropped: self.#wire.dropped }));
+      reply(
+        arrival.reply,
+        200,
+        await metrics.read({
+          queues: countsOf(
+            queues as Record<
+              string,
+              { owner: boolean; place: number; confirmed: number; count?: unknown }
+            >,
+          ),
+          sent: self.#wire.sent,
+          dropped: self.#wire.dropped,
+        }),
+      );
     }
     return { name: "storage", events: { "operator.status": status, "operator.metrics": measured } };
   }
@@ -71,7 +139,9 @@
           break;
         case "write": {
           const { chain, ticket } = output;
-          function written(): void { self.#perform(self.#core.written(chain, ticket, monotonic())); }
+          function written(): void {
+            self.#perform(self.#core.written(chain, ticket, monotonic()));
+          }
           this.#disk.writeChain(chain, output.write, written);
           break;
         }
@@ -85,8 +155,17 @@
 }
 
 /** Of queues kept here: how far behind their confirmation is, and what the owner counts. */
-function countsOf(queues: Readonly<Record<string, { owner: boolean; place: number; confirmed: number; count?: unknown }>>): Record<string, unknown> {
+function countsOf(
+  queues: Readonly<
+    Record<string, { owner: boolean; place: number; confirmed: number; count?: unknown }>
+  >,
+): Record<string, unknown> {
   const told: Record<string, unknown> = {};
-  for (const [queue, { owner, place, confirmed, count }] of Object.entries(queues)) told[queue] = { owner, unconfirmed: place - confirmed, ...(count === undefined ? {} : { count }) };
+  for (const [queue, { owner, place, confirmed, count }] of Object.entries(queues))
+    told[queue] = {
+      owner,
+      unconfirmed: place - confirmed,
+      ...(count === undefined ? {} : { count }),
+    };
   return told;
 }
--- a/packages/parts/src/bucket.ts
+++ b/packages/parts/src/bucket.ts
@@ -34,12 +34,21 @@
 }
 
 /** The source's step: refill, check and dequeue as one. A token is spent only on a prompt taken. */
-function draw<Prompt>(bucket: Bucket, limits: Limits, now: number, take: () => Prompt | undefined): Draw<Prompt> {
+function draw<Prompt>(
+  bucket: Bucket,
+  limits: Limits,
+  now: number,
+  take: () => Prompt | undefined,
+): Draw<Prompt> {
   const tokens = level(bucket, limits, now);
   if (tokens + grain >= 1) {
     const prompt = take();
     if (prompt === undefined) return { kind: "EMPTY" };
-    return { kind: "TAKEN", prompt, bucket: { tokens: Math.max(0, tokens - 1), refilledAt: Math.max(now, bucket.refilledAt) } };
+    return {
+      kind: "TAKEN",
+      prompt,
+      bucket: { tokens: Math.max(0, tokens - 1), refilledAt: Math.max(now, bucket.refilledAt) },
+    };
   }
   const perSecond = rate(limits);
   if (perSecond <= 0 || limits.capacity < 1) return { kind: "RATE_LIMITED", wait: undefined };
@@ -48,12 +57,18 @@
 
 /** New limits keep what was earned under the old ones, up to the new capacity. */
 function relimit(bucket: Bucket, before: Limits, after: Limits, now: number): Bucket {
-  return { tokens: Math.min(after.capacity, level(bucket, before, now)), refilledAt: Math.max(now, bucket.refilledAt) };
+  return {
+    tokens: Math.min(after.capacity, level(bucket, before, now)),
+    refilledAt: Math.max(now, bucket.refilledAt),
+  };
 }
 
 /** The token of a prompt that was never sent comes back, up to capacity. */
 function restore(bucket: Bucket, limits: Limits, now: number): Bucket {
-  return { tokens: Math.min(limits.capacity, level(bucket, limits, now) + 1), refilledAt: Math.max(now, bucket.refilledAt) };
+  return {
+    tokens: Math.min(limits.capacity, level(bucket, limits, now) + 1),
+    refilledAt: Math.max(now, bucket.refilledAt),
+  };
 }
 
 export const bucket = { full, level, draw, relimit, restore, rate };
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -32,7 +32,15 @@
   | { readonly kind: "probe"; readonly number: number }
   | { readonly kind: "probed"; readonly number: number }
   | { readonly kind: "want"; readonly place: number }
-  | { readonly kind: "digest"; readonly series: number; readonly part: number; readonly last: boolean; readonly place: number; readonly time: number; readonly records: readonly Change[] }
+  | {
+      readonly kind: "digest";
+      readonly series: number;
+      readonly part: number;
+      readonly last: boolean;
+      readonly place: number;
+      readonly time: number;
+      readonly records: readonly Change[];
+    }
   /** A piece of a digest has come, so the next may follow (§1.8). */
   | { readonly kind: "digest-got"; readonly series: number; readonly part: number }
 );
@@ -62,10 +70,25 @@
 
 export type ChainCommand =
   | { readonly kind: "send"; readonly to: string; readonly message: ChainMessage }
-  | { readonly kind: "write"; readonly chain: string; readonly ticket: number; readonly write: ChainWrite }
+  | {
+      readonly kind: "write";
+      readonly chain: string;
+      readonly ticket: number;
+      readonly write: ChainWrite;
+    }
   | { readonly kind: "result"; readonly ticket: string; readonly result: ChainResult }
-  | { readonly kind: "confirmed"; readonly chain: string; readonly place: number; readonly changes: readonly Change[] }
-  | { readonly kind: "restored"; readonly chain: string; readonly place: number; readonly records: readonly Change[] };
+  | {
+      readonly kind: "confirmed";
+      readonly chain: string;
+      readonly place: number;
+      readonly changes: readonly Change[];
+    }
+  | {
+      readonly kind: "restored";
+      readonly chain: string;
+      readonly place: number;
+      readonly records: readonly Change[];
+    };
 
 export type ChainResult =
   | { readonly kind: "confirmed"; readonly place: number; readonly value: unknown }
@@ -108,7 +131,10 @@
   #probes = new Map<number, Probe>();
   #probeNumber = 0;
   #writeNumber = 0;
-  #writes = new Map<number, { place: number; mark: number; at: number; whole: boolean; adopts: boolean }>();
+  #writes = new Map<
+    number,
+    { place: number; mark: number; at: number; whole: boolean; adopts: boolean }
+  >();
   #joinerPlace: number | undefined;
   /** Up to where entries were sent to the joiner. */
   #joinerPassed = 0;
@@ -119,7 +145,14 @@
   #series = 0;
   /** Pieces of a copy still to be sent, a few with each beat. */
   #sending: Sending | undefined;
-  #parts: { series: number; pieces: Map<number, readonly Change[]>; last: number | undefined; at: number } | undefined;
+  #parts:
+    | {
+        series: number;
+        pieces: Map<number, readonly Change[]>;
+        last: number | undefined;
+        at: number;
+      }
+    | undefined;
   #copiedMark = 0;
   /** Place that a joiner's source told in this view, asked for once the copy is here: only up to there is the copy whole. */
   #sourcePlace: number | undefined;
@@ -131,7 +164,14 @@
   /** Copies on which anything must be synced before it is confirmed: one more than may be lost at once (§13.3). */
   #least: number;
 
-  constructor(name: string, self: Member, machine: Machine, now: number, holding?: ChainHolding, least: number = constants.copiesLeast) {
+  constructor(
+    name: string,
+    self: Member,
+    machine: Machine,
+    now: number,
+    holding?: ChainHolding,
+    least: number = constants.copiesLeast,
+  ) {
     this.#least = least;
     this.name = name;
     this.#self = self;
@@ -155,11 +195,19 @@
     machine.rebuild(this.ledger);
   }
 
-  get view(): ChainView | undefined { return this.#view; }
-  get place(): number { return this.#place; }
-  get confirmed(): number { return this.#confirmed; }
+  get view(): ChainView | undefined {
+    return this.#view;
+  }
+  get place(): number {
+    return this.#place;
+  }
+  get confirmed(): number {
+    return this.#confirmed;
+  }
   /** Mark of the view in which this joiner holds a whole synced copy, or 0. */
-  get copiedMark(): number { return this.#copiedMark; }
+  get copiedMark(): number {
+    return this.#copiedMark;
+  }
 
   get position(): number {
     return this.#view === undefined ? -1 : positionOf(this.#view, this.#self);
@@ -198,7 +246,12 @@
       if (now - write.at > constants.slowAfter) return this.#self;
     }
     const successor = this.#successor;
-    if (successor !== undefined && this.#taken < this.#passed && now - this.#takenAt > constants.slowAfter) return successor;
+    if (
+      successor !== undefined &&
+      this.#taken < this.#passed &&
+      now - this.#takenAt > constants.slowAfter
+    )
+      return successor;
     return undefined;
   }
 
@@ -208,14 +261,22 @@
     const before = this.#view;
     const commands: ChainCommand[] = [];
     this.#view = view;
-    for (const probe of this.#probes.values()) commands.push({ kind: "result", ticket: probe.ticket, result: { kind: "unknown" } });
+    for (const probe of this.#probes.values())
+      commands.push({ kind: "result", ticket: probe.ticket, result: { kind: "unknown" } });
     this.#probes.clear();
     if (positionOf(view, this.#self) !== 0) commands.push(...this.#abandonWaiters());
     /** A former member may hold entries that no later view knows; only a copy begun anew is sure (§1.4, §1.5). */
-    const clear = before !== undefined && this.#place > 0 && !holds(view, this.#self) && !copiedOn(before, view, this.#self);
+    const clear =
+      before !== undefined &&
+      this.#place > 0 &&
+      !holds(view, this.#self) &&
+      !copiedOn(before, view, this.#self);
     if (clear) this.#forget(now);
     if (!isSame(before?.joiner, this.#successor)) this.#joinerPlace = undefined;
-    this.#passed = this.#joinerPlace === undefined ? this.#confirmed : Math.min(this.#confirmed, this.#joinerPlace);
+    this.#passed =
+      this.#joinerPlace === undefined
+        ? this.#confirmed
+        : Math.min(this.#confirmed, this.#joinerPlace);
     this.#taken = this.#passed;
     this.#joinerPlace = undefined;
     this.#digestFor = undefined;
@@ -231,7 +292,8 @@
 
   #abandonWaiters(): ChainCommand[] {
     const commands: ChainCommand[] = [];
-    for (const waiter of this.#waiters) commands.push({ kind: "result", ticket: waiter.ticket, result: { kind: "unknown" } });
+    for (const waiter of this.#waiters)
+      commands.push({ kind: "result", ticket: waiter.ticket, result: { kind: "unknown" } });
     this.#waiters = [];
     return commands;
   }
@@ -250,26 +312,59 @@
     this.#gap = true;
   }
 
-  #write(clear: boolean, changes: readonly Change[], entries: readonly Entry[], drop: readonly number[], now: number): ChainCommand {
+  #write(
+    clear: boolean,
+    changes: readonly Change[],
+    entries: readonly Entry[],
+    drop: readonly number[],
+    now: number,
+  ): ChainCommand {
     this.#writeNumber += 1;
-    this.#writes.set(this.#writeNumber, { place: this.#place, mark: this.#view!.mark, at: now, whole: clear, adopts: changes.length + entries.length + drop.length === 0 });
-    const state: ChainState = { place: this.#place, time: this.#time, confirmed: this.#confirmed, view: this.#view! };
-    return { kind: "write", chain: this.name, ticket: this.#writeNumber, write: { clear, changes, entries, drop, state } };
+    this.#writes.set(this.#writeNumber, {
+      place: this.#place,
+      mark: this.#view!.mark,
+      at: now,
+      whole: clear,
+      adopts: changes.length + entries.length + drop.length === 0,
+    });
+    const state: ChainState = {
+      place: this.#place,
+      time: this.#time,
+      confirmed: this.#confirmed,
+      view: this.#view!,
+    };
+    return {
+      kind: "write",
+      chain: this.name,
+      ticket: this.#writeNumber,
+      write: { clear, changes, entries, drop, state },
+    };
   }
 
   #send(to: Member, message: DistributiveBare): ChainCommand {
-    return { kind: "send", to: to.address, message: { ...message, chain: this.name, mark: this.#view!.mark } as ChainMessage };
+    return {
+      kind: "send",
+      to: to.address,
+      message: { ...message, chain: this.name, mark: this.#view!.mark } as ChainMessage,
+    };
   }
 
   /** An inquiry at the owner: an entry where it changes records, else a read that probes the whole chain. */
   inquire(ticket: string, command: unknown, now: number): ChainCommand[] {
-    if (!this.serves) return [{ kind: "result", ticket, result: { kind: "elsewhere", view: this.#view } }];
+    if (!this.serves)
+      return [{ kind: "result", ticket, result: { kind: "elsewhere", view: this.#view } }];
     const time = this.time(now);
     const value = this.machine.apply(this.ledger, command, time);
     const changes = this.ledger.takeChanges();
     if (changes.length === 0) {
       this.#probeNumber += 1;
-      const probe: Probe = { ticket, place: this.#place, value, number: this.#probeNumber, sentAt: now };
+      const probe: Probe = {
+        ticket,
+        place: this.#place,
+        value,
+        number: this.#probeNumber,
+        sentAt: now,
+      };
       this.#probes.set(probe.number, probe);
       return [this.#send(this.#successor!, { kind: "probe", number: probe.number })];
     }
@@ -292,7 +387,8 @@
   #prune(): number[] {
     const floor = Math.min(this.#confirmed, this.#joinerPlace ?? this.#confirmed);
     const dropped: number[] = [];
-    while (this.#entries.length > 0 && this.#entries[0]!.place <= floor) dropped.push(this.#entries.shift()!.place);
+    while (this.#entries.length > 0 && this.#entries[0]!.place <= floor)
+      dropped.push(this.#entries.shift()!.place);
     return dropped;
   }
 
@@ -307,7 +403,8 @@
     commands.push(...this.#pass(now));
     if (isSame(this.#view!.joiner, this.#self)) {
       this.#countCopy(now);
-      if ((write.whole && this.#place > 0) || write.adopts) commands.push(this.#send(this.#source!, { kind: "want", place: this.#place }));
+      if ((write.whole && this.#place > 0) || write.adopts)
+        commands.push(this.#send(this.#source!, { kind: "want", place: this.#place }));
     }
     return commands;
   }
@@ -318,18 +415,31 @@
     const view = this.#view!;
     const position = this.position;
     if (position < 0) {
-      if (isSame(view.joiner, this.#self) && view.members.length > 0) commands.push(this.#send(view.members.at(-1)!, { kind: "taken", place: this.#synced, confirmed: 0 }));
+      if (isSame(view.joiner, this.#self) && view.members.length > 0)
+        commands.push(
+          this.#send(view.members.at(-1)!, { kind: "taken", place: this.#synced, confirmed: 0 }),
+        );
       return commands;
     }
-    if (position > 0) commands.push(this.#send(view.members[position - 1]!, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }));
+    if (position > 0)
+      commands.push(
+        this.#send(view.members[position - 1]!, {
+          kind: "taken",
+          place: this.#synced,
+          confirmed: this.#confirmed,
+        }),
+      );
     const successor = this.#successor;
     if (successor !== undefined) commands.push(...this.#sendEntries(successor, this.#passed, now));
     else if (this.#synced > this.#confirmed && view.members.length >= this.#least) {
       commands.push(...this.#confirm(this.#synced, now));
-      for (const member of view.members) if (!isSame(member, this.#self)) commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
+      for (const member of view.members)
+        if (!isSame(member, this.#self))
+          commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
     }
     commands.push(...this.#restore());
-    if (this.#digestFor !== undefined && this.#synced === this.#place) commands.push(...this.#sendDigest(this.#digestFor, now));
+    if (this.#digestFor !== undefined && this.#synced === this.#place)
+      commands.push(...this.#sendDigest(this.#digestFor, now));
     return commands;
   }
 
@@ -348,7 +458,11 @@
     for (const entry of this.#entries) {
       if (entry.place <= after || entry.place > this.#synced) continue;
       weight += weightOf(entry.command);
-      if (entries.length === constants.entriesInMessage || (entries.length > 0 && weight > constants.messageWeight)) break;
+      if (
+        entries.length === constants.entriesInMessage ||
+        (entries.length > 0 && weight > constants.messageWeight)
+      )
+        break;
       entries.push(entry);
     }
     return entries;
@@ -361,14 +475,19 @@
       const changes = this.#changesAt.get(at);
       this.#changesAt.delete(at);
       if (changes === undefined) this.#gap = true;
-      else if (!this.#gap) commands.push({ kind: "confirmed", chain: this.name, place: at, changes });
+      else if (!this.#gap)
+        commands.push({ kind: "confirmed", chain: this.name, place: at, changes });
     }
     this.#confirmed = place;
     commands.push(...this.#restore());
     this.#progressAt = now;
     while (this.#waiters.length > 0 && this.#waiters[0]!.place <= place) {
       const waiter = this.#waiters.shift()!;
-      commands.push({ kind: "result", ticket: waiter.ticket, result: { kind: "confirmed", place: waiter.place, value: waiter.value } });
+      commands.push({
+        kind: "result",
+        ticket: waiter.ticket,
+        result: { kind: "confirmed", place: waiter.place, value: waiter.value },
+      });
     }
     const joiner = this.#view!.joiner;
     if (this.#isTail && joiner !== undefined && this.#joinerPlace !== undefined) {
@@ -396,14 +515,27 @@
   /** What was copied, or stood on disk without its changes, is told as a whole once a view that confirms holds all of it. */
   #restore(): ChainCommand[] {
     const view = this.#view!;
-    if (!this.#gap || this.#confirmed !== this.#place || this.position < 0 || view.members.length < this.#least) return [];
+    if (
+      !this.#gap ||
+      this.#confirmed !== this.#place ||
+      this.position < 0 ||
+      view.members.length < this.#least
+    )
+      return [];
     this.#gap = false;
-    return [{ kind: "restored", chain: this.name, place: this.#place, records: this.ledger.digest() }];
+    return [
+      { kind: "restored", chain: this.name, place: this.#place, records: this.ledger.digest() },
+    ];
   }
 
   /** A joiner's copy counts when it has reached the place where its source stood after the copying. */
   #countCopy(now: number): void {
-    if (this.#sourcePlace === undefined || this.#synced < this.#sourcePlace || this.#parts !== undefined) return;
+    if (
+      this.#sourcePlace === undefined ||
+      this.#synced < this.#sourcePlace ||
+      this.#parts !== undefined
+    )
+      return;
     this.#copiedMark = this.#view!.mark;
     this.#wholeAt = now;
   }
@@ -412,14 +544,22 @@
     const view = this.#view;
     if (view === undefined || message.mark !== view.mark || !this.#ready) return [];
     switch (message.kind) {
-      case "entries": return this.#receiveEntries(message.entries, from, now);
-      case "taken": return this.#receiveTaken(message.place, message.confirmed, from, now);
-      case "confirm": return this.#confirm(Math.min(message.place, this.#place), now);
-      case "probe": return this.#receiveProbe(message.number);
-      case "probed": return this.#receiveProbed(message.number);
-      case "want": return this.#receiveWant(message.place, from, now);
-      case "digest": return this.#receiveDigest(message, from, now);
-      case "digest-got": return this.#receiveGot(message.series, message.part, from, now);
+      case "entries":
+        return this.#receiveEntries(message.entries, from, now);
+      case "taken":
+        return this.#receiveTaken(message.place, message.confirmed, from, now);
+      case "confirm":
+        return this.#confirm(Math.min(message.place, this.#place), now);
+      case "probe":
+        return this.#receiveProbe(message.number);
+      case "probed":
+        return this.#receiveProbed(message.number);
+      case "want":
+        return this.#receiveWant(message.place, from, now);
+      case "digest":
+        return this.#receiveDigest(message, from, now);
+      case "digest-got":
+        return this.#receiveGot(message.series, message.part, from, now);
     }
   }
 
@@ -436,25 +576,37 @@
     const source = this.#source;
     if (source === undefined || source.address !== from) return [];
     /** While a copy is on its way, what follows it is asked for afterwards. */
-    if (this.#parts !== undefined || (this.#place === 0 && isSame(this.#view!.joiner, this.#self))) return [];
+    if (this.#parts !== undefined || (this.#place === 0 && isSame(this.#view!.joiner, this.#self)))
+      return [];
     const commands: ChainCommand[] = [];
     for (const entry of entries) {
       if (entry.place <= this.#place) continue;
-      if (entry.place > this.#place + 1) return [...commands, this.#send(source, { kind: "want", place: this.#place })];
+      if (entry.place > this.#place + 1)
+        return [...commands, this.#send(source, { kind: "want", place: this.#place })];
       this.machine.apply(this.ledger, entry.command, entry.time);
       this.#place = entry.place;
       commands.push(this.#append(entry, this.ledger.takeChanges(), now));
     }
     if (commands.length === 0) {
-      commands.push(this.#send(source, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }));
-      if (this.#isTail) for (const member of this.#view!.members) if (!isSame(member, this.#self)) commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
+      commands.push(
+        this.#send(source, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
+      );
+      if (this.#isTail)
+        for (const member of this.#view!.members)
+          if (!isSame(member, this.#self))
+            commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
     }
     return commands;
   }
 
   #receiveTaken(place: number, confirmed: number, from: string, now: number): ChainCommand[] {
     const view = this.#view!;
-    if (view.joiner !== undefined && view.joiner.address === from && this.#isTail && this.#joinerPlace !== undefined) {
+    if (
+      view.joiner !== undefined &&
+      view.joiner.address === from &&
+      this.#isTail &&
+      this.#joinerPlace !== undefined
+    ) {
       this.#joinerPlace = Math.max(this.#joinerPlace, place);
       return this.#sendJoiner(view.joiner);
     }
@@ -473,12 +625,18 @@
       this.#successorSince = now;
     }
     /** It stands where entries are gone, and says so again and again: nothing else would ever make it ask. */
-    if (place === this.#successorPlace && place + 1 < this.#firstKept && this.#sending === undefined && now - this.#successorSince > constants.resendAfter * 2) {
+    if (
+      place === this.#successorPlace &&
+      place + 1 < this.#firstKept &&
+      this.#sending === undefined &&
+      now - this.#successorSince > constants.resendAfter * 2
+    ) {
       this.#successorSince = now;
       return this.#receiveWant(place, from, now);
     }
     const commands = this.#confirm(Math.min(confirmed, this.#place), now);
-    if (this.#synced > this.#passed) commands.push(...this.#sendEntries(this.#successor, this.#passed, now));
+    if (this.#synced > this.#passed)
+      commands.push(...this.#sendEntries(this.#successor, this.#passed, now));
     return commands;
   }
 
@@ -499,10 +657,18 @@
       this.#waiters.sort(byPlace);
       return [];
     }
-    return [{ kind: "result", ticket: probe.ticket, result: { kind: "confirmed", place: probe.place, value: probe.value } }];
+    return [
+      {
+        kind: "result",
+        ticket: probe.ticket,
+        result: { kind: "confirmed", place: probe.place, value: probe.value },
+      },
+    ];
   }
 
-  get #firstKept(): number { return this.#entries[0]?.place ?? this.#place + 1; }
+  get #firstKept(): number {
+    return this.#entries[0]?.place ?? this.#place + 1;
+  }
 
   #receiveWant(place: number, from: string, now: number): ChainCommand[] {
     const view = this.#view!;
@@ -513,7 +679,10 @@
       if (joiner === undefined) return this.#sendAgain(asker, place, now);
       this.#joinerPlace = place;
       this.#joinerPassed = place;
-      return [...this.#sendJoiner(joiner), this.#send(joiner, { kind: "taken", place: this.#synced, confirmed: this.#confirmed })];
+      return [
+        ...this.#sendJoiner(joiner),
+        this.#send(joiner, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
+      ];
     }
     if (this.#synced < this.#place) {
       this.#digestFor = asker;
@@ -533,7 +702,15 @@
     const parts = cutInPieces(this.ledger.digest());
     const pieces: DistributiveBare[] = [];
     for (const [part, records] of parts.entries()) {
-      pieces.push({ kind: "digest", series: this.#series, part, last: part === parts.length - 1, place: this.#place, time: this.#time, records });
+      pieces.push({
+        kind: "digest",
+        series: this.#series,
+        part,
+        last: part === parts.length - 1,
+        place: this.#place,
+        time: this.#time,
+        records,
+      });
     }
     this.#sending = { to, pieces, sent: 0, got: new Set(), at: now, isDeaf: false };
     return this.#sendPieces();
@@ -544,8 +721,14 @@
     const sending = this.#sending;
     if (sending === undefined) return commands;
     const { to, pieces } = sending;
-    const upTo = Math.min(pieces.length, sending.isDeaf ? sending.sent + constants.digestPiecesEachBeat : sending.got.size + constants.digestPiecesOut);
-    for (; sending.sent < upTo; sending.sent += 1) commands.push(this.#send(to, pieces[sending.sent]!));
+    const upTo = Math.min(
+      pieces.length,
+      sending.isDeaf
+        ? sending.sent + constants.digestPiecesEachBeat
+        : sending.got.size + constants.digestPiecesOut,
+    );
+    for (; sending.sent < upTo; sending.sent += 1)
+      commands.push(this.#send(to, pieces[sending.sent]!));
     if (sending.isDeaf && sending.sent === pieces.length) this.#sending = undefined;
     return commands;
   }
@@ -553,7 +736,13 @@
   /** Pieces follow as fast as they are taken: more than the link carries would be dropped, and the copy begun anew for ever (§1.8). */
   #receiveGot(series: number, part: number, from: string, now: number): ChainCommand[] {
     const sending = this.#sending;
-    if (sending === undefined || series !== this.#series || sending.to.address !== from || sending.got.has(part)) return [];
+    if (
+      sending === undefined ||
+      series !== this.#series ||
+      sending.to.address !== from ||
+      sending.got.has(part)
+    )
+      return [];
     sending.got.add(part);
     sending.at = now;
     sending.isDeaf = false;
@@ -573,18 +762,27 @@
       sending.sent = 0;
       return this.#sendPieces();
     }
-    for (let part = 0; part < sending.sent; part += 1) if (!sending.got.has(part)) commands.push(this.#send(sending.to, sending.pieces[part]!));
+    for (let part = 0; part < sending.sent; part += 1)
+      if (!sending.got.has(part)) commands.push(this.#send(sending.to, sending.pieces[part]!));
     return commands;
   }
 
-  #receiveDigest(message: Extract<ChainMessage, { kind: "digest" }>, from: string, now: number): ChainCommand[] {
+  #receiveDigest(
+    message: Extract<ChainMessage, { kind: "digest" }>,
+    from: string,
+    now: number,
+  ): ChainCommand[] {
     if (this.#source?.address !== from || this.position === 0) return [];
     if (this.#parts === undefined || this.#parts.series !== message.series) {
       this.#parts = { series: message.series, pieces: new Map(), last: undefined, at: now };
     }
     const parts = this.#parts;
     parts.at = now;
-    const got: ChainCommand = this.#send(this.#source!, { kind: "digest-got", series: message.series, part: message.part });
+    const got: ChainCommand = this.#send(this.#source!, {
+      kind: "digest-got",
+      series: message.series,
+      part: message.part,
+    });
     parts.pieces.set(message.part, message.records);
     if (message.last) parts.last = message.part;
     this.#progressAt = now;
@@ -623,8 +821,14 @@
       this.#parts = undefined;
       commands.push(this.#send(source!, { kind: "want", place: this.#place }));
     }
-    if (joins && this.#copiedMark > 0 && now - this.#wholeAt > constants.resendAfter * 4) this.#copiedMark = 0;
-    if (joins && this.#parts === undefined && this.#writes.size === 0 && now - this.#progressAt > constants.resendAfter) {
+    if (joins && this.#copiedMark > 0 && now - this.#wholeAt > constants.resendAfter * 4)
+      this.#copiedMark = 0;
+    if (
+      joins &&
+      this.#parts === undefined &&
+      this.#writes.size === 0 &&
+      now - this.#progressAt > constants.resendAfter
+    ) {
       this.#progressAt = now;
       commands.push(this.#send(source!, { kind: "want", place: this.#place }));
       return commands;
@@ -632,7 +836,8 @@
     if (late && this.position >= 0) {
       this.#progressAt = now;
       const successor = this.#successor;
-      if (successor !== undefined && this.#synced > this.#taken) commands.push(...this.#sendAgain(successor, this.#taken, now));
+      if (successor !== undefined && this.#synced > this.#taken)
+        commands.push(...this.#sendAgain(successor, this.#taken, now));
       for (const probe of this.#probes.values()) {
         if (now - probe.sentAt < constants.resendAfter) continue;
         probe.sentAt = now;
@@ -642,7 +847,10 @@
     if (this.position > 0 && now - this.#toldAt > constants.resendAfter * 2) {
       this.#toldAt = now;
       if (this.#isTail && this.#synced > this.#confirmed) commands.push(...this.#pass(now));
-      else commands.push(this.#send(source!, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }));
+      else
+        commands.push(
+          this.#send(source!, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
+        );
     }
     return commands;
   }
@@ -650,7 +858,11 @@
   /** All that a blank folder would need, for tests and digests of control state. */
   holding(): ChainHolding | undefined {
     if (this.#view === undefined) return undefined;
-    return { state: { place: this.#place, time: this.#time, confirmed: this.#confirmed, view: this.#view }, records: this.ledger.digest(), entries: [...this.#entries] };
+    return {
+      state: { place: this.#place, time: this.#time, confirmed: this.#confirmed, view: this.#view },
+      records: this.ledger.digest(),
+      entries: [...this.#entries],
+    };
   }
 }
 
@@ -666,10 +878,15 @@
   isDeaf: boolean;
 }
 
-type DistributiveBare = ChainMessage extends infer Each ? (Each extends unknown ? Omit<Each, "chain" | "mark"> : never) : never;
+type DistributiveBare = ChainMessage extends infer Each
+  ? Each extends unknown
+    ? Omit<Each, "chain" | "mark">
+    : never
+  : never;
 
 function positionOf(view: ChainView, member: Member): number {
-  for (const [index, each] of view.members.entries()) if (each.identity === member.identity) return index;
+  for (const [index, each] of view.members.entries())
+    if (each.identity === member.identity) return index;
   return -1;
 }
 
@@ -684,7 +901,10 @@
   for (const record of records) {
     const own = weightOf(record);
     const piece = pieces.at(-1)!;
-    if (piece.length === constants.digestPiece || (piece.length > 0 && weight + own > constants.messageWeight)) {
+    if (
+      piece.length === constants.digestPiece ||
+      (piece.length > 0 && weight + own > constants.messageWeight)
+    ) {
       pieces.push([record]);
       weight = own;
     } else {
@@ -714,7 +934,10 @@
 /** Whether what a joiner was copied is a beginning of what the next view holds. What a view that confirms nothing holds may be dropped by the next (§1.5). */
 function copiedOn(before: ChainView, view: ChainView, self: Member): boolean {
   if (!isSame(before.joiner, self) || !isSame(view.joiner, self)) return false;
-  return before.holders === undefined || (view.mark === before.mark + 1 && view.members.some(isMember, before.members.at(-1)!));
+  return (
+    before.holders === undefined ||
+    (view.mark === before.mark + 1 && view.members.some(isMember, before.members.at(-1)!))
+  );
 }
 
 /** Each of them holds all that was confirmed (§1.5). */
@@ -736,7 +959,8 @@
     if (there.has(member.identity)) present.push(member);
     if (there.has(member.identity) !== view.members.some(isMember, member)) same = false;
   }
-  for (const member of view.members) if (there.has(member.identity) && !holdersOf(view).some(isMember, member)) joined.push(member);
+  for (const member of view.members)
+    if (there.has(member.identity) && !holdersOf(view).some(isMember, member)) joined.push(member);
   return same ? [...present, ...joined] : present;
 }
 
--- a/packages/parts/src/feed.ts
+++ b/packages/parts/src/feed.ts
@@ -17,14 +17,17 @@
   #records = new Map<string, unknown>();
   #recent: FeedEntry[] = [];
 
-  get place(): number { return this.#place; }
+  get place(): number {
+    return this.#place;
+  }
 
   read<Value>(key: string): Value | undefined {
     return this.#records.get(key) as Value | undefined;
   }
 
   *under<Value>(prefix: string): Generator<[string, Value]> {
-    for (const [key, value] of this.#records) if (key.startsWith(prefix)) yield [key, value as Value];
+    for (const [key, value] of this.#records)
+      if (key.startsWith(prefix)) yield [key, value as Value];
   }
 
   take(place: number, changes: readonly Change[]): void {
@@ -47,7 +50,8 @@
   since(place: number): FeedMessage | undefined {
     if (place >= this.#place) return undefined;
     const first = this.#recent[0]?.place ?? this.#place + 1;
-    if (place === 0 || place + 1 < first) return { kind: "feed-digest", place: this.#place, records: [...this.#records] };
+    if (place === 0 || place + 1 < first)
+      return { kind: "feed-digest", place: this.#place, records: [...this.#records] };
     return { kind: "feed", entries: this.#recent.slice(place + 1 - first) };
   }
 }
@@ -57,14 +61,17 @@
   #place = 0;
   #records = new Map<string, unknown>();
 
-  get place(): number { return this.#place; }
+  get place(): number {
+    return this.#place;
+  }
 
   read<Value>(key: string): Value | undefined {
     return this.#records.get(key) as Value | undefined;
   }
 
   *under<Value>(prefix: string): Generator<[string, Value]> {
-    for (const [key, value] of this.#records) if (key.startsWith(prefix)) yield [key, value as Value];
+    for (const [key, value] of this.#records)
+      if (key.startsWith(prefix)) yield [key, value as Value];
   }
 
   /** True when something new was taken. */
--- a/packages/parts/src/ledger.ts
+++ b/packages/parts/src/ledger.ts
@@ -47,7 +47,8 @@
   }
 
   *under<Value>(prefix: string): Generator<[string, Value]> {
-    for (const [key, value] of this.#records) if (key.startsWith(prefix)) yield [key, value as Value];
+    for (const [key, value] of this.#records)
+      if (key.startsWith(prefix)) yield [key, value as Value];
   }
 }
 
--- a/packages/parts/src/lot.ts
+++ b/packages/parts/src/lot.ts
@@ -40,7 +40,16 @@
 
 export type QueueCommand =
   | { kind: "limit"; limits: Limits; share: number; mark: number; classes?: readonly ShareClass[] }
-  | { kind: "admit"; lot: string; way: string; body: string; prompts: unknown[]; labels: Record<string, string>; lasts: number; allowance: number }
+  | {
+      kind: "admit";
+      lot: string;
+      way: string;
+      body: string;
+      prompts: unknown[];
+      labels: Record<string, string>;
+      lasts: number;
+      allowance: number;
+    }
   /** unable: seasons whose runners have no room at the dispatcher; their lots keep their place. */
   | { kind: "pop"; holder: string; unable?: readonly string[] }
   | { kind: "record"; lot: string; index: number; go: number; ending: Ending }
@@ -65,10 +74,34 @@
   | { kind: "ADMITTED"; lot: string; again: boolean; remaining: number }
   | { kind: "CONFLICT"; lot: string }
   /** Accepted once and ended long ago: its results are no longer kept, and it does not run again. */
-  | { kind: "GONE"; lot: string; way: string; items: number; cancelled: boolean; endedBefore: number }
+  | {
+      kind: "GONE";
+      lot: string;
+      way: string;
+      items: number;
+      cancelled: boolean;
+      endedBefore: number;
+    }
   /** wait in ms until that many items have been drawn off at the full rate; undefined: no wait can be told. */
-  | { kind: "FULL"; items: number; waiting: number; allowance: number; season: string; wait: number | undefined }
-  | { kind: "TAKEN"; lot: string; index: number; go: number; prompt: unknown; way: string; remaining: number; season: string; runners: readonly Selector[] }
+  | {
+      kind: "FULL";
+      items: number;
+      waiting: number;
+      allowance: number;
+      season: string;
+      wait: number | undefined;
+    }
+  | {
+      kind: "TAKEN";
+      lot: string;
+      index: number;
+      go: number;
+      prompt: unknown;
+      way: string;
+      remaining: number;
+      season: string;
+      runners: readonly Selector[];
+    }
   | { kind: "EMPTY" }
   | { kind: "RATE_LIMITED"; wait: number | undefined }
   | { kind: "RECORDED"; state: ItemState }
@@ -77,7 +110,15 @@
   | { kind: "CANCELLED"; lot: string; stopped: number }
   | { kind: "DONE"; count: number }
   | { kind: "LOT"; lot: Lot; items: ItemView[]; now: number }
-  | { kind: "COUNT"; waiting: number; processing: number; lots: number; tokens: number; limits: Limits | undefined; open: Readonly<Record<string, number>> }
+  | {
+      kind: "COUNT";
+      waiting: number;
+      processing: number;
+      lots: number;
+      tokens: number;
+      limits: Limits | undefined;
+      open: Readonly<Record<string, number>>;
+    }
   | PassResult;
 
 /** What the owner holds of control's word: the limits, its share of waiting work, and the mark of both. */
@@ -101,7 +142,9 @@
 
 /** What releases without classes wrote is one class that takes every lot. */
 export function classesOf(share: Share | undefined): readonly ShareClass[] {
-  return share === undefined ? [] : share.classes ?? [{ season: "", select: none, runners: none, share: share.share }];
+  return share === undefined
+    ? []
+    : (share.classes ?? [{ season: "", select: none, runners: none, share: share.share }]);
 }
 
 export interface ItemView {
@@ -138,7 +181,11 @@
 }
 
 export function sameLimits(left: Limits, right: Limits): boolean {
-  return left.tokens === right.tokens && left.windowSeconds === right.windowSeconds && left.capacity === right.capacity;
+  return (
+    left.tokens === right.tokens &&
+    left.windowSeconds === right.windowSeconds &&
+    left.capacity === right.capacity
+  );
 }
 
 function earlierEnd(left: Stone, right: Stone): number {
@@ -150,7 +197,10 @@
 }
 
 /** The first class that selects a lot by its labels. */
-function governs(share: Share | undefined, labels: Readonly<Record<string, string>>): ShareClass | undefined {
+function governs(
+  share: Share | undefined,
+  labels: Readonly<Record<string, string>>,
+): ShareClass | undefined {
   for (const each of classesOf(share)) if (seasons.matches(each.select, labels)) return each;
   return undefined;
 }
@@ -187,7 +237,8 @@
       if (lot.open > 0) this.#open.set(lot.id, lot.open);
     }
     for (const [key, item] of ledger.under<Item>("item/")) {
-      if (item.state === "queued") this.#waitingOf(seasonOf(ledger, item)).push([item.sequence, key]);
+      if (item.state === "queued")
+        this.#waitingOf(seasonOf(ledger, item)).push([item.sequence, key]);
       if (item.state === "processing") this.#processing.set(key, item.go);
     }
     for (const waiting of this.#waiting.values()) waiting.sort(sooner);
@@ -239,11 +290,12 @@
       const lot = ledger.read<Lot>(lotKey(id))!;
       const own = lot.season ?? "";
       let on = own;
-      if (!classes.some(isShared, { season: own })) for (const each of classes) {
-        if (each.share === 0 || !seasons.matches(each.select, lot.labels)) continue;
-        on = each.season;
-        break;
-      }
+      if (!classes.some(isShared, { season: own }))
+        for (const each of classes) {
+          if (each.share === 0 || !seasons.matches(each.select, lot.labels)) continue;
+          on = each.season;
+          break;
+        }
       this.#weighsOn.set(id, on);
     }
   }
@@ -260,22 +312,38 @@
   apply(ledger: Ledger, input: unknown, time: number): QueueResult {
     const command = input as QueueCommand;
     switch (command.kind) {
-      case "limit": return this.#limit(ledger, command, time);
-      case "admit": return this.#admit(ledger, command, time);
-      case "pop": return this.#pop(ledger, command.holder, command.unable ?? [], time);
-      case "record": return this.#record(ledger, command, time);
-      case "cancel": return this.#cancel(ledger, command.lot, time);
-      case "reset": return this.#reset(ledger, command.items, time);
-      case "expire": return this.#expire(ledger, time);
-      case "status": return this.#status(ledger, command.lot, time);
-      case "count": return this.#count(ledger, time);
-      case "hand-in": return this.passes.handIn(ledger, command, time);
-      case "draw": return this.passes.draw(ledger, command, this.#limits(ledger), time);
-      case "settle": return this.passes.settle(ledger, command, this.#limits(ledger), time);
-      case "end": return this.passes.end(ledger, command, time);
-      case "drop-way": return this.passes.dropWay(ledger, command.way, time);
-      case "results": return this.passes.results(ledger, command);
-      case "read-item": return this.passes.readItem(ledger, command);
+      case "limit":
+        return this.#limit(ledger, command, time);
+      case "admit":
+        return this.#admit(ledger, command, time);
+      case "pop":
+        return this.#pop(ledger, command.holder, command.unable ?? [], time);
+      case "record":
+        return this.#record(ledger, command, time);
+      case "cancel":
+        return this.#cancel(ledger, command.lot, time);
+      case "reset":
+        return this.#reset(ledger, command.items, time);
+      case "expire":
+        return this.#expire(ledger, time);
+      case "status":
+        return this.#status(ledger, command.lot, time);
+      case "count":
+        return this.#count(ledger, time);
+      case "hand-in":
+        return this.passes.handIn(ledger, command, time);
+      case "draw":
+        return this.passes.draw(ledger, command, this.#limits(ledger), time);
+      case "settle":
+        return this.passes.settle(ledger, command, this.#limits(ledger), time);
+      case "end":
+        return this.passes.end(ledger, command, time);
+      case "drop-way":
+        return this.passes.dropWay(ledger, command.way, time);
+      case "results":
+        return this.passes.results(ledger, command);
+      case "read-item":
+        return this.passes.readItem(ledger, command);
     }
   }
 
@@ -288,39 +356,86 @@
     const before = ledger.read<Share>(keyLimits);
     if (before !== undefined && before.mark >= command.mark) return { kind: "STALE" };
     const held = ledger.read<Bucket>(keyBucket);
-    if (before === undefined || held === undefined) ledger.put(keyBucket, bucket.full(command.limits, time));
-    else if (!sameLimits(before.limits, command.limits)) ledger.put(keyBucket, bucket.relimit(held, before.limits, command.limits, time));
-    ledger.put(keyLimits, { limits: command.limits, share: command.share, mark: command.mark, ...(command.classes === undefined ? {} : { classes: command.classes }) } satisfies Share);
+    if (before === undefined || held === undefined)
+      ledger.put(keyBucket, bucket.full(command.limits, time));
+    else if (!sameLimits(before.limits, command.limits))
+      ledger.put(keyBucket, bucket.relimit(held, before.limits, command.limits, time));
+    ledger.put(keyLimits, {
+      limits: command.limits,
+      share: command.share,
+      mark: command.mark,
+      ...(command.classes === undefined ? {} : { classes: command.classes }),
+    } satisfies Share);
     this.#weigh(ledger);
     return { kind: "DONE", count: 1 };
   }
 
-  #admit(ledger: Ledger, command: Extract<QueueCommand, { kind: "admit" }>, time: number): QueueResult {
+  #admit(
+    ledger: Ledger,
+    command: Extract<QueueCommand, { kind: "admit" }>,
+    time: number,
+  ): QueueResult {
     const held = ledger.read<Lot>(lotKey(command.lot));
     if (held !== undefined) {
-      return held.body === command.body ? { kind: "ADMITTED", lot: held.id, again: true, remaining: Math.max(0, held.deadline - time) } : { kind: "CONFLICT", lot: held.id };
+      return held.body === command.body
+        ? {
+            kind: "ADMITTED",
+            lot: held.id,
+            again: true,
+            remaining: Math.max(0, held.deadline - time),
+          }
+        : { kind: "CONFLICT", lot: held.id };
     }
     const stone = ledger.read<Stone>(stoneKey(command.lot));
-    if (stone !== undefined) return stone.body === command.body ? this.#gone(stone, time) : { kind: "CONFLICT", lot: stone.lot };
+    if (stone !== undefined)
+      return stone.body === command.body
+        ? this.#gone(stone, time)
+        : { kind: "CONFLICT", lot: stone.lot };
     const governing = governs(this.share(ledger), command.labels);
-    const allowance = governing?.season === "" ? Math.min(command.allowance, governing.share) : governing?.share ?? 0;
+    const allowance =
+      governing?.season === ""
+        ? Math.min(command.allowance, governing.share)
+        : (governing?.share ?? 0);
     const open = this.open().get(governing?.season ?? "") ?? 0;
     if (open + command.prompts.length > allowance) {
-      return { kind: "FULL", items: command.prompts.length, waiting: open, allowance, season: governing?.season ?? "", wait: this.#waitFor(ledger, command.prompts.length, open, allowance, time) };
+      return {
+        kind: "FULL",
+        items: command.prompts.length,
+        waiting: open,
+        allowance,
+        season: governing?.season ?? "",
+        wait: this.#waitFor(ledger, command.prompts.length, open, allowance, time),
+      };
     }
     let sequence = ledger.read<number>(keySequence) ?? 1;
     for (const [index, prompt] of command.prompts.entries()) {
       const key = itemKey(command.lot, index);
-      const item: Item = { lot: command.lot, index, sequence, state: "queued", go: 0, troubles: 0, prompt };
+      const item: Item = {
+        lot: command.lot,
+        index,
+        sequence,
+        state: "queued",
+        go: 0,
+        troubles: 0,
+        prompt,
+      };
       ledger.put(key, item);
       this.#waitingOf(governing!.season).push([sequence, key]);
       sequence += 1;
     }
     ledger.put(keySequence, sequence);
     const lot: Lot = {
-      id: command.lot, way: command.way, body: command.body, items: command.prompts.length, open: command.prompts.length,
-      cancelled: false, admittedAt: time, deadline: time + command.lasts + constants.deadlineGrace, labels: command.labels,
-      season: governing!.season, ...(governing!.runners.length === 0 ? {} : { runners: governing!.runners }),
+      id: command.lot,
+      way: command.way,
+      body: command.body,
+      items: command.prompts.length,
+      open: command.prompts.length,
+      cancelled: false,
+      admittedAt: time,
+      deadline: time + command.lasts + constants.deadlineGrace,
+      labels: command.labels,
+      season: governing!.season,
+      ...(governing!.runners.length === 0 ? {} : { runners: governing!.runners }),
     };
     this.#open.set(lot.id, lot.items);
     this.#weighsOn.set(lot.id, governing!.season);
@@ -330,10 +445,17 @@
   }
 
   /** When there could be room at the earliest: what is too much must end, and what is not under way yet needs a token first. */
-  #waitFor(ledger: Ledger, items: number, open: number, allowance: number, time: number): number | undefined {
+  #waitFor(
+    ledger: Ledger,
+    items: number,
+    open: number,
+    allowance: number,
+    time: number,
+  ): number | undefined {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
-    if (items > allowance || limits === undefined || held === undefined || bucket.rate(limits) <= 0) return undefined;
+    if (items > allowance || limits === undefined || held === undefined || bucket.rate(limits) <= 0)
+      return undefined;
     const toDraw = open - this.#processing.size + items - allowance;
     return Math.max(0, (toDraw - bucket.level(held, limits, time)) / bucket.rate(limits)) * 1_000;
   }
@@ -341,11 +463,14 @@
   #pop(ledger: Ledger, holder: string, unable: readonly string[], time: number): QueueResult {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
-    if (limits === undefined || held === undefined) return { kind: "RATE_LIMITED", wait: undefined };
+    if (limits === undefined || held === undefined)
+      return { kind: "RATE_LIMITED", wait: undefined };
     const all = this.#waiting;
     /** The first in the queue whose season has runners; items of a lot whose time has run out are left to the expiry, not run. */
     function take(): { key: string; item: Item; lot: Lot } | undefined {
-      let best: { waiting: [number, string][]; place: number; sequence: number; item: Item; lot: Lot } | undefined;
+      let best:
+        | { waiting: [number, string][]; place: number; sequence: number; item: Item; lot: Lot }
+        | undefined;
       for (const [season, waiting] of all) {
         if (unable.includes(season)) continue;
         for (const [place, [sequence, key]] of waiting.entries()) {
@@ -368,10 +493,24 @@
     ledger.put(key, claimed);
     ledger.put(keyBucket, drawn.bucket);
     this.#processing.set(key, claimed.go);
-    return { kind: "TAKEN", lot: lot.id, index: item.index, go: claimed.go, prompt: item.prompt, way: lot.way, remaining: lot.deadline - time, season: lot.season ?? "", runners: lot.runners ?? none };
+    return {
+      kind: "TAKEN",
+      lot: lot.id,
+      index: item.index,
+      go: claimed.go,
+      prompt: item.prompt,
+      way: lot.way,
+      remaining: lot.deadline - time,
+      season: lot.season ?? "",
+      runners: lot.runners ?? none,
+    };
   }
 
-  #record(ledger: Ledger, command: Extract<QueueCommand, { kind: "record" }>, time: number): QueueResult {
+  #record(
+    ledger: Ledger,
+    command: Extract<QueueCommand, { kind: "record" }>,
+    time: number,
+  ): QueueResult {
     const key = itemKey(command.lot, command.index);
     const item = ledger.read<Item>(key);
     const lot = ledger.read<Lot>(lotKey(command.lot));
@@ -379,11 +518,14 @@
     if (item.state !== "processing" || item.go !== command.go) return { kind: "STALE" };
     this.#processing.delete(key);
     const ending = command.ending;
-    if (ending.kind === "solved") return this.#finish(ledger, key, item, "solved", time, { result: ending.result });
+    if (ending.kind === "solved")
+      return this.#finish(ledger, key, item, "solved", time, { result: ending.result });
     if (ending.kind === "unsent") this.#restore(ledger, time);
     const troubles = item.troubles + (ending.kind === "trouble" ? 1 : 0);
     if (ending.kind === "trouble" && troubles >= constants.troublesMost) {
-      return this.#finish(ledger, key, { ...item, troubles }, "failed", time, { reason: ending.reason });
+      return this.#finish(ledger, key, { ...item, troubles }, "failed", time, {
+        reason: ending.reason,
+      });
     }
     return this.#giveBack(ledger, key, { ...item, troubles }, lot, time);
   }
@@ -391,7 +533,8 @@
   #restore(ledger: Ledger, time: number): void {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
-    if (limits !== undefined && held !== undefined) ledger.put(keyBucket, bucket.restore(held, limits, time));
+    if (limits !== undefined && held !== undefined)
+      ledger.put(keyBucket, bucket.restore(held, limits, time));
   }
 
   /** Back to its own place in the queue; in a cancelled lot it ends there. */
@@ -405,7 +548,14 @@
     return { kind: "RECORDED", state: "queued" };
   }
 
-  #finish(ledger: Ledger, key: string, item: Item, state: ItemState, time: number, more: { result?: unknown; reason?: string }): QueueResult {
+  #finish(
+    ledger: Ledger,
+    key: string,
+    item: Item,
+    state: ItemState,
+    time: number,
+    more: { result?: unknown; reason?: string },
+  ): QueueResult {
     const { prompt: _prompt, ...kept } = item;
     ledger.put(key, { ...kept, prompt: null, state, holder: undefined, ...more });
     const lot = ledger.read<Lot>(lotKey(item.lot))!;
@@ -418,13 +568,26 @@
 
   #cancel(ledger: Ledger, id: string, time: number): QueueResult {
     const lot = ledger.read<Lot>(lotKey(id));
-    if (lot === undefined) return ledger.read(stoneKey(id)) === undefined ? { kind: "UNKNOWN_LOT" } : { kind: "CANCELLED", lot: id, stopped: 0 };
+    if (lot === undefined)
+      return ledger.read(stoneKey(id)) === undefined
+        ? { kind: "UNKNOWN_LOT" }
+        : { kind: "CANCELLED", lot: id, stopped: 0 };
     if (lot.cancelled || lot.open === 0) return { kind: "CANCELLED", lot: id, stopped: 0 };
     ledger.put(lotKey(id), { ...lot, cancelled: true });
-    return { kind: "CANCELLED", lot: id, stopped: this.#endWaiting(ledger, id, "cancelled", time, undefined) };
+    return {
+      kind: "CANCELLED",
+      lot: id,
+      stopped: this.#endWaiting(ledger, id, "cancelled", time, undefined),
+    };
   }
 
-  #endWaiting(ledger: Ledger, id: string, state: ItemState, time: number, reason: string | undefined): number {
+  #endWaiting(
+    ledger: Ledger,
+    id: string,
+    state: ItemState,
+    time: number,
+    reason: string | undefined,
+  ): number {
     const kept: [number, string][] = [];
     const season = ledger.read<Lot>(lotKey(id))!.season ?? "";
     let count = 0;
@@ -439,10 +602,18 @@
     return count;
   }
 
-  #reset(ledger: Ledger, items: readonly { lot: string; index: number; go: number }[], time: number): QueueResult {
+  #reset(
+    ledger: Ledger,
+    items: readonly { lot: string; index: number; go: number }[],
+    time: number,
+  ): QueueResult {
     let count = 0;
     for (const { lot, index, go } of items) {
-      if (this.#record(ledger, { kind: "record", lot, index, go, ending: { kind: "broken" } }, time).kind === "RECORDED") count += 1;
+      if (
+        this.#record(ledger, { kind: "record", lot, index, go, ending: { kind: "broken" } }, time)
+          .kind === "RECORDED"
+      )
+        count += 1;
     }
     return { kind: "DONE", count };
   }
@@ -456,7 +627,9 @@
   }
 
   #expired(lot: Lot, time: number): boolean {
-    return lot.finishedAt === undefined ? lot.deadline <= time : lot.finishedAt + constants.lotKept <= time;
+    return lot.finishedAt === undefined
+      ? lot.deadline <= time
+      : lot.finishedAt + constants.lotKept <= time;
   }
 
   #expire(ledger: Ledger, time: number): QueueResult {
@@ -478,7 +651,14 @@
         for (let index = 0; index < lot.items; index += 1) ledger.remove(itemKey(id, index));
         ledger.remove(lotKey(id));
         this.#lots.delete(id);
-        const stone: Stone = { lot: id, way: lot.way, body: lot.body, items: lot.items, cancelled: lot.cancelled, endedAt: lot.finishedAt };
+        const stone: Stone = {
+          lot: id,
+          way: lot.way,
+          body: lot.body,
+          items: lot.items,
+          cancelled: lot.cancelled,
+          endedAt: lot.finishedAt,
+        };
         ledger.put(stoneKey(id), stone);
         let place = this.#stones.length;
         while (place > 0 && earlierEnd(stone, this.#stones[place - 1]!) < 0) place -= 1;
@@ -501,7 +681,12 @@
     const items: ItemView[] = [];
     for (let index = 0; index < lot.items; index += 1) {
       const { state, result, reason } = ledger.read<Item>(itemKey(id, index))!;
-      items.push({ index, state, ...(result === undefined ? {} : { result }), ...(reason === undefined ? {} : { reason }) });
+      items.push({
+        index,
+        state,
+        ...(result === undefined ? {} : { result }),
+        ...(reason === undefined ? {} : { reason }),
+      });
     }
     return { kind: "LOT", lot, items, now: time };
   }
@@ -509,7 +694,16 @@
   #count(ledger: Ledger, time: number): QueueResult {
     const limits = this.#limits(ledger);
     const held = ledger.read<Bucket>(keyBucket);
-    const tokens = limits === undefined || held === undefined ? 0 : bucket.level(held, limits, time);
-    return { kind: "COUNT", waiting: this.waiting, processing: this.#processing.size + this.passes.processing().size, lots: this.#lots.size + this.passes.lots, tokens, limits, open: Object.fromEntries(this.open()) };
+    const tokens =
+      limits === undefined || held === undefined ? 0 : bucket.level(held, limits, time);
+    return {
+      kind: "COUNT",
+      waiting: this.waiting,
+      processing: this.#processing.size + this.passes.processing().size,
+      lots: this.#lots.size + this.passes.lots,
+      tokens,
+      limits,
+      open: Object.fromEntries(this.open()),
+    };
   }
 }
--- a/packages/parts/src/outcome.ts
+++ b/packages/parts/src/outcome.ts
@@ -1,5 +1,6 @@
 /** Outcomes are values; only a broken invariant stops the process (docs/design.md §11). */
-export type Outcome<Value> = { readonly ok: true; readonly value: Value } | { readonly ok: false; readonly reason: string };
+export type Outcome<Value> =
+  { readonly ok: true; readonly value: Value } | { readonly ok: false; readonly reason: string };
 
 function good<Value>(value: Value): Outcome<Value> {
   return { ok: true, value };
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -31,17 +31,33 @@
   /** The runner itself failed: counted up to the passage's most. */
   | { readonly kind: "trouble" }
   /** Sent, and the link broke after event `upTo`: back in its place, token spent, what came is kept. */
-  | { readonly kind: "broken"; readonly text: string; readonly events: number; readonly upTo: number | undefined }
+  | {
+      readonly kind: "broken";
+      readonly text: string;
+      readonly events: number;
+      readonly upTo: number | undefined;
+    }
   /** Never sent, or refused outright: back in its place, token restored. */
   | { readonly kind: "unsent" };
 
 export type PassCommand =
   /** allowance in tokens, 0 for none; keeps and within in ms. These and goesMost are entered by the owner from its configuration. */
-  | { kind: "hand-in"; lot: string; way: string; host: string; entries: readonly PassEntry[]; allowance: number; goesMost: number; keeps: number; within?: number;
+  | {
+      kind: "hand-in";
+      lot: string;
+      way: string;
+      host: string;
+      entries: readonly PassEntry[];
+      allowance: number;
+      goesMost: number;
+      keeps: number;
+      within?: number;
       /** Refused before for longer than it may take to be in time: it lets others pass from the start. */
       late?: boolean;
       /** One sending of it, and whether earlier ones of the same may be on their way still: then a refusal holds for all of them. */
-      ticket?: string; final?: boolean }
+      ticket?: string;
+      final?: boolean;
+    }
   /** One batch: the source's step for each prompt. able: passages whose runners have room at the dispatcher; others keep their place. */
   /** holder: address of the dispatcher; by: this life of it. */
   | { kind: "draw"; holder: string; by?: string; most: number; able: readonly string[] }
@@ -66,8 +82,20 @@
 export type PassResult =
   | { kind: "HANDED"; lot: string; again: boolean }
   /** final: no earlier sending of the same ticket will be taken. wait in ms, an estimate of the owner's. */
-  | { kind: "NO_ROOM"; tokens: number; waiting: number; allowance: number; final?: boolean; wait?: number }
-  | { kind: "DRAWN"; tasks: readonly PassTask[]; more: "some" | "EMPTY" | "RATE_LIMITED"; wait: number | undefined }
+  | {
+      kind: "NO_ROOM";
+      tokens: number;
+      waiting: number;
+      allowance: number;
+      final?: boolean;
+      wait?: number;
+    }
+  | {
+      kind: "DRAWN";
+      tasks: readonly PassTask[];
+      more: "some" | "EMPTY" | "RATE_LIMITED";
+      wait: number | undefined;
+    }
   /** freed: tokens that no longer wait. */
   | { kind: "SETTLED"; listed: readonly string[]; stale: number; freed: number }
   | { kind: "ENDED"; lot: string; holders: readonly string[] }
@@ -160,7 +188,10 @@
   return numbered("task", lot, index);
 }
 
-function joined(left: { text: string; events: number } | undefined, right: { text: string; events: number }): { text: string; events: number } {
+function joined(
+  left: { text: string; events: number } | undefined,
+  right: { text: string; events: number },
+): { text: string; events: number } {
   if (left === undefined || left.events === 0) return right;
   if (right.events === 0) return left;
   return { text: `${left.text}\n${right.text}`, events: left.events + right.events };
@@ -230,7 +261,8 @@
     for (const [, bygone] of ledger.under<Bygone>("bygone/")) this.#bygones.push(bygone);
     this.#bygones.sort(byAge);
     this.#turned = [];
-    for (const [key, { since }] of ledger.under<Turned>("turned/")) this.#turned.push([since, key.slice("turned/".length)]);
+    for (const [key, { since }] of ledger.under<Turned>("turned/"))
+      this.#turned.push([since, key.slice("turned/".length)]);
     this.#turned.sort(earlier);
   }
 
@@ -240,25 +272,32 @@
     return count;
   }
 
-  get lots(): number { return this.#dueAt.size; }
+  get lots(): number {
+    return this.#dueAt.size;
+  }
 
   /** Claims under way, for the owner's watch over signs of life. */
-  processing(): ReadonlyMap<string, { readonly go: number; readonly holder: string; readonly by: string | undefined }> {
+  processing(): ReadonlyMap<
+    string,
+    { readonly go: number; readonly holder: string; readonly by: string | undefined }
+  > {
     return this.#processing;
   }
 
   /** Passages that have something unfinished here. */
   *ways(): Generator<string> {
-    for (const [way, tokens] of this.#tokens) if (tokens > 0 || (this.#waiting.get(way)?.length ?? 0) > 0) yield way;
+    for (const [way, tokens] of this.#tokens)
+      if (tokens > 0 || (this.#waiting.get(way)?.length ?? 0) > 0) yield way;
   }
 
   /** Prompts of some passages that could be drawn now, counted up to a bound. */
   ready(able: readonly string[], time: number, most: number): number {
     let count = 0;
-    for (const way of able) for (const place of this.#waiting.get(way) ?? []) {
-      if (count >= most) return count;
-      if (mayRun(place, time)) count += 1;
-    }
+    for (const way of able)
+      for (const place of this.#waiting.get(way) ?? []) {
+        if (count >= most) return count;
+        if (mayRun(place, time)) count += 1;
+      }
     return count;
   }
 
@@ -292,31 +331,60 @@
     this.#watch(lot);
   }
 
-  handIn(ledger: Ledger, command: Extract<PassCommand, { kind: "hand-in" }>, time: number): PassResult {
+  handIn(
+    ledger: Ledger,
+    command: Extract<PassCommand, { kind: "hand-in" }>,
+    time: number,
+  ): PassResult {
     const { lot, way, entries } = command;
-    if (ledger.read(handedKey(lot)) !== undefined || ledger.read(bygoneKey(lot)) !== undefined) return { kind: "HANDED", lot, again: true };
+    if (ledger.read(handedKey(lot)) !== undefined || ledger.read(bygoneKey(lot)) !== undefined)
+      return { kind: "HANDED", lot, again: true };
     let tokens = 0;
     for (const entry of entries) tokens += entry.tokens;
     const waiting = this.#tokens.get(way) ?? 0;
-    const turned = command.ticket !== undefined && ledger.read(turnedKey(command.ticket)) !== undefined;
-    if (turned || command.allowance > 0 && waiting + tokens > command.allowance) {
+    const turned =
+      command.ticket !== undefined && ledger.read(turnedKey(command.ticket)) !== undefined;
+    if (turned || (command.allowance > 0 && waiting + tokens > command.allowance)) {
       if (command.final === true && !turned) {
         ledger.put(turnedKey(command.ticket!), { since: time } satisfies Turned);
         this.#turned.push([time, command.ticket!]);
       }
-      return { kind: "NO_ROOM", tokens, waiting, allowance: command.allowance, ...(command.final === true ? { final: true } : {}) };
+      return {
+        kind: "NO_ROOM",
+        tokens,
+        waiting,
+        allowance: command.allowance,
+        ...(command.final === true ? { final: true } : {}),
+      };
     }
     const { keeps, within } = command;
     const record: PassLot = {
-      id: lot, way, host: command.host, total: entries.length, open: entries.length, listed: 0, goesMost: command.goesMost,
+      id: lot,
+      way,
+      host: command.host,
+      total: entries.length,
+      open: entries.length,
+      listed: 0,
+      goesMost: command.goesMost,
       until: time + keeps + constants.deadlineGrace,
-      ...(within === undefined ? {} : { yieldsFrom: command.late === true ? time : time + within - constants.runUsual, yieldsUntil: time + keeps * constants.yieldPart }),
+      ...(within === undefined
+        ? {}
+        : {
+            yieldsFrom: command.late === true ? time : time + within - constants.runUsual,
+            yieldsUntil: time + keeps * constants.yieldPart,
+          }),
       ...(entries.length === 0 ? { finishedAt: time } : {}),
     };
     let sequence = ledger.read<number>(keySequence) ?? 1;
     for (const [index, entry] of entries.entries()) {
       const key = numbered("task", lot, index);
-      const task: TaskRecord = { sequence, state: "queued", go: 0, troubles: 0, tokens: entry.tokens };
+      const task: TaskRecord = {
+        sequence,
+        state: "queued",
+        go: 0,
+        troubles: 0,
+        tokens: entry.tokens,
+      };
       ledger.put(key, task);
       ledger.put(numbered("body", lot, index), entry);
       this.#waitingOf(way).push(placeOf(key, task, record));
@@ -336,34 +404,61 @@
   }
 
   /** The first in the queue whose passage has runners, and that can still be in time; else the first. */
-  #first(ledger: Ledger, able: readonly string[], time: number): { key: string; task: TaskRecord; lot: PassLot } | undefined {
+  #first(
+    ledger: Ledger,
+    able: readonly string[],
+    time: number,
+  ): { key: string; task: TaskRecord; lot: PassLot } | undefined {
     let best: { waiting: Place[]; at: number; late: boolean } | undefined;
     for (const way of able) {
       const waiting = this.#waiting.get(way) ?? [];
       for (const [at, place] of waiting.entries()) {
-        if (best !== undefined && !best.late && place.sequence > best.waiting[best.at]!.sequence) break;
+        if (best !== undefined && !best.late && place.sequence > best.waiting[best.at]!.sequence)
+          break;
         if (!mayRun(place, time)) continue;
         const late = yields(place, time);
-        if (best === undefined || best.late && !late || best.late === late && place.sequence < best.waiting[best.at]!.sequence) best = { waiting, at, late };
+        if (
+          best === undefined ||
+          (best.late && !late) ||
+          (best.late === late && place.sequence < best.waiting[best.at]!.sequence)
+        )
+          best = { waiting, at, late };
         if (!late) break;
       }
     }
     if (best === undefined) return undefined;
     const [{ key }] = best.waiting.splice(best.at, 1) as [Place];
-    return { key, task: ledger.read<TaskRecord>(key)!, lot: ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))! };
+    return {
+      key,
+      task: ledger.read<TaskRecord>(key)!,
+      lot: ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!,
+    };
   }
 
-  draw(ledger: Ledger, { holder, by, most, able }: Extract<PassCommand, { kind: "draw" }>, limits: Limits | undefined, time: number): PassResult {
+  draw(
+    ledger: Ledger,
+    { holder, by, most, able }: Extract<PassCommand, { kind: "draw" }>,
+    limits: Limits | undefined,
+    time: number,
+  ): PassResult {
     const bucketBefore = ledger.read<Bucket>(keyBucket);
-    if (limits === undefined || bucketBefore === undefined) return { kind: "DRAWN", tasks: [], more: "RATE_LIMITED", wait: undefined };
+    if (limits === undefined || bucketBefore === undefined)
+      return { kind: "DRAWN", tasks: [], more: "RATE_LIMITED", wait: undefined };
     let held: Bucket = bucketBefore;
     const tasks: PassTask[] = [];
     const self = this;
-    function take(): { key: string; task: TaskRecord; lot: PassLot } | undefined { return self.#first(ledger, able, time); }
+    function take(): { key: string; task: TaskRecord; lot: PassLot } | undefined {
+      return self.#first(ledger, able, time);
+    }
     let more: "some" | "EMPTY" | "RATE_LIMITED" = "some";
     let wait: number | undefined;
     while (tasks.length < most) {
-      const drawn: Draw<{ key: string; task: TaskRecord; lot: PassLot }> = bucket.draw(held, limits, time, take);
+      const drawn: Draw<{ key: string; task: TaskRecord; lot: PassLot }> = bucket.draw(
+        held,
+        limits,
+        time,
+        take,
+      );
       if (drawn.kind !== "TAKEN") {
         more = drawn.kind;
         if (drawn.kind === "RATE_LIMITED") wait = drawn.wait;
@@ -372,17 +467,37 @@
       held = drawn.bucket;
       const { key, task, lot } = drawn.prompt;
       const go = task.go + 1;
-      ledger.put(key, { ...task, state: "processing", go, holder, ...(by === undefined ? {} : { by }) } satisfies TaskRecord);
+      ledger.put(key, {
+        ...task,
+        state: "processing",
+        go,
+        holder,
+        ...(by === undefined ? {} : { by }),
+      } satisfies TaskRecord);
       this.#processing.set(key, { go, holder, by });
       const { index } = claimOf(key, go);
       const partial = ledger.read<Partial>(numbered("text", lot.id, index));
-      tasks.push({ lot: lot.id, index, go, way: lot.way, host: lot.host, entry: ledger.read<PassEntry>(numbered("body", lot.id, index))!, upTo: partial?.upTo, remaining: lot.until - time });
+      tasks.push({
+        lot: lot.id,
+        index,
+        go,
+        way: lot.way,
+        host: lot.host,
+        entry: ledger.read<PassEntry>(numbered("body", lot.id, index))!,
+        upTo: partial?.upTo,
+        remaining: lot.until - time,
+      });
     }
     if (tasks.length > 0) ledger.put(keyBucket, held);
     return { kind: "DRAWN", tasks, more, wait };
   }
 
-  settle(ledger: Ledger, { endings }: Extract<PassCommand, { kind: "settle" }>, limits: Limits | undefined, time: number): PassResult {
+  settle(
+    ledger: Ledger,
+    { endings }: Extract<PassCommand, { kind: "settle" }>,
+    limits: Limits | undefined,
+    time: number,
+  ): PassResult {
     const listed = new Set<string>();
     let stale = 0;
     let freed = 0;
@@ -390,7 +505,12 @@
       const key = numbered("task", claim.lot, claim.index);
       const task = ledger.read<TaskRecord>(key);
       const lot = ledger.read<PassLot>(handedKey(claim.lot));
-      if (task === undefined || lot === undefined || task.state !== "processing" || task.go !== claim.go) {
+      if (
+        task === undefined ||
+        lot === undefined ||
+        task.state !== "processing" ||
+        task.go !== claim.go
+      ) {
         stale += 1;
         continue;
       }
@@ -403,11 +523,29 @@
   }
 
   /** True where the item is listed now. */
-  #settleOne(ledger: Ledger, key: string, task: TaskRecord, lot: PassLot, index: number, ending: PassEnding, limits: Limits | undefined, time: number): boolean {
+  #settleOne(
+    ledger: Ledger,
+    key: string,
+    task: TaskRecord,
+    lot: PassLot,
+    index: number,
+    ending: PassEnding,
+    limits: Limits | undefined,
+    time: number,
+  ): boolean {
     const textKey = numbered("text", lot.id, index);
     switch (ending.kind) {
       case "solved": {
-        this.#list(ledger, key, task, lot, index, "solved", joined(ledger.read<Partial>(textKey), ending).text, time);
+        this.#list(
+          ledger,
+          key,
+          task,
+          lot,
+          index,
+          "solved",
+          joined(ledger.read<Partial>(textKey), ending).text,
+          time,
+        );
         return true;
       }
       case "never":
@@ -424,14 +562,31 @@
       }
       case "broken": {
         const goesOn = ending.events > 0 && ending.upTo !== undefined;
-        if (goesOn) ledger.put(textKey, { ...joined(ledger.read<Partial>(textKey), ending), upTo: ending.upTo! } satisfies Partial);
+        if (goesOn)
+          ledger.put(textKey, {
+            ...joined(ledger.read<Partial>(textKey), ending),
+            upTo: ending.upTo!,
+          } satisfies Partial);
         const breaks = goesOn ? 0 : (task.breaks ?? 0) + 1;
-        this.#giveBack(ledger, key, { ...task, breaks, restsUntil: breaks < 2 ? 0 : time + Math.min(constants.restMost, constants.restFirst * 2 ** (breaks - 2)) }, lot);
+        this.#giveBack(
+          ledger,
+          key,
+          {
+            ...task,
+            breaks,
+            restsUntil:
+              breaks < 2
+                ? 0
+                : time + Math.min(constants.restMost, constants.restFirst * 2 ** (breaks - 2)),
+          },
+          lot,
+        );
         return false;
       }
       case "unsent": {
         const held = ledger.read<Bucket>(keyBucket);
-        if (limits !== undefined && held !== undefined) ledger.put(keyBucket, bucket.restore(held, limits, time));
+        if (limits !== undefined && held !== undefined)
+          ledger.put(keyBucket, bucket.restore(held, limits, time));
         this.#giveBack(ledger, key, task, lot);
         return false;
       }
@@ -439,7 +594,12 @@
   }
 
   /** Back to its own place in the queue. */
-  #giveBack(ledger: Ledger, key: string, { holder: _holder, by: _by, ...task }: TaskRecord, lot: PassLot): void {
+  #giveBack(
+    ledger: Ledger,
+    key: string,
+    { holder: _holder, by: _by, ...task }: TaskRecord,
+    lot: PassLot,
+  ): void {
     const back: TaskRecord = { ...task, state: "queued" };
     ledger.put(key, back);
     const waiting = this.#waitingOf(lot.way);
@@ -453,7 +613,16 @@
   }
 
   /** The item ends: it gets the next position of its lot, for good. */
-  #list(ledger: Ledger, key: string, task: TaskRecord, { id }: PassLot, index: number, state: ListedResult["state"], text: string, time: number): void {
+  #list(
+    ledger: Ledger,
+    key: string,
+    task: TaskRecord,
+    { id }: PassLot,
+    index: number,
+    state: ListedResult["state"],
+    text: string,
+    time: number,
+  ): void {
     const lot = ledger.read<PassLot>(handedKey(id))!;
     const bodyKey = numbered("body", id, index);
     const { id: item } = ledger.read<PassEntry>(bodyKey)!;
@@ -461,7 +630,12 @@
     this.#clear(ledger, key, id, index);
     this.#weigh(lot.way, -task.tokens);
     const open = lot.open - 1;
-    this.#keep(ledger, { ...lot, open, listed: lot.listed + 1, ...(open === 0 ? { finishedAt: time } : {}) });
+    this.#keep(ledger, {
+      ...lot,
+      open,
+      listed: lot.listed + 1,
+      ...(open === 0 ? { finishedAt: time } : {}),
+    });
   }
 
   #clear(ledger: Ledger, key: string, lot: string, index: number): void {
@@ -472,9 +646,16 @@
   }
 
   /** Waiting items end at once and are not listed; those under way are dropped by who holds them. */
-  end(ledger: Ledger, { lot: id }: Extract<PassCommand, { kind: "end" }>, time: number): PassResult {
+  end(
+    ledger: Ledger,
+    { lot: id }: Extract<PassCommand, { kind: "end" }>,
+    time: number,
+  ): PassResult {
     const lot = ledger.read<PassLot>(handedKey(id));
-    if (lot === undefined) return ledger.read(bygoneKey(id)) === undefined ? { kind: "UNKNOWN_LOT" } : { kind: "ENDED", lot: id, holders: [] };
+    if (lot === undefined)
+      return ledger.read(bygoneKey(id)) === undefined
+        ? { kind: "UNKNOWN_LOT" }
+        : { kind: "ENDED", lot: id, holders: [] };
     if (lot.open === 0) return { kind: "ENDED", lot: id, holders: [] };
     const holders = new Set<string>();
     const ended = new Set<string>();
@@ -554,7 +735,8 @@
         this.#giveUp(ledger, lot, time);
         continue;
       }
-      for (let place = 0; place < lot.listed; place += 1) ledger.remove(numbered("result", id, place));
+      for (let place = 0; place < lot.listed; place += 1)
+        ledger.remove(numbered("result", id, place));
       ledger.remove(handedKey(id));
       this.#dueAt.delete(id);
       this.#forget(ledger, { lot: id, since: lot.finishedAt });
@@ -568,7 +750,10 @@
     return count;
   }
 
-  results(ledger: Ledger, { lot: id, from }: Extract<PassCommand, { kind: "results" }>): PassResult {
+  results(
+    ledger: Ledger,
+    { lot: id, from }: Extract<PassCommand, { kind: "results" }>,
+  ): PassResult {
     const lot = ledger.read<PassLot>(handedKey(id));
     if (lot === undefined) return { kind: "UNKNOWN_LOT" };
     const results: ListedResult[] = [];
@@ -583,7 +768,10 @@
     return { kind: "RESULTS", lot: id, total: lot.total, open: lot.open > 0, results };
   }
 
-  readItem(ledger: Ledger, { lot: id, item }: Extract<PassCommand, { kind: "read-item" }>): PassResult {
+  readItem(
+    ledger: Ledger,
+    { lot: id, item }: Extract<PassCommand, { kind: "read-item" }>,
+  ): PassResult {
     const lot = ledger.read<PassLot>(handedKey(id));
     if (lot === undefined) return { kind: "UNKNOWN_LOT" };
     for (let index = 0; index < lot.total; index += 1) {
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -57,9 +57,18 @@
 }
 
 const usual: Policy = {
-  goesOnAlone: false, runnerLasts: constants.runnerLasts, copiesLeast: constants.copiesLeast, copiesWanted: constants.copiesWanted,
-  othersLeast: constants.copiesWanted, controlsWanted: constants.copiesWanted,
-  cancelWithin: constants.grantLasts, stopWithin: constants.drainPatience, poolRate: 1_000, poolBurst: 200, memory: 512, descriptors: 1_024,
+  goesOnAlone: false,
+  runnerLasts: constants.runnerLasts,
+  copiesLeast: constants.copiesLeast,
+  copiesWanted: constants.copiesWanted,
+  othersLeast: constants.copiesWanted,
+  controlsWanted: constants.copiesWanted,
+  cancelWithin: constants.grantLasts,
+  stopWithin: constants.drainPatience,
+  poolRate: 1_000,
+  poolBurst: 200,
+  memory: 512,
+  descriptors: 1_024,
 };
 
 /** Worked out and checked: a combination that cannot hold is refused with all its reasons. */
@@ -71,27 +80,84 @@
   /** A frozen node keeps its lease to its end, one that lags gets the next until it is known to lag. */
   const changeHeld = constants.leaseLasts + constants.lagLasts;
   atLeast("reportsEvery", bounds.reportsEvery, 1, "it must be at least");
-  atLeast("acknowledgeWithin", bounds.acknowledgeWithin, changeHeld + constants.resendAfter, "a frozen node's lease holds a change up, ms at least");
-  atLeast("contactWithin", bounds.contactWithin, constants.sessionLasts, "a node is bound once its session stands, ms at least");
-  atLeast("drainWithin", bounds.drainWithin, constants.connectPatience, "a runner may be picked just before and connected to, ms at least");
-  atLeast("applyWithin", bounds.applyWithin, constants.beatEvery, "nodes look at each beat, ms at least");
-  atLeast("cancelWithin", bounds.cancelWithin, constants.cancelLeast, "an item just granted must begin or come back, ms at least");
-  atLeast("stopWithin", bounds.stopWithin, constants.stopLeast, "what is under way ends or is handed over, ms at least");
-  atLeast("syncWithin", bounds.syncWithin, constants.sessionLasts, "a machine that is back is known by its session and copied to, ms at least");
-  atLeast("recoverWithin", bounds.recoverWithin, constants.memberSilence + constants.leaseLasts + constants.sessionLasts, "silence, a lease and a session pass first, ms at least");
+  atLeast(
+    "acknowledgeWithin",
+    bounds.acknowledgeWithin,
+    changeHeld + constants.resendAfter,
+    "a frozen node's lease holds a change up, ms at least",
+  );
+  atLeast(
+    "contactWithin",
+    bounds.contactWithin,
+    constants.sessionLasts,
+    "a node is bound once its session stands, ms at least",
+  );
+  atLeast(
+    "drainWithin",
+    bounds.drainWithin,
+    constants.connectPatience,
+    "a runner may be picked just before and connected to, ms at least",
+  );
+  atLeast(
+    "applyWithin",
+    bounds.applyWithin,
+    constants.beatEvery,
+    "nodes look at each beat, ms at least",
+  );
+  atLeast(
+    "cancelWithin",
+    bounds.cancelWithin,
+    constants.cancelLeast,
+    "an item just granted must begin or come back, ms at least",
+  );
+  atLeast(
+    "stopWithin",
+    bounds.stopWithin,
+    constants.stopLeast,
+    "what is under way ends or is handed over, ms at least",
+  );
+  atLeast(
+    "syncWithin",
+    bounds.syncWithin,
+    constants.sessionLasts,
+    "a machine that is back is known by its session and copied to, ms at least",
+  );
+  atLeast(
+    "recoverWithin",
+    bounds.recoverWithin,
+    constants.memberSilence + constants.leaseLasts + constants.sessionLasts,
+    "silence, a lease and a session pass first, ms at least",
+  );
   atLeast("memory", bounds.memory, constants.memoryLeast, "a process needs megabytes:");
-  atLeast("descriptors", bounds.descriptors, constants.descriptorsLeast, "a process needs descriptors:");
-  for (const [kind, count] of Object.entries(bounds.losses)) if (!Number.isInteger(count) || count < 0) found.push(`bounds.losses.${kind}: ${count} must be a whole number, 0 or more`);
-  if (bounds.losses.machines > constants.lossesMost) found.push(`bounds.losses.machines: ${bounds.losses.machines} is too many: chains of copies stand up to ${constants.lossesMost} losses at once`);
+  atLeast(
+    "descriptors",
+    bounds.descriptors,
+    constants.descriptorsLeast,
+    "a process needs descriptors:",
+  );
+  for (const [kind, count] of Object.entries(bounds.losses))
+    if (!Number.isInteger(count) || count < 0)
+      found.push(`bounds.losses.${kind}: ${count} must be a whole number, 0 or more`);
+  if (bounds.losses.machines > constants.lossesMost)
+    found.push(
+      `bounds.losses.machines: ${bounds.losses.machines} is too many: chains of copies stand up to ${constants.lossesMost} losses at once`,
+    );
   if (found.length > 0) return outcome.bad(found.join("; "));
   const losses = Math.max(1, bounds.losses.machines);
   return outcome.good({
     goesOnAlone: bounds.goesOnAlone,
     /** Silence of a runner is told from a late report after three that did not come. */
     runnerLasts: bounds.reportsEvery * 4,
-    copiesLeast: losses + 1, copiesWanted: losses + 2, othersLeast: losses + 1, controlsWanted: losses * 2 + 1,
-    cancelWithin: bounds.cancelWithin, stopWithin: bounds.stopWithin,
-    poolRate: usual.poolRate, poolBurst: usual.poolBurst, memory: bounds.memory, descriptors: bounds.descriptors,
+    copiesLeast: losses + 1,
+    copiesWanted: losses + 2,
+    othersLeast: losses + 1,
+    controlsWanted: losses * 2 + 1,
+    cancelWithin: bounds.cancelWithin,
+    stopWithin: bounds.stopWithin,
+    poolRate: usual.poolRate,
+    poolBurst: usual.poolBurst,
+    memory: bounds.memory,
+    descriptors: bounds.descriptors,
   });
 }
 
--- a/packages/parts/src/season.ts
+++ b/packages/parts/src/season.ts
@@ -15,7 +15,11 @@
   readonly waiting: number;
   /** Which runners its lots may use, by their labels; all where empty. */
   readonly runners: readonly Selector[];
-  readonly limits?: { readonly tokens: number; readonly windowSeconds: number; readonly capacity: number };
+  readonly limits?: {
+    readonly tokens: number;
+    readonly windowSeconds: number;
+    readonly capacity: number;
+  };
 }
 
 function matches(selectors: readonly Selector[], labels: Labels): boolean {
@@ -53,7 +57,9 @@
 /** The next start or end of any of these seasons. */
 function nextChange(seasons: readonly Season[], wall: number): number | undefined {
   let next: number | undefined;
-  for (const one of seasons) for (const moment of [one.start, one.end]) if (moment > wall && moment < (next ?? Number.POSITIVE_INFINITY)) next = moment;
+  for (const one of seasons)
+    for (const moment of [one.start, one.end])
+      if (moment > wall && moment < (next ?? Number.POSITIVE_INFINITY)) next = moment;
   return next;
 }
 
@@ -64,11 +70,20 @@
 }
 
 /** The next start or end of a season from which on so many items may wait; undefined where none brings that. */
-function roomAt(seasons: readonly Season[], labels: Labels, own: number, wall: number, count: number): number | undefined {
+function roomAt(
+  seasons: readonly Season[],
+  labels: Labels,
+  own: number,
+  wall: number,
+  count: number,
+): number | undefined {
   const moments: number[] = [];
-  for (const one of seasons) if (matches(one.select, labels)) for (const moment of [one.start, one.end]) if (moment > wall) moments.push(moment);
+  for (const one of seasons)
+    if (matches(one.select, labels))
+      for (const moment of [one.start, one.end]) if (moment > wall) moments.push(moment);
   moments.sort(ascending);
-  for (const moment of moments) if ((deciding(seasons, labels, moment)?.waiting ?? own) >= count) return moment;
+  for (const moment of moments)
+    if ((deciding(seasons, labels, moment)?.waiting ?? own) >= count) return moment;
   return undefined;
 }
 
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -28,7 +28,13 @@
   readonly stuck?: readonly (readonly [queue: string, mark: number, identity: string])[];
   readonly runners?: readonly RunnerCard[];
   /** Of queues owned here: the share in force by its mark, what it may still come to hold, and what it needs; in all, and by season. */
-  readonly shares?: readonly (readonly [queue: string, shareMark: number, held: number, need: number, classes?: readonly ShareTelling[]])[];
+  readonly shares?: readonly (readonly [
+    queue: string,
+    shareMark: number,
+    held: number,
+    need: number,
+    classes?: readonly ShareTelling[],
+  ])[];
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
   /** What this access node has under way on passages, by runner: live inquiries and items of lots. */
@@ -85,7 +91,12 @@
 }
 
 /** A later life of a runner counts before an earlier one, whenever heard; within a life the later word does, by its number where it has one (§7.5). */
-export function isNewerWord(card: RunnerCard, heardAt: number, held: RunnerCard, heldAt: number): boolean {
+export function isNewerWord(
+  card: RunnerCard,
+  heardAt: number,
+  held: RunnerCard,
+  heldAt: number,
+): boolean {
   if (card.incarnation !== held.incarnation) return card.incarnation > held.incarnation;
   const [number, heldNumber] = [card.sequence ?? 0, held.sequence ?? 0];
   return number === heldNumber ? heardAt > heldAt : number > heldNumber;
@@ -96,8 +107,30 @@
   return held === undefined || lasting(card) !== lasting(held);
 }
 
-function lasting({ id, incarnation, url, kind, models, labels, seats, zone, pool, warming }: RunnerCard): string {
-  return JSON.stringify([id, incarnation, url, kind, models, labels, seats, zone, pool, (warming ?? 0) > 0]);
+function lasting({
+  id,
+  incarnation,
+  url,
+  kind,
+  models,
+  labels,
+  seats,
+  zone,
+  pool,
+  warming,
+}: RunnerCard): string {
+  return JSON.stringify([
+    id,
+    incarnation,
+    url,
+    kind,
+    models,
+    labels,
+    seats,
+    zone,
+    pool,
+    (warming ?? 0) > 0,
+  ]);
 }
 
 /** A moment by the clock of one life of a control machine. */
@@ -115,7 +148,9 @@
 export function lateness(back: Back | null | undefined, life: string, now: number): number {
   /** Releases that know no stamps. */
   if (back === undefined) return 0;
-  return back === null || back.life !== life ? constants.sessionLasts : Math.max(0, now - back.at - back.held);
+  return back === null || back.life !== life
+    ? constants.sessionLasts
+    : Math.max(0, now - back.at - back.held);
 }
 
 export function giveBack(held: { stamp: Stamp; at: number } | undefined, now: number): Back | null {
@@ -139,26 +174,52 @@
   announced(card: RunnerCard, now: number): { newer: boolean; news: boolean } {
     const held = this.#runners.get(card.id);
     const newer = held === undefined || isNewerWord(card, now, held.card, held.heardAt);
-    const known = held !== undefined && now - held.heardAt <= this.#policy.runnerLasts ? held.card : undefined;
+    const known =
+      held !== undefined && now - held.heardAt <= this.#policy.runnerLasts ? held.card : undefined;
     if (newer) this.#runners.set(card.id, { card, heardAt: now });
     return { newer, news: newer && saysNew(card, known) };
   }
 
   /** Late: how long the message may have been on its way, which makes the runners' words in it older. */
-  heard(card: NodeCard, now: number, leaseUntil: number | undefined, age: number, late: number, askedAt?: number): void {
+  heard(
+    card: NodeCard,
+    now: number,
+    leaseUntil: number | undefined,
+    age: number,
+    late: number,
+    askedAt?: number,
+  ): void {
     const held = this.#sessions.get(card.identity);
     /** An earlier word of the same life that came after a later one: it says where the node stood, not where it stands (§4.2). */
-    if (held?.askedAt !== undefined && askedAt !== undefined && askedAt < held.askedAt && held.askedAt - askedAt < constants.nearLasts) return;
+    if (
+      held?.askedAt !== undefined &&
+      askedAt !== undefined &&
+      askedAt < held.askedAt &&
+      held.askedAt - askedAt < constants.nearLasts
+    )
+      return;
     const heardAt = now - age;
     /** A new life at an address: the one before is over, and so is its lease. */
-    if (held === undefined) for (const session of this.#sessions.values()) if (session.card.address === card.address) session.leaseUntil = undefined;
-    if (held === undefined) this.#sessions.set(card.identity, { card, heardAt, leaseUntil, taken: card.free ? card.place : 0, askedAt });
+    if (held === undefined)
+      for (const session of this.#sessions.values())
+        if (session.card.address === card.address) session.leaseUntil = undefined;
+    if (held === undefined)
+      this.#sessions.set(card.identity, {
+        card,
+        heardAt,
+        leaseUntil,
+        taken: card.free ? card.place : 0,
+        askedAt,
+      });
     else {
       if (card.free) held.taken = Math.max(held.taken, card.place);
       if (leaseUntil !== undefined) held.leaseUntil = leaseUntil;
       if (askedAt !== undefined) held.askedAt = askedAt;
       if (heardAt >= held.heardAt || leaseUntil !== undefined) {
-        held.card = leaseUntil === undefined && card.telling.burdens === undefined ? { ...card, telling: { ...card.telling, burdens: held.card.telling.burdens } } : card;
+        held.card =
+          leaseUntil === undefined && card.telling.burdens === undefined
+            ? { ...card, telling: { ...card.telling, burdens: held.card.telling.burdens } }
+            : card;
         held.heardAt = Math.max(heardAt, held.heardAt);
       }
     }
@@ -168,7 +229,8 @@
   #heardRunner(card: RunnerCard, now: number): void {
     const heardAt = now - card.age;
     const held = this.#runners.get(card.id);
-    if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt)) this.#runners.set(card.id, { card, heardAt });
+    if (held === undefined || isNewerWord(card, heardAt, held.card, held.heardAt))
+      this.#runners.set(card.id, { card, heardAt });
   }
 
   merge(roll: Roll, now: number, late: number): void {
@@ -178,21 +240,25 @@
 
   forget(now: number): void {
     for (const [identity, session] of this.#sessions) {
-      if (now - session.heardAt > constants.sessionLasts * 4 && (session.leaseUntil ?? 0) < now) this.#sessions.delete(identity);
+      if (now - session.heardAt > constants.sessionLasts * 4 && (session.leaseUntil ?? 0) < now)
+        this.#sessions.delete(identity);
     }
-    for (const [id, runner] of this.#runners) if (now - runner.heardAt > this.#policy.runnerLasts * 4) this.#runners.delete(id);
+    for (const [id, runner] of this.#runners)
+      if (now - runner.heardAt > this.#policy.runnerLasts * 4) this.#runners.delete(id);
   }
 
   /** Whether any node told of itself lately; where none did, this machine is the one that is away. */
   hearsAny(now: number): boolean {
-    for (const session of this.#sessions.values()) if (now - session.heardAt <= constants.sessionEvery * 3) return true;
+    for (const session of this.#sessions.values())
+      if (now - session.heardAt <= constants.sessionEvery * 3) return true;
     return false;
   }
 
   live(kind: NodeCard["kind"], now: number): NodeCard[] {
     const found: NodeCard[] = [];
     for (const session of this.#sessions.values()) {
-      if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts) found.push(session.card);
+      if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)
+        found.push(session.card);
     }
     return found;
   }
@@ -200,7 +266,8 @@
   /** Nodes with a session held right here, to whom the feed is sent at once. */
   followers(now: number): NodeCard[] {
     const found: NodeCard[] = [];
-    for (const session of this.#sessions.values()) if ((session.leaseUntil ?? 0) > now) found.push(session.card);
+    for (const session of this.#sessions.values())
+      if ((session.leaseUntil ?? 0) > now) found.push(session.card);
     return found;
   }
 
@@ -220,7 +287,8 @@
   covered(limit: number, now: number): number {
     let place = limit;
     for (const session of this.#sessions.values()) {
-      if (session.leaseUntil !== undefined && session.leaseUntil > now) place = Math.min(place, session.card.place);
+      if (session.leaseUntil !== undefined && session.leaseUntil > now)
+        place = Math.min(place, session.card.place);
     }
     return place;
   }
@@ -229,7 +297,14 @@
   rollForNodes(now: number, identity: string): Roll {
     const { nodes, runners } = this.roll(now);
     const told: RollNode[] = [];
-    for (const { card, age } of nodes) told.push({ card: { ...card, telling: { lots: card.telling.lots, turnedAway: card.telling.turnedAway } }, age });
+    for (const { card, age } of nodes)
+      told.push({
+        card: {
+          ...card,
+          telling: { lots: card.telling.lots, turnedAway: card.telling.turnedAway },
+        },
+        age,
+      });
     return { nodes: told, runners, others: this.#othersThan(identity, now) };
   }
 
@@ -246,11 +321,13 @@
       }
     }
     const own = new Map<string, RunnerBurden>();
-    for (const burden of this.#sessions.get(identity)?.card.telling.burdens ?? []) own.set(burden[0], burden);
+    for (const burden of this.#sessions.get(identity)?.card.telling.burdens ?? [])
+      own.set(burden[0], burden);
     const others: RunnerBurden[] = [];
     for (const [runner, [live, items]] of this.#sums) {
       const [, ownLive, ownItems] = own.get(runner) ?? [runner, 0, 0];
-      if (live > ownLive || items > ownItems) others.push([runner, Math.max(0, live - ownLive), Math.max(0, items - ownItems)]);
+      if (live > ownLive || items > ownItems)
+        others.push([runner, Math.max(0, live - ownLive), Math.max(0, items - ownItems)]);
     }
     return others;
   }
@@ -260,7 +337,14 @@
     for (const session of this.#sessions.values()) {
       const age = now - session.heardAt;
       /** Burdens are told to every control machine by the nodes themselves. */
-      if (age <= constants.sessionLasts) nodes.push({ card: { ...session.card, telling: { ...session.card.telling, runners: [], burdens: undefined } }, age });
+      if (age <= constants.sessionLasts)
+        nodes.push({
+          card: {
+            ...session.card,
+            telling: { ...session.card.telling, runners: [], burdens: undefined },
+          },
+          age,
+        });
     }
     const runners: RunnerCard[] = [];
     for (const { card, heardAt } of this.#runners.values()) {
@@ -275,7 +359,9 @@
 export type FellowMessage =
   | { readonly kind: "fellow-ask"; readonly askedAt: number; readonly place: number }
   | {
-      readonly kind: "fellow-tell"; readonly askedAt: number; readonly place: number;
+      readonly kind: "fellow-tell";
+      readonly askedAt: number;
+      readonly place: number;
       /** Control is away from here too, and nothing is taken from it while the permit lasts. */
       readonly promises: boolean;
       readonly runners: readonly RunnerCard[];
@@ -289,7 +375,9 @@
   /** The view before: its grants run to their end, since every member of the next waits that long (§7.2). */
   #before: { view: ChainView; grants: Map<string, { until: number; place: number }> } | undefined;
 
-  get view(): ChainView | undefined { return this.#view; }
+  get view(): ChainView | undefined {
+    return this.#view;
+  }
 
   /** The lease runs from the moment this node asked, so it ends here before it ends at the granter. */
   granted(identity: string, view: ChainView, askedAt: number, place: number): void {
@@ -308,12 +396,21 @@
   }
 
   until(place: number): number {
-    const newest = this.#view === undefined ? Number.NEGATIVE_INFINITY : majorityUntil(this.#view, this.#grants, place);
-    return this.#before === undefined ? newest : Math.max(newest, majorityUntil(this.#before.view, this.#before.grants, place));
+    const newest =
+      this.#view === undefined
+        ? Number.NEGATIVE_INFINITY
+        : majorityUntil(this.#view, this.#grants, place);
+    return this.#before === undefined
+      ? newest
+      : Math.max(newest, majorityUntil(this.#before.view, this.#before.grants, place));
   }
 }
 
-function majorityUntil(view: ChainView, grants: ReadonlyMap<string, { until: number; place: number }>, place: number): number {
+function majorityUntil(
+  view: ChainView,
+  grants: ReadonlyMap<string, { until: number; place: number }>,
+  place: number,
+): number {
   /** Of members too few to confirm, any other that held all may take the place, and it knows of no lease that they gave (§1.5). */
   const granters = holdersOf(view);
   const ends: number[] = [];
