--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -16,11 +16,35 @@
 }
 
 export type ViewMessage =
-  | { readonly kind: "greet"; readonly member: Member; readonly view: ChainView | undefined; readonly founding: readonly Member[] | undefined; readonly copiedMark: number; readonly leaving?: boolean; readonly hears?: readonly string[] }
+  | {
+      readonly kind: "greet";
+      readonly member: Member;
+      readonly view: ChainView | undefined;
+      readonly founding: readonly Member[] | undefined;
+      readonly copiedMark: number;
+      readonly leaving?: boolean;
+      readonly hears?: readonly string[];
+    }
   | { readonly kind: "prepare"; readonly mark: number; readonly ballot: Ballot }
-  | { readonly kind: "promise"; readonly mark: number; readonly ballot: Ballot; readonly member: string; readonly accepted: VoteState["accepted"] }
-  | { readonly kind: "accept"; readonly mark: number; readonly ballot: Ballot; readonly view: ChainView }
-  | { readonly kind: "accepted"; readonly mark: number; readonly ballot: Ballot; readonly member: string }
+  | {
+      readonly kind: "promise";
+      readonly mark: number;
+      readonly ballot: Ballot;
+      readonly member: string;
+      readonly accepted: VoteState["accepted"];
+    }
+  | {
+      readonly kind: "accept";
+      readonly mark: number;
+      readonly ballot: Ballot;
+      readonly view: ChainView;
+    }
+  | {
+      readonly kind: "accepted";
+      readonly mark: number;
+      readonly ballot: Ballot;
+      readonly member: string;
+    }
   | { readonly kind: "overtaken"; readonly mark: number; readonly ballot: Ballot };
 
 export type ViewCommand =
@@ -77,7 +101,15 @@
   /** Copies on which the group confirms anything. */
   #least: number;
 
-  constructor(self: Member, seeds: readonly string[], now: number, state?: VoteState, founding = true, wanted: number = constants.copiesWanted, least: number = constants.copiesLeast) {
+  constructor(
+    self: Member,
+    seeds: readonly string[],
+    now: number,
+    state?: VoteState,
+    founding = true,
+    wanted: number = constants.copiesWanted,
+    least: number = constants.copiesLeast,
+  ) {
     this.#least = least;
     this.#mayFound = founding || state?.founding !== undefined;
     this.#wanted = wanted;
@@ -85,11 +117,18 @@
     this.#seeds = [...seeds].sort();
     this.#startedAt = now;
     this.#beatAt = now;
-    this.#state = state ?? { view: undefined, founding: undefined, promised: undefined, accepted: undefined };
+    this.#state = state ?? {
+      view: undefined,
+      founding: undefined,
+      promised: undefined,
+      accepted: undefined,
+    };
     this.#round = this.#state.promised?.round ?? 0;
   }
 
-  get view(): ChainView | undefined { return this.#state.view; }
+  get view(): ChainView | undefined {
+    return this.#state.view;
+  }
 
   leave(): ViewCommand[] {
     this.#leaving = true;
@@ -97,23 +136,37 @@
   }
 
   #isLeaving(identity: string): boolean {
-    return identity === this.#self.identity ? this.#leaving : this.#neighbours.get(identity)?.leaving === true;
+    return identity === this.#self.identity
+      ? this.#leaving
+      : this.#neighbours.get(identity)?.leaving === true;
   }
 
   /** Since when every member of the view before had told that it works in that view; undefined if one never did (§7.2). */
-  get settledBefore(): number | undefined { return this.#settledBefore; }
+  get settledBefore(): number | undefined {
+    return this.#settledBefore;
+  }
 
   #settle(now: number): void {
     const view = this.#state.view;
     if (view === undefined || this.#settledSince !== undefined) return;
-    for (const { identity } of view.members) if (identity !== this.#self.identity && this.#neighbours.get(identity)?.view?.mark !== view.mark) return;
+    for (const { identity } of view.members)
+      if (
+        identity !== this.#self.identity &&
+        this.#neighbours.get(identity)?.view?.mark !== view.mark
+      )
+        return;
     this.#settledSince = now;
   }
 
   /** One that does not hear a machine counts as silent to it, or a way cut in one direction would hold the chain up for ever (§2.3). */
   heardWithin(identity: string, within: number, now: number): boolean {
     const neighbour = this.#neighbours.get(identity);
-    return identity === this.#self.identity || (neighbour !== undefined && now - neighbour.heardAt <= within && (neighbour.hears === undefined || neighbour.hears.includes(this.#self.identity)));
+    return (
+      identity === this.#self.identity ||
+      (neighbour !== undefined &&
+        now - neighbour.heardAt <= within &&
+        (neighbour.hears === undefined || neighbour.hears.includes(this.#self.identity)))
+    );
   }
 
   /** Whether enough of those who agree are heard: else this machine is the one that is away. */
@@ -160,7 +213,8 @@
       this.#greetAt = now;
       commands.push(...this.#greetings());
       for (const [identity, neighbour] of this.#neighbours) {
-        if (now - neighbour.heardAt > constants.memberSilence * 8) this.#neighbours.delete(identity);
+        if (now - neighbour.heardAt > constants.memberSilence * 8)
+          this.#neighbours.delete(identity);
       }
     }
     if (this.#state.view === undefined) commands.push(...this.#found(now));
@@ -177,26 +231,42 @@
 
   /** The first view: only when all seeds are blank, and all three hold the same founding synced (§2.2). */
   #found(now: number): ViewCommand[] {
-    if (!this.#mayFound || !this.#seeds.includes(this.#self.address) || this.#seeds.length < this.#least) return [];
+    if (
+      !this.#mayFound ||
+      !this.#seeds.includes(this.#self.address) ||
+      this.#seeds.length < this.#least
+    )
+      return [];
     const members: Member[] = [];
     let same = true;
     for (const seed of this.#seeds) {
       const neighbour = seed === this.#self.address ? undefined : this.#at(seed, now);
-      if (seed !== this.#self.address && (neighbour === undefined || neighbour.view !== undefined)) return [];
+      if (seed !== this.#self.address && (neighbour === undefined || neighbour.view !== undefined))
+        return [];
       members.push(neighbour?.member ?? this.#self);
     }
     for (const seed of this.#seeds) {
-      const founding = seed === this.#self.address ? this.#state.founding : this.#at(seed, now)!.founding;
+      const founding =
+        seed === this.#self.address ? this.#state.founding : this.#at(seed, now)!.founding;
       if (founding === undefined || !sameMembers(founding, members)) same = false;
     }
     if (same) return this.#decide({ mark: 1, members });
-    if (this.#waiting.size > 0 || (this.#state.founding !== undefined && sameMembers(this.#state.founding, members))) return [];
+    if (
+      this.#waiting.size > 0 ||
+      (this.#state.founding !== undefined && sameMembers(this.#state.founding, members))
+    )
+      return [];
     return this.#keep({ ...this.#state, founding: members }, []);
   }
 
   #at(address: string, now: number): Neighbour | undefined {
     for (const neighbour of this.#neighbours.values()) {
-      if (neighbour.member.address === address && now - neighbour.heardAt <= constants.memberSilence && !this.#retired.has(neighbour.member.identity)) return neighbour;
+      if (
+        neighbour.member.address === address &&
+        now - neighbour.heardAt <= constants.memberSilence &&
+        !this.#retired.has(neighbour.member.identity)
+      )
+        return neighbour;
     }
     return undefined;
   }
@@ -206,22 +276,32 @@
     const view = this.#state.view!;
     /** Where the members are too few to confirm, those that confirmed last go on as soon as they are back (§1.5). */
     const there = new Set<string>();
-    for (const { identity } of this.#alive([...holdersOf(view), ...view.members], now)) there.add(identity);
+    for (const { identity } of this.#alive([...holdersOf(view), ...view.members], now))
+      there.add(identity);
     const alive = presentOf(view, there);
     if (alive.length === 0 || !this.isNear(now)) return undefined;
-    const joiner = view.joiner !== undefined && this.heardWithin(view.joiner.identity, constants.memberSilence, now) ? view.joiner : undefined;
+    const joiner =
+      view.joiner !== undefined &&
+      this.heardWithin(view.joiner.identity, constants.memberSilence, now)
+        ? view.joiner
+        : undefined;
     if (!sameMembers(alive, view.members)) {
       /** One copy left confirms nothing: it goes on only where there is one to copy to. */
       const next = joiner ?? (alive.length < this.#least ? this.#candidate(view, now) : undefined);
-      return alive.length >= this.#least || next !== undefined ? this.#next(view, alive, next, now) : undefined;
+      return alive.length >= this.#least || next !== undefined
+        ? this.#next(view, alive, next, now)
+        : undefined;
     }
     /** One that stops as planned leaves at once, as long as two stay. */
     const staying: Member[] = [];
     for (const member of alive) if (!this.#isLeaving(member.identity)) staying.push(member);
-    if (staying.length < alive.length && staying.length >= this.#least) return this.#next(view, staying, joiner, now);
+    if (staying.length < alive.length && staying.length >= this.#least)
+      return this.#next(view, staying, joiner, now);
     if (view.joiner !== undefined) {
       if (joiner === undefined) return this.#next(view, view.members, undefined, now);
-      return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark ? this.#next(view, [...view.members, joiner], undefined, now) : undefined;
+      return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark
+        ? this.#next(view, [...view.members, joiner], undefined, now)
+        : undefined;
     }
     if (view.members.length >= this.#wanted) return undefined;
     const candidate = this.#candidate(view, now);
@@ -230,27 +310,43 @@
 
   #alive(members: readonly Member[], now: number): Member[] {
     const found: Member[] = [];
-    for (const member of members) if (this.heardWithin(member.identity, constants.memberSilence, now)) found.push(member);
+    for (const member of members)
+      if (this.heardWithin(member.identity, constants.memberSilence, now)) found.push(member);
     return found;
   }
 
   /** A view of fewer than three keeps voters that are no members, those that live first, so the loss of one more can be agreed on (§2.3). */
-  #next(view: ChainView, members: readonly Member[], joiner: Member | undefined, now: number): ChainView {
+  #next(
+    view: ChainView,
+    members: readonly Member[],
+    joiner: Member | undefined,
+    now: number,
+  ): ChainView {
     const voters: Member[] = [...members];
     const holders = holdersOf(view);
     const before = votersOf(view);
-    for (const other of [...(joiner === undefined ? [] : [joiner]), ...this.#alive(before, now), ...holders, ...before]) {
-      if (voters.length < this.#wanted && !voters.some(hasIdentity, { identity: other.identity })) voters.push(other);
+    for (const other of [
+      ...(joiner === undefined ? [] : [joiner]),
+      ...this.#alive(before, now),
+      ...holders,
+      ...before,
+    ]) {
+      if (voters.length < this.#wanted && !voters.some(hasIdentity, { identity: other.identity }))
+        voters.push(other);
     }
     return {
-      mark: view.mark + 1, members, ...(joiner === undefined ? {} : { joiner }), ...(voters.length > members.length ? { voters } : {}),
+      mark: view.mark + 1,
+      members,
+      ...(joiner === undefined ? {} : { joiner }),
+      ...(voters.length > members.length ? { voters } : {}),
       ...(members.length < this.#least ? { holders } : {}),
     };
   }
 
   /** One that some member does not hear would be voted out again as soon as it is in. */
   #isHeardByAll(identity: string, view: ChainView, now: number): boolean {
-    for (const member of this.#alive(view.members, now)) if (this.#neighbours.get(member.identity)?.hears?.includes(identity) === false) return false;
+    for (const member of this.#alive(view.members, now))
+      if (this.#neighbours.get(member.identity)?.hears?.includes(identity) === false) return false;
     return true;
   }
 
@@ -259,7 +355,14 @@
     for (const neighbour of this.#neighbours.values()) {
       const identity = neighbour.member.identity;
       if (!this.#isHeardByAll(identity, view, now)) continue;
-      if (now - neighbour.heardAt < constants.greetEvery * 3 && !neighbour.leaving && !this.#retired.has(identity) && !view.members.some(hasIdentity, { identity }) && !holdersOf(view).some(hasIdentity, { identity })) candidates.push(neighbour.member);
+      if (
+        now - neighbour.heardAt < constants.greetEvery * 3 &&
+        !neighbour.leaving &&
+        !this.#retired.has(identity) &&
+        !view.members.some(hasIdentity, { identity }) &&
+        !holdersOf(view).some(hasIdentity, { identity })
+      )
+        candidates.push(neighbour.member);
     }
     candidates.sort(byIdentity);
     return candidates[0];
@@ -269,9 +372,11 @@
     const view = this.#state.view!;
     /** Members first, then who holds all that was confirmed beside them. */
     const proposers: Member[] = [...view.members];
-    for (const holder of holdersOf(view)) if (!proposers.some(hasIdentity, { identity: holder.identity })) proposers.push(holder);
+    for (const holder of holdersOf(view))
+      if (!proposers.some(hasIdentity, { identity: holder.identity })) proposers.push(holder);
     const position = proposers.findIndex(hasIdentity, { identity: this.#self.identity });
-    if (position < 0 || (now - this.#startedAt < constants.memberSilence && !this.#knowsAll(now))) return [];
+    if (position < 0 || (now - this.#startedAt < constants.memberSilence && !this.#knowsAll(now)))
+      return [];
     const wished = this.#wish(now);
     if (wished === undefined) {
       this.#wishSince = undefined;
@@ -279,21 +384,36 @@
     }
     this.#wishSince ??= now;
     let rank = 0;
-    for (const member of proposers.slice(0, position)) if (this.heardWithin(member.identity, constants.memberSilence, now)) rank += 1;
+    for (const member of proposers.slice(0, position))
+      if (this.heardWithin(member.identity, constants.memberSilence, now)) rank += 1;
     if (now - this.#wishSince < rank * constants.agreeEvery) return [];
     this.#wishSince = now + constants.agreeEvery;
     this.#round += 1;
     const ballot: Ballot = { round: this.#round, identity: this.#self.identity };
-    this.#try = { mark: wished.mark, ballot, wished, promises: new Map(), accepts: new Set(), value: undefined };
+    this.#try = {
+      mark: wished.mark,
+      ballot,
+      wished,
+      promises: new Map(),
+      accepts: new Set(),
+      value: undefined,
+    };
     return this.#toVoters({ kind: "prepare", mark: wished.mark, ballot }, now);
   }
 
   /** Whether everybody in the view was heard, or another identity at the address, so that nothing is judged from silence. */
   #knowsAll(now: number): boolean {
     const view = this.#state.view!;
-    for (const member of [...holdersOf(view), ...(view.joiner === undefined ? [] : [view.joiner])]) {
+    for (const member of [
+      ...holdersOf(view),
+      ...(view.joiner === undefined ? [] : [view.joiner]),
+    ]) {
       const { identity, address } = member;
-      if (!this.heardWithin(identity, constants.memberSilence, now) && this.#at(address, now) === undefined) return false;
+      if (
+        !this.heardWithin(identity, constants.memberSilence, now) &&
+        this.#at(address, now) === undefined
+      )
+        return false;
     }
     return true;
   }
@@ -302,7 +422,8 @@
   #toVoters(message: ViewMessage, now: number): ViewCommand[] {
     const commands: ViewCommand[] = [];
     for (const member of votersOf(this.#state.view!)) {
-      if (member.identity !== this.#self.identity) commands.push({ kind: "send", to: member.address, message });
+      if (member.identity !== this.#self.identity)
+        commands.push({ kind: "send", to: member.address, message });
     }
     commands.push(...this.receive(message, this.#self.address, now));
     return commands;
@@ -312,12 +433,17 @@
     if (message.kind === "greet") return this.#greeted(message, now);
     const view = this.#state.view;
     if (view === undefined) return [];
-    if (message.mark !== view.mark + 1) return message.mark <= view.mark ? this.#reply(from, this.#greeting(), now) : [];
+    if (message.mark !== view.mark + 1)
+      return message.mark <= view.mark ? this.#reply(from, this.#greeting(), now) : [];
     switch (message.kind) {
-      case "prepare": return this.#prepare(message, from, now);
-      case "promise": return this.#promise(message, now);
-      case "accept": return this.#accept(message, from, now);
-      case "accepted": return this.#acceptedBy(message);
+      case "prepare":
+        return this.#prepare(message, from, now);
+      case "promise":
+        return this.#promise(message, now);
+      case "accept":
+        return this.#accept(message, from, now);
+      case "accepted":
+        return this.#acceptedBy(message);
       case "overtaken":
         this.#round = Math.max(this.#round, message.ballot.round);
         return [];
@@ -325,12 +451,21 @@
   }
 
   #greeting(): ViewMessage {
-    return { kind: "greet", member: this.#self, view: this.#state.view, founding: this.#state.founding, copiedMark: this.#copiedMark, leaving: this.#leaving, ...(this.#beatAt - this.#startedAt < constants.memberSilence ? {} : { hears: this.#hears() }) };
+    return {
+      kind: "greet",
+      member: this.#self,
+      view: this.#state.view,
+      founding: this.#state.founding,
+      copiedMark: this.#copiedMark,
+      leaving: this.#leaving,
+      ...(this.#beatAt - this.#startedAt < constants.memberSilence ? {} : { hears: this.#hears() }),
+    };
   }
 
   #hears(): string[] {
     const found: string[] = [];
-    for (const [identity, { heardAt }] of this.#neighbours) if (this.#beatAt - heardAt <= constants.memberSilence) found.push(identity);
+    for (const [identity, { heardAt }] of this.#neighbours)
+      if (this.#beatAt - heardAt <= constants.memberSilence) found.push(identity);
     return found;
   }
 
@@ -343,7 +478,8 @@
     const identity = message.member.identity;
     if (identity === this.#self.identity) return [];
     /** Of two at one address the one that goes on greeting lives; a greeting of the other may have lain here unread. */
-    if (now - (this.#retired.get(identity) ?? Number.NEGATIVE_INFINITY) <= constants.memberSilence) return [];
+    if (now - (this.#retired.get(identity) ?? Number.NEGATIVE_INFINITY) <= constants.memberSilence)
+      return [];
     this.#retired.delete(identity);
     for (const [other, neighbour] of this.#neighbours) {
       if (other !== identity && neighbour.member.address === message.member.address) {
@@ -351,9 +487,18 @@
         this.#neighbours.delete(other);
       }
     }
-    this.#neighbours.set(identity, { member: message.member, heardAt: now, view: message.view, founding: message.founding, copiedMark: message.copiedMark, leaving: message.leaving === true, hears: message.hears });
+    this.#neighbours.set(identity, {
+      member: message.member,
+      heardAt: now,
+      view: message.view,
+      founding: message.founding,
+      copiedMark: message.copiedMark,
+      leaving: message.leaving === true,
+      hears: message.hears,
+    });
     this.#settle(now);
-    if (message.view !== undefined && message.view.mark > (this.#state.view?.mark ?? 0)) return this.#decide(message.view);
+    if (message.view !== undefined && message.view.mark > (this.#state.view?.mark ?? 0))
+      return this.#decide(message.view);
     return [];
   }
 
@@ -364,40 +509,93 @@
     this.#settledBefore = this.#settledSince;
     this.#settledSince = undefined;
     const decided: ViewCommand = { kind: "decided", view };
-    return this.#keep({ view, founding: undefined, promised: undefined, accepted: undefined }, [decided, ...this.#greetings()]);
+    return this.#keep({ view, founding: undefined, promised: undefined, accepted: undefined }, [
+      decided,
+      ...this.#greetings(),
+    ]);
   }
 
-  #prepare(message: Extract<ViewMessage, { kind: "prepare" }>, from: string, now: number): ViewCommand[] {
+  #prepare(
+    message: Extract<ViewMessage, { kind: "prepare" }>,
+    from: string,
+    now: number,
+  ): ViewCommand[] {
     const promised = this.#state.promised;
-    if (promised !== undefined && higher(promised, message.ballot)) return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
-    const result: ViewMessage = { kind: "promise", mark: message.mark, ballot: message.ballot, member: this.#self.identity, accepted: this.#state.accepted };
-    return this.#keep({ ...this.#state, promised: message.ballot }, [{ kind: "send", to: from, message: result }]);
+    if (promised !== undefined && higher(promised, message.ballot))
+      return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
+    const result: ViewMessage = {
+      kind: "promise",
+      mark: message.mark,
+      ballot: message.ballot,
+      member: this.#self.identity,
+      accepted: this.#state.accepted,
+    };
+    return this.#keep({ ...this.#state, promised: message.ballot }, [
+      { kind: "send", to: from, message: result },
+    ]);
   }
 
   #promise(message: Extract<ViewMessage, { kind: "promise" }>, now: number): ViewCommand[] {
     const held = this.#try;
-    if (held === undefined || held.value !== undefined || held.mark !== message.mark || !sameBallot(held.ballot, message.ballot)) return [];
+    if (
+      held === undefined ||
+      held.value !== undefined ||
+      held.mark !== message.mark ||
+      !sameBallot(held.ballot, message.ballot)
+    )
+      return [];
     if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
     held.promises.set(message.member, message.accepted);
     if (held.promises.size < majority(this.#state.view!)) return [];
     let best: VoteState["accepted"];
     for (const accepted of held.promises.values()) {
-      if (accepted !== undefined && accepted !== null && (best === undefined || higher(accepted.ballot, best.ballot))) best = accepted;
+      if (
+        accepted !== undefined &&
+        accepted !== null &&
+        (best === undefined || higher(accepted.ballot, best.ballot))
+      )
+        best = accepted;
     }
     held.value = best?.view ?? held.wished;
-    return this.#toVoters({ kind: "accept", mark: held.mark, ballot: held.ballot, view: held.value }, now);
+    return this.#toVoters(
+      { kind: "accept", mark: held.mark, ballot: held.ballot, view: held.value },
+      now,
+    );
   }
 
-  #accept(message: Extract<ViewMessage, { kind: "accept" }>, from: string, now: number): ViewCommand[] {
+  #accept(
+    message: Extract<ViewMessage, { kind: "accept" }>,
+    from: string,
+    now: number,
+  ): ViewCommand[] {
     const promised = this.#state.promised;
-    if (promised !== undefined && higher(promised, message.ballot)) return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
-    const result: ViewMessage = { kind: "accepted", mark: message.mark, ballot: message.ballot, member: this.#self.identity };
-    return this.#keep({ ...this.#state, promised: message.ballot, accepted: { ballot: message.ballot, view: message.view } }, [{ kind: "send", to: from, message: result }]);
+    if (promised !== undefined && higher(promised, message.ballot))
+      return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
+    const result: ViewMessage = {
+      kind: "accepted",
+      mark: message.mark,
+      ballot: message.ballot,
+      member: this.#self.identity,
+    };
+    return this.#keep(
+      {
+        ...this.#state,
+        promised: message.ballot,
+        accepted: { ballot: message.ballot, view: message.view },
+      },
+      [{ kind: "send", to: from, message: result }],
+    );
   }
 
   #acceptedBy(message: Extract<ViewMessage, { kind: "accepted" }>): ViewCommand[] {
     const held = this.#try;
-    if (held === undefined || held.value === undefined || held.mark !== message.mark || !sameBallot(held.ballot, message.ballot)) return [];
+    if (
+      held === undefined ||
+      held.value === undefined ||
+      held.mark !== message.mark ||
+      !sameBallot(held.ballot, message.ballot)
+    )
+      return [];
     if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
     held.accepts.add(message.member);
     if (held.accepts.size < majority(this.#state.view!)) return [];
@@ -423,7 +621,8 @@
 
 function sameMembers(left: readonly Member[], right: readonly Member[]): boolean {
   if (left.length !== right.length) return false;
-  for (const [index, member] of left.entries()) if (member.identity !== right[index]!.identity) return false;
+  for (const [index, member] of left.entries())
+    if (member.identity !== right[index]!.identity) return false;
   return true;
 }
 
--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -1,7 +1,30 @@
 import { randomUUID } from "node:crypto";
-import { closeSync, existsSync, fsyncSync, mkdirSync, openSync, readFileSync, readSync, readdirSync, rmSync, statSync, truncateSync, writeFileSync } from "node:fs";
+import {
+  closeSync,
+  existsSync,
+  fsyncSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  readSync,
+  readdirSync,
+  rmSync,
+  statSync,
+  truncateSync,
+  writeFileSync,
+} from "node:fs";
 import { dirname, join } from "node:path";
-import { constants, outcome, type Change, type ChainHolding, type ChainState, type ChainWrite, type Entry, type Outcome, type VoteState } from "@chutewick/parts";
+import {
+  constants,
+  outcome,
+  type Change,
+  type ChainHolding,
+  type ChainState,
+  type ChainWrite,
+  type Entry,
+  type Outcome,
+  type VoteState,
+} from "@chutewick/parts";
 import { metrics } from "./metrics.js";
 import type { RootDatabase } from "lmdb";
 
@@ -29,19 +52,32 @@
   #reserved = 0;
   syncs = 0;
 
-  private constructor(folder: string, base: RootDatabase, identity: string, failed: (error: Error) => void) {
+  private constructor(
+    folder: string,
+    base: RootDatabase,
+    identity: string,
+    failed: (error: Error) => void,
+  ) {
     this.#folder = folder;
     this.#base = base;
     this.identity = identity;
     this.#failed = failed;
   }
 
-  static async open(folder: string, kind: string, name: string, failed: (error: Error) => void): Promise<Outcome<Disk>> {
+  static async open(
+    folder: string,
+    kind: string,
+    name: string,
+    failed: (error: Error) => void,
+  ): Promise<Outcome<Disk>> {
     try {
       mkdirSync(folder, { recursive: true });
       const found = readdirSync(folder);
       const foreign = found.filter(isForeign);
-      if (foreign.length > 0) return outcome.bad(`${folder}: holds files that are not chutewick's, such as ${foreign[0]}`);
+      if (foreign.length > 0)
+        return outcome.bad(
+          `${folder}: holds files that are not chutewick's, such as ${foreign[0]}`,
+        );
       const holder = lock(folder);
       if (holder !== undefined) return outcome.bad(`${folder}: is in use by process ${holder}`);
       const file = join(folder, "data.mdb");
@@ -65,15 +101,24 @@
       let meta = base.get("meta") as Meta | undefined;
       if (meta === undefined) {
         if (!fresh) return outcome.bad(`${folder}: data.mdb is not chutewick's`);
-        meta = { product: "chutewick", mark: constants.diskMark, kind, identity: `${name}-${randomUUID()}` };
+        meta = {
+          product: "chutewick",
+          mark: constants.diskMark,
+          kind,
+          identity: `${name}-${randomUUID()}`,
+        };
         await base.put("meta", meta);
         syncFolder(folder);
         syncFolder(dirname(folder));
       }
       if (!existsSync(marker)) mark(folder, marker);
       if (meta.product !== "chutewick") return outcome.bad(`${folder}: belongs to ${meta.product}`);
-      if (meta.mark > constants.diskMark || meta.mark < constants.diskMarkOldest) return outcome.bad(`${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskMark}`);
-      if (meta.kind !== kind) return outcome.bad(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
+      if (meta.mark > constants.diskMark || meta.mark < constants.diskMarkOldest)
+        return outcome.bad(
+          `${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskMark}`,
+        );
+      if (meta.kind !== kind)
+        return outcome.bad(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
       const disk = new Disk(folder, base, meta.identity, failed);
       disk.#reserve();
       return outcome.good(disk);
@@ -88,7 +133,8 @@
 
   chains(): string[] {
     const names: string[] = [];
-    for (const { key } of this.#base.getRange({ start: ["state"], end: ["state", "\uffff"] })) names.push((key as string[])[1]!);
+    for (const { key } of this.#base.getRange({ start: ["state"], end: ["state", "\uffff"] }))
+      names.push((key as string[])[1]!);
     return names;
   }
 
@@ -96,15 +142,25 @@
     const state = this.#base.get(["state", chain]) as ChainState | undefined;
     if (state === undefined) return undefined;
     const records: Change[] = [];
-    for (const { key, value } of this.#base.getRange({ start: ["record", chain], end: ["record", chain, "\uffff"] })) records.push([(key as string[])[2]!, value]);
+    for (const { key, value } of this.#base.getRange({
+      start: ["record", chain],
+      end: ["record", chain, "\uffff"],
+    }))
+      records.push([(key as string[])[2]!, value]);
     const entries: Entry[] = [];
-    for (const { value } of this.#base.getRange({ start: ["entry", chain], end: ["entry", chain, Number.MAX_SAFE_INTEGER] })) entries.push(value as Entry);
+    for (const { value } of this.#base.getRange({
+      start: ["entry", chain],
+      end: ["entry", chain, Number.MAX_SAFE_INTEGER],
+    }))
+      entries.push(value as Entry);
     return { state, records, entries };
   }
 
   writeVotes(state: VoteState, done: () => void): void {
     const base = this.#base;
-    function run(): void { base.put("votes", state); }
+    function run(): void {
+      base.put("votes", state);
+    }
     this.#add({ run, done });
   }
 
@@ -112,8 +168,17 @@
     const base = this.#base;
     function run(): void {
       if (write.clear) {
-        for (const key of [...base.getKeys({ start: ["record", chain], end: ["record", chain, "\uffff"] })]) base.remove(key);
-        for (const key of [...base.getKeys({ start: ["entry", chain], end: ["entry", chain, Number.MAX_SAFE_INTEGER] })]) base.remove(key);
+        for (const key of [
+          ...base.getKeys({ start: ["record", chain], end: ["record", chain, "\uffff"] }),
+        ])
+          base.remove(key);
+        for (const key of [
+          ...base.getKeys({
+            start: ["entry", chain],
+            end: ["entry", chain, Number.MAX_SAFE_INTEGER],
+          }),
+        ])
+          base.remove(key);
       }
       for (const [key, value] of write.changes) {
         if (value === undefined || value === null) base.remove(["record", chain, key]);
@@ -138,7 +203,9 @@
       const jobs = this.#jobs;
       this.#jobs = [];
       const start = performance.now();
-      function all(): void { for (const job of jobs) job.run(); }
+      function all(): void {
+        for (const job of jobs) job.run();
+      }
       try {
         await this.#base.transaction(all);
       } catch (error) {
@@ -158,7 +225,10 @@
    * before them looks cut off (§10.2).
    */
   #reserve(): void {
-    const { lastPageNumber, pageSize } = this.#base.getStats() as { lastPageNumber: number; pageSize: number };
+    const { lastPageNumber, pageSize } = this.#base.getStats() as {
+      lastPageNumber: number;
+      pageSize: number;
+    };
     const used = (lastPageNumber + 1) * pageSize;
     if (used + constants.diskAhead / 2 <= this.#reserved) return;
     const file = join(this.#folder, "data.mdb");
@@ -210,7 +280,13 @@
   const file = join(folder, "process");
   if (existsSync(file)) {
     const [holder, start] = readFileSync(file, "utf8").split(" ");
-    if (holder !== undefined && start !== undefined && Number(holder) !== process.pid && startOf(Number(holder)) === start) return holder;
+    if (
+      holder !== undefined &&
+      start !== undefined &&
+      Number(holder) !== process.pid &&
+      startOf(Number(holder)) === start
+    )
+      return holder;
   }
   writeFileSync(file, `${process.pid} ${startOf("self") ?? "0"}`);
   return undefined;
@@ -244,5 +320,7 @@
   if (size < pageSize * 2) return "is cut off";
   const last = newest(file);
   if (last === undefined) return "is not an lmdb file";
-  return BigInt(size) < (last + 1n) * BigInt(pageSize) ? `is cut off: ${size} bytes, and page ${last} is used` : undefined;
+  return BigInt(size) < (last + 1n) * BigInt(pageSize)
+    ? `is cut off: ${size} bytes, and page ${last} is used`
+    : undefined;
 }
--- a/packages/shell/src/log.ts
+++ b/packages/shell/src/log.ts
@@ -4,7 +4,12 @@
 export type Log = bunyan;
 
 function open(program: string, name: string, level: string): Log {
-  return bunyan.createLogger({ name: program, node: name, level: level as bunyan.LogLevelString, stream: process.stdout });
+  return bunyan.createLogger({
+    name: program,
+    node: name,
+    level: level as bunyan.LogLevelString,
+    stream: process.stdout,
+  });
 }
 
 export const log = { open };
--- a/packages/shell/src/metrics.ts
+++ b/packages/shell/src/metrics.ts
@@ -8,13 +8,50 @@
 
 const buckets = [...constants.timeBounds];
 
-const results = new Counter({ name: "results_total", help: "results told over HTTP, by event, status and kind of trouble", labelNames: ["event", "status", "trouble"], registers });
-const times = new Histogram({ name: "first_result_seconds", help: "from an arrival to the first byte of its result", labelNames: ["event"], buckets, registers });
-const waits = new Histogram({ name: "wait_told_seconds", help: "when callers were told to come back", labelNames: ["trouble"], buckets: [...constants.waitBounds], registers });
-const syncs = new Histogram({ name: "sync_seconds", help: "one synced transaction of the data folder", buckets, registers });
-const late = new Histogram({ name: "beat_late_seconds", help: "how much later than due a beat came: this process was busy or slept", buckets, registers });
-const notes = new Counter({ name: "notes_total", help: "what the cores noted: views, claims taken back and the like", labelNames: ["text"], registers });
-const changes = new Counter({ name: "changes_total", help: "operators' and nodes' inquiries to control, by outcome", labelNames: ["outcome"], registers });
+const results = new Counter({
+  name: "results_total",
+  help: "results told over HTTP, by event, status and kind of trouble",
+  labelNames: ["event", "status", "trouble"],
+  registers,
+});
+const times = new Histogram({
+  name: "first_result_seconds",
+  help: "from an arrival to the first byte of its result",
+  labelNames: ["event"],
+  buckets,
+  registers,
+});
+const waits = new Histogram({
+  name: "wait_told_seconds",
+  help: "when callers were told to come back",
+  labelNames: ["trouble"],
+  buckets: [...constants.waitBounds],
+  registers,
+});
+const syncs = new Histogram({
+  name: "sync_seconds",
+  help: "one synced transaction of the data folder",
+  buckets,
+  registers,
+});
+const late = new Histogram({
+  name: "beat_late_seconds",
+  help: "how much later than due a beat came: this process was busy or slept",
+  buckets,
+  registers,
+});
+const notes = new Counter({
+  name: "notes_total",
+  help: "what the cores noted: views, claims taken back and the like",
+  labelNames: ["text"],
+  registers,
+});
+const changes = new Counter({
+  name: "changes_total",
+  help: "operators' and nodes' inquiries to control, by outcome",
+  labelNames: ["outcome"],
+  registers,
+});
 
 interface Begun {
   readonly event: string;
@@ -61,16 +98,25 @@
   const told: Record<string, unknown> = {};
   for (const metric of await registry.getMetricsAsJSON()) {
     const series: Record<string, unknown> = {};
-    for (const value of metric.values as { value: number; metricName?: string; labels: Record<string, string | number> }[]) {
+    for (const value of metric.values as {
+      value: number;
+      metricName?: string;
+      labels: Record<string, string | number>;
+    }[]) {
       const { le, ...labels } = value.labels;
       const names: string[] = [];
-      for (const [key, text] of Object.entries(labels)) if (text !== "") names.push(`${key}=${text}`);
+      for (const [key, text] of Object.entries(labels))
+        if (text !== "") names.push(`${key}=${text}`);
       const name = names.join(",") || "all";
       if (String(metric.type) !== "histogram") {
         series[name] = value.value;
         continue;
       }
-      const held = (series[name] ?? { within: {} }) as { within: Record<string, number>; count?: number; sum?: number };
+      const held = (series[name] ?? { within: {} }) as {
+        within: Record<string, number>;
+        count?: number;
+        sum?: number;
+      };
       if (le !== undefined) held.within[String(le)] = value.value;
       else if (value.metricName?.endsWith("_sum") === true) held.sum = value.value;
       else held.count = value.value;
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -8,15 +8,39 @@
 
 /** What the three daemons have in common: flags, checked settings, stop on a signal (docs/design.md §10). */
 export const flags = {
-  settings: option({ type: optional(string), long: "settings", description: "settings file, JSON" }),
+  settings: option({
+    type: optional(string),
+    long: "settings",
+    description: "settings file, JSON",
+  }),
   name: option({ type: optional(string), long: "name", description: "name of this machine" }),
   zone: option({ type: optional(string), long: "zone", description: "zone of this machine" }),
-  wire: option({ type: optional(string), long: "wire", description: "IP:port for other processes of the fleet" }),
-  wireListen: option({ type: optional(string), long: "wire-listen", description: "IP:port to listen on, if it differs" }),
-  http: option({ type: optional(string), long: "http", description: "IP:port for callers, runners or operators" }),
-  seeds: option({ type: optional(string), long: "seeds", description: "three control machines, IP:port, with commas between" }),
+  wire: option({
+    type: optional(string),
+    long: "wire",
+    description: "IP:port for other processes of the fleet",
+  }),
+  wireListen: option({
+    type: optional(string),
+    long: "wire-listen",
+    description: "IP:port to listen on, if it differs",
+  }),
+  http: option({
+    type: optional(string),
+    long: "http",
+    description: "IP:port for callers, runners or operators",
+  }),
+  seeds: option({
+    type: optional(string),
+    long: "seeds",
+    description: "three control machines, IP:port, with commas between",
+  }),
   data: option({ type: optional(string), long: "data", description: "data folder" }),
-  logLevel: option({ type: optional(string), long: "log-level", description: "trace, debug, info, warn, error or fatal" }),
+  logLevel: option({
+    type: optional(string),
+    long: "log-level",
+    description: "trace, debug, info, warn, error or fatal",
+  }),
 };
 
 export interface Daemon {
@@ -24,7 +48,12 @@
 }
 
 /** Bad settings end the program with 2, a start that cannot succeed with 1, a planned stop with 0. */
-export async function run(program: string, needsData: boolean, given: Flags, open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>): Promise<void> {
+export async function run(
+  program: string,
+  needsData: boolean,
+  given: Flags,
+  open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>,
+): Promise<void> {
   const checked = settings.read(given, needsData);
   if (!checked.ok) {
     process.stderr.write(`chutewick ${program}: ${checked.reason}\n`);
@@ -34,7 +63,11 @@
 }
 
 /** Opens a daemon with settings that are checked already, and ends it in order on a signal. */
-export async function start(program: string, checked: Settings, open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>): Promise<void> {
+export async function start(
+  program: string,
+  checked: Settings,
+  open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>,
+): Promise<void> {
   const log = logs.open(program, checked.name, checked.logLevel);
   const opened = await open(checked, log);
   if (!opened.ok) {
@@ -53,7 +86,9 @@
     process.exit(0);
   }
   /** Settings changed: what is kept open stays; addresses of control machines are learnt from control itself (§10.1). */
-  function changed(): void { log.info({}, "settings may have changed"); }
+  function changed(): void {
+    log.info({}, "settings may have changed");
+  }
   process.on("SIGHUP", changed);
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
@@ -73,7 +108,10 @@
 /** A folder that can no longer be written ends the process: it could promise nothing. */
 export function diskFailed(log: Log): (error: Error) => void {
   function failed(error: Error): void {
-    log.fatal({ error: error.message }, "the data folder cannot be written; nothing may be promised any more");
+    log.fatal(
+      { error: error.message },
+      "the data folder cannot be written; nothing may be promised any more",
+    );
     process.exit(1);
   }
   return failed;
--- a/packages/shell/src/settings.ts
+++ b/packages/shell/src/settings.ts
@@ -7,10 +7,14 @@
 function isAddress(text: string): boolean {
   const cut = text.lastIndexOf(":");
   const port = Number(text.slice(cut + 1));
-  return cut > 0 && isIP(text.slice(0, cut)) === 4 && Number.isInteger(port) && port > 0 && port < 65_536;
+  return (
+    cut > 0 && isIP(text.slice(0, cut)) === 4 && Number.isInteger(port) && port > 0 && port < 65_536
+  );
 }
 
-const address = z.string().refine(isAddress, { error: "must be an IP number and a port, such as 127.0.0.1:7001" });
+const address = z
+  .string()
+  .refine(isAddress, { error: "must be an IP number and a port, such as 127.0.0.1:7001" });
 
 function areDifferent(texts: readonly string[]): boolean {
   return new Set(texts).size === texts.length;
@@ -18,11 +22,24 @@
 
 const span = z.number().min(0);
 
-const bounds = z.strictObject({
-  reportsEvery: span, contactWithin: span, acknowledgeWithin: span, drainWithin: span, applyWithin: span, cancelWithin: span, stopWithin: span, syncWithin: span,
-  recoverWithin: span, losses: z.strictObject({ machines: span, zones: span.default(0), regions: span.default(0) }),
-  memory: span.default(512), descriptors: span.default(1_024), disk: span.default(0), goesOnAlone: z.boolean().default(false),
-}).superRefine(isHeld);
+const bounds = z
+  .strictObject({
+    reportsEvery: span,
+    contactWithin: span,
+    acknowledgeWithin: span,
+    drainWithin: span,
+    applyWithin: span,
+    cancelWithin: span,
+    stopWithin: span,
+    syncWithin: span,
+    recoverWithin: span,
+    losses: z.strictObject({ machines: span, zones: span.default(0), regions: span.default(0) }),
+    memory: span.default(512),
+    descriptors: span.default(1_024),
+    disk: span.default(0),
+    goesOnAlone: z.boolean().default(false),
+  })
+  .superRefine(isHeld);
 
 /** The reasons for which a combination of bounds cannot hold, as findings of the settings. */
 function isHeld(value: Bounds, context: { addIssue(issue: string): void }): void {
@@ -31,15 +48,22 @@
 }
 
 const shape = z.strictObject({
-  name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
-  zone: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
+  name: z
+    .string()
+    .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
+  zone: z
+    .string()
+    .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: "must be lower-case letters, digits and dashes" }),
   /** Where other processes of the fleet reach this one. */
   wire: address,
   /** Where it listens, if something stands between. */
   wireListen: address.optional(),
   /** Where callers, runners or operators reach it. */
   http: address,
-  seeds: z.array(address).min(1, { error: "must be addresses of control machines" }).refine(areDifferent, { error: "must be different addresses" }),
+  seeds: z
+    .array(address)
+    .min(1, { error: "must be addresses of control machines" })
+    .refine(areDifferent, { error: "must be different addresses" }),
   /** True only at the very first start, with empty folders: a blank machine that comes later founds nothing (§2.2). */
   founding: z.boolean().default(true),
   /** What the deployment tells of itself, where it has bounds of its own (§13.3). */
@@ -66,7 +90,8 @@
 function readFile(path: string): Outcome<Record<string, unknown>> {
   try {
     const value: unknown = JSON.parse(readFileSync(path, "utf8"));
-    if (typeof value !== "object" || value === null || Array.isArray(value)) return outcome.bad(`${path}: must hold one JSON object`);
+    if (typeof value !== "object" || value === null || Array.isArray(value))
+      return outcome.bad(`${path}: must hold one JSON object`);
     return outcome.good(value as Record<string, unknown>);
   } catch (error) {
     return outcome.bad(`${path}: ${(error as Error).message}`);
@@ -85,14 +110,16 @@
   for (const [key, value] of Object.entries(rest)) if (value !== undefined) held[key] = value;
   if (seeds !== undefined) held["seeds"] = seeds.split(",");
   const checked = check(held);
-  if (checked.ok && needsData && checked.value.data === undefined) return outcome.bad("data: is needed here");
+  if (checked.ok && needsData && checked.value.data === undefined)
+    return outcome.bad("data: is needed here");
   return checked;
 }
 
 /** One line with path and reason for each finding. */
 export function explain(error: z.ZodError): string {
   const lines: string[] = [];
-  for (const issue of error.issues) lines.push(`${issue.path.length === 0 ? "(whole)" : issue.path.join(".")}: ${issue.message}`);
+  for (const issue of error.issues)
+    lines.push(`${issue.path.length === 0 ? "(whole)" : issue.path.join(".")}: ${issue.message}`);
   return lines.join("; ");
 }
 
--- a/packages/shell/src/wire.ts
+++ b/packages/shell/src/wire.ts
@@ -39,13 +39,17 @@
     this.#options = options;
   }
 
-  get mark(): number { return this.#options.mark ?? constants.wireMark; }
+  get mark(): number {
+    return this.#options.mark ?? constants.wireMark;
+  }
 
   async open(): Promise<void> {
     const { listen } = this.#options;
     const cut = listen.lastIndexOf(":");
     const self = this;
-    function accepted(socket: Socket): void { self.#accept(socket); }
+    function accepted(socket: Socket): void {
+      self.#accept(socket);
+    }
     const server = createServer({ noDelay: true }, accepted);
     this.#server = server;
     function listening(resolve: () => void, reject: (error: Error) => void): void {
@@ -88,7 +92,8 @@
       line = { to, socket: undefined, retryAt: 0 };
       this.#lines.set(to, line);
     }
-    if (line.socket === undefined && !this.#closed && performance.now() >= line.retryAt) this.#connect(line);
+    if (line.socket === undefined && !this.#closed && performance.now() >= line.retryAt)
+      this.#connect(line);
     return line;
   }
 
@@ -96,12 +101,19 @@
     const self = this;
     const cut = line.to.lastIndexOf(":");
     const own = this.#options.listen.slice(0, this.#options.listen.lastIndexOf(":"));
-    const socket = connect({ host: line.to.slice(0, cut), port: Number(line.to.slice(cut + 1)), localAddress: own, noDelay: true });
+    const socket = connect({
+      host: line.to.slice(0, cut),
+      port: Number(line.to.slice(cut + 1)),
+      localAddress: own,
+      noDelay: true,
+    });
     line.socket = socket;
     /** Written before the connection stands: what is sent meanwhile waits behind it, for this short time. */
     const hello: Hello = { product: "chutewick", mark: this.mark, from: this.#options.address };
     socket.write(this.#frame(hello));
-    function late(): void { if (socket.connecting) socket.destroy(); }
+    function late(): void {
+      if (socket.connecting) socket.destroy();
+    }
     const patience = setTimeout(late, constants.connectPatience);
     function closed(): void {
       clearTimeout(patience);
@@ -110,7 +122,9 @@
         line.retryAt = performance.now() + constants.reconnectAfter;
       }
     }
-    function failed(): void { socket.destroy(); }
+    function failed(): void {
+      socket.destroy();
+    }
     function told(message: unknown): boolean {
       self.#options.log.error({ to: line.to, message }, "refused by the other process");
       return true;
@@ -124,15 +138,32 @@
     const self = this;
     this.#incoming.add(socket);
     let from: string | undefined;
-    function failed(): void { socket.destroy(); }
-    function closed(): void { self.#incoming.delete(socket); }
+    function failed(): void {
+      socket.destroy();
+    }
+    function closed(): void {
+      self.#incoming.delete(socket);
+    }
     function told(message: unknown): boolean {
       if (from === undefined) {
         const hello = message as Partial<Hello> | null;
-        if (hello?.product !== "chutewick" || typeof hello.mark !== "number" || hello.mark > self.mark + 1 || hello.mark < constants.wireMarkOldest || typeof hello.from !== "string") {
+        if (
+          hello?.product !== "chutewick" ||
+          typeof hello.mark !== "number" ||
+          hello.mark > self.mark + 1 ||
+          hello.mark < constants.wireMarkOldest ||
+          typeof hello.from !== "string"
+        ) {
           self.refused += 1;
-          self.#options.log.error({ address: socket.remoteAddress, mark: hello?.mark, own: self.mark }, "wire mark or product not known: connection refused");
-          socket.end(self.#frame({ refused: `wire mark ${String(hello?.mark)} is not known here, which speaks ${self.mark}` }));
+          self.#options.log.error(
+            { address: socket.remoteAddress, mark: hello?.mark, own: self.mark },
+            "wire mark or product not known: connection refused",
+          );
+          socket.end(
+            self.#frame({
+              refused: `wire mark ${String(hello?.mark)} is not known here, which speaks ${self.mark}`,
+            }),
+          );
           return false;
         }
         from = hello.from;
@@ -171,7 +202,10 @@
         try {
           message = self.#packer.unpack(all.subarray(4, length + 4));
         } catch {
-          self.#options.log.error({ address: socket.remoteAddress }, "not a message: connection ended");
+          self.#options.log.error(
+            { address: socket.remoteAddress },
+            "not a message: connection ended",
+          );
           stopped = true;
           socket.destroy();
           return;
--- a/programs/access/src/index.ts
+++ b/programs/access/src/index.ts
@@ -7,4 +7,9 @@
   return run("access", false, given, AccessProcess.open);
 }
 
-export const access = command({ name: "access", description: "run one access node", args: flags, handler: start });
+export const access = command({
+  name: "access",
+  description: "run one access node",
+  args: flags,
+  handler: start,
+});
--- a/programs/control/src/index.ts
+++ b/programs/control/src/index.ts
@@ -7,4 +7,9 @@
   return run("control", true, given, ControlProcess.open);
 }
 
-export const control = command({ name: "control", description: "run one control machine", args: flags, handler: start });
+export const control = command({
+  name: "control",
+  description: "run one control machine",
+  args: flags,
+  handler: start,
+});
--- a/programs/storage/src/index.ts
+++ b/programs/storage/src/index.ts
@@ -7,4 +7,9 @@
   return run("storage", true, given, StorageProcess.open);
 }
 
-export const storage = command({ name: "storage", description: "run one storage machine", args: flags, handler: start });
+export const storage = command({
+  name: "storage",
+  description: "run one storage machine",
+  args: flags,
+  handler: start,
+});
--- a/tools/fleet/src/fleet.ts
+++ b/tools/fleet/src/fleet.ts
@@ -31,7 +31,9 @@
   exit: Promise<number | null> | undefined;
 }
 
-const program = fileURLToPath(new URL("../../../programs/chutewick/dist/index.js", import.meta.url));
+const program = fileURLToPath(
+  new URL("../../../programs/chutewick/dist/index.js", import.meta.url),
+);
 const zones = ["a", "b", "c"];
 
 export class Fleet {
@@ -44,12 +46,25 @@
   constructor(options: FleetOptions) {
     this.options = options;
     const net = options.net ?? 0;
-    const kinds = [["control", 3], ["storage", options.storage], ["access", options.access]] as const;
+    const kinds = [
+      ["control", 3],
+      ["storage", options.storage],
+      ["access", options.access],
+    ] as const;
     for (const [at, [kind, count]] of kinds.entries()) {
       for (let number = 1; number <= count; number += 1) {
         const name = `${kind}-${number}`;
         const host = `127.${net}.${at + 1}.${number}`;
-        this.machines.set(name, { name, kind, host, wire: `${host}:7100`, http: `${host}:7200`, data: join(options.folder, name), child: undefined, exit: undefined });
+        this.machines.set(name, {
+          name,
+          kind,
+          host,
+          wire: `${host}:7100`,
+          http: `${host}:7200`,
+          data: join(options.folder, name),
+          child: undefined,
+          exit: undefined,
+        });
         if (kind === "control") this.#seeds.push(`${host}:7100`);
       }
     }
@@ -58,7 +73,8 @@
   /** Addresses over HTTP of all machines of a kind. */
   http(kind: Machine["kind"]): string[] {
     const found: string[] = [];
-    for (const machine of this.machines.values()) if (machine.kind === kind) found.push(machine.http);
+    for (const machine of this.machines.values())
+      if (machine.kind === kind) found.push(machine.http);
     return found;
   }
 
@@ -70,7 +86,8 @@
 
   async start(): Promise<void> {
     mkdirSync(this.options.folder, { recursive: true });
-    for (const machine of this.machines.values()) await this.relay.open(machine.wire, `${machine.host}:7101`);
+    for (const machine of this.machines.values())
+      await this.relay.open(machine.wire, `${machine.host}:7101`);
     for (const machine of this.machines.values()) this.launch(machine.name);
   }
 
@@ -78,16 +95,28 @@
     const machine = this.machine(name);
     const number = Number(name.split("-")[1]);
     const file = join(this.options.folder, `${name}.json`);
-    writeFileSync(file, JSON.stringify({
-      name, zone: zones[(number - 1) % 3], wire: machine.wire, wireListen: `${machine.host}:7101`, http: machine.http, seeds: this.#seeds,
-      ...(machine.kind === "access" ? {} : { data: machine.data }),
-    }));
-    const child = spawn(process.execPath, [program, machine.kind, "--settings", file], { stdio: ["ignore", "pipe", "pipe"] });
+    writeFileSync(
+      file,
+      JSON.stringify({
+        name,
+        zone: zones[(number - 1) % 3],
+        wire: machine.wire,
+        wireListen: `${machine.host}:7101`,
+        http: machine.http,
+        seeds: this.#seeds,
+        ...(machine.kind === "access" ? {} : { data: machine.data }),
+      }),
+    );
+    const child = spawn(process.execPath, [program, machine.kind, "--settings", file], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
     const log = createWriteStream(join(this.options.folder, `${name}.log`), { flags: "a" });
     child.stdout!.pipe(log, { end: false });
     child.stderr!.pipe(log, { end: false });
     machine.child = child;
-    function ended(resolve: (code: number | null) => void): void { child.once("exit", resolve); }
+    function ended(resolve: (code: number | null) => void): void {
+      child.once("exit", resolve);
+    }
     machine.exit = new Promise(ended);
   }
 
@@ -96,10 +125,19 @@
     const access = this.http("access");
     for (let number = 1; number <= modelRunners + plainRunners; number += 1) {
       const plain = number > modelRunners;
-      const turned = [...access.slice(number % access.length), ...access.slice(0, number % access.length)];
+      const turned = [
+        ...access.slice(number % access.length),
+        ...access.slice(0, number % access.length),
+      ];
       const runner = new StandInRunner({
-        id: `${plain ? "plain" : "model"}-${number}`, address: `127.${this.options.net ?? 0}.4.${number}:7300`, kind: plain ? "plain" : "model", models: plain ? [] : models,
-        seats: seats ?? (plain ? 64 : 32), zone: zones[number % 3]!, access: turned, behaviour: behaviour ?? {},
+        id: `${plain ? "plain" : "model"}-${number}`,
+        address: `127.${this.options.net ?? 0}.4.${number}:7300`,
+        kind: plain ? "plain" : "model",
+        models: plain ? [] : models,
+        seats: seats ?? (plain ? 64 : 32),
+        zone: zones[number % 3]!,
+        access: turned,
+        behaviour: behaviour ?? {},
       });
       await runner.start();
       this.runners.push(runner);
@@ -107,16 +145,28 @@
   }
 
   /** Runs the program once, as an operator would. */
-  async chutewick(words: readonly string[], input?: string): Promise<{ code: number | null; out: string; trouble: string }> {
-    const child = spawn(process.execPath, [program, ...words], { stdio: ["pipe", "pipe", "pipe"], env: { ...process.env, CHUTEWICK_CONTROL: this.http("control").join(",") } });
+  async chutewick(
+    words: readonly string[],
+    input?: string,
+  ): Promise<{ code: number | null; out: string; trouble: string }> {
+    const child = spawn(process.execPath, [program, ...words], {
+      stdio: ["pipe", "pipe", "pipe"],
+      env: { ...process.env, CHUTEWICK_CONTROL: this.http("control").join(",") },
+    });
     let out = "";
     let trouble = "";
-    function told(chunk: Buffer): void { out += chunk.toString(); }
-    function complained(chunk: Buffer): void { trouble += chunk.toString(); }
+    function told(chunk: Buffer): void {
+      out += chunk.toString();
+    }
+    function complained(chunk: Buffer): void {
+      trouble += chunk.toString();
+    }
     child.stdout.on("data", told);
     child.stderr.on("data", complained);
     child.stdin.end(input ?? "");
-    function ended(resolve: (code: number | null) => void): void { child.once("close", resolve); }
+    function ended(resolve: (code: number | null) => void): void {
+      child.once("close", resolve);
+    }
     return { code: await new Promise<number | null>(ended), out, trouble };
   }
 
@@ -126,15 +176,26 @@
     return machine.exit ?? Promise.resolve(null);
   }
 
-  freeze(name: string): void { this.machine(name).child?.kill("SIGSTOP"); }
-  wake(name: string): void { this.machine(name).child?.kill("SIGCONT"); }
-  wipe(name: string): void { rmSync(this.machine(name).data, { recursive: true, force: true }); }
+  freeze(name: string): void {
+    this.machine(name).child?.kill("SIGSTOP");
+  }
+  wake(name: string): void {
+    this.machine(name).child?.kill("SIGCONT");
+  }
+  wipe(name: string): void {
+    rmSync(this.machine(name).data, { recursive: true, force: true });
+  }
 
   async stop(): Promise<void> {
     for (const runner of this.runners) runner.crash();
     const ends: Promise<unknown>[] = [];
     for (const machine of this.machines.values()) {
-      if (machine.child === undefined || machine.child.exitCode !== null || machine.child.signalCode !== null) continue;
+      if (
+        machine.child === undefined ||
+        machine.child.exitCode !== null ||
+        machine.child.signalCode !== null
+      )
+        continue;
       machine.child.kill("SIGKILL");
       ends.push(machine.exit!);
     }
@@ -144,7 +205,10 @@
 
   async status(name: string): Promise<Record<string, unknown> | undefined> {
     try {
-      const told = await request(`http://${this.machine(name).http}/status`, { headersTimeout: 1_000, bodyTimeout: 1_000 });
+      const told = await request(`http://${this.machine(name).http}/status`, {
+        headersTimeout: 1_000,
+        bodyTimeout: 1_000,
+      });
       return (await told.body.json()) as Record<string, unknown>;
     } catch {
       return undefined;
@@ -169,8 +233,10 @@
         const status = await self.status(machine.name);
         if (status === undefined) return false;
         if (machine.kind === "control") {
-          if (((status["view"] as { members?: unknown[] } | undefined)?.members?.length ?? 0) < 3) return false;
-          if ((status["nodes"] as unknown[]).length < self.options.access + self.options.storage) return false;
+          if (((status["view"] as { members?: unknown[] } | undefined)?.members?.length ?? 0) < 3)
+            return false;
+          if ((status["nodes"] as unknown[]).length < self.options.access + self.options.storage)
+            return false;
         }
       }
       return true;
@@ -178,11 +244,22 @@
     await this.until("fleet ready", settled);
   }
 
-  async control(method: "GET" | "PUT" | "PATCH" | "POST" | "DELETE", path: string, body?: unknown, mark?: number, at = 0, patience = 10_000): Promise<{ status: number; body: Record<string, unknown> }> {
+  async control(
+    method: "GET" | "PUT" | "PATCH" | "POST" | "DELETE",
+    path: string,
+    body?: unknown,
+    mark?: number,
+    at = 0,
+    patience = 10_000,
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
     const to = this.http("control")[at]!;
     const told = await request(`http://${to}${path}`, {
-      method, headersTimeout: patience,
-      headers: { "content-type": "application/json", ...(mark === undefined ? {} : { "if-match": `"${mark}"` }) },
+      method,
+      headersTimeout: patience,
+      headers: {
+        "content-type": "application/json",
+        ...(mark === undefined ? {} : { "if-match": `"${mark}"` }),
+      },
       ...(body === undefined ? {} : { body: JSON.stringify(body) }),
     });
     return { status: told.statusCode, body: (await told.body.json()) as Record<string, unknown> };
@@ -190,6 +267,8 @@
 }
 
 function breath(): Promise<void> {
-  function begin(resolve: () => void): void { setTimeout(resolve, 25); }
+  function begin(resolve: () => void): void {
+    setTimeout(resolve, 25);
+  }
   return new Promise(begin);
 }
--- a/tools/fleet/src/relay.ts
+++ b/tools/fleet/src/relay.ts
@@ -19,7 +19,12 @@
     const [targetHost, targetPort] = split(target);
     function accepted(near: Socket): void {
       const from = near.remoteAddress ?? "";
-      const far = connect({ host: targetHost, port: targetPort, localAddress: from, noDelay: true });
+      const far = connect({
+        host: targetHost,
+        port: targetPort,
+        localAddress: from,
+        noDelay: true,
+      });
       const pair: Pair = { from, to: host, near, far };
       self.#pairs.add(pair);
       function ended(): void {
@@ -31,8 +36,12 @@
       far.on("error", ended);
       near.on("close", ended);
       far.on("close", ended);
-      function out(chunk: Buffer): void { if (!self.#isCut(pair.from, pair.to)) far.write(chunk); }
-      function back(chunk: Buffer): void { if (!self.#isCut(pair.from, pair.to)) near.write(chunk); }
+      function out(chunk: Buffer): void {
+        if (!self.#isCut(pair.from, pair.to)) far.write(chunk);
+      }
+      function back(chunk: Buffer): void {
+        if (!self.#isCut(pair.from, pair.to)) near.write(chunk);
+      }
       near.on("data", out);
       far.on("data", back);
     }
@@ -46,7 +55,9 @@
   }
 
   #isCut(from: string, to: string): boolean {
-    return this.#cuts.has(`${from}>${to}`) || this.#cuts.has(`${from}>*`) || this.#cuts.has(`*>${to}`);
+    return (
+      this.#cuts.has(`${from}>${to}`) || this.#cuts.has(`${from}>*`) || this.#cuts.has(`*>${to}`)
+    );
   }
 
   /** Bytes vanish both ways, as when a cable is drawn; no side is told. */
--- a/tools/load/src/load.ts
+++ b/tools/load/src/load.ts
@@ -10,8 +10,18 @@
 }
 
 export const mixes: Record<string, Mix> = {
-  pallet: { stream: { way: "note", perSecond: 100 }, read: { way: "manifest", perSecond: 15 }, fetch: { way: "label", perSecond: 40 }, lot: { way: "slips", perSecond: 2, items: 20 } },
-  font: { stream: { way: "subset", perSecond: 110 }, read: { way: "licence", perSecond: 16 }, fetch: { way: "glyph", perSecond: 43 }, lot: { way: "tags", perSecond: 2, items: 20 } },
+  pallet: {
+    stream: { way: "note", perSecond: 100 },
+    read: { way: "manifest", perSecond: 15 },
+    fetch: { way: "label", perSecond: 40 },
+    lot: { way: "slips", perSecond: 2, items: 20 },
+  },
+  font: {
+    stream: { way: "subset", perSecond: 110 },
+    read: { way: "licence", perSecond: 16 },
+    fetch: { way: "glyph", perSecond: 43 },
+    lot: { way: "tags", perSecond: 2, items: 20 },
+  },
 };
 
 export interface BurdenOptions {
@@ -56,7 +66,12 @@
   readonly told: Told[] = [];
   readonly breaches: string[] = [];
   readonly lots: LotSeen[] = [];
-  #agent = new Agent({ connections: 400, pipelining: 1, headersTimeout: 40_000, bodyTimeout: 40_000 });
+  #agent = new Agent({
+    connections: 400,
+    pipelining: 1,
+    headersTimeout: 40_000,
+    bodyTimeout: 40_000,
+  });
   #latency = new Map<string, Histogram>();
   #counts = new Map<string, number>();
   #lag: Histogram = build();
@@ -71,11 +86,20 @@
     const { mix, seconds, live, lots, seed, flood } = this.options;
     const chance = dice(seed);
     const arrivals: Arrival[] = [];
-    const rates: [Kind, number][] = [["stream", mix.stream.perSecond * live], ["read", mix.read.perSecond * live], ["fetch", mix.fetch.perSecond * live], ["lot", mix.lot.perSecond * lots]];
+    const rates: [Kind, number][] = [
+      ["stream", mix.stream.perSecond * live],
+      ["read", mix.read.perSecond * live],
+      ["fetch", mix.fetch.perSecond * live],
+      ["lot", mix.lot.perSecond * lots],
+    ];
     for (const [kind, perSecond] of rates) {
       let at = 0;
       while (perSecond > 0) {
-        const flooded = flood !== undefined && kind !== "lot" && at >= flood.from * 1_000 && at < (flood.from + flood.seconds) * 1_000;
+        const flooded =
+          flood !== undefined &&
+          kind !== "lot" &&
+          at >= flood.from * 1_000 &&
+          at < (flood.from + flood.seconds) * 1_000;
         at += (-Math.log(1 - chance()) / (perSecond * (flooded ? flood.times : 1))) * 1_000;
         if (at >= seconds * 1_000) break;
         this.#number += 1;
@@ -130,7 +154,15 @@
     if (arrival.kind === "lot") return this.#lot(arrival, prompt);
     let told: string;
     try {
-      told = arrival.kind === "fetch" ? await this.#fetch(to, mix.fetch.way, prompt) : await this.#stream(arrival, to, arrival.kind === "stream" ? mix.stream.way : mix.read.way, prompt);
+      told =
+        arrival.kind === "fetch"
+          ? await this.#fetch(to, mix.fetch.way, prompt)
+          : await this.#stream(
+              arrival,
+              to,
+              arrival.kind === "stream" ? mix.stream.way : mix.read.way,
+              prompt,
+            );
     } catch {
       told = "torn";
     }
@@ -143,13 +175,20 @@
     const got = await request(`http://${to}/ways/${way}/${prompt}`, { dispatcher: this.#agent });
     const text = await got.body.text();
     if (got.statusCode !== 200) return troubleOf(text);
-    if (!text.startsWith(`label for /${prompt}\n`)) this.breaches.push(`${prompt} got ${text.slice(0, 60)}`);
+    if (!text.startsWith(`label for /${prompt}\n`))
+      this.breaches.push(`${prompt} got ${text.slice(0, 60)}`);
     return "done";
   }
 
   async #stream(arrival: Arrival, to: string, way: string, prompt: string): Promise<string> {
-    const body = arrival.kind === "read" ? { prompt: { name: prompt, pieces: 40, pieceMs: 50 } } : { prompt };
-    const got = await request(`http://${to}/ways/${way}`, { dispatcher: this.#agent, method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify(body) });
+    const body =
+      arrival.kind === "read" ? { prompt: { name: prompt, pieces: 40, pieceMs: 50 } } : { prompt };
+    const got = await request(`http://${to}/ways/${way}`, {
+      dispatcher: this.#agent,
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(body),
+    });
     if (got.statusCode !== 200) return troubleOf(await got.body.text());
     let text = "";
     let first = true;
@@ -167,13 +206,19 @@
     const blocks = text.split("\n\n");
     let pieces = 0;
     for (const block of blocks) {
-      if (block.startsWith("event: trouble")) return troubleOf(block.slice(block.indexOf("data: ") + 6));
+      if (block.startsWith("event: trouble"))
+        return troubleOf(block.slice(block.indexOf("data: ") + 6));
       if (block.startsWith("event: close")) {
-        if ((JSON.parse(block.slice(block.indexOf("data: ") + 6)) as { pieces: number }).pieces !== pieces) this.breaches.push(`${prompt} closed with another count than ${pieces}`);
+        if (
+          (JSON.parse(block.slice(block.indexOf("data: ") + 6)) as { pieces: number }).pieces !==
+          pieces
+        )
+          this.breaches.push(`${prompt} closed with another count than ${pieces}`);
         return "done";
       }
       if (block === "") continue;
-      if (!block.startsWith(`id: ${pieces}\n`)) this.breaches.push(`${prompt}: piece ${pieces} is ${block.slice(0, 30)}`);
+      if (!block.startsWith(`id: ${pieces}\n`))
+        this.breaches.push(`${prompt}: piece ${pieces} is ${block.slice(0, 30)}`);
       pieces += 1;
     }
     return "torn";
@@ -183,11 +228,26 @@
     const { access, mix } = this.options;
     const items: unknown[] = [];
     for (let slip = 0; slip < mix.lot.items; slip += 1) items.push({ key, slip });
-    const seen: LotSeen = { key, at: arrival.at, lot: undefined, told: "torn", doneAt: undefined, waits: 0 };
+    const seen: LotSeen = {
+      key,
+      at: arrival.at,
+      lot: undefined,
+      told: "torn",
+      doneAt: undefined,
+      waits: 0,
+    };
     this.lots.push(seen);
     for (let go = 0; go < 10 && seen.told !== "accepted" && seen.told !== "refused"; go += 1) {
       try {
-        const got = await request(`http://${access[(arrival.number + go) % access.length]!}/lots/${mix.lot.way}`, { dispatcher: this.#agent, method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify({ key, items }) });
+        const got = await request(
+          `http://${access[(arrival.number + go) % access.length]!}/lots/${mix.lot.way}`,
+          {
+            dispatcher: this.#agent,
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ key, items }),
+          },
+        );
         const text = await got.body.text();
         if (got.statusCode === 202) {
           seen.told = "accepted";
@@ -206,10 +266,16 @@
       await pause(250);
       try {
         seen.waits += 1;
-        const got = await request(`http://${access[(arrival.number + seen.waits) % access.length]!}/lots/${seen.lot}`, { dispatcher: this.#agent });
+        const got = await request(
+          `http://${access[(arrival.number + seen.waits) % access.length]!}/lots/${seen.lot}`,
+          { dispatcher: this.#agent },
+        );
         const text = await got.body.text();
         if (got.statusCode !== 200) continue;
-        const view = JSON.parse(text) as { state: string; items: { index: number; state: string; result?: { text: string }[] }[] };
+        const view = JSON.parse(text) as {
+          state: string;
+          items: { index: number; state: string; result?: { text: string }[] }[];
+        };
         if (view.state !== "done") continue;
         seen.doneAt = performance.now() - this.#start;
         this.#record("lot done", seen.doneAt - arrival.at);
@@ -223,20 +289,32 @@
 
   #checkLot(key: string, items: readonly { index: number; state: string }[], count: number): void {
     for (let index = 0; index < count; index += 1) {
-      if (items[index]?.index !== index) this.breaches.push(`${key} lists no item ${index} in its place`);
+      if (items[index]?.index !== index)
+        this.breaches.push(`${key} lists no item ${index} in its place`);
       else this.#count(`item ${items[index]!.state}`);
     }
-    if (items.length !== count) this.breaches.push(`${key} lists ${items.length} items of ${count}`);
+    if (items.length !== count)
+      this.breaches.push(`${key} lists ${items.length} items of ${count}`);
   }
 
   report(arrivals: number): Record<string, unknown> {
     const latency: Record<string, unknown> = {};
     for (const [name, histogram] of [...this.#latency].sort()) {
-      latency[name] = { count: histogram.totalCount, median: histogram.getValueAtPercentile(50), p95: histogram.getValueAtPercentile(95), p99: histogram.getValueAtPercentile(99), most: histogram.maxValue };
+      latency[name] = {
+        count: histogram.totalCount,
+        median: histogram.getValueAtPercentile(50),
+        p95: histogram.getValueAtPercentile(95),
+        p99: histogram.getValueAtPercentile(99),
+        most: histogram.maxValue,
+      };
     }
     const lag = this.#lag.getValueAtPercentile(99);
     return {
-      arrivals, seconds: this.options.seconds, counts: Object.fromEntries([...this.#counts].sort()), latency, breaches: this.breaches,
+      arrivals,
+      seconds: this.options.seconds,
+      counts: Object.fromEntries([...this.#counts].sort()),
+      latency,
+      breaches: this.breaches,
       generator: { lagP99: lag, wasTheLimit: lag > 50 },
     };
   }
@@ -255,7 +333,9 @@
 }
 
 function pause(milliseconds: number): Promise<void> {
-  function begin(resolve: () => void): void { setTimeout(resolve, milliseconds); }
+  function begin(resolve: () => void): void {
+    setTimeout(resolve, milliseconds);
+  }
   return new Promise(begin);
 }
 
--- a/tools/runner/src/runner.ts
+++ b/tools/runner/src/runner.ts
@@ -56,15 +56,23 @@
   async start(): Promise<void> {
     const self = this;
     const cut = this.options.address.lastIndexOf(":");
-    function arrived(incoming: IncomingMessage, outgoing: ServerResponse): void { void self.#serve(incoming, outgoing); }
+    function arrived(incoming: IncomingMessage, outgoing: ServerResponse): void {
+      void self.#serve(incoming, outgoing);
+    }
     const server = createServer(arrived);
     this.#server = server;
     function listening(resolve: () => void, reject: (error: Error) => void): void {
       server.once("error", reject);
-      server.listen(Number(self.options.address.slice(cut + 1)), self.options.address.slice(0, cut), resolve);
+      server.listen(
+        Number(self.options.address.slice(cut + 1)),
+        self.options.address.slice(0, cut),
+        resolve,
+      );
     }
     await new Promise<void>(listening);
-    function announce(): void { void self.announce(); }
+    function announce(): void {
+      void self.announce();
+    }
     announce();
     this.#announcing = setInterval(announce, constants.announceEvery);
   }
@@ -77,8 +85,21 @@
       const to = access[this.#accessIndex % access.length]!;
       try {
         const told = await request(`http://${to}/runners`, {
-          method: "POST", headers: { "content-type": "application/json" }, headersTimeout: constants.announcePatience, bodyTimeout: constants.announcePatience,
-          body: JSON.stringify({ id, incarnation: this.incarnation, url: `http://${address}`, kind, models, labels: labels ?? {}, seats, zone, burden: this.burden }),
+          method: "POST",
+          headers: { "content-type": "application/json" },
+          headersTimeout: constants.announcePatience,
+          bodyTimeout: constants.announcePatience,
+          body: JSON.stringify({
+            id,
+            incarnation: this.incarnation,
+            url: `http://${address}`,
+            kind,
+            models,
+            labels: labels ?? {},
+            seats,
+            zone,
+            burden: this.burden,
+          }),
         });
         await told.body.dump();
         if (told.statusCode === 200) return true;
@@ -95,7 +116,12 @@
     clearInterval(this.#announcing);
     for (const to of access) {
       try {
-        const told = await request(`http://${to}/runners/${id}/goodbye`, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify({ incarnation: this.incarnation }), headersTimeout: 8_000 });
+        const told = await request(`http://${to}/runners/${id}/goodbye`, {
+          method: "POST",
+          headers: { "content-type": "application/json" },
+          body: JSON.stringify({ incarnation: this.incarnation }),
+          headersTimeout: 8_000,
+        });
         await told.body.dump();
         if (told.statusCode === 200) {
           this.goodbyeAt = performance.now();
@@ -126,15 +152,26 @@
     const { wrong } = this.behaviour;
     if (this.burden >= this.options.seats || wrong === "refuse") {
       this.refusals += 1;
-      outgoing.writeHead(429, { "chutewick-taken": "no", "retry-after": "1", "content-length": "0" });
+      outgoing.writeHead(429, {
+        "chutewick-taken": "no",
+        "retry-after": "1",
+        "content-length": "0",
+      });
       outgoing.end();
       return;
     }
     const body = text === "" ? {} : (JSON.parse(text) as { prompt?: unknown });
-    const run: Run = { inquiry, prompt: incoming.method === "GET" ? incoming.url : body.prompt, at: performance.now(), ending: "running" };
+    const run: Run = {
+      inquiry,
+      prompt: incoming.method === "GET" ? incoming.url : body.prompt,
+      at: performance.now(),
+      ending: "running",
+    };
     this.runs.push(run);
     this.burden += 1;
-    function left(): void { if (run.ending === "running") run.ending = "left"; }
+    function left(): void {
+      if (run.ending === "running") run.ending = "left";
+    }
     outgoing.once("close", left);
     try {
       if (incoming.method === "GET") await this.#fetch(run, outgoing);
@@ -149,7 +186,10 @@
     await pause(this.behaviour.wholeMs);
     const bytes = Buffer.from(`label for ${String(run.prompt)}\n`.repeat(20));
     if (this.behaviour.wrong === "silent") return;
-    outgoing.writeHead(200, { "content-type": "text/plain", "content-length": String(bytes.length) });
+    outgoing.writeHead(200, {
+      "content-type": "text/plain",
+      "content-length": String(bytes.length),
+    });
     if (this.behaviour.wrong === "half" || this.behaviour.wrong === "tear") {
       outgoing.write(bytes.subarray(0, 10));
       return this.#tear(run, outgoing);
@@ -171,7 +211,11 @@
     }
     const named = wrong === "lie" ? "someone-else" : run.inquiry;
     const text = JSON.stringify({ inquiry: named, result: { read: run.prompt } });
-    outgoing.writeHead(200, { "content-type": "application/json", "chutewick-inquiry": named, "content-length": String(Buffer.byteLength(text)) });
+    outgoing.writeHead(200, {
+      "content-type": "application/json",
+      "chutewick-inquiry": named,
+      "content-length": String(Buffer.byteLength(text)),
+    });
     if (wrong === "half") {
       outgoing.write(text.slice(0, 20));
       return this.#tear(run, outgoing);
@@ -183,7 +227,10 @@
   async #stream(run: Run, outgoing: ServerResponse): Promise<void> {
     const { firstMs, wrong } = this.behaviour;
     /** A prompt may say how long it takes, as long reads do. */
-    const asked = (typeof run.prompt === "object" && run.prompt !== null ? run.prompt : {}) as { pieces?: number; pieceMs?: number };
+    const asked = (typeof run.prompt === "object" && run.prompt !== null ? run.prompt : {}) as {
+      pieces?: number;
+      pieceMs?: number;
+    };
     const pieces = asked.pieces ?? this.behaviour.pieces;
     const pieceMs = asked.pieceMs ?? this.behaviour.pieceMs;
     const named = wrong === "lie" ? "someone-else" : run.inquiry;
@@ -207,7 +254,9 @@
         return this.#tear(run, outgoing);
       }
       const told = wrong === "skip" && number >= 2 ? number + 1 : number;
-      outgoing.write(`id: ${told}\ndata: ${JSON.stringify({ of: run.inquiry, text: `piece ${number}` })}\n\n`);
+      outgoing.write(
+        `id: ${told}\ndata: ${JSON.stringify({ of: run.inquiry, text: `piece ${number}` })}\n\n`,
+      );
       await pause(pieceMs);
     }
     if (run.ending === "left") return;
@@ -222,6 +271,8 @@
 }
 
 function pause(milliseconds: number): Promise<void> {
-  function begin(resolve: () => void): void { setTimeout(resolve, milliseconds); }
+  function begin(resolve: () => void): void {
+    setTimeout(resolve, milliseconds);
+  }
   return new Promise(begin);
 }
--- a/tools/scale/src/bus.ts
+++ b/tools/scale/src/bus.ts
@@ -87,7 +87,9 @@
   #waiting: (() => void)[] = [];
   #agenda: { readonly at: number; readonly act: () => void }[] = [];
 
-  get wall(): number { return 1_800_000_000_000 + this.now; }
+  get wall(): number {
+    return 1_800_000_000_000 + this.now;
+  }
 
   size(message: unknown): number {
     return this.#packer.pack(message).length + frameHead;
--- a/tools/scale/src/folders.ts
+++ b/tools/scale/src/folders.ts
@@ -1,7 +1,15 @@
 import { mkdtempSync, readFileSync, rmSync, statfsSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { Chain, QueueMachine, type ChainCommand, type ChainView, type Member, type QueueCommand, type QueueResult } from "@chutewick/parts";
+import {
+  Chain,
+  QueueMachine,
+  type ChainCommand,
+  type ChainView,
+  type Member,
+  type QueueCommand,
+  type QueueResult,
+} from "@chutewick/parts";
 import { Disk } from "@chutewick/shell";
 import { Packr } from "msgpackr";
 import { heldBy } from "./heap.js";
@@ -34,12 +42,25 @@
 
   async open(folder: string): Promise<void> {
     const members: Member[] = [];
-    for (let number = 1; number <= 3; number += 1) members.push({ identity: `copy-${number}`, address: `copy-${number}` });
+    for (let number = 1; number <= 3; number += 1)
+      members.push({ identity: `copy-${number}`, address: `copy-${number}` });
     const view: ChainView = { mark: 1, members };
     for (const member of members) {
-      const disk = await Disk.open(join(folder, member.identity), "storage", member.identity, failed);
+      const disk = await Disk.open(
+        join(folder, member.identity),
+        "storage",
+        member.identity,
+        failed,
+      );
       if (!disk.ok) throw new Error(disk.reason);
-      this.copies.push({ chain: new Chain("scale", member, new QueueMachine(), performance.now()), disk: disk.value, member, sent: 0, sentBytes: 0, busy: 0 });
+      this.copies.push({
+        chain: new Chain("scale", member, new QueueMachine(), performance.now()),
+        disk: disk.value,
+        member,
+        sent: 0,
+        sentBytes: 0,
+        busy: 0,
+      });
     }
     for (const copy of this.copies) this.#perform(copy, copy.chain.adopt(view, performance.now()));
     for (const copy of this.copies) while (copy.disk.syncs === 0) await turn();
@@ -69,7 +90,9 @@
     for (const command of commands) {
       if (command.kind === "write") {
         const { ticket } = command;
-        function written(): void { self.#timed(copy, copy.chain.written.bind(copy.chain, ticket, performance.now())); }
+        function written(): void {
+          self.#timed(copy, copy.chain.written.bind(copy.chain, ticket, performance.now()));
+        }
         this.entries += copy === this.copies[0] ? command.write.entries.length : 0;
         copy.disk.writeChain("scale", command.write, written);
       } else if (command.kind === "send") {
@@ -81,7 +104,10 @@
           const start = performance.now();
           const message = self.#packer.unpack(bytes) as Parameters<Chain["receive"]>[0];
           to.busy += performance.now() - start;
-          self.#timed(to, to.chain.receive.bind(to.chain, message, copy.member.address, performance.now()));
+          self.#timed(
+            to,
+            to.chain.receive.bind(to.chain, message, copy.member.address, performance.now()),
+          );
         }
         setImmediate(deliver);
       } else if (command.kind === "result" && command.result.kind === "confirmed") {
@@ -102,7 +128,9 @@
 }
 
 function turn(): Promise<void> {
-  function begin(resolve: () => void): void { setImmediate(resolve); }
+  function begin(resolve: () => void): void {
+    setImmediate(resolve);
+  }
   return new Promise<void>(begin);
 }
 
@@ -142,11 +170,25 @@
       lots += 1;
       const prompts: string[] = [];
       for (let place = 0; place < lot; place += 1) prompts.push(bodyOf(body, place));
-      await copies.inquire({ kind: "admit", lot: `scale~${lots}`, way: "lot", body: `body-${lots}`, prompts, labels: {}, lasts: 600_000, allowance: 1_000_000 });
+      await copies.inquire({
+        kind: "admit",
+        lot: `scale~${lots}`,
+        way: "lot",
+        body: `body-${lots}`,
+        prompts,
+        labels: {},
+        lasts: 600_000,
+        allowance: 1_000_000,
+      });
       filling = undefined;
     }
     await fill();
-    const before = { entries: copies.entries, processor: process.cpuUsage(), written: writtenToDisk(), syncs: copies.copies[0]!.disk.syncs };
+    const before = {
+      entries: copies.entries,
+      processor: process.cpuUsage(),
+      written: writtenToDisk(),
+      syncs: copies.copies[0]!.disk.syncs,
+    };
     const start = performance.now();
     const until = start + seconds * 1_000;
     const [owner, replica] = [{ ...copies.copies[0]! }, { ...copies.copies[1]! }];
@@ -158,7 +200,16 @@
           await filling;
           continue;
         }
-        await copies.inquire({ kind: "record", lot: taken.lot, index: taken.index, go: taken.go, ending: { kind: "solved", result: "a result of an item, some twelve words of it, as a runner tells it" } });
+        await copies.inquire({
+          kind: "record",
+          lot: taken.lot,
+          index: taken.index,
+          go: taken.go,
+          ending: {
+            kind: "solved",
+            result: "a result of an item, some twelve words of it, as a runner tells it",
+          },
+        });
         items += 1;
       }
     }
@@ -167,13 +218,25 @@
     await Promise.all(workers);
     const took = (performance.now() - start) / 1_000;
     const used = process.cpuUsage(before.processor);
-    function since(copy: Copy, from: { busy: number; sent: number; sentBytes: number }): Entered["owner"] {
-      return { busy: copy.busy - from.busy, sent: copy.sent - from.sent, sentBytes: copy.sentBytes - from.sentBytes };
+    function since(
+      copy: Copy,
+      from: { busy: number; sent: number; sentBytes: number },
+    ): Entered["owner"] {
+      return {
+        busy: copy.busy - from.busy,
+        sent: copy.sent - from.sent,
+        sentBytes: copy.sentBytes - from.sentBytes,
+      };
     }
     return {
-      items, entries: copies.entries - before.entries, seconds: took, processor: (used.user + used.system) / 1_000,
-      owner: since(copies.copies[0]!, owner), replica: since(copies.copies[1]!, replica),
-      diskBytes: writtenToDisk() - before.written, syncs: copies.copies[0]!.disk.syncs - before.syncs,
+      items,
+      entries: copies.entries - before.entries,
+      seconds: took,
+      processor: (used.user + used.system) / 1_000,
+      owner: since(copies.copies[0]!, owner),
+      replica: since(copies.copies[1]!, replica),
+      diskBytes: writtenToDisk() - before.written,
+      syncs: copies.copies[0]!.disk.syncs - before.syncs,
     };
   } finally {
     await copies.close();
@@ -182,7 +245,12 @@
 }
 
 /** Entries a second by those under way at once, then bytes and processor time by the size of a body. */
-export async function measureFolders(rows: Rows, widths: readonly number[], bodies: readonly number[], seconds: number): Promise<void> {
+export async function measureFolders(
+  rows: Rows,
+  widths: readonly number[],
+  bodies: readonly number[],
+  seconds: number,
+): Promise<void> {
   const rate: Point[] = [];
   const syncs: Point[] = [];
   const perEntry: Point[] = [];
@@ -192,9 +260,27 @@
     syncs.push({ at: [width], value: (told.seconds * 1_000) / told.syncs });
     perEntry.push({ at: [width], value: told.processor / told.entries / 3 });
   }
-  rows.add("storage owner", "entries a second of one queue, three folders on one disk", "entries/s", ["under way at once"], rate);
-  rows.add("storage owner", "one synced batch of the owner's folder", "ms", ["under way at once"], syncs);
-  rows.add("storage owner", "one entry at one copy, processor with the disk's threads", "ms", ["under way at once"], perEntry);
+  rows.add(
+    "storage owner",
+    "entries a second of one queue, three folders on one disk",
+    "entries/s",
+    ["under way at once"],
+    rate,
+  );
+  rows.add(
+    "storage owner",
+    "one synced batch of the owner's folder",
+    "ms",
+    ["under way at once"],
+    syncs,
+  );
+  rows.add(
+    "storage owner",
+    "one entry at one copy, processor with the disk's threads",
+    "ms",
+    ["under way at once"],
+    perEntry,
+  );
   const bytes: Point[] = [];
   const passed: Point[] = [];
   const written: Point[] = [];
@@ -208,16 +294,50 @@
     replicaBusy.push({ at: [body], value: told.replica.busy / told.items });
     messages.push({ at: [body], value: told.replica.sent / told.items });
   }
-  rows.add("storage owner", "bytes to the next copy for one item", "bytes", ["bytes of a body"], bytes);
-  rows.add("storage owner", "one item, processor of the chain without the disk's threads", "ms", ["bytes of a body"], ownerBusy);
+  rows.add(
+    "storage owner",
+    "bytes to the next copy for one item",
+    "bytes",
+    ["bytes of a body"],
+    bytes,
+  );
+  rows.add(
+    "storage owner",
+    "one item, processor of the chain without the disk's threads",
+    "ms",
+    ["bytes of a body"],
+    ownerBusy,
+  );
   rows.add("storage replica", "bytes passed on for one item", "bytes", ["bytes of a body"], passed);
-  rows.add("storage replica", "bytes written to the disk for one item", "bytes", ["bytes of a body"], written);
-  rows.add("storage replica", "one item, processor of the chain without the disk's threads", "ms", ["bytes of a body"], replicaBusy);
-  rows.add("storage replica", "messages out for one item", "messages", ["bytes of a body"], messages);
+  rows.add(
+    "storage replica",
+    "bytes written to the disk for one item",
+    "bytes",
+    ["bytes of a body"],
+    written,
+  );
+  rows.add(
+    "storage replica",
+    "one item, processor of the chain without the disk's threads",
+    "ms",
+    ["bytes of a body"],
+    replicaBusy,
+  );
+  rows.add(
+    "storage replica",
+    "messages out for one item",
+    "messages",
+    ["bytes of a body"],
+    messages,
+  );
 }
 
 /** A lot in one entry: how long the owner's loop stands still, and how large the entry is on the wire. */
-export async function measureLots(rows: Rows, lots: readonly number[], body: number): Promise<void> {
+export async function measureLots(
+  rows: Rows,
+  lots: readonly number[],
+  body: number,
+): Promise<void> {
   const stands: Point[] = [];
   const sizes: Point[] = [];
   const told: Point[] = [];
@@ -231,7 +351,16 @@
       const [owner] = copies.copies;
       const before = { busy: owner!.busy, bytes: owner!.sentBytes };
       const start = performance.now();
-      await copies.inquire({ kind: "admit", lot: "scale~1", way: "lot", body: "body", prompts, labels: {}, lasts: 600_000, allowance: 1_000_000 });
+      await copies.inquire({
+        kind: "admit",
+        lot: "scale~1",
+        way: "lot",
+        body: "body",
+        prompts,
+        labels: {},
+        lasts: 600_000,
+        allowance: 1_000_000,
+      });
       told.push({ at: [items], value: performance.now() - start });
       stands.push({ at: [items], value: owner!.busy - before.busy });
       sizes.push({ at: [items], value: owner!.sentBytes - before.bytes });
@@ -240,9 +369,27 @@
       rmSync(folder, { recursive: true, force: true });
     }
   }
-  rows.add("storage owner", `a lot in one entry, ${body} bytes a body: the loop stands still`, "ms", ["items of the lot"], stands);
-  rows.add("storage owner", `a lot in one entry, ${body} bytes a body: on the wire`, "bytes", ["items of the lot"], sizes);
-  rows.add("storage owner", `a lot in one entry, ${body} bytes a body: until told`, "ms", ["items of the lot"], told);
+  rows.add(
+    "storage owner",
+    `a lot in one entry, ${body} bytes a body: the loop stands still`,
+    "ms",
+    ["items of the lot"],
+    stands,
+  );
+  rows.add(
+    "storage owner",
+    `a lot in one entry, ${body} bytes a body: on the wire`,
+    "bytes",
+    ["items of the lot"],
+    sizes,
+  );
+  rows.add(
+    "storage owner",
+    `a lot in one entry, ${body} bytes a body: until told`,
+    "ms",
+    ["items of the lot"],
+    told,
+  );
 }
 
 /** The queue's machine alone: memory of what waits, and one step by how much waits. */
@@ -267,7 +414,9 @@
     steps.push({ at: [items], value: (spent() - start) / count });
   }
   for (const size of [100, body / 2, body]) {
-    function build(): Chain { return filled(Math.min(...waiting), size); }
+    function build(): Chain {
+      return filled(Math.min(...waiting), size);
+    }
     bodies.push({ at: [size], value: heldBy(build) / Math.min(...waiting) });
   }
   for (const role of ["storage owner", "storage replica"] as const) {
@@ -279,13 +428,31 @@
 
 function filled(items: number, body: number): Chain {
   const chain = new Chain("scale", { identity: "one", address: "one" }, new QueueMachine(), 0);
-  chain.machine.apply(chain.ledger, { kind: "limit", limits, share: 10_000_000, mark: 1 } satisfies QueueCommand, 0);
+  chain.machine.apply(
+    chain.ledger,
+    { kind: "limit", limits, share: 10_000_000, mark: 1 } satisfies QueueCommand,
+    0,
+  );
   const lot = 1_000;
   for (let number = 0; number * lot < items; number += 1) {
     const prompts: string[] = [];
     /** Each body is a text of its own, as it is when it came over the wire. */
-    for (let place = number * lot; place < Math.min(items, (number + 1) * lot); place += 1) prompts.push(Buffer.from(bodyOf(body, place)).toString("latin1"));
-    chain.machine.apply(chain.ledger, { kind: "admit", lot: `scale~${number}`, way: "lot", body: "body", prompts, labels: {}, lasts: 600_000, allowance: 10_000_000 } satisfies QueueCommand, 0);
+    for (let place = number * lot; place < Math.min(items, (number + 1) * lot); place += 1)
+      prompts.push(Buffer.from(bodyOf(body, place)).toString("latin1"));
+    chain.machine.apply(
+      chain.ledger,
+      {
+        kind: "admit",
+        lot: `scale~${number}`,
+        way: "lot",
+        body: "body",
+        prompts,
+        labels: {},
+        lasts: 600_000,
+        allowance: 10_000_000,
+      } satisfies QueueCommand,
+      0,
+    );
   }
   chain.ledger.takeChanges();
   return chain;
--- a/tools/scale/src/passing.ts
+++ b/tools/scale/src/passing.ts
@@ -1,5 +1,13 @@
 import { spawn } from "node:child_process";
-import { Agent, createServer, request, type ClientRequest, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  Agent,
+  createServer,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { fileURLToPath } from "node:url";
 import type { RunnerCard } from "@chutewick/parts";
 import { pause, useOf } from "./uses.js";
@@ -26,7 +34,19 @@
 
   constructor(number: number, net: number) {
     this.address = `127.${net}.6.${number}:7300`;
-    this.card = { id: `passing-${number}-7f3a91c2`, incarnation: 1_800_000_000_000, url: this.address, kind: "model", models: ["reader"], labels: {}, pool: "readers", seats: 2_000, zone: "a", burden: 0, age: 0 };
+    this.card = {
+      id: `passing-${number}-7f3a91c2`,
+      incarnation: 1_800_000_000_000,
+      url: this.address,
+      kind: "model",
+      models: ["reader"],
+      labels: {},
+      pool: "readers",
+      seats: 2_000,
+      zone: "a",
+      burden: 0,
+      age: 0,
+    };
   }
 
   async open(): Promise<void> {
@@ -35,7 +55,11 @@
       incoming.resume();
       const began = performance.now();
       let number = 0;
-      outgoing.writeHead(200, { "content-type": "text/event-stream", "chutewick-inquiry": String(incoming.headers["chutewick-inquiry"] ?? ""), "chutewick-stamp": "scale" });
+      outgoing.writeHead(200, {
+        "content-type": "text/event-stream",
+        "chutewick-inquiry": String(incoming.headers["chutewick-inquiry"] ?? ""),
+        "chutewick-stamp": "scale",
+      });
       function piece(): void {
         if (outgoing.destroyed) return;
         if (performance.now() - began >= self.lasts) return void outgoing.end();
@@ -90,7 +114,20 @@
   #one(): void {
     const self = this;
     this.#number += 1;
-    const outgoing = request({ ...this.#to, agent: this.#agent, method: "POST", path: "/note/1", headers: { host: "scale.example", "chutewick-inquiry": `scale-${this.#number}`, "content-length": "2" } }, answered);
+    const outgoing = request(
+      {
+        ...this.#to,
+        agent: this.#agent,
+        method: "POST",
+        path: "/note/1",
+        headers: {
+          host: "scale.example",
+          "chutewick-inquiry": `scale-${this.#number}`,
+          "content-length": "2",
+        },
+      },
+      answered,
+    );
     this.#under.add(outgoing);
     let ended = false;
     function over(whole: boolean): void {
@@ -103,17 +140,25 @@
         self.#stands -= 1;
         return;
       }
-      function again(): void { self.#one(); }
+      function again(): void {
+        self.#one();
+      }
       setTimeout(again, whole ? 0 : 200);
     }
     function answered(incoming: IncomingMessage): void {
-      function came(chunk: Buffer): void { self.bytes += chunk.length; }
-      function end(): void { over(incoming.statusCode === 200 && incoming.complete); }
+      function came(chunk: Buffer): void {
+        self.bytes += chunk.length;
+      }
+      function end(): void {
+        over(incoming.statusCode === 200 && incoming.complete);
+      }
       incoming.on("data", came);
       incoming.once("end", end);
       incoming.once("error", broke);
     }
-    function broke(): void { over(false); }
+    function broke(): void {
+      over(false);
+    }
     outgoing.once("error", broke);
     outgoing.end("{}");
   }
@@ -125,17 +170,35 @@
   }
 }
 
-export async function measurePassing(rows: Rows, sizes: PassingSizes, net: number, seeds: readonly string[], runners: readonly PassingRunner[]): Promise<void> {
+export async function measurePassing(
+  rows: Rows,
+  sizes: PassingSizes,
+  net: number,
+  seeds: readonly string[],
+  runners: readonly PassingRunner[],
+): Promise<void> {
   const front = `127.${net}.7.1:7400`;
-  const held = { name: "passing-1", zone: "a", wire: `127.${net}.7.1:7100`, http: `127.${net}.7.1:7200`, seeds, logLevel: "fatal" };
-  const child = spawn(process.execPath, [fileURLToPath(new URL("./passing-node.js", import.meta.url)), JSON.stringify(held), front], { stdio: ["ignore", "ignore", "inherit"] });
+  const held = {
+    name: "passing-1",
+    zone: "a",
+    wire: `127.${net}.7.1:7100`,
+    http: `127.${net}.7.1:7200`,
+    seeds,
+    logLevel: "fatal",
+  };
+  const child = spawn(
+    process.execPath,
+    [fileURLToPath(new URL("./passing-node.js", import.meta.url)), JSON.stringify(held), front],
+    { stdio: ["ignore", "ignore", "inherit"] },
+  );
   const callers = new Callers(front);
   try {
     await pause(3_000);
     callers.want(2);
     const until = performance.now() + 15_000;
     while (callers.whole < 2) {
-      if (performance.now() > until) throw new Error(`no stream came through a passage: ${callers.other} others`);
+      if (performance.now() > until)
+        throw new Error(`no stream came through a passage: ${callers.other} others`);
       await pause(100);
     }
     const [busy, memory]: [Point[], Point[]] = [[], []];
@@ -144,17 +207,32 @@
         for (const runner of runners) runner.every = every;
         callers.want(count);
         await pause(4_000);
-        const from = { ...useOf(child.pid!), whole: callers.whole, pieces: piecesOf(runners), at: performance.now() };
+        const from = {
+          ...useOf(child.pid!),
+          whole: callers.whole,
+          pieces: piecesOf(runners),
+          at: performance.now(),
+        };
         await pause(sizes.seconds * 1_000);
         const seconds = (performance.now() - from.at) / 1_000;
         const use = useOf(child.pid!);
-        busy.push({ at: [(callers.whole - from.whole) / seconds, (piecesOf(runners) - from.pieces) / seconds], value: (use.processor - from.processor) / seconds });
+        busy.push({
+          at: [(callers.whole - from.whole) / seconds, (piecesOf(runners) - from.pieces) / seconds],
+          value: (use.processor - from.processor) / seconds,
+        });
         memory.push({ at: [count], value: use.memory });
       }
     }
-    rows.add("access node", "passages: streams, processor a second", "ms/s", ["streams a second", "pieces a second"], busy);
+    rows.add(
+      "access node",
+      "passages: streams, processor a second",
+      "ms/s",
+      ["streams a second", "pieces a second"],
+      busy,
+    );
     rows.add("access node", "passages: streams, memory", "bytes", ["streams open at once"], memory);
-    if (callers.other > callers.whole / 100) throw new Error(`${callers.other} of ${callers.whole} streams were not whole`);
+    if (callers.other > callers.whole / 100)
+      throw new Error(`${callers.other} of ${callers.whole} streams were not whole`);
   } finally {
     callers.close();
     child.kill("SIGKILL");
--- a/tools/scale/src/plane.ts
+++ b/tools/scale/src/plane.ts
@@ -5,7 +5,14 @@
 import { heldBy } from "./heap.js";
 import type { Rows } from "./rows.js";
 import type { Point } from "./slope.js";
-import { AccessStation, ControlStation, HollowNode, StorageStation, configurationOf, hollowCard } from "./stations.js";
+import {
+  AccessStation,
+  ControlStation,
+  HollowNode,
+  StorageStation,
+  configurationOf,
+  hollowCard,
+} from "./stations.js";
 import { spent } from "./uses.js";
 
 /** The control plane with hollow nodes and runners: sessions, rolls, feed, plans (docs/CAPACITY.md). */
@@ -32,24 +39,32 @@
   const bus = new Bus();
   const controls: ControlStation[] = [];
   for (const seed of seeds) controls.push(new ControlStation(bus, seed, seeds));
-  for (let number = 1; number <= 3; number += 1) new StorageStation(bus, `10.8.0.${number}:7100`, seeds, `zone-${number}`);
+  for (let number = 1; number <= 3; number += 1)
+    new StorageStation(bus, `10.8.0.${number}:7100`, seeds, `zone-${number}`);
   const access = new AccessStation(bus, "10.7.0.1:7100", seeds, "zone-1");
   bus.run(2_000);
-  change(bus, controls, { kind: "put", expected: 0, value: configurationOf(size.models ?? 3, size.ways ?? 20) });
+  change(bus, controls, {
+    kind: "put",
+    expected: 0,
+    value: configurationOf(size.models ?? 3, size.ways ?? 20),
+  });
   bus.run(6_500);
   const runners: string[] = [];
-  for (let number = 0; number < size.runners; number += 1) runners.push(`runner-${number}-7f3a91c2`);
+  for (let number = 0; number < size.runners; number += 1)
+    runners.push(`runner-${number}-7f3a91c2`);
   for (let number = 0; number < size.nodes; number += 1) {
     const own: string[] = [];
     for (let place = number; place < runners.length; place += size.nodes) own.push(runners[place]!);
     const told: string[] = [];
-    for (let place = 0; place < (size.told ?? 0); place += 1) told.push(runners[(number * 31 + place) % runners.length]!);
+    for (let place = 0; place < (size.told ?? 0); place += 1)
+      told.push(runners[(number * 31 + place) % runners.length]!);
     new HollowNode(bus, number + 1, seeds, own, told);
   }
   bus.run(9_000);
   const head = controls.find(isHead);
   const member = controls.find(isMember);
-  if (head === undefined || member === undefined) throw new Error("the control group has no head after 9 s");
+  if (head === undefined || member === undefined)
+    throw new Error("the control group has no head after 9 s");
   return { bus, controls, access, head, member };
 }
 
@@ -61,13 +76,20 @@
   return !station.core.isHead;
 }
 
-function change(bus: Bus, controls: readonly ControlStation[], command: ControlCommand): ControlOutcome {
+function change(
+  bus: Bus,
+  controls: readonly ControlStation[],
+  command: ControlCommand,
+): ControlOutcome {
   let found: ControlOutcome | undefined;
-  function told(outcome: ControlOutcome): void { found = outcome; }
+  function told(outcome: ControlOutcome): void {
+    found = outcome;
+  }
   controls[0]!.inquire(command, told);
   const until = bus.now + 6_000;
   while (found === undefined && bus.now < until) bus.run(bus.now + constants.beatEvery);
-  if (found?.kind !== "confirmed") throw new Error(`the change was not confirmed: ${JSON.stringify(found)}`);
+  if (found?.kind !== "confirmed")
+    throw new Error(`the change was not confirmed: ${JSON.stringify(found)}`);
   return found;
 }
 
@@ -89,19 +111,46 @@
     bus.clear();
     const from = bus.now;
     bus.run(from + seconds * 1_000);
-    for (const [name, station] of [["control head", head], ["control member", member]] as const) {
+    for (const [name, station] of [
+      ["control head", head],
+      ["control member", member],
+    ] as const) {
       const { meter } = station;
-      keep(`${name}|one session heard and told back, processor|ms`, size, meanOf(meter.kinds.get("session")));
+      keep(
+        `${name}|one session heard and told back, processor|ms`,
+        size,
+        meanOf(meter.kinds.get("session")),
+      );
       keep(`${name}|one session in|bytes`, size, bytesOf(meter.kinds.get("session")));
       keep(`${name}|one lease out|bytes`, size, bytesOf(bus.sizes.get("lease")));
-      keep(`${name}|one roll to another control machine|bytes`, size, bytesOf(bus.sizes.get("roll")));
+      keep(
+        `${name}|one roll to another control machine|bytes`,
+        size,
+        bytesOf(bus.sizes.get("roll")),
+      );
       keep(`${name}|one roll heard, processor|ms`, size, meanOf(meter.kinds.get("roll")));
       keep(`${name}|one beat, processor|ms`, size, meanOf(meter.kinds.get("beat")));
     }
-    keep("access node|one lease heard, processor|ms", size, meanOf(access.meter.kinds.get("lease")));
-    keep("access node|one beat, session told included, processor|ms", size, meanOf(access.meter.kinds.get("beat")));
-    keep("access node|messages of control in a second|messages/s", size, access.meter.heard / seconds);
-    keep("access node|messages to control out a second|messages/s", size, access.meter.sent / seconds);
+    keep(
+      "access node|one lease heard, processor|ms",
+      size,
+      meanOf(access.meter.kinds.get("lease")),
+    );
+    keep(
+      "access node|one beat, session told included, processor|ms",
+      size,
+      meanOf(access.meter.kinds.get("beat")),
+    );
+    keep(
+      "access node|messages of control in a second|messages/s",
+      size,
+      access.meter.heard / seconds,
+    );
+    keep(
+      "access node|messages to control out a second|messages/s",
+      size,
+      access.meter.sent / seconds,
+    );
   }
   for (const [name, points] of found) {
     const [role, what, unit] = name.split("|");
@@ -110,7 +159,11 @@
 }
 
 /** One choice of a runner and the start of a stream, by the runners known and what is under way. */
-export function measureChoices(rows: Rows, runners: readonly number[], underWay: readonly number[]): void {
+export function measureChoices(
+  rows: Rows,
+  runners: readonly number[],
+  underWay: readonly number[],
+): void {
   const points: Point[] = [];
   for (const count of runners) {
     const { bus, access } = planeOf({ nodes: 8, runners: count });
@@ -124,16 +177,34 @@
       points.push({ at: [count, count * wanted], value: (spent() - start) / (started - before) });
     }
   }
-  rows.add("access node", "own ways: choice of a runner and start of a stream, processor", "ms", ["runners", "runners x under way"], points);
+  rows.add(
+    "access node",
+    "own ways: choice of a runner and start of a stream, processor",
+    "ms",
+    ["runners", "runners x under way"],
+    points,
+  );
 }
 
 function arrive(access: AccessStation, bus: Bus, number: number): number {
-  access.perform(access.core.arrive(`scale/${number}`, "way-3", { prompt: "a short prompt" }, undefined, bus.now));
+  access.perform(
+    access.core.arrive(
+      `scale/${number}`,
+      "way-3",
+      { prompt: "a short prompt" },
+      undefined,
+      bus.now,
+    ),
+  );
   return 1;
 }
 
 /** The same on passages; what is known of runners and of other nodes' work is read anew a few times a second. */
-export function measurePassages(rows: Rows, runners: readonly number[], sizes: readonly PlaneSize[]): void {
+export function measurePassages(
+  rows: Rows,
+  runners: readonly number[],
+  sizes: readonly PlaneSize[],
+): void {
   const [choices, looks]: [Point[], Point[]] = [[], []];
   for (const count of runners) {
     const { bus, access } = planeOf({ nodes: 8, runners: count });
@@ -162,12 +233,37 @@
     for (const span of spans) sum += span;
     looks.push({ at: [nodes, count], value: sum / spans.length });
   }
-  rows.add("access node", "passages: choice of a runner and start, processor", "ms", ["runners of the pool"], choices);
-  rows.add("access node", "passages: one look at what all nodes have under way, processor", "ms", ["nodes", "runners"], looks);
+  rows.add(
+    "access node",
+    "passages: choice of a runner and start, processor",
+    "ms",
+    ["runners of the pool"],
+    choices,
+  );
+  rows.add(
+    "access node",
+    "passages: one look at what all nodes have under way, processor",
+    "ms",
+    ["nodes", "runners"],
+    looks,
+  );
 }
 
 function inquiryOf(number: number): PassInquiry {
-  return { id: `inquiry-${number}`, method: "POST", host: "scale.example", path: "/note/1", headers: [], body: new Uint8Array(200), patience: undefined, model: "model-1", tokensIn: 700, tokensOut: 300, parts: [], resumeAfter: undefined };
+  return {
+    id: `inquiry-${number}`,
+    method: "POST",
+    host: "scale.example",
+    path: "/note/1",
+    headers: [],
+    body: new Uint8Array(200),
+    patience: undefined,
+    model: "model-1",
+    tokensIn: 700,
+    tokensOut: 300,
+    parts: [],
+    resumeAfter: undefined,
+  };
 }
 
 /** Runners that announce at one access node: the core's part of each, and what the node's session then carries. */
@@ -176,7 +272,14 @@
   for (const count of runners) {
     const { bus, access } = planeOf({ nodes: 4, runners: 4 });
     function announce(): void {
-      for (let number = 0; number < count; number += 1) access.perform(access.core.announce(`announce/${number}`, hollowCard(`runner-${number}-7f3a91c2`, number), bus.now));
+      for (let number = 0; number < count; number += 1)
+        access.perform(
+          access.core.announce(
+            `announce/${number}`,
+            hollowCard(`runner-${number}-7f3a91c2`, number),
+            bus.now,
+          ),
+        );
     }
     for (let turn = 0; turn < 20; turn += 1) announce();
     const start = spent();
@@ -186,8 +289,20 @@
     bus.run(bus.now + 1_000);
     session.push({ at: [count], value: access.meter.sentBytes / access.meter.sent });
   }
-  rows.add("runner link", "one announcement, processor of the core alone", "ms", ["runners announced here"], busy);
-  rows.add("runner link", "one session of the access node that heard the announcements", "bytes", ["runners announced here"], session);
+  rows.add(
+    "runner link",
+    "one announcement, processor of the core alone",
+    "ms",
+    ["runners announced here"],
+    busy,
+  );
+  rows.add(
+    "runner link",
+    "one session of the access node that heard the announcements",
+    "bytes",
+    ["runners announced here"],
+    session,
+  );
 }
 
 /** Nothing is measured of what the engine has not compiled yet. */
@@ -223,9 +338,27 @@
       heard.push({ at: [count, told], value: meanOf(member.meter.kinds.get("session")) });
     }
   }
-  rows.add("access node", "one session out, by runners it has work at", "bytes", ["runners announced here", "runners told of"], session);
-  rows.add("control member", "one lease out, by runners at which any node has work", "bytes", ["runners", "runners told of by any node"], lease);
-  rows.add("control member", `one session heard and told back, by runners it tells of, ${nodes} nodes, processor`, "ms", ["runners", "runners told of"], heard);
+  rows.add(
+    "access node",
+    "one session out, by runners it has work at",
+    "bytes",
+    ["runners announced here", "runners told of"],
+    session,
+  );
+  rows.add(
+    "control member",
+    "one lease out, by runners at which any node has work",
+    "bytes",
+    ["runners", "runners told of by any node"],
+    lease,
+  );
+  rows.add(
+    "control member",
+    `one session heard and told back, by runners it tells of, ${nodes} nodes, processor`,
+    "ms",
+    ["runners", "runners told of"],
+    heard,
+  );
 }
 
 /** A change of configuration: what goes to each node, and what it costs the head, by the size of the whole configuration. */
@@ -242,7 +375,11 @@
     let bytes = 0;
     for (let number = 0; number < changes; number += 1) {
       const from = plane.bus.now;
-      change(plane.bus, plane.controls, { kind: "patch", expected: undefined, change: { ways: { "way-1": { labels: { tenant: `tenant-${number}` } } } } });
+      change(plane.bus, plane.controls, {
+        kind: "patch",
+        expected: undefined,
+        change: { ways: { "way-1": { labels: { tenant: `tenant-${number}` } } } },
+      });
       waited += plane.bus.now - from;
     }
     const told = plane.bus.sizes.get("feed");
@@ -254,10 +391,34 @@
     node.push({ at: [count], value: meanOf(plane.access.meter.kinds.get("feed")) });
     takes.push({ at: [count], value: waited / changes });
   }
-  rows.add("access node", "bytes in for one change of one way", "bytes", ["ways in the configuration"], feed);
-  rows.add("access node", "one change of one way, processor", "ms", ["ways in the configuration"], node);
-  rows.add("control head", "one change of one way, processor", "ms", ["ways in the configuration"], head);
-  rows.add("control head", "one change until told as in force, hops without delay", "ms", ["ways in the configuration"], takes);
+  rows.add(
+    "access node",
+    "bytes in for one change of one way",
+    "bytes",
+    ["ways in the configuration"],
+    feed,
+  );
+  rows.add(
+    "access node",
+    "one change of one way, processor",
+    "ms",
+    ["ways in the configuration"],
+    node,
+  );
+  rows.add(
+    "control head",
+    "one change of one way, processor",
+    "ms",
+    ["ways in the configuration"],
+    head,
+  );
+  rows.add(
+    "control head",
+    "one change until told as in force, hops without delay",
+    "ms",
+    ["ways in the configuration"],
+    takes,
+  );
 }
 
 /** Plans by the head: placement, pace and shares of all queues, five times a second. */
@@ -269,7 +430,13 @@
     bus.run(bus.now + 2_000);
     points.push({ at: [count], value: meanOf(head.meter.kinds.get("beat")) });
   }
-  rows.add("control head", `one beat by queues, ${runners} runners, processor`, "ms", ["queues"], points);
+  rows.add(
+    "control head",
+    `one beat by queues, ${runners} runners, processor`,
+    "ms",
+    ["queues"],
+    points,
+  );
 }
 
 /** Asks and promises while control is away: every node asks every other (docs/design.md §7.4). */
@@ -285,16 +452,29 @@
     const seconds = 1.5;
     bus.run(bus.now + seconds * 1_000);
     messages.push({ at: [count], value: (access.meter.sent + access.meter.heard) / seconds });
-    bytes.push({ at: [count], value: (access.meter.sentBytes + access.meter.heardBytes) / seconds });
+    bytes.push({
+      at: [count],
+      value: (access.meter.sentBytes + access.meter.heardBytes) / seconds,
+    });
     busy.push({ at: [count], value: access.meter.busy / seconds });
   }
-  rows.add("access node", "control away: messages both ways a second", "messages/s", ["nodes"], messages);
+  rows.add(
+    "access node",
+    "control away: messages both ways a second",
+    "messages/s",
+    ["nodes"],
+    messages,
+  );
   rows.add("access node", "control away: bytes both ways a second", "bytes/s", ["nodes"], bytes);
   rows.add("access node", "control away: processor a second", "ms/s", ["nodes"], busy);
 }
 
 /** Memory of sessions and runners at a control machine, and the look for a majority that took a change. */
-export function measureState(rows: Rows, sizes: readonly PlaneSize[], looked: readonly number[]): void {
+export function measureState(
+  rows: Rows,
+  sizes: readonly PlaneSize[],
+  looked: readonly number[],
+): void {
   const held: Point[] = [];
   for (const { nodes, runners } of sizes) {
     function build(): Sessions {
@@ -314,15 +494,32 @@
     for (const address of addresses) if (sessions.taken(address) >= 0) count += 1;
     looks.push({ at: [nodes * nodes], value: count === nodes ? spent() - start : Number.NaN });
   }
-  rows.add("control head", "one look whether a majority took a change, processor", "ms", ["nodes x nodes"], looks);
+  rows.add(
+    "control head",
+    "one look whether a majority took a change, processor",
+    "ms",
+    ["nodes x nodes"],
+    looks,
+  );
 }
 
 function sessionsOf(nodes: number, runners: number): Sessions {
   const sessions = new Sessions();
   for (let number = 0; number < nodes; number += 1) {
     const own: (ReturnType<typeof hollowCard> & { age: number })[] = [];
-    for (let place = number; place < runners; place += nodes) own.push({ ...hollowCard(`runner-${place}-7f3a91c2`, number), age: 0 });
-    const card: NodeCard = { identity: `access-${number}-4f1c9a70-0b67-4f0e-9d3c-6c1a1f6e2b15`, address: `10.0.${number >> 8}.${number & 255}:7100`, kind: "access", zone: `zone-${number % 11}`, http: `10.0.${number >> 8}.${number & 255}:7200`, leaving: false, free: true, place: 1, telling: { runners: own } };
+    for (let place = number; place < runners; place += nodes)
+      own.push({ ...hollowCard(`runner-${place}-7f3a91c2`, number), age: 0 });
+    const card: NodeCard = {
+      identity: `access-${number}-4f1c9a70-0b67-4f0e-9d3c-6c1a1f6e2b15`,
+      address: `10.0.${number >> 8}.${number & 255}:7100`,
+      kind: "access",
+      zone: `zone-${number % 11}`,
+      http: `10.0.${number >> 8}.${number & 255}:7200`,
+      leaving: false,
+      free: true,
+      place: 1,
+      telling: { runners: own },
+    };
     sessions.heard(card, 0, 1_000, 0, 0);
   }
   return sessions;
--- a/tools/scale/src/queues.ts
+++ b/tools/scale/src/queues.ts
@@ -20,16 +20,31 @@
   const controls: ControlStation[] = [];
   for (const seed of seeds) controls.push(new ControlStation(bus, seed, seeds));
   const storages: StorageStation[] = [];
-  for (let number = 1; number <= 3; number += 1) storages.push(new StorageStation(bus, `10.8.0.${number}:7100`, seeds, `zone-${number}`));
+  for (let number = 1; number <= 3; number += 1)
+    storages.push(new StorageStation(bus, `10.8.0.${number}:7100`, seeds, `zone-${number}`));
   const accesses: AccessStation[] = [];
-  for (let number = 1; number <= nodes; number += 1) accesses.push(new AccessStation(bus, `10.7.0.${number}:7100`, seeds, `zone-${number}`));
+  for (let number = 1; number <= nodes; number += 1)
+    accesses.push(new AccessStation(bus, `10.7.0.${number}:7100`, seeds, `zone-${number}`));
   bus.run(2_000);
-  function nothing(): void { /* Looked at by what follows. */ }
+  function nothing(): void {
+    /* Looked at by what follows. */
+  }
   controls[0]!.inquire({ kind: "put", expected: 0, value: configurationOf(models, 0) }, nothing);
   function announce(): void {
     for (const access of accesses) {
       for (let number = 1; number <= 8; number += 1) {
-        const card = { id: `${access.address}/${number}`, incarnation: 1, url: `http://10.128.0.${number}:8080`, kind: "model" as const, models: modelsOf(models), labels: {}, pool: "readers", seats: 200, zone: "zone-1", burden: 0 };
+        const card = {
+          id: `${access.address}/${number}`,
+          incarnation: 1,
+          url: `http://10.128.0.${number}:8080`,
+          kind: "model" as const,
+          models: modelsOf(models),
+          labels: {},
+          pool: "readers",
+          seats: 200,
+          zone: "zone-1",
+          burden: 0,
+        };
         access.perform(access.core.announce(`announce/${bus.now}/${number}`, card, bus.now));
       }
     }
@@ -56,15 +71,36 @@
     const { bus, storages, accesses } = plantOf(count);
     bus.clear();
     bus.run(bus.now + seconds * 1_000);
-    messages.push({ at: [count], value: sum(storages, "sent") / seconds + sum(accesses, "sent") / seconds });
+    messages.push({
+      at: [count],
+      value: sum(storages, "sent") / seconds + sum(accesses, "sent") / seconds,
+    });
     owner.push({ at: [count], value: sum(storages, "busy") / seconds });
     busy.push({ at: [count], value: sum(accesses, "busy") / seconds });
     asked.push({ at: [count], value: sum(accesses, "sent") / seconds });
   }
-  rows.add("dispatcher", "idle queues: messages of all machines a second", "messages/s", ["queues"], messages);
+  rows.add(
+    "dispatcher",
+    "idle queues: messages of all machines a second",
+    "messages/s",
+    ["queues"],
+    messages,
+  );
   rows.add("dispatcher", "idle queues: messages out a second", "messages/s", ["queues"], asked);
-  rows.add("dispatcher", "idle queues: processor a second, both dispatchers", "ms/s", ["queues"], busy);
-  rows.add("storage owner", "idle queues: processor a second, owner and copies", "ms/s", ["queues"], owner);
+  rows.add(
+    "dispatcher",
+    "idle queues: processor a second, both dispatchers",
+    "ms/s",
+    ["queues"],
+    busy,
+  );
+  rows.add(
+    "storage owner",
+    "idle queues: processor a second, owner and copies",
+    "ms/s",
+    ["queues"],
+    owner,
+  );
 }
 
 /** Every access node draws from every queue of passages; an empty one holds each draw for a while. */
@@ -80,8 +116,20 @@
     messages.push({ at: [count], value: told / seconds });
     owner.push({ at: [count], value: sum(storages, "busy") / seconds });
   }
-  rows.add("dispatcher", "idle queue of a passage: messages a second", "messages/s", ["access nodes"], messages);
-  rows.add("storage owner", "idle queue of a passage: processor a second, owner and copies", "ms/s", ["access nodes"], owner);
+  rows.add(
+    "dispatcher",
+    "idle queue of a passage: messages a second",
+    "messages/s",
+    ["access nodes"],
+    messages,
+  );
+  rows.add(
+    "storage owner",
+    "idle queue of a passage: processor a second, owner and copies",
+    "ms/s",
+    ["access nodes"],
+    owner,
+  );
 }
 
 /** Items of passages: drawn in batches, settled in batches. */
@@ -97,18 +145,41 @@
     const lot = 20;
     for (let number = 0; number * lot < size.items; number += 1) {
       const entries: LotEntry[] = [];
-      for (let place = number * lot; place < Math.min(size.items, (number + 1) * lot); place += 1) entries.push({ id: `item-${place}`, path: `/slips/${place}`, headers: [], body: new Uint8Array(size.body), tokens: 800, model: "model-1" });
+      for (let place = number * lot; place < Math.min(size.items, (number + 1) * lot); place += 1)
+        entries.push({
+          id: `item-${place}`,
+          path: `/slips/${place}`,
+          headers: [],
+          body: new Uint8Array(size.body),
+          tokens: 800,
+          model: "model-1",
+        });
       const access = accesses[number % 2]!;
-      access.perform(access.core.lots.handIn(`scale/${number}`, { lot: `lot-${number}`, host: "scale.example", path: "/slips/x", entries }, bus.now));
+      access.perform(
+        access.core.lots.handIn(
+          `scale/${number}`,
+          { lot: `lot-${number}`, host: "scale.example", path: "/slips/x", entries },
+          bus.now,
+        ),
+      );
     }
     bus.run(bus.now + seconds * 1_000);
     const solved = accesses[0]!.solved + accesses[1]!.solved;
-    if (solved < size.items) throw new Error(`only ${solved} of ${size.items} items were run within the span: ${accesses[0]!.told.join()}`);
+    if (solved < size.items)
+      throw new Error(
+        `only ${solved} of ${size.items} items were run within the span: ${accesses[0]!.told.join()}`,
+      );
     const at = [size.items / seconds, (size.items * size.body) / seconds];
-    for (const [role, stations] of [["storage owner", [owner]], ["storage replica", copies], ["dispatcher", accesses]] as const) {
+    for (const [role, stations] of [
+      ["storage owner", [owner]],
+      ["storage replica", copies],
+      ["dispatcher", accesses],
+    ] as const) {
       const values: [string, number][] = [
-        ["messages in and out|messages/s", sum(stations, "sent") + sum(stations, "heard")], ["bytes out|bytes/s", sum(stations, "sentBytes")],
-        ["bytes in|bytes/s", sum(stations, "heardBytes")], ["processor, without the disk|ms/s", sum(stations, "busy")],
+        ["messages in and out|messages/s", sum(stations, "sent") + sum(stations, "heard")],
+        ["bytes out|bytes/s", sum(stations, "sentBytes")],
+        ["bytes in|bytes/s", sum(stations, "heardBytes")],
+        ["processor, without the disk|ms/s", sum(stations, "busy")],
       ];
       for (const [name, value] of values) {
         const points = found.get(`${role}|${name}`) ?? [];
@@ -124,12 +195,26 @@
 }
 
 function ownsPool(station: StorageStation): boolean {
-  const { queues } = station.core.status(station.bus.now) as { queues: Record<string, { owner: boolean }> };
-  for (const [queue, each] of Object.entries(queues)) if (each.owner && configuration.isPoolQueue(queue)) return true;
+  const { queues } = station.core.status(station.bus.now) as {
+    queues: Record<string, { owner: boolean }>;
+  };
+  for (const [queue, each] of Object.entries(queues))
+    if (each.owner && configuration.isPoolQueue(queue)) return true;
   return false;
 }
 
-function sum(stations: readonly { readonly meter: { readonly sent: number; readonly sentBytes: number; readonly heard: number; readonly heardBytes: number; readonly busy: number } }[], what: "sent" | "sentBytes" | "heard" | "heardBytes" | "busy"): number {
+function sum(
+  stations: readonly {
+    readonly meter: {
+      readonly sent: number;
+      readonly sentBytes: number;
+      readonly heard: number;
+      readonly heardBytes: number;
+      readonly busy: number;
+    };
+  }[],
+  what: "sent" | "sentBytes" | "heard" | "heardBytes" | "busy",
+): number {
   let total = 0;
   for (const { meter } of stations) total += meter[what];
   return total;
@@ -158,17 +243,40 @@
     const lot = 20;
     for (let number = 0; number * lot < size.items; number += 1) {
       const items: string[] = [];
-      for (let place = number * lot; place < Math.min(size.items, (number + 1) * lot); place += 1) items.push(`${place}-`.padEnd(size.body, "x"));
-      accesses[number % 2]!.perform(accesses[number % 2]!.core.handIn(`scale/${number}`, "lot-1", `lot-${number}`, items, {}, bus.now));
+      for (let place = number * lot; place < Math.min(size.items, (number + 1) * lot); place += 1)
+        items.push(`${place}-`.padEnd(size.body, "x"));
+      accesses[number % 2]!.perform(
+        accesses[number % 2]!.core.handIn(
+          `scale/${number}`,
+          "lot-1",
+          `lot-${number}`,
+          items,
+          {},
+          bus.now,
+        ),
+      );
     }
     bus.run(bus.now + seconds * 1_000);
     const solved = accesses[0]!.solved + accesses[1]!.solved;
-    if (solved < size.items) throw new Error(`only ${solved} of ${size.items} items were run within the span`);
-    for (const [role, stations] of [["storage owner", [owner]], ["storage replica", copies], ["dispatcher", accesses]] as const) {
-      keep(`${role}|messages in and out|messages/s`, size, (sum(stations, "sent") + sum(stations, "heard")) / stations.length);
+    if (solved < size.items)
+      throw new Error(`only ${solved} of ${size.items} items were run within the span`);
+    for (const [role, stations] of [
+      ["storage owner", [owner]],
+      ["storage replica", copies],
+      ["dispatcher", accesses],
+    ] as const) {
+      keep(
+        `${role}|messages in and out|messages/s`,
+        size,
+        (sum(stations, "sent") + sum(stations, "heard")) / stations.length,
+      );
       keep(`${role}|bytes out|bytes/s`, size, sum(stations, "sentBytes") / stations.length);
       keep(`${role}|bytes in|bytes/s`, size, sum(stations, "heardBytes") / stations.length);
-      keep(`${role}|processor, without the disk|ms/s`, size, sum(stations, "busy") / stations.length);
+      keep(
+        `${role}|processor, without the disk|ms/s`,
+        size,
+        sum(stations, "busy") / stations.length,
+      );
     }
   }
   for (const [name, points] of found) {
@@ -184,8 +292,11 @@
 }
 
 function owns(station: StorageStation): boolean {
-  const { queues } = station.core.status(station.bus.now) as { queues: Record<string, { owner: boolean }> };
-  for (const [queue, each] of Object.entries(queues)) if (each.owner && !configuration.isPoolQueue(queue)) return true;
+  const { queues } = station.core.status(station.bus.now) as {
+    queues: Record<string, { owner: boolean }>;
+  };
+  for (const [queue, each] of Object.entries(queues))
+    if (each.owner && !configuration.isPoolQueue(queue)) return true;
   return false;
 }
 
--- a/tools/scale/src/rows.ts
+++ b/tools/scale/src/rows.ts
@@ -1,7 +1,15 @@
 import { lineThrough, valueOn, type Line, type Point } from "./slope.js";
 
 /** What is told of each role: a line through at least three sizes. */
-export const roles = ["control head", "control member", "storage owner", "storage replica", "access node", "dispatcher", "runner link"] as const;
+export const roles = [
+  "control head",
+  "control member",
+  "storage owner",
+  "storage replica",
+  "access node",
+  "dispatcher",
+  "runner link",
+] as const;
 export type Role = (typeof roles)[number];
 
 export interface Row extends Line {
@@ -16,7 +24,13 @@
 export class Rows {
   readonly rows: Row[] = [];
 
-  add(role: Role, what: string, unit: string, by: readonly string[], points: readonly Point[]): void {
+  add(
+    role: Role,
+    what: string,
+    unit: string,
+    by: readonly string[],
+    points: readonly Point[],
+  ): void {
     this.rows.push({ role, what, unit, by, points, ...lineThrough(points) });
   }
 
--- a/tools/scale/src/slope.ts
+++ b/tools/scale/src/slope.ts
@@ -27,7 +27,8 @@
     const terms = [1];
     for (const [column, at] of point.at.entries()) terms.push(at / scales[column + 1]!);
     for (let row = 0; row < width; row += 1) {
-      for (let column = 0; column < width; column += 1) rows[row]![column]! += terms[row]! * terms[column]!;
+      for (let column = 0; column < width; column += 1)
+        rows[row]![column]! += terms[row]! * terms[column]!;
       rows[row]![width]! += terms[row]! * point.value;
     }
   }
@@ -56,10 +57,12 @@
 function eliminated(rows: number[][], width: number): number[] {
   for (let column = 0; column < width; column += 1) {
     let best = column;
-    for (let row = column + 1; row < width; row += 1) if (Math.abs(rows[row]![column]!) > Math.abs(rows[best]![column]!)) best = row;
+    for (let row = column + 1; row < width; row += 1)
+      if (Math.abs(rows[row]![column]!) > Math.abs(rows[best]![column]!)) best = row;
     [rows[column], rows[best]] = [rows[best]!, rows[column]!];
     const pivot = rows[column]![column]!;
-    if (Math.abs(pivot) < 1e-12) throw new Error("the sizes measured do not tell the variables apart");
+    if (Math.abs(pivot) < 1e-12)
+      throw new Error("the sizes measured do not tell the variables apart");
     for (let row = 0; row < width; row += 1) {
       if (row === column) continue;
       const part = rows[row]![column]! / pivot;
--- a/tools/scale/src/wires.ts
+++ b/tools/scale/src/wires.ts
@@ -4,7 +4,11 @@
 import { quiet } from "./uses.js";
 
 /** One message over a real socket, sent when the one before has come: what an end of the wire pays, sockets included. */
-export async function measureWire(rows: Rows, sizes: readonly number[], count: number): Promise<void> {
+export async function measureWire(
+  rows: Rows,
+  sizes: readonly number[],
+  count: number,
+): Promise<void> {
   const points: Point[] = [];
   const [here, there] = ["127.76.1.1:7100", "127.76.1.2:7100"];
   let left = 0;
@@ -15,9 +19,17 @@
     if (left <= 0) ended?.();
     else this.wire!.send(this.to, message);
   }
-  const ends: { wire: Wire | undefined; to: string }[] = [{ wire: undefined, to: there }, { wire: undefined, to: here }];
+  const ends: { wire: Wire | undefined; to: string }[] = [
+    { wire: undefined, to: there },
+    { wire: undefined, to: here },
+  ];
   for (const [place, address] of [here, there].entries()) {
-    ends[place]!.wire = new Wire({ address, listen: address, log: quiet, receive: come.bind(ends[place]!) });
+    ends[place]!.wire = new Wire({
+      address,
+      listen: address,
+      log: quiet,
+      receive: come.bind(ends[place]!),
+    });
     await ends[place]!.wire!.open();
   }
   async function passed(messages: number): Promise<void> {
@@ -40,5 +52,12 @@
   } finally {
     for (const { wire } of ends) wire!.close();
   }
-  for (const role of ["access node", "control member"] as const) rows.add(role, "one message at one end of the wire, processor with sockets", "ms", ["bytes"], points);
+  for (const role of ["access node", "control member"] as const)
+    rows.add(
+      role,
+      "one message at one end of the wire, processor with sockets",
+      "ms",
+      ["bytes"],
+      points,
+    );
 }
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -1,6 +1,18 @@
 import { poolOf, type Campaign } from "./campaign.js";
 import type { CampaignOptions } from "./campaign.js";
-import { cutStorage, emptyThenWipe, freezeStorage, killAll, loneControlLost, loneQueueLost, powerAll, replaceStorage, wipeControlAndPower, wipeStorage, wipeStorageAndPower } from "./losses.js";
+import {
+  cutStorage,
+  emptyThenWipe,
+  freezeStorage,
+  killAll,
+  loneControlLost,
+  loneQueueLost,
+  powerAll,
+  replaceStorage,
+  wipeControlAndPower,
+  wipeStorage,
+  wipeStorageAndPower,
+} from "./losses.js";
 import type { AccessMachine } from "./machines.js";
 
 /** A fault set at the moment that matters to one rule, and the count of how often it struck (docs/testing.md §2). */
@@ -13,11 +25,22 @@
   readonly struck?: (campaign: Campaign) => number;
 }
 
-type Told = { readonly kind: string; readonly ticket?: string; readonly command?: { kind: string }; readonly outcome?: { kind: string; value?: { kind: string; lot?: string; mark?: number } }; readonly place?: number };
+type Told = {
+  readonly kind: string;
+  readonly ticket?: string;
+  readonly command?: { kind: string };
+  readonly outcome?: { kind: string; value?: { kind: string; lot?: string; mark?: number } };
+  readonly place?: number;
+};
 
 const calm: Partial<CampaignOptions> = { faults: false, stormy: 14_000, calm: 14_000 };
 /** On disks as slow as the slowest of the deployments. */
-const losses: Partial<CampaignOptions> = { faults: false, stormy: 16_000, calm: 26_000, syncTakes: [5, 12] };
+const losses: Partial<CampaignOptions> = {
+  faults: false,
+  stormy: 16_000,
+  calm: 26_000,
+  syncTakes: [5, 12],
+};
 
 function manner(campaign: Campaign, change: Partial<Campaign["runners"][number]["manner"]>): void {
   for (const runner of campaign.runners) runner.manner = { ...runner.manner, ...change };
@@ -30,7 +53,8 @@
 
 function tornLive(campaign: Campaign): number {
   let count = 0;
-  for (const run of campaign.sight.runs) if (run.ending === "torn" && typeof run.prompt === "string") count += 1;
+  for (const run of campaign.sight.runs)
+    if (run.ending === "torn" && typeof run.prompt === "string") count += 1;
   return count;
 }
 
@@ -73,9 +97,17 @@
     const { kind, outcome } = message as Told;
     if (kind !== "queue-result" || outcome?.kind !== "confirmed") return;
     if (outcome.value?.kind === "STALE") campaign.strikes += 1;
-    if (outcome.value?.kind !== "TAKEN" || asleep !== undefined || world.now < 8_000 || world.now > 15_000) return;
+    if (
+      outcome.value?.kind !== "TAKEN" ||
+      asleep !== undefined ||
+      world.now < 8_000 ||
+      world.now > 15_000
+    )
+      return;
     asleep = campaign.accesses.find(isAt, { address: to });
-    function sleep(): void { asleep!.freeze(); }
+    function sleep(): void {
+      asleep!.freeze();
+    }
     function wake(): void {
       asleep!.wake();
       asleep = undefined;
@@ -92,14 +124,23 @@
   let struckAt = 8_000;
   function watch(_from: string, _to: string, message: unknown): undefined {
     const { kind, outcome } = message as Told;
-    if (kind === "queue-inquiry" && world.now < 17_000) for (const storage of campaign.storages) storage.slowUntil = world.now + 200;
-    if (kind !== "queue-result" || outcome?.value?.kind !== "ADMITTED" || world.now < struckAt || world.now > 17_000) return;
+    if (kind === "queue-inquiry" && world.now < 17_000)
+      for (const storage of campaign.storages) storage.slowUntil = world.now + 200;
+    if (
+      kind !== "queue-result" ||
+      outcome?.value?.kind !== "ADMITTED" ||
+      world.now < struckAt ||
+      world.now > 17_000
+    )
+      return;
     struckAt = world.now + 4_000;
     function strike(): void {
       campaign.strikes += 1;
       for (const storage of campaign.storages) storage.kill(true);
     }
-    function back(): void { for (const storage of campaign.storages) storage.start(); }
+    function back(): void {
+      for (const storage of campaign.storages) storage.start();
+    }
     world.after(5, strike);
     world.after(800, back);
   }
@@ -117,7 +158,8 @@
     if (owner === undefined) return;
     done = true;
     campaign.strikes += 1;
-    for (const other of campaign.storages) if (other !== owner) world.cut(owner.address, other.address);
+    for (const other of campaign.storages)
+      if (other !== owner) world.cut(owner.address, other.address);
     function lose(): void {
       owner!.kill(true);
       owner!.wipe();
@@ -139,7 +181,9 @@
 /** Items whose link broke three times and more. */
 function tornItems(campaign: Campaign): number {
   const torn = new Map<string, number>();
-  for (const run of campaign.sight.runs) if (run.ending === "torn" && typeof run.prompt !== "string") torn.set(JSON.stringify(run.prompt), (torn.get(JSON.stringify(run.prompt)) ?? 0) + 1);
+  for (const run of campaign.sight.runs)
+    if (run.ending === "torn" && typeof run.prompt !== "string")
+      torn.set(JSON.stringify(run.prompt), (torn.get(JSON.stringify(run.prompt)) ?? 0) + 1);
   let count = 0;
   for (const times of torn.values()) if (times >= 3) count += 1;
   return count;
@@ -152,14 +196,23 @@
   const sendings = new Map<string, number>();
   function watch(_from: string, to: string, message: unknown): number | undefined {
     const { kind, command, ticket, outcome } = message as Told;
-    if (kind === "queue-result" && (sendings.get(ticket!) ?? 0) > 1 && outcome?.value?.kind === "FULL") campaign.strikes += 1;
-    if (kind !== "queue-inquiry" || command?.kind !== "admit" || world.now > 18_000) return undefined;
+    if (
+      kind === "queue-result" &&
+      (sendings.get(ticket!) ?? 0) > 1 &&
+      outcome?.value?.kind === "FULL"
+    )
+      campaign.strikes += 1;
+    if (kind !== "queue-inquiry" || command?.kind !== "admit" || world.now > 18_000)
+      return undefined;
     sendings.set(ticket!, (sendings.get(ticket!) ?? 0) + 1);
     const owner = campaign.storages.find(isAt, { address: to });
     /** Other hand-ins would take the room that this one is to meet. */
-    if (owner === undefined || world.now < restsUntil) return sendings.get(ticket!)! > 1 ? 0 : 1_300;
+    if (owner === undefined || world.now < restsUntil)
+      return sendings.get(ticket!)! > 1 ? 0 : 1_300;
     restsUntil = world.now + 2_500;
-    function wake(): void { owner!.wake(); }
+    function wake(): void {
+      owner!.wake();
+    }
     owner.freeze();
     world.after(1_150, wake);
     return undefined;
@@ -172,7 +225,14 @@
   const { world } = campaign;
   function watch(_from: string, _to: string, message: unknown): number | undefined {
     const { kind, outcome } = message as Told;
-    if (kind !== "queue-result" || outcome?.value?.kind !== "TAKEN" || world.now < 8_000 || world.now > 17_000 || !world.chance.happens(0.05)) return undefined;
+    if (
+      kind !== "queue-result" ||
+      outcome?.value?.kind !== "TAKEN" ||
+      world.now < 8_000 ||
+      world.now > 17_000 ||
+      !world.chance.happens(0.05)
+    )
+      return undefined;
     for (const lot of campaign.sight.lots) {
       if (lot.lot !== outcome.value.lot || lot.cancelAskedAt !== undefined) continue;
       campaign.strikes += 1;
@@ -188,7 +248,13 @@
   const { world } = campaign;
   const node = campaign.accesses[0]!;
   function watch(_from: string, to: string, message: unknown): number | undefined {
-    if (to !== node.address || !(message as Told).kind.startsWith("feed") || world.now < 9_000 || world.now > 15_000) return undefined;
+    if (
+      to !== node.address ||
+      !(message as Told).kind.startsWith("feed") ||
+      world.now < 9_000 ||
+      world.now > 15_000
+    )
+      return undefined;
     campaign.strikes += 1;
     return Number.POSITIVE_INFINITY;
   }
@@ -207,7 +273,9 @@
     if (to !== node.address || lone === undefined || !kind.startsWith("feed")) return undefined;
     if (from !== lone) {
       newest = Math.max(newest, place ?? 0);
-      return world.now > heldFrom && world.now < heldFrom + 900 ? Number.POSITIVE_INFINITY : undefined;
+      return world.now > heldFrom && world.now < heldFrom + 900
+        ? Number.POSITIVE_INFINITY
+        : undefined;
     }
     if (kind !== "feed-digest" || place! >= newest) return undefined;
     campaign.strikes += 1;
@@ -218,7 +286,8 @@
   world.watch = watch;
   function split(): void {
     lone = campaign.controls.find(isNoHead)!.address;
-    for (const other of campaign.controls) if (other.address !== lone) world.cut(lone, other.address);
+    for (const other of campaign.controls)
+      if (other.address !== lone) world.cut(lone, other.address);
   }
   function again(): void {
     node.kill(false);
@@ -237,12 +306,15 @@
     const head = campaign.head();
     if (head === undefined) return;
     function cut(): void {
-      for (const other of campaign.controls) if (other !== head) world.cut(head!.address, other.address);
+      for (const other of campaign.controls)
+        if (other !== head) world.cut(head!.address, other.address);
       campaign.strikes += 1;
     }
     campaign.change(head, 1, false, cut);
   }
-  function mend(): void { world.mend(); }
+  function mend(): void {
+    world.mend();
+  }
   world.at(9_000, strike);
   world.at(12_000, mend);
   world.at(15_500, strike);
@@ -257,8 +329,12 @@
     for (const control of campaign.controls) if (control.alive) campaign.change(control, 1, true);
     if (head === undefined) return;
     campaign.strikes += 1;
-    function kill(): void { head!.kill(true); }
-    function back(): void { if (!head!.alive) head!.start(); }
+    function kill(): void {
+      head!.kill(true);
+    }
+    function back(): void {
+      if (!head!.alive) head!.start();
+    }
     world.after(world.chance.between(0.5, 30), kill);
     world.after(2_500, back);
   }
@@ -274,8 +350,12 @@
     if (head === undefined) return;
     campaign.strikes += 1;
     campaign.change(head, 2);
-    function kill(): void { head!.kill(true); }
-    function back(): void { if (!head!.alive) head!.start(); }
+    function kill(): void {
+      head!.kill(true);
+    }
+    function back(): void {
+      if (!head!.alive) head!.start();
+    }
     world.after(world.chance.between(1, 40), kill);
     world.after(2_000, back);
   }
@@ -293,8 +373,12 @@
     const owner = campaign.owner("reader");
     if (owner === undefined || !owner.alive || owner.frozen) return;
     campaign.strikes += 1;
-    function sleep(): void { owner!.freeze(); }
-    function wake(): void { owner!.wake(); }
+    function sleep(): void {
+      owner!.freeze();
+    }
+    function wake(): void {
+      owner!.wake();
+    }
     world.after(1, sleep);
     world.after(900, wake);
   }
@@ -313,7 +397,9 @@
     }
     world.after(1_500, back);
   }
-  function back(): void { for (const runner of campaign.runners) if (!runner.alive) runner.restart(); }
+  function back(): void {
+    for (const runner of campaign.runners) if (!runner.alive) runner.restart();
+  }
   function watch(): void {
     campaign.countWaiting();
     world.after(100, watch);
@@ -331,7 +417,8 @@
     const head = campaign.head();
     if (!hearer.alive || runner === undefined) return;
     campaign.strikes += 1;
-    for (const other of campaign.machines) if (other !== hearer) world.cut(hearer.address, other.address);
+    for (const other of campaign.machines)
+      if (other !== hearer) world.cut(hearer.address, other.address);
     campaign.goodbye(runner, hearer, 1);
     hearer.kill(true);
     head?.kill(true);
@@ -353,13 +440,17 @@
   const { world } = campaign;
   function strike(): void {
     const hearer = world.chance.pick(campaign.accesses);
-    for (const other of campaign.machines) if (other !== hearer) world.cut(hearer.address, other.address);
-    for (const runner of campaign.runners) if (isStaying(runner) && campaign.strikes < 2) {
-      campaign.strikes += 1;
-      campaign.goodbye(runner, hearer, 1);
-    }
+    for (const other of campaign.machines)
+      if (other !== hearer) world.cut(hearer.address, other.address);
+    for (const runner of campaign.runners)
+      if (isStaying(runner) && campaign.strikes < 2) {
+        campaign.strikes += 1;
+        campaign.goodbye(runner, hearer, 1);
+      }
+  }
+  function away(): void {
+    campaign.away(8_000);
   }
-  function away(): void { campaign.away(8_000); }
   world.at(9_000, away);
   world.at(11_500, strike);
 }
@@ -378,7 +469,8 @@
       campaign.accesses.push(...all);
       campaign.strikes += 1;
       /** It dies before anybody else has heard. */
-      for (const other of campaign.machines) if (other !== all[0]) world.cut(all[0]!.address, other.address);
+      for (const other of campaign.machines)
+        if (other !== all[0]) world.cut(all[0]!.address, other.address);
       campaign.goodbye(runner!, all[0], 1);
       all[0]!.kill(true);
     }
@@ -405,7 +497,9 @@
 
 function outOfTime(campaign: Campaign): number {
   let count = 0;
-  for (const lot of campaign.sight.lots) for (const item of lot.views.at(-1)?.items ?? []) if (item.reason?.includes("time ran out") === true) count += 1;
+  for (const lot of campaign.sight.lots)
+    for (const item of lot.views.at(-1)?.items ?? [])
+      if (item.reason?.includes("time ran out") === true) count += 1;
   return count;
 }
 
@@ -413,7 +507,9 @@
 function cancelAndBreak(campaign: Campaign): void {
   const { world } = campaign;
   manner(campaign, { tear: 0.6, pieceMs: 250 });
-  function calmDown(): void { manner(campaign, { tear: 0.03, pieceMs: 25 }); }
+  function calmDown(): void {
+    manner(campaign, { tear: 0.03, pieceMs: 25 });
+  }
   world.at(18_000, calmDown);
   let cancels = 0;
   function watch(_from: string, to: string, message: unknown): undefined {
@@ -421,16 +517,29 @@
     if (kind === "queue-inquiry" && command?.kind === "cancel") {
       cancels += 1;
       const owner = campaign.storages.find(isAt, { address: to });
-      function kill(): void { owner!.kill(false); }
-      function back(): void { if (!owner!.alive) owner!.start(); }
+      function kill(): void {
+        owner!.kill(false);
+      }
+      function back(): void {
+        if (!owner!.alive) owner!.start();
+      }
       if (owner === undefined || cancels % 3 !== 0 || world.now > 17_000) return;
       world.after(world.chance.between(0.5, 6), kill);
       world.after(1_000, back);
     }
-    if (kind !== "queue-result" || outcome?.value?.kind !== "TAKEN" || world.now < 8_000 || world.now > 17_000 || !world.chance.happens(0.2)) return;
+    if (
+      kind !== "queue-result" ||
+      outcome?.value?.kind !== "TAKEN" ||
+      world.now < 8_000 ||
+      world.now > 17_000 ||
+      !world.chance.happens(0.2)
+    )
+      return;
     for (const lot of campaign.sight.lots) {
       if (lot.lot !== outcome.value.lot || lot.cancelAskedAt !== undefined) continue;
-      function cancel(): void { campaign.cancel(lot); }
+      function cancel(): void {
+        campaign.cancel(lot);
+      }
       world.after(100, cancel);
     }
   }
@@ -440,9 +549,16 @@
 /** Prompts that were under way as their lot was cancelled, and came back. */
 function backToCancelled(campaign: Campaign): number {
   const cancelled = new Map<string, number>();
-  for (const lot of campaign.sight.lots) if (lot.cancelledAt !== undefined) cancelled.set(lot.key, lot.cancelledAt);
+  for (const lot of campaign.sight.lots)
+    if (lot.cancelledAt !== undefined) cancelled.set(lot.key, lot.cancelledAt);
   let count = 0;
-  for (const run of campaign.sight.runs) if (run.ending === "torn" && typeof run.prompt !== "string" && run.at < (cancelled.get((run.prompt as { key: string } | null)?.key ?? "") ?? 0)) count += 1;
+  for (const run of campaign.sight.runs)
+    if (
+      run.ending === "torn" &&
+      typeof run.prompt !== "string" &&
+      run.at < (cancelled.get((run.prompt as { key: string } | null)?.key ?? "") ?? 0)
+    )
+      count += 1;
   return count;
 }
 
@@ -450,8 +566,13 @@
 function cutRunners(campaign: Campaign): void {
   const { world } = campaign;
   const node = campaign.accesses[0]!;
-  function cut(): void { for (const runner of campaign.runners) if (runner.kind === "model") world.cut(node.address, runner.address); }
-  function mend(): void { world.mend(); }
+  function cut(): void {
+    for (const runner of campaign.runners)
+      if (runner.kind === "model") world.cut(node.address, runner.address);
+  }
+  function mend(): void {
+    world.mend();
+  }
   world.at(9_000, cut);
   world.at(15_000, mend);
 }
@@ -460,9 +581,16 @@
 function notRun(campaign: Campaign): number {
   let count = 0;
   let began = 0;
-  for (const inquiry of campaign.sight.inquiries) if (inquiry.told === "not-run" && inquiry.askedAt > 9_000 && inquiry.askedAt < 15_000) count += 1;
-  for (const run of campaign.sight.runs) if (typeof run.prompt !== "string" && run.at > 9_500 && run.at < 15_000) began += 1;
-  if (began < 50) campaign.breaches.push({ rule: "pace", facts: `only ${began} prompts of lots began while runners were free` });
+  for (const inquiry of campaign.sight.inquiries)
+    if (inquiry.told === "not-run" && inquiry.askedAt > 9_000 && inquiry.askedAt < 15_000)
+      count += 1;
+  for (const run of campaign.sight.runs)
+    if (typeof run.prompt !== "string" && run.at > 9_500 && run.at < 15_000) began += 1;
+  if (began < 50)
+    campaign.breaches.push({
+      rule: "pace",
+      facts: `only ${began} prompts of lots began while runners were free`,
+    });
   return count;
 }
 
@@ -480,17 +608,24 @@
     if (view?.members.length === 2) campaign.strikes += 1;
     lost.kill(true);
     lost.wipe();
-    function back(): void { lost.start(); }
+    function back(): void {
+      lost.start();
+    }
     if (campaign.options.seed % 2 === 0) world.after(800, back);
     else campaign.blankInstead(lost, 800);
   }
-  function mend(): void { world.mend(); }
+  function mend(): void {
+    world.mend();
+  }
   world.at(9_000, cut);
   world.at(12_500, lose);
   world.at(17_000, mend);
 }
 
-function isPicked(this: { away: unknown; head: boolean }, control: { alive: boolean; core: { isHead: boolean } }): boolean {
+function isPicked(
+  this: { away: unknown; head: boolean },
+  control: { alive: boolean; core: { isHead: boolean } },
+): boolean {
   return control !== this.away && control.core.isHead === this.head;
 }
 
@@ -500,9 +635,17 @@
   for (const lot of campaign.sight.lots) if (lot.labels !== undefined) night.add(lot.key);
   let count = 0;
   for (const run of campaign.sight.runs) {
-    if (typeof run.prompt === "string" || !night.has((run.prompt as { key: string } | null)?.key ?? "")) continue;
+    if (
+      typeof run.prompt === "string" ||
+      !night.has((run.prompt as { key: string } | null)?.key ?? "")
+    )
+      continue;
     count += 1;
-    if (poolOf(run.runner) !== "big") campaign.breaches.push({ rule: "season-runners", facts: `${run.inquiry} ran at ${run.runner}` });
+    if (poolOf(run.runner) !== "big")
+      campaign.breaches.push({
+        rule: "season-runners",
+        facts: `${run.inquiry} ran at ${run.runner}`,
+      });
   }
   return count;
 }
@@ -514,7 +657,8 @@
     campaign.heals = false;
     campaign.sight.healedAt = world.now;
     campaign.strikes += 1;
-    for (const machine of [campaign.owner("reader"), campaign.head(), campaign.accesses[0]]) machine?.kill(true);
+    for (const machine of [campaign.owner("reader"), campaign.head(), campaign.accesses[0]])
+      machine?.kill(true);
     campaign.accesses.splice(0, 1);
   }
   world.at(18_500, strike);
@@ -529,44 +673,178 @@
 }
 
 export const aims: Readonly<Record<string, Aim>> = {
-  "links break after the first byte": { rule: "runs-twice", options: calm, set: breakLinks, struck: tornLive },
-  "streams break with the caller still there": { rule: "stream-pieces", options: calm, set: breakLinks, struck: tornLive },
-  "the last runner's links break": { rule: "not-run-ran", options: calm, set: breakLastLinks, struck: tornLive },
-  "streams close short": { rule: "partial-looks-whole", options: calm, set: closeShort, struck: shorts },
-  "runners skip pieces": { rule: "stream-pieces", options: calm, set: skipPieces, struck: troubledRuns },
-  "dispatchers sleep on their claims": { rule: "result-changed", options: { ...calm, tokens: 100 }, set: freezeDispatchers },
+  "links break after the first byte": {
+    rule: "runs-twice",
+    options: calm,
+    set: breakLinks,
+    struck: tornLive,
+  },
+  "streams break with the caller still there": {
+    rule: "stream-pieces",
+    options: calm,
+    set: breakLinks,
+    struck: tornLive,
+  },
+  "the last runner's links break": {
+    rule: "not-run-ran",
+    options: calm,
+    set: breakLastLinks,
+    struck: tornLive,
+  },
+  "streams close short": {
+    rule: "partial-looks-whole",
+    options: calm,
+    set: closeShort,
+    struck: shorts,
+  },
+  "runners skip pieces": {
+    rule: "stream-pieces",
+    options: calm,
+    set: skipPieces,
+    struck: troubledRuns,
+  },
+  "dispatchers sleep on their claims": {
+    rule: "result-changed",
+    options: { ...calm, tokens: 100 },
+    set: freezeDispatchers,
+  },
   "power is lost after a promise": { rule: "lot-items", options: calm, set: powerAfterPromise },
   "the disk is lost after a promise": { rule: "lot-items", options: calm, set: diskAfterPromise },
-  "links break three times and more": { rule: "given-up-early", options: calm, set: tearPrompts, struck: tornItems },
-  "a refused hand-in meets room": { rule: "refused-lot-ran", options: { ...calm, calm: 34_000, tokens: 3, allowance: 20, lotItems: 1, lotTries: 1, lotEvery: [40, 160] }, set: refuseThenAdmit },
-  "grants come late to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, tokens: 10 }, set: delayGrants },
+  "links break three times and more": {
+    rule: "given-up-early",
+    options: calm,
+    set: tearPrompts,
+    struck: tornItems,
+  },
+  "a refused hand-in meets room": {
+    rule: "refused-lot-ran",
+    options: {
+      ...calm,
+      calm: 34_000,
+      tokens: 3,
+      allowance: 20,
+      lotItems: 1,
+      lotTries: 1,
+      lotEvery: [40, 160],
+    },
+    set: refuseThenAdmit,
+  },
+  "grants come late to cancelled lots": {
+    rule: "cancelled-lot-ran",
+    options: { ...calm, tokens: 10 },
+    set: delayGrants,
+  },
   "a node's feed is held up": { rule: "change-ignored", options: calm, set: holdFeed },
   "an old digest comes last": { rule: "slips-back", options: calm, set: oldDigest },
-  "the head is cut off with a change half confirmed": { rule: "confirmed-gone", options: calm, set: cutHead },
-  "malformed changes while the head dies": { rule: "refused-takes-effect", options: calm, set: malformedThenKill },
-  "two operators race while the head dies": { rule: "two-winners", options: calm, set: raceThenKill },
-  "shares move while owners sleep": { rule: "allowance", options: { calm: 70_000, season: 60, tokens: 4, lotEvery: [30, 150] }, set: moveShares },
-  "all runners die with prompts under way": { rule: "allowance", options: { ...calm, calm: 26_000, season: 30, tokens: 40, lotItems: 4, lotEvery: [20, 80] }, set: killRunners },
+  "the head is cut off with a change half confirmed": {
+    rule: "confirmed-gone",
+    options: calm,
+    set: cutHead,
+  },
+  "malformed changes while the head dies": {
+    rule: "refused-takes-effect",
+    options: calm,
+    set: malformedThenKill,
+  },
+  "two operators race while the head dies": {
+    rule: "two-winners",
+    options: calm,
+    set: raceThenKill,
+  },
+  "shares move while owners sleep": {
+    rule: "allowance",
+    options: { calm: 70_000, season: 60, tokens: 4, lotEvery: [30, 150] },
+    set: moveShares,
+  },
+  "all runners die with prompts under way": {
+    rule: "allowance",
+    options: { ...calm, calm: 26_000, season: 30, tokens: 40, lotItems: 4, lotEvery: [20, 80] },
+    set: killRunners,
+  },
   "the node that heard a goodbye dies": { rule: "goodbye", options: calm, set: killHearers },
-  "a goodbye is heard without control": { rule: "goodbye", options: calm, set: goodbyeWithoutControl },
-  "an announcement is read after the goodbye": { rule: "goodbye", options: calm, set: oldAnnouncement },
-  "short times across the storm": { rule: "given-up-early", options: { deadlineSeconds: 4, tokens: 3, allowance: 200 }, set: nothing, struck: outOfTime },
-  "prompts come back to cancelled lots": { rule: "cancelled-lot-ran", options: { ...calm, calm: 24_000, tokens: 10 }, set: cancelAndBreak, struck: backToCancelled },
-  "runners that one node cannot reach": { rule: "pace", options: { ...calm, calm: 34_000, tokens: 10, lotItems: 14, lotEvery: [250, 450] }, set: cutRunners, struck: notRun },
-  "a control disk is lost while another is away": { rule: "service", options: { ...calm, stormy: 13_000, calm: 26_000 }, set: loseDiskInPair },
-  "seasons select lots and runners by labels": { rule: "season-runners", options: { season: 60, tokens: 6, labelled: true, stormy: 20_000, calm: 40_000 }, set: nothing, struck: ranInPool },
+  "a goodbye is heard without control": {
+    rule: "goodbye",
+    options: calm,
+    set: goodbyeWithoutControl,
+  },
+  "an announcement is read after the goodbye": {
+    rule: "goodbye",
+    options: calm,
+    set: oldAnnouncement,
+  },
+  "short times across the storm": {
+    rule: "given-up-early",
+    options: { deadlineSeconds: 4, tokens: 3, allowance: 200 },
+    set: nothing,
+    struck: outOfTime,
+  },
+  "prompts come back to cancelled lots": {
+    rule: "cancelled-lot-ran",
+    options: { ...calm, calm: 24_000, tokens: 10 },
+    set: cancelAndBreak,
+    struck: backToCancelled,
+  },
+  "runners that one node cannot reach": {
+    rule: "pace",
+    options: { ...calm, calm: 34_000, tokens: 10, lotItems: 14, lotEvery: [250, 450] },
+    set: cutRunners,
+    struck: notRun,
+  },
+  "a control disk is lost while another is away": {
+    rule: "service",
+    options: { ...calm, stormy: 13_000, calm: 26_000 },
+    set: loseDiskInPair,
+  },
+  "seasons select lots and runners by labels": {
+    rule: "season-runners",
+    options: { season: 60, tokens: 6, labelled: true, stormy: 20_000, calm: 40_000 },
+    set: nothing,
+    struck: ranInPool,
+  },
   /** Real links over sockets, not a simulated fleet (swapped.ts). */
   "runners answer for another": { rule: "someone-elses", options: {}, set: nothing },
-  "the lone control machine loses its disk": { rule: "service", options: { ...calm, stormy: 16_000, calm: 26_000 }, set: loneControlLost },
-  "the lone copy of a queue loses its disk": { rule: "service", options: { ...calm, stormy: 16_000, calm: 26_000 }, set: loneQueueLost },
+  "the lone control machine loses its disk": {
+    rule: "service",
+    options: { ...calm, stormy: 16_000, calm: 26_000 },
+    set: loneControlLost,
+  },
+  "the lone copy of a queue loses its disk": {
+    rule: "service",
+    options: { ...calm, stormy: 16_000, calm: 26_000 },
+    set: loneQueueLost,
+  },
   "all processes are killed at once": { rule: "service", options: losses, set: killAll },
   "all machines lose power at once": { rule: "service", options: losses, set: powerAll },
-  "a storage disk is lost and all other machines lose power": { rule: "service", options: losses, set: wipeStorageAndPower },
-  "a control disk is lost and all other machines lose power": { rule: "service", options: losses, set: wipeControlAndPower },
-  "a storage machine loses its disk right after a promise": { rule: "service", options: losses, set: wipeStorage },
-  "a storage machine is replaced by an empty one elsewhere": { rule: "service", options: losses, set: replaceStorage },
+  "a storage disk is lost and all other machines lose power": {
+    rule: "service",
+    options: losses,
+    set: wipeStorageAndPower,
+  },
+  "a control disk is lost and all other machines lose power": {
+    rule: "service",
+    options: losses,
+    set: wipeControlAndPower,
+  },
+  "a storage machine loses its disk right after a promise": {
+    rule: "service",
+    options: losses,
+    set: wipeStorage,
+  },
+  "a storage machine is replaced by an empty one elsewhere": {
+    rule: "service",
+    options: losses,
+    set: replaceStorage,
+  },
   "a storage machine is frozen for 3 s": { rule: "service", options: losses, set: freezeStorage },
   "a storage machine is cut off for 5 s": { rule: "service", options: losses, set: cutStorage },
-  "a storage machine is emptied and then another loses its disk": { rule: "service", options: losses, set: emptyThenWipe },
-  "machines are lost for good": { rule: "service", options: { ...calm, stormy: 14_000, calm: 26_000 }, set: loseForGood },
+  "a storage machine is emptied and then another loses its disk": {
+    rule: "service",
+    options: losses,
+    set: emptyThenWipe,
+  },
+  "machines are lost for good": {
+    rule: "service",
+    options: { ...calm, stormy: 14_000, calm: 26_000 },
+    set: loseForGood,
+  },
 };
