--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -1,8 +1,24 @@
 import { constants, policy, type ChainView } from "@chutewick/parts";
 import { configuration, type Configuration, type ControlOutcome } from "@chutewick/control";
-import { check, type ChangeRecord, type GoodbyeRecord, type InquiryRecord, type LotRecord, type LotView, type Sight, type Violation } from "./checker.js";
+import {
+  check,
+  type ChangeRecord,
+  type GoodbyeRecord,
+  type InquiryRecord,
+  type LotRecord,
+  type LotView,
+  type Sight,
+  type Violation,
+} from "./checker.js";
 import { aims } from "./aims.js";
-import { AccessMachine, ControlMachine, StorageMachine, zoneNamed, type AccessHooks, type CallerSight } from "./machines.js";
+import {
+  AccessMachine,
+  ControlMachine,
+  StorageMachine,
+  zoneNamed,
+  type AccessHooks,
+  type CallerSight,
+} from "./machines.js";
 import { Runner, type Manner, type RunRecord } from "./runners.js";
 import { StuckWatch } from "./stuck.js";
 import { World, type Machine } from "./world.js";
@@ -54,9 +70,64 @@
   readonly strikes: number;
 }
 
-const usualFaults = ["kill", "kill", "power", "freeze", "freeze", "cut", "isolate", "wipe", "slow", "loss", "runner", "clock", "split", "both", "replace", "add", "empty", "roll", "away", "stop", "zone"] as const;
-const lossFaults = ["kill", "power", "power", "freeze", "cut", "isolate", "isolate", "wipe", "wipe", "wipe", "slow", "loss", "split", "both", "both", "replace", "replace storage", "add", "empty", "away", "stop", "stop", "zone", "all"] as const;
-const calmManner: Manner = { trouble: 0.03, tear: 0.03, lie: 0.01, silent: 0.003, short: 0.003, firstMs: 60, pieceMs: 25 };
+const usualFaults = [
+  "kill",
+  "kill",
+  "power",
+  "freeze",
+  "freeze",
+  "cut",
+  "isolate",
+  "wipe",
+  "slow",
+  "loss",
+  "runner",
+  "clock",
+  "split",
+  "both",
+  "replace",
+  "add",
+  "empty",
+  "roll",
+  "away",
+  "stop",
+  "zone",
+] as const;
+const lossFaults = [
+  "kill",
+  "power",
+  "power",
+  "freeze",
+  "cut",
+  "isolate",
+  "isolate",
+  "wipe",
+  "wipe",
+  "wipe",
+  "slow",
+  "loss",
+  "split",
+  "both",
+  "both",
+  "replace",
+  "replace storage",
+  "add",
+  "empty",
+  "away",
+  "stop",
+  "stop",
+  "zone",
+  "all",
+] as const;
+const calmManner: Manner = {
+  trouble: 0.03,
+  tear: 0.03,
+  lie: 0.01,
+  silent: 0.003,
+  short: 0.003,
+  firstMs: 60,
+  pieceMs: 25,
+};
 const patience = 12_000;
 /** ms. Within which the whole service, and so each chain, must be back after the last fault. */
 const backWithin = 12_000;
@@ -101,16 +172,41 @@
     this.world = new World(options.seed);
     this.world.syncTakes = options.syncTakes ?? this.world.syncTakes;
     this.#stormy = options.stormy ?? 30_000;
-    this.sight = { inquiries: [], lots: [], changes: [], reads: [], begins: [], goodbyes: [], runs: [], waiting: [], healedAt: 0, serviceAt: {}, deadline: (options.deadlineSeconds ?? 600) * 1_000, repaired: true, emptiedHolds: false };
+    this.sight = {
+      inquiries: [],
+      lots: [],
+      changes: [],
+      reads: [],
+      begins: [],
+      goodbyes: [],
+      runs: [],
+      waiting: [],
+      healedAt: 0,
+      serviceAt: {},
+      deadline: (options.deadlineSeconds ?? 600) * 1_000,
+      repaired: true,
+      emptiedHolds: false,
+    };
     const { world, sight } = this;
     const twoLost = options.twoLost === true;
     /** Settings name three of the control machines (docs/design.md §13.8). */
     const seeds = ["control-1", "control-2", "control-3"];
-    if (twoLost) world.policy = { ...policy.usual, copiesLeast: 3, copiesWanted: 4, controlsWanted: 5, othersLeast: 3 };
-    for (const name of twoLost ? [...seeds, "control-4", "control-5"] : seeds) this.controls.push(new ControlMachine(world, name, name, seeds));
+    if (twoLost)
+      world.policy = {
+        ...policy.usual,
+        copiesLeast: 3,
+        copiesWanted: 4,
+        controlsWanted: 5,
+        othersLeast: 3,
+      };
+    for (const name of twoLost ? [...seeds, "control-4", "control-5"] : seeds)
+      this.controls.push(new ControlMachine(world, name, name, seeds));
     this.#controlNumber = this.controls.length;
     if (twoLost) this.#storageNumber = 5;
-    for (let number = 1; number <= (twoLost ? 5 : 3); number += 1) this.storages.push(new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds));
+    for (let number = 1; number <= (twoLost ? 5 : 3); number += 1)
+      this.storages.push(
+        new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds),
+      );
     const self = this;
     const hooks: AccessHooks = {
       runnerAt: runnerAt,
@@ -122,17 +218,35 @@
     }
     function began(machine: AccessMachine): void {
       const marked = machine.core.membership.configuration;
-      sight.begins.push({ node: `${machine.name}/${machine.life}`, at: world.now, mark: marked.mark, id: changeOf(marked.value) });
+      sight.begins.push({
+        node: `${machine.name}/${machine.life}`,
+        at: world.now,
+        mark: marked.mark,
+        id: changeOf(marked.value),
+      });
     }
-    for (let number = 1; number <= (options.access ?? 3); number += 1) this.accesses.push(new AccessMachine(world, `access-${number}`, `access-${number}`, seeds, hooks));
+    for (let number = 1; number <= (options.access ?? 3); number += 1)
+      this.accesses.push(
+        new AccessMachine(world, `access-${number}`, `access-${number}`, seeds, hooks),
+      );
     const records: RunRecord[] = sight.runs;
     const models = options.modelRunners ?? 5;
     const all = models + (options.plainRunners ?? 2);
-    for (let number = 1; number <= models; number += 1) this.runners.push(new Runner(world, `model-${number}`, "model", options.seats ?? 12, records, { ...calmManner }));
-    for (let number = models + 1; number <= all; number += 1) this.runners.push(new Runner(world, `plain-${number}`, "plain", 24, records, { ...calmManner }));
+    for (let number = 1; number <= models; number += 1)
+      this.runners.push(
+        new Runner(world, `model-${number}`, "model", options.seats ?? 12, records, {
+          ...calmManner,
+        }),
+      );
+    for (let number = models + 1; number <= all; number += 1)
+      this.runners.push(
+        new Runner(world, `plain-${number}`, "plain", 24, records, { ...calmManner }),
+      );
   }
 
-  get machines(): Machine[] { return [...this.controls, ...this.storages, ...this.accesses]; }
+  get machines(): Machine[] {
+    return [...this.controls, ...this.storages, ...this.accesses];
+  }
 
   /** Starts the fleet with its first configuration and nothing more. */
   begin(): void {
@@ -145,16 +259,22 @@
     const { world, sight } = this;
     this.begin();
     const self = this;
-    function traffic(): void { self.#traffic(); }
+    function traffic(): void {
+      self.#traffic();
+    }
     world.at(5_000, traffic);
     const aim = this.options.aim === undefined ? undefined : aims[this.options.aim]!;
     aim?.set(this);
     if (this.options.away !== undefined) {
-      function away(): void { self.away(self.options.away!); }
+      function away(): void {
+        self.away(self.options.away!);
+      }
       world.at(10_000, away);
     }
     if (this.options.faults) {
-      function storm(): void { self.#storm(); }
+      function storm(): void {
+        self.#storm();
+      }
       world.at(8_000, storm);
     }
     world.run(5_000 + this.#stormy);
@@ -165,23 +285,54 @@
     world.run(world.now + (this.options.calm ?? 26_000));
     this.look();
     sight.repaired = !(this.heals || this.#isMended) || this.#whole();
-    if (this.heals && this.#sharesZone()) this.breaches.push({ rule: "repair", facts: "two copies of a queue stand in one zone at the end, and another zone has a place" });
-    sight.emptiedHolds = this.#emptiedIdentity !== undefined && this.#holdsQueue(this.#emptiedIdentity);
-    const counts: Record<string, number> = { events: world.events, messages: world.messages, runs: sight.runs.length, inquiries: sight.inquiries.length, lots: sight.lots.length, changes: sight.changes.length, faults: this.faults.length };
+    if (this.heals && this.#sharesZone())
+      this.breaches.push({
+        rule: "repair",
+        facts: "two copies of a queue stand in one zone at the end, and another zone has a place",
+      });
+    sight.emptiedHolds =
+      this.#emptiedIdentity !== undefined && this.#holdsQueue(this.#emptiedIdentity);
+    const counts: Record<string, number> = {
+      events: world.events,
+      messages: world.messages,
+      runs: sight.runs.length,
+      inquiries: sight.inquiries.length,
+      lots: sight.lots.length,
+      changes: sight.changes.length,
+      faults: this.faults.length,
+    };
     for (const { from, to } of this.#awaySpans) {
       /** From when leases would have run out. */
       for (const inquiry of sight.inquiries) {
         if (inquiry.askedAt < from + 2_000 || inquiry.askedAt > to) continue;
-        const name = inquiry.told === "not-run" ? "away not-run" : inquiry.told === "done" ? "away done" : "away other";
+        const name =
+          inquiry.told === "not-run"
+            ? "away not-run"
+            : inquiry.told === "done"
+              ? "away done"
+              : "away other";
         counts[name] = (counts[name] ?? 0) + 1;
       }
     }
-    for (const inquiry of sight.inquiries) counts[`inquiry ${inquiry.told ?? "nothing"}`] = (counts[`inquiry ${inquiry.told ?? "nothing"}`] ?? 0) + 1;
+    for (const inquiry of sight.inquiries)
+      counts[`inquiry ${inquiry.told ?? "nothing"}`] =
+        (counts[`inquiry ${inquiry.told ?? "nothing"}`] ?? 0) + 1;
     /** Tries made as soon as a refusal's wait had passed. */
-    for (const lot of sight.lots) for (const [place, told] of lot.tries.entries()) if (lot.tries[place - 1] === "refused") counts[`lot waited, then ${told}`] = (counts[`lot waited, then ${told}`] ?? 0) + 1;
-    for (const change of sight.changes) counts[`change ${change.told ?? "nothing"}`] = (counts[`change ${change.told ?? "nothing"}`] ?? 0) + 1;
+    for (const lot of sight.lots)
+      for (const [place, told] of lot.tries.entries())
+        if (lot.tries[place - 1] === "refused")
+          counts[`lot waited, then ${told}`] = (counts[`lot waited, then ${told}`] ?? 0) + 1;
+    for (const change of sight.changes)
+      counts[`change ${change.told ?? "nothing"}`] =
+        (counts[`change ${change.told ?? "nothing"}`] ?? 0) + 1;
     if (aim?.struck !== undefined) this.strikes += aim.struck(this);
-    return { violations: [...check(sight), ...this.breaches], sight, faults: this.faults, counts, strikes: this.strikes };
+    return {
+      violations: [...check(sight), ...this.breaches],
+      sight,
+      faults: this.faults,
+      counts,
+      strikes: this.strikes,
+    };
   }
 
   /** Told by an aim that mends what it broke: service counts from here, and all must be whole at the end. */
@@ -205,7 +356,9 @@
     return found;
   }
 
-  head(): ControlMachine | undefined { return this.controls.find(isHead); }
+  head(): ControlMachine | undefined {
+    return this.controls.find(isHead);
+  }
 
   // Traffic
 
@@ -221,14 +374,31 @@
       function tell(tries: number): void {
         if (!runner.alive || runner.leaving || tries === 0) return;
         const access = world.chance.pick(self.accesses);
-        function again(): void { tell(tries - 1); }
+        function again(): void {
+          tell(tries - 1);
+        }
         if (!access.alive) return world.after(2, again);
-        if (world.isCut(access.address, runner.address)) return world.after(constants.announcePatience, again);
+        if (world.isCut(access.address, runner.address))
+          return world.after(constants.announcePatience, again);
         if (access.frozen) world.after(constants.announcePatience, again);
         const { incarnation } = runner;
-        const card = { id: runner.id, incarnation, url: runner.address, kind: runner.kind, models: runner.kind === "model" ? ["reader"] : [], labels: { pool: poolOf(runner.id) }, seats: runner.seats, zone: "a", burden: runner.burden };
-        function enter(ticket: string): ReturnType<AccessMachine["core"]["announce"]> { return access.core.announce(ticket, card, world.now); }
-        function reply(status: number): void { if (status === 503) again(); }
+        const card = {
+          id: runner.id,
+          incarnation,
+          url: runner.address,
+          kind: runner.kind,
+          models: runner.kind === "model" ? ["reader"] : [],
+          labels: { pool: poolOf(runner.id) },
+          seats: runner.seats,
+          zone: "a",
+          burden: runner.burden,
+        };
+        function enter(ticket: string): ReturnType<AccessMachine["core"]["announce"]> {
+          return access.core.announce(ticket, card, world.now);
+        }
+        function reply(status: number): void {
+          if (status === 503) again();
+        }
         access.exchange({ ...deaf, reply }, enter);
       }
       world.after(world.chance.between(0, 1_000), announce);
@@ -238,13 +408,57 @@
   #configurationWith(id: string): Configuration {
     const extra = this.options.season !== undefined && this.world.chance.happens(0.5);
     const value = {
-      models: { reader: { adapters: extra ? ["customs", "extra"] : ["customs"], bucket: { tokens: this.options.tokens ?? 40, windowSeconds: this.options.windowSeconds ?? 1, capacity: this.options.tokens ?? 40 }, waiting: this.options.allowance ?? 1_000 } },
+      models: {
+        reader: {
+          adapters: extra ? ["customs", "extra"] : ["customs"],
+          bucket: {
+            tokens: this.options.tokens ?? 40,
+            windowSeconds: this.options.windowSeconds ?? 1,
+            capacity: this.options.tokens ?? 40,
+          },
+          waiting: this.options.allowance ?? 1_000,
+        },
+      },
       ways: {
-        check: { kind: "one-shot", model: "reader" }, manifest: { kind: "stream", model: "reader" }, label: { kind: "fetch" },
-        slips: { kind: "lot", model: "reader", labels: { change: id }, deadlineSeconds: this.options.deadlineSeconds }, adapted: { kind: "lot", model: "reader", adapter: "customs", deadlineSeconds: this.options.deadlineSeconds },
+        check: { kind: "one-shot", model: "reader" },
+        manifest: { kind: "stream", model: "reader" },
+        label: { kind: "fetch" },
+        slips: {
+          kind: "lot",
+          model: "reader",
+          labels: { change: id },
+          deadlineSeconds: this.options.deadlineSeconds,
+        },
+        adapted: {
+          kind: "lot",
+          model: "reader",
+          adapter: "customs",
+          deadlineSeconds: this.options.deadlineSeconds,
+        },
         ...(extra ? { extra: { kind: "lot", model: "reader", adapter: "extra" } } : {}),
       },
-      seasons: this.options.season === undefined ? {} : { flood: { start: "2020-01-01T00:00:00Z", end: "2100-01-01T00:00:00Z", select: [{ label: "model", equals: "reader" }], waiting: this.options.season }, ...(this.options.labelled === true ? { night: { start: "2021-01-01T00:00:00Z", end: "2100-01-01T00:00:00Z", select: [{ label: "shift", equals: "night" }], runners: [{ label: "pool", equals: "big" }], waiting: this.options.season / 2 } } : {}) },
+      seasons:
+        this.options.season === undefined
+          ? {}
+          : {
+              flood: {
+                start: "2020-01-01T00:00:00Z",
+                end: "2100-01-01T00:00:00Z",
+                select: [{ label: "model", equals: "reader" }],
+                waiting: this.options.season,
+              },
+              ...(this.options.labelled === true
+                ? {
+                    night: {
+                      start: "2021-01-01T00:00:00Z",
+                      end: "2100-01-01T00:00:00Z",
+                      select: [{ label: "shift", equals: "night" }],
+                      runners: [{ label: "pool", equals: "big" }],
+                      waiting: this.options.season / 2,
+                    },
+                  }
+                : {}),
+            },
     };
     const checked = configuration.check(value);
     if (!checked.ok) throw new Error(checked.reason);
@@ -256,9 +470,13 @@
     const { world } = this;
     function enter(): void {
       function told(outcome: ControlOutcome | undefined): void {
-        if (outcome?.kind !== "confirmed" || outcome.value.kind !== "IN_FORCE") world.after(300, enter);
+        if (outcome?.kind !== "confirmed" || outcome.value.kind !== "IN_FORCE")
+          world.after(300, enter);
       }
-      self.controls[0]!.inquire({ kind: "put", expected: 0, value: self.#configurationWith("first") }, told);
+      self.controls[0]!.inquire(
+        { kind: "put", expected: 0, value: self.#configurationWith("first") },
+        told,
+      );
     }
     world.at(1_500, enter);
   }
@@ -274,7 +492,8 @@
     }
     function lot(): void {
       self.handIn();
-      const [least, most] = self.options.lotEvery ?? (self.options.season === undefined ? [400, 1_500] : [60, 400]);
+      const [least, most] =
+        self.options.lotEvery ?? (self.options.season === undefined ? [400, 1_500] : [60, 400]);
       if (world.now < self.#stormy + 8_000) world.after(chance.between(least, most), lot);
     }
     const quietAt = 5_000 + this.#stormy + (this.options.calm ?? 26_000) - 8_000;
@@ -308,13 +527,15 @@
     const { world, sight } = this;
     this.#inquiryNumber += 1;
     const kind = (["one-shot", "stream", "stream", "fetch"] as const)[this.#inquiryNumber % 4]!;
-    const prompt = kind === "fetch" ? `/label-${this.#inquiryNumber}` : `prompt-${this.#inquiryNumber}`;
+    const prompt =
+      kind === "fetch" ? `/label-${this.#inquiryNumber}` : `prompt-${this.#inquiryNumber}`;
     const record: InquiryRecord = { prompt, kind, askedAt: world.now, pieces: [] };
     sight.inquiries.push(record);
     function end(told: NonNullable<InquiryRecord["told"]>): void {
       record.told = told;
       record.endedAt = world.now;
-      if (told === "done" && record.askedAt > sight.healedAt && sight.healedAt > 0) sight.serviceAt.live ??= world.now;
+      if (told === "done" && record.askedAt > sight.healedAt && sight.healedAt > 0)
+        sight.serviceAt.live ??= world.now;
     }
     function whole(value: unknown): void {
       record.value = value;
@@ -324,9 +545,15 @@
     function reply(status: number, body: Record<string, unknown>): void {
       if (status === 200) return whole(body["result"]);
       const told = body["trouble"];
-      end(told === "not-run" || told === "may-have-run" || told === "runner-failed" ? told : "refused");
+      end(
+        told === "not-run" || told === "may-have-run" || told === "runner-failed"
+          ? told
+          : "refused",
+      );
+    }
+    function bytes(value: string): void {
+      whole(value);
     }
-    function bytes(value: string): void { whole(value); }
     function open(): void {
       // Nothing is shown yet.
     }
@@ -339,12 +566,22 @@
       record.closed = pieces;
       end("done");
     }
-    function trouble(body: Record<string, unknown>): void { end(body["trouble"] as "may-have-run"); }
-    function torn(): void { end("torn"); }
+    function trouble(body: Record<string, unknown>): void {
+      end(body["trouble"] as "may-have-run");
+    }
+    function torn(): void {
+      end("torn");
+    }
     const access = world.chance.pick(this.accesses);
     function enter(ticket: string): ReturnType<AccessMachine["core"]["arrive"]> {
       const way = kind === "one-shot" ? "check" : kind === "stream" ? "manifest" : "label";
-      return access.core.arrive(ticket, way, kind === "fetch" ? undefined : { prompt }, kind === "fetch" ? prompt : undefined, world.now);
+      return access.core.arrive(
+        ticket,
+        way,
+        kind === "fetch" ? undefined : { prompt },
+        kind === "fetch" ? prompt : undefined,
+        world.now,
+      );
     }
     const leave = access.exchange(caller, enter);
     const goes = world.chance.happens(0.03) ? world.chance.between(20, 200) : patience;
@@ -359,12 +596,29 @@
   handIn(): LotRecord {
     const { world } = this;
     this.#lotNumber += 1;
-    const record: LotRecord = { key: `lot-${this.#lotNumber}`, count: 1 + world.chance.below(this.options.lotItems ?? 20), tries: [], views: [], ...(this.options.labelled === true && this.#lotNumber % 2 === 0 ? { labels: { shift: "night" } } : {}) };
+    const record: LotRecord = {
+      key: `lot-${this.#lotNumber}`,
+      count: 1 + world.chance.below(this.options.lotItems ?? 20),
+      tries: [],
+      views: [],
+      ...(this.options.labelled === true && this.#lotNumber % 2 === 0
+        ? { labels: { shift: "night" } }
+        : {}),
+    };
     this.sight.lots.push(record);
-    this.tryLot(record, world.chance.pick(this.options.season === undefined ? ["slips", "slips", "adapted"] : ["slips", "adapted", "extra"]));
+    this.tryLot(
+      record,
+      world.chance.pick(
+        this.options.season === undefined
+          ? ["slips", "slips", "adapted"]
+          : ["slips", "adapted", "extra"],
+      ),
+    );
     const self = this;
     if (world.chance.happens(0.2)) {
-      function cancel(): void { self.cancel(record); }
+      function cancel(): void {
+        self.cancel(record);
+      }
       world.after(world.chance.between(50, 3_000), cancel);
     }
     return record;
@@ -388,22 +642,41 @@
         if (askedAt > sight.healedAt && sight.healedAt > 0) sight.serviceAt.lot ??= world.now;
       }
       if (told === "accepted") return;
-      function again(): void { self.tryLot(record, way); }
-      if (record.tries.length < 12 && told !== "refused") world.after(world.chance.between(200, 1_200), again);
-      else if (told === "refused" && record.tries.length < (self.options.lotTries ?? 3)) world.after(wait * 1_000, again);
+      function again(): void {
+        self.tryLot(record, way);
+      }
+      if (record.tries.length < 12 && told !== "refused")
+        world.after(world.chance.between(200, 1_200), again);
+      else if (told === "refused" && record.tries.length < (self.options.lotTries ?? 3))
+        world.after(wait * 1_000, again);
     }
     const caller: CallerSight = { ...deaf, reply, torn };
     function reply(status: number, body: Record<string, unknown>): void {
       const lot = body["lot"] as string | undefined;
-      if (status === 202 && body["endsWithin"] !== undefined) record.endsAt = Math.min(record.endsAt ?? Number.POSITIVE_INFINITY, world.now + 1_000 * (body["endsWithin"] as number));
+      if (status === 202 && body["endsWithin"] !== undefined)
+        record.endsAt = Math.min(
+          record.endsAt ?? Number.POSITIVE_INFINITY,
+          world.now + 1_000 * (body["endsWithin"] as number),
+        );
       if (status === 202) end("accepted", lot);
-      else end(status === 429 ? "refused" : String(body["trouble"]), lot, body["retryAfter"] as number | undefined);
+      else
+        end(
+          status === 429 ? "refused" : String(body["trouble"]),
+          lot,
+          body["retryAfter"] as number | undefined,
+        );
+    }
+    function torn(): void {
+      end("torn");
     }
-    function torn(): void { end("torn"); }
     const access = world.chance.pick(this.accesses);
-    function enter(ticket: string): ReturnType<AccessMachine["core"]["handIn"]> { return access.core.handIn(ticket, way, record.key, items, record.labels, world.now); }
+    function enter(ticket: string): ReturnType<AccessMachine["core"]["handIn"]> {
+      return access.core.handIn(ticket, way, record.key, items, record.labels, world.now);
+    }
     access.exchange(caller, enter);
-    function late(): void { end("torn"); }
+    function late(): void {
+      end("torn");
+    }
     world.after(patience, late);
   }
 
@@ -419,7 +692,9 @@
       else again();
     }
     function again(): void {
-      function cancel(): void { self.cancel(record); }
+      function cancel(): void {
+        self.cancel(record);
+      }
       world.after(500, cancel);
     }
     function enter(ticket: string): ReturnType<AccessMachine["core"]["cancel"]> {
@@ -444,14 +719,27 @@
       function reply(status: number, body: Record<string, unknown>): void {
         if (status === 404) record.views.push({ askedAt, at: world.now, state: "open", items: [] });
         if (status !== 200) return;
-        record.views.push({ askedAt, at: world.now, state: body["state"] as string, items: body["items"] as LotView["items"] });
+        record.views.push({
+          askedAt,
+          at: world.now,
+          state: body["state"] as string,
+          items: body["items"] as LotView["items"],
+        });
+      }
+      function enter(ticket: string): ReturnType<AccessMachine["core"]["lookUp"]> {
+        return access.core.lookUp(ticket, record.lot!, world.now);
       }
-      function enter(ticket: string): ReturnType<AccessMachine["core"]["lookUp"]> { return access.core.lookUp(ticket, record.lot!, world.now); }
       access.exchange(caller, enter);
     }
     if (this.#controlLost && this.#whole()) this.#controlLost = false;
     if (sight.healedAt > 0) {
-      for (const { chain, why } of this.#stuckWatch.look(this.controls, this.storages, backWithin, world.now)) this.breaches.push({ rule: "stuck", facts: `${chain} ${why}` });
+      for (const { chain, why } of this.#stuckWatch.look(
+        this.controls,
+        this.storages,
+        backWithin,
+        world.now,
+      ))
+        this.breaches.push({ rule: "stuck", facts: `${chain} ${why}` });
     }
     if (open === 0 && sight.healedAt > 0) sight.serviceAt.finished ??= world.now;
     this.countWaiting();
@@ -463,9 +751,25 @@
     const waiting = new Map<string, { mark: number; count: number; night: number }>();
     for (const storage of this.storages) {
       if (!storage.alive || storage.frozen) continue;
-      const queues = storage.core.status(world.now)["queues"] as Record<string, { owner: boolean; view: ChainView; count?: { waiting: number; open: Record<string, number> } }>;
+      const queues = storage.core.status(world.now)["queues"] as Record<
+        string,
+        {
+          owner: boolean;
+          view: ChainView;
+          count?: { waiting: number; open: Record<string, number> };
+        }
+      >;
       for (const [name, queue] of Object.entries(queues)) {
-        if (queue.owner && queue.count !== undefined && queue.view.mark > (waiting.get(name)?.mark ?? 0)) waiting.set(name, { mark: queue.view.mark, count: queue.count.waiting, night: queue.count.open["night"] ?? 0 });
+        if (
+          queue.owner &&
+          queue.count !== undefined &&
+          queue.view.mark > (waiting.get(name)?.mark ?? 0)
+        )
+          waiting.set(name, {
+            mark: queue.view.mark,
+            count: queue.count.waiting,
+            night: queue.count.open["night"] ?? 0,
+          });
       }
     }
     let all = 0;
@@ -476,14 +780,25 @@
       ofNight += night;
       most = Math.max(most, count);
     }
-    const allowance = (options.season ?? options.allowance ?? 1_000) * (options.labelled === true ? 1.5 : 1);
-    if (options.labelled === true) sight.waiting.push({ at: world.now, waiting: ofNight, allowance: options.season! / 2 });
-    sight.waiting.push({ at: world.now, waiting: options.season === undefined ? most : all, allowance });
+    const allowance =
+      (options.season ?? options.allowance ?? 1_000) * (options.labelled === true ? 1.5 : 1);
+    if (options.labelled === true)
+      sight.waiting.push({ at: world.now, waiting: ofNight, allowance: options.season! / 2 });
+    sight.waiting.push({
+      at: world.now,
+      waiting: options.season === undefined ? most : all,
+      allowance,
+    });
   }
 
   // Operators
 
-  change(from: ControlMachine = this.world.chance.pick(this.controls), operators = this.world.chance.happens(0.3) ? 2 : 1, bad?: boolean, before?: () => void): void {
+  change(
+    from: ControlMachine = this.world.chance.pick(this.controls),
+    operators = this.world.chance.happens(0.3) ? 2 : 1,
+    bad?: boolean,
+    before?: () => void,
+  ): void {
     const { world, sight } = this;
     const { chance } = world;
     const self = this;
@@ -495,15 +810,37 @@
       for (let number = 0; number < operators; number += 1) {
         self.#changeNumber += 1;
         /** The first changes after the last fault are good ones, or chance could leave none to judge the service by. */
-        const malformed = bad ?? (chance.happens(0.15) && (sight.healedAt === 0 || sight.serviceAt.change !== undefined));
-        const record: ChangeRecord = { id: `change-${self.#changeNumber}`, kind: malformed ? "malformed" : racing ? "racing" : "good", askedAt: world.now, expected: mark };
+        const malformed =
+          bad ??
+          (chance.happens(0.15) && (sight.healedAt === 0 || sight.serviceAt.change !== undefined));
+        const record: ChangeRecord = {
+          id: `change-${self.#changeNumber}`,
+          kind: malformed ? "malformed" : racing ? "racing" : "good",
+          askedAt: world.now,
+          expected: mark,
+        };
         sight.changes.push(record);
-        function ended(result: ControlOutcome | undefined): void { self.#changeTold(record, result); }
+        function ended(result: ControlOutcome | undefined): void {
+          self.#changeTold(record, result);
+        }
         const value = self.#configurationWith(record.id) as unknown as Record<string, unknown>;
         if (malformed) value["nonsense"] = true;
-        const to = operators === 1 && bad === undefined ? chance.pick(self.controls) : number === 0 ? from : chance.pick(self.controls);
+        const to =
+          operators === 1 && bad === undefined
+            ? chance.pick(self.controls)
+            : number === 0
+              ? from
+              : chance.pick(self.controls);
         if (chance.happens(0.5)) to.inquire({ kind: "put", expected: mark, value }, ended);
-        else to.inquire({ kind: "patch", expected: mark, change: malformed ? value : { ways: { slips: { labels: { change: record.id } } } } }, ended);
+        else
+          to.inquire(
+            {
+              kind: "patch",
+              expected: mark,
+              change: malformed ? value : { ways: { slips: { labels: { change: record.id } } } },
+            },
+            ended,
+          );
       }
     }
     from.inquire({ kind: "read" }, told);
@@ -517,7 +854,8 @@
     else if (outcome.value.kind === "IN_FORCE") {
       record.told = "confirmed";
       record.mark = outcome.value.mark;
-      if (record.askedAt > sight.healedAt && sight.healedAt > 0) sight.serviceAt.change ??= world.now;
+      if (record.askedAt > sight.healedAt && sight.healedAt > 0)
+        sight.serviceAt.change ??= world.now;
     } else record.told = outcome.value.kind === "CONFLICT" ? "conflict" : "refused";
   }
 
@@ -526,7 +864,12 @@
     const askedAt = world.now;
     function told(outcome: ControlOutcome | undefined): void {
       if (outcome?.kind !== "confirmed" || outcome.value.kind !== "CONFIGURATION") return;
-      sight.reads.push({ askedAt, at: world.now, mark: outcome.value.mark, id: changeOf(outcome.value.value) });
+      sight.reads.push({
+        askedAt,
+        at: world.now,
+        mark: outcome.value.mark,
+        id: changeOf(outcome.value.value),
+      });
     }
     world.chance.pick(this.controls).inquire({ kind: "read" }, told);
   }
@@ -538,7 +881,11 @@
     const self = this;
     if (!runner.alive || runner.leaving) return;
     runner.leaving = true;
-    const record: GoodbyeRecord = { runner: runner.id, incarnation: runner.incarnation, saidAt: world.now };
+    const record: GoodbyeRecord = {
+      runner: runner.id,
+      incarnation: runner.incarnation,
+      saidAt: world.now,
+    };
     sight.goodbyes.push(record);
     let tries = 0;
     function say(): void {
@@ -557,7 +904,9 @@
       if (world.isCut(access.address, runner.address)) return again();
       access.exchange(caller, enter);
     }
-    function again(): void { if (tries < triesMost) world.after(300, say); }
+    function again(): void {
+      if (tries < triesMost) world.after(300, say);
+    }
     function back(): void {
       runner.crash();
       runner.restart();
@@ -572,7 +921,9 @@
     const self = this;
     if (world.now > this.#stormy + 4_000) return;
     this.#fault();
-    function next(): void { self.#storm(); }
+    function next(): void {
+      self.#storm();
+    }
     world.after(world.chance.between(200, 3_000), next);
   }
 
@@ -583,11 +934,15 @@
   #fault(): void {
     const { world } = this;
     const { chance } = world;
-    const kind = chance.pick<(typeof usualFaults)[number] | (typeof lossFaults)[number]>(this.options.losses === true ? lossFaults : usualFaults);
+    const kind = chance.pick<(typeof usualFaults)[number] | (typeof lossFaults)[number]>(
+      this.options.losses === true ? lossFaults : usualFaults,
+    );
     const machine = chance.pick(this.machines);
     const lasts = chance.between(100, 6_000);
     switch (kind) {
-      case "kill": case "power": return this.#kill(machine, kind === "power", lasts);
+      case "kill":
+      case "power":
+        return this.#kill(machine, kind === "power", lasts);
       case "both": {
         this.#kill(machine, true, lasts);
         return this.#kill(chance.pick(this.machines), false, chance.between(100, 4_000));
@@ -596,7 +951,9 @@
         if (!machine.alive || machine.frozen) return;
         this.note(`freeze ${machine.name} for ${Math.round(lasts)}`);
         machine.freeze();
-        function wake(): void { machine.wake(); }
+        function wake(): void {
+          machine.wake();
+        }
         return world.after(lasts, wake);
       }
       case "cut": {
@@ -613,19 +970,30 @@
       case "split": {
         this.note("split the control group");
         const lone = chance.pick(this.controls);
-        for (const other of this.controls) if (other !== lone) world.cut(lone.address, other.address);
+        for (const other of this.controls)
+          if (other !== lone) world.cut(lone.address, other.address);
         return this.#mendAfter(lasts);
       }
-      case "zone": return this.#zone(lasts);
-      case "stop": return this.#stop();
-      case "away": return this.away(lasts + 3_000);
-      case "wipe": return this.#wipe(machine, lasts);
-      case "replace": return this.#replace();
-      case "replace storage": return this.#replaceStorage();
-      case "all": return this.#all();
-      case "add": return this.#add();
-      case "empty": return this.#empty();
-      case "roll": return this.#roll();
+      case "zone":
+        return this.#zone(lasts);
+      case "stop":
+        return this.#stop();
+      case "away":
+        return this.away(lasts + 3_000);
+      case "wipe":
+        return this.#wipe(machine, lasts);
+      case "replace":
+        return this.#replace();
+      case "replace storage":
+        return this.#replaceStorage();
+      case "all":
+        return this.#all();
+      case "add":
+        return this.#add();
+      case "empty":
+        return this.#empty();
+      case "roll":
+        return this.#roll();
       case "slow":
         this.note(`slow disk at ${machine.name}`);
         machine.slowUntil = world.now + lasts;
@@ -633,7 +1001,9 @@
       case "loss": {
         this.note("messages are lost");
         world.loss = chance.between(0.01, 0.2);
-        function calm(): void { world.loss = 0; }
+        function calm(): void {
+          world.loss = 0;
+        }
         return world.after(lasts, calm);
       }
       case "clock": {
@@ -646,7 +1016,9 @@
         if (!runner.alive) return;
         this.note(`runner ${runner.id} crashes`);
         runner.crash();
-        function back(): void { runner.restart(); }
+        function back(): void {
+          runner.restart();
+        }
         return world.after(lasts, back);
       }
     }
@@ -658,20 +1030,25 @@
     const zone = `zone-${world.chance.below(3)}`;
     const inside: Machine[] = [];
     const outside: string[] = [];
-    for (const machine of this.machines) if (zoneNamed(machine.name) === zone) inside.push(machine);
-    else outside.push(machine.address);
+    for (const machine of this.machines)
+      if (zoneNamed(machine.name) === zone) inside.push(machine);
+      else outside.push(machine.address);
     const runners: Runner[] = [];
-    for (const runner of this.runners) if (zoneNamed(runner.id) === zone) runners.push(runner);
-    else outside.push(runner.address);
+    for (const runner of this.runners)
+      if (zoneNamed(runner.id) === zone) runners.push(runner);
+      else outside.push(runner.address);
     if (world.chance.happens(0.5)) {
       this.note(`${zone} is cut off for ${Math.round(lasts)}`);
-      for (const other of outside) for (const one of [...inside, ...runners]) world.cut(one.address, other);
+      for (const other of outside)
+        for (const one of [...inside, ...runners]) world.cut(one.address, other);
       return this.#mendAfter(lasts);
     }
     this.note(`${zone} loses power`);
     for (const machine of inside) this.#kill(machine, true, lasts);
     for (const runner of runners) if (runner.alive) runner.crash();
-    function back(): void { for (const runner of runners) if (!runner.alive) runner.restart(); }
+    function back(): void {
+      for (const runner of runners) if (!runner.alive) runner.restart();
+    }
     world.after(lasts, back);
   }
 
@@ -680,15 +1057,21 @@
     const self = this;
     this.#wishes += 1;
     const wish = this.#wishes;
-    function mend(): void { if (self.#wishes === wish) world.mend(); }
+    function mend(): void {
+      if (self.#wishes === wish) world.mend();
+    }
     world.after(lasts, mend);
   }
 
   #kill(machine: Machine, power: boolean, lasts: number): void {
     if (!machine.alive) return;
-    this.note(`${power ? "power lost at" : "kill"} ${machine.name}, back after ${Math.round(lasts)}`);
+    this.note(
+      `${power ? "power lost at" : "kill"} ${machine.name}, back after ${Math.round(lasts)}`,
+    );
     machine.kill(power);
-    function back(): void { if (!machine.alive) machine.start(); }
+    function back(): void {
+      if (!machine.alive) machine.start();
+    }
     this.world.after(lasts, back);
   }
 
@@ -709,7 +1092,9 @@
     this.note(`disk lost at ${machine.name}, back empty after ${Math.round(lasts)}`);
     machine.kill(true);
     machine.wipe();
-    function back(): void { if (!machine.alive) machine.start(); }
+    function back(): void {
+      if (!machine.alive) machine.start();
+    }
     this.world.after(lasts, back);
   }
 
@@ -735,7 +1120,9 @@
       machine.kill(false);
       world.after(500, back);
     }
-    function back(): void { if (!machine.alive) machine.start(); }
+    function back(): void {
+      if (!machine.alive) machine.start();
+    }
     world.after(4_000, end);
   }
 
@@ -743,7 +1130,9 @@
   away(lasts: number): void {
     const { world } = this;
     this.note(`the control group is away for ${Math.round(lasts)}`);
-    for (const control of this.controls) for (const node of [...this.storages, ...this.accesses]) world.cut(control.address, node.address);
+    for (const control of this.controls)
+      for (const node of [...this.storages, ...this.accesses])
+        world.cut(control.address, node.address);
     this.#awaySpans.push({ from: world.now, to: world.now + lasts });
     this.#mendAfter(lasts);
   }
@@ -771,7 +1160,9 @@
     const blank = new ControlMachine(world, name, name, this.#seedsNow(gone));
     controls[controls.indexOf(gone)] = blank;
     gone.retired = true;
-    function begin(): void { if (!blank.alive) blank.start(); }
+    function begin(): void {
+      if (!blank.alive) blank.start();
+    }
     world.after(after, begin);
   }
 
@@ -794,7 +1185,8 @@
   /** The operator's list as it stands when a machine is set up. */
   #seedsNow(gone?: ControlMachine): string[] {
     const seeds: string[] = [];
-    for (const control of this.controls) if (control !== gone && seeds.length < 3) seeds.push(control.address);
+    for (const control of this.controls)
+      if (control !== gone && seeds.length < 3) seeds.push(control.address);
     return seeds;
   }
 
@@ -817,7 +1209,10 @@
     const power = chance.happens(0.6);
     const lost = power ? chance.pick<Machine>([...this.controls, ...this.storages]) : undefined;
     const control = this.controls.includes(lost as ControlMachine);
-    const wipes = lost !== undefined && lost.alive && !(control && this.options.twoLost !== true ? this.#controlLost : !this.#whole());
+    const wipes =
+      lost !== undefined &&
+      lost.alive &&
+      !(control && this.options.twoLost !== true ? this.#controlLost : !this.#whole());
     for (const machine of this.machines) this.#kill(machine, power, chance.between(300, 2_500));
     if (!wipes) return;
     this.#lastWipeAt = world.now;
@@ -827,12 +1222,18 @@
     this.#loseAnother(lost, 500);
   }
 
-  addStorage(): void { this.#add(); }
+  addStorage(): void {
+    this.#add();
+  }
 
   #add(): void {
     const { world, storages } = this;
     if (storages.length > 3) return;
-    const added = new StorageMachine(world, "storage-4", "storage-4", ["control-1", "control-2", "control-3"]);
+    const added = new StorageMachine(world, "storage-4", "storage-4", [
+      "control-1",
+      "control-2",
+      "control-3",
+    ]);
     storages.push(added);
     this.note("storage-4 is added");
     added.start();
@@ -850,9 +1251,12 @@
     function ask(): void {
       function told(outcome: ControlOutcome | undefined): void {
         if (outcome?.kind !== "confirmed") world.after(500, ask);
-        else if (outcome.value.kind === "DONE" || outcome.value.kind === "UNDER_WAY") self.#emptiedIdentity = identity;
+        else if (outcome.value.kind === "DONE" || outcome.value.kind === "UNDER_WAY")
+          self.#emptiedIdentity = identity;
       }
-      world.chance.pick(self.controls).inquire({ kind: "empty", identity: identity!, wanted: true }, told);
+      world.chance
+        .pick(self.controls)
+        .inquire({ kind: "empty", identity: identity!, wanted: true }, told);
     }
     ask();
   }
@@ -869,7 +1273,9 @@
         runner.crash();
         world.after(300, back);
       }
-      function back(): void { if (!runner.alive) runner.restart(); }
+      function back(): void {
+        if (!runner.alive) runner.restart();
+      }
       world.after(place * 600, replace);
     }
   }
@@ -881,7 +1287,8 @@
       const view = control.folder?.votes?.view;
       if (view !== undefined && (newest === undefined || view.mark > newest.mark)) newest = view;
     }
-    if (newest === undefined || newest.members.length < this.world.policy.controlsWanted) return false;
+    if (newest === undefined || newest.members.length < this.world.policy.controlsWanted)
+      return false;
     for (const member of newest.members) {
       const holder = this.controls.find(holds, { identity: member.identity });
       if (holder === undefined) return false;
@@ -894,7 +1301,10 @@
       const placed = view as ChainView;
       if (placed.members.length < this.world.policy.copiesWanted) return false;
       for (const member of placed.members) {
-        const held = this.storages.find(holds, { identity: member.identity })?.folder!.holdings().get(key.slice(6));
+        const held = this.storages
+          .find(holds, { identity: member.identity })
+          ?.folder!.holdings()
+          .get(key.slice(6));
         if (held === undefined || held.state.view.mark !== placed.mark) return false;
       }
     }
@@ -904,8 +1314,10 @@
   /** Two copies in one zone although the machines left to keep queues stand in three. */
   #sharesZone(): boolean {
     const zones = new Set<string>();
-    for (const storage of this.storages) if (storage.folder?.identity !== this.#emptiedIdentity) zones.add(zoneNamed(storage.name));
-    const queues = this.head()?.core.status(this.world.now)["queues"] as Record<string, ChainView> | undefined;
+    for (const storage of this.storages)
+      if (storage.folder?.identity !== this.#emptiedIdentity) zones.add(zoneNamed(storage.name));
+    const queues = this.head()?.core.status(this.world.now)["queues"] as
+      Record<string, ChainView> | undefined;
     for (const { members } of Object.values(queues ?? {})) {
       const of = new Set<string>();
       for (const { address } of members) of.add(zoneNamed(address));
@@ -916,8 +1328,10 @@
 
   #holdsQueue(identity: string): boolean {
     const head = this.controls.find(isHead);
-    const queues = head?.core.status(this.world.now)["queues"] as Record<string, ChainView> | undefined;
-    for (const view of Object.values(queues ?? {})) if (view.members.some(hasIdentity, { identity })) return true;
+    const queues = head?.core.status(this.world.now)["queues"] as
+      Record<string, ChainView> | undefined;
+    for (const view of Object.values(queues ?? {}))
+      if (view.members.some(hasIdentity, { identity })) return true;
     return false;
   }
 
@@ -962,4 +1376,12 @@
   // Nobody listens.
 }
 
-const deaf: CallerSight = { reply: nothing, bytes: nothing, open: nothing, piece: nothing, close: nothing, trouble: nothing, torn: nothing };
+const deaf: CallerSight = {
+  reply: nothing,
+  bytes: nothing,
+  open: nothing,
+  piece: nothing,
+  close: nothing,
+  trouble: nothing,
+  torn: nothing,
+};
--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -98,12 +98,15 @@
 
 export function check(sight: Sight): Violation[] {
   const found: Violation[] = [];
-  function breach(rule: string, facts: string): void { found.push({ rule, facts }); }
+  function breach(rule: string, facts: string): void {
+    found.push({ rule, facts });
+  }
   const byPrompt = new Map<string, RunRecord[]>();
   const byItem = new Map<string, RunRecord[]>();
   for (const run of sight.runs) {
     if (typeof run.prompt === "string") add(byPrompt, run.prompt, run);
-    else if (run.prompt === null) breach("result-changed", `${run.inquiry} ran again after it had ended`);
+    else if (run.prompt === null)
+      breach("result-changed", `${run.inquiry} ran again after it had ended`);
     else {
       const { key, slip } = run.prompt as { key: string; slip: number };
       add(byItem, `${key}/${slip}`, run);
@@ -117,18 +120,37 @@
     if (heardAt === undefined) continue;
     for (const run of sight.runs) {
       if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation) continue;
-      if (run.at > heardAt + 2_000 * about) breach("goodbye", `${run.runner} got work ${Math.round(run.at - heardAt)} ms after its goodbye was heard`);
+      if (run.at > heardAt + 2_000 * about)
+        breach(
+          "goodbye",
+          `${run.runner} got work ${Math.round(run.at - heardAt)} ms after its goodbye was heard`,
+        );
       /** Work sent before the goodbye may still be on its way for a moment. */
-      else if (goodbye.confirmedAt !== undefined && run.at > goodbye.confirmedAt + 10 && run.at > heardAt + 2_000) breach("goodbye", `${run.runner} got work ${Math.round(run.at - goodbye.confirmedAt)} ms after its goodbye was confirmed`);
+      else if (
+        goodbye.confirmedAt !== undefined &&
+        run.at > goodbye.confirmedAt + 10 &&
+        run.at > heardAt + 2_000
+      )
+        breach(
+          "goodbye",
+          `${run.runner} got work ${Math.round(run.at - goodbye.confirmedAt)} ms after its goodbye was confirmed`,
+        );
     }
   }
-  for (const { at, waiting, allowance } of sight.waiting) if (waiting > allowance * 1.1) breach("allowance", `${waiting} items wait at ${Math.round(at)}, and ${allowance} may`);
+  for (const { at, waiting, allowance } of sight.waiting)
+    if (waiting > allowance * 1.1)
+      breach("allowance", `${waiting} items wait at ${Math.round(at)}, and ${allowance} may`);
   if (!sight.repaired) breach("repair", "three whole copies of everything do not stand at the end");
-  if (sight.emptiedHolds) breach("repair", "a machine to be emptied still holds a queue at the end");
+  if (sight.emptiedHolds)
+    breach("repair", "a machine to be emptied still holds a queue at the end");
   const { live, lot, change, finished } = sight.serviceAt;
   for (const [what, at] of Object.entries({ live, lot, change, finished })) {
     if (at === undefined) breach("service", `${what}: not back after the last fault`);
-    else if (what !== "finished" && at - sight.healedAt > 12_000) breach("service", `${what}: back only ${Math.round(at - sight.healedAt)} ms after the last fault`);
+    else if (what !== "finished" && at - sight.healedAt > 12_000)
+      breach(
+        "service",
+        `${what}: back only ${Math.round(at - sight.healedAt)} ms after the last fault`,
+      );
   }
   return found;
 }
@@ -139,84 +161,165 @@
   else held.push(run);
 }
 
-function checkInquiries(sight: Sight, byPrompt: ReadonlyMap<string, RunRecord[]>, breach: (rule: string, facts: string) => void): void {
+function checkInquiries(
+  sight: Sight,
+  byPrompt: ReadonlyMap<string, RunRecord[]>,
+  breach: (rule: string, facts: string) => void,
+): void {
   for (const inquiry of sight.inquiries) {
     const runs = byPrompt.get(inquiry.prompt) ?? [];
     if (runs.length > 1) breach("runs-twice", `${inquiry.prompt} ran ${runs.length} times`);
-    if (inquiry.told === "not-run" && runs.length > 0) breach("not-run-ran", `${inquiry.prompt} was told not run, and ran at ${runs[0]!.runner}`);
+    if (inquiry.told === "not-run" && runs.length > 0)
+      breach("not-run-ran", `${inquiry.prompt} was told not run, and ran at ${runs[0]!.runner}`);
     if (inquiry.kind === "stream") checkStream(inquiry, runs, breach);
     else if (inquiry.told === "done") {
-      const expected = inquiry.kind === "fetch" ? `label for ${inquiry.prompt}` : JSON.stringify({ read: inquiry.prompt });
+      const expected =
+        inquiry.kind === "fetch"
+          ? `label for ${inquiry.prompt}`
+          : JSON.stringify({ read: inquiry.prompt });
       const got = inquiry.kind === "fetch" ? inquiry.value : JSON.stringify(inquiry.value);
       if (got !== expected) breach("someone-elses", `${inquiry.prompt} got ${String(got)}`);
-      if (runs[0]?.ending !== "done") breach("partial-looks-whole", `${inquiry.prompt} was told done, and its run ended ${runs[0]?.ending ?? "never"}`);
+      if (runs[0]?.ending !== "done")
+        breach(
+          "partial-looks-whole",
+          `${inquiry.prompt} was told done, and its run ended ${runs[0]?.ending ?? "never"}`,
+        );
     }
   }
 }
 
-function checkStream(inquiry: InquiryRecord, runs: readonly RunRecord[], breach: (rule: string, facts: string) => void): void {
+function checkStream(
+  inquiry: InquiryRecord,
+  runs: readonly RunRecord[],
+  breach: (rule: string, facts: string) => void,
+): void {
   const from = new Set<number>();
   for (const [place, piece] of inquiry.pieces.entries()) {
     const data = piece.data as { prompt: unknown; run: number; text: number };
-    if (piece.number !== place || data.text !== place) breach("stream-pieces", `${inquiry.prompt}: piece ${piece.number} with text ${data.text} at place ${place}`);
-    if (data.prompt !== inquiry.prompt) breach("someone-elses", `${inquiry.prompt} got a piece of ${String(data.prompt)}`);
+    if (piece.number !== place || data.text !== place)
+      breach(
+        "stream-pieces",
+        `${inquiry.prompt}: piece ${piece.number} with text ${data.text} at place ${place}`,
+      );
+    if (data.prompt !== inquiry.prompt)
+      breach("someone-elses", `${inquiry.prompt} got a piece of ${String(data.prompt)}`);
     from.add(data.run);
   }
   if (from.size > 1) breach("stream-pieces", `${inquiry.prompt} joins ${from.size} runs`);
-  if (inquiry.told === "done" && (runs[0]?.ending !== "done" || runs[0].pieces.length !== inquiry.pieces.length || inquiry.closed !== inquiry.pieces.length)) {
-    breach("partial-looks-whole", `${inquiry.prompt} was closed with ${inquiry.pieces.length} pieces of ${runs[0]?.pieces.length ?? 0}, run ${runs[0]?.ending ?? "never"}`);
+  if (
+    inquiry.told === "done" &&
+    (runs[0]?.ending !== "done" ||
+      runs[0].pieces.length !== inquiry.pieces.length ||
+      inquiry.closed !== inquiry.pieces.length)
+  ) {
+    breach(
+      "partial-looks-whole",
+      `${inquiry.prompt} was closed with ${inquiry.pieces.length} pieces of ${runs[0]?.pieces.length ?? 0}, run ${runs[0]?.ending ?? "never"}`,
+    );
   }
 }
 
-function checkLots(sight: Sight, byItem: ReadonlyMap<string, RunRecord[]>, breach: (rule: string, facts: string) => void): void {
+function checkLots(
+  sight: Sight,
+  byItem: ReadonlyMap<string, RunRecord[]>,
+  breach: (rule: string, facts: string) => void,
+): void {
   for (const lot of sight.lots) {
     const refused = lot.tries.length > 0 && lot.tries.every(isRefusal);
     const shown = new Map<number, { told: string; at: number }>();
     for (let slip = 0; slip < lot.count; slip += 1) {
       const runs = byItem.get(`${lot.key}/${slip}`) ?? [];
-      if (refused && runs.length > 0) breach("refused-lot-ran", `${lot.key} was refused at each of ${lot.tries.length} tries, and item ${slip} ran`);
+      if (refused && runs.length > 0)
+        breach(
+          "refused-lot-ran",
+          `${lot.key} was refused at each of ${lot.tries.length} tries, and item ${slip} ran`,
+        );
       if (lot.cancelledAt !== undefined) {
-        for (const run of runs) if (run.at > lot.cancelledAt + 3_000 * about) breach("cancelled-lot-ran", `${lot.key} item ${slip} began ${Math.round(run.at - lot.cancelledAt)} ms after its cancelling`);
+        for (const run of runs)
+          if (run.at > lot.cancelledAt + 3_000 * about)
+            breach(
+              "cancelled-lot-ran",
+              `${lot.key} item ${slip} began ${Math.round(run.at - lot.cancelledAt)} ms after its cancelling`,
+            );
       }
     }
     if (lot.acceptedAt === undefined) continue;
     for (const view of lot.views) {
       const indexes = new Set<number>();
       for (const item of view.items) {
-        if (indexes.has(item.index)) breach("lot-items", `${lot.key} lists item ${item.index} twice`);
+        if (indexes.has(item.index))
+          breach("lot-items", `${lot.key} lists item ${item.index} twice`);
         indexes.add(item.index);
-        const final = item.state === "solved" || item.state === "failed" || item.state === "cancelled";
+        const final =
+          item.state === "solved" || item.state === "failed" || item.state === "cancelled";
         const told = JSON.stringify([item.state, item.result, item.reason]);
         const before = shown.get(item.index);
         /** Two look-ups under way at once may overtake each other; a final result may not differ even then. */
-        if (before !== undefined && before.told !== told && (final || view.askedAt > before.at)) breach("result-changed", `${lot.key} item ${item.index}: ${before.told.slice(0, 80)}, then ${told.slice(0, 80)}`);
+        if (before !== undefined && before.told !== told && (final || view.askedAt > before.at))
+          breach(
+            "result-changed",
+            `${lot.key} item ${item.index}: ${before.told.slice(0, 80)}, then ${told.slice(0, 80)}`,
+          );
         if (final && before === undefined) shown.set(item.index, { told, at: view.at });
         const runs = byItem.get(`${lot.key}/${item.index}`) ?? [];
         if (item.state === "solved") checkSolved(lot, item, runs, breach);
         if (item.state === "failed") {
           let troubles = 0;
           for (const run of runs) if (run.ending === "trouble") troubles += 1;
-          if (troubles < constants.troublesMost && view.at < (lot.endsAt ?? lot.acceptedAt + sight.deadline)) breach("given-up-early", `${lot.key} item ${item.index} failed after ${troubles} troubles: ${item.reason ?? ""}`);
+          if (
+            troubles < constants.troublesMost &&
+            view.at < (lot.endsAt ?? lot.acceptedAt + sight.deadline)
+          )
+            breach(
+              "given-up-early",
+              `${lot.key} item ${item.index} failed after ${troubles} troubles: ${item.reason ?? ""}`,
+            );
         }
       }
-      if (indexes.size !== lot.count) breach("lot-items", `${lot.key} lists ${indexes.size} of ${lot.count} items`);
+      if (indexes.size !== lot.count)
+        breach("lot-items", `${lot.key} lists ${indexes.size} of ${lot.count} items`);
     }
-    if (lot.views.length === 0) breach("lot-items", `${lot.key} was accepted and could never be looked up`);
-    else if (lot.views.at(-1)!.state !== "done" && lot.views.at(-1)!.state !== "cancelled") breach("lot-items", `${lot.key} was accepted and never ended: ${lot.views.at(-1)!.state}`);
+    if (lot.views.length === 0)
+      breach("lot-items", `${lot.key} was accepted and could never be looked up`);
+    else if (lot.views.at(-1)!.state !== "done" && lot.views.at(-1)!.state !== "cancelled")
+      breach("lot-items", `${lot.key} was accepted and never ended: ${lot.views.at(-1)!.state}`);
   }
 }
 
-function checkSolved(lot: LotRecord, item: LotView["items"][number], runs: readonly RunRecord[], breach: (rule: string, facts: string) => void): void {
-  const pieces = item.result as { prompt: { key: string; slip: number } | null; run: number; text: number }[];
+function checkSolved(
+  lot: LotRecord,
+  item: LotView["items"][number],
+  runs: readonly RunRecord[],
+  breach: (rule: string, facts: string) => void,
+): void {
+  const pieces = item.result as {
+    prompt: { key: string; slip: number } | null;
+    run: number;
+    text: number;
+  }[];
   const from = new Set<number>();
   for (const [place, piece] of pieces.entries()) {
     from.add(piece.run);
-    if (piece.prompt?.key !== lot.key || piece.prompt.slip !== item.index) breach("someone-elses", `${lot.key} item ${item.index} has a piece of ${piece.prompt?.key}/${piece.prompt?.slip}`);
-    if (piece.text !== place) breach("stream-pieces", `${lot.key} item ${item.index}: text ${piece.text} at place ${place}`);
+    if (piece.prompt?.key !== lot.key || piece.prompt.slip !== item.index)
+      breach(
+        "someone-elses",
+        `${lot.key} item ${item.index} has a piece of ${piece.prompt?.key}/${piece.prompt?.slip}`,
+      );
+    if (piece.text !== place)
+      breach(
+        "stream-pieces",
+        `${lot.key} item ${item.index}: text ${piece.text} at place ${place}`,
+      );
   }
   let whole = false;
-  for (const run of runs) if (from.has(run.number) && run.ending === "done" && run.pieces.length === pieces.length) whole = true;
-  if (from.size !== 1 || !whole) breach("partial-looks-whole", `${lot.key} item ${item.index} has ${pieces.length} pieces of ${from.size} runs, none of them whole`);
+  for (const run of runs)
+    if (from.has(run.number) && run.ending === "done" && run.pieces.length === pieces.length)
+      whole = true;
+  if (from.size !== 1 || !whole)
+    breach(
+      "partial-looks-whole",
+      `${lot.key} item ${item.index} has ${pieces.length} pieces of ${from.size} runs, none of them whole`,
+    );
 }
 
 function isRefusal(told: string): boolean {
@@ -229,35 +332,66 @@
   const marks = new Map<number, string>();
   const builds = new Map<number, string>();
   for (const change of sight.changes) {
-    if (change.told === "conflict" || change.told === "refused" || change.told === "not-run" || change.kind === "malformed") never.add(change.id);
+    if (
+      change.told === "conflict" ||
+      change.told === "refused" ||
+      change.told === "not-run" ||
+      change.kind === "malformed"
+    )
+      never.add(change.id);
     if (change.told !== "confirmed") continue;
     confirmed.push(change);
     const held = marks.get(change.mark!);
-    if (held !== undefined) breach("two-winners", `${held} and ${change.id} both hold mark ${change.mark}`);
+    if (held !== undefined)
+      breach("two-winners", `${held} and ${change.id} both hold mark ${change.mark}`);
     marks.set(change.mark!, change.id);
     const built = builds.get(change.expected);
-    if (built !== undefined) breach("two-winners", `${built} and ${change.id} both built on mark ${change.expected} and both won`);
+    if (built !== undefined)
+      breach(
+        "two-winners",
+        `${built} and ${change.id} both built on mark ${change.expected} and both won`,
+      );
     builds.set(change.expected, change.id);
   }
   const reached = new Map<string, number>();
   for (const begin of sight.begins) {
-    if (begin.id !== undefined && never.has(begin.id)) breach("refused-takes-effect", `${begin.node} works on ${begin.id}`);
-    if (begin.mark < (reached.get(begin.node) ?? 0)) breach("slips-back", `${begin.node} went from mark ${reached.get(begin.node)} to ${begin.mark}`);
+    if (begin.id !== undefined && never.has(begin.id))
+      breach("refused-takes-effect", `${begin.node} works on ${begin.id}`);
+    if (begin.mark < (reached.get(begin.node) ?? 0))
+      breach(
+        "slips-back",
+        `${begin.node} went from mark ${reached.get(begin.node)} to ${begin.mark}`,
+      );
     reached.set(begin.node, begin.mark);
     for (const change of confirmed) {
-      if (begin.mark < change.mark! && begin.at > change.endedAt! + 2_000 * about) breach("change-ignored", `${begin.node} began work on mark ${begin.mark} ${Math.round(begin.at - change.endedAt!)} ms after ${change.mark} was confirmed`);
+      if (begin.mark < change.mark! && begin.at > change.endedAt! + 2_000 * about)
+        breach(
+          "change-ignored",
+          `${begin.node} began work on mark ${begin.mark} ${Math.round(begin.at - change.endedAt!)} ms after ${change.mark} was confirmed`,
+        );
     }
   }
   let highest = 0;
   for (const change of confirmed) highest = Math.max(highest, change.mark!);
   for (const read of sight.reads) {
-    if (read.id !== undefined && never.has(read.id)) breach("refused-takes-effect", `an operator reads ${read.id}`);
+    if (read.id !== undefined && never.has(read.id))
+      breach("refused-takes-effect", `an operator reads ${read.id}`);
     const owner = marks.get(read.mark);
-    if (owner !== undefined && owner !== read.id) breach("confirmed-gone", `mark ${read.mark} was confirmed as ${owner} and reads ${read.id}`);
-    for (const change of confirmed) if (read.askedAt > change.endedAt! && read.mark < change.mark!) breach("confirmed-gone", `an operator reads mark ${read.mark} after ${change.mark} was confirmed`);
+    if (owner !== undefined && owner !== read.id)
+      breach("confirmed-gone", `mark ${read.mark} was confirmed as ${owner} and reads ${read.id}`);
+    for (const change of confirmed)
+      if (read.askedAt > change.endedAt! && read.mark < change.mark!)
+        breach(
+          "confirmed-gone",
+          `an operator reads mark ${read.mark} after ${change.mark} was confirmed`,
+        );
   }
   const last = sight.reads.at(-1);
-  if (last === undefined || last.mark < highest) breach("confirmed-gone", `the last read shows mark ${last?.mark ?? "none"}, and ${highest} was confirmed`);
+  if (last === undefined || last.mark < highest)
+    breach(
+      "confirmed-gone",
+      `the last read shows mark ${last?.mark ?? "none"}, and ${highest} was confirmed`,
+    );
 }
 
 /** ms. The latest moments at which a rule's time limit was still used; a negative one means that nothing came after. */
@@ -273,22 +407,39 @@
 }
 
 export function worst(sight: Sight): Worst {
-  const found: Worst = { goodbyeConfirmed: -1, goodbyeHeard: -1, change: -1, cancel: -1, cancelAsked: -1 };
+  const found: Worst = {
+    goodbyeConfirmed: -1,
+    goodbyeHeard: -1,
+    change: -1,
+    cancel: -1,
+    cancelAsked: -1,
+  };
   for (const goodbye of sight.goodbyes) {
     for (const run of sight.runs) {
-      if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation || goodbye.heardAt === undefined) continue;
-      if (goodbye.confirmedAt !== undefined) found.goodbyeConfirmed = Math.max(found.goodbyeConfirmed, run.at - goodbye.confirmedAt);
+      if (
+        run.runner !== goodbye.runner ||
+        run.incarnation !== goodbye.incarnation ||
+        goodbye.heardAt === undefined
+      )
+        continue;
+      if (goodbye.confirmedAt !== undefined)
+        found.goodbyeConfirmed = Math.max(found.goodbyeConfirmed, run.at - goodbye.confirmedAt);
       found.goodbyeHeard = Math.max(found.goodbyeHeard, run.at - goodbye.heardAt);
     }
   }
   for (const change of sight.changes) {
     if (change.told !== "confirmed") continue;
-    for (const begin of sight.begins) if (begin.mark < change.mark!) found.change = Math.max(found.change, begin.at - change.endedAt!);
+    for (const begin of sight.begins)
+      if (begin.mark < change.mark!)
+        found.change = Math.max(found.change, begin.at - change.endedAt!);
   }
   const cancelled = new Map<string, LotRecord>();
   for (const lot of sight.lots) if (lot.cancelledAt !== undefined) cancelled.set(lot.key, lot);
   for (const run of sight.runs) {
-    const lot = typeof run.prompt === "string" ? undefined : cancelled.get((run.prompt as { key: string } | null)?.key ?? "");
+    const lot =
+      typeof run.prompt === "string"
+        ? undefined
+        : cancelled.get((run.prompt as { key: string } | null)?.key ?? "");
     if (lot === undefined) continue;
     found.cancel = Math.max(found.cancel, run.at - lot.cancelledAt!);
     found.cancelAsked = Math.max(found.cancelAsked, run.at - lot.cancelAskedAt!);
--- a/tools/simulator/src/crew.ts
+++ b/tools/simulator/src/crew.ts
@@ -24,10 +24,16 @@
   readonly ms: number;
 }
 
-interface Ready { readonly worker: Worker }
+interface Ready {
+  readonly worker: Worker;
+}
 
 /** Plays all, with the named guard taken out where there is one. */
-export async function playAll(plays: readonly Play[], guard?: string, jobs = availableParallelism()): Promise<Played[]> {
+export async function playAll(
+  plays: readonly Play[],
+  guard?: string,
+  jobs = availableParallelism(),
+): Promise<Played[]> {
   const cuts = guard === undefined ? [] : guards[guard]!.cuts;
   const results: Played[] = [];
   let next = 0;
@@ -46,7 +52,9 @@
         if (message !== "ready") results.push(message);
         hand({ worker });
       }
-      function failed(error: Error): void { troubled = error; }
+      function failed(error: Error): void {
+        troubled = error;
+      }
       worker.on("message", told);
       worker.on("error", failed);
       worker.on("exit", resolve);
@@ -67,6 +75,7 @@
 
 export function seeds(from: number, to: number, options: Partial<CampaignOptions>): Play[] {
   const plays: Play[] = [];
-  for (let seed = from; seed <= to; seed += 1) plays.push({ options: { seed, faults: true, ...options } });
+  for (let seed = from; seed <= to; seed += 1)
+    plays.push({ options: { seed, faults: true, ...options } });
   return plays;
 }
--- a/tools/simulator/src/deployment.ts
+++ b/tools/simulator/src/deployment.ts
@@ -1,12 +1,36 @@
-import { policy, type Bounds, type ChainView, type Policy, type RunnerCard } from "@chutewick/parts";
+import {
+  policy,
+  type Bounds,
+  type ChainView,
+  type Policy,
+  type RunnerCard,
+} from "@chutewick/parts";
 import { configuration, keys, type ControlCommand, type ControlOutcome } from "@chutewick/control";
-import { AccessMachine, ControlMachine, StorageMachine, type AccessHooks, type Setting } from "./machines.js";
+import {
+  AccessMachine,
+  ControlMachine,
+  StorageMachine,
+  type AccessHooks,
+  type Setting,
+} from "./machines.js";
 import { World, type Machine } from "./world.js";
 
 /** A deployment with bounds of its own under virtual time, for one thing after another (docs/testing.md). */
 export const smallBounds: Bounds = {
-  reportsEvery: 1_200, contactWithin: 3_000, acknowledgeWithin: 4_000, drainWithin: 2_000, applyWithin: 2_000, cancelWithin: 3_000, stopWithin: 8_000, syncWithin: 5_000,
-  recoverWithin: 12_000, losses: { machines: 1, zones: 0, regions: 0 }, memory: 350, descriptors: 4_100, disk: 560, goesOnAlone: true,
+  reportsEvery: 1_200,
+  contactWithin: 3_000,
+  acknowledgeWithin: 4_000,
+  drainWithin: 2_000,
+  applyWithin: 2_000,
+  cancelWithin: 3_000,
+  stopWithin: 8_000,
+  syncWithin: 5_000,
+  recoverWithin: 12_000,
+  losses: { machines: 1, zones: 0, regions: 0 },
+  memory: 350,
+  descriptors: 4_100,
+  disk: 560,
+  goesOnAlone: true,
 };
 
 export interface Size {
@@ -34,15 +58,22 @@
     this.world = new World(seed);
     this.world.delayMost = 1.5;
     this.world.syncTakes = [8, 14];
-    const worked = policy.from({ ...smallBounds, losses: { machines: size.losses, zones: 0, regions: 0 } });
+    const worked = policy.from({
+      ...smallBounds,
+      losses: { machines: size.losses, zones: 0, regions: 0 },
+    });
     if (!worked.ok) throw new Error(worked.reason);
     this.policy = worked.value;
-    for (let number = 1; number <= (size.seeds ?? 3); number += 1) this.#seeds.push(`control-${number}`);
+    for (let number = 1; number <= (size.seeds ?? 3); number += 1)
+      this.#seeds.push(`control-${number}`);
     for (let number = 1; number <= size.controls; number += 1) this.addControl(`control-${number}`);
     for (let number = 1; number <= size.storages; number += 1) this.addStorage(`storage-${number}`);
-    for (let number = 1; number <= size.accesses; number += 1) this.addAccess(`access-${number}`, this.#seeds);
+    for (let number = 1; number <= size.accesses; number += 1)
+      this.addAccess(`access-${number}`, this.#seeds);
     const oneWay = this.#oneWay;
-    function watch(from: string, to: string): number | undefined { return oneWay.has(`${from}|${to}`) ? Number.POSITIVE_INFINITY : undefined; }
+    function watch(from: string, to: string): number | undefined {
+      return oneWay.has(`${from}|${to}`) ? Number.POSITIVE_INFINITY : undefined;
+    }
     this.world.watch = watch;
   }
 
@@ -75,54 +106,77 @@
     return machine;
   }
 
-  get machines(): Machine[] { return [...this.controls, ...this.storages, ...this.accesses]; }
+  get machines(): Machine[] {
+    return [...this.controls, ...this.storages, ...this.accesses];
+  }
 
   machine(name: string): Machine {
     for (const machine of this.machines) if (machine.name === name) return machine;
     throw new Error(`there is no ${name}`);
   }
 
-  after(seconds: number): void { this.world.run(this.world.now + seconds * 1_000); }
+  after(seconds: number): void {
+    this.world.run(this.world.now + seconds * 1_000);
+  }
 
   /** Messages from one to the other are lost; the other way they go on. */
-  silence(from: string, to: string): void { this.#oneWay.add(`${from}|${to}`); }
+  silence(from: string, to: string): void {
+    this.#oneWay.add(`${from}|${to}`);
+  }
 
-  hear(): void { this.#oneWay.clear(); }
+  hear(): void {
+    this.#oneWay.clear();
+  }
 
   /** Enters an order at a control machine and waits for what is told; how long that took in ms. */
-  order(command: ControlCommand, at: ControlMachine, patience: number): { told: ControlOutcome | undefined; took: number } {
+  order(
+    command: ControlCommand,
+    at: ControlMachine,
+    patience: number,
+  ): { told: ControlOutcome | undefined; took: number } {
     const since = this.world.now;
     let told: ControlOutcome | undefined;
-    function tell(outcome: ControlOutcome | undefined): void { told = outcome; }
+    function tell(outcome: ControlOutcome | undefined): void {
+      told = outcome;
+    }
     at.inquire(command, tell);
-    while (told === undefined && this.world.now < since + patience) this.world.run(this.world.now + 5);
+    while (told === undefined && this.world.now < since + patience)
+      this.world.run(this.world.now + 5);
     return { told, took: this.world.now - since };
   }
 
-  get live(): ControlMachine[] { return this.controls.filter(isUp); }
+  get live(): ControlMachine[] {
+    return this.controls.filter(isUp);
+  }
 
-  get head(): ControlMachine | undefined { return this.live.find(isHead); }
+  get head(): ControlMachine | undefined {
+    return this.live.find(isHead);
+  }
 
   /** A control machine that the group counts on. */
   one(): ControlMachine {
     const members = this.members;
     const able: ControlMachine[] = [];
-    for (const machine of this.live) if (members.length === 0 || members.includes(machine.address)) able.push(machine);
+    for (const machine of this.live)
+      if (members.length === 0 || members.includes(machine.address)) able.push(machine);
     return this.world.chance.pick(able);
   }
 
   /** Of the newest view that a control machine works in. */
   get members(): string[] {
     let view: ChainView | undefined;
-    for (const { core } of this.live) if ((core.view?.mark ?? 0) > (view?.mark ?? 0)) view = core.view;
+    for (const { core } of this.live)
+      if ((core.view?.mark ?? 0) > (view?.mark ?? 0)) view = core.view;
     return (view?.members ?? []).map(addressOf).sort();
   }
 
   /** The members of each queue, as the head has it. */
   queues(): Map<string, string[]> {
     const found = new Map<string, string[]>();
-    const told = this.head?.core.status(this.world.now)["queues"] as Record<string, ChainView> | undefined;
-    for (const [queue, view] of Object.entries(told ?? {})) found.set(queue, view.members.map(addressOf).sort());
+    const told = this.head?.core.status(this.world.now)["queues"] as
+      Record<string, ChainView> | undefined;
+    for (const [queue, view] of Object.entries(told ?? {}))
+      found.set(queue, view.members.map(addressOf).sort());
     return found;
   }
 
@@ -138,26 +192,49 @@
     again();
   }
 
-  report(id: string, pool: string, sequence: number, at = this.world.chance.pick(this.live), url = `${id}:8080`): string {
+  report(
+    id: string,
+    pool: string,
+    sequence: number,
+    at = this.world.chance.pick(this.live),
+    url = `${id}:8080`,
+  ): string {
     this.#reports.set(id, Math.max(sequence, this.#reports.get(id) ?? 0));
-    const card: Omit<RunnerCard, "age"> = { id, incarnation: 1, url, kind: "plain", models: [], labels: {}, seats: 4, zone: "a", burden: 0, pool };
+    const card: Omit<RunnerCard, "age"> = {
+      id,
+      incarnation: 1,
+      url,
+      kind: "plain",
+      models: [],
+      labels: {},
+      seats: 4,
+      zone: "a",
+      burden: 0,
+      pool,
+    };
     return at.announce(card, sequence);
   }
 
-  stopReports(id: string): void { this.#silent.add(id); }
+  stopReports(id: string): void {
+    this.#silent.add(id);
+  }
 
   /** Where a node knows a runner to be. */
   known(node: AccessMachine, id: string): string | undefined {
-    for (const card of node.core.membership.runners(this.world.now)) if (card.id === id) return card.url;
+    for (const card of node.core.membership.runners(this.world.now))
+      if (card.id === id) return card.url;
     return undefined;
   }
 
-  mark(node: AccessMachine): number { return node.core.membership.configuration.mark; }
+  mark(node: AccessMachine): number {
+    return node.core.membership.configuration.mark;
+  }
 
   holdsQueue(name: string): boolean {
     for (const machine of this.storages) {
       if (machine.name !== name) continue;
-      for (const [, view] of machine.core.membership.follower.under<ChainView>(keys.queue)) if (view.members.some(hasAddress, name)) return true;
+      for (const [, view] of machine.core.membership.follower.under<ChainView>(keys.queue))
+        if (view.members.some(hasAddress, name)) return true;
     }
     return false;
   }
@@ -170,8 +247,20 @@
   return {
     pools: { readers: { models: names } },
     passages: {
-      slips: { host: "a.example", prefix: "/slips/", kind: "lot", pools: [{ pool: "readers", weight: 1 }], guard: 3_000 },
-      ask: { host: "a.example", prefix: "/ask/", kind: "stream", pools: [{ pool: "readers", weight: 1 }], guard: 3_000 },
+      slips: {
+        host: "a.example",
+        prefix: "/slips/",
+        kind: "lot",
+        pools: [{ pool: "readers", weight: 1 }],
+        guard: 3_000,
+      },
+      ask: {
+        host: "a.example",
+        prefix: "/ask/",
+        kind: "stream",
+        pools: [{ pool: "readers", weight: 1 }],
+        guard: 3_000,
+      },
     },
   };
 }
@@ -184,12 +273,24 @@
 
 const deaf: AccessHooks = { runnerAt: nobody, began: nothing };
 
-function nobody(): undefined { return undefined; }
+function nobody(): undefined {
+  return undefined;
+}
 function nothing(): void {
   // Nobody looks.
 }
-function isUp(machine: Machine): boolean { return machine.alive && !machine.frozen; }
-function isHead(machine: ControlMachine): boolean { return machine.core.isHead; }
-function addressOf(member: { address: string }): string { return member.address; }
-function queueOf(plan: { queue: string }): string { return plan.queue; }
-function hasAddress(this: string, member: { address: string }): boolean { return String(this) === member.address; }
+function isUp(machine: Machine): boolean {
+  return machine.alive && !machine.frozen;
+}
+function isHead(machine: ControlMachine): boolean {
+  return machine.core.isHead;
+}
+function addressOf(member: { address: string }): string {
+  return member.address;
+}
+function queueOf(plan: { queue: string }): string {
+  return plan.queue;
+}
+function hasAddress(this: string, member: { address: string }): boolean {
+  return String(this) === member.address;
+}
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -22,65 +22,240 @@
 const constant = "packages/parts/dist/constants.js";
 
 export const guards: Readonly<Record<string, Guard>> = {
-  "another runner only if no byte went out": { section: "§6.1", cuts: [{ file: access, from: "goEvent(number, event, now) {", to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };" }] },
-  "a begun stream is never tried again": { section: "§6.1, §6.3", cuts: [
-    { file: access, from: "goEvent(number, event, now) {", to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };" },
-    { file: access, from: "if (event.number !== live.next)", to: "if (false)" },
-    { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
-  ] },
-  "the close counts the pieces": { section: "§6.3", cuts: [
-    { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
-    { file: access, from: "return event.pieces === prompt.pieces.length", to: "return true" },
-  ] },
-  "pieces come in order": { section: "§6.3", cuts: [{ file: access, from: "if (event.number !== live.next)", to: "if (false)" }] },
-  "only the go that holds the claim records": { section: "§5.3", cuts: [{ file: lot, from: "if (item.state !== \"processing\" || item.go !== command.go)", to: "if (false)" }] },
-  "nothing is acted upon before it is synced": { section: "§10.2", cuts: [{ file: storage, from: "if (command.kind === \"send\" || command.kind === \"write\")\n                outputs.push(command);", to: "if (command.kind === \"send\" || command.kind === \"write\") { outputs.push(command); if (command.kind === \"write\") outputs.push(...this.#perform(partition, partition.chain.written(command.ticket, now), now)); }" }] },
-  "told when the tail has it": { section: "§1.1", cuts: [{ file: chain, from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {", to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {" }] },
-  "only the runner's own word counts": { section: "§3.3", cuts: [
-    { file: lot, from: "const troubles = item.troubles + (ending.kind === \"trouble\" ? 1 : 0);", to: "const troubles = item.troubles + (ending.kind === \"trouble\" || ending.kind === \"broken\" ? 1 : 0);" },
-    { file: lot, from: "if (ending.kind === \"trouble\" && troubles >= constants.troublesMost)", to: "if (troubles >= constants.troublesMost)" },
-  ] },
-  "refused only when no earlier sending may be taken": { section: "§5.2", cuts: [{ file: errands, from: "refusal && errand.doubtful", to: "false" }] },
-  "a grant is begun within a second": { section: "§5.4", cuts: [
-    { file: access, from: "until: askedAt + constants.grantLasts", to: "until: Number.POSITIVE_INFINITY" },
-    { file: access, from: "{ unable }) }, constants.grantLasts", to: "{ unable }) }, 60_000" },
-  ] },
-  "leases go to those who have come as far": { section: "§7.1–7.3", cuts: [
-    { file: session, from: "grant.place <= place", to: "true" },
-    { file: session, from: "place = Math.min(place, session.card.place);", to: ";" },
-    { file: control, from: "#lags(card, now) {", to: "#lags(card, now) { return false;" },
-  ] },
-  "a follower only goes on": { section: "§4.1, §7.1", cuts: [
-    { file: feed, from: "if (message.place <= this.#place)", to: "if (false)" },
-    { file: session, from: "grant.place <= place", to: "true" },
-  ] },
-  "a change is told when every lease has it": { section: "§1.1, §7.2", cuts: [
-    { file: chain, from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {", to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {" },
-    { file: control, from: "if (held.result !== undefined && held.result.place <= covered && this.#fleetTook(held.result.place))", to: "if (held.result !== undefined)" },
-  ] },
-  "changes are checked whole": { section: "§9", cuts: [{ file: machine, from: "const checked = configuration.check(value);", to: "const checked = { ok: true, value };" }] },
-  "of two racers one wins": { section: "§9", cuts: [{ file: machine, from: "if (expected !== undefined && expected !== null && expected !== held.mark)", to: "if (false)" }] },
-  "shares are granted when surely given back": { section: "§8.4", cuts: [{ file: pace, from: "granted.set(queue, known);\n        committed += known;", to: "granted.set(queue, Math.min(known, standing.target));\n        committed += 0;" }] },
-  "what is under way counts as waiting": { section: "§8.4", cuts: [{ file: lot, from: "for (const [lot, count] of this.#open) {", to: "for (const [lot] of this.#open) { let count = 0; for (const waiting of this.#waiting.values()) for (const [, key] of waiting) if (key.startsWith(`item/${lot}/`)) count += 1;" }] },
-  "a runner not heard of gets no work": { section: "§7.5", cuts: [{ file: constant, from: "runnerLasts: 1_800", to: "runnerLasts: 3_500" }] },
-  "what is read on waking may be old": { section: "§7.5", cuts: [{ file: constant, from: "wakingLasts: 200", to: "wakingLasts: 0" }] },
-  "time runs from the telling": { section: "§5.5", cuts: [
-    { file: lot, from: "command.lasts + constants.deadlineGrace", to: "command.lasts" },
-    { file: access, from: "Math.min(lasts, value.remaining - (later - since))", to: "lasts" },
-  ] },
-  "a cancelled lot takes nothing back": { section: "§5.3", cuts: [{ file: lot, from: "if (lot.cancelled)\n            return this.#finish(ledger, key, item, \"cancelled\", time, {});", to: "" }] },
-  "only want of seats holds lots back": { section: "§8.5", cuts: [{ file: access, from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)", to: "live.way.model !== undefined" }] },
-  "who was voted out still votes": { section: "§2.3", cuts: [{ file: view, from: "return view.voters ?? view.members;", to: "return view.members;" }] },
-  "who held all goes on when the lone copy is lost": { section: "§1.5", cuts: [{ file: chain, from: "return view.holders ?? view.members;", to: "return view.members;" }] },
-  "a season's lots use its runners": { section: "§8.4", cuts: [{ file: access, from: "!season.matches(selectors, card.labels)", to: "false" }] },
-  "a result names its inquiry": { section: "§6.2", cuts: [
-    { file: link, from: "if (response.headers[\"chutewick-inquiry\"] !== work.inquiry)", to: "if (false)" },
-    { file: link, from: "value.inquiry !== work.inquiry || ", to: "" },
-  ] },
-  "silent members are voted out": { section: "§2.3, §8.2", cuts: [
-    { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
-    { file: session, from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)", to: "if (session.card.kind === kind)" },
-  ] },
+  "another runner only if no byte went out": {
+    section: "§6.1",
+    cuts: [
+      {
+        file: access,
+        from: "goEvent(number, event, now) {",
+        to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
+      },
+    ],
+  },
+  "a begun stream is never tried again": {
+    section: "§6.1, §6.3",
+    cuts: [
+      {
+        file: access,
+        from: "goEvent(number, event, now) {",
+        to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
+      },
+      { file: access, from: "if (event.number !== live.next)", to: "if (false)" },
+      { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
+    ],
+  },
+  "the close counts the pieces": {
+    section: "§6.3",
+    cuts: [
+      { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
+      { file: access, from: "return event.pieces === prompt.pieces.length", to: "return true" },
+    ],
+  },
+  "pieces come in order": {
+    section: "§6.3",
+    cuts: [{ file: access, from: "if (event.number !== live.next)", to: "if (false)" }],
+  },
+  "only the go that holds the claim records": {
+    section: "§5.3",
+    cuts: [
+      {
+        file: lot,
+        from: 'if (item.state !== "processing" || item.go !== command.go)',
+        to: "if (false)",
+      },
+    ],
+  },
+  "nothing is acted upon before it is synced": {
+    section: "§10.2",
+    cuts: [
+      {
+        file: storage,
+        from: 'if (command.kind === "send" || command.kind === "write")\n                outputs.push(command);',
+        to: 'if (command.kind === "send" || command.kind === "write") { outputs.push(command); if (command.kind === "write") outputs.push(...this.#perform(partition, partition.chain.written(command.ticket, now), now)); }',
+      },
+    ],
+  },
+  "told when the tail has it": {
+    section: "§1.1",
+    cuts: [
+      {
+        file: chain,
+        from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {",
+        to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {",
+      },
+    ],
+  },
+  "only the runner's own word counts": {
+    section: "§3.3",
+    cuts: [
+      {
+        file: lot,
+        from: 'const troubles = item.troubles + (ending.kind === "trouble" ? 1 : 0);',
+        to: 'const troubles = item.troubles + (ending.kind === "trouble" || ending.kind === "broken" ? 1 : 0);',
+      },
+      {
+        file: lot,
+        from: 'if (ending.kind === "trouble" && troubles >= constants.troublesMost)',
+        to: "if (troubles >= constants.troublesMost)",
+      },
+    ],
+  },
+  "refused only when no earlier sending may be taken": {
+    section: "§5.2",
+    cuts: [{ file: errands, from: "refusal && errand.doubtful", to: "false" }],
+  },
+  "a grant is begun within a second": {
+    section: "§5.4",
+    cuts: [
+      {
+        file: access,
+        from: "until: askedAt + constants.grantLasts",
+        to: "until: Number.POSITIVE_INFINITY",
+      },
+      { file: access, from: "{ unable }) }, constants.grantLasts", to: "{ unable }) }, 60_000" },
+    ],
+  },
+  "leases go to those who have come as far": {
+    section: "§7.1–7.3",
+    cuts: [
+      { file: session, from: "grant.place <= place", to: "true" },
+      { file: session, from: "place = Math.min(place, session.card.place);", to: ";" },
+      { file: control, from: "#lags(card, now) {", to: "#lags(card, now) { return false;" },
+    ],
+  },
+  "a follower only goes on": {
+    section: "§4.1, §7.1",
+    cuts: [
+      { file: feed, from: "if (message.place <= this.#place)", to: "if (false)" },
+      { file: session, from: "grant.place <= place", to: "true" },
+    ],
+  },
+  "a change is told when every lease has it": {
+    section: "§1.1, §7.2",
+    cuts: [
+      {
+        file: chain,
+        from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {",
+        to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {",
+      },
+      {
+        file: control,
+        from: "if (held.result !== undefined && held.result.place <= covered && this.#fleetTook(held.result.place))",
+        to: "if (held.result !== undefined)",
+      },
+    ],
+  },
+  "changes are checked whole": {
+    section: "§9",
+    cuts: [
+      {
+        file: machine,
+        from: "const checked = configuration.check(value);",
+        to: "const checked = { ok: true, value };",
+      },
+    ],
+  },
+  "of two racers one wins": {
+    section: "§9",
+    cuts: [
+      {
+        file: machine,
+        from: "if (expected !== undefined && expected !== null && expected !== held.mark)",
+        to: "if (false)",
+      },
+    ],
+  },
+  "shares are granted when surely given back": {
+    section: "§8.4",
+    cuts: [
+      {
+        file: pace,
+        from: "granted.set(queue, known);\n        committed += known;",
+        to: "granted.set(queue, Math.min(known, standing.target));\n        committed += 0;",
+      },
+    ],
+  },
+  "what is under way counts as waiting": {
+    section: "§8.4",
+    cuts: [
+      {
+        file: lot,
+        from: "for (const [lot, count] of this.#open) {",
+        to: "for (const [lot] of this.#open) { let count = 0; for (const waiting of this.#waiting.values()) for (const [, key] of waiting) if (key.startsWith(`item/${lot}/`)) count += 1;",
+      },
+    ],
+  },
+  "a runner not heard of gets no work": {
+    section: "§7.5",
+    cuts: [{ file: constant, from: "runnerLasts: 1_800", to: "runnerLasts: 3_500" }],
+  },
+  "what is read on waking may be old": {
+    section: "§7.5",
+    cuts: [{ file: constant, from: "wakingLasts: 200", to: "wakingLasts: 0" }],
+  },
+  "time runs from the telling": {
+    section: "§5.5",
+    cuts: [
+      { file: lot, from: "command.lasts + constants.deadlineGrace", to: "command.lasts" },
+      { file: access, from: "Math.min(lasts, value.remaining - (later - since))", to: "lasts" },
+    ],
+  },
+  "a cancelled lot takes nothing back": {
+    section: "§5.3",
+    cuts: [
+      {
+        file: lot,
+        from: 'if (lot.cancelled)\n            return this.#finish(ledger, key, item, "cancelled", time, {});',
+        to: "",
+      },
+    ],
+  },
+  "only want of seats holds lots back": {
+    section: "§8.5",
+    cuts: [
+      {
+        file: access,
+        from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)",
+        to: "live.way.model !== undefined",
+      },
+    ],
+  },
+  "who was voted out still votes": {
+    section: "§2.3",
+    cuts: [{ file: view, from: "return view.voters ?? view.members;", to: "return view.members;" }],
+  },
+  "who held all goes on when the lone copy is lost": {
+    section: "§1.5",
+    cuts: [
+      { file: chain, from: "return view.holders ?? view.members;", to: "return view.members;" },
+    ],
+  },
+  "a season's lots use its runners": {
+    section: "§8.4",
+    cuts: [{ file: access, from: "!season.matches(selectors, card.labels)", to: "false" }],
+  },
+  "a result names its inquiry": {
+    section: "§6.2",
+    cuts: [
+      {
+        file: link,
+        from: 'if (response.headers["chutewick-inquiry"] !== work.inquiry)',
+        to: "if (false)",
+      },
+      { file: link, from: "value.inquiry !== work.inquiry || ", to: "" },
+    ],
+  },
+  "silent members are voted out": {
+    section: "§2.3, §8.2",
+    cuts: [
+      { file: constant, from: "memberSilence: 1_500", to: "memberSilence: 60_000" },
+      {
+        file: session,
+        from: "if (session.card.kind === kind && now - session.heardAt <= constants.sessionLasts)",
+        to: "if (session.card.kind === kind)",
+      },
+    ],
+  },
 };
 
 /** The aim that threatens a rule, and the guard that holds it: one row of the table. */
--- a/tools/simulator/src/losses.ts
+++ b/tools/simulator/src/losses.ts
@@ -11,7 +11,8 @@
 function afterChange(campaign: Campaign, strike: () => void): void {
   const { world, sight } = campaign;
   function look(): void {
-    for (const change of sight.changes) if (change.told === "confirmed" && change.endedAt! >= strikeFrom) return strike();
+    for (const change of sight.changes)
+      if (change.told === "confirmed" && change.endedAt! >= strikeFrom) return strike();
     world.after(0.2, look);
   }
   world.at(strikeFrom, look);
@@ -21,14 +22,20 @@
 function afterLot(campaign: Campaign, strike: () => void): void {
   const { world, sight } = campaign;
   function look(): void {
-    for (const lot of sight.lots) if (lot.acceptedAt !== undefined && lot.acceptedAt >= strikeFrom) return strike();
+    for (const lot of sight.lots)
+      if (lot.acceptedAt !== undefined && lot.acceptedAt >= strikeFrom) return strike();
     world.after(0.2, look);
   }
   world.at(strikeFrom, look);
 }
 
 /** They go down at one moment, those named lose their disks, and each is started again within two seconds. */
-function downTogether(campaign: Campaign, machines: readonly Machine[], power: boolean, wiped: readonly Machine[]): void {
+function downTogether(
+  campaign: Campaign,
+  machines: readonly Machine[],
+  power: boolean,
+  wiped: readonly Machine[],
+): void {
   const { world } = campaign;
   campaign.strikes += 1;
   for (const machine of machines) machine.kill(power);
@@ -45,22 +52,32 @@
 }
 
 export function killAll(campaign: Campaign): void {
-  function strike(): void { downTogether(campaign, campaign.machines, false, []); }
+  function strike(): void {
+    downTogether(campaign, campaign.machines, false, []);
+  }
   afterChange(campaign, strike);
 }
 
 export function powerAll(campaign: Campaign): void {
-  function strike(): void { downTogether(campaign, campaign.machines, true, []); }
+  function strike(): void {
+    downTogether(campaign, campaign.machines, true, []);
+  }
   afterLot(campaign, strike);
 }
 
 export function wipeStorageAndPower(campaign: Campaign): void {
-  function strike(): void { downTogether(campaign, campaign.machines, true, [storageBySeed(campaign)]); }
+  function strike(): void {
+    downTogether(campaign, campaign.machines, true, [storageBySeed(campaign)]);
+  }
   afterLot(campaign, strike);
 }
 
 export function wipeControlAndPower(campaign: Campaign): void {
-  function strike(): void { downTogether(campaign, campaign.machines, true, [campaign.controls[campaign.options.seed % 3]!]); }
+  function strike(): void {
+    downTogether(campaign, campaign.machines, true, [
+      campaign.controls[campaign.options.seed % 3]!,
+    ]);
+  }
   afterChange(campaign, strike);
 }
 
@@ -79,7 +96,9 @@
     const gone = storageBySeed(campaign);
     gone.kill(true);
     gone.wipe();
-    function started(): void { campaign.mended(); }
+    function started(): void {
+      campaign.mended();
+    }
     campaign.blankStorageInstead(gone, 1_000, started);
   }
   afterLot(campaign, strike);
@@ -106,7 +125,8 @@
   function strike(): void {
     campaign.strikes += 1;
     const machine = storageBySeed(campaign);
-    const others: readonly Machine[] = campaign.options.seed % 4 < 2 ? campaign.storages : campaign.machines;
+    const others: readonly Machine[] =
+      campaign.options.seed % 4 < 2 ? campaign.storages : campaign.machines;
     for (const other of others) if (other !== machine) world.cut(machine.address, other.address);
     function join(): void {
       world.mend();
@@ -152,7 +172,9 @@
 /** Of a control pair one loses power; as soon as the other goes on alone it loses its disk, and the first comes back. */
 export function loneControlLost(campaign: Campaign): void {
   const { world, controls } = campaign;
-  function cut(): void { world.isolate(controls[options.seed % 3]!.address); }
+  function cut(): void {
+    world.isolate(controls[options.seed % 3]!.address);
+  }
   const { options } = campaign;
   let down: ControlMachine;
   function lose(): void {
@@ -163,7 +185,9 @@
     world.after(2_000, join);
     look();
   }
-  function join(): void { world.mend(); }
+  function join(): void {
+    world.mend();
+  }
   function look(): void {
     const lone = controls.find(isLone);
     if (lone === undefined) return world.after(1, look);
@@ -182,7 +206,11 @@
 }
 
 function isServing(control: ControlMachine): boolean {
-  return control.alive && control.core.view?.members.length === 2 && control.core.view.members.some(isMachine, control);
+  return (
+    control.alive &&
+    control.core.view?.members.length === 2 &&
+    control.core.view.members.some(isMachine, control)
+  );
 }
 
 function isLone(control: ControlMachine): boolean {
@@ -196,9 +224,17 @@
 /** The same with the last two copies of a queue. */
 export function loneQueueLost(campaign: Campaign): void {
   const { world, storages, options } = campaign;
-  const [away, down, lone] = [storages[options.seed % 3]!, storages[(options.seed + 1) % 3]!, storages[(options.seed + 2) % 3]!];
-  function first(): void { away.kill(true); }
-  function come(): void { away.start(); }
+  const [away, down, lone] = [
+    storages[options.seed % 3]!,
+    storages[(options.seed + 1) % 3]!,
+    storages[(options.seed + 2) % 3]!,
+  ];
+  function first(): void {
+    away.kill(true);
+  }
+  function come(): void {
+    away.start();
+  }
   function second(): void {
     down.kill(true);
     /** Heard just before the other is given up. */
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -1,6 +1,23 @@
 import { constants, type Policy, type RunnerCard, type VoteState } from "@chutewick/parts";
-import { ControlCore, type Announced, type ControlCommand, type ControlMessage, type ControlOutcome, type ControlOutput } from "@chutewick/control";
-import { AccessCore, StorageCore, isPassing, type AccessOutput, type DataMessage, type GoEvent, type PassOutput, type StorageOutput, type Work } from "@chutewick/data";
+import {
+  ControlCore,
+  type Announced,
+  type ControlCommand,
+  type ControlMessage,
+  type ControlOutcome,
+  type ControlOutput,
+} from "@chutewick/control";
+import {
+  AccessCore,
+  StorageCore,
+  isPassing,
+  type AccessOutput,
+  type DataMessage,
+  type GoEvent,
+  type PassOutput,
+  type StorageOutput,
+  type Work,
+} from "@chutewick/data";
 import { Folder, Machine, type World } from "./world.js";
 import type { Runner } from "./runners.js";
 
@@ -22,7 +39,13 @@
 
   #setting: Setting;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[], setting: Setting = {}) {
+  constructor(
+    world: World,
+    name: string,
+    address: string,
+    seeds: readonly string[],
+    setting: Setting = {},
+  ) {
     super(world, name, address);
     this.#seeds = seeds;
     this.#setting = setting;
@@ -31,13 +54,28 @@
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
     const { folder } = this;
-    this.core = new ControlCore({ policy: this.#setting.policy ?? this.world.policy, founding: this.#setting.founding, member: { identity: folder.identity, address: this.address }, seeds: this.#seeds, life: `${folder.identity}/${this.life}`, votes: folder.votes === undefined ? undefined : folder.copy(folder.votes), holding: folder.holdings().get("control") }, this.world.now);
+    this.core = new ControlCore(
+      {
+        policy: this.#setting.policy ?? this.world.policy,
+        founding: this.#setting.founding,
+        member: { identity: folder.identity, address: this.address },
+        seeds: this.#seeds,
+        life: `${folder.identity}/${this.life}`,
+        votes: folder.votes === undefined ? undefined : folder.copy(folder.votes),
+        holding: folder.holdings().get("control"),
+      },
+      this.world.now,
+    );
     this.#perform(this.core.start(this.world.now));
   }
 
-  protected strike(): void { this.#perform(this.core.beat(this.world.now, this.world.wall + this.wallStep)); }
+  protected strike(): void {
+    this.#perform(this.core.beat(this.world.now, this.world.wall + this.wallStep));
+  }
 
-  arrived(message: unknown, from: string): void { this.#perform(this.core.receive(message as ControlMessage, from, this.world.now)); }
+  arrived(message: unknown, from: string): void {
+    this.#perform(this.core.receive(message as ControlMessage, from, this.world.now));
+  }
 
   /** A runner's own report, numbered as it numbers them. */
   announce(card: Omit<RunnerCard, "age">, sequence: number): Announced["kind"] {
@@ -51,7 +89,9 @@
     this.#waiting.clear();
   }
 
-  leave(): void { this.#perform(this.core.leave(this.world.now)); }
+  leave(): void {
+    this.#perform(this.core.leave(this.world.now));
+  }
 
   /** An operator's inquiry; undefined: the connection was torn. */
   inquire(command: ControlCommand, told: (outcome: ControlOutcome | undefined) => void): void {
@@ -60,7 +100,9 @@
     const ticket = `operator/${this.life}/${this.#ticketNumber}`;
     this.#waiting.set(ticket, told);
     const self = this;
-    function enter(): void { self.#perform(self.core.inquire(ticket, command, self.world.now)); }
+    function enter(): void {
+      self.#perform(self.core.inquire(ticket, command, self.world.now));
+    }
     this.mine(enter)();
   }
 
@@ -71,14 +113,26 @@
       else if (output.kind === "write") {
         const folder = this.folder!;
         const write = folder.copy(output.write);
-        function apply(): void { folder.write("control", write); }
-        function done(): void { self.#perform(self.core.writtenChain((output as { ticket: number }).ticket, self.world.now)); }
+        function apply(): void {
+          folder.write("control", write);
+        }
+        function done(): void {
+          self.#perform(
+            self.core.writtenChain((output as { ticket: number }).ticket, self.world.now),
+          );
+        }
         this.sync(apply, done);
       } else if (output.kind === "vote") {
         const folder = this.folder!;
         const state: VoteState = folder.copy(output.state);
-        function apply(): void { folder.votes = state; }
-        function done(): void { self.#perform(self.core.writtenVote((output as { ticket: number }).ticket, self.world.now)); }
+        function apply(): void {
+          folder.votes = state;
+        }
+        function done(): void {
+          self.#perform(
+            self.core.writtenVote((output as { ticket: number }).ticket, self.world.now),
+          );
+        }
         this.sync(apply, done);
       } else if (output.kind === "result") {
         const told = this.#waiting.get(output.ticket);
@@ -94,7 +148,13 @@
   #seeds: readonly string[];
   #setting: Setting;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[], setting: Setting = {}) {
+  constructor(
+    world: World,
+    name: string,
+    address: string,
+    seeds: readonly string[],
+    setting: Setting = {},
+  ) {
     super(world, name, address);
     this.#seeds = seeds;
     this.#setting = setting;
@@ -102,14 +162,33 @@
 
   protected begin(): void {
     this.folder ??= new Folder(`${this.name}-${this.world.chance.below(1_000_000_000)}`);
-    this.core = new StorageCore({ identity: this.folder.identity, address: this.address, kind: "storage", zone: this.#setting.zone ?? zoneNamed(this.name), name: this.name, http: this.address }, this.#seeds, this.folder.holdings(), this.world.now, this.#setting.policy ?? this.world.policy);
+    this.core = new StorageCore(
+      {
+        identity: this.folder.identity,
+        address: this.address,
+        kind: "storage",
+        zone: this.#setting.zone ?? zoneNamed(this.name),
+        name: this.name,
+        http: this.address,
+      },
+      this.#seeds,
+      this.folder.holdings(),
+      this.world.now,
+      this.#setting.policy ?? this.world.policy,
+    );
   }
 
-  protected strike(): void { this.#perform(this.core.beat(this.world.now)); }
+  protected strike(): void {
+    this.#perform(this.core.beat(this.world.now));
+  }
 
-  leave(): void { this.#perform(this.core.leave(this.world.now)); }
+  leave(): void {
+    this.#perform(this.core.leave(this.world.now));
+  }
 
-  arrived(message: unknown, from: string): void { this.#perform(this.core.receive(message as DataMessage, from, this.world.now)); }
+  arrived(message: unknown, from: string): void {
+    this.#perform(this.core.receive(message as DataMessage, from, this.world.now));
+  }
 
   #perform(outputs: readonly StorageOutput[]): void {
     const self = this;
@@ -119,8 +198,12 @@
         const folder = this.folder!;
         const { chain, ticket } = output;
         const write = folder.copy(output.write);
-        function apply(): void { folder.write(chain, write); }
-        function done(): void { self.#perform(self.core.written(chain, ticket, self.world.now)); }
+        function apply(): void {
+          folder.write(chain, write);
+        }
+        function done(): void {
+          self.#perform(self.core.written(chain, ticket, self.world.now));
+        }
         this.sync(apply, done);
       }
     }
@@ -156,7 +239,14 @@
 
   #setting: Setting;
 
-  constructor(world: World, name: string, address: string, seeds: readonly string[], hooks: AccessHooks, setting: Setting = {}) {
+  constructor(
+    world: World,
+    name: string,
+    address: string,
+    seeds: readonly string[],
+    hooks: AccessHooks,
+    setting: Setting = {},
+  ) {
     super(world, name, address);
     this.#seeds = seeds;
     this.#hooks = hooks;
@@ -164,14 +254,32 @@
   }
 
   protected begin(): void {
-    this.core = new AccessCore({ identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`, address: this.address, kind: "access", zone: "a", name: this.name, http: this.address }, this.#seeds, this.world.now, this.#setting.policy ?? this.world.policy);
+    this.core = new AccessCore(
+      {
+        identity: `${this.name}-${this.world.chance.below(1_000_000_000)}`,
+        address: this.address,
+        kind: "access",
+        zone: "a",
+        name: this.name,
+        http: this.address,
+      },
+      this.#seeds,
+      this.world.now,
+      this.#setting.policy ?? this.world.policy,
+    );
   }
 
-  protected strike(): void { this.perform(this.core.beat(this.world.now, this.world.wall)); }
+  protected strike(): void {
+    this.perform(this.core.beat(this.world.now, this.world.wall));
+  }
 
-  leave(): void { this.perform(this.core.leave(this.world.now)); }
+  leave(): void {
+    this.perform(this.core.leave(this.world.now));
+  }
 
-  arrived(message: unknown, from: string): void { this.perform(this.core.receive(message as DataMessage, from, this.world.now)); }
+  arrived(message: unknown, from: string): void {
+    this.perform(this.core.receive(message as DataMessage, from, this.world.now));
+  }
 
   protected override ended(): void {
     for (const sight of this.#sights.values()) sight.torn();
@@ -190,11 +298,15 @@
       return nothing;
     }
     this.#sights.set(ticket, sight);
-    function take(): void { self.perform(enter(ticket)); }
+    function take(): void {
+      self.perform(enter(ticket));
+    }
     this.mine(take)();
     function leave(): void {
       if (!self.#sights.delete(ticket)) return;
-      function left(): void { self.perform(self.core.left(ticket)); }
+      function left(): void {
+        self.perform(self.core.left(ticket));
+      }
       self.mine(left)();
     }
     return leave;
@@ -217,23 +329,34 @@
           this.#links.get(output.go)?.leave();
           this.#links.delete(output.go);
           break;
-        case "note": break;
-        default: this.#show(output);
+        case "note":
+          break;
+        default:
+          this.#show(output);
       }
     }
   }
 
-  #show(output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>): void {
+  #show(
+    output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>,
+  ): void {
     const sight = this.#sights.get(output.ticket);
     if (sight === undefined) return;
-    if (output.kind !== "stream-open" && output.kind !== "stream-piece") this.#sights.delete(output.ticket);
+    if (output.kind !== "stream-open" && output.kind !== "stream-piece")
+      this.#sights.delete(output.ticket);
     switch (output.kind) {
-      case "reply": return sight.reply(output.status, output.body as Record<string, unknown>);
-      case "reply-bytes": return sight.bytes(new TextDecoder().decode(output.bytes));
-      case "stream-open": return sight.open();
-      case "stream-piece": return sight.piece(output.number, output.data);
-      case "stream-close": return sight.close(output.pieces);
-      case "stream-trouble": return sight.trouble(output.body);
+      case "reply":
+        return sight.reply(output.status, output.body as Record<string, unknown>);
+      case "reply-bytes":
+        return sight.bytes(new TextDecoder().decode(output.bytes));
+      case "stream-open":
+        return sight.open();
+      case "stream-piece":
+        return sight.piece(output.number, output.data);
+      case "stream-close":
+        return sight.close(output.pieces);
+      case "stream-trouble":
+        return sight.trouble(output.body);
     }
   }
 
@@ -256,9 +379,12 @@
       }
       self.mine(take)();
     }
-    function unreachable(): void { tell({ kind: "unsent", reason: "connection refused" }); }
+    function unreachable(): void {
+      tell({ kind: "unsent", reason: "connection refused" });
+    }
     if (runner === undefined || !runner.alive) return world.after(1, unreachable);
-    if (world.isCut(this.address, runner.address)) return world.after(constants.connectPatience, unreachable);
+    if (world.isCut(this.address, runner.address))
+      return world.after(constants.connectPatience, unreachable);
     function connected(): void {
       const reason = self.core.mayStart(go, world.now);
       if (reason !== undefined) return tell({ kind: "unsent", reason });
--- a/tools/simulator/src/main.ts
+++ b/tools/simulator/src/main.ts
@@ -2,41 +2,129 @@
 import { playAll, seeds } from "./crew.js";
 
 /** `npm run simulator -- --from 1 --to 100` */
-async function play(given: { from: number; to: number; stormy: number; calm: number; calmOnly: boolean; details: boolean; quiet: boolean; losses: boolean; twoLost: boolean; allowance: number; tokens: number; season: number | undefined; access: number | undefined; jobs: number | undefined }): Promise<void> {
+async function play(given: {
+  from: number;
+  to: number;
+  stormy: number;
+  calm: number;
+  calmOnly: boolean;
+  details: boolean;
+  quiet: boolean;
+  losses: boolean;
+  twoLost: boolean;
+  allowance: number;
+  tokens: number;
+  season: number | undefined;
+  access: number | undefined;
+  jobs: number | undefined;
+}): Promise<void> {
   let broken = 0;
   const recovery: number[] = [];
   const { from, to, stormy, calm, allowance, tokens, season } = given;
   /** At a firm's size as in features/storm.feature. */
-  const size = given.access === undefined ? {} : { access: given.access, modelRunners: 13, plainRunners: 3, seats: 8, inquiryEvery: [4, 20] as const };
-  for (const played of await playAll(seeds(from, to, { faults: !given.calmOnly, stormy, calm, allowance, tokens, season, ...size, twoLost: given.twoLost, ...(given.losses ? { losses: true, syncTakes: [5, 12] as const } : {}) }), undefined, given.jobs)) {
+  const size =
+    given.access === undefined
+      ? {}
+      : {
+          access: given.access,
+          modelRunners: 13,
+          plainRunners: 3,
+          seats: 8,
+          inquiryEvery: [4, 20] as const,
+        };
+  for (const played of await playAll(
+    seeds(from, to, {
+      faults: !given.calmOnly,
+      stormy,
+      calm,
+      allowance,
+      tokens,
+      season,
+      ...size,
+      twoLost: given.twoLost,
+      ...(given.losses ? { losses: true, syncTakes: [5, 12] as const } : {}),
+    }),
+    undefined,
+    given.jobs,
+  )) {
     recovery.push(played.back);
     if (given.quiet && played.violations.length === 0) continue;
     if (played.violations.length > 0) broken += 1;
-    process.stdout.write(`${JSON.stringify({ seed: played.options.seed, violations: played.violations.length, first: played.violations.slice(0, 4), back: Math.round(played.back), worst: played.worst, ms: Math.round(played.ms), ...(given.details ? { counts: played.counts, faults: played.faults } : {}) })}\n`);
+    process.stdout.write(
+      `${JSON.stringify({ seed: played.options.seed, violations: played.violations.length, first: played.violations.slice(0, 4), back: Math.round(played.back), worst: played.worst, ms: Math.round(played.ms), ...(given.details ? { counts: played.counts, faults: played.faults } : {}) })}\n`,
+    );
   }
   recovery.sort(ascending);
-  process.stdout.write(`${JSON.stringify({ seeds: recovery.length, broken, backMedian: Math.round(recovery[recovery.length >> 1]!), backMost: Math.round(recovery.at(-1)!) })}\n`);
+  process.stdout.write(
+    `${JSON.stringify({ seeds: recovery.length, broken, backMedian: Math.round(recovery[recovery.length >> 1]!), backMost: Math.round(recovery.at(-1)!) })}\n`,
+  );
   process.exit(broken === 0 ? 0 : 1);
 }
 
-function ascending(left: number, right: number): number { return left - right; }
-function one(): number { return 1; }
-function ten(): number { return 10; }
-function stormyUsual(): number { return 30_000; }
-function calmUsual(): number { return 26_000; }
-function tokensUsual(): number { return 40; }
-function allowanceUsual(): number { return 1_000; }
+function ascending(left: number, right: number): number {
+  return left - right;
+}
+function one(): number {
+  return 1;
+}
+function ten(): number {
+  return 10;
+}
+function stormyUsual(): number {
+  return 30_000;
+}
+function calmUsual(): number {
+  return 26_000;
+}
+function tokensUsual(): number {
+  return 40;
+}
+function allowanceUsual(): number {
+  return 1_000;
+}
 
-void run(command({
-  name: "simulator", description: "the fleet's own machines under virtual time, faults and a checker", handler: play,
-  args: {
-    from: option({ type: number, long: "from", defaultValue: one }), to: option({ type: number, long: "to", defaultValue: ten }),
-    stormy: option({ type: number, long: "stormy", defaultValue: stormyUsual, description: "ms with faults" }), calm: option({ type: number, long: "calm", defaultValue: calmUsual, description: "ms after mending" }),
-    calmOnly: flag({ long: "calm-only" }), details: flag({ long: "details" }), losses: flag({ long: "losses", description: "storms of losses, on disks of 5 to 12 ms a sync" }), twoLost: flag({ long: "two-lost", description: "two machines may be lost at once" }), quiet: flag({ long: "quiet", description: "tell only seeds that broke a rule" }),
-    allowance: option({ type: number, long: "allowance", defaultValue: allowanceUsual }),
-    tokens: option({ type: number, long: "tokens", defaultValue: tokensUsual }),
-    access: option({ type: optional(number), long: "access", description: "access nodes, with the firms' 13 and 3 runners: 7 or 9" }),
-    jobs: option({ type: optional(number), long: "jobs", description: "seeds played at once" }),
-    season: option({ type: optional(number), long: "season", description: "waiting items a season over all queues allows" }),
-  },
-}), process.argv.slice(2));
+void run(
+  command({
+    name: "simulator",
+    description: "the fleet's own machines under virtual time, faults and a checker",
+    handler: play,
+    args: {
+      from: option({ type: number, long: "from", defaultValue: one }),
+      to: option({ type: number, long: "to", defaultValue: ten }),
+      stormy: option({
+        type: number,
+        long: "stormy",
+        defaultValue: stormyUsual,
+        description: "ms with faults",
+      }),
+      calm: option({
+        type: number,
+        long: "calm",
+        defaultValue: calmUsual,
+        description: "ms after mending",
+      }),
+      calmOnly: flag({ long: "calm-only" }),
+      details: flag({ long: "details" }),
+      losses: flag({
+        long: "losses",
+        description: "storms of losses, on disks of 5 to 12 ms a sync",
+      }),
+      twoLost: flag({ long: "two-lost", description: "two machines may be lost at once" }),
+      quiet: flag({ long: "quiet", description: "tell only seeds that broke a rule" }),
+      allowance: option({ type: number, long: "allowance", defaultValue: allowanceUsual }),
+      tokens: option({ type: number, long: "tokens", defaultValue: tokensUsual }),
+      access: option({
+        type: optional(number),
+        long: "access",
+        description: "access nodes, with the firms' 13 and 3 runners: 7 or 9",
+      }),
+      jobs: option({ type: optional(number), long: "jobs", description: "seeds played at once" }),
+      season: option({
+        type: optional(number),
+        long: "season",
+        description: "waiting items a season over all queues allows",
+      }),
+    },
+  }),
+  process.argv.slice(2),
+);
--- a/tools/simulator/src/measure.ts
+++ b/tools/simulator/src/measure.ts
@@ -3,8 +3,15 @@
 
 /** Figures in virtual time: `npm run measure` (docs/measurements.md). */
 function calmFleet(tokens: number, windowSeconds: number): Campaign {
-  const campaign = new Campaign({ seed: 7, faults: false, tokens, windowSeconds, allowance: 1_000_000 });
-  for (const runner of campaign.runners) runner.manner = { trouble: 0, tear: 0, lie: 0, silent: 0, short: 0, firstMs: 60, pieceMs: 25 };
+  const campaign = new Campaign({
+    seed: 7,
+    faults: false,
+    tokens,
+    windowSeconds,
+    allowance: 1_000_000,
+  });
+  for (const runner of campaign.runners)
+    runner.manner = { trouble: 0, tear: 0, lie: 0, silent: 0, short: 0, firstMs: 60, pieceMs: 25 };
   campaign.begin();
   campaign.world.run(8_000);
   return campaign;
@@ -18,7 +25,11 @@
 }
 
 /** The source's limit on one queue, with more waiting than can be drawn. */
-export function rateHeld(tokens: number, windowSeconds: number, seconds: number): { taken: number; ideal: number } {
+export function rateHeld(
+  tokens: number,
+  windowSeconds: number,
+  seconds: number,
+): { taken: number; ideal: number } {
   const campaign = calmFleet(tokens, windowSeconds);
   const start = campaign.world.now;
   const ideal = tokens + (tokens / windowSeconds) * seconds;
@@ -27,7 +38,16 @@
   return { taken: campaign.sight.runs.length, ideal };
 }
 
-const chainKinds = ["queue-inquiry", "queue-result", "entries", "taken", "confirm", "probe", "probed", "life"];
+const chainKinds = [
+  "queue-inquiry",
+  "queue-result",
+  "entries",
+  "taken",
+  "confirm",
+  "probe",
+  "probed",
+  "life",
+];
 
 function kindsOf(campaign: Campaign): number {
   let sum = 0;
@@ -36,7 +56,12 @@
 }
 
 /** Messages and syncs of one lot of twenty: an idle span is taken off. */
-export function costOfLot(): { messages: number; syncs: number; idleMessages: number; acceptedMs: number } {
+export function costOfLot(): {
+  messages: number;
+  syncs: number;
+  idleMessages: number;
+  acceptedMs: number;
+} {
   const campaign = calmFleet(100, 1);
   const { world } = campaign;
   const idleStart = kindsOf(campaign);
@@ -47,7 +72,12 @@
   const start = world.now;
   const lot = handIn(campaign, "cost", 20);
   world.run(world.now + 3_000);
-  return { messages: kindsOf(campaign) - before - idle, syncs: world.syncs - syncs, idleMessages: idle, acceptedMs: Math.round((lot.acceptedAt ?? Number.NaN) - start) };
+  return {
+    messages: kindsOf(campaign) - before - idle,
+    syncs: world.syncs - syncs,
+    idleMessages: idle,
+    acceptedMs: Math.round((lot.acceptedAt ?? Number.NaN) - start),
+  };
 }
 
 /** A live inquiry touches no storage or control machine. */
@@ -61,5 +91,9 @@
   const syncs = world.syncs;
   for (let number = 0; number < 100; number += 1) campaign.inquire();
   world.run(world.now + 3_000);
-  return { messages: world.messages - before - idle, syncs: world.syncs - syncs, runs: campaign.sight.runs.length };
+  return {
+    messages: world.messages - before - idle,
+    syncs: world.syncs - syncs,
+    runs: campaign.sight.runs.length,
+  };
 }
--- a/tools/simulator/src/pass-play.ts
+++ b/tools/simulator/src/pass-play.ts
@@ -1,6 +1,14 @@
 import { constants } from "@chutewick/parts";
 import { configuration, type Configuration, type ControlOutcome } from "@chutewick/control";
-import type { AccessOutput, LotEntry, LotResult, LotTold, PassEvent, PassOutput, PassWork } from "@chutewick/data";
+import type {
+  AccessOutput,
+  LotEntry,
+  LotResult,
+  LotTold,
+  PassEvent,
+  PassOutput,
+  PassWork,
+} from "@chutewick/data";
 import { AccessMachine, ControlMachine, StorageMachine, type AccessHooks } from "./machines.js";
 import { World, type Machine } from "./world.js";
 
@@ -19,7 +27,18 @@
   readonly moves?: boolean;
 }
 
-export type Fault = "kill-access" | "freeze-access" | "kill-storage" | "freeze-storage" | "wipe-storage" | "cut-storage" | "power" | "kill-control" | "loss" | "runners" | "cut-access";
+export type Fault =
+  | "kill-access"
+  | "freeze-access"
+  | "kill-storage"
+  | "freeze-storage"
+  | "wipe-storage"
+  | "cut-storage"
+  | "power"
+  | "kill-control"
+  | "loss"
+  | "runners"
+  | "cut-access";
 
 interface ItemSight {
   readonly id: string;
@@ -93,23 +112,48 @@
     const { world } = this;
     const seeds = ["control-1", "control-2", "control-3"];
     for (const seed of seeds) this.controls.push(new ControlMachine(world, seed, seed, seeds));
-    for (let number = 1; number <= 3; number += 1) this.storages.push(new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds));
+    for (let number = 1; number <= 3; number += 1)
+      this.storages.push(
+        new StorageMachine(world, `storage-${number}`, `storage-${number}`, seeds),
+      );
     const hooks: AccessHooks = { runnerAt: nobody, began: nothing };
     for (let number = 1; number <= (options.access ?? 3); number += 1) {
-      const machine = new AccessMachine(world, `access-${number}`, `access-${number}`, seeds, hooks);
+      const machine = new AccessMachine(
+        world,
+        `access-${number}`,
+        `access-${number}`,
+        seeds,
+        hooks,
+      );
       const self = this;
-      function passing(output: PassOutput): void { self.#passing(machine, output); }
+      function passing(output: PassOutput): void {
+        self.#passing(machine, output);
+      }
       machine.passing = passing;
       this.accesses.push(machine);
     }
-    for (let number = 1; number <= 6; number += 1) this.runners.push({ id: `runner-${number}`, address: `10.0.0.${number}:80`, pool: number <= 4 ? "readers" : "others", incarnation: 1, alive: true, runs: new Set() });
+    for (let number = 1; number <= 6; number += 1)
+      this.runners.push({
+        id: `runner-${number}`,
+        address: `10.0.0.${number}:80`,
+        pool: number <= 4 ? "readers" : "others",
+        incarnation: 1,
+        alive: true,
+        runs: new Set(),
+      });
   }
 
-  get machines(): Machine[] { return [...this.controls, ...this.storages, ...this.accesses]; }
+  get machines(): Machine[] {
+    return [...this.controls, ...this.storages, ...this.accesses];
+  }
 
-  breach(text: string): void { this.breaches.push(`${Math.round(this.world.now)} ms: ${text}`); }
+  breach(text: string): void {
+    this.breaches.push(`${Math.round(this.world.now)} ms: ${text}`);
+  }
 
-  #count(what: string): void { this.counts[what] = (this.counts[what] ?? 0) + 1; }
+  #count(what: string): void {
+    this.counts[what] = (this.counts[what] ?? 0) + 1;
+  }
 
   begin(): void {
     for (const machine of this.machines) machine.start();
@@ -170,7 +214,18 @@
     for (const pool of this.#pools) pools.push({ pool, weight: 1 });
     const checked = configuration.check({
       pools: { readers: { models: ["m"] }, others: { models: ["m"] } },
-      passages: { slips: { host, prefix: "/slips/", kind: "lot", pools, goesMost: 3, guard: 6_000, waitingTokens: this.options.allowance ?? 0, keeps: 120 } },
+      passages: {
+        slips: {
+          host,
+          prefix: "/slips/",
+          kind: "lot",
+          pools,
+          goesMost: 3,
+          guard: 6_000,
+          waitingTokens: this.options.allowance ?? 0,
+          keeps: 120,
+        },
+      },
     });
     if (!checked.ok) throw new Error(checked.reason);
     return checked.value;
@@ -199,8 +254,21 @@
       if (!runner.alive) return;
       for (let tries = 0; tries < 2; tries += 1) {
         const access = world.chance.pick(self.accesses);
-        const card = { id: runner.id, incarnation: runner.incarnation, url: runner.address, kind: "model" as const, models: ["m"], labels: {}, seats: 16, zone: "a", burden: runner.runs.size, pool: runner.pool };
-        function enter(): void { access.perform(access.core.announce("announcing", card, world.now)); }
+        const card = {
+          id: runner.id,
+          incarnation: runner.incarnation,
+          url: runner.address,
+          kind: "model" as const,
+          models: ["m"],
+          labels: {},
+          seats: 16,
+          zone: "a",
+          burden: runner.runs.size,
+          pool: runner.pool,
+        };
+        function enter(): void {
+          access.perform(access.core.announce("announcing", card, world.now));
+        }
         if (access.alive) access.mine(enter)();
       }
     }
@@ -215,7 +283,8 @@
         told?.(output.told);
         return;
       }
-      case "pass-run": return this.#run(machine, output.go, output.address, output.work);
+      case "pass-run":
+        return this.#run(machine, output.go, output.address, output.work);
       case "pass-abandon": {
         const key = `${machine.name}/${machine.life}/${output.go}`;
         this.#links.get(key)?.();
@@ -237,7 +306,9 @@
       self.#links.delete(key);
     }
     function tell(event: PassEvent): void {
-      function take(): void { machine.perform(machine.core.passEvent(go, event, world.now)); }
+      function take(): void {
+        machine.perform(machine.core.passEvent(go, event, world.now));
+      }
       if (machine.life === life) machine.mine(take)();
     }
     function last(event: PassEvent): void {
@@ -251,7 +322,8 @@
       const reason = machine.core.mayPass(go, world.now);
       if (reason !== undefined) return last({ kind: "unsent", reason });
       if (!runner.alive) return last({ kind: "unsent", reason: "connection refused" });
-      if (world.chance.happens(manner.turnAway)) return last({ kind: "refused", status: 503, retryAfter: 0.1, otherRunner: false });
+      if (world.chance.happens(manner.turnAway))
+        return last({ kind: "refused", status: 503, retryAfter: 0.1, otherRunner: false });
       runner.runs.add(stop);
       begin();
     }
@@ -269,11 +341,14 @@
         return fail(500);
       }
       tell({ kind: "head", status: 200, headers: [], stamped: true });
-      const tearsAt = world.chance.happens(manner.tear) ? world.chance.below(item.events + 1) : Number.POSITIVE_INFINITY;
+      const tearsAt = world.chance.happens(manner.tear)
+        ? world.chance.below(item.events + 1)
+        : Number.POSITIVE_INFINITY;
       function piece(number: number): void {
         function next(): void {
           if (over) return;
-          if (!runner.alive || number > tearsAt) return last({ kind: "broken", reason: "the link broke" });
+          if (!runner.alive || number > tearsAt)
+            return last({ kind: "broken", reason: "the link broke" });
           if (number > item.events) {
             item.finished = true;
             item.finishedAt = world.now;
@@ -300,14 +375,27 @@
 
   /** What no run may be. */
   #look(lot: LotSight, item: ItemSight, work: PassWork, runner: PassRunner): void {
-    if (lot.endedAt !== undefined && this.world.now > lot.endedAt + 3_000) this.breach(`${item.id} runs ${Math.round(this.world.now - lot.endedAt)} ms after the end of its lot`);
-    if (work.inquiry.path !== `/slips/${item.id}` || new TextDecoder().decode(work.inquiry.body) !== `body of ${item.id}` || work.inquiry.host !== host) this.breach(`${item.id} is not as it was handed in`);
-    if (runner.pool !== "readers" && this.options.moves !== true) this.breach(`${item.id} runs in the wrong pool`);
+    if (lot.endedAt !== undefined && this.world.now > lot.endedAt + 3_000)
+      this.breach(
+        `${item.id} runs ${Math.round(this.world.now - lot.endedAt)} ms after the end of its lot`,
+      );
+    if (
+      work.inquiry.path !== `/slips/${item.id}` ||
+      new TextDecoder().decode(work.inquiry.body) !== `body of ${item.id}` ||
+      work.inquiry.host !== host
+    )
+      this.breach(`${item.id} is not as it was handed in`);
+    if (runner.pool !== "readers" && this.options.moves !== true)
+      this.breach(`${item.id} runs in the wrong pool`);
   }
 
   // Callers
 
-  #ask(enter: (machine: AccessMachine, ticket: string) => readonly AccessOutput[], told: (told: LotTold | undefined) => void, patience = askPatience): void {
+  #ask(
+    enter: (machine: AccessMachine, ticket: string) => readonly AccessOutput[],
+    told: (told: LotTold | undefined) => void,
+    patience = askPatience,
+  ): void {
     const { world } = this;
     const machine = world.chance.pick(this.accesses);
     this.#ticketNumber += 1;
@@ -325,7 +413,9 @@
       end(undefined);
     }
     if (!machine.alive) return void world.after(5, silence);
-    function take(): void { machine.perform(enter(machine, ticket) as AccessOutput[]); }
+    function take(): void {
+      machine.perform(enter(machine, ticket) as AccessOutput[]);
+    }
     machine.mine(take)();
     world.after(patience, silence);
   }
@@ -339,10 +429,38 @@
     const count = 1 + world.chance.below((this.options.items ?? 12) * 2 - 1);
     for (let index = 0; index < count; index += 1) {
       const item = `${id}-${index}`;
-      entries.push({ id: item, path: `/slips/${item}`, headers: [], body: new TextEncoder().encode(`body of ${item}`), tokens: 10 + world.chance.below(20), model: "m" });
-      items.set(item, { id: item, events: 1 + world.chance.below(12), poisoned: world.chance.happens(0.02), troubles: 0, finished: false, finishedAt: 0, begunAt: 0, runs: 0 });
-    }
-    const lot: LotSight = { id, items, entries, tries: [], firstAt: world.now, toldAt: undefined, takenAt: undefined, endAskedAt: undefined, endedAt: undefined, shown: [], doneAt: undefined };
+      entries.push({
+        id: item,
+        path: `/slips/${item}`,
+        headers: [],
+        body: new TextEncoder().encode(`body of ${item}`),
+        tokens: 10 + world.chance.below(20),
+        model: "m",
+      });
+      items.set(item, {
+        id: item,
+        events: 1 + world.chance.below(12),
+        poisoned: world.chance.happens(0.02),
+        troubles: 0,
+        finished: false,
+        finishedAt: 0,
+        begunAt: 0,
+        runs: 0,
+      });
+    }
+    const lot: LotSight = {
+      id,
+      items,
+      entries,
+      tries: [],
+      firstAt: world.now,
+      toldAt: undefined,
+      takenAt: undefined,
+      endAskedAt: undefined,
+      endedAt: undefined,
+      shown: [],
+      doneAt: undefined,
+    };
     for (const item of items.values()) this.#itemOf.set(item.id, { lot, item });
     this.lots.push(lot);
     this.#tryLot(lot);
@@ -353,7 +471,11 @@
     const { world } = this;
     const self = this;
     function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] {
-      return machine.core.lots.handIn(ticket, { lot: lot.id, host, path: "/slips/x", entries: lot.entries }, world.now);
+      return machine.core.lots.handIn(
+        ticket,
+        { lot: lot.id, host, path: "/slips/x", entries: lot.entries },
+        world.now,
+      );
     }
     function told(what: LotTold | undefined): void {
       lot.tries.push(what === undefined ? "silence" : what.kind);
@@ -367,9 +489,12 @@
         }
         return;
       }
-      if (lot.tries.length >= 3 && (lot.takenAt !== undefined || lot.tries.every(isRefused))) return;
+      if (lot.tries.length >= 3 && (lot.takenAt !== undefined || lot.tries.every(isRefused)))
+        return;
       if (lot.tries.length >= 8) return;
-      function again(): void { self.#tryLot(lot); }
+      function again(): void {
+        self.#tryLot(lot);
+      }
       world.after(world.chance.between(100, 600), again);
     }
     this.#ask(enter, told);
@@ -388,7 +513,9 @@
     let tokens = 0;
     for (const lot of this.lots) {
       if (lot.takenAt === undefined || lot.endAskedAt !== undefined) continue;
-      for (const [place, item] of [...lot.items.values()].entries()) if (!item.finished && !item.poisoned && item.troubles < 3) tokens += lot.entries[place]!.tokens;
+      for (const [place, item] of [...lot.items.values()].entries())
+        if (!item.finished && !item.poisoned && item.troubles < 3)
+          tokens += lot.entries[place]!.tokens;
     }
     if (tokens > allowance) this.breach(`${tokens} tokens wait, ${allowance} may`);
   }
@@ -397,15 +524,21 @@
     const { world } = this;
     const self = this;
     if (world.chance.happens(0.1)) {
-      function end(): void { self.#end(lot); }
+      function end(): void {
+        self.#end(lot);
+      }
       world.after(world.chance.between(50, 2_500), end);
     }
     function read(): void {
       if (lot.doneAt !== undefined || lot.endAskedAt !== undefined) return;
-      const from = world.chance.happens(0.15) ? world.chance.below(lot.shown.length + 1) : lot.shown.length;
+      const from = world.chance.happens(0.15)
+        ? world.chance.below(lot.shown.length + 1)
+        : lot.shown.length;
       self.#read(lot, from, world.chance.happens(0.7) ? 1_000 : 0, after);
     }
-    function after(): void { world.after(world.chance.between(200, 500), read); }
+    function after(): void {
+      world.after(world.chance.between(200, 500), read);
+    }
     read();
     function body(): void {
       if (lot.doneAt !== undefined || lot.endAskedAt !== undefined) return;
@@ -419,7 +552,9 @@
     const { world } = this;
     const self = this;
     const shownBefore = lot.shown.length;
-    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] { return machine.core.lots.read(ticket, lot.id, host, from, hold, world.now); }
+    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] {
+      return machine.core.lots.read(ticket, lot.id, host, from, hold, world.now);
+    }
     function told(what: LotTold | undefined): void {
       self.#count(`read ${what?.kind ?? "silence"}`);
       if (what?.kind === "missing") self.breach(`${lot.id} is said to be missing`);
@@ -429,20 +564,31 @@
     this.#ask(enter, told, hold + 1_500);
   }
 
-  #see(lot: LotSight, from: number, { total, results, next }: Extract<LotTold, { kind: "results" }>, shownBefore: number): void {
-    if (total !== lot.items.size || next !== from + results.length) this.breach(`${lot.id}: total ${total}, next ${next}`);
-    if (results.length === 0 && from < shownBefore) this.breach(`${lot.id} has nothing at ${from}, and ${shownBefore} were shown`);
+  #see(
+    lot: LotSight,
+    from: number,
+    { total, results, next }: Extract<LotTold, { kind: "results" }>,
+    shownBefore: number,
+  ): void {
+    if (total !== lot.items.size || next !== from + results.length)
+      this.breach(`${lot.id}: total ${total}, next ${next}`);
+    if (results.length === 0 && from < shownBefore)
+      this.breach(`${lot.id} has nothing at ${from}, and ${shownBefore} were shown`);
     for (const [offset, result] of results.entries()) {
       const held = lot.shown[from + offset];
       if (held !== undefined) {
-        if (held.item !== result.item || held.state !== result.state || held.text !== result.text) this.breach(`${lot.id} changed at ${from + offset}: ${held.item} ${held.state}, then ${result.item} ${result.state}`);
+        if (held.item !== result.item || held.state !== result.state || held.text !== result.text)
+          this.breach(
+            `${lot.id} changed at ${from + offset}: ${held.item} ${held.state}, then ${result.item} ${result.state}`,
+          );
         continue;
       }
       if (from + offset !== lot.shown.length) {
         this.breach(`${lot.id} skips a position at ${from + offset}`);
         continue;
       }
-      for (const other of lot.shown) if (other.item === result.item) this.breach(`${lot.id} lists ${result.item} twice`);
+      for (const other of lot.shown)
+        if (other.item === result.item) this.breach(`${lot.id} lists ${result.item} twice`);
       this.#judge(lot, result);
       lot.shown.push(result);
     }
@@ -451,29 +597,41 @@
 
   #judge(lot: LotSight, result: LotResult): void {
     const item = lot.items.get(result.item);
-    if (item === undefined) return this.breach(`${lot.id} lists ${result.item}, which is not its own`);
+    if (item === undefined)
+      return this.breach(`${lot.id} lists ${result.item}, which is not its own`);
     this.#count(`item ${result.state}`);
     if (result.state === "failed") {
-      if (!item.poisoned && item.troubles < 3 && lot.endAskedAt === undefined && this.world.now < lot.firstAt + 120_000) this.breach(`${item.id} is given up after ${item.troubles} troubles`);
+      if (
+        !item.poisoned &&
+        item.troubles < 3 &&
+        lot.endAskedAt === undefined &&
+        this.world.now < lot.firstAt + 120_000
+      )
+        this.breach(`${item.id} is given up after ${item.troubles} troubles`);
       return;
     }
     const texts: string[] = [];
     for (let number = 1; number <= item.events; number += 1) texts.push(dataOf(item.id, number));
-    if (result.text !== texts.join("\n")) this.breach(`${item.id} is solved with ${JSON.stringify(result.text)}`);
+    if (result.text !== texts.join("\n"))
+      this.breach(`${item.id} is solved with ${JSON.stringify(result.text)}`);
   }
 
   #readBody(lot: LotSight): void {
     const { world } = this;
     const self = this;
     const entry = world.chance.pick(lot.entries);
-    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] { return machine.core.lots.item(ticket, lot.id, entry.id, world.now); }
+    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] {
+      return machine.core.lots.item(ticket, lot.id, entry.id, world.now);
+    }
     function told(what: LotTold | undefined): void {
-      if (what?.kind === "body" && new TextDecoder().decode(what.bytes) !== `body of ${entry.id}`) self.breach(`the body of ${entry.id} differs`);
+      if (what?.kind === "body" && new TextDecoder().decode(what.bytes) !== `body of ${entry.id}`)
+        self.breach(`the body of ${entry.id} differs`);
       if (what?.kind !== "missing" || lot.endAskedAt !== undefined) return;
       /** Right only where it is listed by now. */
       function check(): void {
         if (lot.endAskedAt !== undefined || lot.shown.some(isItem, { item: entry.id })) return;
-        if (lot.doneAt !== undefined || world.now > self.#quietAt + 10_000) self.breach(`the body of ${entry.id} was missing, and it is not listed`);
+        if (lot.doneAt !== undefined || world.now > self.#quietAt + 10_000)
+          self.breach(`the body of ${entry.id} was missing, and it is not listed`);
         else world.after(1_000, check);
       }
       world.after(1_000, check);
@@ -485,14 +643,19 @@
     const { world } = this;
     const self = this;
     lot.endAskedAt ??= world.now;
-    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] { return machine.core.lots.end(ticket, lot.id, host, world.now); }
+    function enter(machine: AccessMachine, ticket: string): readonly AccessOutput[] {
+      return machine.core.lots.end(ticket, lot.id, host, world.now);
+    }
     function told(what: LotTold | undefined): void {
       self.#count(`end ${what?.kind ?? "silence"}`);
       if (what?.kind === "ended") lot.endedAt ??= world.now;
-      else if (what?.kind === "missing") self.breach(`${lot.id} is to be ended and said to be missing`);
+      else if (what?.kind === "missing")
+        self.breach(`${lot.id} is to be ended and said to be missing`);
       else world.after(300, again);
     }
-    function again(): void { self.#end(lot); }
+    function again(): void {
+      self.#end(lot);
+    }
     this.#ask(enter, told);
   }
 
@@ -516,7 +679,9 @@
       const askedAt = world.now;
       self.#read(lot, before, 1_000, after);
       function after(): void {
-        for (const { item, state } of lot.shown.slice(before)) if (state === "solved" && lot.items.get(item)!.finishedAt > askedAt) waits.push(world.now - lot.items.get(item)!.finishedAt);
+        for (const { item, state } of lot.shown.slice(before))
+          if (state === "solved" && lot.items.get(item)!.finishedAt > askedAt)
+            waits.push(world.now - lot.items.get(item)!.finishedAt);
         read();
       }
     }
@@ -532,7 +697,8 @@
     const lot = this.handIn();
     world.run(world.now + 500);
     const under: ItemSight[] = [];
-    for (const item of lot.items.values()) if (item.runs > 0 && !item.finished && !item.poisoned) under.push(item);
+    for (const item of lot.items.values())
+      if (item.runs > 0 && !item.finished && !item.poisoned) under.push(item);
     access.kill(false);
     world.run(world.now + 100);
     access.start();
@@ -540,12 +706,14 @@
     let drawnAt = Number.POSITIVE_INFINITY;
     function watch(from: string, _to: string, message: unknown): undefined {
       const { kind, command } = message as { kind: string; command?: { kind: string } };
-      if (from === address && kind === "queue-inquiry" && command?.kind === "draw") drawnAt = Math.min(drawnAt, world.now);
+      if (from === address && kind === "queue-inquiry" && command?.kind === "draw")
+        drawnAt = Math.min(drawnAt, world.now);
     }
     world.watch = watch;
     world.run(world.now + 10_000);
     let last = under.length === 0 ? Number.POSITIVE_INFINITY : 0;
-    for (const item of under) last = Math.max(last, item.runs > 1 ? item.begunAt : Number.POSITIVE_INFINITY);
+    for (const item of under)
+      last = Math.max(last, item.runs > 1 ? item.begunAt : Number.POSITIVE_INFINITY);
     return last - drawnAt;
   }
 
@@ -584,17 +752,22 @@
       }
       world.after(milliseconds, back);
     }
-    function mend(): void { world.mend(); }
+    function mend(): void {
+      world.mend();
+    }
     const storages = this.storages.filter(isUp);
     switch (fault) {
-      case "kill-access": case "freeze-access": {
+      case "kill-access":
+      case "freeze-access": {
         const machine = chance.pick(this.accesses);
         if (!machine.alive || machine.frozen) return;
         if (fault === "kill-access") machine.kill(false);
         else machine.freeze();
         return backAfter(machine, chance.between(300, 5_000));
       }
-      case "kill-storage": case "freeze-storage": case "wipe-storage": {
+      case "kill-storage":
+      case "freeze-storage":
+      case "wipe-storage": {
         if (storages.length < 3 || world.now - this.#wipedAt < 12_000) return;
         const machine = chance.pick(storages);
         if (fault === "freeze-storage") machine.freeze();
@@ -607,7 +780,8 @@
       }
       case "cut-storage": {
         const machine = chance.pick(this.storages);
-        for (const other of this.storages) if (other !== machine) world.cut(machine.address, other.address);
+        for (const other of this.storages)
+          if (other !== machine) world.cut(machine.address, other.address);
         return world.after(chance.between(500, 4_000), mend);
       }
       case "cut-access": {
@@ -631,7 +805,9 @@
       }
       case "loss": {
         world.loss = chance.between(0.01, 0.15);
-        function calm(): void { world.loss = 0; }
+        function calm(): void {
+          world.loss = 0;
+        }
         return world.after(chance.between(500, 3_000), calm);
       }
       case "runners": {
@@ -643,7 +819,9 @@
         }
         this.manner.tear = chance.between(0, 0.5);
         this.manner.trouble = chance.between(0, 0.2);
-        function calm(): void { self.manner.tear = 0.05; }
+        function calm(): void {
+          self.manner.tear = 0.05;
+        }
         world.after(2_000, calm);
         return world.after(chance.between(500, 3_000), again);
       }
@@ -655,9 +833,12 @@
     const { world } = this;
     for (const lot of this.lots) {
       /** Every try is over by now. */
-      if (lot.takenAt === undefined && lot.tries.every(isRefused)) for (const item of lot.items.values()) if (item.runs > 0) this.breach(`${item.id} of a refused lot ran`);
+      if (lot.takenAt === undefined && lot.tries.every(isRefused))
+        for (const item of lot.items.values())
+          if (item.runs > 0) this.breach(`${item.id} of a refused lot ran`);
       if (lot.takenAt === undefined || lot.endAskedAt !== undefined) continue;
-      if (lot.doneAt === undefined) this.breach(`${lot.id} is not done: ${lot.shown.length} of ${lot.items.size}`);
+      if (lot.doneAt === undefined)
+        this.breach(`${lot.id} is not done: ${lot.shown.length} of ${lot.items.size}`);
     }
     const until = world.now + 6_000;
     for (const lot of this.lots) if (lot.takenAt !== undefined) this.#read(lot, 0, 0, nothing);
--- a/tools/simulator/src/proof.ts
+++ b/tools/simulator/src/proof.ts
@@ -15,7 +15,13 @@
   readonly brokenWithout: number;
 }
 
-export async function prove(aim: string, guard: string, from: number, to: number, without: number): Promise<Proof> {
+export async function prove(
+  aim: string,
+  guard: string,
+  from: number,
+  to: number,
+  without: number,
+): Promise<Proof> {
   const { rule, options } = aims[aim]!;
   const held = await playAll(seeds(from, to, { ...options, aim }));
   const bare = await playAll(seeds(from, from + without - 1, { ...options, aim }), guard);
@@ -25,7 +31,8 @@
   for (const one of held) {
     strikes += one.strikes;
     leastStrikes = Math.min(leastStrikes, one.strikes);
-    for (const violation of one.violations) broken.push(`seed ${one.options.seed}: ${violation.rule}: ${violation.facts}`);
+    for (const violation of one.violations)
+      broken.push(`seed ${one.options.seed}: ${violation.rule}: ${violation.facts}`);
   }
   let brokenWithout = 0;
   for (const one of bare) if (one.rules.includes(rule)) brokenWithout += 1;
--- a/tools/simulator/src/record.ts
+++ b/tools/simulator/src/record.ts
@@ -15,7 +15,8 @@
 campaign.world.send = sendAndKeep;
 campaign.begin();
 campaign.world.run(8_000);
-for (let lot = 1; lot <= 3; lot += 1) campaign.tryLot({ key: `kept-${lot}`, count: 8, tries: [], views: [] }, "slips");
+for (let lot = 1; lot <= 3; lot += 1)
+  campaign.tryLot({ key: `kept-${lot}`, count: 8, tries: [], views: [] }, "slips");
 campaign.world.run(9_500);
 campaign.storages[0]!.kill(true);
 campaign.world.run(13_000);
@@ -24,7 +25,12 @@
 const folders: Record<string, string> = {};
 for (const machine of [...campaign.controls, ...campaign.storages]) {
   const { identity, votes } = machine.folder!;
-  folders[machine.name] = packer.pack({ identity, votes, holdings: [...machine.folder!.holdings()] }).toString("base64");
+  folders[machine.name] = packer
+    .pack({ identity, votes, holdings: [...machine.folder!.holdings()] })
+    .toString("base64");
 }
 mkdirSync("features/marks", { recursive: true });
-writeFileSync(`features/marks/mark-${constants.wireMark}.json`, `${JSON.stringify({ wireMark: constants.wireMark, diskMark: constants.diskMark, messages, folders }, undefined, 1)}\n`);
+writeFileSync(
+  `features/marks/mark-${constants.wireMark}.json`,
+  `${JSON.stringify({ wireMark: constants.wireMark, diskMark: constants.diskMark, messages, folders }, undefined, 1)}\n`,
+);
--- a/tools/simulator/src/runners.ts
+++ b/tools/simulator/src/runners.ts
@@ -40,7 +40,14 @@
   manner: Manner;
   #life = 0;
 
-  constructor(world: World, id: string, kind: "model" | "plain", seats: number, records: RunRecord[], manner: Manner) {
+  constructor(
+    world: World,
+    id: string,
+    kind: "model" | "plain",
+    seats: number,
+    records: RunRecord[],
+    manner: Manner,
+  ) {
     this.world = world;
     this.id = id;
     this.kind = kind;
@@ -76,11 +83,15 @@
     function hear(event: GoEvent): void {
       broken ||= world.isCut(from.address, self.address);
       if (broken) return;
-      function deliver(): void { tell(event); }
+      function deliver(): void {
+        tell(event);
+      }
       lastAt = Math.max(lastAt, world.now + world.chance.between(0.3, 2));
       world.at(lastAt, deliver);
     }
-    function torn(): void { hear({ kind: "broken", reason: "connection reset" }); }
+    function torn(): void {
+      hear({ kind: "broken", reason: "connection reset" });
+    }
     function end(ending: RunRecord["ending"]): void {
       if (record!.ending !== "running") return;
       record!.ending = ending;
@@ -103,22 +114,46 @@
       if (self.#life !== life || !self.alive) return torn();
       if (self.burden >= self.seats) return hear({ kind: "refused", retryAfter: 1 });
       const prompt = work.kind === "fetch" ? work.path : work.body["prompt"];
-      record = { number: self.records.length, inquiry: work.inquiry, prompt, runner: self.id, incarnation: self.incarnation, at: world.now, ending: "running", pieces: [] };
+      record = {
+        number: self.records.length,
+        inquiry: work.inquiry,
+        prompt,
+        runner: self.id,
+        incarnation: self.incarnation,
+        at: world.now,
+        ending: "running",
+        pieces: [],
+      };
       self.records.push(record);
       self.burden += 1;
       const { chance } = world;
       const { trouble, tear, lie, silent, short, firstMs } = self.manner;
       const fate = chance.next();
-      const wrong = fate < trouble ? "trouble" : fate < trouble + tear ? "tear" : fate < trouble + tear + lie ? "lie" : fate < trouble + tear + lie + silent ? "silent" : fate < trouble + tear + lie + silent + short ? "short" : "none";
+      const wrong =
+        fate < trouble
+          ? "trouble"
+          : fate < trouble + tear
+            ? "tear"
+            : fate < trouble + tear + lie
+              ? "lie"
+              : fate < trouble + tear + lie + silent
+                ? "silent"
+                : fate < trouble + tear + lie + silent + short
+                  ? "short"
+                  : "none";
       if (wrong === "silent") {
-        function sleep(): void { if (!gone()) world.after(1_000, sleep); }
+        function sleep(): void {
+          if (!gone()) world.after(1_000, sleep);
+        }
         return sleep();
       }
       if (work.kind === "stream") {
         hear({ kind: "opened" });
         world.after(firstMs * (0.5 + chance.next()), begin);
       } else world.after(firstMs * (0.5 + chance.next()), whole);
-      function begin(): void { piece(0, 3 + chance.below(5), wrong); }
+      function begin(): void {
+        piece(0, 3 + chance.below(5), wrong);
+      }
       function whole(): void {
         if (gone()) return;
         if (wrong === "trouble") {
@@ -130,7 +165,13 @@
           return torn();
         }
         end("done");
-        if (work.kind === "fetch") hear({ kind: "bytes", status: 200, type: "text/plain", bytes: new TextEncoder().encode(`label for ${String(prompt)}`) });
+        if (work.kind === "fetch")
+          hear({
+            kind: "bytes",
+            status: 200,
+            type: "text/plain",
+            bytes: new TextEncoder().encode(`label for ${String(prompt)}`),
+          });
         else hear({ kind: "whole", value: { read: prompt } });
       }
     }
@@ -148,15 +189,24 @@
         end("done");
         return hear({ kind: "closed", pieces: count });
       }
-      const data = { of: record!.inquiry, prompt: record!.prompt, run: record!.number, text: number };
+      const data = {
+        of: record!.inquiry,
+        prompt: record!.prompt,
+        run: record!.number,
+        text: number,
+      };
       record!.pieces.push(data);
       if (wrong === "short" && number === count - 1) self.shorts += 1;
       else hear({ kind: "piece", number: wrong === "lie" && number === 2 ? 3 : number, data });
-      function next(): void { piece(number + 1, count, wrong); }
+      function next(): void {
+        piece(number + 1, count, wrong);
+      }
       world.after(self.manner.pieceMs * (0.5 + world.chance.next()), next);
     }
     world.after(world.chance.between(0.3, 2), arrive);
-    function leave(): void { left = true; }
+    function leave(): void {
+      left = true;
+    }
     return leave;
   }
 }
--- a/tools/simulator/src/table.ts
+++ b/tools/simulator/src/table.ts
@@ -3,7 +3,12 @@
 import { prove } from "./proof.js";
 
 /** `npm run proof -- --from 1 --to 20` plays the proof table. */
-async function play(given: { from: number; to: number; without: number; only: string | undefined }): Promise<void> {
+async function play(given: {
+  from: number;
+  to: number;
+  without: number;
+  only: string | undefined;
+}): Promise<void> {
   let bad = 0;
   for (const [aim, guard] of rows) {
     if (given.only !== undefined && !given.only.split(",").some(isIn, aim)) continue;
@@ -14,16 +19,39 @@
   process.exit(bad === 0 ? 0 : 1);
 }
 
-function isIn(this: unknown, part: string): boolean { return String(this).includes(part); }
-function one(): number { return 1; }
-function eight(): number { return 8; }
-function four(): number { return 4; }
+function isIn(this: unknown, part: string): boolean {
+  return String(this).includes(part);
+}
+function one(): number {
+  return 1;
+}
+function eight(): number {
+  return 8;
+}
+function four(): number {
+  return 4;
+}
 
-void run(command({
-  name: "proof", description: "each rule's aimed fault, with its guard and without", handler: play,
-  args: {
-    from: option({ type: number, long: "from", defaultValue: one }), to: option({ type: number, long: "to", defaultValue: eight }),
-    without: option({ type: number, long: "without", defaultValue: four, description: "seeds played without the guard" }),
-    only: option({ type: optional(string), long: "only", description: "parts of aims' names, with commas between" }),
-  },
-}), process.argv.slice(2));
+void run(
+  command({
+    name: "proof",
+    description: "each rule's aimed fault, with its guard and without",
+    handler: play,
+    args: {
+      from: option({ type: number, long: "from", defaultValue: one }),
+      to: option({ type: number, long: "to", defaultValue: eight }),
+      without: option({
+        type: number,
+        long: "without",
+        defaultValue: four,
+        description: "seeds played without the guard",
+      }),
+      only: option({
+        type: optional(string),
+        long: "only",
+        description: "parts of aims' names, with commas between",
+      }),
+    },
+  }),
+  process.argv.slice(2),
+);
--- a/tools/simulator/src/world.ts
+++ b/tools/simulator/src/world.ts
@@ -1,4 +1,14 @@
-import { constants, policy, type Policy, type ChainHolding, type ChainState, type ChainWrite, type Change, type Entry, type VoteState } from "@chutewick/parts";
+import {
+  constants,
+  policy,
+  type Policy,
+  type ChainHolding,
+  type ChainState,
+  type ChainWrite,
+  type Change,
+  type Entry,
+  type VoteState,
+} from "@chutewick/parts";
 import { Packr } from "msgpackr";
 
 /** Virtual time, one seed, a network, disks and machines that fail (docs/testing.md). */
@@ -17,10 +27,18 @@
     return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
   }
 
-  below(bound: number): number { return Math.floor(this.next() * bound); }
-  between(low: number, high: number): number { return low + this.next() * (high - low); }
-  pick<Value>(from: readonly Value[]): Value { return from[this.below(from.length)]!; }
-  happens(probability: number): boolean { return this.next() < probability; }
+  below(bound: number): number {
+    return Math.floor(this.next() * bound);
+  }
+  between(low: number, high: number): number {
+    return low + this.next() * (high - low);
+  }
+  pick<Value>(from: readonly Value[]): Value {
+    return from[this.below(from.length)]!;
+  }
+  happens(probability: number): boolean {
+    return this.next() < probability;
+  }
 }
 
 interface Event {
@@ -33,7 +51,9 @@
 class Agenda {
   #events: Event[] = [];
 
-  get next(): Event | undefined { return this.#events[0]; }
+  get next(): Event | undefined {
+    return this.#events[0];
+  }
 
   add(event: Event): void {
     const events = this.#events;
@@ -76,7 +96,10 @@
 export class Folder {
   identity: string;
   votes: VoteState | undefined;
-  #chains = new Map<string, { state: ChainState; records: Map<string, unknown>; entries: Map<number, Entry> }>();
+  #chains = new Map<
+    string,
+    { state: ChainState; records: Map<string, unknown>; entries: Map<number, Entry> }
+  >();
   #packer = new Packr({ useRecords: false });
 
   constructor(identity: string) {
@@ -88,7 +111,11 @@
   }
 
   write(chain: string, write: ChainWrite): void {
-    const held = this.#chains.get(chain) ?? { state: write.state, records: new Map<string, unknown>(), entries: new Map<number, Entry>() };
+    const held = this.#chains.get(chain) ?? {
+      state: write.state,
+      records: new Map<string, unknown>(),
+      entries: new Map<number, Entry>(),
+    };
     if (write.clear) {
       held.records.clear();
       held.entries.clear();
@@ -204,7 +231,9 @@
     for (const act of held) act();
   }
 
-  get unsynced(): number { return this.#unsynced.length; }
+  get unsynced(): number {
+    return this.#unsynced.length;
+  }
 
   wipe(): void {
     this.folder = undefined;
@@ -231,7 +260,12 @@
       }
       self.#syncBatch();
     }
-    world.after(world.now < this.slowUntil ? world.chance.between(200, 1_500) : world.chance.between(...world.syncTakes), synced);
+    world.after(
+      world.now < this.slowUntil
+        ? world.chance.between(200, 1_500)
+        : world.chance.between(...world.syncTakes),
+      synced,
+    );
   }
 }
 
@@ -269,7 +303,9 @@
     this.#cuts.delete(`${right}|${left}`);
   }
 
-  get wall(): number { return 1_800_000_000_000 + this.now + this.wallStep; }
+  get wall(): number {
+    return 1_800_000_000_000 + this.now + this.wallStep;
+  }
 
   at(moment: number, act: () => void): void {
     this.#order += 1;
@@ -315,16 +351,23 @@
     const { kind } = message as { kind: string };
     this.kinds.set(kind, (this.kinds.get(kind) ?? 0) + 1);
     const held = this.watch?.(from, to, message) ?? 0;
-    if (held === Number.POSITIVE_INFINITY || this.isCut(from, to) || this.chance.happens(this.loss)) return;
+    if (held === Number.POSITIVE_INFINITY || this.isCut(from, to) || this.chance.happens(this.loss))
+      return;
     const bytes = this.#packer.pack(message);
     const self = this;
     function deliver(): void {
       if (self.isCut(from, to)) return;
       const machine = self.machines.get(to);
       if (machine === undefined || !machine.alive) return;
-      function take(): void { machine!.arrived(self.#packer.unpack(bytes), from); }
+      function take(): void {
+        machine!.arrived(self.#packer.unpack(bytes), from);
+      }
       machine.mine(take)();
     }
-    this.after(held + this.chance.between(0.3, this.chance.happens(0.02) ? this.delayMost * 10 : this.delayMost), deliver);
+    this.after(
+      held +
+        this.chance.between(0.3, this.chance.happens(0.02) ? this.delayMost * 10 : this.delayMost),
+      deliver,
+    );
   }
 }
