A joiner is put in only when it holds all that is confirmed

Cause: a joiner counted as whole once it had reached the place that its tail had told, up to a second before. What the tail confirmed from then until the next view stood on the older members alone; with one of them emptied or stopped right after and another lost, the joiner was the only one left, and lacked it.

Now the word on which the joiner counts itself as whole binds the tail: from the moment it tells the joiner its place it confirms only what the joiner has synced, until another view. A tail that restarts in a view with a joiner begins so. A joiner far behind gets entries first, so that it does not hold the chain up; one that holds it up for 2.5 s is named as stuck and left out, at storage by the plan and at control by the tail itself.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -702,7 +702,8 @@
       this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
     this.#beatAt = now;
     const outputs: ControlOutput[] = [];
-    outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark), now));
+    const stuck = this.#chain.stuck(now)?.identity;
+    outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark, stuck), now));
     outputs.push(...this.#perform(this.#chain.beat(now), now));
     outputs.push(...this.#cover(now));
     if (now - this.#rollAt >= constants.greetEvery) {
@@ -842,12 +843,9 @@
     }
     for (const card of live.values()) {
       for (const [stuckQueue, stuckMark, identity] of card.telling.stuck ?? []) {
-        if (
-          stuckQueue !== queue ||
-          stuckMark !== view.mark ||
-          view.members.length <= this.#policy.copiesLeast
-        )
-          continue;
+        if (stuckQueue !== queue || stuckMark !== view.mark) continue;
+        if (identity === joiner?.identity) return { mark, members: view.members, ...holding };
+        if (view.members.length <= this.#policy.copiesLeast) continue;
         const members: Member[] = [];
         for (const member of view.members) if (member.identity !== identity) members.push(member);
         if (members.length < view.members.length) return { mark, members, ...keep };
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -138,6 +138,13 @@
   #joinerPlace: number | undefined;
   /** Up to where entries were sent to the joiner. */
   #joinerPassed = 0;
+  /** While true, this tail confirms nothing that the joiner has not synced; only another view ends it (§1.6). */
+  #joinerGates = false;
+  /** The furthest place that the joiner told as synced in this view and life, and when that last went on. */
+  #joinerSynced = 0;
+  #joinerSyncedAt = 0;
+  /** How often the joiner asked while it was too far behind to gate. */
+  #joinerAsked = 0;
   /** The furthest place that the successor told in this view, and since when. */
   #successorPlace = 0;
   #successorSince = 0;
@@ -191,6 +198,9 @@
       this.#passed = this.#confirmed;
       this.#taken = this.#confirmed;
       this.#gap = this.#place > this.#confirmed || this.position < 0;
+      /** The life before may have told the joiner a place, so that it counts as whole. */
+      this.#joinerGates = this.#isTail && holding.state.view.joiner !== undefined;
+      this.#joinerSyncedAt = now;
     }
     machine.rebuild(this.ledger);
   }
@@ -252,6 +262,13 @@
       now - this.#takenAt > constants.slowAfter
     )
       return successor;
+    if (
+      this.#joinerGates &&
+      this.#joinerSynced < this.#synced &&
+      this.#confirmed < this.#synced &&
+      now - this.#joinerSyncedAt > constants.slowAfter
+    )
+      return this.#view!.joiner;
     return undefined;
   }
 
@@ -279,6 +296,9 @@
         : Math.min(this.#confirmed, this.#joinerPlace);
     this.#taken = this.#passed;
     this.#joinerPlace = undefined;
+    this.#joinerGates = false;
+    this.#joinerSynced = 0;
+    this.#joinerAsked = 0;
     this.#digestFor = undefined;
     this.#sending = undefined;
     this.#parts = undefined;
@@ -431,18 +451,25 @@
       );
     const successor = this.#successor;
     if (successor !== undefined) commands.push(...this.#sendEntries(successor, this.#passed, now));
-    else if (this.#synced > this.#confirmed && view.members.length >= this.#least) {
-      commands.push(...this.#confirm(this.#synced, now));
-      for (const member of view.members)
-        if (!isSame(member, this.#self))
-          commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
-    }
+    else commands.push(...this.#confirmAsTail(now));
     commands.push(...this.#restore());
     if (this.#digestFor !== undefined && this.#synced === this.#place)
       commands.push(...this.#sendDigest(this.#digestFor, now));
     return commands;
   }
 
+  /** The tail confirms what is synced here, and at the joiner too once that counts as whole. */
+  #confirmAsTail(now: number): ChainCommand[] {
+    const view = this.#view!;
+    const upTo = this.#joinerGates ? Math.min(this.#synced, this.#joinerSynced) : this.#synced;
+    if (upTo <= this.#confirmed || view.members.length < this.#least) return [];
+    const commands = this.#confirm(upTo, now);
+    for (const member of view.members)
+      if (!isSame(member, this.#self))
+        commands.push(this.#send(member, { kind: "confirm", place: this.#confirmed }));
+    return commands;
+  }
+
   #sendEntries(to: Member, after: number, now: number): ChainCommand[] {
     const entries = this.#entriesAfter(after);
     if (entries.length === 0) return [];
@@ -601,15 +628,8 @@
 
   #receiveTaken(place: number, confirmed: number, from: string, now: number): ChainCommand[] {
     const view = this.#view!;
-    if (
-      view.joiner !== undefined &&
-      view.joiner.address === from &&
-      this.#isTail &&
-      this.#joinerPlace !== undefined
-    ) {
-      this.#joinerPlace = Math.max(this.#joinerPlace, place);
-      return this.#sendJoiner(view.joiner);
-    }
+    if (view.joiner !== undefined && view.joiner.address === from && this.#isTail)
+      return this.#receiveTakenByJoiner(view.joiner, place, now);
     if (isSame(view.joiner, this.#self) && this.#source!.address === from) {
       this.#sourcePlace = place;
       this.#countCopy(now);
@@ -640,6 +660,17 @@
     return commands;
   }
 
+  #receiveTakenByJoiner(joiner: Member, place: number, now: number): ChainCommand[] {
+    if (place > this.#joinerSynced) {
+      this.#joinerSynced = place;
+      this.#joinerSyncedAt = now;
+    }
+    const commands = this.#confirmAsTail(now);
+    if (this.#joinerPlace === undefined) return commands;
+    this.#joinerPlace = Math.max(this.#joinerPlace, place);
+    return [...commands, ...this.#sendJoiner(joiner)];
+  }
+
   #receiveProbe(number: number): ChainCommand[] {
     const successor = this.#successor;
     if (this.position <= 0) return [];
@@ -670,19 +701,17 @@
     return this.#entries[0]?.place ?? this.#place + 1;
   }
 
-  #receiveWant(place: number, from: string, now: number): ChainCommand[] {
+  #receiveWant(asked: number, from: string, now: number): ChainCommand[] {
     const view = this.#view!;
     const joiner = this.#isTail && view.joiner?.address === from ? view.joiner : undefined;
+    /** What it told as synced since may have overtaken its asking. */
+    const place = joiner === undefined ? asked : Math.max(asked, this.#joinerSynced);
     const asker = joiner ?? (this.#successor?.address === from ? this.#successor : undefined);
     if (asker === undefined) return [];
     if (place > 0 && place + 1 >= this.#firstKept && place <= this.#place) {
-      if (joiner === undefined) return this.#sendAgain(asker, place, now);
-      this.#joinerPlace = place;
-      this.#joinerPassed = place;
-      return [
-        ...this.#sendJoiner(joiner),
-        this.#send(joiner, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
-      ];
+      return joiner === undefined
+        ? this.#sendAgain(asker, place, now)
+        : this.#bringUp(joiner, place, now);
     }
     if (this.#synced < this.#place) {
       this.#digestFor = asker;
@@ -691,6 +720,27 @@
     return this.#sendDigest(asker, now);
   }
 
+  /**
+   * What a joiner misses, and the place where this tail stands. On that word the joiner counts itself as whole as soon as it has
+   * reached the place, so from then on nothing is confirmed here that it has not synced: whatever the next view confirms, the joiner
+   * holds all that this one confirmed (§1.6). One that is far behind gets entries first, so that it does not hold the chain up.
+   */
+  #bringUp(joiner: Member, place: number, now: number): ChainCommand[] {
+    this.#joinerPlace = place;
+    /** A place that it holds without having told it as synced is sent again, which makes it tell. */
+    this.#joinerPassed = Math.min(place, Math.max(this.#joinerSynced, this.#firstKept - 1));
+    const sent = this.#sendJoiner(joiner);
+    this.#joinerAsked += 1;
+    const isNear = this.#joinerPassed >= this.#synced || this.#joinerAsked > constants.joinerAsks;
+    if (!isNear && !this.#joinerGates) return sent;
+    if (!this.#joinerGates) this.#joinerSyncedAt = now;
+    this.#joinerGates = true;
+    return [
+      ...sent,
+      this.#send(joiner, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
+    ];
+  }
+
   /** A whole copy in pieces, taken only when all of it is synced here, so a copy never runs ahead (§1.4). */
   #sendDigest(to: Member, now: number): ChainCommand[] {
     this.#digestFor = undefined;
@@ -698,6 +748,11 @@
     if (isSame(this.#view!.joiner, to)) {
       this.#joinerPlace = this.#place;
       this.#joinerPassed = this.#place;
+      /** A copy of nothing counts as whole at once. */
+      if (this.#place === 0 && !this.#joinerGates) {
+        this.#joinerGates = true;
+        this.#joinerSyncedAt = now;
+      }
     }
     const parts = cutInPieces(this.ledger.digest());
     const pieces: DistributiveBare[] = [];
@@ -830,6 +885,10 @@
       now - this.#progressAt > constants.resendAfter
     ) {
       this.#progressAt = now;
+      if (this.#synced > 0)
+        commands.push(
+          this.#send(source!, { kind: "taken", place: this.#synced, confirmed: this.#confirmed }),
+        );
       commands.push(this.#send(source!, { kind: "want", place: this.#place }));
       return commands;
     }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -57,6 +57,8 @@
   digestPiecesOut: 4,
   /** pieces. Sent to one that is copied to in each beat, so a copy leaves the link and the disk to live work (§1.4). */
   digestPiecesEachBeat: 4,
+  /** asks. After so many, four a second, a joiner that never came near the tail holds the chain to its own pace, so that its copy ends. */
+  joinerAsks: 8,
   /** entries. Feed entries kept for nodes that follow; older places get a digest instead. */
   feedKept: 2_000,
   /** entries. Most entries in one message between chain members. */
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -88,6 +88,8 @@
   #ticket = 0;
   #waiting = new Map<number, ViewCommand[]>();
   #copiedMark = 0;
+  /** Identity of a joiner that holds the chain up, as its tail here found. */
+  #stuckJoiner: string | undefined;
   #leaving = false;
   #beatAt: number;
   #settledSince: number | undefined;
@@ -200,7 +202,8 @@
     return [{ kind: "vote", ticket: this.#ticket, state }];
   }
 
-  beat(now: number, copiedMark: number): ViewCommand[] {
+  beat(now: number, copiedMark: number, stuckJoiner?: string): ViewCommand[] {
+    this.#stuckJoiner = stuckJoiner;
     /** A copy that is done is told at once. */
     if (copiedMark > this.#copiedMark) this.#greetAt = Number.NEGATIVE_INFINITY;
     this.#copiedMark = copiedMark;
@@ -282,6 +285,7 @@
     if (alive.length === 0 || !this.isNear(now)) return undefined;
     const joiner =
       view.joiner !== undefined &&
+      view.joiner.identity !== this.#stuckJoiner &&
       this.heardWithin(view.joiner.identity, constants.memberSilence, now)
         ? view.joiner
         : undefined;
