--- a/packages/control/src/calendar.ts
+++ b/packages/control/src/calendar.ts
@@ -8,6 +8,7 @@
   readonly lastsMinutes: number;
 }
 
+/** One opening of a calendar: start inclusive, end exclusive, wall-clock times in ms. */
 export interface Window {
   readonly start: number;
   readonly end: number;
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -131,9 +131,13 @@
   seasons: z.record(name, season).default({}),
 });
 
+/** The whole document of the operators, as checked. */
 export type Configuration = z.infer<typeof shape>;
+/** A way by name: what is asked for, and which model serves it. */
 export type Way = Configuration["ways"][string];
+/** Runners of one kind. */
 export type Pool = Configuration["pools"][string];
+/** A way reached by host and path. */
 export type Passage = Configuration["passages"][string];
 
 /** Kept in control state and carried by the feed. */
--- a/packages/control/src/explain.ts
+++ b/packages/control/src/explain.ts
@@ -10,7 +10,7 @@
 import { standingClasses, type QueueStanding } from "./machine.js";
 import { governingIn, type ShareReport } from "./pace.js";
 
-/** What operators ask about seasons: what holds for a way, a model or a lot, and what a season would select (docs/design.md §8.4). */
+/** What an operator asks about seasons: what holds for a way, a model or a lot (docs/design.md §8.9). */
 export interface Asked {
   readonly way?: string;
   readonly model?: string;
@@ -19,6 +19,7 @@
   readonly labels: Labels;
 }
 
+/** State of the control group that an explanation is made from. */
 export interface Known {
   readonly value: Configuration;
   readonly wall: number;
@@ -27,6 +28,7 @@
   readonly runners: readonly RunnerCard[];
 }
 
+/** An explanation as JSON, or why there is none. */
 export type Explained =
   | { readonly kind: "EXPLAINED"; readonly value: Record<string, unknown> }
   | { readonly kind: "REFUSED"; readonly reason: string };
@@ -51,6 +53,7 @@
   );
 }
 
+/** What holds for lots of a way, model or adapter with these labels now, and why. */
 function explain(asked: Asked, known: Known): Explained {
   const plan = planOf(asked, known.value);
   if (typeof plan === "string") return refused(plan);
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -14,13 +14,14 @@
 import { configuration, type Configuration, type QueuePlan } from "./configuration.js";
 import { standingClasses, type QueueStanding, type StandingClass } from "./machine.js";
 
-/** Seasons, shares and pace, worked out by the head of the control chain (docs/design.md §8.4, §8.5). */
+/** What the owner of a queue told of the shares that it entered. */
 export interface ShareReport {
   readonly shareMark: number;
   /** By season: what may still come to wait, and what is needed. */
   readonly classes: ReadonlyMap<string, { readonly held: number; readonly need: number }>;
 }
 
+/** All that one plan is worked out from. */
 export interface Surroundings {
   readonly value: Configuration;
   readonly wall: number;
@@ -57,6 +58,7 @@
 
 const all: readonly Selector[] = [];
 
+/** Seasons, shares and pace, worked out by the head of the control chain (docs/design.md §8.4, §8.5). */
 export class Pacer {
   #paces = new Map<string, Pace>();
   #policy: Policy;
--- a/packages/parts/src/bucket.ts
+++ b/packages/parts/src/bucket.ts
@@ -1,15 +1,19 @@
 /** The token bucket of one queue (docs/design.md §3.1). Times in ms, rate in tokens per second. */
 export interface Bucket {
+  /** Tokens at `refilledAt`; may be a fraction. */
   readonly tokens: number;
+  /** Ledger time of the last change. */
   readonly refilledAt: number;
 }
 
+/** How a bucket refills: so many tokens in each window, up to a capacity. */
 export interface Limits {
   readonly tokens: number;
   readonly windowSeconds: number;
   readonly capacity: number;
 }
 
+/** Outcome of one draw; only TAKEN changes the bucket. */
 export type Draw<Prompt> =
   | { readonly kind: "TAKEN"; readonly prompt: Prompt; readonly bucket: Bucket }
   | { readonly kind: "EMPTY" }
@@ -19,10 +23,12 @@
 /** Float noise that may not cost a waiter a second round; far below one token. */
 const grain = 1e-9;
 
+/** Refill in tokens per second. */
 function rate(limits: Limits): number {
   return limits.tokens / limits.windowSeconds;
 }
 
+/** A bucket filled to its capacity. */
 function full(limits: Limits, now: number): Bucket {
   return { tokens: limits.capacity, refilledAt: now };
 }
--- a/packages/parts/src/ledger.ts
+++ b/packages/parts/src/ledger.ts
@@ -1,6 +1,7 @@
-/** Records under keys, and which of them changed since last asked (docs/design.md §1.2). */
+/** A key and its new value; undefined or null where the record was removed. */
 export type Change = readonly [key: string, value: unknown];
 
+/** Records under keys, and which of them changed since last asked (docs/design.md §1.2). */
 export class Ledger {
   #records = new Map<string, unknown>();
   #changed = new Set<string>();
@@ -19,6 +20,7 @@
     if (this.#records.delete(key)) this.#changed.add(key);
   }
 
+  /** Changes since the last call, each key once with its newest value. */
   takeChanges(): Change[] {
     const changes: Change[] = [];
     for (const key of this.#changed) changes.push([key, this.#records.get(key)]);
@@ -26,6 +28,7 @@
     return changes;
   }
 
+  /** Applies changes that came from disk or another member, without counting them as changes of its own. */
   adopt(changes: Iterable<Change>): void {
     for (const [key, value] of changes) {
       if (value === undefined || value === null) this.#records.delete(key);
@@ -38,6 +41,7 @@
     this.#changed.clear();
   }
 
+  /** All records, in the order in which their keys were first put. */
   digest(): Change[] {
     return [...this.#records];
   }
@@ -46,6 +50,7 @@
     return this.#records.size;
   }
 
+  /** Records whose keys begin with a prefix, in the order in which their keys were first put. */
   *under<Value>(prefix: string): Generator<[string, Value]> {
     for (const [key, value] of this.#records)
       if (key.startsWith(prefix)) yield [key, value as Value];
--- a/packages/parts/src/outcome.ts
+++ b/packages/parts/src/outcome.ts
@@ -2,10 +2,12 @@
 export type Outcome<Value> =
   { readonly ok: true; readonly value: Value } | { readonly ok: false; readonly reason: string };
 
+/** Success with its value. */
 function good<Value>(value: Value): Outcome<Value> {
   return { ok: true, value };
 }
 
+/** Expected failure with a reason for people to read. */
 function bad<Value>(reason: string): Outcome<Value> {
   return { ok: false, reason };
 }
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -71,70 +71,62 @@
   descriptors: 1_024,
 };
 
-/** Worked out and checked: a combination that cannot hold is refused with all its reasons. */
-function from(bounds: Bounds): Outcome<Policy> {
+/** The least that one bound may be, and why: the reason stands before the number in a refusal. */
+interface Least {
+  readonly name: Exclude<keyof Bounds, "losses" | "goesOnAlone" | "disk">;
+  readonly least: number;
+  readonly why: string;
+}
+
+const leasts: readonly Least[] = [
+  { name: "reportsEvery", least: 1, why: "it must be at least" },
+  {
+    name: "acknowledgeWithin",
+    /** A frozen node keeps its lease to its end, one that lags gets the next until it is known to lag. */
+    least: constants.leaseLasts + constants.lagLasts + constants.resendAfter,
+    why: "a frozen node's lease holds a change up, ms at least",
+  },
+  {
+    name: "contactWithin",
+    least: constants.sessionLasts,
+    why: "a node is bound once its session stands, ms at least",
+  },
+  {
+    name: "drainWithin",
+    least: constants.connectPatience,
+    why: "a runner may be picked just before and connected to, ms at least",
+  },
+  { name: "applyWithin", least: constants.beatEvery, why: "nodes look at each beat, ms at least" },
+  {
+    name: "cancelWithin",
+    least: constants.cancelLeast,
+    why: "an item just granted must begin or come back, ms at least",
+  },
+  {
+    name: "stopWithin",
+    least: constants.stopLeast,
+    why: "what is under way ends or is handed over, ms at least",
+  },
+  {
+    name: "syncWithin",
+    least: constants.sessionLasts,
+    why: "a machine that is back is known by its session and copied to, ms at least",
+  },
+  {
+    name: "recoverWithin",
+    least: constants.memberSilence + constants.leaseLasts + constants.sessionLasts,
+    why: "silence, a lease and a session pass first, ms at least",
+  },
+  { name: "memory", least: constants.memoryLeast, why: "a process needs megabytes:" },
+  { name: "descriptors", least: constants.descriptorsLeast, why: "a process needs descriptors:" },
+];
+
+/** Reasons for which bounds cannot hold. */
+function refusals(bounds: Bounds): string[] {
   const found: string[] = [];
-  function atLeast(name: string, value: number, least: number, why: string): void {
-    if (!(value >= least)) found.push(`bounds.${name}: ${value} is too little: ${why} ${least}`);
-  }
-  /** A frozen node keeps its lease to its end, one that lags gets the next until it is known to lag. */
-  const changeHeld = constants.leaseLasts + constants.lagLasts;
-  atLeast("reportsEvery", bounds.reportsEvery, 1, "it must be at least");
-  atLeast(
-    "acknowledgeWithin",
-    bounds.acknowledgeWithin,
-    changeHeld + constants.resendAfter,
-    "a frozen node's lease holds a change up, ms at least",
-  );
-  atLeast(
-    "contactWithin",
-    bounds.contactWithin,
-    constants.sessionLasts,
-    "a node is bound once its session stands, ms at least",
-  );
-  atLeast(
-    "drainWithin",
-    bounds.drainWithin,
-    constants.connectPatience,
-    "a runner may be picked just before and connected to, ms at least",
-  );
-  atLeast(
-    "applyWithin",
-    bounds.applyWithin,
-    constants.beatEvery,
-    "nodes look at each beat, ms at least",
-  );
-  atLeast(
-    "cancelWithin",
-    bounds.cancelWithin,
-    constants.cancelLeast,
-    "an item just granted must begin or come back, ms at least",
-  );
-  atLeast(
-    "stopWithin",
-    bounds.stopWithin,
-    constants.stopLeast,
-    "what is under way ends or is handed over, ms at least",
-  );
-  atLeast(
-    "syncWithin",
-    bounds.syncWithin,
-    constants.sessionLasts,
-    "a machine that is back is known by its session and copied to, ms at least",
-  );
-  atLeast(
-    "recoverWithin",
-    bounds.recoverWithin,
-    constants.memberSilence + constants.leaseLasts + constants.sessionLasts,
-    "silence, a lease and a session pass first, ms at least",
-  );
-  atLeast("memory", bounds.memory, constants.memoryLeast, "a process needs megabytes:");
-  atLeast(
-    "descriptors",
-    bounds.descriptors,
-    constants.descriptorsLeast,
-    "a process needs descriptors:",
-  );
+  for (const { name, least, why } of leasts)
+    if (!(bounds[name] >= least))
+      found.push(`bounds.${name}: ${bounds[name]} is too little: ${why} ${least}`);
   for (const [kind, count] of Object.entries(bounds.losses))
     if (!Number.isInteger(count) || count < 0)
       found.push(`bounds.losses.${kind}: ${count} must be a whole number, 0 or more`);
@@ -142,6 +134,12 @@
     found.push(
       `bounds.losses.machines: ${bounds.losses.machines} is too many: chains of copies stand up to ${constants.lossesMost} losses at once`,
     );
+  return found;
+}
+
+/** Worked out and checked: a combination that cannot hold is refused with all its reasons. */
+function from(bounds: Bounds): Outcome<Policy> {
+  const found = refusals(bounds);
   if (found.length > 0) return outcome.bad(found.join("; "));
   const losses = Math.max(1, bounds.losses.machines);
   return outcome.good({
--- a/packages/parts/src/season.ts
+++ b/packages/parts/src/season.ts
@@ -1,11 +1,13 @@
-/** Seasons: dated windows with label selectors (docs/design.md §8). Wall-clock times in ms. */
+/** Labels by name, as a model, an adapter, a way, a lot or a runner carries them. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** One condition on one label; a list of selectors holds where all of them do. */
 export type Selector =
   | { readonly label: string; readonly equals: string }
   | { readonly label: string; readonly in: readonly string[] }
   | { readonly label: string; readonly exists: boolean };
 
+/** A dated window with label selectors (docs/design.md §8). Wall-clock times in ms. */
 export interface Season {
   readonly name: string;
   /** Start inclusive, end exclusive. */
@@ -22,6 +24,7 @@
   };
 }
 
+/** Whether labels meet all of the selectors. */
 function matches(selectors: readonly Selector[], labels: Labels): boolean {
   for (const selector of selectors) {
     const value = labels[selector.label];
@@ -77,16 +80,18 @@
   wall: number,
   count: number,
 ): number | undefined {
-  const moments: number[] = [];
-  for (const one of seasons)
-    if (matches(one.select, labels))
-      for (const moment of [one.start, one.end]) if (moment > wall) moments.push(moment);
-  moments.sort(ascending);
-  for (const moment of moments)
+  for (const moment of changesAhead(seasons, labels, wall))
     if ((deciding(seasons, labels, moment)?.waiting ?? own) >= count) return moment;
   return undefined;
 }
 
+/** Starts and ends, after a moment, of the seasons that select by these labels; in order of time. */
+function changesAhead(seasons: readonly Season[], labels: Labels, wall: number): number[] {
+  const moments: number[] = [];
+  for (const one of seasons) if (matches(one.select, labels)) moments.push(one.start, one.end);
+  return moments.filter((moment) => moment > wall).sort(ascending);
+}
+
 function ascending(left: number, right: number): number {
   return left - right;
 }
--- a/packages/shell/src/metrics.ts
+++ b/packages/shell/src/metrics.ts
@@ -60,6 +60,7 @@
 
 const begun = new WeakMap<ServerResponse, Begun>();
 
+/** An HTTP exchange begins: its time to the first byte counts from here. */
 function arrived(response: ServerResponse, event: string): void {
   begun.set(response, { event, at: performance.now() });
 }
@@ -73,56 +74,76 @@
   if (held !== undefined) times.observe({ event }, (performance.now() - held.at) / 1_000);
 }
 
+/** A wait in seconds was told with a refusal of this kind. */
 function waitTold(trouble: string, seconds: number): void {
   waits.observe({ trouble }, seconds);
 }
 
+/** One synced transaction took this long. */
 function synced(milliseconds: number): void {
   syncs.observe(milliseconds / 1_000);
 }
 
+/** A beat came so many ms after it was due. */
 function beatCame(lateBy: number): void {
   late.observe(Math.max(0, lateBy) / 1_000);
 }
 
+/** Counts something that a core noted, by its text. */
 function noted(text: string): void {
   notes.inc({ text });
 }
 
+/** Counts an inquiry to control by its outcome. */
 function changed(outcome: string): void {
   changes.inc({ outcome });
 }
 
+/** One number that the registry tells; `le` is the bound of a histogram's bucket. */
+interface Sample {
+  readonly value: number;
+  readonly metricName?: string;
+  readonly labels: Record<string, string | number>;
+}
+
+interface HistogramSeries {
+  readonly within: Record<string, number>;
+  count?: number;
+  sum?: number;
+}
+
+/** A series is named by those of its labels that are set, `le` apart. */
+function seriesName({ labels: { le: _bound, ...labels } }: Sample): string {
+  const names: string[] = [];
+  for (const [key, text] of Object.entries(labels)) if (text !== "") names.push(`${key}=${text}`);
+  return names.join(",") || "all";
+}
+
+function plainSeries(samples: readonly Sample[]): Record<string, number> {
+  const series: Record<string, number> = {};
+  for (const sample of samples) series[seriesName(sample)] = sample.value;
+  return series;
+}
+
+function histogramSeries(samples: readonly Sample[]): Record<string, HistogramSeries> {
+  const series: Record<string, HistogramSeries> = {};
+  for (const sample of samples) {
+    const held = (series[seriesName(sample)] ??= { within: {} });
+    const { le } = sample.labels;
+    if (le !== undefined) held.within[String(le)] = sample.value;
+    else if (sample.metricName?.endsWith("_sum") === true) held.sum = sample.value;
+    else held.count = sample.value;
+  }
+  return series;
+}
+
 /** Counters as numbers, histograms as count, sum and the share within each bound; gauges as the caller gives them. */
 async function read(gauges: Readonly<Record<string, unknown>>): Promise<Record<string, unknown>> {
   const told: Record<string, unknown> = {};
   for (const metric of await registry.getMetricsAsJSON()) {
-    const series: Record<string, unknown> = {};
-    for (const value of metric.values as {
-      value: number;
-      metricName?: string;
-      labels: Record<string, string | number>;
-    }[]) {
-      const { le, ...labels } = value.labels;
-      const names: string[] = [];
-      for (const [key, text] of Object.entries(labels))
-        if (text !== "") names.push(`${key}=${text}`);
-      const name = names.join(",") || "all";
-      if (String(metric.type) !== "histogram") {
-        series[name] = value.value;
-        continue;
-      }
-      const held = (series[name] ?? { within: {} }) as {
-        within: Record<string, number>;
-        count?: number;
-        sum?: number;
-      };
-      if (le !== undefined) held.within[String(le)] = value.value;
-      else if (value.metricName?.endsWith("_sum") === true) held.sum = value.value;
-      else held.count = value.value;
-      series[name] = held;
-    }
-    told[metric.name] = series;
+    const samples = metric.values as Sample[];
+    told[metric.name] =
+      String(metric.type) === "histogram" ? histogramSeries(samples) : plainSeries(samples);
   }
   return { ...told, ...gauges };
 }
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -43,6 +43,7 @@
   }),
 };
 
+/** A running process of the fleet. */
 export interface Daemon {
   close(): Promise<void>;
 }
@@ -90,8 +91,8 @@
     log.info({}, "settings may have changed");
   }
   process.on("SIGHUP", changed);
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  process.on("SIGTERM", (signal) => void stop(signal));
+  process.on("SIGINT", (signal) => void stop(signal));
 }
 
 /** Opens what a daemon listens on; the reason where that cannot be done. */
--- a/packages/shell/src/settings.ts
+++ b/packages/shell/src/settings.ts
@@ -3,7 +3,7 @@
 import { outcome, policy, type Bounds, type Outcome, type Policy } from "@chutewick/parts";
 import { z } from "zod";
 
-/** Where a process stands: addresses, zone, seeds, data folder (docs/design.md §10). */
+/** An IPv4 number and a port. */
 function isAddress(text: string): boolean {
   const cut = text.lastIndexOf(":");
   const port = Number(text.slice(cut + 1));
@@ -73,8 +73,10 @@
   logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
 });
 
+/** Where a process stands: addresses, zone, seeds, data folder (docs/design.md §10.1). */
 export type Settings = z.infer<typeof shape>;
 
+/** Settings as given on the command line; each overrides the file's. */
 export interface Flags {
   readonly settings?: string;
   readonly name?: string;
