A linearizability check for orders and lots: tools/history

The package has the types of a history, two sequential specifications (a compare-and-set register with versions for the configuration; a lot that is admitted once, records each result once at one position and ends once), a just-in-time linearization search with memoised configurations, bounded by the steps between two quiescent points, and a report that keeps only the outcomes which contradict each other.

--- /dev/null
+++ b/tools/history/src/configuration-register.ts
@@ -0,0 +1,315 @@
+import type { History, Operation } from "./history.js";
+import type { Specification } from "./specification.js";
+
+/**
+ * The configuration as a compare-and-set register with versions.
+ *
+ * An order replaces the value where the register still holds the version that it builds on. All sendings of one order
+ * are one change: the first that takes effect applies it, and every later one is acknowledged with the same version.
+ */
+export type RegisterInput =
+  | OrderInput
+  | { readonly kind: "read" }
+  /** What a replica works with, which may be old but never goes back. */
+  | { readonly kind: "observe"; readonly replica: string };
+
+/** One sending of an order. */
+export interface OrderInput {
+  readonly kind: "order";
+  /** The same for all sendings of one order. */
+  readonly order: string;
+  /** Names the value it writes; undefined where the client can't tell it, and any value may be read there. */
+  readonly value: string | undefined;
+  /** The version it builds on; undefined for one that builds on any. */
+  readonly base: number | undefined;
+  /** The version it is to become, above the one in force; undefined: the next. */
+  readonly version?: number;
+  /** Whether its content may take effect at all. */
+  readonly isValid: boolean;
+}
+
+/** What was answered. */
+export type RegisterOutput =
+  | { readonly kind: "accepted"; readonly version: number }
+  /** Another version is in force: this one, where the answer tells it. */
+  | { readonly kind: "conflict"; readonly version: number | undefined }
+  /** Its content, or the version it was to become, was found wrong. */
+  | { readonly kind: "invalid" }
+  /** This sending surely has no effect. */
+  | { readonly kind: "not-run" }
+  | { readonly kind: "value"; readonly version: number; readonly value: string | undefined };
+
+/** An operation on the configuration. */
+export type RegisterOperation = Operation<RegisterInput, RegisterOutput>;
+
+/** Rules that a history of the configuration can break. */
+export type RegisterRule =
+  /** Two orders were acknowledged on one base, or with one version. */
+  | "two-winners"
+  /** An acknowledged order isn't there any more, or is not there yet for a later read. */
+  | "confirmed-gone"
+  /** An order that was refused, or could not be valid, took effect. */
+  | "refused-takes-effect"
+  /** A replica went back to an older version. */
+  | "slips-back"
+  /** Two sendings of one order took effect, each with a version of its own. */
+  | "applied-twice"
+  /** An order was refused though it had been acknowledged, or was in force, before. */
+  | "taken-then-refused";
+
+/** A version that was in force, and all before it. */
+interface Version {
+  readonly version: number;
+  readonly order: string | undefined;
+  readonly value: string | undefined;
+  readonly previous: Version | undefined;
+  /** One for each sequence of versions. */
+  readonly id: number;
+  readonly following: Map<string, Version>;
+}
+
+/** The versions so far, and the newest that each replica was seen to work with. */
+export interface RegisterState {
+  readonly newest: Version;
+  readonly seen: ReadonlyMap<string, number>;
+  readonly key: string;
+}
+
+let lastId = 0;
+
+function versionAfter(previous: Version | undefined, order: OrderInput | undefined): Version {
+  lastId += 1;
+  return {
+    version: previous === undefined ? 0 : (order?.version ?? previous.version + 1),
+    order: order?.order,
+    value: order?.value,
+    previous,
+    id: lastId,
+    following: new Map(),
+  };
+}
+
+function stateOf(newest: Version, seen: ReadonlyMap<string, number>): RegisterState {
+  return { newest, seen, key: `${newest.id} ${JSON.stringify([...seen])}` };
+}
+
+function find(newest: Version, holds: (version: Version) => boolean): Version | undefined {
+  for (let at: Version | undefined = newest; at !== undefined; at = at.previous)
+    if (holds(at)) return at;
+  return undefined;
+}
+
+function appliedAs({ newest }: RegisterState, order: string): Version | undefined {
+  return find(newest, (version) => version.order === order);
+}
+
+function isShownBy(version: Version, value: string | undefined): boolean {
+  return version.order !== undefined && version.value === undefined
+    ? true
+    : version.value === value;
+}
+
+/** The state with the order in force, or undefined where it can't be. */
+function applied(state: RegisterState, order: OrderInput): RegisterState | undefined {
+  const { newest, seen } = state;
+  if (!order.isValid || appliedAs(state, order.order) !== undefined) return undefined;
+  if (order.base !== undefined && order.base !== newest.version) return undefined;
+  if (order.version !== undefined && order.version <= newest.version) return undefined;
+  const key = JSON.stringify([order.order, order.version ?? null, order.value ?? null]);
+  let next = newest.following.get(key);
+  if (next === undefined) {
+    next = versionAfter(newest, order);
+    newest.following.set(key, next);
+  }
+  return stateOf(next, seen);
+}
+
+function accept(
+  state: RegisterState,
+  order: OrderInput,
+  version: number,
+): RegisterState | undefined {
+  const earlier = appliedAs(state, order.order);
+  if (earlier !== undefined) return earlier.version === version ? state : undefined;
+  const next = applied(state, order);
+  return next?.newest.version === version ? next : undefined;
+}
+
+function refuse(
+  state: RegisterState,
+  order: OrderInput,
+  version: number | undefined,
+): RegisterState | undefined {
+  if (appliedAs(state, order.order) !== undefined) return undefined;
+  if (order.base === undefined || order.base === state.newest.version) return undefined;
+  return version === undefined || version === state.newest.version ? state : undefined;
+}
+
+function reject(state: RegisterState, order: OrderInput): RegisterState | undefined {
+  if (appliedAs(state, order.order) !== undefined) return undefined;
+  const isTooLow = order.version !== undefined && order.version <= state.newest.version;
+  return !order.isValid || isTooLow ? state : undefined;
+}
+
+function stepOrder(
+  state: RegisterState,
+  order: OrderInput,
+  output: RegisterOutput | undefined,
+): RegisterState | undefined {
+  switch (output?.kind) {
+    case undefined:
+      return applied(state, order);
+    case "accepted":
+      return accept(state, order, output.version);
+    case "conflict":
+      return refuse(state, order, output.version);
+    case "invalid":
+      return reject(state, order);
+    case "not-run":
+      return state;
+    case "value":
+      return undefined;
+  }
+}
+
+function stepRead({ newest }: RegisterState, output: RegisterOutput | undefined): boolean {
+  if (output?.kind !== "value") return false;
+  return newest.version === output.version && isShownBy(newest, output.value);
+}
+
+function stepObserve(
+  state: RegisterState,
+  replica: string,
+  output: RegisterOutput | undefined,
+): RegisterState | undefined {
+  if (output?.kind !== "value") return undefined;
+  const held = find(state.newest, ({ version }) => version === output.version);
+  if (held === undefined || !isShownBy(held, output.value)) return undefined;
+  const before = state.seen.get(replica) ?? 0;
+  if (output.version < before) return undefined;
+  if (output.version === before) return state;
+  return stateOf(state.newest, new Map(state.seen).set(replica, output.version));
+}
+
+function step(
+  state: RegisterState,
+  { input, output }: RegisterOperation,
+): RegisterState | undefined {
+  switch (input.kind) {
+    case "order":
+      return stepOrder(state, input, output);
+    case "read":
+      return stepRead(state, output) ? state : undefined;
+    case "observe":
+      return stepObserve(state, input.replica, output);
+  }
+}
+
+function isSpent(state: RegisterState, { input }: RegisterOperation): boolean {
+  if (input.kind !== "order" || !input.isValid) return true;
+  if (input.base !== undefined && input.base < state.newest.version) return true;
+  if (input.version !== undefined && input.version <= state.newest.version) return true;
+  return appliedAs(state, input.order) !== undefined;
+}
+
+// Diagnosis
+
+/** Whether every sending of an order with this value was refused or not run, or none of them could be valid. */
+function isOfRefused(value: string | undefined, history: History<RegisterInput, RegisterOutput>) {
+  if (value === undefined) return false;
+  let isRefused = false;
+  for (const { input, output } of history) {
+    if (input.kind !== "order" || input.value !== value) continue;
+    if (input.isValid && (output === undefined || output.kind === "accepted")) return false;
+    isRefused = true;
+  }
+  return isRefused;
+}
+
+function diagnoseAccepted(
+  order: OrderInput,
+  version: number,
+  history: History<RegisterInput, RegisterOutput>,
+): RegisterRule {
+  if (!order.isValid) return "refused-takes-effect";
+  for (const { input, output } of history) {
+    if (input.kind !== "order" || output?.kind !== "accepted") continue;
+    if (input.order === order.order) {
+      if (output.version !== version) return "applied-twice";
+    } else if (
+      output.version === version ||
+      (order.base !== undefined && input.base === order.base)
+    )
+      return "two-winners";
+  }
+  return "confirmed-gone";
+}
+
+function diagnoseOrder(
+  state: RegisterState,
+  order: OrderInput,
+  output: RegisterOutput | undefined,
+  history: History<RegisterInput, RegisterOutput>,
+): RegisterRule {
+  if (output?.kind === "accepted") return diagnoseAccepted(order, output.version, history);
+  if (appliedAs(state, order.order) !== undefined) return "taken-then-refused";
+  return "confirmed-gone";
+}
+
+function diagnose(
+  state: RegisterState,
+  { input, output }: RegisterOperation,
+  history: History<RegisterInput, RegisterOutput>,
+): RegisterRule {
+  if (input.kind === "order") return diagnoseOrder(state, input, output, history);
+  if (output?.kind !== "value") return "confirmed-gone";
+  if (isOfRefused(output.value, history)) return "refused-takes-effect";
+  const isBack = input.kind === "observe" && output.version < (state.seen.get(input.replica) ?? 0);
+  return isBack ? "slips-back" : "confirmed-gone";
+}
+
+function describeOutput(output: RegisterOutput | undefined): string {
+  if (output === undefined) return "unknown";
+  switch (output.kind) {
+    case "accepted":
+      return `accepted as version ${output.version}`;
+    case "conflict":
+      return `conflict with version ${output.version ?? "?"}`;
+    case "value":
+      return `version ${output.version} (${output.value ?? "none"})`;
+    default:
+      return output.kind;
+  }
+}
+
+function describeOperation({ input, output }: RegisterOperation): string {
+  switch (input.kind) {
+    case "order":
+      return `order ${input.order} on ${input.base ?? "any"}${input.isValid ? "" : " (invalid)"}: ${describeOutput(output)}`;
+    case "read":
+      return `read: ${describeOutput(output)}`;
+    case "observe":
+      return `${input.replica} works with ${describeOutput(output)}`;
+  }
+}
+
+function describeState({ newest }: RegisterState): string {
+  return `version ${newest.version} (${newest.order ?? "none"})`;
+}
+
+/** The configuration's sequential behaviour, from version 0 with no value. */
+export function configurationRegister(): Specification<
+  RegisterState,
+  RegisterInput,
+  RegisterOutput
+> {
+  return {
+    initial: stateOf(versionAfter(undefined, undefined), new Map()),
+    step,
+    key: ({ key }) => key,
+    isSpent,
+    diagnose,
+    describeState,
+    describeOperation,
+  };
+}
