--- /dev/null
+++ b/features/steps/draw-days.ts
@@ -0,0 +1,96 @@
+/** Steps of draw-days.feature. */
+import { equal, notEqual, ok } from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Given, Then, When, type DataTable } from "@cucumber/cucumber";
+import {
+  closings,
+  drawDay,
+  namesOfDay,
+  readCoverage,
+  tableOf,
+  variants,
+  variantsOfDay,
+} from "@chutewick/draw-days";
+
+interface DaysWorld {
+  seed: number;
+  days: number[];
+  folder: string;
+  rows: Map<string, string[]>;
+}
+
+When(
+  "as many days are drawn with seed {int} as it takes to go through the catalogue once",
+  function (this: DaysWorld, seed: number) {
+    this.seed = seed;
+    const each = variantsOfDay(0, seed).length;
+    const count = Math.max(Math.ceil(variants.length / each), closings.length);
+    this.days = Array.from({ length: count }, (_, day) => day);
+  },
+);
+
+Then("each variant stands in one of them, twice, at different moments", function (this: DaysWorld) {
+  const held = new Map<string, number>();
+  for (const day of this.days) {
+    const moments = [...drawDay(day, this.seed).matchAll(/^ {2}\{ at = ([\d.]+)/gm)];
+    const own = variantsOfDay(day, this.seed);
+    equal(moments.length, own.length * 2);
+    equal(new Set(moments.map((moment) => moment[1])).size, moments.length);
+    for (const { name } of own) held.set(name, day);
+  }
+  equal(held.size, new Set(variants.map(({ name }) => name)).size);
+  equal(held.size, variants.length);
+});
+
+Then("every closing fault ends one of them", function (this: DaysWorld) {
+  const texts = this.days.map((day) => namesOfDay(day, this.seed).join(";"));
+  for (const closing of closings)
+    ok(closing === undefined || texts.some((text) => text.includes(`closing ${closing.name}`)));
+});
+
+Then(
+  "day {int} of seed {int} is the same each time, and another with seed {int}",
+  function (day: number, seed: number, other: number) {
+    equal(drawDay(day, seed), drawDay(day, seed));
+    notEqual(drawDay(day, seed), drawDay(day, other));
+  },
+);
+
+Given("a journal whose entries hold", function (this: DaysWorld, table: DataTable) {
+  this.folder = mkdtempSync(join(tmpdir(), "journal-"));
+  table.hashes().forEach((row, index) => {
+    const day = {
+      name: row.day,
+      troubles: row.troubles === "" ? [] : row.troubles!.split(","),
+      rules: row.rules === "" ? {} : { [row.rules!]: 1 },
+    };
+    const entry = { site: row.site, days: [day] };
+    writeFileSync(join(this.folder, `2026-${index}.json`), JSON.stringify(entry));
+  });
+});
+
+When(
+  "the table of played days is made for {string} and {string}",
+  function (this: DaysWorld, one: string, other: string) {
+    const text = tableOf(readCoverage(this.folder, ""), [one, other]);
+    const cells = text.split("\n").map((line) => line.split("|").map((cell) => cell.trim()));
+    this.rows = new Map(cells.map(([, name, ...counts]) => [name ?? "", counts.slice(0, 2)]));
+  },
+);
+
+Then(
+  "the row of {string} is {string} and {string}",
+  function (this: DaysWorld, held: string, one: string, other: string) {
+    equal(this.rows.get(held)?.join(), [one, other].join());
+  },
+);
+
+Then(
+  "each variant of day 0 of seed 7 has the row {string} and {string}",
+  function (this: DaysWorld, one: string, other: string) {
+    for (const name of namesOfDay(0, 7))
+      equal(this.rows.get(name)?.join(), [one, other].join(), name);
+  },
+);
--- /dev/null
+++ b/tools/draw-days/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./catalogue.js";
+export * from "./coverage.js";
+export * from "./draw.js";
