Links reset what was given up, look again before the first byte, and know ids

Cause, each confirmed by a scenario of relay.feature that fails without its mend: - A connection with an abandoned request was closed in the ordinary way. A connection is not used for an id that it carried before (32 remembered). - "Transfer-Encoding: x-chunked" passed for chunks, so a body cut by its connection looked whole. Only "chunked" alone counts. Ruled out by new rows: a status below 100 and an unasked 101 end the connection and are told as broken; neither reaches a caller or ends the process.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -291,6 +291,9 @@
         | encodes the body                            | broken |
         | ends the body with the connection alone     | broken |
         | ends the stream within an event             | broken |
+        | ends a body of unknown coding by closing    | broken |
+        | tells a status that does not exist          | broken |
+        | switches protocols unasked                  | broken |
 
     Scenario: An answer too many belongs to nobody
       Given a runner that answers twice
@@ -319,6 +322,32 @@
       Then its last word is "unsent"
       And the runner saw no inquiry
 
+    Scenario: The last look is taken again right before the first byte
+      Given a runner that answers each inquiry
+      When a work runs
+      And the last look says "the lot is ended" from the second time on, and a work runs
+      Then their last words are "end, unsent"
+      And the runner read one inquiry
+
+    Scenario: This process stands still between the look and the first byte
+      Given a runner that answers each inquiry
+      When a work runs
+      And a work begins and this process stands still for 150 ms
+      Then their last words are "end, unsent"
+      And the runner read one inquiry
+
+    Scenario: What hangs in a socket when a work is given up is not delivered later
+      Given a runner that reads nothing for now
+      When a work with a body of 2000000 bytes hangs in the socket and is given up
+      And the runner reads all that comes
+      Then it reads less than the whole work
+
+    Scenario: A connection that carried an id is not used for the same id again
+      Given a runner that answers the inquiry before once more with each
+      When 2 works of one id run one after the other
+      Then each has the result "whole"
+      And the runner saw 2 connections
+
     Scenario: A runner that closes its idle connection costs no work
       Given a runner that closes each connection after its answer
       When 3 works run one after the other
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -70,6 +70,8 @@
   share: number;
   look: string | undefined;
   held: number;
+  /** bytes. Of the body that hangs. */
+  size: number;
   idle: string;
   signs: { address: string; late: number; usual: number };
 }
@@ -731,6 +733,20 @@
   "ends the stream within an event"(_world, _number, id, socket) {
     socket.write(`${head(id, chunked)}${chunk("id: 1\ndata: a\n\nid: 2\nda")}0\r\n\r\n`);
   },
+  "ends a body of unknown coding by closing"(_world, _number, id, socket) {
+    socket.end(`${head(id, "Transfer-Encoding: x-chunked\r\n")}whole`);
+  },
+  "tells a status that does not exist"(_world, _number, id, socket) {
+    socket.write(`${head(id, "Content-Length: 5\r\n", "099 Odd")}whole`);
+  },
+  "switches protocols unasked"(_world, _number, id, socket) {
+    socket.write(head(id, "Connection: upgrade\r\nUpgrade: x\r\n", "101 Switching Protocols"));
+  },
+  "reads nothing for now"() {},
+  "answers the inquiry before once more with each"(world, _number, id, socket) {
+    const stray = socket.bytesWritten === 0 ? "" : `${head(id, "Content-Length: 5\r\n")}stray`;
+    socket.write(stray + whole(world, id));
+  },
   "answers twice"(world, _number, id, socket) {
     socket.write(whole(world, id) + whole(world, id));
   },
@@ -818,7 +834,8 @@
         world.script(world, world.inquiries, id, socket);
       }
     }
-    socket.on("data", came);
+    if (does === "reads nothing for now") socket.pause();
+    else socket.on("data", came);
     socket.on("error", ignored);
   }
   world.server = createServer(accept);
@@ -873,6 +890,84 @@
 }
 Given("the last look says {string}", lookSays);
 
+async function lookSaysLater(this: World, reason: string): Promise<void> {
+  const world = this;
+  let looks = 0;
+  Object.defineProperty(world, "look", {
+    configurable: true,
+    get(): string | undefined {
+      looks += 1;
+      return looks === 1 ? undefined : reason;
+    },
+  });
+  await over(world, begin(world));
+  ok(looks >= 2, `${looks} looks were taken`);
+  Object.defineProperty(world, "look", { configurable: true, writable: true, value: undefined });
+}
+When("the last look says {string} from the second time on, and a work runs", lookSaysLater);
+
+async function standsStill(this: World, span: number): Promise<void> {
+  const go = begin(this);
+  const until = monotonic() + span;
+  while (monotonic() < until);
+  await over(this, go);
+}
+When("a work begins and this process stands still for {int} ms", standsStill);
+
+function readOne(this: World): void {
+  equal(this.inquiries, 1);
+}
+Then("the runner read one inquiry", readOne);
+
+async function hangs(this: World, size: number): Promise<void> {
+  const world = this;
+  world.size = size;
+  const go = begin(world, {}, { body: Buffer.alloc(size, "x") });
+  function accepted(): boolean {
+    return world.sockets.length === 1;
+  }
+  await settled(accepted);
+  const from = monotonic();
+  function written(): boolean {
+    return monotonic() - from > 100;
+  }
+  await settled(written);
+  world.links.abandon(go);
+}
+When("a work with a body of {int} bytes hangs in the socket and is given up", hangs);
+
+async function readsAll(this: World): Promise<void> {
+  const world = this;
+  const [socket] = world.sockets;
+  let ended = false;
+  world.held = 0;
+  function came(data: Buffer): void {
+    world.held += data.length;
+  }
+  function over(): void {
+    ended = true;
+  }
+  function isEnded(): boolean {
+    return ended;
+  }
+  socket!.on("data", came);
+  socket!.once("close", over);
+  socket!.resume();
+  await settled(isEnded);
+}
+When("the runner reads all that comes", readsAll);
+
+function readLess(this: World): void {
+  ok(this.held > 0, "the work was on its way");
+  ok(this.held < this.size, `${this.held} bytes were read`);
+}
+Then("it reads less than the whole work", readLess);
+
+async function ofOneId(this: World, count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) await over(this, begin(this, {}, { id: "one" }));
+}
+When("{int} works of one id run one after the other", ofOneId);
+
 function begin(
   world: World,
   more: Partial<PassWork> = {},
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -33,8 +33,8 @@
   readonly socket: Socket;
   speaker: Client | undefined;
   run: Run | undefined;
-  /** Works done on it: only the first one cannot meet a result left over from another. */
-  works: number;
+  /** Ids of the works done on it, the newest last: only the first one cannot meet a result left over from another. */
+  readonly ids: string[];
   usedAt: number;
   /** ms that it may stay idle; undefined where the runner told nothing. */
   idleMost: number | undefined;
@@ -69,7 +69,7 @@
     if (run === undefined) return;
     this.#runs.delete(go);
     run.gone = true;
-    if (run.line !== undefined) this.#drop(run.line);
+    if (run.line !== undefined) this.#cutOff(run.line);
   }
 
   pause(go: number): void {
@@ -84,18 +84,18 @@
   /** Whether a connection to an address is kept that any work could use. */
   isWarm(address: string): boolean {
     const last = this.#hosts.get(address)?.idle.at(-1);
-    return last !== undefined && fresh(last, false, this.#options.now());
+    return last !== undefined && isFresh(last, false, this.#options.now());
   }
 
   /** Idle connections that are past their time are closed, and works past theirs broken off. */
   beat(now: number): void {
     for (const [address, host] of this.#hosts) {
-      while (host.idle.length > 0 && !fresh(host.idle[0]!, true, now)) this.#drop(host.idle[0]!);
+      while (host.idle.length > 0 && !isFresh(host.idle[0]!, true, now)) this.#drop(host.idle[0]!);
       if (host.open === 0 && host.waiting.length === 0) this.#hosts.delete(address);
     }
     for (const [go, run] of this.#runs) {
       if (now <= run.work.until + constants.overdueGrace) continue;
-      if (run.line !== undefined) this.#drop(run.line);
+      if (run.line !== undefined) this.#cutOff(run.line);
       else this.finish(run, { kind: "unsent", reason: "no connection was free in time" });
       this.#runs.delete(go);
     }
@@ -116,7 +116,7 @@
     const host = this.#host(run.address);
     const now = this.#options.now();
     const last = host.idle.at(-1);
-    if (last !== undefined && fresh(last, run.work.repeatable, now)) {
+    if (last !== undefined && isUsableFor(last, run.work, now)) {
       host.idle.pop();
       this.counts.reused += 1;
       this.#start(last, run);
@@ -147,7 +147,7 @@
       socket,
       speaker: undefined,
       run: undefined,
-      works: 0,
+      ids: [],
       usedAt: 0,
       idleMost: undefined,
       lost: false,
@@ -215,15 +215,17 @@
     }
     line.run = run;
     run.line = line;
-    line.works += 1;
+    run.startedAt = this.#options.now();
     const { inquiry } = run.work;
+    line.ids.push(inquiry.id);
+    if (line.ids.length > constants.idsOfConnection) line.ids.shift();
     const method = inquiry.method;
     try {
       line.speaker!.dispatch(
         {
           method,
           path: inquiry.path,
-          headers: this.#options.dialect.headers(run.work, this.#options.now()),
+          headers: this.#options.dialect.headers(run.work, run.startedAt),
           body: inquiry.body.length === 0 ? null : inquiry.body,
         },
         run,
@@ -233,6 +235,14 @@
     }
   }
 
+  /** The last look, in the same step as the write: the library lets the event loop turn before it writes on a kept connection. */
+  mayWrite(run: Run): string | undefined {
+    if (run.gone) return "it is not wanted any more";
+    if (this.#options.now() - run.startedAt > constants.sendWithin)
+      return "this process stood still before the first byte";
+    return this.#options.mayStart(run.go);
+  }
+
   /** Free for the next work; bytes that come meanwhile belong to nobody and end it. */
   #rest(line: Line): void {
     const host = this.#host(line.address);
@@ -259,6 +269,15 @@
     }
   }
 
+  /**
+   * Ends a connection with a work on it that nobody waits for any more. The reset takes back what the kernel has not yet
+   * delivered: closed in the ordinary way, a request held up by a cut or a full window would reach the runner later.
+   */
+  #cutOff(line: Line): void {
+    if (!line.lost && !line.socket.destroyed) line.socket.resetAndDestroy();
+    this.#drop(line);
+  }
+
   #drop(line: Line): void {
     if (line.lost) return;
     line.lost = true;
@@ -294,7 +313,9 @@
     else line.idleMost = idleOf(found["keep-alive"]);
     const head = this.#options.dialect.read(status, found);
     const foreign =
-      head.id === undefined ? !(head.notRun && line.works === 1) : head.id !== run.work.inquiry.id;
+      head.id === undefined
+        ? !(head.notRun && line.ids.length === 1)
+        : head.id !== run.work.inquiry.id;
     if (foreign) {
       this.counts.poisoned += 1;
       return this.break(run, "the runner's result is that of another inquiry");
@@ -315,9 +336,7 @@
     if (
       !bare &&
       found["content-length"] === undefined &&
-      !String(found["transfer-encoding"] ?? "")
-        .toLowerCase()
-        .includes("chunked")
+      String(found["transfer-encoding"] ?? "").toLowerCase() !== "chunked"
     )
       return this.break(run, "the end of the result could not be known");
     run.reader = run.work.events && status >= 200 && status < 300 ? new EventReader() : undefined;
@@ -346,7 +365,7 @@
   break(run: Run, reason: string): void {
     const line = run.line;
     this.finish(run, { kind: "broken", reason });
-    if (line !== undefined) this.#drop(line);
+    if (line !== undefined) this.#cutOff(line);
   }
 
   finish(run: Run, event: PassEvent): void {
@@ -369,6 +388,8 @@
   /** The runner refused it: the rest of the result is read away. */
   ignores = false;
   paused = false;
+  /** ms. When its headers were made. */
+  startedAt = 0;
   #links: PassConnections;
   #sent = false;
   #goOn: (() => void) | undefined;
@@ -388,7 +409,10 @@
     this.#goOn?.();
   }
 
-  onConnect(): void {
+  /** Called right before the first byte is written; aborted here nothing goes out. */
+  onConnect(abort: (error: Error) => void): void {
+    const reason = this.#links.mayWrite(this);
+    if (reason !== undefined) return abort(new Error(reason));
     this.#sent = true;
   }
 
@@ -444,7 +468,7 @@
 }
 
 /** Whether a kept connection may be used: well within its time, and nothing came on it that nobody asked for. */
-function fresh(line: Line, repeatable: boolean, now: number): boolean {
+function isFresh(line: Line, repeatable: boolean, now: number): boolean {
   if (line.lost || line.socket.destroyed || line.socket.readableLength > 0) return false;
   const told = line.idleMost;
   const most =
@@ -452,6 +476,11 @@
   return now - line.usedAt <= most;
 }
 
+/** A late second answer to an earlier work of the same id could not be told from the one that is due: such a work goes elsewhere. */
+function isUsableFor(line: Line, work: PassWork, now: number): boolean {
+  return isFresh(line, work.repeatable, now) && !line.ids.includes(work.inquiry.id);
+}
+
 function idleOf(value: string | string[] | undefined): number | undefined {
   const found = /timeout\s*=\s*(\d+)/i.exec(String(value ?? ""));
   return found === null ? undefined : Number(found[1]) * 1_000;
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -206,14 +206,26 @@
   passHeadersMost: 65_536,
   /** ms. After the word that a node is not ready, callers may still be sent to it for so long: two missed looks a second apart, and their way. */
   unreadyLasts: 2_500,
-  /** ms. A caller's connection to a passage may stay idle this long; told in its results in whole seconds. */
+  /** ms. From the first byte of an inquiry on a passage to the end of its headers, where the deployment tells no other. */
+  passHeaderWait: 10_000,
+  /** ms. A caller's connection to a passage may stay idle this long, where the deployment tells no other. */
   passIdle: 14_000,
+  /** ms. A caller's connection is kept so much longer than it is told: an inquiry may be on its way when the time ends. */
+  idleMarginHere: 900,
+  /** bytes. Largest request line beside the headers. */
+  requestLineMost: 8_192,
+  /** ms. How often callers that are too slow are looked for. */
+  slowCheckEvery: 250,
   /** inquiries. Live inquiries under way in one access node; more are told to try later. */
   liveMost: 600,
   /** ms. Taken off the time that a runner may keep a connection idle, so that none is used while it is being closed (§13.6). */
   idleMargin: 150,
   /** ms. A kept connection whose runner tells no time: used again within this, and for what may be repeated within three times as long. */
   idleUntold: 500,
+  /** ms. From the look at a work to its first byte: usually one turn of the event loop; longer, this process has stood still. */
+  sendWithin: 100,
+  /** ids of works that a connection to a runner remembers: an answer too many is as old as that at most. */
+  idsOfConnection: 32,
   /** ms. A work past its end whose link still says nothing is broken off this much later. */
   overdueGrace: 400,
   /** bytes. A result that is no stream is told to the caller once whole, up to this size; a larger one as it comes. */
