No refusal in the place of an earlier answer; limits of a configuration hold

Cause: a request that could not be read was refused on the bare socket, whatever was under way there. Bytes that are no request, a request that stayed half, or a bad chunk behind a call under way put 400 or 408 where the caller expects the answer to that call; 408 promises that it did not run, so it would be sent again. CallerConnections knows the requests under way on each connection: a refusal goes out in its turn or not at all, and the connection ends after the last answer. It also tells waiting answers of the end of their connection, which the library does only for the first one: a caller's second pipelined call ran on after a reset.

Limits of a configuration (headers, body, time for headers, idle time) are part of the product's configuration as `callers`, checked and in the feed; an earlier release skips the field. The gateway asks for them at each connection and request, so they change without a restart. 431 and 413 come at once, from the announced length or the first byte too many.

--- /dev/null
+++ b/features/steps/calls-node.ts
@@ -0,0 +1,153 @@
+import { configuration, type MarkedConfiguration } from "@chutewick/control";
+import {
+  Choice,
+  PassConnections,
+  RelayCore,
+  type AccessDesk,
+  type Membership,
+  type PassCaller,
+  type PassEvent,
+  type PassInquiry,
+  type PassOutput,
+  type Standing,
+} from "@chutewick/data";
+import { callerLimits, policy, type Roll, type RunnerCard } from "@chutewick/parts";
+import { PlatformAccess, PlatformDialect } from "@chutewick/platform";
+import { monotonic, type Log } from "@chutewick/shell";
+
+/** ms */
+const beatEvery = 50;
+
+/** Stands in for what an access node knows of its fleet. */
+class KnownFleet {
+  configuration: MarkedConfiguration = configuration.blank;
+  readonly cards: RunnerCard[] = [];
+  readonly roll: Roll = { nodes: [], runners: [] };
+
+  serves(): boolean {
+    return true;
+  }
+  runners(): RunnerCard[] {
+    return this.cards;
+  }
+  isClosed(): boolean {
+    return false;
+  }
+}
+
+const standing: Standing = {
+  identity: "node-1",
+  address: "here:1",
+  kind: "access",
+  zone: "a",
+  http: "here:2",
+};
+
+function unused(): never {
+  throw new Error("this node takes no lots");
+}
+
+function ignored(): void {}
+
+const silent = { info: ignored, warn: ignored, error: ignored } as unknown as Log;
+
+/** Adapter, relay and links as an access process puts them together, with a fleet that is known from the start. */
+export class AccessNode {
+  readonly known = new KnownFleet();
+  readonly port: number;
+  readonly relay: RelayCore;
+  #links: PassConnections;
+  #front: PlatformAccess;
+  #callers = new Map<string, PassCaller>();
+  #tickets = 0;
+  #beat: NodeJS.Timeout | undefined;
+
+  constructor(port: number) {
+    this.port = port;
+    const self = this;
+    const membership = this.known as unknown as Membership;
+    const choice = new Choice(membership, standing);
+    this.relay = new RelayCore(membership, choice, policy.usual);
+    function mayStart(go: number): string | undefined {
+      return self.relay.mayStart(go, monotonic());
+    }
+    function told(go: number, event: PassEvent): void {
+      self.#perform(self.relay.goEvent(go, event, monotonic()));
+    }
+    function share(): number {
+      return 20;
+    }
+    this.#links = new PassConnections({
+      dialect: new PlatformDialect(),
+      mayStart,
+      told,
+      share,
+      now: monotonic,
+    });
+    this.#front = new PlatformAccess({ access: `127.0.0.1:${port}` }, silent);
+  }
+
+  async open(): Promise<void> {
+    await this.#front.open(this.#desk());
+    const self = this;
+    function strike(): void {
+      self.#perform(self.relay.beat(monotonic()));
+      self.#links.beat(monotonic());
+    }
+    this.#beat = setInterval(strike, beatEvery);
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#beat);
+    this.#links.close();
+    await this.#front.close();
+  }
+
+  #desk(): AccessDesk {
+    const self = this;
+    function pass(inquiry: PassInquiry, caller: PassCaller): string {
+      self.#tickets += 1;
+      const ticket = `t-${self.#tickets}`;
+      self.#callers.set(ticket, caller);
+      self.#perform(self.relay.arrive(ticket, inquiry, monotonic()));
+      return ticket;
+    }
+    function left(ticket: string): void {
+      if (self.#callers.delete(ticket)) self.#perform(self.relay.left(ticket, monotonic()));
+    }
+    return {
+      isReady: () => true,
+      isStopping: () => false,
+      takesLots: () => false,
+      callerLimits: () => callerLimits.withUsual(self.known.configuration.value.callers),
+      pass,
+      left,
+      slow: ignored,
+      ready: ignored,
+      handIn: unused,
+      readLot: unused,
+      readItem: unused,
+      endLot: unused,
+    };
+  }
+
+  #perform(outputs: readonly PassOutput[]): void {
+    for (const output of outputs) {
+      if (output.kind === "pass-run") this.#links.run(output.go, output.address, output.work);
+      else if (output.kind === "pass-abandon") this.#links.abandon(output.go);
+      else if ("ticket" in output) this.#tell(output);
+    }
+  }
+
+  #tell(output: Extract<PassOutput, { ticket: string }>): void {
+    const caller = this.#callers.get(output.ticket);
+    if (caller === undefined) return;
+    if (output.kind === "pass-head") return caller.head(output.status, output.headers);
+    if (output.kind === "pass-bytes") return caller.bytes(output.bytes);
+    this.#callers.delete(output.ticket);
+    if (output.kind === "pass-end") caller.end();
+    else if (output.kind === "pass-cut") caller.cut();
+    else if (output.kind === "pass-refused")
+      caller.refused(output.status, output.retryAfter, output.reason);
+  }
+}
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -123,12 +123,24 @@
   keeps: z.number().min(0).optional(),
 });
 
+/** What callers on passages may send and how long they may take; where one is left out the usual holds (docs/design.md §13.2). */
+const callers = z.strictObject({
+  headerBytes: z.int().min(1).max(1_048_576).optional(),
+  bodyBytes: z.int().min(1).max(1_073_741_824).optional(),
+  /** ms */
+  headerWait: z.number().min(1).max(86_400_000).optional(),
+  /** ms */
+  idleWait: z.number().min(1).max(86_400_000).optional(),
+});
+
 const shape = z.strictObject({
   pools: z.record(z.string().regex(/^[^/]+$/, { error: "must have no slash" }), pool).default({}),
   passages: z.record(z.string().min(1), passage).default({}),
   models: z.record(name, model).default({}),
   ways: z.record(name, way).default({}),
   seasons: z.record(name, season).default({}),
+  /** An earlier release knows none, and skips it. */
+  callers: callers.optional(),
 });
 
 /** The whole document of the operators, as checked. */
--- a/packages/data/src/access-desk.ts
+++ b/packages/data/src/access-desk.ts
@@ -1,3 +1,4 @@
+import type { CallerLimits } from "@chutewick/parts";
 import type { PassInquiry } from "./dialect.js";
 import type { LotHandedIn, LotTold } from "./pass.js";
 
@@ -19,6 +20,8 @@
   isReady(): boolean;
   /** Whether this node is about to stop: connections are to be ended with their results. */
   isStopping(): boolean;
+  /** What callers may send and how long they may take, by the configuration known here. */
+  callerLimits(): CallerLimits;
   /** Whether what is posted there is a lot, by the configuration known here. */
   takesLots(host: string, path: string): boolean;
   pass(inquiry: PassInquiry, caller: PassCaller): string;
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -1,6 +1,12 @@
 import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
-import { constants, outcome, type Outcome } from "@chutewick/parts";
+import {
+  callerLimits,
+  constants,
+  outcome,
+  type CallerLimits,
+  type Outcome,
+} from "@chutewick/parts";
 import {
   Beat,
   Gateway,
@@ -245,9 +251,13 @@
     function isStopping(): boolean {
       return self.#isStopping;
     }
+    function limitsOfCallers(): CallerLimits {
+      return callerLimits.withUsual(self.#core.membership.configuration.value.callers);
+    }
     return {
       isReady,
       isStopping,
+      callerLimits: limitsOfCallers,
       takesLots,
       pass,
       handIn,
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./session.js";
 export * from "./season.js";
 export * from "./policy.js";
+export * from "./caller-limits.js";
--- /dev/null
+++ b/packages/shell/src/caller-connections.ts
@@ -0,0 +1,89 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/** One request on a caller's connection, until its response has been closed. */
+interface Exchange {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** How a connection stands at which a request could not be read to its end. */
+export type Unread =
+  /** The request has a response of its own, to be written in its turn. */
+  | { readonly kind: "own-response"; readonly response: ServerResponse }
+  /** No request is under way: the refusal may be written at once. */
+  | { readonly kind: "none-under-way" }
+  /** Earlier requests are under way, or the request was answered already: nothing may be written for it. */
+  | { readonly kind: "silent" };
+
+/**
+ * The connections of one HTTP server, with the requests under way on each in the order of their arrival.
+ *
+ * HTTP/1.1 matches responses to requests by their order alone. So a refusal for bytes that cannot be read is never
+ * written while an earlier response is outstanding on that connection: the caller would take it for the answer to the
+ * earlier request, and 408 even for the promise that the earlier request did not run.
+ */
+export class CallerConnections {
+  #exchanges = new WeakMap<Duplex, Exchange[]>();
+  #ending = new WeakSet<Duplex>();
+
+  /** Notes every request of the server before anyone else hears of it. */
+  watch(server: Server): void {
+    const self = this;
+    function connected(socket: Socket): void {
+      self.#connected(socket);
+    }
+    function arrived(incoming: IncomingMessage, response: ServerResponse): void {
+      self.#arrived(incoming, response);
+    }
+    server.prependListener("connection", connected);
+    server.prependListener("request", arrived);
+  }
+
+  /** Ends a connection from which nothing more can be read, and says where the refusal belongs. */
+  endUnread(socket: Duplex): Unread {
+    const exchanges = this.#exchanges.get(socket) ?? [];
+    const isFirst = !this.#ending.has(socket);
+    this.#ending.add(socket);
+    const last = exchanges.at(-1);
+    if (!isFirst) return { kind: "silent" };
+    if (last === undefined) return { kind: "none-under-way" };
+    if (!last.incoming.complete && !last.response.headersSent) {
+      last.response.shouldKeepAlive = false;
+      return { kind: "own-response", response: last.response };
+    }
+    if (last.response.writableFinished) socket.destroy();
+    else if (!last.response.headersSent) last.response.shouldKeepAlive = false;
+    return { kind: "silent" };
+  }
+
+  #connected(socket: Socket): void {
+    const exchanges: Exchange[] = [];
+    this.#exchanges.set(socket, exchanges);
+    /** The library tells only the response that is being written of the end of its connection. */
+    function closed(): void {
+      for (const { response } of exchanges.splice(0)) if (!response.closed) response.emit("close");
+    }
+    socket.once("close", closed);
+  }
+
+  #arrived(incoming: IncomingMessage, response: ServerResponse): void {
+    const { socket } = incoming;
+    const exchanges = this.#exchanges.get(socket) ?? [];
+    const exchange: Exchange = { incoming, response };
+    const ending = this.#ending;
+    exchanges.push(exchange);
+    function settled(): void {
+      if (!incoming.complete && !socket.destroyed && !ending.has(socket)) return;
+      const index = exchanges.indexOf(exchange);
+      if (index >= 0) exchanges.splice(index, 1);
+      if (exchanges.length === 0 && ending.has(socket)) socket.end();
+    }
+    response.once("close", settled);
+    incoming.once("end", readWhole);
+    function readWhole(): void {
+      if (response.closed) settled();
+    }
+  }
+}
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -5,11 +5,17 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { constants } from "@chutewick/parts";
+import type { Duplex } from "node:stream";
+import { callerLimits, constants, type CallerLimits } from "@chutewick/parts";
 import { ServiceBroker, type ServiceSchema } from "moleculer";
 import ApiService from "moleculer-web";
+import { CallerConnections } from "./caller-connections.js";
+import { CallerTiming } from "./caller-timing.js";
 import type { Log } from "./log.js";
 import { metrics } from "./metrics.js";
+import { refuseUnread, type ReadError } from "./read-errors.js";
+import { replyTrouble } from "./reply.js";
+import { readWhole, type WholeArrival } from "./whole-request.js";
 
 /** HTTP towards callers, runners and operators, through moleculer-web in one process without transporter (docs/design.md §10.4). */
 export interface Arrival {
@@ -28,63 +34,18 @@
   readonly event: string;
 }
 
-/** An arrival with its bytes as they came, for interfaces that pass them on (§13.2). */
-export interface WholeArrival {
-  readonly method: string;
-  /** Path with its query, unchanged. */
-  readonly path: string;
-  /** Names and values in turn. */
-  readonly rawHeaders: readonly string[];
-  readonly headers: IncomingMessage["headers"];
-  readonly body: Buffer;
-  readonly reply: ServerResponse;
-}
-
 export interface GatewayOptions {
   readonly address: string;
   readonly log: Log;
   readonly openings: readonly Opening[];
   /** Event that carries every arrival whole, whatever its path; then there are no openings. */
   readonly whole?: string;
-  /** bytes. Largest body of a whole arrival. */
-  readonly bodyMost?: number;
+  /** What a caller of whole arrivals may send and how long it may take, asked anew for each; the usual limits where none are given. */
+  readonly limits?: () => CallerLimits;
   /** Owners: services that take arrivals as events. */
   readonly owners: readonly ServiceSchema[];
 }
 
-/** Every trouble told over HTTP has this one shape (docs/interface.md). */
-export interface TroubleBody {
-  readonly trouble: string;
-  readonly reason: string;
-  readonly retryAfter?: number;
-  readonly [more: string]: unknown;
-}
-
-export function reply(
-  to: ServerResponse,
-  status: number,
-  body: unknown,
-  headers: Record<string, string> = {},
-): void {
-  if (to.headersSent || to.destroyed) return;
-  const text = JSON.stringify(body);
-  metrics.resulted(to, status, status >= 400 ? (body as TroubleBody).trouble : "");
-  to.writeHead(status, {
-    "content-type": "application/json; charset=utf-8",
-    "content-length": String(Buffer.byteLength(text)),
-    ...headers,
-  });
-  to.end(text);
-}
-
-export function replyTrouble(to: ServerResponse, status: number, body: TroubleBody): void {
-  const headers: Record<string, string> = {};
-  if (body.retryAfter !== undefined) metrics.waitTold(body.trouble, body.retryAfter);
-  if (body.retryAfter !== undefined)
-    headers["retry-after"] = String(Math.max(1, Math.ceil(body.retryAfter)));
-  reply(to, status, body, headers);
-}
-
 interface Incoming extends IncomingMessage {
   $params: { params: Record<string, string> };
   body: unknown;
@@ -158,12 +119,12 @@
         });
       else replyTrouble(response, 500, { trouble: "internal", reason: error.message });
     }
-    const { whole, bodyMost = constants.passBodyMost } = this.#options;
+    const { whole, limits = usualLimits } = this.#options;
     function taken(arrival: WholeArrival): void {
       void broker.emit(whole!, arrival);
     }
     function gather(incoming: IncomingMessage, response: ServerResponse): void {
-      readWhole(incoming, response, bodyMost, taken);
+      readWhole(incoming, response, limits(), taken);
     }
     /** The library's own server cannot be told how often to look for slow callers. */
     function create(this: { server: Server; httpHandler: RequestListener }): void {
@@ -175,13 +136,7 @@
               connectionsCheckingInterval: 1_000,
               keepAliveTimeout: 30_000,
             }
-          : {
-              headersTimeout: constants.bodyPatience,
-              requestTimeout: constants.bodyPatience * 2,
-              connectionsCheckingInterval: 1_000,
-              keepAliveTimeout: constants.passIdle,
-              maxHeaderSize: constants.passHeadersMost,
-            };
+          : { connectionsCheckingInterval: constants.slowCheckEvery };
       this.server = createServer(
         { ...timing, noDelay: true },
         whole === undefined ? this.httpHandler : gather,
@@ -218,6 +173,12 @@
     const service = broker.createService(api) as unknown as {
       server: Server;
     };
+    const connections = new CallerConnections();
+    connections.watch(service.server);
+    if (whole !== undefined) new CallerTiming(service.server, limits).watch();
+    function unreadable(error: ReadError, socket: Duplex): void {
+      refuseUnread(connections, error, socket);
+    }
     service.server.on("clientError", unreadable);
     await broker.start();
   }
@@ -227,60 +188,10 @@
   }
 }
 
-/** Reads a whole body, then hands it on at once; a larger one is answered 413. */
-function readWhole(
-  incoming: IncomingMessage,
-  response: ServerResponse,
-  bodyMost: number,
-  taken: (arrival: WholeArrival) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  function arrived(chunk: Buffer): void {
-    size += chunk.length;
-    if (size <= bodyMost) chunks.push(chunk);
-  }
-  function ended(): void {
-    if (size > bodyMost)
-      return replyTrouble(response, 413, {
-        trouble: "body-too-large",
-        reason: `the body may have ${bodyMost} bytes at most`,
-      });
-    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size);
-    taken({
-      method: incoming.method ?? "GET",
-      path: incoming.url ?? "/",
-      rawHeaders: incoming.rawHeaders,
-      headers: incoming.headers,
-      body,
-      reply: response,
-    });
-  }
-  function failed(): void {
-    response.destroy();
-  }
-  incoming.on("data", arrived);
-  incoming.once("end", ended);
-  incoming.once("error", failed);
+function usualLimits(): CallerLimits {
+  return callerLimits.usual;
 }
 
 function everyBody(): boolean {
   return true;
 }
-
-/** What is not HTTP, or comes too slowly, gets a definite status too. */
-function unreadable(error: Error & { code?: string }, socket: import("node:stream").Duplex): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const slow = error.code === "ERR_HTTP_REQUEST_TIMEOUT";
-  const body = JSON.stringify(
-    slow
-      ? { trouble: "too-slow", reason: "the whole inquiry did not arrive in time" }
-      : { trouble: "bad-inquiry", reason: "this is not HTTP/1.1" },
-  );
-  socket.end(
-    `HTTP/1.1 ${slow ? "408 Request Timeout" : "400 Bad Request"}\r\ncontent-type: application/json; charset=utf-8\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-  );
-}
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -2,6 +2,8 @@
 export * from "./disk.js";
 export * from "./errors.js";
 export * from "./gateway.js";
+export * from "./reply.js";
+export * from "./whole-request.js";
 export * from "./log.js";
 export * from "./metrics.js";
 export * from "./settings.js";
