--- a/features/steps/calls-world.ts
+++ b/features/steps/calls-world.ts
@@ -41,7 +41,7 @@
     services: [{ name: "printer", healthPath: "/health", maxConnections: 0 }],
     ...(limits === undefined ? {} : { limits }),
   };
-  const translated = documents.replaced(JSON.stringify(document), 0, undefined);
+  const translated = documents.replaced(JSON.stringify(document), 0);
   ok(translated !== undefined, "the document is valid");
   const checked = configuration.check(translated.value);
   ok(checked.ok, checked.ok ? "" : checked.reason);
