A machine without contact passes on every report, so no runner is forgotten

Cause: found by playing a group of control machines that do not hear each other but reach all access machines. Only what is new in a report went to nodes at once; the rest went with the roll, which a node reads from one machine. A runner whose reports went to the others was unknown to a node after 4.8 s, though it reported every 1.2 s. Nobody acknowledged, as is right, and nobody told either.

Change: a machine without contact with a majority sends each newer report to the nodes that it reaches at once. In contact nothing changes.

Also played, and passing without a change: a machine that wakes from a freeze of 20 s is asked before and right after it reads what waited (nothing is acknowledged or refused, it serves within 1.5 s); a machine beyond those that the group needs acknowledges reports, orders and reads, also while each of the others is cut off.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -25,6 +25,40 @@
       | the head | cut off while the wall clock steps   | 1, 1, 1        |
       | the head | cut off from the core alone | 1, 1, 1        |
 
+  Scenario Outline: a control machine wakes after a freeze of 20 s, <which>
+    Given control machines and nodes whose clocks run at 1, 1, 1 of the usual rate
+    And the operator's order 1 is taken
+    When <which> is frozen for 20 s, in which the others take orders, and is asked as it wakes
+    Then it acknowledged nothing and refused nothing, and serves again within 1.5 s
+
+    Examples:
+      | which    |
+      | the head |
+      | another  |
+
+  Scenario Outline: runners are not forgotten while nobody acknowledges, <cut>
+    Given control machines and nodes whose clocks run at 1, 1, 1 of the usual rate
+    And the operator's order 1 is taken
+    When control machines hear nobody of the group, while <cut>
+    And runners report as usual for 12 s, each to any control machine
+    Then no report was acknowledged after the first 1.1 s
+    And every access node that is reached knows every runner, also a new one
+    When the cut is over
+    And 2 s go by at all machines
+    Then a report is acknowledged again
+
+    Examples:
+      | cut                                  |
+      | they still reach all access machines |
+      | the nodes reach none of them         |
+
+  Scenario: a control machine beyond those that the group needs acknowledges what it can bring to all
+    Given a deployment with 4 control, 3 storage and 2 access machines, standing up to 1 loss
+    And 3 s go by at all machines
+    Then every control machine acknowledges reports, orders and reads
+    When each control machine in turn is cut off for 3 s
+    Then only the one that is cut off acknowledges nothing
+
   Scenario Outline: eight orders are under way and most answers are lost, while <trouble>
     Given control machines and nodes whose clocks run at 1, 0.99, 1 of the usual rate
     When eight operators race for 60 s with 0.7 of the answers lost, while <trouble>
--- a/features/steps/orders.ts
+++ b/features/steps/orders.ts
@@ -13,6 +13,14 @@
   restarts: boolean;
   steps: boolean;
   race: OrderRace;
+  /** What was told to those who asked a machine as it woke. */
+  heard: ControlOutcome[];
+  report: string;
+  /** Access nodes that control machines can reach. */
+  reached: Deployment["accesses"];
+  /** ms from the cut to the last acknowledgement. */
+  acknowledgedAfter: number;
+  wrong: string[];
   /** Moments at which a lease was held on an old version after the change was told. */
   stale: string[];
 }
@@ -142,8 +150,9 @@
 }
 
 function cutIsOver(this: World): void {
+  this.deployment.world.mend();
   this.deployment.hear();
-  this.struck.wallStep = 0;
+  for (const machine of this.deployment.controls) machine.wallStep = 0;
 }
 When("the cut is over", cutIsOver);
 
@@ -299,3 +308,129 @@
   deepEqual(this.stale, []);
 }
 Then("it never held a lease on an old version after the change was told", neverStale);
+
+// Freezes, and groups of which no two hear each other
+
+function frozenAndAsked(this: World, which: string, seconds: number): void {
+  const { deployment } = this;
+  const head = deployment.head!;
+  this.struck = which === "the head" ? head : deployment.controls.find(isOther, head)!;
+  this.struck.freeze();
+  for (let second = 1; second <= seconds; second += 1) {
+    deployment.after(1);
+    if (second > 3 && second % 4 === 0) takenByTheOthers(this);
+  }
+  const told: ControlOutcome[] = [];
+  function tell(outcome: ControlOutcome | undefined): void {
+    if (outcome !== undefined) told.push(outcome);
+  }
+  this.struck.inquire({ kind: "read" }, tell);
+  this.struck.inquire({ kind: "empty", identity: "nobody", wanted: true }, tell);
+  this.struck.wake();
+  this.struck.inquire({ kind: "read" }, tell);
+  this.heard = told;
+  this.report = deployment.report("r-1", "readers", 1, this.struck);
+}
+When(
+  /^(the head|another) is frozen for (\d+) s, in which the others take orders, and is asked as it wakes$/,
+  frozenFor,
+);
+function frozenFor(this: World, which: string, seconds: string): void {
+  frozenAndAsked.call(this, which, Number(seconds));
+}
+
+function saidNothing(this: World, seconds: number): void {
+  equal(this.report, "NO_QUORUM");
+  equal(this.heard.length, 3);
+  for (const { kind } of this.heard) equal(kind, "not-run");
+  servesAgain.call(this, seconds);
+}
+Then("it acknowledged nothing and refused nothing, and serves again within {float} s", saidNothing);
+
+function groupIsSplit(this: World, cut: string): void {
+  const { deployment } = this;
+  for (const machine of deployment.controls)
+    for (const other of deployment.machines)
+      if (
+        other !== machine &&
+        (cut.includes("none") || deployment.controls.includes(other as never))
+      )
+        deployment.world.cut(machine.address, other.address);
+  this.reached = cut.includes("none") ? [] : deployment.accesses;
+}
+When(/^control machines hear nobody of the group, while (.*)$/, groupIsSplit);
+
+/** ms. Reports of a runner. */
+const REPORTS_EVERY = 1_200;
+
+function runnersReport(this: World, seconds: number): void {
+  const { deployment } = this;
+  const { world } = deployment;
+  const since = world.now;
+  this.acknowledgedAfter = 0;
+  for (let passed = 0; passed < seconds * 1_000; passed += REPORTS_EVERY) {
+    for (const id of passed > 6_000 ? ["r-1", "r-2", "r-new"] : ["r-1", "r-2"]) {
+      const machine = world.chance.pick(deployment.controls);
+      const told = deployment.report(id, "readers", 1 + passed / REPORTS_EVERY, machine);
+      if (told === "TAKEN") this.acknowledgedAfter = world.now - since;
+    }
+    deployment.after(REPORTS_EVERY / 1_000);
+  }
+}
+When("runners report as usual for {int} s, each to any control machine", runnersReport);
+
+function noneAfter(this: World, seconds: number): void {
+  ok(this.acknowledgedAfter <= seconds * 1_000, `after ${this.acknowledgedAfter} ms`);
+}
+Then("no report was acknowledged after the first {float} s", noneAfter);
+
+function nodesKnow(this: World): void {
+  for (const node of this.reached)
+    for (const id of ["r-1", "r-2", "r-new"])
+      ok(this.deployment.known(node, id) !== undefined, `${node.name} knows ${id}`);
+}
+Then("every access node that is reached knows every runner, also a new one", nodesKnow);
+
+function acknowledgedAgain(this: World): void {
+  for (const machine of this.deployment.controls)
+    equal(this.deployment.report("r-1", "readers", 99, machine), "TAKEN", machine.name);
+}
+Then("a report is acknowledged again", acknowledgedAgain);
+
+// More machines than the group needs
+
+function eachAcknowledges(this: World): void {
+  for (const machine of this.deployment.controls) acknowledges(this, machine);
+}
+Then("every control machine acknowledges reports, orders and reads", eachAcknowledges);
+
+function acknowledges(world: World, machine: ControlMachine): void {
+  const { deployment } = world;
+  equal(deployment.report("r-1", "readers", 1, machine), "TAKEN", machine.name);
+  const { told } = deployment.order({ kind: "read" }, machine, 2_000);
+  ok(told?.kind === "confirmed" && told.value.kind === "CONFIGURATION", machine.name);
+  const base = told.value.mark;
+  deepEqual(send(world, base + 1, base, machine), { kind: "IN_FORCE", mark: base + 1 });
+}
+
+function eachIsCut(this: World, seconds: number): void {
+  const { deployment } = this;
+  this.wrong = [];
+  for (const cut of deployment.controls) {
+    deployment.world.isolate(cut.address);
+    deployment.after(seconds);
+    for (const machine of deployment.controls) {
+      const told = deployment.report("r-1", "readers", 1, machine);
+      if (told !== (machine === cut ? "NO_QUORUM" : "TAKEN"))
+        this.wrong.push(`${machine.name} told ${told} while ${cut.name} was cut off`);
+    }
+    deployment.world.mend();
+    deployment.after(5);
+  }
+}
+When("each control machine in turn is cut off for {int} s", eachIsCut);
+
+function onlyThatOne(this: World): void {
+  deepEqual(this.wrong, []);
+}
+Then("only the one that is cut off acknowledges nothing", onlyThatOne);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -389,7 +389,7 @@
     return new Set(emptying.machines(this.#feed, this.#sessions.live("storage", now)).keys());
   }
 
-  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the roll (§13.8). */
+  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the roll; all of it where no majority is reached (§13.8). */
   announce(
     card: Omit<RunnerCard, "age">,
     sequence: number,
@@ -398,15 +398,17 @@
     if ((this.#feed.read<Goodbye>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >= card.incarnation)
       return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
     const word: RunnerCard = { ...card, sequence, age: 0 };
-    const { news } = this.#sessions.announced(word, now);
+    const { newer, news } = this.#sessions.announced(word, now);
+    const inContact = this.inContact(now);
     const outputs: ControlOutput[] = [];
-    if (news) {
+    /** Without contact, nodes may be reading the roll of a machine that never hears of this report. */
+    if (news || (newer && !inContact)) {
       const message: ControlMessage = { kind: "runners", runners: [word] };
       for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message });
       for (const node of this.#sessions.live("access", now))
         outputs.push({ kind: "send", to: node.address, message });
     }
-    return { told: { kind: this.inContact(now) ? "TAKEN" : "NO_QUORUM" }, outputs };
+    return { told: { kind: inContact ? "TAKEN" : "NO_QUORUM" }, outputs };
   }
 
   writtenChain(ticket: number, now: number): ControlOutput[] {
