A node keeps the runners that a newer roll lacks

The node took each newer roll whole, so until the next answer (300 ms) it knew no runner and turned live calls away.

Ruled out: loss of the reports (the other members told them before and after), runners' goodbyes (closed lives are told apart by the feed).

Now the runners of the roll held stay, with their age, until their last word is too old; a newer word of a life wins. The new scenario of features/deployment.feature restarts each control machine cut off from the others, and fails without the change.

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -65,6 +65,12 @@
     When 5 s go by
     Then no access node knows "r-2"
 
+  Scenario: a control machine that has just started and hears none of the others makes no node forget a runner
+    Given a deployment with 3 control, 3 storage and 3 access machines, standing up to 1 loss
+    When the runner "r-1" reports for good
+    And 3 s go by
+    And each control machine in turn is restarted, cut off from the others, while every access node knows "r-1" at each moment
+
   Scenario: a storage machine is emptied by its name, and the others' disks may go right after
     Given a deployment with 3 control, 3 storage and 2 access machines, standing up to 1 loss
     And a configuration with 12 models
--- a/features/steps/deployment.ts
+++ b/features/steps/deployment.ts
@@ -394,6 +394,32 @@
 }
 Then("every access node knows {string} at {string}", everyNodeKnows);
 
+/** s between two looks; a node asks control several times a second. */
+const LOOK_EVERY = 0.02;
+/** s that a restarted control machine stays cut off. */
+const CUT_LASTS = 3;
+
+function restartedWhileKnown(this: World, id: string): void {
+  const { deployment } = this;
+  for (const machine of deployment.controls) {
+    machine.kill(false);
+    for (const other of deployment.controls)
+      if (other !== machine) deployment.world.cut(machine.address, other.address);
+    machine.start();
+    for (let seconds = 0; seconds < CUT_LASTS; seconds += LOOK_EVERY) {
+      deployment.after(LOOK_EVERY);
+      for (const node of deployment.accesses)
+        ok(deployment.known(node, id) !== undefined, `${node.name}, ${machine.name} restarted`);
+    }
+    deployment.world.mend();
+    deployment.after(CUT_LASTS);
+  }
+}
+When(
+  "each control machine in turn is restarted, cut off from the others, while every access node knows {string} at each moment",
+  restartedWhileKnown,
+);
+
 function noNodeKnows(this: World, id: string): void {
   for (const node of this.deployment.accesses)
     equal(this.deployment.known(node, id), undefined, node.name);
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -304,7 +304,7 @@
       if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
       /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
       if (message.roll.nodes.length > 0 && message.askedAt >= this.#rollAt) {
-        this.#roll = message.roll;
+        this.#roll = this.#merged(message.roll, message.askedAt);
         this.#rollAt = message.askedAt;
       }
       const controls = new Set<string>([...this.#seeds, ...message.controls]);
@@ -315,6 +315,24 @@
     return false;
   }
 
+  /**
+   * A newer roll with the runners of the one held that it lacks, or of which it has an older word: a
+   * control machine that has just started, or was cut off, does not know them all. They stay until
+   * their last word is too old.
+   */
+  #merged(roll: Roll, at: number): Roll {
+    const runners = new Map<string, RunnerCard>();
+    for (const card of roll.runners) runners.set(card.id, card);
+    for (const card of this.#roll.runners) {
+      const aged = { ...card, age: card.age + at - this.#rollAt };
+      if (aged.age > this.#policy.runnerLasts * constants.aloneTimes) continue;
+      const newer = runners.get(card.id);
+      if (newer === undefined || isNewerWord(aged, at - aged.age, newer, at - newer.age))
+        runners.set(card.id, aged);
+    }
+    return { ...roll, runners: [...runners.values()] };
+  }
+
   tell(now: number): Send[] {
     this.#toldAt = now;
     const card: NodeCard = {
