A node that missed hundreds of changes gets each changed record once

Cause: the feed kept the last 2,000 changes whole and sent all that a node had missed in one message. At 800 routes 300 changes were 93 MB, far beyond the largest message (32 MB), which is dropped: the node asked again every 0.3 s and never caught up, and the control machine's memory held every version.

Now the feed keeps the newest value of each record and, for each place, which keys it changed. One that is behind gets a record with the place that changed it last; places between come without changes. The form of the message is as before, so a node of the earlier release takes it. Messages made are kept until the next change, as most nodes stand at one place. The operator's own text and the log of orders, which only control reads, leave the feed.

Test: features/catch-up.feature.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -33,6 +33,7 @@
 import { emptying } from "./emptying.js";
 import { keys } from "./keys.js";
 import { QuorumContact } from "./quorum-contact.js";
+import { published } from "./published.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
 import {
   ControlMachine,
@@ -148,7 +149,7 @@
   #life: string;
   #agreement: Agreement;
   #chain: Chain;
-  #feed = new Feed();
+  #feed = new Feed(published);
   #policy: Policy;
   #sessions: Sessions;
   #held = new Map<string, Held>();
