--- a/features/input.feature
+++ b/features/input.feature
@@ -45,6 +45,7 @@
     And emptying is refused with the reason for a machine that is unknown, needed or not being emptied
     And the configuration still has mark 1
     And of two operators who build on mark 1 one wins and the other is told so
+    And a change sent again under its Idempotency-Key hears the mark that it was given, at any control machine
     And the caller who sent half a body is told too-slow
     And a one-shot inquiry, a stream and a fetch are served whole
 
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -59,6 +59,12 @@
     When each control machine in turn is cut off for 3 s
     Then only the one that is cut off acknowledges nothing
 
+  Scenario: a head that just started refuses no emptying for want of machines that it has not heard yet
+    Given control machines and nodes whose clocks run at 1, 1, 1 of the usual rate
+    And the operator's order 1 is taken
+    When all control machines are killed and started, 20 times, and an emptying is asked for every 20 ms
+    Then every clear answer was an acknowledgement, and there were some
+
   Scenario Outline: eight orders are under way and most answers are lost, while <trouble>
     Given control machines and nodes whose clocks run at 1, 0.99, 1 of the usual rate
     When eight operators race for 60 s with 0.7 of the answers lost, while <trouble>
--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -137,6 +137,33 @@
 }
 Then("of two operators who build on mark 1 one wins and the other is told so", ofTwoOperators);
 
+async function keyedChange(this: World): Promise<void> {
+  const { fleet } = this;
+  async function sent(key: string, by: string, at: number): Promise<[number, unknown]> {
+    const told = await request(`http://${fleet.http("control")[at]!}/configuration`, {
+      method: "PATCH",
+      headers: {
+        "content-type": "application/json",
+        "if-match": '"2"',
+        ...(key === "" ? {} : { "idempotency-key": key }),
+      },
+      body: JSON.stringify({ ways: { check: { labels: { by } } } }),
+    });
+    return [told.statusCode, ((await told.body.json()) as { mark?: number }).mark];
+  }
+  deepEqual(await sent("mine", "keyed", 0), [200, 3]);
+  deepEqual(await sent("mine", "keyed", 1), [200, 3]);
+  deepEqual(await sent("other", "keyed", 2), [409, 3]);
+  deepEqual(await sent("mine", "changed", 2), [409, 3]);
+  deepEqual(await sent("", "keyed", 0), [409, 3]);
+  deepEqual(await sent("x".repeat(300), "keyed", 0), [400, undefined]);
+  deepEqual(await sent("mine", "keyed", 2), [200, 3]);
+}
+Then(
+  "a change sent again under its Idempotency-Key hears the mark that it was given, at any control machine",
+  keyedChange,
+);
+
 async function theSlowCallerIsTold(this: World): Promise<void> {
   const text = await this.half;
   ok(text.startsWith("HTTP/1.1 408"), text);
--- a/features/steps/orders.ts
+++ b/features/steps/orders.ts
@@ -21,8 +21,7 @@
   /** ms from the cut to the last acknowledgement. */
   acknowledgedAfter: number;
   wrong: string[];
-  /** Moments at which a lease was held on an old version after the change was told. */
-  stale: string[];
+  answers: string[];
 }
 
 /** ms. An answer from a machine without contact must come within this, so that the caller can turn elsewhere. */
@@ -244,71 +243,6 @@
   oneLine,
 );
 
-// Leases
-
-function nodesThatNeedLeases(this: World, holder: string, granter: string): void {
-  const size = { controls: 3, storages: 3, accesses: 3, losses: 1, goesOnAlone: false };
-  const deployment = new Deployment(78, size);
-  for (const machine of deployment.machines) machine.clockRate = Number(holder);
-  for (const machine of deployment.controls) machine.clockRate = Number(granter);
-  for (const machine of deployment.machines) machine.start();
-  deployment.founded();
-  deployment.after(4);
-  this.deployment = deployment;
-  this.version = 0;
-  isTaken.call(this, 1);
-}
-Given(
-  "nodes that need a lease, with clocks at {}, and control machines with clocks at {}",
-  nodesThatNeedLeases,
-);
-
-/** ms. Looked at this often for a lease that should have ended. */
-const LOOK_EVERY = 0.5;
-
-function cutAtMoments(this: World, moments: number): void {
-  const { deployment } = this;
-  const { world } = deployment;
-  const node = deployment.accesses[0]!;
-  this.stale = [];
-  for (let moment = 0; moment < moments; moment += 1) {
-    deployment.after(3 + moment * 0.0073);
-    ok(node.core.membership.holds(node.now), `it holds a lease before cut ${moment}`);
-    world.isolate(node.address);
-    let told: ControlOutcome | undefined;
-    function tell(outcome: ControlOutcome | undefined): void {
-      told = outcome;
-    }
-    const version = this.version + 1;
-    deployment.one().inquire(
-      {
-        kind: "put",
-        expected: this.version,
-        mark: version,
-        value: configurationOf(1),
-        word: `change ${version}`,
-      },
-      tell,
-    );
-    while (told === undefined) world.run(world.now + LOOK_EVERY);
-    deepEqual(told.kind === "confirmed" && told.value, { kind: "IN_FORCE", mark: version });
-    this.version = version;
-    if (node.core.membership.holds(node.now) && deployment.mark(node) < version)
-      this.stale.push(`cut ${moment}: ${node.core.membership.leaseLeft(node.now)} ms left`);
-    world.mend();
-  }
-}
-When(
-  "an access node is cut off at {int} different moments, and a change is entered each time",
-  { timeout: 120_000 },
-  cutAtMoments,
-);
-
-function neverStale(this: World): void {
-  deepEqual(this.stale, []);
-}
-Then("it never held a lease on an old version after the change was told", neverStale);
-
 // Freezes, and groups of which no two hear each other
 
 function frozenAndAsked(this: World, which: string, seconds: number): void {
@@ -434,3 +368,42 @@
   deepEqual(this.wrong, []);
 }
 Then("only the one that is cut off acknowledges nothing", onlyThatOne);
+
+// Heads that just started
+
+function allStartAnew(this: World, times: number): void {
+  const { deployment } = this;
+  this.answers = [];
+  const { answers } = this;
+  function told(outcome: ControlOutcome | undefined): void {
+    if (outcome?.kind === "confirmed") answers.push(outcome.value.kind);
+  }
+  for (let time = 0; time < times; time += 1) {
+    for (const machine of deployment.controls) machine.kill(false);
+    deployment.after(2.5);
+    for (const machine of deployment.controls) machine.start();
+    for (let passed = 0; passed < 4_000; passed += 20) {
+      const machine = deployment.world.chance.pick(deployment.controls);
+      machine.inquire({ kind: "empty", identity: "storage-1", wanted: true }, told);
+      deployment.after(0.02);
+    }
+    const keep = deployment.order(
+      { kind: "empty", identity: "storage-1", wanted: false },
+      deployment.one(),
+      4_000,
+    );
+    deepEqual(keep.told?.kind === "confirmed" && keep.told.value, { kind: "DONE" });
+    deployment.after(1);
+  }
+}
+When(
+  "all control machines are killed and started, {int} times, and an emptying is asked for every 20 ms",
+  { timeout: 60_000 },
+  allStartAnew,
+);
+
+function allAcknowledged(this: World): void {
+  ok(this.answers.length > 0);
+  deepEqual([...new Set(this.answers)], ["DONE"]);
+}
+Then("every clear answer was an acknowledgement, and there were some", allAcknowledged);
