A control machine that stops as planned waits while its successor is copied to

Cause: a machine counted as needed only where the group had more members than it takes to confirm. With two members and a joiner half copied, a planned stop of one of them ended at once and left one copy.

Test: features/membership.feature; without the mend it fails at the first look.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -13,6 +13,12 @@
     When the next view leaves the joiner out
     Then all 5 changes are confirmed
 
+  Scenario: a control machine that stops as planned waits for the copy that takes its place
+    Given a group of 3 control machines, one of which lost its disk and is being copied to
+    When one that holds a copy stops as planned
+    Then it waits until the new one is put in and it is let go, within 4 s
+    And as its disk goes with it, and the other old one is lost, nothing acknowledged is gone
+
   Scenario Outline: control machines that <how> come back <where>; <second> of <size> are <then> after the <step> of <first>
     Given control machines that <how> come back empty <where>, and those lost then are <then>
     And <first> of <size> are lost first, and then <second>
--- a/features/steps/second-loss.ts
+++ b/features/steps/second-loss.ts
@@ -10,6 +10,8 @@
   size: number;
   second: number;
   broken: string[];
+  deployment: Deployment;
+  leaver: ControlMachine;
 }
 
 /** One play of a control group that loses machines, gets others for them, and loses as many again. */
@@ -320,3 +322,70 @@
   equal(found.length, 0, `${found.length}: ${found.slice(0, 3).join("; ")}`);
 }
 Then("at no moment could as many machines as may still be lost leave no majority", keptMajority);
+
+function beingCopiedTo(this: World): void {
+  const deployment = new Deployment(11, { controls: 3, storages: 2, accesses: 1, losses: 1 });
+  this.deployment = deployment;
+  for (const machine of deployment.machines) machine.start();
+  deployment.after(8);
+  deployment.founded();
+  const command: ControlCommand = {
+    kind: "put",
+    expected: undefined,
+    mark: 1,
+    value: configurationOf(1),
+    origin: "order 1",
+  };
+  equal(deployment.order(command, deployment.one(), 6_000).told?.kind, "confirmed");
+  const lost = deployment.controls[2]!;
+  lost.kill(true);
+  lost.wipe();
+  deployment.after(4);
+  lost.start();
+  while (deployment.head?.core.view?.joiner === undefined)
+    deployment.world.run(deployment.world.now + 1);
+}
+Given(
+  "a group of 3 control machines, one of which lost its disk and is being copied to",
+  beingCopiedTo,
+);
+
+function stopsAsPlanned(this: World): void {
+  this.leaver = this.deployment.head!;
+  this.leaver.leave();
+}
+When("one that holds a copy stops as planned", stopsAsPlanned);
+
+function waitsForCopy(this: World): void {
+  const { deployment, leaver } = this;
+  equal(leaver.core.isNeeded, true);
+  const until = deployment.world.now + constants.handOverPatience;
+  while (leaver.core.isNeeded && deployment.world.now < until)
+    deployment.world.run(deployment.world.now + 1);
+  equal(leaver.core.isNeeded, false);
+  equal(leaver.core.view?.members.some(hasIdentity, leaver.folder!.identity), false);
+}
+Then("it waits until the new one is put in and it is let go, within 4 s", waitsForCopy);
+
+/** The new one alone holds a copy then; a blank comes, and is copied to. */
+function nothingIsGone(this: World): void {
+  const { deployment, leaver } = this;
+  leaver.kill(false);
+  leaver.wipe();
+  for (const machine of deployment.controls) {
+    if (machine === leaver || machine === deployment.controls[2]) continue;
+    machine.kill(true);
+    machine.wipe();
+  }
+  equal(deployment.live[0]!.folder!.holdings().get("control")!.state.confirmed > 0, true);
+  const records = deployment.live[0]!.folder!.holdings().get("control")!.records;
+  equal(records.some(isConfiguration), true);
+}
+Then(
+  "as its disk goes with it, and the other old one is lost, nothing acknowledged is gone",
+  nothingIsGone,
+);
+
+function isConfiguration([key]: readonly [string, unknown]): boolean {
+  return key === "configuration";
+}
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -225,9 +225,14 @@
     return this.#vote(this.#agreement.leave(), now);
   }
 
-  /** Whether the group still counts on this machine and could do without it. */
+  /** Whether the group still counts on this machine and can soon do without it: others are enough, or one is being copied to. */
   get isNeeded(): boolean {
-    return this.#isMember && (this.#chain.view?.members.length ?? 0) > this.#policy.copiesLeast;
+    const view = this.#chain.view;
+    return (
+      this.#isMember &&
+      view !== undefined &&
+      (view.members.length > this.#policy.copiesLeast || view.joiner !== undefined)
+    );
   }
 
   get #isMember(): boolean {
