--- a/features/history.feature
+++ b/features/history.feature
@@ -132,6 +132,7 @@
       | ada    | 0    | 10 | admit       | admitted x |
       | ada    | 20   | 30 | end         | ended      |
       | ada    | 25   | 35 | end         | ended      |
+      | cleo   | 36   | 38 | admit       | not-run    |
       | bob    | 40   | 50 | read from 0 | done: a=1  |
     Then the history is allowed
     When these operations are added
--- a/tools/history/src/lot-log.ts
+++ b/tools/history/src/lot-log.ts
@@ -15,11 +15,13 @@
 /** What was answered. */
 export type LotOutput =
   | { readonly kind: "admitted"; readonly lot: string }
-  /** This sending surely admits nothing. */
+  /** The lot is not admitted, by one who knows. */
   | { readonly kind: "refused" }
+  /** This sending surely has no effect, by one who can't tell what became of others. */
+  | { readonly kind: "not-run" }
   | { readonly kind: "ended" }
   | LotResults
-  /** There is no such lot. */
+  /** There is no such lot; lots are kept for longer than a history lasts. */
   | { readonly kind: "missing" };
 
 /** Results recorded so far; what is not told from the asked position on was not recorded. */
@@ -74,6 +76,7 @@
 };
 
 function stepAdmit(state: LotState, output: LotOutput | undefined): LotState | undefined {
+  if (output?.kind === "not-run") return state;
   if (output?.kind === "refused") return state.isAdmitted ? undefined : state;
   if (output === undefined) return state.isAdmitted ? undefined : { ...state, isAdmitted: true };
   if (output.kind !== "admitted") return undefined;
@@ -82,6 +85,7 @@
 }
 
 function stepEnd(state: LotState, output: LotOutput | undefined): LotState | undefined {
+  if (output?.kind === "missing") return state.isAdmitted ? undefined : state;
   if (output !== undefined && output.kind !== "ended") return undefined;
   if (!state.isAdmitted) return undefined;
   if (state.isEndAsked) return output === undefined ? undefined : state;
