The real program frozen while runners reset its connections; limits in the docs

A scenario of platform-fleet.feature stops an access machine with SIGSTOP 12 times (20 ms to 5.3 s) while eight callers send calls that may run once; the runners reset its connections meanwhile, so it wakes to a silence, a reset and unread bytes at once. In 8 freezes or more calls must be under way. Afterwards the settings file is cut, then removed, with and without SIGHUP: the machine serves on.

The operator's limits: five rows of platform.feature (all told, some, 0, null, refused).

--- a/features/platform-fleet.feature
+++ b/features/platform-fleet.feature
@@ -18,3 +18,12 @@
     Then the stream of the stopped machine comes whole, and it ends with 0
     When a storage machine is to be emptied
     Then its state turns to completed, and the lot is read as before
+
+  Scenario: an access machine frozen around the moment of sending
+    Given a system of 3 core, 3 storage and 1 access machines with 0 model runners and 3 plain runner
+    When the first document is sent to a core machine until it is taken
+    And callers send calls that may run once, while the access machine is frozen 12 times and the runners reset its connections
+    Then in 8 freezes or more runners reset connections with calls under way
+    And each call was answered as its own, ran once at most, and not where the answer promised so
+    When its settings file is spoilt without a signal, and with one
+    Then the access machine serves on
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -34,6 +34,20 @@
       | weights of nothing   |
       | no time to hold      |
       | a name twice         |
+      | a limit below 0      |
+      | a limit in words     |
+
+  Scenario Outline: limits of an operator become those of callers
+    Given a platform document with revision 7, a streaming, a bulk and a split safe route
+    When its limits are <limits>
+    Then the product's limits of callers are <callers>
+
+    Examples:
+      | limits                                                                                         | callers                                                                       |
+      | {"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerGuardMs":3000,"idleGuardMs":15000}       | {"headerBytes":16384,"bodyBytes":4194304,"headerWait":3000,"idleWait":15000}  |
+      | {"idleGuardMs":20500.5,"another":"x"}                                                          | {"headerBytes":65536,"bodyBytes":16777216,"headerWait":10000,"idleWait":20501} |
+      | {"maxHeaderBytes":0,"maxBodyBytes":99999999999}                                                | {"headerBytes":65536,"bodyBytes":1073741824,"headerWait":10000,"idleWait":14000} |
+      | null                                                                                           | {"headerBytes":65536,"bodyBytes":16777216,"headerWait":10000,"idleWait":14000} |
 
   Scenario: headers of a request become an inquiry, and go out to a runner again
     When a request with its headers is read and sent on to a runner
--- a/features/steps/platform-fleet.ts
+++ b/features/steps/platform-fleet.ts
@@ -25,6 +25,8 @@
   readonly ran: string[];
   state: "in_service" | "draining";
   calls: number;
+  /** Requests begun whose answers have not gone out. */
+  underWay: number;
 }
 
 interface System {
@@ -37,6 +39,7 @@
 interface World {
   system?: System;
   document: string;
+  frozen: FrozenCalls;
   read: unknown;
   drained: StandIn;
   stream: Promise<{ status: number; text: string }>;
@@ -132,6 +135,9 @@
   return machine;
 }
 
+/** ms. */
+const paymentTakes = 40;
+
 /** A runner of its own making: five events for tokens, the path for plain work. */
 function standIn(system: System, index: number, service: string): Promise<StandIn> {
   const address = `127.9.8.${index}:8000`;
@@ -143,6 +149,7 @@
     ran: [],
     state: "in_service",
     calls: 0,
+    underWay: 0,
   };
   function serve(incoming: IncomingMessage, response: ServerResponse): void {
     const id = String(incoming.headers["chutewick-attempt-id"] ?? "");
@@ -154,9 +161,14 @@
     incoming.resume();
     const head = { "chutewick-attempt-id": id, "chutewick-answer-seal": `seal-${id}` };
     if (service === "printer") {
-      response
-        .writeHead(200, { ...head, "content-type": "text/plain" })
-        .end(`label ${incoming.url}`);
+      function print(): void {
+        response
+          .writeHead(200, { ...head, "content-type": "text/plain" })
+          .end(`label ${incoming.url}`);
+      }
+      runner.underWay += 1;
+      response.once("close", printed);
+      setTimeout(print, incoming.url!.startsWith("/pay/") ? paymentTakes : 0);
       return;
     }
     response.writeHead(200, { ...head, "content-type": "text/event-stream" });
@@ -175,6 +187,9 @@
     }
     response.once("close", left);
   }
+  function printed(): void {
+    runner.underWay -= 1;
+  }
   system.runners.push(runner);
   function listen(resolve: (runner: StandIn) => void): void {
     function listening(): void {
@@ -276,6 +291,19 @@
         queueTokenCap: 100_000,
         retentionS: 40,
       },
+      {
+        name: "payments",
+        host: "shop.example",
+        pathPrefix: "/pay/",
+        routeType: "unsafe",
+        guardMs: 2_000,
+        targetMs: 300,
+        precedence: 0,
+        service: "printer",
+        maxAttempts: 3,
+        affinity: false,
+        resumable: false,
+      },
       {
         name: "labels",
         host: "shop.example",
@@ -590,6 +618,150 @@
   turnsCompleted,
 );
 
+/** What callers saw of calls that may run once. */
+interface FrozenCalls {
+  readonly answers: { id: string; path: string; status: number; text: string }[];
+  sent: number;
+  underWay: number;
+  /** Calls sent whose connection broke. */
+  broken: number;
+  freezes: number;
+  /** Freezes in which runners reset connections with calls of the access machine under way. */
+  strikes: number;
+}
+
+/** ms. Of each freeze in turn: below and above what this process takes for a sleep, and past a runner's time for idle connections. */
+const freezes = [20, 60, 120, 250, 450, 700, 1_100, 30, 90, 160, 500, 5_300];
+const calling = 8;
+
+async function callUntil(calls: FrozenCalls, isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    const headers = live();
+    const id = headers["chutewick-attempt-id"]!;
+    const path = `/pay/${id}`;
+    calls.sent += 1;
+    calls.underWay += 1;
+    try {
+      const { status, text } = await ask(1, "POST", path, headers, "{}");
+      calls.answers.push({ id, path, status, text });
+    } catch {
+      calls.broken += 1;
+    }
+    calls.underWay -= 1;
+  }
+}
+
+async function pause(span: number): Promise<void> {
+  const from = performance.now();
+  function passed(): boolean {
+    return performance.now() - from >= span;
+  }
+  await settled(passed);
+}
+
+/** The runners lose their connections while the machine is frozen: it wakes to a silence, a reset and unread bytes at once. */
+async function freezeInTurn(
+  calls: FrozenCalls,
+  child: ChildProcess,
+  runners: readonly StandIn[],
+): Promise<void> {
+  for (const span of freezes) {
+    await pause(150 + ((calls.sent * 7) % 40));
+    calls.freezes += 1;
+    child.kill("SIGSTOP");
+    let underWay = 0;
+    for (const runner of runners) underWay += runner.underWay;
+    if (underWay > 0) calls.strikes += 1;
+    for (const { server } of runners) server.closeAllConnections();
+    await pause(span);
+    child.kill("SIGCONT");
+  }
+}
+
+async function frozenWhileCalling(this: World, count: number): Promise<void> {
+  const calls: FrozenCalls = {
+    answers: [],
+    sent: 0,
+    underWay: 0,
+    broken: 0,
+    freezes: 0,
+    strikes: 0,
+  };
+  this.frozen = calls;
+  const { child } = this.system!.machines.find(isNamed, { name: "access-a-1" })!;
+  async function served(): Promise<boolean> {
+    const headers = live();
+    const path = `/pay/${headers["chutewick-attempt-id"]}`;
+    return (await ask(1, "POST", path, headers, "{}")).status === 200;
+  }
+  await until("a call is served", served);
+  let over = false;
+  function isOver(): boolean {
+    return over;
+  }
+  const callers: Promise<void>[] = [];
+  for (let index = 0; index < calling; index += 1) callers.push(callUntil(calls, isOver));
+  await freezeInTurn(calls, child, this.system!.runners);
+  await pause(300);
+  over = true;
+  await Promise.all(callers);
+  equal(calls.freezes, count);
+}
+When(
+  "callers send calls that may run once, while the access machine is frozen {int} times and the runners reset its connections",
+  { timeout: 90_000 },
+  frozenWhileCalling,
+);
+
+function metCalls(this: World, least: number): void {
+  const { strikes } = this.frozen;
+  equal(strikes >= least, true, `${strikes} freezes met calls at runners`);
+}
+Then("in {int} freezes or more runners reset connections with calls under way", metCalls);
+
+const promises = new Set([408, 421, 429, 503]);
+
+function answeredAsOwn(this: World): void {
+  const runs = new Map<string, number>();
+  for (const { ran } of this.system!.runners)
+    for (const id of ran) runs.set(id, (runs.get(id) ?? 0) + 1);
+  for (const [id, count] of runs) equal(count, 1, `${id} ran ${count} times`);
+  let served = 0;
+  for (const { id, path, status, text } of this.frozen.answers) {
+    if (promises.has(status)) equal(runs.get(id), undefined, `${id}: ${status}, and it ran`);
+    if (status !== 200) continue;
+    served += 1;
+    equal(text, `label ${path}`);
+  }
+  equal(served >= 100, true, `${served} calls were served`);
+}
+Then(
+  "each call was answered as its own, ran once at most, and not where the answer promised so",
+  answeredAsOwn,
+);
+
+async function spoilt(this: World): Promise<void> {
+  const system = this.system!;
+  const { child, name } = system.machines.find(isNamed, { name: "access-a-1" })!;
+  const path = join(system.folder, `${name}.json`);
+  writeFileSync(path, "{ half of a file");
+  await pause(300);
+  child.kill("SIGHUP");
+  rmSync(path);
+  await pause(300);
+  child.kill("SIGHUP");
+  await pause(100);
+}
+When("its settings file is spoilt without a signal, and with one", spoilt);
+
+async function servesOn(this: World): Promise<void> {
+  const headers = live();
+  const path = `/pay/${headers["chutewick-attempt-id"]}`;
+  equal((await ask(1, "POST", path, headers, "{}")).status, 200);
+  equal(this.system!.machines.find(isNamed, { name: "access-a-1" })!.ended, undefined);
+}
+Then("the access machine serves on", servesOn);
+
 function ended(this: World): void {
   const { system } = this;
   if (system === undefined) return;
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -10,7 +10,7 @@
   type ControlResult,
 } from "@chutewick/control";
 import type { PassInquiry } from "@chutewick/data";
-import { Ledger } from "@chutewick/parts";
+import { Ledger, callerLimits } from "@chutewick/parts";
 import {
   PlatformDialect,
   dialect,
@@ -108,6 +108,18 @@
 }
 When("it is translated on top of nothing", translated);
 
+function limited(this: World, limits: string): void {
+  this.document["limits"] = JSON.parse(limits) as unknown;
+  this.told = documents.replaced(JSON.stringify(this.document), 0);
+}
+When(/^its limits are (.*)$/, limited);
+
+function limitsOfCallers(this: World, callers: string): void {
+  const found = callerLimits.withUsual(checked(this.told).callers);
+  deepEqual(found, JSON.parse(callers));
+}
+Then(/^the product's limits of callers are (.*)$/, limitsOfCallers);
+
 function modified(this: World): void {
   const changed = { ...listed(this)[0], service: "printer" };
   this.modification = JSON.stringify({
@@ -204,6 +216,8 @@
   if (fault === "the same place twice") slips["pathPrefix"] = notes["pathPrefix"];
   if (fault === "weights of nothing") labels["weightedSplit"] = [{ service: "printer", weight: 0 }];
   if (fault === "no time to hold") notes["guardMs"] = 0;
+  if (fault === "a limit below 0") this.document["limits"] = { maxBodyBytes: -1 };
+  if (fault === "a limit in words") this.document["limits"] = { idleGuardMs: "long" };
   if (fault === "a name twice") slips["name"] = notes["name"];
   const text = JSON.stringify(this.document);
   this.told = documents.replaced(
