Queues of both kinds of lots on one waiting list, in modules of one job

Cause: lot.ts (709 lines) and pass-queue.ts (783) held the same logic twice, for lots of own ways and lots of passages: the ordered waiting list with its look for the first that may run, what is left of a lot that ended long ago, the token that comes back. Methods took up to eight parameters.

Now: waiting.ts (items in order of sequence by season or passage), tombstones.ts, refused-tickets.ts, queue-bucket.ts (bucket and limits of a queue, and the step that a command is applied in) are used by both. Messages and records stand in modules of their own (lot-messages, lot-records, lot-shares, pass-messages, pass-records, pass-turns, pass-reads). Records, keys and messages are unchanged.

Checked: 400 random runs of 300 commands each (118104 steps, every kind of command and result) gave the same results, record changes, derived state and due times with the machine of before and this one, with rebuilds in between. Features lot, passlot, bucket and marks: 48 scenarios, all passed; season passed before the last move of functions between modules.

--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -1,8 +1,12 @@
 export * from "./constants.js";
 export * from "./outcome.js";
+export * from "./pass-messages.js";
+export { claimOf, taskKey, type PassLot, type TaskRecord } from "./pass-records.js";
 export * from "./pass-queue.js";
 export * from "./bucket.js";
 export * from "./ledger.js";
+export * from "./lot-messages.js";
+export * from "./lot-shares.js";
 export * from "./lot.js";
 export * from "./chain.js";
 export * from "./view.js";
--- /dev/null
+++ b/packages/parts/src/pass-reads.ts
@@ -0,0 +1,40 @@
+import { constants } from "./constants.js";
+import type { Ledger } from "./ledger.js";
+import type { ListedResult, PassCommand, PassEntry, PassResult } from "./pass-messages.js";
+import { handedKey, numbered, type PassLot } from "./pass-records.js";
+
+/** Listed results from a position on, as many as fit into one message. */
+function results(
+  ledger: Ledger,
+  { lot: id, from }: Extract<PassCommand, { kind: "results" }>,
+): PassResult {
+  const lot = ledger.read<PassLot>(handedKey(id));
+  if (lot === undefined) return { kind: "UNKNOWN_LOT" };
+  const results: ListedResult[] = [];
+  let size = 0;
+  for (let at = from; at < lot.listed; at += 1) {
+    const result = ledger.read<ListedResult>(numbered("result", id, at))!;
+    /** Bytes of a text are at most three for each of its units. */
+    size += result.text.length * 3 + result.item.length * 3;
+    if (results.length > 0 && size > constants.resultsMost) break;
+    results.push(result);
+  }
+  return { kind: "RESULTS", lot: id, total: lot.total, open: lot.open > 0, results };
+}
+
+/** The body of an unfinished item, by its client's id. */
+function readItem(
+  ledger: Ledger,
+  { lot: id, item }: Extract<PassCommand, { kind: "read-item" }>,
+): PassResult {
+  const lot = ledger.read<PassLot>(handedKey(id));
+  if (lot === undefined) return { kind: "UNKNOWN_LOT" };
+  for (let index = 0; index < lot.total; index += 1) {
+    const entry = ledger.read<PassEntry>(numbered("body", id, index));
+    if (entry?.id === item) return { kind: "BODY", body: entry.body };
+  }
+  return { kind: "UNKNOWN_LOT" };
+}
+
+/** Reads of lots on passages; they change no record. */
+export const passReads = { results, readItem };
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -185,7 +185,7 @@
       {
         file: lot,
         from: "for (const [lot, count] of this.#open) {",
-        to: "for (const [lot] of this.#open) { let count = 0; for (const waiting of this.#waiting.values()) for (const [, key] of waiting) if (key.startsWith(`item/${lot}/`)) count += 1;",
+        to: "for (const [lot] of this.#open) { let count = 0; for (const season of this.#waiting.groups()) for (const { key } of this.#waiting.of(season)) if (key.startsWith(`item/${lot}/`)) count += 1;",
       },
     ],
   },
@@ -209,7 +209,7 @@
     cuts: [
       {
         file: lot,
-        from: 'if (lot.cancelled)\n            return this.#finish(ledger, key, item, "cancelled", time, {});',
+        from: 'if (lot.cancelled)\n            return this.#finish(step, open, { state: "cancelled" });',
         to: "",
       },
     ],
