A full or silent disk costs a machine its chains, not its process

Cause: a failed commit ended the process, and so did a refused write at its start, again and again until the disk had room. A stalled commit left the machine in its chains: the head of control kept every change for 6 s and told "unknown".

Now a failed commit loses nothing: its writes stay first in the queue, the oldest alone is tried after pauses of 0.1 to 2 s, then twice as many each time. A commit that has not ended for 1 s counts as a stall. Until all is durable again the machine leaves its views by the ordinary vote, refuses what it would have to write and goes on with reads. A damaged database is set aside and the machine comes back blank, and never as a founder.

Found on the way: lmdb's event turn batching makes a promise that cannot be reached, whose rejection ends the process after any failed commit; it is off now. lmdb ends the process by a signal where its lock file cannot be made, so a start writes a probe first. The length of the file was set in the loop; it is set in a thread.

The scenarios "refused as cut off" of a folder that had begun are replaced: it must be recognised, set aside, blank, of another identity and no founder. A file without the marker is refused as before.

--- a/features/steps/disk.ts
+++ b/features/steps/disk.ts
@@ -1,5 +1,13 @@
-import { equal, ok } from "node:assert/strict";
-import { mkdtempSync, rmSync, statSync, truncateSync } from "node:fs";
+import { equal, notEqual, ok } from "node:assert/strict";
+import {
+  mkdtempSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  statSync,
+  truncateSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
@@ -11,18 +19,23 @@
   diskFolder?: string;
   disk: Disk;
   opened: Outcome<Disk>;
+  identity: string;
 }
 
-function failed(error: Error): void {
-  throw error;
+const pageSize = 4_096;
+
+function unexpected(what: string): void {
+  throw new Error(`the disk is ${what}`);
 }
 
+const listener = { changed: unexpected, waiting: unexpected };
+
 function fileOf(world: World): string {
   return join(world.diskFolder!, "data.mdb");
 }
 
 async function open(world: World): Promise<Outcome<Disk>> {
-  return Disk.open(world.diskFolder!, "storage", "storage-1", failed);
+  return Disk.open(world.diskFolder!, { kind: "storage", name: "storage-1" }, listener);
 }
 
 async function aFolder(this: World): Promise<void> {
@@ -76,20 +89,45 @@
 
 async function left(this: World, what: string): Promise<void> {
   await written(this.disk, [["k", "x".repeat(40_000)]], 1);
+  this.identity = this.disk.identity;
   await this.disk.close();
-  if (what.startsWith("without")) truncateSync(fileOf(this), usedBytes(fileOf(this)) - 4_096);
-  else truncateSync(fileOf(this), 0);
-  if (what.includes("before its first")) rmSync(join(this.diskFolder!, "begun"));
+  damage(this, what);
   this.opened = await open(this);
 }
 When(/^its file is left (.+)$/, left);
 
-async function isNew(this: World): Promise<void> {
+function damage(world: World, what: string): void {
+  const file = fileOf(world);
+  const marker = join(world.diskFolder!, "begun");
+  if (what.startsWith("without its last used page")) truncateSync(file, usedBytes(file) - pageSize);
+  else if (what.startsWith("with zeros")) zeroPages(file);
+  else if (what.startsWith("out of the folder")) rmSync(file);
+  else if (what.startsWith("set aside")) renameSync(file, `${file}.damaged`);
+  else truncateSync(file, 0);
+  if (what.includes("before its first") || what.endsWith("without its marker")) rmSync(marker);
+}
+
+/** All pages but the two heads. */
+function zeroPages(file: string): void {
+  const bytes = readFileSync(file);
+  bytes.fill(0, pageSize * 2);
+  writeFileSync(file, bytes);
+}
+
+async function isNew(this: World, may: string): Promise<void> {
   if (!this.opened.ok) throw new Error(this.opened.reason);
-  equal(this.opened.value.chains().length, 0);
-  await this.opened.value.close();
+  const disk = this.opened.value;
+  equal(disk.chains().length, 0);
+  notEqual(disk.identity, this.identity);
+  equal(disk.isReplacement, may === "may not");
+  await disk.close();
+  const again = await open(this);
+  if (!again.ok) throw new Error(again.reason);
+  equal(again.value.identity, disk.identity);
+  equal(again.value.isReplacement, may === "may not");
+  await again.value.close();
 }
-Then("it is opened as a new one", isNew);
+Then(/^it is opened as a new one that (may|may not) found a group$/, isNew);
 
 function isRefused(this: World): void {
   ok(!this.opened.ok && this.opened.reason.includes("is cut off"));
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -16,6 +16,7 @@
   type ChainMessage,
   type ChainView,
   type ChainWrite,
+  type DiskCondition,
   type FeedMessage,
   type FellowMessage,
   type Member,
@@ -88,7 +89,12 @@
 export type ControlOutcome =
   | { readonly kind: "confirmed"; readonly value: ControlResult; readonly place: number }
   /** Surely without effect. */
-  | { readonly kind: "not-run"; readonly reason: string }
+  | {
+      readonly kind: "not-run";
+      readonly reason: string;
+      /** Set where the head's disk takes no writes. */
+      readonly isUnwritable?: boolean;
+    }
   | { readonly kind: "unknown" };
 
 export type ControlOutput =
@@ -111,6 +117,9 @@
   sentAt: number;
   /** The head that it was sent to. */
   to: string | undefined;
+  /** Sendings to a head, and how many of them a head answered as not entered for want of a disk. */
+  sent: number;
+  unwritable: number;
 }
 
 interface Held {
@@ -173,6 +182,9 @@
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #passed = new Map<string, Passed>();
   #contact: QuorumContact;
+  #disk: DiskCondition = "writable";
+  /** A planned stop is under way. */
+  #isStopping = false;
 
   constructor(origin: ControlOrigin, now: number) {
     this.#self = origin.member;
@@ -222,9 +234,36 @@
 
   /** A planned stop: the others take the view over at once (§8.6). */
   leave(now: number): ControlOutput[] {
+    this.#isStopping = true;
     return this.#vote(this.#agreement.leave(), now);
   }
 
+  /**
+   * The disk of this machine refuses writes, or takes them again. Meanwhile the others go on without it as without one that stops, as
+   * long as enough copies stay; it enters no change and goes on with reads.
+   */
+  diskChanged(condition: DiskCondition, now: number): ControlOutput[] {
+    this.#disk = condition;
+    const outputs = this.#isWritable ? [] : this.#abandonHeld();
+    if (!this.#isStopping)
+      outputs.push(
+        ...this.#vote(this.#isWritable ? this.#agreement.stay() : this.#agreement.leave(), now),
+      );
+    return outputs;
+  }
+
+  /** Nobody waits for what was entered here: whether it takes effect is for the next head to find out. */
+  #abandonHeld(): ControlOutput[] {
+    const outputs: ControlOutput[] = [];
+    for (const own of [...this.#held.keys()])
+      outputs.push(...this.#finish(own, { kind: "unknown" }));
+    return outputs;
+  }
+
+  get #isWritable(): boolean {
+    return this.#disk === "writable";
+  }
+
   /** Whether the group still counts on this machine and can soon do without it: others are enough, or one is being copied to. */
   get isNeeded(): boolean {
     const view = this.#chain.view;
@@ -303,14 +342,23 @@
       return [{ kind: "result", ticket, result: { kind: "not-run", reason: noQuorum } }];
     this.#ticketNumber += 1;
     const passed = `${this.#life}/${this.#ticketNumber}`;
-    this.#passed.set(passed, { ticket, command, since: now, sentAt: now, to: undefined });
+    this.#passed.set(passed, {
+      ticket,
+      command,
+      since: now,
+      sentAt: now,
+      to: undefined,
+      sent: 0,
+      unwritable: 0,
+    });
     return this.#passOn(passed, now);
   }
 
   #passOn(passed: string, now: number): ControlOutput[] {
     const held = this.#passed.get(passed)!;
-    const head = this.#chain.view?.members[0];
+    const head = this.#newestView?.members[0];
     held.sentAt = now;
+    held.sent += 1;
     held.to = head?.address;
     if (head === undefined)
       return this.#returned(passed, {
@@ -328,22 +376,39 @@
     ];
   }
 
+  /** The newest view that was decided, also where this machine cannot keep it yet: enough to know whom to ask. */
+  get #newestView(): ChainView | undefined {
+    return this.#agreement.view ?? this.#chain.view;
+  }
+
   /** What is the same twice as once is entered again, where it was not entered or nothing is known of it, until its time is over. */
   #returned(passed: string, result: ControlOutcome): ControlOutput[] {
     const held = this.#passed.get(passed);
-    if (held === undefined || (result.kind !== "confirmed" && isRepeatable(held.command)))
+    if (held === undefined) return [];
+    if (result.kind === "not-run" && result.isUnwritable === true) held.unwritable += 1;
+    if (result.kind !== "confirmed" && isRepeatable(held.command) && !this.#isHopeless(held))
       return [];
     this.#passed.delete(passed);
     return [{ kind: "result", ticket: held.ticket, result }];
   }
 
+  /** Whether no sending of an inquiry was entered, and no other member may take the place of a head whose disk takes no writes. */
+  #isHopeless(held: Passed): boolean {
+    return (
+      held.unwritable === held.sent &&
+      (this.#chain.view?.members.length ?? 0) <= this.#policy.copiesLeast
+    );
+  }
+
   #passAgain(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    const head = this.#chain.view?.members[0]?.address;
+    const head = this.#newestView?.members[0]?.address;
     for (const [passed, held] of [...this.#passed]) {
       if (now - held.since > constants.confirmPatience) {
         this.#passed.delete(passed);
-        outputs.push({ kind: "result", ticket: held.ticket, result: { kind: "unknown" } });
+        const result: ControlOutcome =
+          held.unwritable === held.sent ? unwritable : { kind: "unknown" };
+        outputs.push({ kind: "result", ticket: held.ticket, result });
       } else if (
         isRepeatable(held.command) &&
         (now - held.sentAt > constants.passAgainEvery || (head !== undefined && head !== held.to))
@@ -360,6 +425,7 @@
     now: number,
   ): ControlOutput[] {
     for (const held of this.#held.values()) if (held.ticket === ticket && held.to === to) return [];
+    if (!this.#isWritable && command.kind !== "read") return this.#answer(ticket, to, unwritable);
     const judged = this.#withSight(command, now);
     if (judged === undefined) return this.#answer(ticket, to, { kind: "not-run", reason: tooSoon });
     this.#ticketNumber += 1;
@@ -749,7 +815,12 @@
   /** The head's duty: place queues, take the lost and the slow out, bring copies up (§8.2). */
   #plan(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    if (!this.#chain.serves || this.#chain.confirmed !== this.#chain.place || now < this.#planFrom)
+    if (
+      !this.#isWritable ||
+      !this.#chain.serves ||
+      this.#chain.confirmed !== this.#chain.place ||
+      now < this.#planFrom
+    )
       return outputs;
     if (!this.#policy.goesOnAlone) outputs.push(...this.#planFleet(now));
     for (const [, goodbye] of this.#feed.under<Goodbye>(keys.goodbye)) {
@@ -1004,6 +1075,7 @@
       head: this.#chain.isHead,
       /** Whether a majority of control is reached; where not, all of this is what was known before. */
       quorum: this.inContact(now),
+      disk: this.#disk,
       nodes: roll.nodes.map(cardOf),
       runners: roll.runners,
       queues,
@@ -1053,6 +1125,12 @@
   }
 }
 
+const unwritable: ControlOutcome = {
+  kind: "not-run",
+  reason: "the disk of the head of the control group takes no writes",
+  isUnwritable: true,
+};
+
 const nothing: Roll = { nodes: [], runners: [] };
 
 function cardOf(node: Roll["nodes"][number]): Record<string, unknown> {
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -4,7 +4,7 @@
   Disk,
   Gateway,
   Wire,
-  diskFailed,
+  diskListener,
   listen,
   metrics,
   monotonic,
@@ -16,7 +16,13 @@
   type Log,
   type Settings,
 } from "@chutewick/shell";
-import { constants, outcome, type Outcome, type RunnerCard } from "@chutewick/parts";
+import {
+  constants,
+  outcome,
+  type DiskCondition,
+  type Outcome,
+  type RunnerCard,
+} from "@chutewick/parts";
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
 import type { ControlDesk, ControlFront } from "./control-desk.js";
@@ -64,10 +70,11 @@
         votes: disk.votes(),
         holding: disk.holding("control"),
         policy: configured.policyOf(settings),
-        founding: settings.founding,
+        founding: settings.founding && !disk.isReplacement,
       },
       monotonic(),
     );
+    disk.forgetFound();
     this.#wire = new Wire({
       address: settings.wire,
       listen: settings.wireListen ?? settings.wire,
@@ -97,22 +104,36 @@
     log: Log,
     extras: ControlExtras = {},
   ): Promise<Outcome<ControlProcess>> {
-    const disk = await Disk.open(settings.data!, "control", settings.name, diskFailed(log));
+    const running: { process?: ControlProcess } = {};
+    function changed(condition: DiskCondition): void {
+      running.process?.changeDisk(condition);
+    }
+    const owner = { kind: "control", name: settings.name };
+    const disk = await Disk.open(settings.data!, owner, diskListener(log, changed));
     if (!disk.ok) return disk;
-    const control = new ControlProcess(settings, log, disk.value, extras);
-    const trouble = await listen(control.#wire, control.#gateway);
+    const held = disk.value;
+    const { damage } = held;
+    if (damage !== undefined) log.error({ damage }, "the database was set aside as damaged");
+    const opened = new ControlProcess(settings, log, held, extras);
+    running.process = opened;
+    const trouble = await listen(opened.#wire, opened.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void {
-      control.#perform(control.#core.beat(now, Date.now()));
+      held.beat(now);
+      opened.#perform(opened.#core.beat(now, Date.now()));
     }
-    control.#perform(control.#core.start(monotonic()));
-    control.#beat.start(strike);
-    for (const front of control.#fronts) await front.open(control.#desk());
+    opened.#perform(opened.#core.start(monotonic()));
+    opened.#beat.start(strike);
+    for (const front of opened.#fronts) await front.open(opened.#desk());
     log.info(
       { identity: disk.value.identity, wire: settings.wire, http: settings.http },
       "control machine is up",
     );
-    return outcome.good(control);
+    return outcome.good(opened);
+  }
+
+  changeDisk(condition: DiskCondition): void {
+    this.#perform(this.#core.diskChanged(condition, monotonic()));
   }
 
   /** Planned stop: the others go on without it first, so that nobody waits for its silence (§8.6). */
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -110,6 +110,12 @@
     return this.tell(now);
   }
 
+  /** This node takes up its part again after it had left. */
+  stay(now: number): Send[] {
+    this.#leaving = false;
+    return this.tell(now);
+  }
+
   /** Whether new work may be taken at this moment. */
   holds(now: number): boolean {
     return (
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -14,6 +14,7 @@
   type ChainResult,
   type ChainView,
   type ChainWrite,
+  type DiskCondition,
   type QueueCommand,
   type QueueResult,
   type ShareClass,
@@ -117,6 +118,9 @@
   #partitions = new Map<string, Partition>();
   #waiting = new Map<string, Waiting>();
   #ticketNumber = 0;
+  #disk: DiskCondition = "writable";
+  /** A planned stop is under way. */
+  #isStopping = false;
 
   constructor(
     standing: Standing,
@@ -289,6 +293,8 @@
     const partition = this.#partitions.get(queue);
     if (partition === undefined)
       return [result(from, ticket, { kind: "elsewhere", reason: "this queue is not kept here" })];
+    if (!this.#isWritable && !isRead(command))
+      return [result(from, ticket, { kind: "elsewhere", reason: this.#unwritableReason })];
     let entered = command;
     /** What a configuration or a season governs needs a lease; records and cancels never wait for one (§7). */
     if (
@@ -658,9 +664,30 @@
 
   /** A planned stop: control takes this machine out of the chains that keep two copies without it. */
   leave(now: number): StorageOutput[] {
+    this.#isStopping = true;
     return this.membership.leave(now);
   }
 
+  /**
+   * The disk of this machine refuses writes, or takes them again. Meanwhile the machine leaves its chains as one that stops does, as long
+   * as enough copies stay, takes nothing that must be written and goes on with reads (§3.4).
+   */
+  diskChanged(condition: DiskCondition, now: number): StorageOutput[] {
+    this.#disk = condition;
+    if (this.#isStopping) return [];
+    return this.#isWritable ? this.membership.stay(now) : this.membership.leave(now);
+  }
+
+  get #isWritable(): boolean {
+    return this.#disk === "writable";
+  }
+
+  get #unwritableReason(): string {
+    return this.#disk === "stalled"
+      ? "the disk of the owner does not answer"
+      : "the disk of the owner takes no writes";
+  }
+
   /** Queues that this machine still is a member of. */
   get held(): number {
     let count = 0;
@@ -687,6 +714,7 @@
       zone: this.#standing.zone,
       place: this.membership.follower.place,
       leaseLeft: Math.round(this.membership.leaseLeft(now)),
+      disk: this.#disk,
       queues,
     };
   }
@@ -741,6 +769,11 @@
   return classes;
 }
 
+/** Whether a command changes no record, so that it needs no write anywhere. */
+function isRead({ kind }: QueueCommand): boolean {
+  return kind === "status" || kind === "count" || kind === "results" || kind === "read-item";
+}
+
 function isQueue(this: { queue: string }, plan: { queue: string }): boolean {
   return plan.queue === this.queue;
 }
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -3,7 +3,7 @@
   Disk,
   Gateway,
   Wire,
-  diskFailed,
+  diskListener,
   listen,
   metrics,
   monotonic,
@@ -14,7 +14,13 @@
   type Log,
   type Settings,
 } from "@chutewick/shell";
-import { constants, outcome, type ChainHolding, type Outcome } from "@chutewick/parts";
+import {
+  constants,
+  outcome,
+  type ChainHolding,
+  type DiskCondition,
+  type Outcome,
+} from "@chutewick/parts";
 import type { ServiceSchema } from "moleculer";
 import { StorageCore, type DataMessage, type StorageOutput } from "./storage-core.js";
 
@@ -36,6 +42,7 @@
     }
     const holdings = new Map<string, ChainHolding>();
     for (const chain of disk.chains()) holdings.set(chain, disk.holding(chain)!);
+    disk.forgetFound();
     this.#core = new StorageCore(
       {
         identity: disk.identity,
@@ -68,17 +75,31 @@
   }
 
   static async open(settings: Settings, log: Log): Promise<Outcome<StorageProcess>> {
-    const disk = await Disk.open(settings.data!, "storage", settings.name, diskFailed(log));
+    const running: { process?: StorageProcess } = {};
+    function changed(condition: DiskCondition): void {
+      running.process?.changeDisk(condition);
+    }
+    const owner = { kind: "storage", name: settings.name };
+    const disk = await Disk.open(settings.data!, owner, diskListener(log, changed));
     if (!disk.ok) return disk;
-    const storage = new StorageProcess(settings, log, disk.value);
-    const trouble = await listen(storage.#wire, storage.#gateway);
+    const held = disk.value;
+    const { damage } = held;
+    if (damage !== undefined) log.error({ damage }, "the database was set aside as damaged");
+    const opened = new StorageProcess(settings, log, held);
+    running.process = opened;
+    const trouble = await listen(opened.#wire, opened.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void {
-      storage.#perform(storage.#core.beat(now));
+      held.beat(now);
+      opened.#perform(opened.#core.beat(now));
     }
-    storage.#beat.start(strike);
+    opened.#beat.start(strike);
     log.info({ identity: disk.value.identity, wire: settings.wire }, "storage machine is up");
-    return outcome.good(storage);
+    return outcome.good(opened);
+  }
+
+  changeDisk(condition: DiskCondition): void {
+    this.#perform(this.#core.diskChanged(condition, monotonic()));
   }
 
   /** Planned stop: duties are handed over first, within a bound. */
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -156,6 +156,12 @@
   diskMarkOldest: 1,
   /** bytes. A data folder's file is kept this much longer than what is used, half of it at least; a transaction takes far less. */
   diskAhead: 8_388_608,
+  /** ms. A commit that takes this long is taken for a stalled disk: seven times a slow one of 150 ms, and under the 2 s of a change. */
+  diskStallAfter: 1_000,
+  /** ms. Pause before a failed commit is tried again: it doubles up to the most, and starts anew once the disk has worked for `diskSettles`. */
+  diskRetryLeast: 100,
+  diskRetryMost: 2_000,
+  diskSettles: 5_000,
   /** ms. A storage machine that stops as planned waits this long for its queues to go on without it. */
   handOverPatience: 4_000,
   /** ms. A planned stop finishes streams within this bound. */
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./constants.js";
+export * from "./disk-health.js";
 export * from "./outcome.js";
 export * from "./pass-messages.js";
 export { claimOf, taskKey, type PassLot, type TaskRecord } from "./pass-records.js";
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -137,6 +137,12 @@
     return this.#greetings();
   }
 
+  /** This machine asks to be taken in again after it had left. */
+  stay(): ViewCommand[] {
+    this.#leaving = false;
+    return this.#greetings();
+  }
+
   #isLeaving(identity: string): boolean {
     return identity === this.#self.identity
       ? this.#leaving
--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -1,19 +1,7 @@
 import { randomUUID } from "node:crypto";
-import {
-  closeSync,
-  existsSync,
-  fsyncSync,
-  mkdirSync,
-  openSync,
-  readFileSync,
-  readSync,
-  readdirSync,
-  rmSync,
-  statSync,
-  truncateSync,
-  writeFileSync,
-} from "node:fs";
-import { dirname, join } from "node:path";
+import { statSync, truncate } from "node:fs";
+import { join } from "node:path";
+import { promisify } from "node:util";
 import {
   constants,
   outcome,
@@ -21,306 +9,377 @@
   type ChainHolding,
   type ChainState,
   type ChainWrite,
+  type DiskCondition,
   type Entry,
   type Outcome,
   type VoteState,
 } from "@chutewick/parts";
-import { metrics } from "./metrics.js";
+import {
+  databaseFile,
+  markBegun,
+  releaseFolder,
+  setAside,
+  takeFolder,
+  type TakenFolder,
+} from "./data-folder.js";
+import { WriteQueue, type JobStore, type WriteJob } from "./write-queue.js";
 import type { RootDatabase } from "lmdb";
 
-/** One data folder, one process; a write counts only once it is synced (docs/design.md §10.2). */
+/** First record of a data folder. */
 interface Meta {
   readonly product: string;
   readonly mark: number;
   readonly kind: string;
   readonly identity: string;
+  /** Set where an earlier database of this folder was lost. */
+  readonly isReplacement?: boolean;
+}
+
+/** Whose folder it is. */
+export interface DiskOwner {
+  /** Kind of machine: control or storage. */
+  readonly kind: string;
+  /** Name in the deployment. */
+  readonly name: string;
+}
+
+/** What is told of a disk. */
+export interface DiskListener {
+  /** The disk's condition changed; with the error of the last failed commit. */
+  changed(condition: DiskCondition, error: Error | undefined): void;
+  /** An attempt to open the folder failed, and another one follows. */
+  waiting(reason: string): void;
 }
 
-interface Job {
-  readonly run: () => void;
-  readonly done: () => void;
+/** What the folder held when it was opened. */
+interface Found {
+  readonly votes: VoteState | undefined;
+  readonly holdings: ReadonlyMap<string, ChainHolding>;
 }
 
-export class Disk {
+interface OpenedFolder {
+  readonly folder: string;
+  readonly base: RootDatabase;
+  readonly meta: Meta;
+  readonly found: Found;
+  readonly damage: string | undefined;
+}
+
+const truncateFile = promisify(truncate);
+
+/** lmdb's code for an environment that can no longer be used, as after a failed write of its head page. */
+const lmdbPanic = -30_795;
+
+/** Codes of errors that pass once the disk has room or answers again: of the file system by name, of lmdb by number. */
+const passingCodes: ReadonlySet<unknown> = new Set([
+  "ENOSPC",
+  "EDQUOT",
+  "EFBIG",
+  "EIO",
+  28,
+  122,
+  27,
+  5,
+  lmdbPanic,
+]);
+
+/** Thrown where a data folder cannot be written now, but may be later. */
+class FolderUnwritable extends Error {}
+
+/** One data folder, one process; a write counts only once it is synced (docs/design.md §10.2). */
+export class Disk implements JobStore {
   readonly identity: string;
+  /** Whether an earlier database of this folder was lost, so that this machine must not found a group (§2.2). */
+  readonly isReplacement: boolean;
+  /** Why the database found here was set aside when the folder was opened. */
+  readonly damage: string | undefined;
   #folder: string;
   #base: RootDatabase;
-  #jobs: Job[] = [];
-  #busy = false;
-  #failed: (error: Error) => void;
+  #found: Found;
+  #queue: WriteQueue;
   /** bytes. Length that the file surely has. */
   #reserved = 0;
-  syncs = 0;
 
-  private constructor(
-    folder: string,
-    base: RootDatabase,
-    identity: string,
-    failed: (error: Error) => void,
-  ) {
+  private constructor({ folder, base, meta, found, damage }: OpenedFolder, listener: DiskListener) {
     this.#folder = folder;
     this.#base = base;
-    this.identity = identity;
-    this.#failed = failed;
+    this.identity = meta.identity;
+    this.isReplacement = meta.isReplacement === true;
+    this.damage = damage;
+    this.#found = found;
+    this.#queue = new WriteQueue(this, listener.changed.bind(listener));
   }
 
+  /**
+   * Opens a folder, and waits with a growing pause while its disk takes no writes. A damaged database is set aside and a blank one with
+   * a new identity made.
+   */
   static async open(
     folder: string,
-    kind: string,
-    name: string,
-    failed: (error: Error) => void,
+    owner: DiskOwner,
+    listener: DiskListener,
   ): Promise<Outcome<Disk>> {
+    let pause: number = constants.diskRetryLeast;
+    for (;;) {
+      try {
+        return await Disk.#tryOpen(folder, owner, listener);
+      } catch (error) {
+        if (!(error instanceof FolderUnwritable))
+          return outcome.bad(`${folder}: cannot be opened: ${(error as Error).message}`);
+        listener.waiting(error.message);
+      }
+      await elapsed(pause);
+      pause = Math.min(pause * 2, constants.diskRetryMost);
+    }
+  }
+
+  static async #tryOpen(
+    folder: string,
+    owner: DiskOwner,
+    listener: DiskListener,
+  ): Promise<Outcome<Disk>> {
+    let base: RootDatabase | undefined;
     try {
-      mkdirSync(folder, { recursive: true });
-      const found = readdirSync(folder);
-      const foreign = found.filter(isForeign);
-      if (foreign.length > 0)
-        return outcome.bad(
-          `${folder}: holds files that are not chutewick's, such as ${foreign[0]}`,
-        );
-      const holder = lock(folder);
-      if (holder !== undefined) return outcome.bad(`${folder}: is in use by process ${holder}`);
-      const file = join(folder, "data.mdb");
-      const marker = join(folder, "begun");
-      let fresh = !existsSync(file);
-      if (!fresh) {
-        const damage = inspect(file);
-        /** Power went before the first transaction of this folder was synced: nothing was ever promised from it. */
-        if (damage !== undefined && existsSync(marker)) return outcome.bad(`${file}: ${damage}`);
-        if (damage !== undefined && !isUnfinished(file)) return outcome.bad(`${file}: ${damage}`);
-        if (damage !== undefined) {
-          rmSync(file);
-          rmSync(join(folder, "lock.mdb"), { force: true });
-          fresh = true;
-        }
+      let taken = takeFolder(folder);
+      if (!taken.ok) return taken;
+      let damage = taken.value.damage;
+      base = await openBase(folder);
+      let found = readAll(base);
+      if (typeof found === "string") {
+        if (!taken.value.hasBegun) return outcome.bad(`${folder}: ${found}`);
+        damage = found;
+        await base.close();
+        setAside(folder);
+        taken = takeFolder(folder);
+        if (!taken.ok) return taken;
+        base = await openBase(folder);
+        found = nothingFound;
       }
-      /** Only processes with a folder load its native code. */
-      const { open } = await import("lmdb");
-      /** overlappingSync would resolve writes before they are synced. */
-      const base = open({ path: folder, overlappingSync: false, compression: false, cache: false });
-      let meta = base.get("meta") as Meta | undefined;
-      if (meta === undefined) {
-        if (!fresh) return outcome.bad(`${folder}: data.mdb is not chutewick's`);
-        meta = {
-          product: "chutewick",
-          mark: constants.diskMark,
-          kind,
-          identity: `${name}-${randomUUID()}`,
-        };
-        await base.put("meta", meta);
-        syncFolder(folder);
-        syncFolder(dirname(folder));
+      const meta = await metaOf(base, folder, owner, taken.value);
+      if (!meta.ok) {
+        await base.close();
+        return meta;
       }
-      if (!existsSync(marker)) mark(folder, marker);
-      if (meta.product !== "chutewick") return outcome.bad(`${folder}: belongs to ${meta.product}`);
-      if (meta.mark > constants.diskMark || meta.mark < constants.diskMarkOldest)
-        return outcome.bad(
-          `${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskMark}`,
-        );
-      if (meta.kind !== kind)
-        return outcome.bad(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
-      const disk = new Disk(folder, base, meta.identity, failed);
-      disk.#reserve();
+      const disk = new Disk({ folder, base, meta: meta.value, found, damage }, listener);
+      await disk.#reserve();
       return outcome.good(disk);
     } catch (error) {
-      return outcome.bad(`${folder}: cannot be opened: ${(error as Error).message}`);
+      const cause = await causeOf(error as Error);
+      await base?.close().catch(ignore);
+      if (isPassing(cause)) throw new FolderUnwritable(cause.message);
+      throw cause;
     }
   }
 
+  get condition(): DiskCondition {
+    return this.#queue.condition;
+  }
+
+  get syncs(): number {
+    return this.#queue.commits;
+  }
+
+  /** To be called with each beat of the process. */
+  beat(now: number): void {
+    this.#queue.beat(now);
+  }
+
+  /** Votes that were held when the folder was opened. */
   votes(): VoteState | undefined {
-    return this.#base.get("votes") as VoteState | undefined;
+    return this.#found.votes;
   }
 
+  /** Names of the chains that were held when the folder was opened. */
   chains(): string[] {
-    const names: string[] = [];
-    for (const { key } of this.#base.getRange({ start: ["state"], end: ["state", "\uffff"] }))
-      names.push((key as string[])[1]!);
-    return names;
+    return [...this.#found.holdings.keys()];
   }
 
+  /** What was held of a chain when the folder was opened. */
   holding(chain: string): ChainHolding | undefined {
-    const state = this.#base.get(["state", chain]) as ChainState | undefined;
-    if (state === undefined) return undefined;
-    const records: Change[] = [];
-    for (const { key, value } of this.#base.getRange({
-      start: ["record", chain],
-      end: ["record", chain, "\uffff"],
-    }))
-      records.push([(key as string[])[2]!, value]);
-    const entries: Entry[] = [];
-    for (const { value } of this.#base.getRange({
-      start: ["entry", chain],
-      end: ["entry", chain, Number.MAX_SAFE_INTEGER],
-    }))
-      entries.push(value as Entry);
-    return { state, records, entries };
+    return this.#found.holdings.get(chain);
+  }
+
+  /** Drops what was read at opening, once the cores have taken it. */
+  forgetFound(): void {
+    this.#found = nothingFound;
   }
 
   writeVotes(state: VoteState, done: () => void): void {
-    const base = this.#base;
-    function run(): void {
-      base.put("votes", state);
+    const self = this;
+    function apply(): void {
+      self.#base.put("votes", state);
     }
-    this.#add({ run, done });
+    this.#queue.add({ apply, done });
   }
 
   writeChain(chain: string, write: ChainWrite, done: () => void): void {
-    const base = this.#base;
-    function run(): void {
-      if (write.clear) {
-        for (const key of [
-          ...base.getKeys({ start: ["record", chain], end: ["record", chain, "\uffff"] }),
-        ])
-          base.remove(key);
-        for (const key of [
-          ...base.getKeys({
-            start: ["entry", chain],
-            end: ["entry", chain, Number.MAX_SAFE_INTEGER],
-          }),
-        ])
-          base.remove(key);
-      }
-      for (const [key, value] of write.changes) {
-        if (value === undefined || value === null) base.remove(["record", chain, key]);
-        else base.put(["record", chain, key], value);
-      }
-      for (const entry of write.entries) base.put(["entry", chain, entry.place], entry);
-      for (const place of write.drop) base.remove(["entry", chain, place]);
-      base.put(["state", chain], write.state);
+    const self = this;
+    function apply(): void {
+      applyChain(self.#base, chain, write);
     }
-    this.#add({ run, done });
+    this.#queue.add({ apply, done });
   }
 
-  #add(job: Job): void {
-    this.#jobs.push(job);
-    if (!this.#busy) void this.#work();
+  /** One synced transaction in a thread of its own; this process's loop goes on meanwhile. */
+  async commit(jobs: readonly WriteJob[]): Promise<void> {
+    function all(): void {
+      for (const job of jobs) job.apply();
+    }
+    try {
+      await this.#base.transaction(all);
+      await this.#reserve();
+    } catch (error) {
+      const cause = await causeOf(error as Error);
+      if ((cause as { code?: unknown }).code === lmdbPanic) await this.#reopen();
+      throw cause;
+    }
   }
 
-  /** What came while one transaction was being synced goes into the next as one. */
-  async #work(): Promise<void> {
-    this.#busy = true;
-    while (this.#jobs.length > 0) {
-      const jobs = this.#jobs;
-      this.#jobs = [];
-      const start = performance.now();
-      function all(): void {
-        for (const job of jobs) job.run();
-      }
-      try {
-        await this.#base.transaction(all);
-      } catch (error) {
-        this.#failed(error as Error);
-        return;
-      }
-      this.syncs += 1;
-      this.#reserve();
-      metrics.synced(performance.now() - start);
-      for (const job of jobs) job.done();
-    }
-    this.#busy = false;
+  /** After a failed write of a head page lmdb refuses everything until it is opened anew. */
+  async #reopen(): Promise<void> {
+    await this.#base.close();
+    this.#base = await openBase(this.#folder);
   }
 
   /**
    * Keeps the file longer than its last page: lmdb does not write pages that a transaction took and gave back, and a file that ends
-   * before them looks cut off (§10.2).
+   * before them looks cut off.
    */
-  #reserve(): void {
+  async #reserve(): Promise<void> {
     const { lastPageNumber, pageSize } = this.#base.getStats() as {
       lastPageNumber: number;
       pageSize: number;
     };
     const used = (lastPageNumber + 1) * pageSize;
     if (used + constants.diskAhead / 2 <= this.#reserved) return;
-    const file = join(this.#folder, "data.mdb");
-    this.#reserved = Math.max(statSync(file).size, used + constants.diskAhead);
-    truncateSync(file, this.#reserved);
+    const file = join(this.#folder, databaseFile);
+    const length = Math.max(statSync(file).size, used + constants.diskAhead);
+    await truncateFile(file, length);
+    this.#reserved = length;
   }
 
   async close(): Promise<void> {
-    await this.#base.close();
-    rmSync(join(this.#folder, "process"), { force: true });
+    this.#queue.close();
+    /** Closing waits for the commit in flight, which a stalled disk does not end. */
+    if (this.condition === "writable") await this.#base.close();
+    releaseFolder(this.#folder);
   }
 }
 
-/** A new file's name counts only once its folder is synced too. */
-function syncFolder(folder: string): void {
-  const descriptor = openSync(folder, "r");
-  fsyncSync(descriptor);
-  closeSync(descriptor);
+const nothingFound: Found = { votes: undefined, holdings: new Map() };
+
+/** Only processes with a folder load lmdb's native code. */
+async function openBase(folder: string): Promise<RootDatabase> {
+  const { open } = await import("lmdb");
+  return open({
+    path: folder,
+    /** It would resolve writes before they are synced. */
+    overlappingSync: false,
+    /** Its promises cannot be reached, and one that is rejected by a failed commit would end the process. */
+    eventTurnBatching: false,
+    compression: false,
+    cache: false,
+  });
 }
 
-/** Says that the folder's first transaction is synced. */
-function mark(folder: string, marker: string): void {
-  const descriptor = openSync(marker, "w");
-  fsyncSync(descriptor);
-  closeSync(descriptor);
-  syncFolder(folder);
+async function metaOf(
+  base: RootDatabase,
+  folder: string,
+  { kind, name }: DiskOwner,
+  taken: TakenFolder,
+): Promise<Outcome<Meta>> {
+  let meta = base.get("meta") as Meta | undefined;
+  if (meta === undefined) {
+    if (!taken.isFresh) return outcome.bad(`${folder}: ${databaseFile} is not chutewick's`);
+    meta = {
+      product: "chutewick",
+      mark: constants.diskMark,
+      kind,
+      identity: `${name}-${randomUUID()}`,
+      ...(taken.isReplacement ? { isReplacement: true } : {}),
+    };
+    await base.put("meta", meta);
+  }
+  markBegun(folder);
+  if (meta.product !== "chutewick") return outcome.bad(`${folder}: belongs to ${meta.product}`);
+  if (meta.mark > constants.diskMark || meta.mark < constants.diskMarkOldest)
+    return outcome.bad(
+      `${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskMark}`,
+    );
+  if (meta.kind !== kind)
+    return outcome.bad(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
+  return outcome.good(meta);
 }
 
-/** Whether no transaction of it was ever synced: shorter than its two heads, or they name no transaction with pages. */
-function isUnfinished(file: string): boolean {
-  return statSync(file).size < pageSize * 2 || newest(file) === undefined;
+/** All that the folder holds, or what is wrong with it where it cannot be read. */
+function readAll(base: RootDatabase): Found | string {
+  try {
+    const holdings = new Map<string, ChainHolding>();
+    for (const { key, value } of base.getRange({ start: ["state"], end: ["state", "\uffff"] })) {
+      const chain = (key as string[])[1]!;
+      holdings.set(chain, holdingOf(base, chain, value as ChainState));
+    }
+    return { votes: base.get("votes") as VoteState | undefined, holdings };
+  } catch (error) {
+    return `cannot be read: ${(error as Error).message}`;
+  }
 }
 
-function isForeign(file: string): boolean {
-  return file !== "begun" && file !== "data.mdb" && file !== "lock.mdb" && file !== "process";
+function holdingOf(base: RootDatabase, chain: string, state: ChainState): ChainHolding {
+  const records: Change[] = [];
+  for (const { key, value } of base.getRange(recordsOf(chain)))
+    records.push([(key as string[])[2]!, value]);
+  const entries: Entry[] = [];
+  for (const { value } of base.getRange(entriesOf(chain))) entries.push(value as Entry);
+  return { state, records, entries };
 }
 
-/** Start of a process in clock ticks, so that a number used again is not taken for the old holder. */
-function startOf(process: number | "self"): string | undefined {
-  try {
-    const line = readFileSync(`/proc/${process}/stat`, "utf8");
-    return line.slice(line.lastIndexOf(")") + 2).split(" ")[19];
-  } catch {
-    return undefined;
+function recordsOf(chain: string): { start: string[]; end: string[] } {
+  return { start: ["record", chain], end: ["record", chain, "\uffff"] };
+}
+
+function entriesOf(chain: string): { start: string[]; end: (string | number)[] } {
+  return { start: ["entry", chain], end: ["entry", chain, Number.MAX_SAFE_INTEGER] };
+}
+
+/** Within a transaction. Sets and removes by key only, so that the same write can be applied again after a failed commit. */
+function applyChain(base: RootDatabase, chain: string, write: ChainWrite): void {
+  if (write.clear) {
+    for (const key of [...base.getKeys(recordsOf(chain))]) base.remove(key);
+    for (const key of [...base.getKeys(entriesOf(chain))]) base.remove(key);
+  }
+  for (const [key, value] of write.changes) {
+    if (value === undefined || value === null) base.remove(["record", chain, key]);
+    else base.put(["record", chain, key], value);
   }
+  for (const entry of write.entries) base.put(["entry", chain, entry.place], entry);
+  for (const place of write.drop) base.remove(["entry", chain, place]);
+  base.put(["state", chain], write.state);
 }
 
-function lock(folder: string): string | undefined {
-  const file = join(folder, "process");
-  if (existsSync(file)) {
-    const [holder, start] = readFileSync(file, "utf8").split(" ");
-    if (
-      holder !== undefined &&
-      start !== undefined &&
-      Number(holder) !== process.pid &&
-      startOf(Number(holder)) === start
-    )
-      return holder;
+/** lmdb tells the reason of a failed commit in a promise of its own, which must be taken or it ends the process. */
+async function causeOf(error: Error): Promise<Error> {
+  const { commitError } = error as { commitError?: Promise<unknown> };
+  if (commitError === undefined) return error;
+  try {
+    await commitError;
+  } catch (cause) {
+    return cause as Error;
   }
-  writeFileSync(file, `${process.pid} ${startOf("self") ?? "0"}`);
-  return undefined;
+  return error;
+}
+
+function isPassing(error: Error): boolean {
+  return passingCodes.has((error as { code?: unknown }).code);
 }
 
-const pageSize = 4_096;
-const magic = 0xbeefc0de;
-
-/** The last page of the newest transaction that the file's two heads tell of; undefined where neither is one. */
-function newest(file: string): bigint | undefined {
-  const bytes = Buffer.alloc(pageSize * 2);
-  const descriptor = openSync(file, "r");
-  readSync(descriptor, bytes, 0, bytes.length, 0);
-  closeSync(descriptor);
-  let last: bigint | undefined;
-  let transaction = -1n;
-  for (const start of [0, pageSize]) {
-    const at = start + 24;
-    if (bytes.readUInt32LE(at) !== magic) continue;
-    const found = bytes.readBigUInt64LE(at + 128);
-    if (found <= transaction) continue;
-    transaction = found;
-    last = bytes.readBigUInt64LE(at + 120);
+function elapsed(milliseconds: number): Promise<void> {
+  function begin(resolve: () => void): void {
+    setTimeout(resolve, milliseconds);
   }
-  return last;
+  return new Promise<void>(begin);
 }
 
-/** A truncated file would end the process by a signal when its map is read, so it is measured first (§10.2). */
-function inspect(file: string): string | undefined {
-  const size = statSync(file).size;
-  if (size < pageSize * 2) return "is cut off";
-  const last = newest(file);
-  if (last === undefined) return "is not an lmdb file";
-  return BigInt(size) < (last + 1n) * BigInt(pageSize)
-    ? `is cut off: ${size} bytes, and page ${last} is used`
-    : undefined;
+function ignore(): void {
+  // Nothing is to be done.
 }
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -8,4 +8,5 @@
 export * from "./metrics.js";
 export * from "./settings.js";
 export * from "./wire.js";
+export * from "./write-queue.js";
 export * from "./program.js";
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -1,10 +1,11 @@
-import type { Outcome } from "@chutewick/parts";
+import type { DiskCondition, Outcome } from "@chutewick/parts";
 import { option, optional, string } from "cmd-ts";
 import { StartError } from "./errors.js";
 import type { Gateway } from "./gateway.js";
 import { log as logs, type Log } from "./log.js";
 import { settings, type Flags, type Settings } from "./settings.js";
 import type { Wire } from "./wire.js";
+import type { DiskListener } from "./disk.js";
 
 /** What the three daemons have in common: flags, checked settings, stop on a signal (docs/design.md §10). */
 export const flags = {
@@ -106,14 +107,16 @@
   return undefined;
 }
 
-/** A folder that can no longer be written ends the process: it could promise nothing. */
-export function diskFailed(log: Log): (error: Error) => void {
-  function failed(error: Error): void {
-    log.fatal(
-      { error: error.message },
-      "the data folder cannot be written; nothing may be promised any more",
-    );
-    process.exit(1);
+/** Logs what becomes of a process's disk, and passes on its condition. */
+export function diskListener(log: Log, changed: (condition: DiskCondition) => void): DiskListener {
+  function tellChange(condition: DiskCondition, error: Error | undefined): void {
+    const facts = { condition, ...(error === undefined ? {} : { error: error.message }) };
+    if (condition === "writable") log.info({}, "the data folder can be written again");
+    else log.error(facts, "the data folder cannot be written; its chains are left until it can");
+    changed(condition);
+  }
+  function waiting(reason: string): void {
+    log.error({ reason }, "the data folder cannot be written yet; the start waits");
   }
-  return failed;
+  return { changed: tellChange, waiting };
 }
--- a/tools/scale/src/folders.ts
+++ b/tools/scale/src/folders.ts
@@ -29,10 +29,12 @@
 
 const limits = { tokens: 1_000_000, windowSeconds: 1, capacity: 1_000_000 };
 
-function failed(error: Error): void {
-  throw error;
+function unexpected(what: string): void {
+  throw new Error(`the disk is ${what}`);
 }
 
+const listener = { changed: unexpected, waiting: unexpected };
+
 class Copies {
   readonly copies: Copy[] = [];
   entries = 0;
@@ -48,9 +50,8 @@
     for (const member of members) {
       const disk = await Disk.open(
         join(folder, member.identity),
-        "storage",
-        member.identity,
-        failed,
+        { kind: "storage", name: member.identity },
+        listener,
       );
       if (!disk.ok) throw new Error(disk.reason);
       this.copies.push({
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -1,5 +1,6 @@
 import { poolOf, type Campaign } from "./campaign.js";
 import type { CampaignOptions } from "./campaign.js";
+import { allDisks, fullOverPowerLoss, oneControlDisk, oneStorageDisk } from "./disk-troubles.js";
 import {
   cutStorage,
   emptyThenWipe,
@@ -850,6 +851,37 @@
     set: replaceStorage,
   },
   "a storage machine is frozen for 3 s": { rule: "service", options: losses, set: freezeStorage },
+  "a storage disk is full for 8 s": {
+    rule: "service",
+    options: losses,
+    set: oneStorageDisk("full"),
+  },
+  "a storage disk does not answer for 8 s": {
+    rule: "service",
+    options: losses,
+    set: oneStorageDisk("stalled"),
+  },
+  "a control disk is full for 8 s": {
+    rule: "service",
+    options: losses,
+    set: oneControlDisk("full"),
+  },
+  "a control disk does not answer for 8 s": {
+    rule: "service",
+    options: losses,
+    set: oneControlDisk("stalled"),
+  },
+  "all disks are full for 4 s": { rule: "service", options: losses, set: allDisks("full") },
+  "all disks do not answer for 4 s": {
+    rule: "service",
+    options: losses,
+    set: allDisks("stalled"),
+  },
+  "two disks are full as all machines lose power": {
+    rule: "service",
+    options: losses,
+    set: fullOverPowerLoss,
+  },
   "a storage machine is cut off for 5 s": { rule: "service", options: losses, set: cutStorage },
   "a storage machine is emptied and then another loses its disk": {
     rule: "service",
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -1,4 +1,10 @@
-import { constants, type Policy, type RunnerCard, type VoteState } from "@chutewick/parts";
+import {
+  constants,
+  type DiskCondition,
+  type Policy,
+  type RunnerCard,
+  type VoteState,
+} from "@chutewick/parts";
 import {
   ControlCore,
   type Announced,
@@ -69,6 +75,10 @@
     this.#perform(this.core.start(this.now));
   }
 
+  protected override diskChanged(condition: DiskCondition): void {
+    this.#perform(this.core.diskChanged(condition, this.world.now));
+  }
+
   protected strike(): void {
     this.#perform(this.core.beat(this.now, this.world.wall + this.wallStep));
   }
@@ -174,6 +184,10 @@
     );
   }
 
+  protected override diskChanged(condition: DiskCondition): void {
+    this.#perform(this.core.diskChanged(condition, this.world.now));
+  }
+
   protected strike(): void {
     this.#perform(this.core.beat(this.now));
   }
@@ -405,6 +419,10 @@
   }
 }
 
+export function isHeadOf(machine: ControlMachine): boolean {
+  return machine.alive && machine.core.isHead;
+}
+
 /** Machines stand in three zones by their numbers. */
 export function zoneNamed(name: string): string {
   return `zone-${Number(name.slice(name.lastIndexOf("-") + 1)) % 3}`;
--- a/tools/simulator/src/world.ts
+++ b/tools/simulator/src/world.ts
@@ -1,4 +1,5 @@
 import {
+  DiskHealth,
   constants,
   policy,
   type Policy,
@@ -6,6 +7,7 @@
   type ChainState,
   type ChainWrite,
   type Change,
+  type DiskCondition,
   type Entry,
   type VoteState,
 } from "@chutewick/parts";
@@ -160,6 +162,11 @@
   /** Rate of this machine's monotonic clock against the world's. */
   clockRate = 1;
   #held: (() => void)[] = [];
+  /** Until when the disk takes no writes, and until when it answers nothing. */
+  diskFullUntil = 0;
+  diskStalledUntil = 0;
+  #health = new DiskHealth();
+  #toldCondition: DiskCondition = "writable";
   #syncing = false;
   #unsynced: { apply: () => void; done: () => void }[] = [];
 
@@ -179,6 +186,8 @@
   protected abstract begin(): void;
   protected abstract strike(): void;
   abstract arrived(message: unknown, from: string): void;
+  /** The disk takes no writes any more, or takes them again. */
+  protected diskChanged(_condition: DiskCondition): void {}
   /** Connections of this life are gone. */
   protected ended(): void {}
 
@@ -188,6 +197,8 @@
     this.frozen = false;
     this.#held = [];
     this.life += 1;
+    this.#health = new DiskHealth();
+    this.#toldCondition = "writable";
     this.begin();
     this.#beat();
   }
@@ -195,6 +206,8 @@
   #beat(): void {
     const self = this;
     function beat(): void {
+      self.#health.beat(self.world.now);
+      self.#tellCondition();
       self.strike();
       self.#beat();
     }
@@ -252,27 +265,51 @@
     if (!this.#syncing) this.#syncBatch();
   }
 
+  #tellCondition(): void {
+    const { condition } = this.#health;
+    if (condition === this.#toldCondition) return;
+    this.#toldCondition = condition;
+    this.diskChanged(condition);
+  }
+
   #syncBatch(): void {
     const { world, life } = this;
     const self = this;
-    const count = this.#unsynced.length;
+    const waiting = this.#unsynced.length;
+    const count = Math.min(this.#health.batchMost, waiting);
     this.#syncing = count > 0;
     if (count === 0) return;
-    function synced(): void {
+    const isFull = world.now < this.diskFullUntil;
+    this.#health.began(world.now);
+    function again(): void {
+      if (self.life === life && self.alive) self.#syncBatch();
+    }
+    function judge(): void {
+      const pause = self.#health.failed(world.now);
+      self.#tellCondition();
+      world.after(pause, again);
+    }
+    function judgeDone(): void {
+      self.#health.committed(world.now, self.#unsynced.length === 0);
+      self.#tellCondition();
+    }
+    function ended(): void {
       if (self.life !== life || !self.alive) return;
+      if (isFull) return self.mine(judge)();
       world.syncs += 1;
-      for (const write of self.#unsynced.splice(0, count)) {
+      const durable = self.#unsynced.splice(0, count);
+      self.mine(judgeDone)();
+      for (const write of durable) {
         write.apply();
         write.done();
       }
       self.#syncBatch();
     }
-    world.after(
+    const takes =
       world.now < this.slowUntil
         ? world.chance.between(200, 1_500)
-        : world.chance.between(...world.syncTakes),
-      synced,
-    );
+        : world.chance.between(...world.syncTakes);
+    world.after(Math.max(0, this.diskStalledUntil - world.now) + takes, ended);
   }
 }
 
