Forwarding of inquiries to the head has a module of its own

The core of a control machine did it beside nine other jobs. `Forwarding` keeps what is under way at the head, when it is sent again and when its time is over; the core only sends. One hazard goes with it: where entering one inquiry answers another that was due to be sent again in the same beat, the second was looked up after it was gone, which would have ended the process. It is passed over now.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -32,13 +32,13 @@
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { emptying } from "./emptying.js";
+import { Forwarding, unwritable, type Ended } from "./forwarding.js";
 import { keys } from "./keys.js";
 import { QuorumContact } from "./quorum-contact.js";
 import { published } from "./published.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
 import {
   ControlMachine,
-  isRepeatable,
   type ControlCommand,
   type ControlResult,
   type FleetRecord,
@@ -109,19 +109,7 @@
   | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
 
-/** An inquiry that arrived here, entered at the head wherever that is. */
-interface Passed {
-  readonly ticket: string;
-  readonly command: ControlCommand;
-  readonly since: number;
-  sentAt: number;
-  /** The head that it was sent to. */
-  to: string | undefined;
-  /** Sendings to a head, and how many of them a head answered as not entered for want of a disk. */
-  sent: number;
-  unwritable: number;
-}
-
+/** An inquiry entered here as the head. */
 interface Held {
   readonly ticket: string;
   /** Set where the inquiry came over the wire. */
@@ -149,6 +137,7 @@
   /** Passed on to whoever is reached, and not acknowledged: no majority of control is. */
   | { readonly kind: "NO_QUORUM" };
 
+const noView = "the control group has no view yet";
 const tooSoon = "the head of the control group has not heard of all machines yet";
 /** Why a machine without contact runs nothing. */
 export const noQuorum = "this control machine reaches no majority of the control group";
@@ -180,7 +169,7 @@
   #laggingSince = new Map<string, { at: number; place: number }>();
   /** The last stamp of each other control machine. */
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
-  #passed = new Map<string, Passed>();
+  #forwarding: Forwarding;
   #contact: QuorumContact;
   #disk: DiskCondition = "writable";
   /** A planned stop is under way. */
@@ -192,6 +181,7 @@
     this.#policy = origin.policy ?? policy.usual;
     this.#sessions = new Sessions(this.#policy);
     this.#contact = new QuorumContact(origin.member.address, origin.life);
+    this.#forwarding = new Forwarding(origin.life);
     this.#pacer = new Pacer(this.#policy);
     this.#agreement = new Agreement(
       origin.member,
@@ -340,40 +330,17 @@
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
     if (!this.inContact(now))
       return [{ kind: "result", ticket, result: { kind: "not-run", reason: noQuorum } }];
-    this.#ticketNumber += 1;
-    const passed = `${this.#life}/${this.#ticketNumber}`;
-    this.#passed.set(passed, {
-      ticket,
-      command,
-      since: now,
-      sentAt: now,
-      to: undefined,
-      sent: 0,
-      unwritable: 0,
-    });
-    return this.#passOn(passed, now);
+    return this.#forward(this.#forwarding.add(ticket, command, now), now);
   }
 
-  #passOn(passed: string, now: number): ControlOutput[] {
-    const held = this.#passed.get(passed)!;
+  #forward(id: string, now: number): ControlOutput[] {
     const head = this.#newestView?.members[0];
-    held.sentAt = now;
-    held.sent += 1;
-    held.to = head?.address;
-    if (head === undefined)
-      return this.#returned(passed, {
-        kind: "not-run",
-        reason: "the control group has no view yet",
-      });
-    if (head.identity === this.#self.identity)
-      return this.#enter(passed, held.command, undefined, now);
-    return [
-      {
-        kind: "send",
-        to: head.address,
-        message: { kind: "control-inquiry", ticket: passed, command: held.command },
-      },
-    ];
+    const command = this.#forwarding.send(id, head?.address, now);
+    if (command === undefined) return [];
+    if (head === undefined) return this.#returned(id, { kind: "not-run", reason: noView });
+    if (head.identity === this.#self.identity) return this.#enter(id, command, undefined, now);
+    const message: ControlMessage = { kind: "control-inquiry", ticket: id, command };
+    return [{ kind: "send", to: head.address, message }];
   }
 
   /** The newest view that was decided, also where this machine cannot keep it yet: enough to know whom to ask. */
@@ -381,40 +348,17 @@
     return this.#agreement.view ?? this.#chain.view;
   }
 
-  /** What is the same twice as once is entered again, where it was not entered or nothing is known of it, until its time is over. */
-  #returned(passed: string, result: ControlOutcome): ControlOutput[] {
-    const held = this.#passed.get(passed);
-    if (held === undefined) return [];
-    if (result.kind === "not-run" && result.isUnwritable === true) held.unwritable += 1;
-    if (result.kind !== "confirmed" && isRepeatable(held.command) && !this.#isHopeless(held))
-      return [];
-    this.#passed.delete(passed);
-    return [{ kind: "result", ticket: held.ticket, result }];
+  #returned(id: string, outcome: ControlOutcome): ControlOutput[] {
+    /** Whether another member may take the place of a head whose disk takes no writes. */
+    const canReplaceHead = (this.#chain.view?.members.length ?? 0) > this.#policy.copiesLeast;
+    const ended = this.#forwarding.answered(id, outcome, canReplaceHead);
+    return ended === undefined ? [] : [resultOf(ended)];
   }
 
-  /** Whether no sending of an inquiry was entered, and no other member may take the place of a head whose disk takes no writes. */
-  #isHopeless(held: Passed): boolean {
-    return (
-      held.unwritable === held.sent &&
-      (this.#chain.view?.members.length ?? 0) <= this.#policy.copiesLeast
-    );
-  }
-
-  #passAgain(now: number): ControlOutput[] {
-    const outputs: ControlOutput[] = [];
+  #forwardAgain(now: number): ControlOutput[] {
+    const outputs: ControlOutput[] = this.#forwarding.expire(now).map(resultOf);
     const head = this.#newestView?.members[0]?.address;
-    for (const [passed, held] of [...this.#passed]) {
-      if (now - held.since > constants.confirmPatience) {
-        this.#passed.delete(passed);
-        const result: ControlOutcome =
-          held.unwritable === held.sent ? unwritable : { kind: "unknown" };
-        outputs.push({ kind: "result", ticket: held.ticket, result });
-      } else if (
-        isRepeatable(held.command) &&
-        (now - held.sentAt > constants.passAgainEvery || (head !== undefined && head !== held.to))
-      )
-        outputs.push(...this.#passOn(passed, now));
-    }
+    for (const id of this.#forwarding.due(head, now)) outputs.push(...this.#forward(id, now));
     return outputs;
   }
 
@@ -808,7 +752,7 @@
     for (const [own, held] of [...this.#held])
       if (now - held.since > constants.confirmPatience)
         outputs.push(...this.#finish(own, { kind: "unknown" }));
-    outputs.push(...this.#passAgain(now));
+    outputs.push(...this.#forwardAgain(now));
     return outputs;
   }
 
@@ -1125,11 +1069,9 @@
   }
 }
 
-const unwritable: ControlOutcome = {
-  kind: "not-run",
-  reason: "the disk of the head of the control group takes no writes",
-  isUnwritable: true,
-};
+function resultOf({ ticket, outcome }: Ended): ControlOutput {
+  return { kind: "result", ticket, result: outcome };
+}
 
 const nothing: Roll = { nodes: [], runners: [] };
 
