An access node that just woke acknowledges no announcement that it does not take in

Shown by "an access node that just woke ..." (200 where 503 was asked for).

Change: it answers 503 as a node does that can pass nothing on.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -52,6 +52,11 @@
       | they still reach all access machines |
       | the nodes reach none of them         |
 
+  Scenario: an access node that just woke acknowledges no announcement that it does not take in
+    Given nodes that need a lease, with clocks at 1, and control machines with clocks at 1
+    When an access node wakes after 0.6 s and a runner announces itself at once
+    Then the announcement is answered 503, and 200 a second later
+
   Scenario: a control machine beyond those that the group needs acknowledges what it can bring to all
     Given a deployment with 4 control, 3 storage and 2 access machines, standing up to 1 loss
     And 3 s go by at all machines
--- a/features/steps/leases.ts
+++ b/features/steps/leases.ts
@@ -1,4 +1,4 @@
-import { deepEqual, ok } from "node:assert/strict";
+import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { ControlCommand, ControlOutcome } from "@chutewick/control";
 import { Deployment, configurationOf } from "@chutewick/simulator";
@@ -10,6 +10,8 @@
   version: number;
   /** Moments at which a lease was held on an old version after the change was told. */
   stale: string[];
+  /** Of the answer to an announcement. */
+  status: number | undefined;
 }
 
 function change(version: number, base: number): ControlCommand {
@@ -76,3 +78,40 @@
   deepEqual(this.stale, []);
 }
 Then("it never held a lease on an old version after the change was told", neverStale);
+
+// Announcements at access nodes
+
+/** Status of the answer to an announcement of a runner. */
+function announced({ deployment }: World): number | undefined {
+  const node = deployment.accesses[0]!;
+  const card = {
+    id: "r-1",
+    incarnation: 1,
+    url: "r-1:8080",
+    kind: "plain",
+    models: [],
+    labels: {},
+    seats: 4,
+    zone: "a",
+    burden: 0,
+  } as const;
+  const [output] = node.core.announce("announcing", card, node.now);
+  return output?.kind === "reply" ? output.status : undefined;
+}
+
+function wakesAndHears(this: World, seconds: number): void {
+  const node = this.deployment.accesses[0]!;
+  equal(announced(this), 200);
+  node.freeze();
+  this.deployment.after(seconds);
+  node.wake();
+  this.status = announced(this);
+}
+When("an access node wakes after {float} s and a runner announces itself at once", wakesAndHears);
+
+function unclearThenTaken(this: World, first: number, later: number): void {
+  equal(this.status, first);
+  this.deployment.after(1);
+  equal(announced(this), later);
+}
+Then("the announcement is answered {int}, and {int} a second later", unclearThenTaken);
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -615,21 +615,11 @@
     }
     /** What is read just after a sleep may have been said long before it, and before a goodbye (§7.5). */
     this.#lookAwake(now);
-    if (now - this.#wokeAt < constants.wakingLasts)
-      return [
-        { kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } },
-      ];
+    if (now - this.#wokeAt < constants.wakingLasts) return [announceElsewhere(ticket)];
     this.#announced.set(card.id, { card: { ...card, age: 0 }, heardAt: now });
     this.membership.heardRunner({ ...card, age: 0 }, now);
     /** One that is cut off can pass nothing on: the runner is to tell another as well. */
-    if (!this.membership.holds(now) || this.#draining)
-      return [
-        trouble(ticket, 503, {
-          trouble: "not-run",
-          reason: "this access node is cut off or about to stop; announce at another",
-          retryAfter: constants.retryAfter,
-        }),
-      ];
+    if (!this.membership.holds(now) || this.#draining) return [announceElsewhere(ticket)];
     return [
       { kind: "reply", ticket, status: 200, body: { announceEvery: constants.announceEvery } },
     ];
@@ -1301,6 +1291,15 @@
   };
 }
 
+/** The answer to an announcement that this node cannot pass on, or has not taken in. */
+function announceElsewhere(ticket: string): AccessOutput {
+  return trouble(ticket, 503, {
+    trouble: "not-run",
+    reason: "this access node is cut off, was asleep or is about to stop; announce at another",
+    retryAfter: constants.retryAfter,
+  });
+}
+
 function trouble(ticket: string, status: number, body: Trouble): AccessOutput {
   return { kind: "reply", ticket, status, body };
 }
