--- a/features/disk-trouble.feature
+++ b/features/disk-trouble.feature
@@ -12,7 +12,7 @@
       | aim                                           | most |
       | a storage disk is full for 8 s                | 2500 |
       | a storage disk does not answer for 8 s        | 3000 |
-      | a control disk is full for 8 s                | 3000 |
+      | a control disk is full for 8 s                | 4000 |
       | a control disk does not answer for 8 s        | 4000 |
       | all disks are full for 4 s                    | 3500 |
       | all disks do not answer for 4 s               | 2000 |
