The real fleet's histories are judged by the same definition

Cause: the fleet's steps compared single answers; what several operators, or callers of one lot, saw together was judged by nobody.

The fleet records each request of the configuration, each command of the operators' program that changes it, and in the steps each sending and look-up of a lot; the end of every scenario judges them. An order whose value its client can't tell gets it from the first read. New scenario: eight operators race with ten orders each and lose 7 of 10 answers, before and after the head is killed with -9.

Found while writing it, in the test itself: two races that used one idempotency key for orders on different bases were judged applied-twice, rightly.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -44,3 +44,11 @@
     Then the node goes on
     When an access node is told to stop while a stream runs
     Then the stream ends whole and the node ends with 0
+
+  Scenario: operators race and lose most answers, before and after the head is killed
+    Given a fleet with 2 access nodes, 1 model runners and 1 plain runner
+    When the configuration is entered
+    And 8 operators race with 10 orders each and lose 7 of 10 answers
+    And the head of the control chain is killed with -9
+    And 8 operators race with 10 orders each and lose 7 of 10 answers
+    Then a change of the configuration is confirmed again
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Given, Then, When, setDefaultTimeout } from "@cucumber/cucumber";
-import { Fleet } from "@chutewick/fleet";
+import { Fleet, type Answer } from "@chutewick/fleet";
 import { request } from "undici";
 
 /** ms. A bound for a fleet that hangs; steps wait on what they ask for. */
@@ -89,6 +89,7 @@
 async function afterScenario(this: World): Promise<void> {
   if (this.fleet === undefined) return;
   await this.fleet.stop();
+  deepEqual(this.fleet.history.judge(), []);
   rmSync(this.folder, { recursive: true, force: true });
 }
 After(afterScenario);
@@ -106,6 +107,11 @@
   return { status: told.statusCode, text: await told.body.text() };
 }
 
+async function answered(told: Promise<{ status: number; text: string }>): Promise<Answer> {
+  const { status, text } = await told;
+  return { status, body: JSON.parse(text) as Record<string, unknown> };
+}
+
 async function theConfigurationIsEntered(this: World): Promise<void> {
   const told = await this.fleet.control("PUT", "/configuration", firmConfiguration, 0);
   equal(told.status, 200, JSON.stringify(told.body));
@@ -164,9 +170,11 @@
   const items: unknown[] = [];
   for (let index = 0; index < 20; index += 1) items.push({ key, slip: index });
   async function accepted(): Promise<boolean> {
-    const told = await post(fleet.http("access")[0]!, "/lots/slips", { key, items });
+    const told = await fleet.history.lot(key, { kind: "admit" }, () =>
+      answered(post(fleet.http("access")[0]!, "/lots/slips", { key, items })),
+    );
     if (told.status !== 202) return false;
-    world.lot = (JSON.parse(told.text) as { lot: string }).lot;
+    world.lot = told.body["lot"] as string;
     return true;
   }
   await fleet.until("a lot is accepted", accepted);
@@ -174,12 +182,17 @@
 
 async function finished(world: World): Promise<void> {
   const { fleet } = world;
+  const key = `lot ${world.lots}`;
   let view: LotView | undefined;
   async function done(): Promise<boolean> {
-    const told = await request(`http://${fleet.http("access")[1]!}/lots/${world.lot}`);
-    const text = await told.body.text();
-    if (told.statusCode !== 200) return false;
-    view = JSON.parse(text) as LotView;
+    const told = await fleet.history.lot(key, { kind: "read", from: 0 }, async () => {
+      const { statusCode, body } = await request(
+        `http://${fleet.http("access")[1]!}/lots/${world.lot}`,
+      );
+      return { status: statusCode, body: (await body.json()) as Record<string, unknown> };
+    });
+    if (told.status !== 200) return false;
+    view = told.body as unknown as LotView;
     return view.state === "done";
   }
   await fleet.until("the lot is done", done, 60_000);
--- a/tools/fleet/src/fleet.ts
+++ b/tools/fleet/src/fleet.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { StandInRunner, type Behaviour } from "@chutewick/runner";
 import { request } from "undici";
+import { HistoryRecorder, type Answer, type CommandResult } from "./history-recorder.js";
 import { Relay } from "./relay.js";
 
 /** A whole fleet on one machine, each process on a loopback address of its own. */
@@ -41,6 +42,8 @@
   readonly machines = new Map<string, Machine>();
   readonly runners: StandInRunner[] = [];
   readonly relay = new Relay();
+  /** What its operators and callers of lots saw. */
+  readonly history = new HistoryRecorder();
   #seeds: string[] = [];
 
   constructor(options: FleetOptions) {
@@ -145,10 +148,12 @@
   }
 
   /** Runs the program once, as an operator would. */
-  async chutewick(
-    words: readonly string[],
-    input?: string,
-  ): Promise<{ code: number | null; out: string; trouble: string }> {
+  chutewick(words: readonly string[], input?: string): Promise<CommandResult> {
+    if (!isConfigurationChange(words)) return this.#run(words, input);
+    return this.history.command(words, () => this.#run(words, input));
+  }
+
+  async #run(words: readonly string[], input: string | undefined): Promise<CommandResult> {
     const child = spawn(process.execPath, [program, ...words], {
       stdio: ["pipe", "pipe", "pipe"],
       env: { ...process.env, CHUTEWICK_CONTROL: this.http("control").join(",") },
@@ -251,21 +256,67 @@
     mark?: number,
     at = 0,
     patience = 10_000,
-  ): Promise<{ status: number; body: Record<string, unknown> }> {
+  ): Promise<Answer> {
     const to = this.http("control")[at]!;
-    const told = await request(`http://${to}${path}`, {
-      method,
-      headersTimeout: patience,
-      headers: {
-        "content-type": "application/json",
-        ...(mark === undefined ? {} : { "if-match": `"${mark}"` }),
-      },
-      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
-    });
-    return { status: told.statusCode, body: (await told.body.json()) as Record<string, unknown> };
+    async function send(): Promise<Answer> {
+      const told = await request(`http://${to}${path}`, {
+        method,
+        headersTimeout: patience,
+        headers: {
+          "content-type": "application/json",
+          ...(mark === undefined ? {} : { "if-match": `"${mark}"` }),
+        },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      });
+      return {
+        status: told.statusCode,
+        body: (await told.body.json()) as Record<string, unknown>,
+      };
+    }
+    if (path !== "/configuration") return send();
+    return this.history.configuration({ method, base: mark }, send);
+  }
+
+  /** An order of an operator who tells it by a key, so that it may be sent again to any control machine. */
+  order(
+    { key, base, change }: KeyedOrder,
+    at: number,
+    patience: number,
+    isAnswerLost: boolean,
+  ): Promise<Answer> {
+    const to = this.http("control")[at]!;
+    async function send(): Promise<Answer> {
+      const told = await request(`http://${to}/configuration`, {
+        method: "PATCH",
+        headersTimeout: patience,
+        headers: {
+          "content-type": "application/json",
+          "if-match": `"${base}"`,
+          "idempotency-key": key,
+        },
+        body: JSON.stringify(change),
+      });
+      const body = (await told.body.json()) as Record<string, unknown>;
+      if (isAnswerLost) throw new Error("the answer was lost");
+      return { status: told.statusCode, body };
+    }
+    return this.history.configuration({ method: "PATCH", key, base }, send);
   }
 }
 
+/** Commands that an operator changes the configuration with. */
+function isConfigurationChange([command, verb]: readonly string[]): boolean {
+  if (command === "configuration") return verb === "put" || verb === "patch";
+  return command === "label" || (command === "season" && (verb === "put" || verb === "remove"));
+}
+
+/** A patch of the configuration, the same at each sending. */
+export interface KeyedOrder {
+  readonly key: string;
+  readonly base: number;
+  readonly change: unknown;
+}
+
 function breath(): Promise<void> {
   function begin(resolve: () => void): void {
     setTimeout(resolve, 25);
--- a/tools/fleet/src/index.ts
+++ b/tools/fleet/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./fleet.js";
 export * from "./relay.js";
+export * from "./history-recorder.js";
--- a/tools/history/src/configuration-register.ts
+++ b/tools/history/src/configuration-register.ts
@@ -170,9 +170,29 @@
   }
 }
 
-function stepRead({ newest }: RegisterState, output: RegisterOutput | undefined): boolean {
-  if (output?.kind !== "value") return false;
-  return newest.version === output.version && isShownBy(newest, output.value);
+/** A value that the order's client couldn't tell is known from the first read on. */
+function withValue({ newest, seen }: RegisterState, value: string | undefined): RegisterState {
+  const key = JSON.stringify(["value", value]);
+  let known = newest.following.get(key);
+  if (known === undefined) {
+    known = versionAfter(newest.previous, { ...contentOf(newest), value });
+    newest.following.set(key, known);
+  }
+  return stateOf(known, seen);
+}
+
+function contentOf({ version, order, value }: Version): VersionContent {
+  return { version, order, value };
+}
+
+function stepRead(
+  state: RegisterState,
+  output: RegisterOutput | undefined,
+): RegisterState | undefined {
+  const { newest } = state;
+  if (output?.kind !== "value" || newest.version !== output.version) return undefined;
+  if (newest.value === output.value) return state;
+  return isShownBy(newest, output.value) ? withValue(state, output.value) : undefined;
 }
 
 function stepObserve(
@@ -197,7 +217,7 @@
     case "order":
       return stepOrder(state, input, output);
     case "read":
-      return stepRead(state, output) ? state : undefined;
+      return stepRead(state, output);
     case "observe":
       return stepObserve(state, input.replica, output);
   }
