--- a/tools/simulator/src/worlds/emptying.ts
+++ b/tools/simulator/src/worlds/emptying.ts
@@ -52,7 +52,9 @@
 }
 
 function isEmptied(site: Site, name: string): boolean {
-  return site.controls.some(
-    ({ alive, frozen, core }) => alive && !frozen && core.emptied(name, site.now) === "emptied",
-  );
+  const { chance, controls, deployment } = site;
+  const query = { kind: "emptying", machine: name } as const;
+  const { told } = deployment.order(query, chance.pick(controls), ASK_AGAIN_AFTER);
+  if (told?.kind !== "confirmed" || told.value.kind !== "EMPTYING") return false;
+  return told.value.state === "emptied";
 }
--- a/tools/simulator/src/worlds/judge.ts
+++ b/tools/simulator/src/worlds/judge.ts
@@ -1,5 +1,6 @@
-import { check, type Violation } from "../checker.js";
+import type { Violation } from "../checker.js";
 import { isFinalRefusal, type History, type OrderRecord } from "./history.js";
+import { checkOrders } from "./order-rules.js";
 
 /** What must hold of the history of a simulated world. */
 export function judge(history: History): Violation[] {
@@ -16,21 +17,11 @@
  * records may take its place here.
  */
 function judgeOrders(history: History): Violation[] {
-  return check({
-    changes: history.changes(),
-    reads: history.reads,
-    begins: history.begins,
-    inquiries: [],
-    lots: [],
-    goodbyes: [],
-    runs: [],
-    waiting: [],
-    healedAt: 0,
-    serviceAt: { live: 0, lot: 0, change: 0, finished: 0 },
-    deadline: Infinity,
-    repaired: true,
-    emptiedHolds: false,
-  });
+  const found: Violation[] = [];
+  const { reads, begins } = history;
+  const sight = { changes: history.changes(), reads, begins };
+  checkOrders(sight, (rule, facts) => found.push({ rule, facts }));
+  return found;
 }
 
 /** An order that was taken is never refused, however often and wherever it is sent. */
--- a/tools/simulator/src/worlds/operators.ts
+++ b/tools/simulator/src/worlds/operators.ts
@@ -33,6 +33,8 @@
   /** Called as a control machine tells that an order is in force. */
   confirmed: ((machine: ControlMachine) => void) | undefined;
   stopped = false;
+  /** Orders that are under way. */
+  open = 0;
 
   constructor(site: Site, options: Partial<OperatorOptions> = {}) {
     this.#site = site;
@@ -68,14 +70,22 @@
   }
 
   /** Sends an order until an answer comes back or its sendings are used up. */
-  submit(order: OrderRecord, ended: (end: OrderEnd) => void, first = this.#anyMachine()): void {
+  submit(order: OrderRecord, ended: (end: OrderEnd) => void): void {
+    this.open += 1;
+    this.#attempt(order, (end) => {
+      this.open -= 1;
+      ended(end);
+    });
+  }
+
+  #attempt(order: OrderRecord, ended: (end: OrderEnd) => void): void {
     const { chance, deployment, history } = this.#site;
     let over = false;
-    const machine = order.sendings.length === 0 ? first : this.#otherMachine(order);
+    const machine = this.#otherMachine(order);
     const again = (): void => {
       if (over) return;
       over = true;
-      if (order.sendings.length < this.#options.sendingsMost) return this.submit(order, ended);
+      if (order.sendings.length < this.#options.sendingsMost) return this.#attempt(order, ended);
       history.count("order given up");
       ended(undefined);
     };
@@ -97,7 +107,11 @@
     const site = this.#site;
     const sending: Sending = { machine: machine.name, askedAt: site.now };
     order.sendings.push(sending);
-    if (site.refusing.has(machine.address)) return;
+    if (site.refusing.has(machine.address)) {
+      sending.answer = "not-run";
+      sending.answeredAt = site.now;
+      return;
+    }
     const told = (outcome: ControlOutcome | undefined): void => {
       sending.answer = answerOf(outcome);
       sending.answeredAt = site.now;
--- a/tools/simulator/src/worlds/session.ts
+++ b/tools/simulator/src/worlds/session.ts
@@ -10,6 +10,8 @@
 const READERS = 2;
 /** ms at the end in which the last answers come. */
 const LAST_ANSWERS = 6_000;
+/** ms at the end in which orders under way are still sent again. */
+const LAST_ORDERS = 40_000;
 const LOT_READ_TRIES = 4;
 
 /** One run: a site, its clients, and the script of a world. */
@@ -58,6 +60,8 @@
     this.recover();
     this.operators.stopped = true;
     this.lots.stopped = true;
+    const began = site.now;
+    while (this.operators.open > 0 && site.now - began < LAST_ORDERS) site.wait(100);
     site.wait(LAST_ANSWERS);
     for (const control of site.controls) this.operators.read(control, () => undefined);
     this.lots.readAll(LOT_READ_TRIES);
