--- a/examples/embed/src/index.ts
+++ b/examples/embed/src/index.ts
@@ -61,7 +61,7 @@
     this.#alive.delete(name);
   }
 
-  /** What became of an inquiry at a member: its result, or undefined where it was not confirmed. */
+  /** What became of a request at a member: its result, or undefined where it was not confirmed. */
   inquire(name: string, command: Add): unknown {
     this.#ticket += 1;
     const ticket = String(this.#ticket);
--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -7,7 +7,7 @@
   type Membership,
   type PassCaller,
   type PassEvent,
-  type PassInquiry,
+  type PassRequest,
   type PassOutput,
   type Standing,
 } from "@chutewick/data";
@@ -105,11 +105,11 @@
 
   #desk(): AccessDesk {
     const self = this;
-    function pass(inquiry: PassInquiry, caller: PassCaller): string {
+    function pass(request: PassRequest, caller: PassCaller): string {
       self.#tickets += 1;
       const ticket = `t-${self.#tickets}`;
       self.#callers.set(ticket, caller);
-      self.#perform(self.relay.arrive(ticket, inquiry, monotonic()));
+      self.#perform(self.relay.arrive(ticket, request, monotonic()));
       return ticket;
     }
     function left(ticket: string): void {
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -124,7 +124,7 @@
   return status === 503 && (JSON.parse(text) as { trouble: string }).trouble === "not-run";
 }
 
-async function aOneShotInquiryAStreamAnd(this: World): Promise<void> {
+async function aOneShotRequestAStreamAnd(this: World): Promise<void> {
   const { fleet, asked } = this;
   for (const address of fleet.http("access")) {
     const prompt = `check ${asked.length}`;
@@ -161,7 +161,7 @@
     await fleet.until("a fetch is served", fetches);
   }
 }
-Then("a one-shot inquiry, a stream and a fetch are served whole", aOneShotInquiryAStreamAnd);
+Then("a one-shot inquiry, a stream and a fetch are served whole", aOneShotRequestAStreamAnd);
 
 async function handIn(world: World): Promise<void> {
   const { fleet } = world;
@@ -258,7 +258,7 @@
 }
 Then("a change of the configuration is confirmed again", aChangeOfTheConfigurationIsConfirmed);
 
-function noOneShotInquiryRanTwice(this: World): void {
+function noOneShotRequestRanTwice(this: World): void {
   const runs = new Map<string, number>();
   for (const runner of this.fleet.runners)
     for (const run of runner.runs)
@@ -267,7 +267,7 @@
   equal(runs.size, this.asked.length);
   for (const [prompt, count] of runs) equal(count, 1, prompt);
 }
-Then("no one-shot inquiry ran twice", noOneShotInquiryRanTwice);
+Then("no one-shot inquiry ran twice", noOneShotRequestRanTwice);
 
 function accessIsCutOff(this: World): void {
   this.fleet.relay.cut(this.fleet.machine("access-2").host);
@@ -466,7 +466,7 @@
 
 async function everyProcessTellsMetrics(this: World): Promise<void> {
   const { fleet, asked } = this;
-  let inquiries = 0;
+  let requests = 0;
   let owners = 0;
   for (const kind of ["control", "storage", "access"] as const) {
     for (const address of fleet.http(kind)) {
@@ -474,14 +474,14 @@
       if (kind !== "access") ok(told.sync_seconds["all"]!.count > 0, `${address} synced nothing`);
       for (const queue of Object.values(told.queues ?? {})) if (queue.owner) owners += 1;
       for (const [name, count] of Object.entries(told.results_total))
-        if (name === "event=inquiry.arrived,status=200") inquiries += count;
+        if (name === "event=inquiry.arrived,status=200") requests += count;
       const first = told.first_result_seconds["event=inquiry.arrived"];
       if (kind === "access")
         ok(first !== undefined && first.count === first.within["+Inf"], `${address} timed nothing`);
     }
   }
-  /** At each access node a one-shot inquiry and a stream. */
-  equal(inquiries, asked.length * 2);
+  /** At each access node a one-shot request and a stream. */
+  equal(requests, asked.length * 2);
   equal(owners, 2);
 }
 Then(
--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -37,7 +37,7 @@
 }
 Given("a caller who sends half a body and then nothing more", aCallerWhoSendsHalf);
 
-async function badInquiries(this: World): Promise<void> {
+async function badRequests(this: World): Promise<void> {
   this.access = this.fleet.http("access")[0]!;
   const { fleet, access } = this;
   async function knows(): Promise<boolean> {
@@ -51,7 +51,7 @@
   }
   await fleet.until("the access node knows ways and runners", knows);
 }
-When("bad inquiries are sent to an access node", badInquiries);
+When("bad inquiries are sent to an access node", badRequests);
 
 function written(body: string): string {
   if (body === "2 MiB") return JSON.stringify({ prompt: "x".repeat(2 * 1_048_576) });
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -9,7 +9,7 @@
   type Configuration,
   type ControlResult,
 } from "@chutewick/control";
-import type { PassInquiry } from "@chutewick/data";
+import type { PassRequest } from "@chutewick/data";
 import { Ledger, callerLimits } from "@chutewick/parts";
 import {
   PlatformDialect,
@@ -26,7 +26,7 @@
   modification: string;
   first: Translated;
   told: Translated | undefined;
-  inquiry: PassInquiry;
+  inquiry: PassRequest;
   sent: string[];
   settings: PlatformSettings;
 }
@@ -251,7 +251,7 @@
   this.inquiry = dialect.inquiry("POST", "/notes/2f?x=1", rawHeaders, headers, Buffer.from("abc"))!;
   this.sent = new PlatformDialect().headers(
     {
-      inquiry: this.inquiry,
+      request: this.inquiry,
       runner: "r-1",
       rank: 2,
       until: 3_600.7,
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -10,7 +10,7 @@
   ownDialect,
   type Membership,
   type PassEvent,
-  type PassInquiry,
+  type PassRequest,
   type PassOutput,
   type PassWork,
   type Standing,
@@ -172,12 +172,12 @@
 }
 Given("the runner {string} refuses all", refusesAll);
 
-function inquiryOf(
+function requestOf(
   id: string,
   host: string,
   path: string,
-  more: Partial<PassInquiry> = {},
-): PassInquiry {
+  more: Partial<PassRequest> = {},
+): PassRequest {
   return {
     id,
     method: "POST",
@@ -199,9 +199,9 @@
   for (const output of outputs) {
     world.outputs.push(output);
     if (output.kind !== "pass-run") continue;
-    const list = world.sent.get(output.work.inquiry.id) ?? [];
+    const list = world.sent.get(output.work.request.id) ?? [];
     list.push(output);
-    world.sent.set(output.work.inquiry.id, list);
+    world.sent.set(output.work.request.id, list);
     if (
       world.refusing.has(output.address) &&
       world.core.mayStart(output.go, world.now) === undefined
@@ -219,12 +219,12 @@
 }
 
 function arrives(this: World, id: string, host: string, path: string): void {
-  take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
+  take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
 }
 When("{string} arrives for {string} at {string}", arrives);
 
 function arrivesWith(this: World, id: string, host: string, path: string, patience: number): void {
-  take(this, this.core.arrive(id, inquiryOf(id, host, path, { patience }), this.now));
+  take(this, this.core.arrive(id, requestOf(id, host, path, { patience }), this.now));
 }
 When("{string} arrives for {string} at {string} with a patience of {int} ms", arrivesWith);
 
@@ -235,7 +235,7 @@
   path: string,
   resumeAfter: number,
 ): void {
-  take(this, this.core.arrive(id, inquiryOf(id, host, path, { resumeAfter }), this.now));
+  take(this, this.core.arrive(id, requestOf(id, host, path, { resumeAfter }), this.now));
 }
 When("{string} arrives for {string} at {string} after event {int}", arrivesAfter);
 
@@ -245,7 +245,7 @@
   for (let index = 0; index < count; index += 1) {
     const id = `many-${this.arrived.length}-${count}`;
     this.arrived.push(id);
-    take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
+    take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
     /** Their seats are free again for the next, where there are more than seats. */
     if (count > 100) take(this, this.core.left(id, this.now));
   }
@@ -295,7 +295,7 @@
       this,
       this.core.arrive(
         id,
-        inquiryOf(id, host, path, {
+        requestOf(id, host, path, {
           parts: [
             { name, size },
             { name: id, size: 50 },
@@ -346,7 +346,7 @@
   for (let index = 0; index < count; index += 1) {
     const id = `turn-${index}`;
     this.arrived.push(id);
-    take(this, this.core.arrive(id, inquiryOf(id, host, path), this.now));
+    take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
     this.now +=
       latest(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
     gives.call(this, id, 200, "label");
@@ -373,7 +373,7 @@
       this,
       this.core.arrive(
         id,
-        inquiryOf(id, host, path, { tokensIn: isLong ? size : small }),
+        requestOf(id, host, path, { tokensIn: isLong ? size : small }),
         this.now,
       ),
     );
@@ -682,7 +682,7 @@
 }
 Then("nothing is under way", nothing);
 
-/** A runner that is scripted: it is handed each whole inquiry with its number, from 1, and the connection. */
+/** A runner that is scripted: it is handed each whole request with its number, from 1, and the connection. */
 type Script = (world: World, number: number, id: string, socket: Socket) => void;
 
 function head(id: string | undefined, more: string, status = "200 OK"): string {
@@ -971,13 +971,13 @@
 function begin(
   world: World,
   more: Partial<PassWork> = {},
-  inquiry: Partial<PassInquiry> = {},
+  request: Partial<PassRequest> = {},
 ): number {
   world.works += 1;
   const go = world.works;
   world.events.set(go, []);
   world.links.run(go, world.address, {
-    inquiry: inquiryOf(`w-${go}`, "shop.example", "/run/x?y=1", inquiry),
+    request: requestOf(`w-${go}`, "shop.example", "/run/x?y=1", request),
     runner: "r1",
     rank: 1,
     until: monotonic() + 20_000,
@@ -1047,10 +1047,10 @@
 }
 Then("the runner saw {int} connection(s)", sawConnections);
 
-function sawNoInquiry(this: World): void {
+function sawNoRequest(this: World): void {
   equal(this.inquiries, 0);
 }
-Then("the runner saw no inquiry", sawNoInquiry);
+Then("the runner saw no inquiry", sawNoRequest);
 
 function lastWord(this: World, word: string): void {
   equal(this.events.get(this.works)!.at(-1)!.kind, word);
--- a/features/steps/storm.ts
+++ b/features/steps/storm.ts
@@ -66,7 +66,7 @@
     modelRunners: 13,
     plainRunners: 3,
     seats: 8,
-    inquiryEvery: [4, 20],
+    requestEvery: [4, 20],
   });
 }
 When(
@@ -109,7 +109,7 @@
   theSeedsArePlayedWithoutControl,
 );
 
-function inquiriesMadeMeanwhile(this: World, done: number, notRun: number): void {
+function requestsMadeMeanwhile(this: World, done: number, notRun: number): void {
   for (const {
     options: { seed },
     counts,
@@ -129,7 +129,7 @@
 }
 Then(
   "at least {int} in 100 inquiries made meanwhile are done, and at most {int} in 100 are not-run",
-  inquiriesMadeMeanwhile,
+  requestsMadeMeanwhile,
 );
 
 function theCheckerFindsNothing(this: World): void {
@@ -148,14 +148,14 @@
 }
 Then("the checker finds nothing but work still waiting", theCheckerFindsNothingBut);
 
-function everyFleetMetFaults(this: World, faults: number, inquiries: number): void {
+function everyFleetMetFaults(this: World, faults: number, requests: number): void {
   for (const {
     options: { seed },
     faults: met,
     counts,
   } of this.played) {
     ok(met.length >= faults, `seed ${seed} met ${met.length} faults`);
-    ok((counts["inquiry done"] ?? 0) >= inquiries, `seed ${seed} served ${counts["inquiry done"]}`);
+    ok((counts["inquiry done"] ?? 0) >= requests, `seed ${seed} served ${counts["inquiry done"]}`);
   }
 }
 Then(
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -96,7 +96,7 @@
 
 const poolShare = z.strictObject({ pool: z.string().min(1), weight: z.number().min(0) });
 
-/** A way reached by host and path, whose inquiries pass byte for byte to runners of a pool (docs/design.md §13.1). */
+/** A way reached by host and path, whose requests pass byte for byte to runners of a pool (docs/design.md §13.1). */
 const passage = z.strictObject({
   host: z.string().min(1),
   prefix: z.string().regex(/^\/(.*\/)?$/, { error: "must begin and end with a slash" }),
--- a/packages/control/src/control-desk.ts
+++ b/packages/control/src/control-desk.ts
@@ -4,7 +4,7 @@
 
 /** What an interface (ours or an adapter's) may ask of a control machine (docs/design.md §13.2). */
 export interface ControlDesk {
-  /** Whether this machine knows the group's state well enough to take inquiries. */
+  /** Whether this machine knows the group's state well enough to take requests. */
   isReady(): boolean;
   /** A report of a runner; the sequence rises with each. It is acknowledged only where it is taken. */
   announce(card: Omit<RunnerCard, "age">, sequence: number): Announced["kind"];
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -109,10 +109,10 @@
   | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
   | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
 
-/** An inquiry entered here as the head. */
+/** A request entered here as the head. */
 interface Held {
   readonly ticket: string;
-  /** Set where the inquiry came over the wire. */
+  /** Set where the request came over the wire. */
   readonly to: string | undefined;
   readonly since: number;
   result: { value: ControlResult; place: number } | undefined;
@@ -326,7 +326,7 @@
     return this.#contact.hasQuorum(this.#agreement.view, now);
   }
 
-  /** An operator's or node's inquiry: entered at the head, from wherever it arrived; refused at once where no majority is reached. */
+  /** An operator's or node's request: entered at the head, from wherever it arrived; refused at once where no majority is reached. */
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
     if (!this.inContact(now))
       return [{ kind: "result", ticket, result: { kind: "not-run", reason: noQuorum } }];
--- a/packages/control/src/forwarding.ts
+++ b/packages/control/src/forwarding.ts
@@ -2,7 +2,7 @@
 import type { ControlOutcome } from "./core.js";
 import { isRepeatable, type ControlCommand } from "./machine.js";
 
-/** An inquiry that arrived at this machine and is answered by the head of the control group, wherever that is. */
+/** A request that arrived at this machine and is answered by the head of the control group, wherever that is. */
 interface Forwarded {
   /** Of whoever asked here. */
   readonly ticket: string;
@@ -24,14 +24,14 @@
   isUnwritable: true,
 };
 
-/** An inquiry whose time is over, or that has a clear answer. */
+/** A request whose time is over, or that has a clear answer. */
 export interface Ended {
   readonly ticket: string;
   readonly outcome: ControlOutcome;
 }
 
 /**
- * Inquiries under way at the head. What is the same twice as once is sent again, also to a newer head, until it has a clear
+ * Requests under way at the head. What is the same twice as once is sent again, also to a newer head, until it has a clear
  * answer or `confirmPatience` is over; anything else is sent once.
  */
 export class Forwarding {
@@ -44,7 +44,7 @@
     this.#life = life;
   }
 
-  /** The id under which the inquiry goes to the head. */
+  /** The id under which the request goes to the head. */
   add(ticket: string, command: ControlCommand, now: number): string {
     this.#number += 1;
     const id = `${this.#life}/${this.#number}`;
@@ -71,7 +71,7 @@
   }
 
   /**
-   * Takes an answer; undefined where the inquiry is unknown here, or will be sent again. Where no sending was entered for want
+   * Takes an answer; undefined where the request is unknown here, or will be sent again. Where no sending was entered for want
    * of a disk, and no other member may take the place of that head, it is over at once.
    */
   answered(id: string, outcome: ControlOutcome, canReplaceHead: boolean): Ended | undefined {
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -77,9 +77,9 @@
   | PassOutput;
 
 export type Work =
-  | { readonly kind: "stream"; readonly inquiry: string; readonly body: Record<string, unknown> }
-  | { readonly kind: "one-shot"; readonly inquiry: string; readonly body: Record<string, unknown> }
-  | { readonly kind: "fetch"; readonly inquiry: string; readonly path: string };
+  | { readonly kind: "stream"; readonly request: string; readonly body: Record<string, unknown> }
+  | { readonly kind: "one-shot"; readonly request: string; readonly body: Record<string, unknown> }
+  | { readonly kind: "fetch"; readonly request: string; readonly path: string };
 
 /** What a runner's link tells of one go. */
 export type GoEvent =
@@ -162,7 +162,7 @@
   readonly choice: Choice;
   /** Lots of passages (§13.7). */
   readonly lots: PassLots;
-  /** Live inquiries on passages (§13.5). */
+  /** Live requests on passages (§13.5). */
   readonly relay: RelayCore;
   #standing: Standing;
   #announced = new Map<string, Announced>();
@@ -283,7 +283,7 @@
     }
   }
 
-  // Live inquiries (§6)
+  // Live requests (§6)
 
   arrive(
     ticket: string,
@@ -324,7 +324,7 @@
         }),
       ];
     let work: Work;
-    if (way.kind === "fetch") work = { kind: "fetch", inquiry: ticket, path: path! };
+    if (way.kind === "fetch") work = { kind: "fetch", request: ticket, path: path! };
     else {
       if (typeof body !== "object" || body === null || Array.isArray(body))
         return [
@@ -335,7 +335,7 @@
         return [trouble(ticket, 400, { trouble: "bad-body", reason: "prompt: is needed" })];
       work = {
         kind: way.kind,
-        inquiry: ticket,
+        request: ticket,
         body: {
           inquiry: ticket,
           model: way.model,
@@ -481,7 +481,7 @@
         continue;
       if (!carries(card.labels, wanted) || !season.matches(selectors, card.labels)) continue;
       const free = card.seats * part - this.#burden(card, now);
-      /** A live inquiry may try some that look full, last of all: burdens are up to a second old. */
+      /** A live request may try some that look full, last of all: burdens are up to a second old. */
       if (free <= 0 && (part < 1 || doubts >= constants.fullTried)) continue;
       /** Drawn by free seats, not the freest always: nodes that see the same burdens would all go to the same runner. */
       const weight =
@@ -1121,15 +1121,15 @@
       return this.#record(prompt, { kind: "unsent" }, now);
     }
     prompt.tried.add(runner.id);
-    const inquiry = `${prompt.lot}/${prompt.index}/${prompt.claim}`;
+    const request = `${prompt.lot}/${prompt.index}/${prompt.claim}`;
     return this.#start(
       prompt,
       runner,
       {
         kind: "stream",
-        inquiry,
+        request,
         body: {
-          inquiry,
+          inquiry: request,
           model,
           ...(adapter === undefined ? {} : { adapter }),
           prompt: prompt.prompt,
--- a/packages/data/src/access-desk.ts
+++ b/packages/data/src/access-desk.ts
@@ -1,5 +1,5 @@
 import type { CallerLimits } from "@chutewick/parts";
-import type { PassInquiry } from "./dialect.js";
+import type { PassRequest } from "./dialect.js";
 import type { LotHandedIn, LotTold } from "./pass.js";
 
 /** What an interface (ours or an adapter's) may ask of an access node (docs/design.md §13.2). */
@@ -24,7 +24,7 @@
   callerLimits(): CallerLimits;
   /** Whether what is posted there is a lot, by the configuration known here. */
   takesLots(host: string, path: string): boolean;
-  pass(inquiry: PassInquiry, caller: PassCaller): string;
+  pass(request: PassRequest, caller: PassCaller): string;
   handIn(lot: LotHandedIn, caller: LotCaller): string;
   /** hold in ms: how long the answer may wait for a result at that position. */
   readLot(lot: string, host: string, from: number, hold: number, caller: LotCaller): string;
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -27,7 +27,7 @@
 import { z } from "zod";
 import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
 import type { AccessDesk, AccessFront, LotCaller, PassCaller } from "./access-desk.js";
-import type { PassEvent, PassInquiry, RunnerDialect } from "./dialect.js";
+import type { PassEvent, PassRequest, RunnerDialect } from "./dialect.js";
 import { Links } from "./link.js";
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
@@ -193,10 +193,10 @@
     function takesLots(host: string, path: string): boolean {
       return self.#relay.find(host, path)?.passage.kind === "lot";
     }
-    function pass(inquiry: PassInquiry, caller: PassCaller): string {
+    function pass(request: PassRequest, caller: PassCaller): string {
       const ticket = next();
       self.#passing.set(ticket, caller);
-      self.#perform(self.#relay.arrive(ticket, inquiry, monotonic()));
+      self.#perform(self.#relay.arrive(ticket, request, monotonic()));
       return ticket;
     }
     function asked(caller: LotCaller, ask: (ticket: string) => readonly AccessOutput[]): string {
@@ -301,7 +301,7 @@
         }),
       );
     }
-    function inquiry(arrival: Arrival): void {
+    function request(arrival: Arrival): void {
       self.#perform(
         self.#core.arrive(
           self.#ticket(arrival),
@@ -384,7 +384,7 @@
       events: {
         "operator.status": status,
         "operator.metrics": measured,
-        "inquiry.arrived": inquiry,
+        "inquiry.arrived": request,
         "inquiry.fetch": fetched,
         "lot.handed-in": handedIn,
         "lot.look-up": lookUp,
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -1,6 +1,6 @@
 import { constants, type RunnerCard } from "@chutewick/parts";
 import type { Membership, Standing } from "./membership.js";
-import type { PassInquiry } from "./dialect.js";
+import type { PassRequest } from "./dialect.js";
 
 /** Which runner a work goes to (docs/design.md §13.4). Learnt from own traffic, and shared between nodes by their sessions. */
 export interface Chosen {
@@ -52,7 +52,7 @@
   begun: boolean;
 }
 
-/** What is known of an inquiry before a runner is chosen. */
+/** What is known of a request before a runner is chosen. */
 interface Prompt {
   /** tokens; undefined where none are told. */
   readonly tokens: number | undefined;
@@ -122,21 +122,21 @@
     return this.#go;
   }
 
-  /** The runner of a pool at which an inquiry begins soonest, none of those tried; for items only within the room that live work leaves. */
+  /** The runner of a pool at which a request begins soonest, none of those tried; for items only within the room that live work leaves. */
   choose(
     pool: string,
-    inquiry: PassInquiry,
+    request: PassRequest,
     tried: ReadonlySet<string>,
     item: boolean,
     now: number,
   ): Chosen | undefined {
     this.#look(now);
-    const prompt = this.#prompt(pool, inquiry, item);
+    const prompt = this.#prompt(pool, request, item);
     let best: Sight | undefined;
     let least = Number.POSITIVE_INFINITY;
     for (const sight of this.#pools.get(pool) ?? []) {
       const { card } = sight;
-      if (tried.has(card.id) || !carries(card, inquiry.model)) continue;
+      if (tried.has(card.id) || !carries(card, request.model)) continue;
       if (
         burdenOf(sight, item) >=
         card.seats * (item ? partOf(sight, this.#isDivided(pool)) : constants.seatsMost)
@@ -158,10 +158,10 @@
       : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
   }
 
-  #prompt(pool: string, inquiry: PassInquiry, item: boolean): Prompt {
-    const tokens = tokensOf(inquiry);
+  #prompt(pool: string, request: PassRequest, item: boolean): Prompt {
+    const tokens = tokensOf(request);
     const isLong = !item && tokens !== undefined && tokens >= constants.longLeast;
-    const shared = sharedOf(inquiry);
+    const shared = sharedOf(request);
     return {
       tokens,
       shared,
@@ -253,10 +253,10 @@
   }
 
   /** A go begins at a runner, gives a first sign of work, and ends. */
-  begin(go: number, runner: string, inquiry: PassInquiry, item: boolean, now: number): void {
+  begin(go: number, runner: string, request: PassRequest, item: boolean, now: number): void {
     const sight = this.#runners.get(runner);
     if (sight === undefined) return;
-    const prompt = this.#prompt(sight.card.pool!, inquiry, item);
+    const prompt = this.#prompt(sight.card.pool!, request, item);
     const expected = this.#expected(sight, prompt, now);
     if (sight.live + sight.items === 0) sight.heardAt = now;
     if (item) sight.items += 1;
@@ -423,7 +423,7 @@
       sights[index]!.forLong = index >= division.first;
   }
 
-  /** What is known of the runners is read anew a few times in a beat, not for each inquiry. */
+  /** What is known of the runners is read anew a few times in a beat, not for each request. */
   #look(now: number): void {
     /** With thousands of runners a look costs milliseconds: then more seldom. */
     const span = Math.min(
@@ -522,15 +522,15 @@
   return model === undefined || card.models.length === 0 || card.models.includes(model);
 }
 
-function tokensOf(inquiry: PassInquiry): number | undefined {
-  if (inquiry.tokensIn !== undefined || inquiry.parts.length === 0) return inquiry.tokensIn;
+function tokensOf(request: PassRequest): number | undefined {
+  if (request.tokensIn !== undefined || request.parts.length === 0) return request.tokensIn;
   let size = 0;
-  for (const part of inquiry.parts) size += part.size;
+  for (const part of request.parts) size += part.size;
   return size;
 }
 
-function sharedOf(inquiry: PassInquiry): Shared | undefined {
-  const { parts } = inquiry;
+function sharedOf(request: PassRequest): Shared | undefined {
+  const { parts } = request;
   if (parts.length < 2) return undefined;
   let size = 0;
   let hash = 0;
--- a/packages/data/src/dialect.ts
+++ b/packages/data/src/dialect.ts
@@ -1,14 +1,14 @@
 /** How runners are spoken to on passages: names of headers belong to whoever deploys, not to the cores (docs/design.md §13.2). */
 
-/** One part of a prompt, shared with other inquiries where its name is the same. */
+/** One part of a prompt, shared with other requests where its name is the same. */
 export interface PromptPart {
   readonly name: string;
   /** tokens */
   readonly size: number;
 }
 
-/** What an inquiry on a passage says of itself, read by the interface that it came in through. */
-export interface PassInquiry {
+/** What a request on a passage says of itself, read by the interface that it came in through. */
+export interface PassRequest {
   /** The caller's own id of this try; told to the runner unchanged. */
   readonly id: string;
   readonly method: string;
@@ -31,7 +31,7 @@
 
 /** What goes to a runner. */
 export interface PassWork {
-  readonly inquiry: PassInquiry;
+  readonly request: PassRequest;
   /** The life of the runner that is meant; any other one refuses it. */
   readonly runner: string;
   /** 0 goes first, 9 last, in the runner's own queue. */
@@ -48,11 +48,11 @@
 
 /** What the head of a runner's result says, read through the dialect. */
 export interface ResultHead {
-  /** The id of the inquiry that it belongs to; undefined where it names none. */
+  /** The id of the request that it belongs to; undefined where it names none. */
   readonly id: string | undefined;
   /** Bears the runner's stamp: without it a success is none. */
   readonly stamped: boolean;
-  /** The runner states that it did not run the inquiry and never will. */
+  /** The runner states that it did not run the request and never will. */
   readonly notRun: boolean;
   /** It is not the life of the runner that was meant. */
   readonly otherRunner: boolean;
@@ -97,7 +97,7 @@
     }
   /** The whole body has come, and its end as the protocol has it. */
   | { readonly kind: "end" }
-  /** Bytes went out, and no whole result of this inquiry came back: it may have run. */
+  /** Bytes went out, and no whole result of this request came back: it may have run. */
   | { readonly kind: "broken"; readonly reason: string };
 
 /** Links to runners: connections are kept and shared by all goes of this process. */
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/errands.ts
@@ -7,7 +7,7 @@
 /** since: the moment of the asking, which no stamp of the owner comes before. */
 export type ErrandTold = (outcome: QueueOutcome, now: number, since: number) => AccessOutput[];
 
-/** An inquiry to a queue's owner, sent again while that cannot do harm (docs/design.md §5.2). */
+/** A request to a queue's owner, sent again while that cannot do harm (docs/design.md §5.2). */
 export interface Errand {
   readonly queue: string;
   readonly command: QueueCommand;
--- a/packages/data/src/link.ts
+++ b/packages/data/src/link.ts
@@ -106,13 +106,13 @@
         ? {
             method: "GET",
             path: work.path,
-            headers: { "chutewick-inquiry": work.inquiry },
+            headers: { "chutewick-inquiry": work.request },
             reset: true,
           }
         : {
             method: "POST",
             path: work.kind === "stream" ? "/stream" : "/run",
-            headers: { "content-type": "application/json", "chutewick-inquiry": work.inquiry },
+            headers: { "content-type": "application/json", "chutewick-inquiry": work.request },
             body: JSON.stringify(work.body),
             reset: true,
           };
@@ -140,7 +140,7 @@
       const text = (await response.body.text()).slice(0, 200);
       return tell({ kind: "troubled", reason: `the runner answered ${status}: ${text}` });
     }
-    if (response.headers["chutewick-inquiry"] !== work.inquiry) {
+    if (response.headers["chutewick-inquiry"] !== work.request) {
       void line.destroy();
       return tell({ kind: "broken", reason: "the runner answered for another inquiry" });
     }
@@ -149,7 +149,7 @@
         inquiry?: unknown;
         result?: unknown;
       };
-      if (value.inquiry !== work.inquiry || value.result === undefined)
+      if (value.inquiry !== work.request || value.result === undefined)
         return tell({
           kind: "broken",
           reason: "the runner answered for another inquiry, or without a result",
--- a/packages/data/src/own-dialect.ts
+++ b/packages/data/src/own-dialect.ts
@@ -22,7 +22,7 @@
 function headers(work: PassWork, now: number): string[] {
   const found = [
     names.inquiry,
-    work.inquiry.id,
+    work.request.id,
     names.runner,
     work.runner,
     names.patience,
@@ -31,7 +31,7 @@
     String(work.rank),
   ];
   if (work.resumeAfter !== undefined) found.push(names.resumeAfter, String(work.resumeAfter));
-  const came = work.inquiry.headers;
+  const came = work.request.headers;
   for (let index = 0; index + 1 < came.length; index += 2)
     if (!ours.has(came[index]!.toLowerCase())) found.push(came[index]!, came[index + 1]!);
   return found;
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -10,7 +10,7 @@
 import { configuration, keys, type Passage } from "@chutewick/control";
 import type { AccessOutput } from "./access-core.js";
 import type { Choice, GoEnd } from "./choice.js";
-import type { PassEvent, PassInquiry } from "./dialect.js";
+import type { PassEvent, PassRequest } from "./dialect.js";
 import type { Errands } from "./errands.js";
 import type { Membership } from "./membership.js";
 import type { QueueOutcome } from "./storage-core.js";
@@ -19,7 +19,7 @@
 interface Job {
   readonly queue: string;
   readonly task: PassTask;
-  readonly inquiry: PassInquiry;
+  readonly request: PassRequest;
   /** An old grant begins nothing: the lot may have been ended since. */
   readonly until: number;
   /** Moment from which it may be given up. */
@@ -215,7 +215,7 @@
   #begin(queue: string, task: PassTask, askedAt: number, now: number): AccessOutput[] {
     this.counts.drawn += 1;
     const { entry } = task;
-    const inquiry: PassInquiry = {
+    const request: PassRequest = {
       id: entry.id,
       method: "POST",
       host: task.host,
@@ -235,7 +235,7 @@
       {
         queue,
         task,
-        inquiry,
+        request,
         until,
         keepsUntil: askedAt + task.remaining,
         tried: new Set(),
@@ -260,7 +260,7 @@
       return this.#settle(job, { kind: "unsent" }, now);
     this.#drawNumber += 1;
     for (const pool of byWeight(passage, `${this.#membership.identity}/${this.#drawNumber}`)) {
-      const chosen = this.#choice.choose(pool, job.inquiry, job.tried, true, now);
+      const chosen = this.#choice.choose(pool, job.request, job.tried, true, now);
       if (chosen === undefined) continue;
       job.tried.add(chosen.runner);
       const go = this.#choice.nextGo();
@@ -271,14 +271,14 @@
         incarnation: chosen.incarnation,
         status: undefined,
       });
-      this.#choice.begin(go, chosen.runner, job.inquiry, true, now);
+      this.#choice.begin(go, chosen.runner, job.request, true, now);
       return [
         {
           kind: "pass-run",
           go,
           address: chosen.address,
           work: {
-            inquiry: job.inquiry,
+            request: job.request,
             runner: chosen.runner,
             rank: constants.itemRank,
             until: job.keepsUntil,
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -47,7 +47,7 @@
   open: number;
 }
 
-/** Links to runners: connections are kept, and each result is checked to be that of its own inquiry (docs/design.md §13.6). */
+/** Links to runners: connections are kept, and each result is checked to be that of its own request (docs/design.md §13.6). */
 export class PassConnections implements PassLinks {
   #options: PassOptions;
   #hosts = new Map<string, Host>();
@@ -216,17 +216,17 @@
     line.run = run;
     run.line = line;
     run.startedAt = this.#options.now();
-    const { inquiry } = run.work;
-    line.ids.push(inquiry.id);
+    const { request } = run.work;
+    line.ids.push(request.id);
     if (line.ids.length > constants.idsOfConnection) line.ids.shift();
-    const method = inquiry.method;
+    const method = request.method;
     try {
       line.speaker!.dispatch(
         {
           method,
-          path: inquiry.path,
+          path: request.path,
           headers: this.#options.dialect.headers(run.work, run.startedAt),
-          body: inquiry.body.length === 0 ? null : inquiry.body,
+          body: request.body.length === 0 ? null : request.body,
         },
         run,
       );
@@ -315,7 +315,7 @@
     const foreign =
       head.id === undefined
         ? !(head.notRun && line.ids.length === 1)
-        : head.id !== run.work.inquiry.id;
+        : head.id !== run.work.request.id;
     if (foreign) {
       this.counts.poisoned += 1;
       return this.break(run, "the runner's result is that of another inquiry");
@@ -332,7 +332,7 @@
     const encoding = found["content-encoding"];
     if (encoding !== undefined && encoding !== "identity")
       return this.break(run, "the body is encoded, which the runner's own never is");
-    const bare = status === 204 || status === 304 || run.work.inquiry.method === "HEAD";
+    const bare = status === 204 || status === 304 || run.work.request.method === "HEAD";
     if (
       !bare &&
       found["content-length"] === undefined &&
@@ -478,7 +478,7 @@
 
 /** A late second answer to an earlier work of the same id could not be told from the one that is due: such a work goes elsewhere. */
 function isUsableFor(line: Line, work: PassWork, now: number): boolean {
-  return isFresh(line, work.repeatable, now) && !line.ids.includes(work.inquiry.id);
+  return isFresh(line, work.repeatable, now) && !line.ids.includes(work.request.id);
 }
 
 function idleOf(value: string | string[] | undefined): number | undefined {
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -1,22 +1,22 @@
 import { constants, type Policy } from "@chutewick/parts";
 import type { MarkedConfiguration, Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
-import type { PassEvent, PassInquiry, PassWork } from "./dialect.js";
+import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
 import type { Membership } from "./membership.js";
 import type { PassOutput } from "./pass.js";
 
-/** Live inquiries on passages, passed through to runners; without I/O (docs/design.md §13.5). */
+/** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 export interface Found {
   readonly name: string;
   readonly passage: Passage;
 }
 
-/** Statuses that promise that an inquiry did not run: of a runner they count only with its word that it did not. */
+/** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
 const promises = new Set([408, 421, 429, 503]);
 
 interface Live {
   readonly ticket: string;
-  readonly inquiry: PassInquiry;
+  readonly request: PassRequest;
   readonly passage: Passage;
   readonly pool: string;
   readonly arrivedAt: number;
@@ -69,7 +69,7 @@
   #leaving = false;
   #struckAt = Number.POSITIVE_INFINITY;
   #wokeAt = Number.NEGATIVE_INFINITY;
-  /** Bytes of the bodies of inquiries under way. */
+  /** Bytes of the bodies of requests under way. */
   #bytes = 0;
   readonly counts = {
     passed: 0,
@@ -131,26 +131,26 @@
     return undefined;
   }
 
-  arrive(ticket: string, inquiry: PassInquiry, now: number): PassOutput[] {
+  arrive(ticket: string, request: PassRequest, now: number): PassOutput[] {
     this.counts.passed += 1;
     if (!this.#membership.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
-    const found = this.find(inquiry.host, inquiry.path);
+    const found = this.find(request.host, request.path);
     if (found === undefined) {
       this.counts.passUnknown += 1;
       return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
     }
     const { passage } = found;
-    if (this.#bytes + inquiry.body.length > this.#policy.memory * constants.bodiesPart)
+    if (this.#bytes + request.body.length > this.#policy.memory * constants.bodiesPart)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
-    const patience = inquiry.patience ?? passage.guard;
+    const patience = request.patience ?? passage.guard;
     const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
     const live: Live = {
       ticket,
-      inquiry,
+      request,
       passage,
-      pool: poolOf(passage, inquiry.id),
+      pool: poolOf(passage, request.id),
       arrivedAt: now,
       deadline,
       waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
@@ -162,13 +162,13 @@
       mayHaveRun: false,
       retryAfter: undefined,
       opened: false,
-      last: inquiry.resumeAfter,
+      last: request.resumeAfter,
       numbered: true,
       slow: false,
       why: "no runner is known",
     };
     this.#live.set(ticket, live);
-    this.#bytes += inquiry.body.length;
+    this.#bytes += request.body.length;
     const outputs: PassOutput[] = [];
     this.#send(live, now, outputs);
     return outputs;
@@ -389,7 +389,7 @@
     this.#giveUp(live, now, outputs);
   }
 
-  /** Takes a go off its inquiry. */
+  /** Takes a go off its request. */
   #part(go: Go, how: GoEnd, retryAfter: number | undefined, now: number): void {
     this.#gos.delete(go.number);
     if (go.live.go === go) go.live.go = undefined;
@@ -434,11 +434,11 @@
     live.go = go;
     live.tried.add(chosen.runner);
     this.#gos.set(number, go);
-    this.#choice.begin(number, chosen.runner, live.inquiry, false, now);
+    this.#choice.begin(number, chosen.runner, live.request, false, now);
     this.counts.passGos += 1;
     if (live.opened) this.counts.passResumed += 1;
     const work: PassWork = {
-      inquiry: live.inquiry,
+      request: live.request,
       runner: chosen.runner,
       rank: Math.min(4, live.passage.rank),
       until: go.until,
@@ -452,11 +452,11 @@
 
   /** In the pool that its share of the weights gave it, else in another one of the passage. */
   #choose(live: Live, now: number): Chosen | undefined {
-    const chosen = this.#choice.choose(live.pool, live.inquiry, live.tried, false, now);
+    const chosen = this.#choice.choose(live.pool, live.request, live.tried, false, now);
     if (chosen !== undefined || live.passage.pools.length === 1) return chosen;
     for (const { pool, weight } of live.passage.pools) {
       if (weight <= 0 || pool === live.pool) continue;
-      const other = this.#choice.choose(pool, live.inquiry, live.tried, false, now);
+      const other = this.#choice.choose(pool, live.request, live.tried, false, now);
       if (other !== undefined) return other;
     }
     return undefined;
@@ -499,7 +499,7 @@
 
   #close(live: Live, how: GoEnd, now: number, outputs: PassOutput[]): void {
     this.#live.delete(live.ticket);
-    this.#bytes -= live.inquiry.body.length;
+    this.#bytes -= live.request.body.length;
     this.#waiting.delete(live);
     const { go } = live;
     if (go === undefined) return;
@@ -526,7 +526,7 @@
   return cut < 0 ? small : small.slice(0, cut);
 }
 
-/** By weight, and for the same inquiry always the same. */
+/** By weight, and for the same request always the same. */
 function poolOf(passage: Passage, id: string): string {
   const { pools } = passage;
   if (pools.length === 1) return pools[0]!.pool;
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -40,7 +40,7 @@
       readonly command: QueueCommand;
       readonly hold?: number;
     }
-  /** held in ms: how long the owner kept the inquiry before it began to work on it. */
+  /** held in ms: how long the owner kept the request before it began to work on it. */
   | {
       readonly kind: "queue-result";
       readonly ticket: string;
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -369,7 +369,7 @@
     };
   }
 
-  /** An inquiry at the owner: an entry where it changes records, else a read that probes the whole chain. */
+  /** A request at the owner: an entry where it changes records, else a read that probes the whole chain. */
   inquire(ticket: string, command: unknown, now: number): ChainCommand[] {
     if (!this.serves)
       return [{ kind: "result", ticket, result: { kind: "elsewhere", view: this.#view } }];
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -50,7 +50,7 @@
   contactLasts: 1_000,
   /** s. What a caller hears from a control machine without contact: another machine may answer at once. */
   contactRetryAfter: 0.2,
-  /** ms. An inquiry passed on to the head is sent again after this, where twice is as good as once. */
+  /** ms. A request passed on to the head is sent again after this, where twice is as good as once. */
   passAgainEvery: 500,
   /** copies. Nothing is confirmed on fewer synced copies (design rule). */
   copiesLeast: 2,
@@ -84,15 +84,15 @@
   pauseMost: 2_000,
   /** dispatchers. Access nodes that draw from one queue, so the loss of one stops nothing. */
   dispatchersPerQueue: 2,
-  /** inquiries. Prompts that one dispatcher has under way for one queue. */
+  /** requests. Prompts that one dispatcher has under way for one queue. */
   dispatchWidth: 16,
   /** ms. How long access waits for a queue's owner before it says "unknown". */
   ownerPatience: 4_000,
-  /** ms. How long access looks for an owner again when it surely did not take the inquiry. */
+  /** ms. How long access looks for an owner again when it surely did not take the request. */
   ownerRetry: 150,
   /** ms. Connecting to a runner: zones are 1 ms apart. */
   connectPatience: 500,
-  /** ms. A runner that says nothing for this long after a whole inquiry counts as broken off. */
+  /** ms. A runner that says nothing for this long after a whole request counts as broken off. */
   runnerSilence: 30_000,
   /** ms. The same for a lot's prompt: lots are due in about 8 s. */
   promptSilence: 10_000,
@@ -105,7 +105,7 @@
   paceSlack: 0.1,
   /** ms. A burden older than this counts as none free. */
   burdenLasts: 1_700,
-  /** ms. How long a live inquiry turned away for want of a seat, or a lot for want of room, is counted. */
+  /** ms. How long a live request turned away for want of a seat, or a lot for want of room, is counted. */
   pressureLasts: 2_000,
   /** ms. A runner not heard of for this long gets no work: under the 2 s that may pass after a goodbye nobody could pass on (§7.5). */
   runnerLasts: 1_800,
@@ -135,7 +135,7 @@
   waitBounds: [0.5, 1, 2, 5, 10, 30, 60, 600, 3_600],
   /** labels. That one lot brings of its own. */
   lotLabelsMost: 20,
-  /** bytes. Largest body of an inquiry. */
+  /** bytes. Largest body of a request. */
   bodyMost: 1_048_576,
   /** ms. A caller must have sent headers, and the whole body, within these. */
   headersPatience: 5_000,
@@ -166,9 +166,9 @@
   handOverPatience: 4_000,
   /** ms. A planned stop finishes streams within this bound. */
   drainPatience: 10_000,
-  /** runners tried for one live inquiry before it is told to try later; a refusal costs 1 to 2 ms. */
+  /** runners tried for one live request before it is told to try later; a refusal costs 1 to 2 ms. */
   runnersTried: 10,
-  /** runners of those that look full, in one live inquiry: more would multiply a flood past capacity. */
+  /** runners of those that look full, in one live request: more would multiply a flood past capacity. */
   fullTried: 2,
   /** s. What "try later" says when no exact wait is known. */
   retryAfter: 1,
@@ -205,24 +205,24 @@
   readPatience: 1_200,
   /** lots. Whose queue an access node remembers, so that reads ask one owner. */
   lotsRemembered: 20_000,
-  /** bytes. Largest result of a fetch or of a one-shot inquiry: it is told whole or not at all. */
+  /** bytes. Largest result of a fetch or of a one-shot request: it is told whole or not at all. */
   resultMost: 16_777_216,
-  /** bytes. Largest body and largest head of an inquiry on a passage, where the deployment tells no smaller ones. */
+  /** bytes. Largest body and largest head of a request on a passage, where the deployment tells no smaller ones. */
   passBodyMost: 16_777_216,
   passHeadersMost: 65_536,
   /** ms. After the word that a node is not ready, callers may still be sent to it for so long: two missed looks a second apart, and their way. */
   unreadyLasts: 2_500,
-  /** ms. From the first byte of an inquiry on a passage to the end of its headers, where the deployment tells no other. */
+  /** ms. From the first byte of a request on a passage to the end of its headers, where the deployment tells no other. */
   passHeaderWait: 10_000,
   /** ms. A caller's connection to a passage may stay idle this long, where the deployment tells no other. */
   passIdle: 14_000,
-  /** ms. A caller's connection is kept so much longer than it is told: an inquiry may be on its way when the time ends. */
+  /** ms. A caller's connection is kept so much longer than it is told: a request may be on its way when the time ends. */
   idleMarginHere: 900,
   /** bytes. Largest request line beside the headers. */
   requestLineMost: 8_192,
   /** ms. How often callers that are too slow are looked for. */
   slowCheckEvery: 250,
-  /** inquiries. Live inquiries under way in one access node; more are told to try later. */
+  /** requests. Live requests under way in one access node; more are told to try later. */
   liveMost: 600,
   /** ms. Taken off the time that a runner may keep a connection idle, so that none is used while it is being closed (§13.6). */
   idleMargin: 150,
@@ -236,19 +236,19 @@
   overdueGrace: 400,
   /** bytes. A result that is no stream is told to the caller once whole, up to this size; a larger one as it comes. */
   wholeMost: 65_536,
-  /** part of the aim within which an inquiry without a runner is turned away, so that its caller comes back in time (§13.5). */
+  /** part of the aim within which a request without a runner is turned away, so that its caller comes back in time (§13.5). */
   waitPart: 0.2,
   /** ms. The same where a passage tells no aim. */
   waitUntold: 50,
   /** ms. Less than this left is not worth a runner's work. */
   worthLeast: 15,
-  /** gos that never went out, after which an inquiry is turned away. */
+  /** gos that never went out, after which a request is turned away. */
   unsentMost: 4,
   /** ms without a sign of a go, after which what may be repeated leaves a runner that gives none on anything. */
   rescueAfter: 400,
   /** ms. Connecting for a passage: a few ms within a region; what was not sent can go elsewhere. */
   passPatience: 200,
-  /** bytes for each Megabyte of a process that bodies of live inquiries may take together: a fifth. */
+  /** bytes for each Megabyte of a process that bodies of live requests may take together: a fifth. */
   bodiesPart: 200_000,
   /** s. What a caller turned away for want of a seat is told, where the runner tells nothing shorter. */
   seatAfter: 0.15,
--- a/packages/parts/src/ledger.ts
+++ b/packages/parts/src/ledger.ts
@@ -59,7 +59,7 @@
 
 /** What a chain replicates: a deterministic machine over a ledger. */
 export interface Machine {
-  /** Applies one command at the moment stamped by the head; an inquiry without changes is a read. */
+  /** Applies one command at the moment stamped by the head; a request without changes is a read. */
   apply(ledger: Ledger, command: unknown, time: number): unknown;
   /** Called after records came from disk or from another member. */
   rebuild(ledger: Ledger): void;
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -37,9 +37,9 @@
   ])[];
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
-  /** What this access node has under way on passages, by runner: live inquiries and items of lots. */
+  /** What this access node has under way on passages, by runner: live requests and items of lots. */
   readonly burdens?: readonly RunnerBurden[];
-  /** Live inquiries turned away for want of a seat lately, by model. */
+  /** Live requests turned away for want of a seat lately, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
 }
 
--- a/packages/shell/src/metrics.ts
+++ b/packages/shell/src/metrics.ts
@@ -94,7 +94,7 @@
   notes.inc({ text });
 }
 
-/** Counts an inquiry to control by its outcome. */
+/** Counts a request to control by its outcome. */
 function changed(outcome: string): void {
   changes.inc({ outcome });
 }
--- a/tools/runner/src/runner.ts
+++ b/tools/runner/src/runner.ts
@@ -142,7 +142,7 @@
   }
 
   async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const inquiry = String(incoming.headers["chutewick-inquiry"] ?? "");
+    const clientRequest = String(incoming.headers["chutewick-inquiry"] ?? "");
     let text = "";
     try {
       for await (const chunk of incoming) text += chunk;
@@ -162,7 +162,7 @@
     }
     const body = text === "" ? {} : (JSON.parse(text) as { prompt?: unknown });
     const run: Run = {
-      inquiry,
+      inquiry: clientRequest,
       prompt: incoming.method === "GET" ? incoming.url : body.prompt,
       at: performance.now(),
       ending: "running",
--- a/tools/scale/src/plane.ts
+++ b/tools/scale/src/plane.ts
@@ -1,6 +1,6 @@
 import { Sessions, constants, type NodeCard } from "@chutewick/parts";
 import type { ControlCommand, ControlOutcome } from "@chutewick/control";
-import type { PassInquiry } from "@chutewick/data";
+import type { PassRequest } from "@chutewick/data";
 import { Bus, meanOf, type Kept } from "./bus.js";
 import { heldBy } from "./heap.js";
 import type { Rows } from "./rows.js";
@@ -212,7 +212,7 @@
     let number = 0;
     function pass(): void {
       number += 1;
-      access.perform(access.core.relay.arrive(`pass/${number}`, inquiryOf(number), bus.now));
+      access.perform(access.core.relay.arrive(`pass/${number}`, requestOf(number), bus.now));
     }
     for (let turn = 0; turn < 200; turn += 1) pass();
     const start = spent();
@@ -249,7 +249,7 @@
   );
 }
 
-function inquiryOf(number: number): PassInquiry {
+function requestOf(number: number): PassRequest {
   return {
     id: `inquiry-${number}`,
     method: "POST",
--- a/tools/scale/src/size.ts
+++ b/tools/scale/src/size.ts
@@ -202,7 +202,7 @@
     size.budgetMemory,
   );
   /** Nodes grow with the traffic, so what one has open does not grow with the size. */
-  const inquiries = size.inquiriesPerSecond / size.accessNodes;
+  const requests = size.inquiriesPerSecond / size.accessNodes;
   const open = (size.tokensPerSecond * size.tokenEvery) / 1_000 / size.accessNodes;
   tell(
     "access node",
@@ -271,7 +271,7 @@
   tell(
     "access node",
     "passages: choices of a runner among those of a model, processor",
-    (inquiries *
+    (requests *
       rows.at("access node", "passages: choice of a runner and start, processor", [
         size.runners / letter.models,
       ])) /
@@ -282,7 +282,7 @@
   tell(
     "access node",
     "passages: choices of a runner among all, processor",
-    (inquiries *
+    (requests *
       rows.at("access node", "passages: choice of a runner and start, processor", [size.runners])) /
       1_000,
     "cores",
@@ -294,7 +294,7 @@
       "access node",
       "passages: live streams, processor",
       rows.at("access node", passed.what, [
-        inquiries,
+        requests,
         size.tokensPerSecond / size.tokensPerPiece / size.accessNodes,
       ]) / 1_000,
       "cores",
@@ -310,7 +310,7 @@
   tell(
     "access node",
     "own ways: choices of a runner, processor",
-    (inquiries *
+    (requests *
       rows.at("access node", "own ways: choice of a runner and start of a stream, processor", [
         size.runners,
         size.runners * open,
@@ -324,7 +324,7 @@
     tell(
       "access node",
       "own ways: live streams, processor",
-      rows.at("access node", "live streams, processor a second", [inquiries, pieces]) / 1_000,
+      rows.at("access node", "live streams, processor a second", [requests, pieces]) / 1_000,
       "cores",
       oneCore,
     );
@@ -599,13 +599,13 @@
   }
   const cell = size.runners / size.regions;
   const nodesOfRelay = (2 * size.nodes) / size.controlMachines;
-  const inquiries = size.inquiriesPerSecond / size.accessNodes;
+  const requests = size.inquiriesPerSecond / size.accessNodes;
   const ways = size.tenants * size.waysPerTenant;
   const mean = size.itemsPerDay / secondsPerDay;
   const items = mean * size.itemsPeak;
   const parts = size.models + Math.ceil(items / partRate);
   /** Starts and ends within a second, at most one count for each. */
-  const changed = Math.min(cell, inquiries * 2);
+  const changed = Math.min(cell, requests * 2);
   const session = rows.at("access node", "sketch: one session with counts that changed", [changed]);
   const lease = rows.at("access node", "sketch: one lease without a roll", [size.controlMachines]);
   const burden = rows.at("access node", "sketch: burdens of a cell in one message", [cell]);
@@ -839,7 +839,7 @@
     tell(
       "access node",
       "processor for streams on passages",
-      rows.at("access node", "passages: streams, processor a second", [inquiries, pieces]) / 1_000,
+      rows.at("access node", "passages: streams, processor a second", [requests, pieces]) / 1_000,
       "cores",
       oneCore,
     );
--- a/tools/scale/src/stations.ts
+++ b/tools/scale/src/stations.ts
@@ -135,7 +135,7 @@
   readonly replies: { status: number; body: unknown }[] = [];
   /** What became of lots of passages. */
   readonly told: string[] = [];
-  /** ms that an item or a live inquiry runs. */
+  /** ms that an item or a live request runs. */
   runs = 100;
   began = 0;
   solved = 0;
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -86,7 +86,7 @@
 
 function troubledRuns(campaign: Campaign): number {
   let count = 0;
-  for (const inquiry of campaign.sight.inquiries) if (inquiry.told === "may-have-run") count += 1;
+  for (const request of campaign.sight.inquiries) if (request.told === "may-have-run") count += 1;
   return count;
 }
 
@@ -582,8 +582,8 @@
 function notRun(campaign: Campaign): number {
   let count = 0;
   let began = 0;
-  for (const inquiry of campaign.sight.inquiries)
-    if (inquiry.told === "not-run" && inquiry.askedAt > 9_000 && inquiry.askedAt < 15_000)
+  for (const request of campaign.sight.inquiries)
+    if (request.told === "not-run" && request.askedAt > 9_000 && request.askedAt < 15_000)
       count += 1;
   for (const run of campaign.sight.runs)
     if (typeof run.prompt !== "string" && run.at > 9_500 && run.at < 15_000) began += 1;
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -4,7 +4,7 @@
   check,
   type ChangeRecord,
   type GoodbyeRecord,
-  type InquiryRecord,
+  type RequestRecord,
   type LotRecord,
   type LotView,
   type Sight,
@@ -48,8 +48,8 @@
   readonly modelRunners?: number;
   readonly plainRunners?: number;
   readonly seats?: number;
-  /** ms between two live inquiries. */
-  readonly inquiryEvery?: readonly [least: number, most: number];
+  /** ms between two live requests. */
+  readonly requestEvery?: readonly [least: number, most: number];
   /** Items of a lot at most, tries of a refused one, ms between two lots, and the time that a lot has. */
   readonly lotItems?: number;
   readonly lotTries?: number;
@@ -154,7 +154,7 @@
   /** Whether all is mended at the end of the storm, or the last fault stays. */
   heals = true;
   #stormy: number;
-  #inquiryNumber = 0;
+  #requestNumber = 0;
   #lotNumber = 0;
   #changeNumber = 0;
   #lastWipeAt = Number.NEGATIVE_INFINITY;
@@ -310,20 +310,20 @@
     };
     for (const { from, to } of this.#awaySpans) {
       /** From when leases would have run out. */
-      for (const inquiry of sight.inquiries) {
-        if (inquiry.askedAt < from + 2_000 || inquiry.askedAt > to) continue;
+      for (const request of sight.inquiries) {
+        if (request.askedAt < from + 2_000 || request.askedAt > to) continue;
         const name =
-          inquiry.told === "not-run"
+          request.told === "not-run"
             ? "away not-run"
-            : inquiry.told === "done"
+            : request.told === "done"
               ? "away done"
               : "away other";
         counts[name] = (counts[name] ?? 0) + 1;
       }
     }
-    for (const inquiry of sight.inquiries)
-      counts[`inquiry ${inquiry.told ?? "nothing"}`] =
-        (counts[`inquiry ${inquiry.told ?? "nothing"}`] ?? 0) + 1;
+    for (const request of sight.inquiries)
+      counts[`inquiry ${request.told ?? "nothing"}`] =
+        (counts[`inquiry ${request.told ?? "nothing"}`] ?? 0) + 1;
     /** Tries made as soon as a refusal's wait had passed. */
     for (const lot of sight.lots)
       for (const [place, told] of lot.tries.entries())
@@ -504,7 +504,7 @@
     const { chance } = world;
     function inquire(): void {
       self.inquire();
-      const [least, most] = self.options.inquiryEvery ?? [15, 60];
+      const [least, most] = self.options.requestEvery ?? [15, 60];
       world.after(chance.between(least, most), inquire);
     }
     function lot(): void {
@@ -544,13 +544,13 @@
 
   inquire(): void {
     const { world, sight } = this;
-    this.#inquiryNumber += 1;
-    const kind = (["one-shot", "stream", "stream", "fetch"] as const)[this.#inquiryNumber % 4]!;
+    this.#requestNumber += 1;
+    const kind = (["one-shot", "stream", "stream", "fetch"] as const)[this.#requestNumber % 4]!;
     const prompt =
-      kind === "fetch" ? `/label-${this.#inquiryNumber}` : `prompt-${this.#inquiryNumber}`;
-    const record: InquiryRecord = { prompt, kind, askedAt: world.now, pieces: [] };
+      kind === "fetch" ? `/label-${this.#requestNumber}` : `prompt-${this.#requestNumber}`;
+    const record: RequestRecord = { prompt, kind, askedAt: world.now, pieces: [] };
     sight.inquiries.push(record);
-    function end(told: NonNullable<InquiryRecord["told"]>): void {
+    function end(told: NonNullable<RequestRecord["told"]>): void {
       record.told = told;
       record.endedAt = world.now;
       if (told === "done" && record.askedAt > sight.healedAt && sight.healedAt > 0)
--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -3,7 +3,7 @@
 import type { RunRecord } from "./runners.js";
 
 /** Compares what callers, runners and operators saw with every line of what must never happen (docs/testing.md §3). */
-export interface InquiryRecord {
+export interface RequestRecord {
   readonly prompt: string;
   readonly kind: "one-shot" | "stream" | "fetch";
   readonly askedAt: number;
@@ -91,7 +91,7 @@
 }
 
 export interface Sight {
-  readonly inquiries: InquiryRecord[];
+  readonly inquiries: RequestRecord[];
   readonly lots: LotRecord[];
   /** The sendings of the first configuration. */
   readonly founding: ChangeRecord[];
@@ -134,7 +134,7 @@
       add(byItem, `${key}/${slip}`, run);
     }
   }
-  checkInquiries(sight, byPrompt, breach);
+  checkRequests(sight, byPrompt, breach);
   checkLots(sight, byItem, breach);
   checkPromptness(sight, breach);
   found.push(...judgeHistories(sight));
@@ -184,60 +184,60 @@
   else held.push(run);
 }
 
-function checkInquiries(
+function checkRequests(
   sight: Sight,
   byPrompt: ReadonlyMap<string, RunRecord[]>,
   breach: (rule: string, facts: string) => void,
 ): void {
-  for (const inquiry of sight.inquiries) {
-    const runs = byPrompt.get(inquiry.prompt) ?? [];
-    if (runs.length > 1) breach("runs-twice", `${inquiry.prompt} ran ${runs.length} times`);
-    if (inquiry.told === "not-run" && runs.length > 0)
-      breach("not-run-ran", `${inquiry.prompt} was told not run, and ran at ${runs[0]!.runner}`);
-    if (inquiry.kind === "stream") checkStream(inquiry, runs, breach);
-    else if (inquiry.told === "done") {
+  for (const request of sight.inquiries) {
+    const runs = byPrompt.get(request.prompt) ?? [];
+    if (runs.length > 1) breach("runs-twice", `${request.prompt} ran ${runs.length} times`);
+    if (request.told === "not-run" && runs.length > 0)
+      breach("not-run-ran", `${request.prompt} was told not run, and ran at ${runs[0]!.runner}`);
+    if (request.kind === "stream") checkStream(request, runs, breach);
+    else if (request.told === "done") {
       const expected =
-        inquiry.kind === "fetch"
-          ? `label for ${inquiry.prompt}`
-          : JSON.stringify({ read: inquiry.prompt });
-      const got = inquiry.kind === "fetch" ? inquiry.value : JSON.stringify(inquiry.value);
-      if (got !== expected) breach("someone-elses", `${inquiry.prompt} got ${String(got)}`);
+        request.kind === "fetch"
+          ? `label for ${request.prompt}`
+          : JSON.stringify({ read: request.prompt });
+      const got = request.kind === "fetch" ? request.value : JSON.stringify(request.value);
+      if (got !== expected) breach("someone-elses", `${request.prompt} got ${String(got)}`);
       if (runs[0]?.ending !== "done")
         breach(
           "partial-looks-whole",
-          `${inquiry.prompt} was told done, and its run ended ${runs[0]?.ending ?? "never"}`,
+          `${request.prompt} was told done, and its run ended ${runs[0]?.ending ?? "never"}`,
         );
     }
   }
 }
 
 function checkStream(
-  inquiry: InquiryRecord,
+  request: RequestRecord,
   runs: readonly RunRecord[],
   breach: (rule: string, facts: string) => void,
 ): void {
   const from = new Set<number>();
-  for (const [place, piece] of inquiry.pieces.entries()) {
+  for (const [place, piece] of request.pieces.entries()) {
     const data = piece.data as { prompt: unknown; run: number; text: number };
     if (piece.number !== place || data.text !== place)
       breach(
         "stream-pieces",
-        `${inquiry.prompt}: piece ${piece.number} with text ${data.text} at place ${place}`,
+        `${request.prompt}: piece ${piece.number} with text ${data.text} at place ${place}`,
       );
-    if (data.prompt !== inquiry.prompt)
-      breach("someone-elses", `${inquiry.prompt} got a piece of ${String(data.prompt)}`);
+    if (data.prompt !== request.prompt)
+      breach("someone-elses", `${request.prompt} got a piece of ${String(data.prompt)}`);
     from.add(data.run);
   }
-  if (from.size > 1) breach("stream-pieces", `${inquiry.prompt} joins ${from.size} runs`);
+  if (from.size > 1) breach("stream-pieces", `${request.prompt} joins ${from.size} runs`);
   if (
-    inquiry.told === "done" &&
+    request.told === "done" &&
     (runs[0]?.ending !== "done" ||
-      runs[0].pieces.length !== inquiry.pieces.length ||
-      inquiry.closed !== inquiry.pieces.length)
+      runs[0].pieces.length !== request.pieces.length ||
+      request.closed !== request.pieces.length)
   ) {
     breach(
       "partial-looks-whole",
-      `${inquiry.prompt} was closed with ${inquiry.pieces.length} pieces of ${runs[0]?.pieces.length ?? 0}, run ${runs[0]?.ending ?? "never"}`,
+      `${request.prompt} was closed with ${request.pieces.length} pieces of ${runs[0]?.pieces.length ?? 0}, run ${runs[0]?.ending ?? "never"}`,
     );
   }
 }
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -244,10 +244,10 @@
     cuts: [
       {
         file: link,
-        from: 'if (response.headers["chutewick-inquiry"] !== work.inquiry)',
+        from: 'if (response.headers["chutewick-inquiry"] !== work.request)',
         to: "if (false)",
       },
-      { file: link, from: "value.inquiry !== work.inquiry || ", to: "" },
+      { file: link, from: "value.inquiry !== work.request || ", to: "" },
     ],
   },
   "a passed result bears the stamp of its call": {
--- a/tools/simulator/src/machines.ts
+++ b/tools/simulator/src/machines.ts
@@ -103,7 +103,7 @@
     this.#perform(this.core.leave(this.now));
   }
 
-  /** An operator's inquiry; undefined: the connection was torn. */
+  /** An operator's request; undefined: the connection was torn. */
   inquire(command: ControlCommand, told: (outcome: ControlOutcome | undefined) => void): void {
     if (!this.alive) return told(undefined);
     this.#ticketNumber += 1;
--- a/tools/simulator/src/measure.ts
+++ b/tools/simulator/src/measure.ts
@@ -80,8 +80,8 @@
   };
 }
 
-/** A live inquiry touches no storage or control machine. */
-export function costOfInquiry(): { messages: number; syncs: number; runs: number } {
+/** A live request touches no storage or control machine. */
+export function costOfRequest(): { messages: number; syncs: number; runs: number } {
   const campaign = calmFleet(100, 1);
   const { world } = campaign;
   const idleStart = world.messages;
--- a/tools/simulator/src/pass-play.ts
+++ b/tools/simulator/src/pass-play.ts
@@ -332,8 +332,8 @@
       begin();
     }
     function begin(): void {
-      const known = self.#itemOf.get(work.inquiry.id);
-      if (known === undefined) return self.breach(`unasked: ${work.inquiry.id}`);
+      const known = self.#itemOf.get(work.request.id);
+      if (known === undefined) return self.breach(`unasked: ${work.request.id}`);
       const { lot, item } = known;
       self.#look(lot, item, work, runner);
       item.runs += 1;
@@ -384,9 +384,9 @@
         `${item.id} runs ${Math.round(this.world.now - lot.endedAt)} ms after the end of its lot`,
       );
     if (
-      work.inquiry.path !== `/slips/${item.id}` ||
-      new TextDecoder().decode(work.inquiry.body) !== `body of ${item.id}` ||
-      work.inquiry.host !== host
+      work.request.path !== `/slips/${item.id}` ||
+      new TextDecoder().decode(work.request.body) !== `body of ${item.id}` ||
+      work.request.host !== host
     )
       this.breach(`${item.id} is not as it was handed in`);
     if (runner.pool !== "readers" && this.options.moves !== true)
--- a/tools/simulator/src/runners.ts
+++ b/tools/simulator/src/runners.ts
@@ -116,7 +116,7 @@
       const prompt = work.kind === "fetch" ? work.path : work.body["prompt"];
       record = {
         number: self.records.length,
-        inquiry: work.inquiry,
+        inquiry: work.request,
         prompt,
         runner: self.id,
         incarnation: self.incarnation,
--- a/tools/simulator/src/swapped.ts
+++ b/tools/simulator/src/swapped.ts
@@ -3,7 +3,7 @@
 import { Links, type GoEvent } from "@chutewick/data";
 import type { Violation } from "./checker.js";
 
-/** The product's real links against a runner that answers one inquiry with another's result, over loopback sockets (docs/testing.md §2). */
+/** The product's real links against a runner that answers one request with another's result, over loopback sockets (docs/testing.md §2). */
 export async function playSwapped(
   count: number,
 ): Promise<{ violations: Violation[]; strikes: number }> {
@@ -11,10 +11,10 @@
   let strikes = 0;
   let before = "nobody";
   async function serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const inquiry = String(incoming.headers["chutewick-inquiry"]);
+    const request = String(incoming.headers["chutewick-inquiry"]);
     for await (const _chunk of incoming);
     const named = before;
-    before = inquiry;
+    before = request;
     if (named !== "nobody") strikes += 1;
     const text = JSON.stringify({ inquiry: named, result: { read: named } });
     outgoing.writeHead(200, {
@@ -54,7 +54,7 @@
         url,
         {
           kind: "one-shot",
-          inquiry: `inquiry-${go}`,
+          request: `inquiry-${go}`,
           body: { inquiry: `inquiry-${go}`, prompt: go },
         },
         2_000,
--- a/tools/simulator/src/worlds/live-callers.ts
+++ b/tools/simulator/src/worlds/live-callers.ts
@@ -56,7 +56,7 @@
     const call: Call = { id, kind, received: 0, outcome: "open", status: undefined, runs: 0 };
     this.#calls.set(id, call);
     const { access, ticket } = this.#router.enter(
-      (node, own) => node.core.relay.arrive(own, inquiryOf(id, kind), site.now),
+      (node, own) => node.core.relay.arrive(own, requestOf(id, kind), site.now),
       (output) => this.#told(call, output),
     );
     const { world } = site.deployment;
@@ -121,7 +121,7 @@
   }
 }
 
-function inquiryOf(id: string, kind: CallKind) {
+function requestOf(id: string, kind: CallKind) {
   return {
     id,
     method: "POST",
--- a/tools/simulator/src/worlds/wrong-runners.ts
+++ b/tools/simulator/src/worlds/wrong-runners.ts
@@ -90,12 +90,12 @@
   }
 
   #begin(link: Link): void {
-    const { inquiry } = link.run.work;
+    const { request } = link.run.work;
     const wrong = this.#wrongOf();
     if (wrong !== "right") this.#site.history.fault(`answer ${wrong}`);
-    if (wrong !== "reset unread" && wrong !== "refused") this.began(inquiry.id);
+    if (wrong !== "reset unread" && wrong !== "refused") this.began(request.id);
     const steps = this.#steps(link.run.work, wrong);
-    this.#lastId = inquiry.id;
+    this.#lastId = request.id;
     this.#play(link, steps, wrong === "late" || wrong === "doubled");
   }
 
@@ -118,7 +118,7 @@
     if (wrong === "refused")
       return [later({ kind: "refused", status: 503, retryAfter: 0.1, otherRunner: false })];
     /** The answer to another call lacks the stamp that belongs to this one. */
-    const of = wrong === "swapped" ? this.#lastId : work.inquiry.id;
+    const of = wrong === "swapped" ? this.#lastId : work.request.id;
     const head: PassEvent = {
       kind: "head",
       status: 200,
