Names: an errand is a pending call

What an access node has asked an owner of a queue or control, and has no result of yet, was an "errand". Nothing of it is encoded anywhere.

--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -25,7 +25,7 @@
 } from "@chutewick/control";
 import { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
-import { Errands, type ErrandTold } from "./errands.js";
+import { PendingCalls, type PendingCallEnded } from "./pending-calls.js";
 import { Membership, type Standing } from "./membership.js";
 import { PassLots } from "./pass-lots.js";
 import type { PassOutput } from "./pass.js";
@@ -145,7 +145,7 @@
   underWay: number;
 }
 
-interface ControlErrand {
+interface PendingControlCall {
   readonly command: ControlCommand;
   readonly since: number;
   readonly told: (outcome: ControlOutcome) => AccessOutput[];
@@ -170,8 +170,8 @@
   #gos = new Map<number, Go>();
   #goNumber = 0;
   #draws = new Map<string, Draw>();
-  #errands: Errands;
-  #controlErrands = new Map<string, ControlErrand>();
+  #pendingCalls: PendingCalls;
+  #pendingControlCalls = new Map<string, PendingControlCall>();
   #lifeAt = 0;
   #now: number;
   #draining = false;
@@ -209,9 +209,9 @@
     }
     this.membership = new Membership(standing, seeds, now, telling, chosen);
     this.choice = new Choice(this.membership, standing);
-    this.#errands = new Errands(this.membership);
+    this.#pendingCalls = new PendingCalls(this.membership);
     this.relay = new RelayCore(this.membership, this.choice, chosen);
-    this.lots = new PassLots(this.membership, this.choice, this.#errands, this.relay);
+    this.lots = new PassLots(this.membership, this.choice, this.#pendingCalls, this.relay);
   }
 
   #telling(): Telling {
@@ -236,7 +236,9 @@
   }
 
   get busy(): number {
-    return this.#gos.size + this.#errands.size + this.relay.busy + this.lots.dispatcher.underWay;
+    return (
+      this.#gos.size + this.#pendingCalls.size + this.relay.busy + this.lots.dispatcher.underWay
+    );
   }
 
   /** A planned stop: no new work; what is under way goes on. */
@@ -265,18 +267,18 @@
       case "fellow-tell":
         return this.membership.fellow(message, from, now);
       case "queue-result":
-        return this.#errandTold(message.ticket, message.outcome, now, message.held ?? 0);
+        return this.#pendingCallEnded(message.ticket, message.outcome, now, message.held ?? 0);
       case "lot-ended":
         return this.lots.dropped(message.lot, now);
       case "control-result": {
-        const errand = this.#controlErrands.get(message.ticket);
-        if (errand === undefined) return [];
+        const pendingCall = this.#pendingControlCalls.get(message.ticket);
+        if (pendingCall === undefined) return [];
         if (message.outcome.kind === "not-run") {
-          errand.sentAt = now - constants.confirmPatience + constants.ownerRetry;
+          pendingCall.sentAt = now - constants.confirmPatience + constants.ownerRetry;
           return [];
         }
-        this.#controlErrands.delete(message.ticket);
-        return errand.told(message.outcome);
+        this.#pendingControlCalls.delete(message.ticket);
+        return pendingCall.told(message.outcome);
       }
       default:
         return [];
@@ -650,15 +652,15 @@
     ];
   }
 
-  #control(command: ControlCommand, told: ControlErrand["told"], now: number): AccessOutput[] {
-    const ticket = this.#errands.ticket();
-    const errand: ControlErrand = { command, since: now, told, sentAt: now };
-    this.#controlErrands.set(ticket, errand);
-    return this.#sendControl(ticket, errand, now);
+  #control(command: ControlCommand, told: PendingControlCall["told"], now: number): AccessOutput[] {
+    const ticket = this.#pendingCalls.ticket();
+    const pendingCall: PendingControlCall = { command, since: now, told, sentAt: now };
+    this.#pendingControlCalls.set(ticket, pendingCall);
+    return this.#sendControl(ticket, pendingCall, now);
   }
 
-  #sendControl(ticket: string, errand: ControlErrand, now: number): AccessOutput[] {
-    errand.sentAt = now;
+  #sendControl(ticket: string, pendingCall: PendingControlCall, now: number): AccessOutput[] {
+    pendingCall.sentAt = now;
     const head = this.membership.head;
     return head === undefined
       ? []
@@ -666,7 +668,7 @@
           {
             kind: "send",
             to: head,
-            message: { kind: "control-inquiry", ticket, command: errand.command },
+            message: { kind: "control-inquiry", ticket, command: pendingCall.command },
           },
         ];
   }
@@ -813,7 +815,7 @@
       }
       return [trouble(ticket, 500, { trouble: "internal", reason: value.kind })];
     }
-    return this.#errand(queue, command, constants.ownerPatience, told, now);
+    return this.#pendingCall(queue, command, constants.ownerPatience, told, now);
   }
 
   /** When, by the calendar of seasons, a queue may first hold so many. */
@@ -884,7 +886,7 @@
         },
       ];
     }
-    return this.#errand(queue!, { kind: "status", lot }, constants.ownerPatience, told, now);
+    return this.#pendingCall(queue!, { kind: "status", lot }, constants.ownerPatience, told, now);
   }
 
   cancel(ticket: string, lot: string, now: number): AccessOutput[] {
@@ -919,28 +921,33 @@
         },
       ];
     }
-    return this.#errand(queue!, { kind: "cancel", lot }, constants.ownerPatience, told, now);
+    return this.#pendingCall(queue!, { kind: "cancel", lot }, constants.ownerPatience, told, now);
   }
 
-  // Errands to owners of queues and to control
+  // Pending calls to owners of queues and to control
 
-  #errand(
+  #pendingCall(
     queue: string,
     command: QueueCommand,
     patience: number,
-    told: ErrandTold,
+    told: PendingCallEnded,
     now: number,
   ): AccessOutput[] {
-    return this.#errands.ask(queue, command, patience, told, now);
+    return this.#pendingCalls.ask(queue, command, patience, told, now);
   }
 
-  #errandTold(ticket: string, ended: QueueOutcome, now: number, held: number): AccessOutput[] {
-    const outputs = this.#errands.told(ticket, ended, now, held);
+  #pendingCallEnded(
+    ticket: string,
+    ended: QueueOutcome,
+    now: number,
+    held: number,
+  ): AccessOutput[] {
+    const outputs = this.#pendingCalls.told(ticket, ended, now, held);
     if (outputs !== undefined) return outputs;
     /** A prompt granted too late to be begun goes back at once, with its token. */
     if (ended.kind !== "confirmed" || ended.value.kind !== "TAKEN") return [];
     const { lot, index, go } = ended.value;
-    return this.#errand(
+    return this.#pendingCall(
       queueOfLot(lot)!,
       { kind: "record", lot, index, go, ending: { kind: "unsent" } },
       constants.ownerPatience,
@@ -949,14 +956,14 @@
     );
   }
 
-  #errandsBeat(now: number): AccessOutput[] {
-    const outputs = this.#errands.beat(now);
-    for (const [ticket, errand] of [...this.#controlErrands]) {
-      if (now - errand.since >= constants.confirmPatience) {
-        this.#controlErrands.delete(ticket);
-        outputs.push(...errand.told({ kind: "unknown" }));
-      } else if (now - errand.sentAt >= constants.grantLasts)
-        outputs.push(...this.membership.spread(), ...this.#sendControl(ticket, errand, now));
+  #resendPendingCalls(now: number): AccessOutput[] {
+    const outputs = this.#pendingCalls.beat(now);
+    for (const [ticket, pendingCall] of [...this.#pendingControlCalls]) {
+      if (now - pendingCall.since >= constants.confirmPatience) {
+        this.#pendingControlCalls.delete(ticket);
+        outputs.push(...pendingCall.told({ kind: "unknown" }));
+      } else if (now - pendingCall.sentAt >= constants.grantLasts)
+        outputs.push(...this.membership.spread(), ...this.#sendControl(ticket, pendingCall, now));
     }
     return outputs;
   }
@@ -967,7 +974,10 @@
     this.#now = now;
     this.#wall = wall;
     this.#lookAwake(now);
-    const outputs: AccessOutput[] = [...this.membership.beat(now), ...this.#errandsBeat(now)];
+    const outputs: AccessOutput[] = [
+      ...this.membership.beat(now),
+      ...this.#resendPendingCalls(now),
+    ];
     for (const [id, { heardAt }] of this.#announced)
       if (now - heardAt > constants.runnerLasts) this.#announced.delete(id);
     if (now - this.#lifeAt >= constants.lifeEvery) {
@@ -1059,7 +1069,7 @@
           : constants.emptyPause);
       return [];
     }
-    return this.#errand(
+    return this.#pendingCall(
       queue,
       { kind: "pop", holder: this.#standing.identity, ...(unable.length === 0 ? {} : { unable }) },
       constants.grantLasts,
@@ -1194,7 +1204,7 @@
     else if (ending.kind === "trouble") this.counts.troubled += 1;
     else if (ending.kind === "unsent") this.counts.givenBack += 1;
     else this.counts.broken += 1;
-    return this.#errand(
+    return this.#pendingCall(
       prompt.queue,
       { kind: "record", lot: prompt.lot, index: prompt.index, go: prompt.claim, ending },
       constants.ownerPatience * 3,
@@ -1212,11 +1222,15 @@
       items.push({ lot: job.lot, index: job.index, go: job.claim });
       byQueue.set(job.queue, items);
     }
-    for (const errand of this.#errands.values()) {
-      if (errand.command.kind !== "record") continue;
-      const items = byQueue.get(errand.queue) ?? [];
-      items.push({ lot: errand.command.lot, index: errand.command.index, go: errand.command.go });
-      byQueue.set(errand.queue, items);
+    for (const pendingCall of this.#pendingCalls.values()) {
+      if (pendingCall.command.kind !== "record") continue;
+      const items = byQueue.get(pendingCall.queue) ?? [];
+      items.push({
+        lot: pendingCall.command.lot,
+        index: pendingCall.command.index,
+        go: pendingCall.command.go,
+      });
+      byQueue.set(pendingCall.queue, items);
     }
     const outputs: AccessOutput[] = [];
     for (const [queue, items] of byQueue) {
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -2,7 +2,7 @@
 export * from "./access-service.js";
 export * from "./choice.js";
 export * from "./dialect.js";
-export * from "./errands.js";
+export * from "./pending-calls.js";
 export * from "./events.js";
 export * from "./link.js";
 export * from "./membership.js";
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -11,7 +11,7 @@
 import type { AccessOutput } from "./access-core.js";
 import type { Choice, GoEnd } from "./choice.js";
 import type { PassEvent, PassRequest } from "./dialect.js";
-import type { Errands } from "./errands.js";
+import type { PendingCalls } from "./pending-calls.js";
 import type { Membership } from "./membership.js";
 import type { QueueOutcome } from "./storage-core.js";
 
@@ -60,7 +60,7 @@
 export class PassDraw {
   #membership: Membership;
   #choice: Choice;
-  #errands: Errands;
+  #pendingCalls: PendingCalls;
   #draws = new Map<string, Draw>();
   #runs = new Map<number, Run>();
   #settlings = new Map<string, Settling>();
@@ -70,10 +70,10 @@
   draining = false;
   readonly counts = { drawn: 0, solved: 0, never: 0, troubled: 0, broken: 0, givenBack: 0 };
 
-  constructor(membership: Membership, choice: Choice, errands: Errands) {
+  constructor(membership: Membership, choice: Choice, pendingCalls: PendingCalls) {
     this.#membership = membership;
     this.#choice = choice;
-    this.#errands = errands;
+    this.#pendingCalls = pendingCalls;
   }
 
   get underWay(): number {
@@ -196,7 +196,7 @@
       return [...outputs, ...self.#draw(queue, later)];
     }
     /** A grant that comes too late to be begun still has to be given back. */
-    return this.#errands.ask(
+    return this.#pendingCalls.ask(
       queue,
       {
         kind: "draw",
@@ -409,7 +409,7 @@
       settling.sent = [];
       return self.#tell(queue, settling, later);
     }
-    return this.#errands.ask(
+    return this.#pendingCalls.ask(
       queue,
       { kind: "settle", endings: bare(settling.sent) },
       constants.ownerPatience,
@@ -453,7 +453,7 @@
   }
 
   #live(queue: string, tasks: readonly Claim[]): AccessOutput[] {
-    const owner = this.#errands.owner(queue);
+    const owner = this.#pendingCalls.owner(queue);
     return owner === undefined
       ? []
       : [{ kind: "send", to: owner, message: { kind: "life", queue, items: [], tasks } }];
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -3,7 +3,7 @@
 import type { AccessOutput } from "./access-core.js";
 import type { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
-import { Errands } from "./errands.js";
+import { PendingCalls } from "./pending-calls.js";
 import type { Membership } from "./membership.js";
 import type { LotHandedIn, LotTold } from "./pass.js";
 import { PassDraw } from "./pass-draw.js";
@@ -15,18 +15,23 @@
 /** Lots of passages at an access node, without I/O (docs/design.md §13.7). */
 export class PassLots {
   #membership: Membership;
-  #errands: Errands;
+  #pendingCalls: PendingCalls;
   #relay: RelayCore;
   readonly dispatcher: PassDraw;
   /** In which queue a lot was seen. */
   #seenIn = new Map<string, string>();
   draining = false;
 
-  constructor(membership: Membership, choice: Choice, errands: Errands, relay: RelayCore) {
+  constructor(
+    membership: Membership,
+    choice: Choice,
+    pendingCalls: PendingCalls,
+    relay: RelayCore,
+  ) {
     this.#membership = membership;
     this.#relay = relay;
-    this.#errands = errands;
-    this.dispatcher = new PassDraw(membership, choice, errands);
+    this.#pendingCalls = pendingCalls;
+    this.dispatcher = new PassDraw(membership, choice, pendingCalls);
   }
 
   handIn(ticket: string, { lot, host, path, entries }: LotHandedIn, now: number): AccessOutput[] {
@@ -90,7 +95,7 @@
         }),
       ];
     }
-    return this.#errands.ask(queue, command, constants.handInPatience, ended, now);
+    return this.#pendingCalls.ask(queue, command, constants.handInPatience, ended, now);
   }
 
   #remember(lot: string, queue: string): void {
@@ -193,7 +198,14 @@
         return open === 0 ? close() : [];
       }
       outputs.push(
-        ...this.#errands.ask(queue, command, constants.readPatience + hold, answered, now, hold),
+        ...this.#pendingCalls.ask(
+          queue,
+          command,
+          constants.readPatience + hold,
+          answered,
+          now,
+          hold,
+        ),
       );
     }
     return outputs;
--- a/packages/data/src/errands.ts
+++ b/packages/data/src/pending-calls.ts
@@ -5,25 +5,29 @@
 import type { QueueOutcome } from "./storage-core.js";
 
 /** since: the moment of the asking, which no stamp of the owner comes before. */
-export type ErrandTold = (outcome: QueueOutcome, now: number, since: number) => AccessOutput[];
+export type PendingCallEnded = (
+  outcome: QueueOutcome,
+  now: number,
+  since: number,
+) => AccessOutput[];
 
 /** A request to a queue's owner, sent again while that cannot do harm (docs/design.md §5.2). */
-export interface Errand {
+export interface PendingCall {
   readonly queue: string;
   readonly command: QueueCommand;
   readonly since: number;
   readonly patience: number;
   readonly hold: number;
-  readonly told: ErrandTold;
+  readonly told: PendingCallEnded;
   sentTo: string | undefined;
   sentAt: number;
   /** Whether some owner may have taken it without our hearing. */
   doubtful: boolean;
 }
 
-export class Errands {
+export class PendingCalls {
   #membership: Membership;
-  #errands = new Map<string, Errand>();
+  #pendingCalls = new Map<string, PendingCall>();
   #number = 0;
 
   constructor(membership: Membership) {
@@ -31,11 +35,11 @@
   }
 
   get size(): number {
-    return this.#errands.size;
+    return this.#pendingCalls.size;
   }
 
-  values(): IterableIterator<Errand> {
-    return this.#errands.values();
+  values(): IterableIterator<PendingCall> {
+    return this.#pendingCalls.values();
   }
 
   /** hold in ms: the owner may keep the result back so long. */
@@ -43,12 +47,12 @@
     queue: string,
     command: QueueCommand,
     patience: number,
-    told: ErrandTold,
+    told: PendingCallEnded,
     now: number,
     hold = 0,
   ): AccessOutput[] {
     const ticket = this.ticket();
-    const errand: Errand = {
+    const pendingCall: PendingCall = {
       queue,
       command: command.kind === "hand-in" ? { ...command, ticket } : command,
       since: now,
@@ -59,8 +63,8 @@
       sentAt: now,
       doubtful: false,
     };
-    this.#errands.set(ticket, errand);
-    return this.#send(ticket, errand, now);
+    this.#pendingCalls.set(ticket, pendingCall);
+    return this.#send(ticket, pendingCall, now);
   }
 
   /** Never used twice by this node. */
@@ -73,17 +77,20 @@
     return this.#membership.follower.read<ChainView>(keys.queue + queue)?.members[0]?.address;
   }
 
-  #send(ticket: string, errand: Errand, now: number): AccessOutput[] {
-    errand.sentAt = now;
-    const owner = this.owner(errand.queue);
-    errand.sentTo = owner;
+  #send(ticket: string, pendingCall: PendingCall, now: number): AccessOutput[] {
+    pendingCall.sentAt = now;
+    const owner = this.owner(pendingCall.queue);
+    pendingCall.sentTo = owner;
     if (owner === undefined) return [];
     /** Earlier sendings may be on their way: a refusal of this one is to hold for them too. */
     const command =
-      errand.doubtful && errand.command.kind === "hand-in"
-        ? { ...errand.command, final: true }
-        : errand.command;
-    const left = Math.max(0, Math.min(errand.hold, errand.since + errand.hold - now));
+      pendingCall.doubtful && pendingCall.command.kind === "hand-in"
+        ? { ...pendingCall.command, final: true }
+        : pendingCall.command;
+    const left = Math.max(
+      0,
+      Math.min(pendingCall.hold, pendingCall.since + pendingCall.hold - now),
+    );
     return [
       {
         kind: "send",
@@ -91,7 +98,7 @@
         message: {
           kind: "queue-inquiry",
           ticket,
-          queue: errand.queue,
+          queue: pendingCall.queue,
           command,
           ...(left > 0 ? { hold: left } : {}),
         },
@@ -101,54 +108,55 @@
 
   /** undefined where nobody waits for it any more. */
   told(ticket: string, ended: QueueOutcome, now: number, held = 0): AccessOutput[] | undefined {
-    const errand = this.#errands.get(ticket);
-    if (errand === undefined) return undefined;
-    const late = now - errand.since >= errand.patience;
-    if (ended.kind === "unknown") errand.doubtful = true;
-    if (ended.kind !== "confirmed" && !late && !isOnce(errand.command)) {
+    const pendingCall = this.#pendingCalls.get(ticket);
+    if (pendingCall === undefined) return undefined;
+    const late = now - pendingCall.since >= pendingCall.patience;
+    if (ended.kind === "unknown") pendingCall.doubtful = true;
+    if (ended.kind !== "confirmed" && !late && !isOnce(pendingCall.command)) {
       /** Taken nowhere, or idempotent by its key: looked for again at the next beat. */
-      errand.sentTo = undefined;
-      errand.sentAt = now;
+      pendingCall.sentTo = undefined;
+      pendingCall.sentAt = now;
       return [];
     }
-    this.#errands.delete(ticket);
-    /** A refusal is final only if no earlier send of this errand may still be taken. */
+    this.#pendingCalls.delete(ticket);
+    /** A refusal is final only if no earlier send of this pending call may still be taken. */
     const refusal =
       ended.kind === "elsewhere" ||
       (ended.kind === "confirmed" &&
         (ended.value.kind === "FULL" ||
           (ended.value.kind === "NO_ROOM" && ended.value.final !== true)));
-    return errand.told(
-      refusal && errand.doubtful ? { kind: "unknown" } : ended,
+    return pendingCall.told(
+      refusal && pendingCall.doubtful ? { kind: "unknown" } : ended,
       now,
-      errand.since + held,
+      pendingCall.since + held,
     );
   }
 
   beat(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
     const near = this.#membership.holds(now);
-    for (const [ticket, errand] of [...this.#errands]) {
+    for (const [ticket, pendingCall] of [...this.#pendingCalls]) {
       /** A node that heard nothing of its owner and lost its lease is cut off: the caller does better at another. */
-      const hopeless = !near && errand.doubtful && errand.command.kind === "hand-in";
-      if (now - errand.since >= errand.patience || hopeless) {
-        this.#errands.delete(ticket);
+      const hopeless = !near && pendingCall.doubtful && pendingCall.command.kind === "hand-in";
+      if (now - pendingCall.since >= pendingCall.patience || hopeless) {
+        this.#pendingCalls.delete(ticket);
         outputs.push(
-          ...errand.told(
-            errand.sentTo !== undefined || errand.doubtful
+          ...pendingCall.told(
+            pendingCall.sentTo !== undefined || pendingCall.doubtful
               ? { kind: "unknown" }
               : { kind: "elsewhere", reason: "the queue's owner cannot be reached" },
             now,
-            errand.since,
+            pendingCall.since,
           ),
         );
       } else if (
-        errand.sentTo === undefined
-          ? now - errand.sentAt >= constants.ownerRetry
-          : !isOnce(errand.command) && now - errand.sentAt >= constants.grantLasts + errand.hold
+        pendingCall.sentTo === undefined
+          ? now - pendingCall.sentAt >= constants.ownerRetry
+          : !isOnce(pendingCall.command) &&
+            now - pendingCall.sentAt >= constants.grantLasts + pendingCall.hold
       ) {
-        if (errand.sentTo !== undefined) errand.doubtful = true;
-        outputs.push(...this.#send(ticket, errand, now));
+        if (pendingCall.sentTo !== undefined) pendingCall.doubtful = true;
+        outputs.push(...this.#send(ticket, pendingCall, now));
       }
     }
     return outputs;
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -8,7 +8,7 @@
 }
 
 const access = "packages/data/dist/access-core.js";
-const errands = "packages/data/dist/errands.js";
+const pendingCalls = "packages/data/dist/pending-calls.js";
 const storage = "packages/data/dist/storage-core.js";
 const control = "packages/control/dist/core.js";
 const machine = "packages/control/dist/machine.js";
@@ -103,7 +103,7 @@
   },
   "refused only when no earlier sending may be taken": {
     section: "§5.2",
-    cuts: [{ file: errands, from: "refusal && errand.doubtful", to: "false" }],
+    cuts: [{ file: pendingCalls, from: "refusal && pendingCall.doubtful", to: "false" }],
   },
   "a grant is begun within a second": {
     section: "§5.4",
