--- a/features/steps/lot.ts
+++ b/features/steps/lot.ts
@@ -238,15 +238,15 @@
       }
       if (step === steps >> 1) {
         const copy = new Ledger();
-        copy.adopt(right.digest());
+        copy.adopt(right.snapshot());
         right.clear();
-        right.adopt(copy.digest());
+        right.adopt(copy.snapshot());
         rightMachine = new QueueMachine();
         rightMachine.rebuild(right);
       }
     }
-    const sorted = JSON.stringify(left.digest().sort(byKey));
-    if (sorted !== JSON.stringify(right.digest().sort(byKey)))
+    const sorted = JSON.stringify(left.snapshot().sort(byKey));
+    if (sorted !== JSON.stringify(right.snapshot().sort(byKey)))
       this.differences.push(`seed ${seed}: records differ`);
     for (const [, lot] of left.under<{ id: string; items: number }>("lot/")) {
       const status = leftMachine.apply(left, { kind: "status", lot: lot.id }, now);
--- a/features/steps/order-records.ts
+++ b/features/steps/order-records.ts
@@ -105,9 +105,9 @@
   const mark = taken.at(-1)![0];
   const origin = JSON.stringify({ document: { revision: mark }, taken });
   const value = { models: {}, ways: {}, seasons: {} };
-  const digest = createHash("sha256").update(origin).digest("base64");
+  const snapshot = createHash("sha256").update(origin).digest("base64");
   this.ledger.put(keys.configuration, { mark, value, origin });
-  this.ledger.put(keys.taken, { orders: [[mark, digest]] });
+  this.ledger.put(keys.taken, { orders: [[mark, snapshot]] });
 }
 When("the records are those of an earlier release that took the orders {string}", earlierRecords);
 
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -475,7 +475,7 @@
         else shown.set(key, JSON.stringify(value));
       }
       if (step === steps >> 1) {
-        const copy = right.digest();
+        const copy = right.snapshot();
         right.clear();
         right.adopt(copy);
         rightMachine = new QueueMachine();
@@ -483,7 +483,9 @@
       }
       this.faults.push(...lookAt(left, seed, step));
     }
-    if (JSON.stringify(left.digest().sort(byKey)) !== JSON.stringify(right.digest().sort(byKey)))
+    if (
+      JSON.stringify(left.snapshot().sort(byKey)) !== JSON.stringify(right.snapshot().sort(byKey))
+    )
       this.differences.push(`seed ${seed}: records differ`);
   }
 }
--- a/packages/control/src/order-log.ts
+++ b/packages/control/src/order-log.ts
@@ -2,7 +2,7 @@
 import { constants, type Ledger } from "@chutewick/parts";
 import { keys } from "./keys.js";
 
-/** An order that was taken: its version, the digest of its idempotency key, and when (ms of the ledger; none in earlier releases). */
+/** An order that was taken: its version, the snapshot of its idempotency key, and when (ms of the ledger; none in earlier releases). */
 export type TakenOrder = readonly [mark: number, digest: string, at?: number];
 
 /** Orders taken lately, oldest first. */
@@ -38,8 +38,8 @@
   /** The version under which the order with this key was taken. */
   find(key: string | undefined): number | undefined {
     if (key === undefined) return undefined;
-    const digest = digestOf(key);
-    for (const [mark, taken] of this.#orders) if (taken === digest) return mark;
+    const snapshot = snapshotOf(key);
+    for (const [mark, taken] of this.#orders) if (taken === snapshot) return mark;
     return undefined;
   }
 
@@ -49,7 +49,7 @@
     const excess = this.#orders.length + 1;
     for (const [index, order] of this.#orders.entries())
       if (isKept(order, excess - index, time)) kept.push(order);
-    kept.push([mark, digestOf(key), time]);
+    kept.push([mark, snapshotOf(key), time]);
     this.#ledger.put(keys.taken, { orders: kept } satisfies TakenRecord);
   }
 }
@@ -62,7 +62,7 @@
   );
 }
 
-function digestOf(key: string): string {
+function snapshotOf(key: string): string {
   return createHash("sha256").update(key).digest("base64");
 }
 
@@ -70,16 +70,16 @@
   orders: readonly TakenOrder[],
   earlier: readonly TakenOrder[],
 ): readonly TakenOrder[] {
-  const digests = new Set<string>();
-  for (const [, digest] of orders) digests.add(digest);
+  const snapshots = new Set<string>();
+  for (const [, snapshot] of orders) snapshots.add(snapshot);
   const missing: TakenOrder[] = [];
-  for (const order of earlier) if (!digests.has(order[1])) missing.push(order);
+  for (const order of earlier) if (!snapshots.has(order[1])) missing.push(order);
   return missing.length === 0 ? orders : [...missing, ...orders];
 }
 
 function earlierOrders(origin: string | undefined): TakenOrder[] {
   const orders: TakenOrder[] = [];
-  for (const [mark, key] of originOf(origin).taken ?? []) orders.push([mark, digestOf(key)]);
+  for (const [mark, key] of originOf(origin).taken ?? []) orders.push([mark, snapshotOf(key)]);
   return orders;
 }
 
--- a/packages/parts/src/chain.ts
+++ b/packages/parts/src/chain.ts
@@ -41,7 +41,7 @@
       readonly time: number;
       readonly records: readonly Change[];
     }
-  /** A piece of a digest has come, so the next may follow (§1.8). */
+  /** A piece of a snapshot has come, so the next may follow (§1.8). */
   | { readonly kind: "digest-got"; readonly series: number; readonly part: number }
 );
 
@@ -148,7 +148,7 @@
   /** The furthest place that the successor told in this view, and since when. */
   #successorPlace = 0;
   #successorSince = 0;
-  #digestFor: Member | undefined;
+  #snapshotFor: Member | undefined;
   #series = 0;
   /** Pieces of a copy still to be sent, a few with each beat. */
   #sending: Sending | undefined;
@@ -299,7 +299,7 @@
     this.#joinerGates = false;
     this.#joinerSynced = 0;
     this.#joinerAsked = 0;
-    this.#digestFor = undefined;
+    this.#snapshotFor = undefined;
     this.#sending = undefined;
     this.#parts = undefined;
     this.#sourcePlace = undefined;
@@ -453,8 +453,8 @@
     if (successor !== undefined) commands.push(...this.#sendEntries(successor, this.#passed, now));
     else commands.push(...this.#confirmAsTail(now));
     commands.push(...this.#restore());
-    if (this.#digestFor !== undefined && this.#synced === this.#place)
-      commands.push(...this.#sendDigest(this.#digestFor, now));
+    if (this.#snapshotFor !== undefined && this.#synced === this.#place)
+      commands.push(...this.#sendSnapshot(this.#snapshotFor, now));
     return commands;
   }
 
@@ -551,7 +551,7 @@
       return [];
     this.#gap = false;
     return [
-      { kind: "restored", chain: this.name, place: this.#place, records: this.ledger.digest() },
+      { kind: "restored", chain: this.name, place: this.#place, records: this.ledger.snapshot() },
     ];
   }
 
@@ -584,7 +584,7 @@
       case "want":
         return this.#receiveWant(message.place, from, now);
       case "digest":
-        return this.#receiveDigest(message, from, now);
+        return this.#receiveSnapshot(message, from, now);
       case "digest-got":
         return this.#receiveGot(message.series, message.part, from, now);
     }
@@ -714,10 +714,10 @@
         : this.#bringUp(joiner, place, now);
     }
     if (this.#synced < this.#place) {
-      this.#digestFor = asker;
+      this.#snapshotFor = asker;
       return [];
     }
-    return this.#sendDigest(asker, now);
+    return this.#sendSnapshot(asker, now);
   }
 
   /**
@@ -742,8 +742,8 @@
   }
 
   /** A whole copy in pieces, taken only when all of it is synced here, so a copy never runs ahead (§1.4). */
-  #sendDigest(to: Member, now: number): ChainCommand[] {
-    this.#digestFor = undefined;
+  #sendSnapshot(to: Member, now: number): ChainCommand[] {
+    this.#snapshotFor = undefined;
     this.#series += 1;
     if (isSame(this.#view!.joiner, to)) {
       this.#joinerPlace = this.#place;
@@ -754,7 +754,7 @@
         this.#joinerSyncedAt = now;
       }
     }
-    const parts = cutInPieces(this.ledger.digest());
+    const parts = cutInPieces(this.ledger.snapshot());
     const pieces: DistributiveBare[] = [];
     for (const [part, records] of parts.entries()) {
       pieces.push({
@@ -779,8 +779,8 @@
     const upTo = Math.min(
       pieces.length,
       sending.isDeaf
-        ? sending.sent + constants.digestPiecesEachBeat
-        : sending.got.size + constants.digestPiecesOut,
+        ? sending.sent + constants.snapshotPiecesEachBeat
+        : sending.got.size + constants.snapshotPiecesOut,
     );
     for (; sending.sent < upTo; sending.sent += 1)
       commands.push(this.#send(to, pieces[sending.sent]!));
@@ -822,7 +822,7 @@
     return commands;
   }
 
-  #receiveDigest(
+  #receiveSnapshot(
     message: Extract<ChainMessage, { kind: "digest" }>,
     from: string,
     now: number,
@@ -914,18 +914,18 @@
     return commands;
   }
 
-  /** All that a blank folder would need, for tests and digests of control state. */
+  /** All that a blank folder would need, for tests and snapshots of control state. */
   holding(): ChainHolding | undefined {
     if (this.#view === undefined) return undefined;
     return {
       state: { place: this.#place, time: this.#time, confirmed: this.#confirmed, view: this.#view },
-      records: this.ledger.digest(),
+      records: this.ledger.snapshot(),
       entries: [...this.#entries],
     };
   }
 }
 
-/** A digest on its way. */
+/** A snapshot on its way. */
 interface Sending {
   readonly to: Member;
   readonly pieces: readonly DistributiveBare[];
@@ -953,7 +953,7 @@
   return left !== undefined && right !== undefined && left.identity === right.identity;
 }
 
-/** Pieces of a digest: by number and by weight, and one where there is nothing (§1.7). */
+/** Pieces of a snapshot: by number and by weight, and one where there is nothing (§1.7). */
 function cutInPieces(records: readonly Change[]): Change[][] {
   const pieces: Change[][] = [[]];
   let weight = 0;
@@ -961,7 +961,7 @@
     const own = weightOf(record);
     const piece = pieces.at(-1)!;
     if (
-      piece.length === constants.digestPiece ||
+      piece.length === constants.snapshotPiece ||
       (piece.length > 0 && weight + own > constants.messageWeight)
     ) {
       pieces.push([record]);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -56,19 +56,19 @@
   copiesLeast: 2,
   /** copies. What a chain is mended to: any one machine may be lost with its disk. */
   copiesWanted: 3,
-  /** records. Size of one piece of a digest: below 1 MiB for usual items, so beats pass in between. */
-  digestPiece: 400,
+  /** records. Size of one piece of a snapshot: below 1 MiB for usual items, so beats pass in between. */
+  snapshotPiece: 400,
   /** pieces. On their way to one that is copied to, until it says that it got one: some MiB, which any link of storage machines carries in a beat or two. */
-  digestPiecesOut: 4,
+  snapshotPiecesOut: 4,
   /** pieces. Sent to one that is copied to in each beat, so a copy leaves the link and the disk to live work (§1.4). */
-  digestPiecesEachBeat: 4,
+  snapshotPiecesEachBeat: 4,
   /** asks. After so many, four a second, a joiner that never came near the tail holds the chain to its own pace, so that its copy ends. */
   joinerAsks: 8,
-  /** entries. Feed entries kept for nodes that follow; older places get a digest instead. */
+  /** entries. Feed entries kept for nodes that follow; older places get a snapshot instead. */
   feedKept: 2_000,
   /** entries. Most entries in one message between chain members. */
   entriesInMessage: 200,
-  /** bytes. Entries and pieces of a digest end here as well, whatever their number: a lot may weigh a megabyte, and four pieces a beat are 160 Mbit/s. */
+  /** bytes. Entries and pieces of a snapshot end here as well, whatever their number: a lot may weigh a megabyte, and four pieces a beat are 160 Mbit/s. */
   messageWeight: 262_144,
   /** ms. A grant of a popped prompt not begun by then is given back; keeps cancel within 3 s. */
   grantLasts: 1_000,
@@ -142,7 +142,7 @@
   bodyPatience: 10_000,
   /** ms. An operator's change not confirmed by then is answered "unknown". */
   confirmPatience: 6_000,
-  /** bytes. Largest message between processes; a digest piece stays far below. */
+  /** bytes. Largest message between processes; a snapshot piece stays far below. */
   messageMost: 33_554_432,
   /** bytes. Unsent messages kept per member; more are dropped and sent again by the cores. */
   wireBacklog: 16_777_216,
--- a/packages/parts/src/ledger.ts
+++ b/packages/parts/src/ledger.ts
@@ -42,7 +42,7 @@
   }
 
   /** All records, in the order in which their keys were first put. */
-  digest(): Change[] {
+  snapshot(): Change[] {
     return [...this.#records];
   }
 
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -262,8 +262,8 @@
   world.watch = watch;
 }
 
-/** A control machine cut off from the others tells a blank node its older digest after the newer ones, and news is late. */
-function oldDigest(campaign: Campaign): void {
+/** A control machine cut off from the others tells a blank node its older snapshot after the newer ones, and news is late. */
+function oldSnapshot(campaign: Campaign): void {
   const { world } = campaign;
   const node = campaign.accesses[0]!;
   let lone: string | undefined;
@@ -744,7 +744,7 @@
     set: delayGrants,
   },
   "a node's feed is held up": { rule: "change-ignored", options: calm, set: holdFeed },
-  "an old digest comes last": { rule: "slips-back", options: calm, set: oldDigest },
+  "an old digest comes last": { rule: "slips-back", options: calm, set: oldSnapshot },
   "the head is cut off with a change half confirmed": {
     rule: "confirmed-gone",
     options: calm,
