--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -11,7 +11,7 @@
   type PassOutput,
   type Standing,
 } from "@chutewick/data";
-import { callerLimits, policy, type Roll, type RunnerCard } from "@chutewick/parts";
+import { callerLimits, policy, type RunnerRegistry, type RunnerCard } from "@chutewick/parts";
 import { PlatformAccess, PlatformDialect } from "@chutewick/platform";
 import { monotonic, type Log } from "@chutewick/shell";
 
@@ -22,7 +22,7 @@
 class KnownFleet {
   configuration: MarkedConfiguration = configuration.blank;
   readonly cards: RunnerCard[] = [];
-  readonly roll: Roll = { nodes: [], runners: [] };
+  readonly registry: RunnerRegistry = { nodes: [], runners: [] };
 
   serves(): boolean {
     return true;
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -15,7 +15,13 @@
   type PassWork,
   type Standing,
 } from "@chutewick/data";
-import { Sessions, policy, type NodeCard, type Roll, type RunnerCard } from "@chutewick/parts";
+import {
+  Sessions,
+  policy,
+  type NodeCard,
+  type RunnerRegistry,
+  type RunnerCard,
+} from "@chutewick/parts";
 import { monotonic, settled } from "@chutewick/shell";
 
 /** Stands in for what a node knows of its fleet. */
@@ -24,7 +30,7 @@
   cards: RunnerCard[] = [];
   closed = new Set<string>();
   may = true;
-  roll: Roll = { nodes: [], runners: [] };
+  registry: RunnerRegistry = { nodes: [], runners: [] };
 
   serves(): boolean {
     return this.may;
@@ -435,9 +441,9 @@
   };
   const sessions = new Sessions();
   for (const card of [node, here]) sessions.heard(card, 1_000, undefined, 0, 0);
-  this.known.roll = sessions.rollForNodes(1_100, here.identity);
+  this.known.registry = sessions.registryForNodes(1_100, here.identity);
   deepEqual(
-    this.known.roll.others,
+    this.known.registry.others,
     [
       [one, first, 0],
       [other, second, 0],
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -23,7 +23,7 @@
   type NodeCard,
   type Policy,
   type RunnerCard,
-  type Roll,
+  type RunnerRegistry,
   type Stamp,
   type ViewCommand,
   type ViewMessage,
@@ -65,13 +65,13 @@
       readonly view: ChainView;
       readonly askedAt: number;
       readonly place: number;
-      readonly roll: Roll;
+      readonly roll: RunnerRegistry;
       readonly controls: readonly string[];
       readonly stamp?: Stamp;
     }
   | {
       readonly kind: "roll";
-      readonly roll: Roll;
+      readonly roll: RunnerRegistry;
       readonly stamp?: Stamp;
       readonly back?: Back | null;
     }
@@ -158,7 +158,7 @@
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
   #planFrom: number;
   #beatAt: number;
-  #rollAt = 0;
+  #registryAt = 0;
   #forgetAt = 0;
   #moved = false;
   #fleetSeen = { mark: 0, place: 0 };
@@ -405,7 +405,7 @@
     return new Set(emptying.machines(this.#feed, this.#sessions.live("storage", now)).keys());
   }
 
-  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the roll; all of it where no majority is reached (§13.8). */
+  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the registry; all of it where no majority is reached (§13.8). */
   announce(
     card: Omit<RunnerCard, "age">,
     sequence: number,
@@ -417,7 +417,7 @@
     const { newer, news } = this.#sessions.announced(word, now);
     const inContact = this.inContact(now);
     const outputs: ControlOutput[] = [];
-    /** Without contact, nodes may be reading the roll of a machine that never hears of this report. */
+    /** Without contact, nodes may be reading the registry of a machine that never hears of this report. */
     if (news || (newer && !inContact)) {
       const message: ControlMessage = { kind: "runners", runners: [word] };
       for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message });
@@ -675,8 +675,8 @@
         view,
         askedAt,
         place: this.#feed.place,
-        roll: this.#rollsFor(card, rolled)
-          ? this.#sessions.rollForNodes(now, card.identity)
+        roll: this.#registriesFor(card, rolled)
+          ? this.#sessions.registryForNodes(now, card.identity)
           : nothing,
         controls: this.#agreement.addresses(),
         stamp,
@@ -686,8 +686,8 @@
     return outputs;
   }
 
-  /** One member sends a node the roll; the others only where it got none lately (§4.3). */
-  #rollsFor(card: NodeCard, rolled: number | undefined): boolean {
+  /** One member sends a node the registry; the others only where it got none lately (§4.3). */
+  #registriesFor(card: NodeCard, rolled: number | undefined): boolean {
     const members = this.#chain.view!.members;
     return (
       rolled === undefined ||
@@ -724,16 +724,16 @@
     outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark, stuck), now));
     outputs.push(...this.#perform(this.#chain.beat(now), now));
     outputs.push(...this.#cover(now));
-    if (now - this.#rollAt >= constants.greetEvery) {
-      this.#rollAt = now;
-      const roll = this.#sessions.roll(now);
+    if (now - this.#registryAt >= constants.greetEvery) {
+      this.#registryAt = now;
+      const registry = this.#sessions.registry(now);
       for (const to of this.#agreement.addresses())
         outputs.push({
           kind: "send",
           to,
           message: {
             kind: "roll",
-            roll,
+            roll: registry,
             stamp: { life: this.#life, at: now },
             back: giveBack(this.#stamps.get(to), now),
           },
@@ -832,7 +832,7 @@
       wall: this.#wall,
       standings,
       reports,
-      runners: this.#sessions.roll(now).runners,
+      runners: this.#sessions.registry(now).runners,
       access: this.#sessions.live("access", now),
     };
   }
@@ -1002,7 +1002,7 @@
 
   /** For operators. */
   status(now: number): Record<string, unknown> {
-    const roll = this.#sessions.roll(now);
+    const registry = this.#sessions.registry(now);
     const queues: Record<string, unknown> = {};
     for (const [key, view] of this.#feed.under<ChainView>(keys.queue))
       queues[key.slice(keys.queue.length)] = view;
@@ -1020,8 +1020,8 @@
       /** Whether a majority of control is reached; where not, all of this is what was known before. */
       quorum: this.inContact(now),
       disk: this.#disk,
-      nodes: roll.nodes.map(cardOf),
-      runners: roll.runners,
+      nodes: registry.nodes.map(cardOf),
+      runners: registry.runners,
       queues,
       standings: this.#standings(now),
       emptying: progress,
@@ -1073,9 +1073,9 @@
   return { kind: "result", ticket, result: outcome };
 }
 
-const nothing: Roll = { nodes: [], runners: [] };
+const nothing: RunnerRegistry = { nodes: [], runners: [] };
 
-function cardOf(node: Roll["nodes"][number]): Record<string, unknown> {
+function cardOf(node: RunnerRegistry["nodes"][number]): Record<string, unknown> {
   const { telling: _telling, ...card } = node.card;
   return { ...card, age: Math.round(node.age) };
 }
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -439,11 +439,11 @@
     this.#sights = new Map();
     const others = new Map<string, [live: number, items: number]>();
     let nodes = 0;
-    for (const { card, age } of this.#membership.roll.nodes) {
+    for (const { card, age } of this.#membership.registry.nodes) {
       if (card.kind !== "access" || age > constants.sessionLasts) continue;
       if (!card.leaving) nodes += 1;
     }
-    for (const [runner, live, items] of this.#membership.roll.others ?? [])
+    for (const [runner, live, items] of this.#membership.registry.others ?? [])
       others.set(runner, [live, items]);
     this.#nodes = Math.max(1, nodes);
     for (const card of this.#membership.runners(now)) {
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -10,7 +10,7 @@
   type Policy,
   type FellowMessage,
   type NodeCard,
-  type Roll,
+  type RunnerRegistry,
   type RunnerCard,
   type Stamp,
   type Telling,
@@ -47,8 +47,8 @@
   #standing: Standing;
   #controls: Set<string>;
   #seeds: readonly string[];
-  #roll: Roll = { nodes: [], runners: [] };
-  #rollAt = Number.NEGATIVE_INFINITY;
+  #registry: RunnerRegistry = { nodes: [], runners: [] };
+  #registryAt = Number.NEGATIVE_INFINITY;
   #saidHere = new Map<string, number>();
   #heardAt = new Map<string, number>();
   /** Runners that fellows told of. */
@@ -93,8 +93,8 @@
   get zone(): string {
     return this.#standing.zone;
   }
-  get roll(): Roll {
-    return this.#roll;
+  get registry(): RunnerRegistry {
+    return this.#registry;
   }
   get configuration(): MarkedConfiguration {
     return configuration.read(this.follower.read<MarkedConfiguration>(keys.configuration));
@@ -270,8 +270,8 @@
   runners(now: number): RunnerCard[] {
     const found: RunnerCard[] = [];
     const known = new Map<string, RunnerCard>();
-    for (const card of this.#roll.runners)
-      known.set(card.id, { ...card, age: card.age + now - this.#rollAt });
+    for (const card of this.#registry.runners)
+      known.set(card.id, { ...card, age: card.age + now - this.#registryAt });
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
@@ -291,7 +291,7 @@
 
   live(kind: NodeCard["kind"]): NodeCard[] {
     const found: NodeCard[] = [];
-    for (const { card, age } of this.#roll.nodes)
+    for (const { card, age } of this.#registry.nodes)
       if (card.kind === kind && !card.leaving && age <= constants.sessionLasts) found.push(card);
     return found;
   }
@@ -309,9 +309,9 @@
       this.#heldLease ||= this.#lease.holds(now, this.follower.place);
       if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
       /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
-      if (message.roll.nodes.length > 0 && message.askedAt >= this.#rollAt) {
-        this.#roll = this.#merged(message.roll, message.askedAt);
-        this.#rollAt = message.askedAt;
+      if (message.roll.nodes.length > 0 && message.askedAt >= this.#registryAt) {
+        this.#registry = this.#merged(message.roll, message.askedAt);
+        this.#registryAt = message.askedAt;
       }
       const controls = new Set<string>([...this.#seeds, ...message.controls]);
       for (const member of [...message.view.members, ...holdersOf(message.view)])
@@ -322,21 +322,21 @@
   }
 
   /**
-   * A newer roll with the runners of the one held that it lacks, or of which it has an older word: a
+   * A newer registry with the runners of the one held that it lacks, or of which it has an older word: a
    * control machine that has just started, or was cut off, does not know them all. They stay until
    * their last word is too old.
    */
-  #merged(roll: Roll, at: number): Roll {
+  #merged(registry: RunnerRegistry, at: number): RunnerRegistry {
     const runners = new Map<string, RunnerCard>();
-    for (const card of roll.runners) runners.set(card.id, card);
-    for (const card of this.#roll.runners) {
-      const aged = { ...card, age: card.age + at - this.#rollAt };
+    for (const card of registry.runners) runners.set(card.id, card);
+    for (const card of this.#registry.runners) {
+      const aged = { ...card, age: card.age + at - this.#registryAt };
       if (aged.age > this.#policy.runnerLasts * constants.aloneTimes) continue;
       const newer = runners.get(card.id);
       if (newer === undefined || isNewerWord(aged, at - aged.age, newer, at - newer.age))
         runners.set(card.id, aged);
     }
-    return { ...roll, runners: [...runners.values()] };
+    return { ...registry, runners: [...runners.values()] };
   }
 
   tell(now: number): Send[] {
@@ -358,7 +358,7 @@
           card,
           askedAt: now,
           back: giveBack(this.#stamps.get(to), now),
-          ...(this.#roll.nodes.length > 0 ? { rolled: now - this.#rollAt } : {}),
+          ...(this.#registry.nodes.length > 0 ? { rolled: now - this.#registryAt } : {}),
         },
       });
     return sends;
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -2,7 +2,7 @@
 import { holdersOf, type ChainView } from "./chain.js";
 import { policy, type Policy } from "./policy.js";
 
-/** Sessions of nodes with control machines, leases, and the roll of runners (docs/design.md §4, §7). */
+/** Sessions of nodes with control machines, leases, and the registry of runners (docs/design.md §4, §7). */
 export interface NodeCard {
   readonly identity: string;
   readonly address: string;
@@ -66,13 +66,13 @@
   readonly age: number;
 }
 
-export interface RollNode {
+export interface RegistryNode {
   readonly card: NodeCard;
   readonly age: number;
 }
 
-export interface Roll {
-  readonly nodes: readonly RollNode[];
+export interface RunnerRegistry {
+  readonly nodes: readonly RegistryNode[];
   readonly runners: readonly RunnerCard[];
   /** Sums over all access nodes but the one that is told: work under way on passages, by runner (§13.4). */
   readonly others?: readonly RunnerBurden[];
@@ -233,9 +233,9 @@
       this.#runners.set(card.id, { card, heardAt });
   }
 
-  merge(roll: Roll, now: number, late: number): void {
-    for (const { card, age } of roll.nodes) this.heard(card, now, undefined, age, late);
-    for (const runner of roll.runners) this.#heardRunner(runner, now - late);
+  merge(registry: RunnerRegistry, now: number, late: number): void {
+    for (const { card, age } of registry.nodes) this.heard(card, now, undefined, age, late);
+    for (const runner of registry.runners) this.#heardRunner(runner, now - late);
   }
 
   forget(now: number): void {
@@ -293,10 +293,10 @@
     return place;
   }
 
-  /** Without what only control acts upon; burdens as sums, so that a roll grows with nodes plus runners, not with their product. */
-  rollForNodes(now: number, identity: string): Roll {
-    const { nodes, runners } = this.roll(now);
-    const told: RollNode[] = [];
+  /** Without what only control acts upon; burdens as sums, so that a registry grows with nodes plus runners, not with their product. */
+  registryForNodes(now: number, identity: string): RunnerRegistry {
+    const { nodes, runners } = this.registry(now);
+    const told: RegistryNode[] = [];
     for (const { card, age } of nodes)
       told.push({
         card: {
@@ -332,8 +332,8 @@
     return others;
   }
 
-  roll(now: number): Roll {
-    const nodes: RollNode[] = [];
+  registry(now: number): RunnerRegistry {
+    const nodes: RegistryNode[] = [];
     for (const session of this.#sessions.values()) {
       const age = now - session.heardAt;
       /** Burdens are told to every control machine by the nodes themselves. */
--- a/tools/scale/src/plane.ts
+++ b/tools/scale/src/plane.ts
@@ -15,7 +15,7 @@
 } from "./stations.js";
 import { spent } from "./uses.js";
 
-/** The control plane with hollow nodes and runners: sessions, rolls, feed, plans (docs/CAPACITY.md). */
+/** The control plane with hollow nodes and runners: sessions, registries, feed, plans (docs/CAPACITY.md). */
 export interface PlaneSize {
   readonly nodes: number;
   readonly runners: number;
@@ -97,7 +97,7 @@
   return kept === undefined || kept.count === 0 ? 0 : kept.bytes / kept.count;
 }
 
-/** Sessions, rolls and beats, each by the message, so that what grows with nodes x (nodes + runners) can be worked out. */
+/** Sessions, registries and beats, each by the message, so that what grows with nodes x (nodes + runners) can be worked out. */
 export function measureSessions(rows: Rows, sizes: readonly PlaneSize[], seconds: number): void {
   const by = ["nodes", "runners"];
   const found = new Map<string, Point[]>();
@@ -313,7 +313,7 @@
   bus.run(bus.now + 3_000);
 }
 
-/** How sessions and rolls grow with the runners that nodes tell they have work at; the roll tells sums by runner. */
+/** How sessions and registries grow with the runners that nodes tell they have work at; the registry tells sums by runner. */
 export function measureTold(rows: Rows, runners: readonly number[], nodes: number): void {
   const [session, lease, heard]: [Point[], Point[], Point[]] = [[], [], []];
   for (const count of runners) {
--- a/tools/scale/src/size.ts
+++ b/tools/scale/src/size.ts
@@ -102,11 +102,11 @@
   const pairs = size.nodes * (size.nodes + size.runners);
   const lease = rows.at("control member", "one lease out", at);
   const beats = 1_000 / constants.beatEvery;
-  const rolls = ((3 - 1) * 1_000) / constants.greetEvery;
+  const registries = ((3 - 1) * 1_000) / constants.greetEvery;
   for (const role of ["control head", "control member"] as const) {
     const cores =
       (sessions * rows.at(role, "one session heard and told back, processor", at) +
-        rolls * rows.at(role, "one roll heard, processor", at) +
+        registries * rows.at(role, "one roll heard, processor", at) +
         beats * rows.at(role, "one beat, processor", at)) /
       1_000;
     tell(role, "messages in and out a second, sessions and leases", sessions * 2, "messages/s");
@@ -114,7 +114,7 @@
     tell(
       role,
       "bytes out a second, rolls to two others",
-      rolls * rows.at(role, "one roll to another control machine", at),
+      registries * rows.at(role, "one roll to another control machine", at),
       "bytes/s",
       link,
     );
--- a/tools/scale/src/sketches.ts
+++ b/tools/scale/src/sketches.ts
@@ -22,7 +22,7 @@
   return (spent() - start) / times;
 }
 
-/** One message of a relay to all nodes of its cell: place in the roll, then a runner's slot, burden and age by turns. */
+/** One message of a relay to all nodes of its cell: place in the registry, then a runner's slot, burden and age by turns. */
 export function burdensOf(
   runners: number,
   place: number,
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -1003,7 +1003,7 @@
       case "empty":
         return this.#empty();
       case "roll":
-        return this.#roll();
+        return this.#registry();
       case "slow":
         this.note(`slow disk at ${machine.name}`);
         machine.slowUntil = world.now + lasts;
@@ -1272,7 +1272,7 @@
   }
 
   /** A release: all runners are replaced one after another. */
-  #roll(): void {
+  #registry(): void {
     const { world } = this;
     if (this.#rolled) return;
     this.#rolled = true;
