--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -451,8 +451,8 @@
   );
 }
 
-function isUnderWay(burden: readonly (string | number)[]): boolean {
-  return Number(burden[1]) + Number(burden[2]) > 0;
+function isUnderWay(load: readonly (string | number)[]): boolean {
+  return Number(load[1]) + Number(load[2]) > 0;
 }
 Given("another node has {int} live inquiries at {string} and {int} at {string}", othersHave);
 
@@ -684,7 +684,7 @@
 
 function nothing(this: World): void {
   equal(this.core.busy, 0);
-  deepEqual(this.choice.burdens(), []);
+  deepEqual(this.choice.loads(), []);
 }
 Then("nothing is under way", nothing);
 
--- a/packages/control/src/pace.ts
+++ b/packages/control/src/pace.ts
@@ -178,7 +178,7 @@
       if (choosy.length > 0 && !choosy.some(takes, runner)) continue;
       const seats = runner.seats * constants.lotPart;
       seatsOfAll += seats;
-      if (runner.age <= constants.burdenLasts)
+      if (runner.age <= constants.loadLasts)
         free += Math.max(0, seats - Math.max(0, runner.burden - (lots.get(runner.id) ?? 0)));
     }
     const room =
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -231,7 +231,7 @@
       runners,
       lots: [...lots],
       turnedAway: [...turnedAway],
-      burdens: this.choice.burdens(),
+      burdens: this.choice.loads(),
     };
   }
 
@@ -403,7 +403,7 @@
       );
     }
     live.tried.add(runner.id);
-    if (this.#burden(runner, now) >= runner.seats) live.doubts += 1;
+    if (this.#load(runner, now) >= runner.seats) live.doubts += 1;
     return this.#start(live, runner, live.work, constants.runnerSilence, now);
   }
 
@@ -448,8 +448,8 @@
       : this.relay.goEvent(go, event, now);
   }
 
-  /** Burden as the runner told it, and what this node sent since (§8.3). */
-  #burden(runner: RunnerCard, now: number): number {
+  /** Load as the runner told it, and what this node sent since (§8.3). */
+  #load(runner: RunnerCard, now: number): number {
     let own = 0;
     let since = 0;
     for (const go of this.#gos.values()) {
@@ -482,10 +482,10 @@
       )
         continue;
       if (!carries(card.labels, wanted) || !season.matches(selectors, card.labels)) continue;
-      const free = card.seats * part - this.#burden(card, now);
-      /** A live request may try some that look full, last of all: burdens are up to a second old. */
+      const free = card.seats * part - this.#load(card, now);
+      /** A live request may try some that look full, last of all: loads are up to a second old. */
       if (free <= 0 && (part < 1 || doubts >= constants.fullTried)) continue;
-      /** Drawn by free seats, not the freest always: nodes that see the same burdens would all go to the same runner. */
+      /** Drawn by free seats, not the freest always: nodes that see the same loads would all go to the same runner. */
       const weight =
         free <= 0 ? 0.01 / (1 - free) : free * (card.zone === this.#standing.zone ? 1.2 : 1);
       const chance =
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -138,7 +138,7 @@
       const { card } = sight;
       if (tried.has(card.id) || !carries(card, request.model)) continue;
       if (
-        burdenOf(sight, item) >=
+        loadOf(sight, item) >=
         card.seats * (item ? partOf(sight, this.#isDivided(pool)) : constants.seatsMost)
       )
         continue;
@@ -191,7 +191,7 @@
   /** Seats taken: what others told is some 0.5 s old, and in a rush they send as this node does. */
   #crowd(sight: Sight, item: boolean): number {
     return (
-      burdenOf(sight, item) +
+      loadOf(sight, item) +
       Math.max(0, sight.live * (this.#nodes - 1) * constants.alikePart - sight.othersLive)
     );
   }
@@ -341,14 +341,14 @@
       if (now >= sight.shyUntil)
         free += Math.max(
           0,
-          sight.card.seats * partOf(sight, this.#isDivided(pool)) - burdenOf(sight, true),
+          sight.card.seats * partOf(sight, this.#isDivided(pool)) - loadOf(sight, true),
         );
     const share = free / this.#nodes;
     return Math.floor(share) + (this.#random() < share % 1 ? 1 : 0);
   }
 
   /** What this node tells the others. */
-  burdens(): [runner: string, live: number, items: number][] {
+  loads(): [runner: string, live: number, items: number][] {
     const found: [string, number, number][] = [];
     for (const { card, live, items } of this.#sights.values())
       if (live > 0 || items > 0) found.push([card.id, live, items]);
@@ -494,7 +494,7 @@
 }
 
 /** Seats that a work finds taken: an item gives way to live work, though not for nothing. */
-function burdenOf(sight: Sight, item: boolean): number {
+function loadOf(sight: Sight, item: boolean): number {
   return (
     sight.live +
     sight.othersLive +
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -101,10 +101,10 @@
   /** steps. Pace is cut into so many, and goes up one way only after it held for `paceHolds` ms, so it does not swing. */
   paceSteps: 8,
   paceHolds: 2_000,
-  /** part. Room that is taken as whole, since burdens and counts of lots are told at different moments. */
+  /** part. Room that is taken as whole, since loads and counts of lots are told at different moments. */
   paceSlack: 0.1,
-  /** ms. A burden older than this counts as none free. */
-  burdenLasts: 1_700,
+  /** ms. A load older than this counts as none free. */
+  loadLasts: 1_700,
   /** ms. How long a live request turned away for want of a seat, or a lot for want of room, is counted. */
   pressureLasts: 2_000,
   /** ms. A runner not heard of for this long gets no work: under the 2 s that may pass after a goodbye nobody could pass on (§7.5). */
@@ -254,7 +254,7 @@
   seatAfter: 0.15,
   /** s. The same while no runner is known, as just after a start: runners report about once a second. */
   knownAfter: 0.35,
-  /** ms. Runners, burdens and nodes are read anew this often for the choice of a runner; a beat is 50. */
+  /** ms. Runners, loads and nodes are read anew this often for the choice of a runner; a beat is 50. */
   lookEvery: 25,
   /** runners for which the pause between looks is as much longer again; and the longest, ms: what others tell is as old. */
   lookRunners: 100,
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -38,7 +38,7 @@
   /** Lot prompts that this access node has under way, by runner. */
   readonly lots?: readonly (readonly [runner: string, count: number])[];
   /** What this access node has under way on passages, by runner: live requests and items of lots. */
-  readonly burdens?: readonly RunnerBurden[];
+  readonly burdens?: readonly RunnerLoad[];
   /** Live requests turned away for want of a seat lately, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
 }
@@ -75,10 +75,10 @@
   readonly nodes: readonly RegistryNode[];
   readonly runners: readonly RunnerCard[];
   /** Sums over all access nodes but the one that is told: work under way on passages, by runner (§13.4). */
-  readonly others?: readonly RunnerBurden[];
+  readonly others?: readonly RunnerLoad[];
 }
 
-export type RunnerBurden = readonly [runner: string, live: number, items: number];
+export type RunnerLoad = readonly [runner: string, live: number, items: number];
 
 interface Session {
   card: NodeCard;
@@ -293,7 +293,7 @@
     return place;
   }
 
-  /** Without what only control acts upon; burdens as sums, so that a registry grows with nodes plus runners, not with their product. */
+  /** Without what only control acts upon; loads as sums, so that a registry grows with nodes plus runners, not with their product. */
   registryForNodes(now: number, identity: string): RunnerRegistry {
     const { nodes, runners } = this.registry(now);
     const told: RegistryNode[] = [];
@@ -308,7 +308,7 @@
     return { nodes: told, runners, others: this.#othersThan(identity, now) };
   }
 
-  #othersThan(identity: string, now: number): RunnerBurden[] {
+  #othersThan(identity: string, now: number): RunnerLoad[] {
     if (now - this.#summedAt >= constants.beatEvery || now < this.#summedAt) {
       this.#summedAt = now;
       this.#sums = new Map();
@@ -320,10 +320,10 @@
         }
       }
     }
-    const own = new Map<string, RunnerBurden>();
-    for (const burden of this.#sessions.get(identity)?.card.telling.burdens ?? [])
-      own.set(burden[0], burden);
-    const others: RunnerBurden[] = [];
+    const own = new Map<string, RunnerLoad>();
+    for (const load of this.#sessions.get(identity)?.card.telling.burdens ?? [])
+      own.set(load[0], load);
+    const others: RunnerLoad[] = [];
     for (const [runner, [live, items]] of this.#sums) {
       const [, ownLive, ownItems] = own.get(runner) ?? [runner, 0, 0];
       if (live > ownLive || items > ownItems)
@@ -336,7 +336,7 @@
     const nodes: RegistryNode[] = [];
     for (const session of this.#sessions.values()) {
       const age = now - session.heardAt;
-      /** Burdens are told to every control machine by the nodes themselves. */
+      /** Loads are told to every control machine by the nodes themselves. */
       if (age <= constants.sessionLasts)
         nodes.push({
           card: {
--- a/tools/load/src/day.ts
+++ b/tools/load/src/day.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { Fleet } from "@chutewick/fleet";
 import { command, number, oneOf, option, run } from "cmd-ts";
-import { Burden, mixes } from "./load.js";
+import { Load, mixes } from "./load.js";
 
 /** `npm run flood-day -- --mix pallet`: a whole fleet, the firm's traffic, a flood, and faults in company. */
 const shapes: Record<string, { access: number; models: string[]; configuration: string }> = {
@@ -45,7 +45,7 @@
     );
   }
   await fleet.until("queues are placed", whole);
-  const burden = new Burden({
+  const load = new Load({
     access: fleet.http("access"),
     mix: mixes[given.mix]!,
     seconds: given.seconds,
@@ -115,9 +115,9 @@
   at(0.76, "links are mended", mend);
   at(0.8, "storage-2 freezes", freeze("storage-2"));
   at(0.9, "storage-2 wakes", wake("storage-2"));
-  const report = await burden.run();
-  const breaches = [...burden.breaches, ...runsOf(fleet, burden)];
-  for (const lot of burden.lots)
+  const report = await load.run();
+  const breaches = [...load.breaches, ...runsOf(fleet, load)];
+  for (const lot of load.lots)
     if (lot.told === "accepted" && lot.doneAt === undefined)
       breaches.push(`${lot.key} was accepted and is not done`);
   await fleet.until("three whole copies stand again", whole);
@@ -130,7 +130,7 @@
 }
 
 /** What the runners ran against what callers were told. */
-function runsOf(fleet: Fleet, burden: Burden): string[] {
+function runsOf(fleet: Fleet, load: Load): string[] {
   const runs = new Map<string, number>();
   for (const runner of fleet.runners) {
     for (const { prompt } of runner.runs) {
@@ -141,7 +141,7 @@
   }
   const found: string[] = [];
   for (const [name, count] of runs) if (count > 1) found.push(`${name} ran ${count} times`);
-  for (const { prompt, told } of burden.told)
+  for (const { prompt, told } of load.told)
     if (told === "not-run" && runs.has(prompt)) found.push(`${prompt} was told not-run and ran`);
   return found;
 }
--- a/tools/load/src/load.ts
+++ b/tools/load/src/load.ts
@@ -24,7 +24,7 @@
   },
 };
 
-export interface BurdenOptions {
+export interface LoadOptions {
   readonly access: readonly string[];
   readonly mix: Mix;
   readonly seconds: number;
@@ -61,8 +61,8 @@
   waits: number;
 }
 
-export class Burden {
-  readonly options: BurdenOptions;
+export class Load {
+  readonly options: LoadOptions;
   readonly told: Told[] = [];
   readonly breaches: string[] = [];
   readonly lots: LotSeen[] = [];
@@ -78,7 +78,7 @@
   #start = 0;
   #number = 0;
 
-  constructor(options: BurdenOptions) {
+  constructor(options: LoadOptions) {
     this.options = options;
   }
 
--- a/tools/load/src/main.ts
+++ b/tools/load/src/main.ts
@@ -1,5 +1,5 @@
 import { command, number, oneOf, option, optional, run, string } from "cmd-ts";
-import { Burden, mixes } from "./load.js";
+import { Load, mixes } from "./load.js";
 
 /** `npm run load -- --access 127.0.3.1:7200,127.0.3.2:7200 --mix pallet --seconds 30` */
 async function start(given: {
@@ -14,7 +14,7 @@
   const [from, seconds, times] = given.flood?.split("/").map(Number) ?? [];
   const flood =
     from === undefined ? undefined : { from, seconds: seconds ?? 10, times: times ?? 3 };
-  const burden = new Burden({
+  const load = new Load({
     access: given.access.split(","),
     mix: mixes[given.mix]!,
     seconds: given.seconds,
@@ -23,9 +23,9 @@
     seed: given.seed,
     ...(flood === undefined ? {} : { flood }),
   });
-  const report = await burden.run();
+  const report = await load.run();
   process.stdout.write(`${JSON.stringify({ mix: given.mix, ...report }, undefined, 2)}\n`);
-  process.exit(burden.breaches.length === 0 ? 0 : 1);
+  process.exit(load.breaches.length === 0 ? 0 : 1);
 }
 
 function one(): number {
--- a/tools/runner/src/runner.ts
+++ b/tools/runner/src/runner.ts
@@ -42,7 +42,7 @@
   readonly incarnation = Date.now();
   behaviour: Behaviour;
   refusals = 0;
-  burden = 0;
+  load = 0;
   #server: Server | undefined;
   #announcing: NodeJS.Timeout | undefined;
   #accessIndex = 0;
@@ -98,7 +98,7 @@
             labels: labels ?? {},
             seats,
             zone,
-            burden: this.burden,
+            burden: this.load,
           }),
         });
         await told.body.dump();
@@ -150,7 +150,7 @@
       return;
     }
     const { wrong } = this.behaviour;
-    if (this.burden >= this.options.seats || wrong === "refuse") {
+    if (this.load >= this.options.seats || wrong === "refuse") {
       this.refusals += 1;
       outgoing.writeHead(429, {
         "chutewick-taken": "no",
@@ -168,7 +168,7 @@
       ending: "running",
     };
     this.runs.push(run);
-    this.burden += 1;
+    this.load += 1;
     function left(): void {
       if (run.ending === "running") run.ending = "left";
     }
@@ -178,7 +178,7 @@
       else if (incoming.url === "/run") await this.#whole(run, outgoing);
       else await this.#stream(run, outgoing);
     } finally {
-      this.burden -= 1;
+      this.load -= 1;
     }
   }
 
--- a/tools/scale/src/processes.ts
+++ b/tools/scale/src/processes.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Fleet } from "@chutewick/fleet";
-import { Burden, type Mix } from "@chutewick/load";
+import { Load, type Mix } from "@chutewick/load";
 import { StandInRunner } from "@chutewick/runner";
 import { Membership, type DataMessage } from "@chutewick/data";
 import { constants, type RunnerCard, type Telling } from "@chutewick/parts";
@@ -150,7 +150,7 @@
     await fleet.control("PUT", "/configuration", ways, 0);
     await pause(6_000);
     const access = fleet.http("access");
-    await new Burden({ access, mix: mixOf(20, 1), seconds: 3, live: 1, lots: 1, seed: 1 }).run();
+    await new Load({ access, mix: mixOf(20, 1), seconds: 3, live: 1, lots: 1, seed: 1 }).run();
 
     note("real processes: runners that announce");
     const announced = new Map<string, Point[]>();
@@ -189,7 +189,7 @@
     async function stream(perSecond: number, pieces: number): Promise<void> {
       for (const runner of [...fleet.runners, ...more])
         runner.behaviour = { ...runner.behaviour, pieces, pieceMs };
-      const burden = new Burden({
+      const load = new Load({
         access,
         mix: mixOf(perSecond, 0),
         seconds: sizes.seconds,
@@ -199,10 +199,10 @@
       });
       const from = usesOf(fleet);
       const start = performance.now();
-      await burden.run();
+      await load.run();
       const seconds = (performance.now() - start) / 1_000;
       const told = since(fleet, from, seconds);
-      const done = burden.told.filter(isDone).length;
+      const done = load.told.filter(isDone).length;
       keep(
         streams,
         "access node|live streams, processor a second|ms/s",
@@ -223,7 +223,7 @@
     for (const runner of [...fleet.runners, ...more])
       runner.behaviour = { ...runner.behaviour, pieces: 4, pieceMs: 2 };
     for (const perSecond of sizes.lots) {
-      const burden = new Burden({
+      const load = new Load({
         access,
         mix: mixOf(0, perSecond),
         seconds: sizes.seconds,
@@ -233,10 +233,10 @@
       });
       const from = usesOf(fleet);
       const start = performance.now();
-      await burden.run();
+      await load.run();
       const seconds = (performance.now() - start) / 1_000;
       const told = since(fleet, from, seconds);
-      const items = (burden.lots.filter(wasDone).length * lotItems) / seconds;
+      const items = (load.lots.filter(wasDone).length * lotItems) / seconds;
       const owner = await ownerOf(fleet);
       const copies = ["storage-1", "storage-2", "storage-3"].filter(isNot, { name: owner });
       keep(
--- a/tools/scale/src/relay-node.ts
+++ b/tools/scale/src/relay-node.ts
@@ -1,8 +1,8 @@
 import { Wire } from "@chutewick/shell";
 import { quiet } from "./uses.js";
-import { burdensOf } from "./sketches.js";
+import { loadsOf } from "./sketches.js";
 
-/** The messages of a proposed relay and nothing of its rules: hears sessions, grants, tells burdens and sums once a second (docs/CAPACITY.md §5). `node relay-node.js ADDRESS RUNNERS SUMS` */
+/** The messages of a proposed relay and nothing of its rules: hears sessions, grants, tells loads and sums once a second (docs/CAPACITY.md §5). `node relay-node.js ADDRESS RUNNERS SUMS` */
 const [address, runners, sums] = [
   process.argv[2]!,
   Number(process.argv[3]),
@@ -31,7 +31,7 @@
 
 function tell(): void {
   place += 1;
-  const burdens = burdensOf(runners, place);
+  const loads = loadsOf(runners, place);
   const others: number[] = [];
   for (let pool = 0; pool < sums; pool += 1) others.push(pool, 4_000, (pool * 97 + place) % 4_000);
   let number = 0;
@@ -39,7 +39,7 @@
     number += 1;
     /** Of a node's two relays one tells it. */
     if (number % 2 === 0) continue;
-    wire.send(to, burdens);
+    wire.send(to, loads);
     wire.send(to, { kind: "sums", place, rows: others });
   }
 }
--- a/tools/scale/src/size.ts
+++ b/tools/scale/src/size.ts
@@ -608,7 +608,7 @@
   const changed = Math.min(cell, requests * 2);
   const session = rows.at("access node", "sketch: one session with counts that changed", [changed]);
   const lease = rows.at("access node", "sketch: one lease without a roll", [size.controlMachines]);
-  const burden = rows.at("access node", "sketch: burdens of a cell in one message", [cell]);
+  const load = rows.at("access node", "sketch: burdens of a cell in one message", [cell]);
   const sum = rows.at("access node", "sketch: sums of other regions in one message", [
     size.models * (size.regions - 1),
   ]);
@@ -654,9 +654,9 @@
     "bytes",
   );
 
-  /** Every control machine is a relay: two relays hold each node's session, one of them tells it burdens and sums. */
+  /** Every control machine is a relay: two relays hold each node's session, one of them tells it loads and sums. */
   const relayMessages = nodesOfRelay * 3;
-  const relayBytes = nodesOfRelay * (lease + (burden + sum) / 2 + news * change);
+  const relayBytes = nodesOfRelay * (lease + (load + sum) / 2 + news * change);
   tell("control member", "state", control + cards, "bytes");
   tell("control member", "messages in and out a second, to nodes", relayMessages, "messages/s");
   tell("control member", "bytes out a second, to nodes", relayBytes, "bytes/s", link);
@@ -802,8 +802,8 @@
     "ms",
   );
 
-  /** Two relays hear the session and grant; one tells burdens and sums. */
-  const nodeBytes = 2 * (session + lease) + burden + sum + news * change;
+  /** Two relays hear the session and grant; one tells loads and sums. */
+  const nodeBytes = 2 * (session + lease) + load + sum + news * change;
   const nodeMessages = 6 + news;
   tell(
     "access node",
--- a/tools/scale/src/sketches.ts
+++ b/tools/scale/src/sketches.ts
@@ -22,8 +22,8 @@
   return (spent() - start) / times;
 }
 
-/** One message of a relay to all nodes of its cell: place in the registry, then a runner's slot, burden and age by turns. */
-export function burdensOf(
+/** One message of a relay to all nodes of its cell: place in the registry, then a runner's slot, load and age by turns. */
+export function loadsOf(
   runners: number,
   place: number,
 ): { kind: "burdens"; place: number; rows: readonly number[] } {
@@ -37,7 +37,7 @@
   const cells = tiny ? [18, 36, 72] : [180, 360, 720, 3_600];
   const [bytes, reading, packing, cards]: [Point[], Point[], Point[], Point[]] = [[], [], [], []];
   for (const runners of cells) {
-    const message = burdensOf(runners, 123_456);
+    const message = loadsOf(runners, 123_456);
     const packed = Buffer.from(packer.pack(message));
     const held = new Map<number, { burden: number; age: number }>();
     function read(): void {
--- a/tools/scale/src/stations.ts
+++ b/tools/scale/src/stations.ts
@@ -257,14 +257,14 @@
         burden: (Math.floor(this.bus.now / constants.announceEvery) * 7 + place) % 16,
         age: (this.bus.now + place * 37) % constants.announceEvery,
       });
-    const burdens: [string, number, number][] = [];
+    const loads: [string, number, number][] = [];
     for (const [place, id] of this.#told.entries())
-      burdens.push([
+      loads.push([
         id,
         1 + ((place + Math.floor(this.bus.now / constants.announceEvery)) % 3),
         place % 2,
       ]);
-    return { runners, lots: [], turnedAway: [], ...(burdens.length === 0 ? {} : { burdens }) };
+    return { runners, lots: [], turnedAway: [], ...(loads.length === 0 ? {} : { burdens: loads }) };
   }
 
   receive(message: unknown, from: string): void {
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -393,7 +393,7 @@
   function strike(): void {
     for (const runner of campaign.runners) {
       if (runner.kind !== "model") continue;
-      campaign.strikes += runner.burden;
+      campaign.strikes += runner.load;
       runner.crash();
     }
     world.after(1_500, back);
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -398,7 +398,7 @@
           labels: { pool: poolOf(runner.id) },
           seats: runner.seats,
           zone: "a",
-          burden: runner.burden,
+          burden: runner.load,
         };
         function enter(ticket: string): ReturnType<AccessMachine["core"]["announce"]> {
           return access.core.announce(ticket, card, world.now);
--- a/tools/simulator/src/runners.ts
+++ b/tools/simulator/src/runners.ts
@@ -35,7 +35,7 @@
   incarnation = 1;
   alive = true;
   leaving = false;
-  burden = 0;
+  load = 0;
   shorts = 0;
   manner: Manner;
   #life = 0;
@@ -60,7 +60,7 @@
   crash(): void {
     this.alive = false;
     this.#life += 1;
-    this.burden = 0;
+    this.load = 0;
   }
 
   restart(): void {
@@ -95,7 +95,7 @@
     function end(ending: RunRecord["ending"]): void {
       if (record!.ending !== "running") return;
       record!.ending = ending;
-      if (self.#life === life) self.burden -= 1;
+      if (self.#life === life) self.load -= 1;
     }
     function gone(): boolean {
       if (self.#life !== life) {
@@ -112,7 +112,7 @@
     function arrive(): void {
       if (world.isCut(from.address, self.address)) return;
       if (self.#life !== life || !self.alive) return torn();
-      if (self.burden >= self.seats) return hear({ kind: "refused", retryAfter: 1 });
+      if (self.load >= self.seats) return hear({ kind: "refused", retryAfter: 1 });
       const prompt = work.kind === "fetch" ? work.path : work.body["prompt"];
       record = {
         number: self.records.length,
@@ -125,7 +125,7 @@
         pieces: [],
       };
       self.records.push(record);
-      self.burden += 1;
+      self.load += 1;
       const { chance } = world;
       const { trouble, tear, lie, silent, short, firstMs } = self.manner;
       const fate = chance.next();
