--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -18,7 +18,7 @@
   type ChainWrite,
   type DiskCondition,
   type FeedMessage,
-  type FellowMessage,
+  type PeerMessage,
   type Member,
   type NodeCard,
   type Policy,
@@ -51,7 +51,7 @@
   | ChainMessage
   | ViewMessage
   | FeedMessage
-  | FellowMessage
+  | PeerMessage
   | {
       readonly kind: "session";
       readonly card: NodeCard;
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -265,7 +265,7 @@
         return [];
       case "fellow-ask":
       case "fellow-tell":
-        return this.membership.fellow(message, from, now);
+        return this.membership.peer(message, from, now);
       case "queue-result":
         return this.#pendingCallEnded(message.ticket, message.outcome, now, message.held ?? 0);
       case "lot-ended":
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -8,7 +8,7 @@
   isNewerWord,
   policy,
   type Policy,
-  type FellowMessage,
+  type PeerMessage,
   type NodeCard,
   type RunnerRegistry,
   type RunnerCard,
@@ -51,7 +51,7 @@
   #registryAt = Number.NEGATIVE_INFINITY;
   #saidHere = new Map<string, number>();
   #heardAt = new Map<string, number>();
-  /** Runners that fellows told of. */
+  /** Runners that peers told of. */
   #told = new Map<string, { card: RunnerCard; heardAt: number }>();
   #askedAt = Number.NEGATIVE_INFINITY;
   #promises = new Set<string>();
@@ -145,12 +145,12 @@
     return heard > granters.length / 2;
   }
 
-  get #fellows(): readonly string[] {
+  get #peers(): readonly string[] {
     return this.follower.read<FleetRecord>(keys.fleet)?.addresses ?? [];
   }
 
   /** Asks and promises among nodes while control is away (§7.4). */
-  fellow(message: FellowMessage, from: string, now: number): Send[] {
+  peer(message: PeerMessage, from: string, now: number): Send[] {
     if (message.kind === "fellow-ask") {
       const promises = !this.#policy.goesOnAlone && this.#heldLease && !this.isNear(now);
       if (promises) this.#promisedUntil = now + constants.permitLasts;
@@ -179,7 +179,7 @@
       return [];
     }
     this.#promises.add(from);
-    if (this.#promises.size > this.#fellows.length / 2)
+    if (this.#promises.size > this.#peers.length / 2)
       this.#permitUntil = Math.max(
         this.#permitUntil,
         this.#askedAt + heldFor(constants.permitLasts),
@@ -189,7 +189,7 @@
 
   /** A goodbye goes to all nodes at once, before control has confirmed it (§7.5). */
   spread(): Send[] {
-    const told = new Set<string>(this.#fellows);
+    const told = new Set<string>(this.#peers);
     for (const card of this.live("access")) told.add(card.address);
     told.delete(this.address);
     const sends: Send[] = [];
@@ -209,13 +209,13 @@
     return sends;
   }
 
-  #askFellows(now: number): Send[] {
+  #askPeers(now: number): Send[] {
     if (this.#policy.goesOnAlone) return [];
-    const fellows = this.#fellows;
+    const peers = this.#peers;
     if (
       this.isNear(now) ||
       !this.#heldLease ||
-      !fellows.includes(this.address) ||
+      !peers.includes(this.address) ||
       now - this.#askedAt < constants.sessionEvery
     )
       return [];
@@ -223,7 +223,7 @@
     this.#promisedUntil = now + constants.permitLasts;
     this.#promises = new Set([this.address]);
     const sends: Send[] = [];
-    for (const to of fellows)
+    for (const to of peers)
       if (to !== this.address)
         sends.push({
           kind: "send",
@@ -365,7 +365,7 @@
   }
 
   beat(now: number): Send[] {
-    const asks = this.#askFellows(now);
+    const asks = this.#askPeers(now);
     /** The moment a promise ends, control is told so. */
     const freed = this.#toldAt < this.#promisedUntil && now >= this.#promisedUntil;
     return now - this.#toldAt >= constants.sessionEvery || freed
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -232,7 +232,7 @@
         return [];
       case "fellow-ask":
       case "fellow-tell":
-        return this.membership.fellow(message, from, now);
+        return this.membership.peer(message, from, now);
       case "queue-inquiry":
         return this.#inquire(
           message.ticket,
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -15,7 +15,7 @@
   lagLasts: 500,
   /** ms. Without a word from a majority of control for this long, a node counts the group as away (§7.4). */
   nearLasts: 1_000,
-  /** ms. A fellow's promise to take nothing from control, and so the permit that a majority of promises gives. */
+  /** ms. A peer's promise to take nothing from control, and so the permit that a majority of promises gives. */
   permitLasts: 1_000,
   /** ms. An address that no control machine heard of for this long is no longer counted as part of the fleet. */
   fleetForgets: 30_000,
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -14,7 +14,7 @@
   readonly http: string;
   /** About to stop as planned: its duties are handed over (§8.6). */
   readonly leaving: boolean;
-  /** Not bound by a promise to a fellow: only then does its place count, and may it get a lease (§7.4). */
+  /** Not bound by a promise to a peer: only then does its place count, and may it get a lease (§7.4). */
   readonly free: boolean;
   /** What this node says of itself: its place in the feed and what it found out. */
   readonly place: number;
@@ -356,7 +356,7 @@
 }
 
 /** What nodes say to each other while control is away (§7.4). */
-export type FellowMessage =
+export type PeerMessage =
   | { readonly kind: "fellow-ask"; readonly askedAt: number; readonly place: number }
   | {
       readonly kind: "fellow-tell";
--- a/tools/scale/src/processes.ts
+++ b/tools/scale/src/processes.ts
@@ -57,7 +57,7 @@
       const told = message as DataMessage;
       const now = performance.now();
       if (told.kind === "fellow-ask" || told.kind === "fellow-tell")
-        self.#send(self.#membership.fellow(told, from, now));
+        self.#send(self.#membership.peer(told, from, now));
       else if (self.#membership.receive(told as ControlMessage, from, now))
         self.#send(self.#membership.tell(now));
     }
--- a/tools/scale/src/relays.ts
+++ b/tools/scale/src/relays.ts
@@ -25,7 +25,7 @@
     ],
     { stdio: ["ignore", "ignore", "inherit"] },
   );
-  const held: HollowFellow[] = [];
+  const held: HollowPeer[] = [];
   let warmed = 0;
   const [busy, memory, node]: [Point[], Point[], Point[]] = [[], [], []];
   try {
@@ -33,19 +33,19 @@
     /** Warm at the first size before it counts. */
     for (const count of [nodes[0]!, ...nodes]) {
       while (held.length < count) {
-        const fellow = new HollowFellow(held.length, relay, changed);
-        await fellow.open();
-        held.push(fellow);
+        const peer = new HollowPeer(held.length, relay, changed);
+        await peer.open();
+        held.push(peer);
       }
       await pause(3_000);
-      for (const fellow of held) fellow.heard = 0;
+      for (const peer of held) peer.heard = 0;
       const from = { ...useOf(child.pid!), own: process.cpuUsage(), at: performance.now() };
       await pause(seconds * 1_000);
       const took = (performance.now() - from.at) / 1_000;
       const use = useOf(child.pid!);
       const own = process.cpuUsage(from.own);
       let heard = 0;
-      for (const fellow of held) heard += fellow.heard;
+      for (const peer of held) heard += peer.heard;
       if (heard < (count * took) / 2)
         throw new Error(`the relay told ${heard} messages to ${count} nodes in ${took} s`);
       warmed += 1;
@@ -76,12 +76,12 @@
       node,
     );
   } finally {
-    for (const fellow of held) fellow.close();
+    for (const peer of held) peer.close();
     child.kill("SIGKILL");
   }
 }
 
-class HollowFellow {
+class HollowPeer {
   heard = 0;
   #wire: Wire;
   #relay: string;
--- a/tools/scale/src/stations.ts
+++ b/tools/scale/src/stations.ts
@@ -270,7 +270,7 @@
   receive(message: unknown, from: string): void {
     const told = message as DataMessage;
     if (told.kind === "fellow-ask" || told.kind === "fellow-tell")
-      this.#send(this.membership.fellow(told, from, this.bus.now));
+      this.#send(this.membership.peer(told, from, this.bus.now));
     else if (this.membership.receive(told as ControlMessage, from, this.bus.now))
       this.#send(this.membership.tell(this.bus.now));
   }
--- a/tools/simulator/src/losses.ts
+++ b/tools/simulator/src/losses.ts
@@ -119,7 +119,7 @@
   afterLot(campaign, strike);
 }
 
-/** Cut off from its fellows alone, or from everybody. */
+/** Cut off from its peers alone, or from everybody. */
 export function cutStorage(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
