Names: a goodbye of a runner is a deregistration

Encodings stay: keys `goodbye/` and the commands `goodbye` and `forget-goodbyes` of control state, fields of messages, and paths of the HTTP interface.

--- a/features/steps/deployment.ts
+++ b/features/steps/deployment.ts
@@ -426,7 +426,7 @@
 }
 Then("no access node knows {string}", noNodeKnows);
 
-function saysGoodbye(this: World, id: string, name: string, within: number): void {
+function deregisters(this: World, id: string, name: string, within: number): void {
   const { told, took } = this.deployment.order(
     { kind: "goodbye", runner: id, incarnation: 1 },
     this.deployment.machine(name) as ControlMachine,
@@ -435,7 +435,7 @@
   ok(told?.kind === "confirmed");
   ok(took <= within, `${took} ms`);
 }
-When("the runner {string} says goodbye to {word} within {int} ms", saysGoodbye);
+When("the runner {string} says goodbye to {word} within {int} ms", deregisters);
 
 function everyControlTells(this: World, id: string): void {
   for (const machine of this.deployment.controls)
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -594,10 +594,10 @@
 }
 When("the runner of {string} streams an event without a number", streamsUnnumbered);
 
-function saysGoodbye(this: World, id: string): void {
+function deregisters(this: World, id: string): void {
   this.known.closed.add(latest(this, id).work.runner);
 }
-When("the runner of {string} says goodbye", saysGoodbye);
+When("the runner of {string} says goodbye", deregisters);
 
 function mayNotStart(this: World, id: string, reason: string): void {
   equal(this.core.mayStart(latest(this, id).go, this.now), reason);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -42,7 +42,7 @@
   type ControlCommand,
   type ControlResult,
   type FleetRecord,
-  type Goodbye,
+  type Deregistration,
   type QueueStanding,
 } from "./machine.js";
 
@@ -411,7 +411,10 @@
     sequence: number,
     now: number,
   ): { told: Announced; outputs: ControlOutput[] } {
-    if ((this.#feed.read<Goodbye>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >= card.incarnation)
+    if (
+      (this.#feed.read<Deregistration>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >=
+      card.incarnation
+    )
       return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
     const word: RunnerCard = { ...card, sequence, age: 0 };
     const { newer, news } = this.#sessions.announced(word, now);
@@ -767,8 +770,8 @@
     )
       return outputs;
     if (!this.#policy.goesOnAlone) outputs.push(...this.#planFleet(now));
-    for (const [, goodbye] of this.#feed.under<Goodbye>(keys.goodbye)) {
-      if (goodbye.at + constants.goodbyeKept > this.#chain.time(now)) continue;
+    for (const [, deregistration] of this.#feed.under<Deregistration>(keys.goodbye)) {
+      if (deregistration.at + constants.deregistrationKept > this.#chain.time(now)) continue;
       outputs.push(...this.#command({ kind: "forget-goodbyes" }, now));
       break;
     }
--- a/packages/control/src/keys.ts
+++ b/packages/control/src/keys.ts
@@ -1,5 +1,5 @@
 /** Of the record that closes a life of a runner. */
-function goodbyeKey(runner: string): string {
+function deregistrationKey(runner: string): string {
   return `goodbye/${runner}`;
 }
 
@@ -12,5 +12,5 @@
   goodbye: "goodbye/",
   emptying: "emptying/",
   taken: "taken",
-  goodbyeKey,
+  goodbyeKey: deregistrationKey,
 };
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -11,7 +11,7 @@
 import { keys } from "./keys.js";
 import { OrderLog } from "./order-log.js";
 
-/** Control state: configuration, placement of queues, goodbyes, emptying of machines (docs/design.md §9). */
+/** Control state: configuration, placement of queues, deregistrations, emptying of machines (docs/design.md §9). */
 export type ControlCommand =
   | PutCommand
   | PatchCommand
@@ -61,7 +61,7 @@
   | { kind: "DONE" }
   | { kind: "CONFIGURATION"; mark: number; value: Configuration; origin?: string };
 
-export interface Goodbye {
+export interface Deregistration {
   readonly runner: string;
   /** This life and every earlier one is closed. */
   readonly incarnation: number;
@@ -179,17 +179,17 @@
         );
       case "goodbye": {
         const key = keys.goodbyeKey(command.runner);
-        if ((ledger.read<Goodbye>(key)?.incarnation ?? 0) < command.incarnation)
+        if ((ledger.read<Deregistration>(key)?.incarnation ?? 0) < command.incarnation)
           ledger.put(key, {
             runner: command.runner,
             incarnation: command.incarnation,
             at: time,
-          } satisfies Goodbye);
+          } satisfies Deregistration);
         return { kind: "DONE" };
       }
       case "forget-goodbyes": {
-        for (const [key, goodbye] of [...ledger.under<Goodbye>(keys.goodbye)])
-          if (goodbye.at + constants.goodbyeKept < time) ledger.remove(key);
+        for (const [key, deregistration] of [...ledger.under<Deregistration>(keys.goodbye)])
+          if (deregistration.at + constants.deregistrationKept < time) ledger.remove(key);
         return { kind: "DONE" };
       }
       case "place":
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -425,7 +425,7 @@
     return [{ kind: "run", go: this.#goNumber, url: runner.url, work, silence }];
   }
 
-  /** Asked at the last moment: no byte goes out on an old configuration, after a goodbye or on an old grant. */
+  /** Asked at the last moment: no byte goes out on an old configuration, after a deregistration or on an old grant. */
   mayStart(go: number, now: number): string | undefined {
     const held = this.#gos.get(go);
     if (held === undefined) return "given up";
@@ -615,7 +615,7 @@
         }),
       ];
     }
-    /** What is read just after a sleep may have been said long before it, and before a goodbye (§7.5). */
+    /** What is read just after a sleep may have been said long before it, and before a deregistration (§7.5). */
     this.#lookAwake(now);
     if (now - this.#wokeAt < constants.wakingLasts) return [announceElsewhere(ticket)];
     this.#announced.set(card.id, { card: { ...card, age: 0 }, heardAt: now });
@@ -632,7 +632,7 @@
     this.#struckAt = now;
   }
 
-  goodbye(ticket: string, runner: string, incarnation: number, now: number): AccessOutput[] {
+  deregister(ticket: string, runner: string, incarnation: number, now: number): AccessOutput[] {
     this.membership.close(runner, incarnation);
     if ((this.#announced.get(runner)?.card.incarnation ?? Number.POSITIVE_INFINITY) <= incarnation)
       this.#announced.delete(runner);
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -363,7 +363,7 @@
         });
       self.#perform(self.#core.announce(self.#ticket(arrival), checked.data, monotonic()));
     }
-    function goodbye(arrival: Arrival): void {
+    function deregister(arrival: Arrival): void {
       const checked = farewell.safeParse(arrival.body);
       if (!checked.success)
         return replyTrouble(arrival.reply, 400, {
@@ -371,7 +371,7 @@
           reason: explain(checked.error),
         });
       self.#perform(
-        self.#core.goodbye(
+        self.#core.deregister(
           self.#ticket(arrival),
           arrival.parameters["runner"]!,
           checked.data.incarnation,
@@ -390,7 +390,7 @@
         "lot.look-up": lookUp,
         "lot.cancel": cancel,
         "runner.announced": announced,
-        "runner.goodbye": goodbye,
+        "runner.goodbye": deregister,
       },
     };
   }
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -32,7 +32,7 @@
   slowness: number;
   /** Last sign of it, or the moment when the first work of those under way began. */
   heardAt: number;
-  /** Heard of still, and has not said goodbye. */
+  /** Heard of still, and has not deregistered. */
   stands: boolean;
   /** Passed by until then, and troubles in a row. */
   shyUntil: number;
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -20,7 +20,7 @@
   keys,
   type ControlMessage,
   type FleetRecord,
-  type Goodbye,
+  type Deregistration,
   type MarkedConfiguration,
 } from "@chutewick/control";
 
@@ -187,7 +187,7 @@
     return [];
   }
 
-  /** A goodbye goes to all nodes at once, before control has confirmed it (§7.5). */
+  /** A deregistration goes to all nodes at once, before control has confirmed it (§7.5). */
   spread(): Send[] {
     const told = new Set<string>(this.#peers);
     for (const card of this.live("access")) told.add(card.address);
@@ -237,18 +237,18 @@
     return Math.max(0, this.#lease.until(this.follower.place) - now);
   }
 
-  /** A goodbye closes this life of the runner and every earlier one, which may stand at the same address (§7.5). */
+  /** A deregistration closes this life of the runner and every earlier one, which may stand at the same address (§7.5). */
   isClosed(runner: string, incarnation: number): boolean {
     return (
       incarnation <=
       Math.max(
-        this.follower.read<Goodbye>(keys.goodbyeKey(runner))?.incarnation ?? 0,
+        this.follower.read<Deregistration>(keys.goodbyeKey(runner))?.incarnation ?? 0,
         this.#saidHere.get(runner) ?? 0,
       )
     );
   }
 
-  /** A goodbye said here counts here at once. */
+  /** A deregistration sent here counts here at once. */
   close(runner: string, incarnation: number): void {
     this.#saidHere.set(runner, Math.max(incarnation, this.#saidHere.get(runner) ?? 0));
   }
@@ -260,7 +260,7 @@
       this.#told.set(card.id, { card, heardAt });
   }
 
-  /** Whether a life of a runner was heard of lately and has not said goodbye: asked again before the first byte. */
+  /** Whether a life of a runner was heard of lately and has not deregistered: asked again before the first byte. */
   isStanding(runner: string, incarnation: number, now: number): boolean {
     for (const card of this.runners(now))
       if (card.id === runner && card.incarnation === incarnation) return true;
@@ -300,7 +300,7 @@
   receive(message: ControlMessage, from: string, now: number): boolean {
     if (message.kind === "feed" || message.kind === "feed-digest")
       return this.follower.receive(message);
-    /** Runners that control heard of just now; ages in it count from here, as goodbyes are confirmed before they are told (§13.8). */
+    /** Runners that control heard of just now; ages in it count from here, as deregistrations are confirmed before they are told (§13.8). */
     if (message.kind === "runners")
       for (const card of message.runners) this.heardRunner(card, now - card.age);
     if (message.kind === "lease") {
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -107,7 +107,7 @@
   loadLasts: 1_700,
   /** ms. How long a live request turned away for want of a seat, or a lot for want of room, is counted. */
   pressureLasts: 2_000,
-  /** ms. A runner not heard of for this long gets no work: under the 2 s that may pass after a goodbye nobody could pass on (§7.5). */
+  /** ms. A runner not heard of for this long gets no work: under the 2 s that may pass after a deregistration nobody could pass on (§7.5). */
   runnerLasts: 1_800,
   /** ms. Runners are asked to announce this often, and to turn to another node when one has not answered within. */
   announceEvery: 500,
@@ -115,8 +115,8 @@
   /** ms. A process that was not struck by a beat for this long has slept; what it reads in the time after may be as old. */
   sleptLeast: 400,
   wakingLasts: 200,
-  /** ms. A record of a goodbye is kept this long; a runner's next life has a new incarnation. */
-  goodbyeKept: 3_600_000,
+  /** ms. A record of a deregistration is kept this long; a runner's next life has a new incarnation. */
+  deregistrationKept: 3_600_000,
   /** ms. Default time that an accepted lot has. */
   lotDeadline: 600_000,
   /** ms. Added to the time of a lot: an acceptance can be told this much later than it was stamped (§5.5). */
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -9,7 +9,7 @@
   readonly contactWithin: number;
   /** An order of an operator is told as confirmed within this. */
   readonly acknowledgeWithin: number;
-  /** After the telling of a goodbye no new work reaches the runner later than this. */
+  /** After the telling of a deregistration no new work reaches the runner later than this. */
   readonly drainWithin: number;
   /** After the telling of a change nothing is done as only an older one allows later than this. */
   readonly applyWithin: number;
--- a/tools/runner/src/main.ts
+++ b/tools/runner/src/main.ts
@@ -24,7 +24,7 @@
     behaviour: { pieceMs: given.pieceMs, pieces: given.pieces },
   });
   async function leave(): Promise<void> {
-    process.exit((await runner.goodbye()) ? 0 : 1);
+    process.exit((await runner.deregister()) ? 0 : 1);
   }
   process.on("SIGTERM", leave);
   void runner.start();
--- a/tools/runner/src/runner.ts
+++ b/tools/runner/src/runner.ts
@@ -46,7 +46,7 @@
   #server: Server | undefined;
   #announcing: NodeJS.Timeout | undefined;
   #accessIndex = 0;
-  goodbyeAt: number | undefined;
+  deregisteredAt: number | undefined;
 
   constructor(options: RunnerOptions) {
     this.options = options;
@@ -80,7 +80,7 @@
   /** Tells one access node; at trouble the next is told. */
   async announce(): Promise<boolean> {
     const { id, kind, models, labels, seats, zone, access, address } = this.options;
-    if (access.length === 0 || this.goodbyeAt !== undefined) return false;
+    if (access.length === 0 || this.deregisteredAt !== undefined) return false;
     for (let go = 0; go < access.length; go += 1) {
       const to = access[this.#accessIndex % access.length]!;
       try {
@@ -111,7 +111,7 @@
     return false;
   }
 
-  async goodbye(): Promise<boolean> {
+  async deregister(): Promise<boolean> {
     const { id, access } = this.options;
     clearInterval(this.#announcing);
     for (const to of access) {
@@ -124,7 +124,7 @@
         });
         await told.body.dump();
         if (told.statusCode === 200) {
-          this.goodbyeAt = performance.now();
+          this.deregisteredAt = performance.now();
           return true;
         }
       } catch {
--- a/tools/scale/src/sketches.ts
+++ b/tools/scale/src/sketches.ts
@@ -137,7 +137,7 @@
     sums,
   );
 
-  const [changes, memory, goodbyes]: [Point[], Point[], Point[]] = [[], [], []];
+  const [changes, memory, deregistrations]: [Point[], Point[], Point[]] = [[], [], []];
   const way = { kind: "stream", model: "model-7", labels: { tenant: "tenant-4711" }, runners: {} };
   for (const count of [1, 2, 4]) {
     const found: unknown[] = [];
@@ -153,7 +153,7 @@
       at: [count],
       value: sizeOf({ kind: "feed", entries: [{ place: 123_456, changes: found }] }),
     });
-    goodbyes.push({
+    deregistrations.push({
       at: [count],
       value: sizeOf({ kind: "feed", entries: [{ place: 123_456, changes: closed }] }),
     });
@@ -165,7 +165,7 @@
     memory.push({ at: [count], value: heldBy(build) });
   }
   rows.add("access node", "sketch: one change by difference", "bytes", ["ways changed"], changes);
-  rows.add("runner link", "sketch: goodbyes in the feed", "bytes", ["goodbyes"], goodbyes);
+  rows.add("runner link", "sketch: goodbyes in the feed", "bytes", ["goodbyes"], deregistrations);
   rows.add("access node", "sketch: memory of the configuration", "bytes", ["ways"], memory);
 
   const [held, taken, recorded]: [Point[], Point[], Point[]] = [[], [], []];
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -409,7 +409,7 @@
   world.at(8_000, watch);
 }
 
-/** A runner says goodbye once, to a node that dies before it told anybody, while the head of control is dead. */
+/** A runner deregisters once, to a node that dies before it told anybody, while the head of control is dead. */
 function killHearers(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
@@ -420,7 +420,7 @@
     campaign.strikes += 1;
     for (const other of campaign.machines)
       if (other !== hearer) world.cut(hearer.address, other.address);
-    campaign.goodbye(runner, hearer, 1);
+    campaign.deregister(runner, hearer, 1);
     hearer.kill(true);
     head?.kill(true);
     world.after(4_500, back);
@@ -436,8 +436,8 @@
   world.at(15_000, strike);
 }
 
-/** A goodbye is said while the control group is out of reach, to a node that other nodes cannot hear. */
-function goodbyeWithoutControl(campaign: Campaign): void {
+/** A deregistration is sent while the control group is out of reach, to a node that other nodes cannot hear. */
+function deregistrationWithoutControl(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
     const hearer = world.chance.pick(campaign.accesses);
@@ -446,7 +446,7 @@
     for (const runner of campaign.runners)
       if (isStaying(runner) && campaign.strikes < 2) {
         campaign.strikes += 1;
-        campaign.goodbye(runner, hearer, 1);
+        campaign.deregister(runner, hearer, 1);
       }
   }
   function away(): void {
@@ -456,7 +456,7 @@
   world.at(11_500, strike);
 }
 
-/** An access node sleeps with a runner's announcement in its buffer, and wakes when the runner has long said goodbye. */
+/** An access node sleeps with a runner's announcement in its buffer, and wakes when the runner has long deregistered. */
 function oldAnnouncement(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
@@ -472,7 +472,7 @@
       /** It dies before anybody else has heard. */
       for (const other of campaign.machines)
         if (other !== all[0]) world.cut(all[0]!.address, other.address);
-      campaign.goodbye(runner!, all[0], 1);
+      campaign.deregister(runner!, all[0], 1);
       all[0]!.kill(true);
     }
     function wake(): void {
@@ -780,7 +780,7 @@
   "a goodbye is heard without control": {
     rule: "goodbye",
     options: calm,
-    set: goodbyeWithoutControl,
+    set: deregistrationWithoutControl,
   },
   "an announcement is read after the goodbye": {
     rule: "goodbye",
--- a/tools/simulator/src/campaign.ts
+++ b/tools/simulator/src/campaign.ts
@@ -3,7 +3,7 @@
 import {
   check,
   type ChangeRecord,
-  type GoodbyeRecord,
+  type DeregistrationRecord,
   type RequestRecord,
   type LotRecord,
   type LotView,
@@ -185,7 +185,7 @@
       changes: [],
       reads: [],
       begins: [],
-      goodbyes: [],
+      deregistrations: [],
       runs: [],
       waiting: [],
       healedAt: 0,
@@ -527,10 +527,10 @@
       self.look();
       world.after(500, look);
     }
-    function goodbye(): void {
+    function deregister(): void {
       if (world.now > quietAt) return;
-      self.goodbye(chance.pick(self.runners));
-      world.after(chance.between(2_000, 6_000), goodbye);
+      self.deregister(chance.pick(self.runners));
+      world.after(chance.between(2_000, 6_000), deregister);
     }
     if (this.options.racing !== undefined)
       new RacingOperators(this, this.options.racing, quietAt).begin();
@@ -539,7 +539,7 @@
     change();
     read();
     look();
-    world.after(3_000, goodbye);
+    world.after(3_000, deregister);
   }
 
   inquire(): void {
@@ -886,17 +886,17 @@
 
   // Runners
 
-  goodbye(runner: Runner, first?: AccessMachine, triesMost = 20): void {
+  deregister(runner: Runner, first?: AccessMachine, triesMost = 20): void {
     const { world, sight } = this;
     const self = this;
     if (!runner.alive || runner.leaving) return;
     runner.leaving = true;
-    const record: GoodbyeRecord = {
+    const record: DeregistrationRecord = {
       runner: runner.id,
       incarnation: runner.incarnation,
       saidAt: world.now,
     };
-    sight.goodbyes.push(record);
+    sight.deregistrations.push(record);
     let tries = 0;
     function say(): void {
       tries += 1;
@@ -907,9 +907,9 @@
         record.confirmedAt ??= world.now;
         world.after(4_000, back);
       }
-      function enter(ticket: string): ReturnType<AccessMachine["core"]["goodbye"]> {
+      function enter(ticket: string): ReturnType<AccessMachine["core"]["deregister"]> {
         record.heardAt ??= world.now;
-        return access.core.goodbye(ticket, runner.id, record.incarnation, world.now);
+        return access.core.deregister(ticket, runner.id, record.incarnation, world.now);
       }
       if (world.isCut(access.address, runner.address)) return again();
       access.exchange(caller, enter);
--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -81,7 +81,7 @@
   readonly id: string | undefined;
 }
 
-export interface GoodbyeRecord {
+export interface DeregistrationRecord {
   readonly runner: string;
   readonly incarnation: number;
   readonly saidAt: number;
@@ -98,7 +98,7 @@
   readonly changes: ChangeRecord[];
   readonly reads: ReadRecord[];
   readonly begins: BeginRecord[];
-  readonly goodbyes: GoodbyeRecord[];
+  readonly deregistrations: DeregistrationRecord[];
   readonly runs: RunRecord[];
   readonly waiting: { at: number; waiting: number; allowance: number }[];
   /** When all was mended, and when each kind of service was first seen whole again. */
@@ -138,25 +138,26 @@
   checkLots(sight, byItem, breach);
   checkPromptness(sight, breach);
   found.push(...judgeHistories(sight));
-  for (const goodbye of sight.goodbyes) {
-    const { heardAt } = goodbye;
+  for (const deregistration of sight.deregistrations) {
+    const { heardAt } = deregistration;
     if (heardAt === undefined) continue;
     for (const run of sight.runs) {
-      if (run.runner !== goodbye.runner || run.incarnation !== goodbye.incarnation) continue;
+      if (run.runner !== deregistration.runner || run.incarnation !== deregistration.incarnation)
+        continue;
       if (run.at > heardAt + 2_000 * about)
         breach(
           "goodbye",
           `${run.runner} got work ${Math.round(run.at - heardAt)} ms after its goodbye was heard`,
         );
-      /** Work sent before the goodbye may still be on its way for a moment. */
+      /** Work sent before the deregistration may still be on its way for a moment. */
       else if (
-        goodbye.confirmedAt !== undefined &&
-        run.at > goodbye.confirmedAt + 10 &&
+        deregistration.confirmedAt !== undefined &&
+        run.at > deregistration.confirmedAt + 10 &&
         run.at > heardAt + 2_000
       )
         breach(
           "goodbye",
-          `${run.runner} got work ${Math.round(run.at - goodbye.confirmedAt)} ms after its goodbye was confirmed`,
+          `${run.runner} got work ${Math.round(run.at - deregistration.confirmedAt)} ms after its goodbye was confirmed`,
         );
     }
   }
@@ -353,7 +354,7 @@
 
 /** ms. The latest moments at which a rule's time limit was still used; a negative one means that nothing came after. */
 export interface Worst {
-  /** New work at a runner after its goodbye was confirmed, and after it was heard. */
+  /** New work at a runner after its deregistration was confirmed, and after it was heard. */
   goodbyeConfirmed: number;
   goodbyeHeard: number;
   /** Work begun on an older mark after a change was confirmed. */
@@ -371,17 +372,20 @@
     cancel: -1,
     cancelAsked: -1,
   };
-  for (const goodbye of sight.goodbyes) {
+  for (const deregistration of sight.deregistrations) {
     for (const run of sight.runs) {
       if (
-        run.runner !== goodbye.runner ||
-        run.incarnation !== goodbye.incarnation ||
-        goodbye.heardAt === undefined
+        run.runner !== deregistration.runner ||
+        run.incarnation !== deregistration.incarnation ||
+        deregistration.heardAt === undefined
       )
         continue;
-      if (goodbye.confirmedAt !== undefined)
-        found.goodbyeConfirmed = Math.max(found.goodbyeConfirmed, run.at - goodbye.confirmedAt);
-      found.goodbyeHeard = Math.max(found.goodbyeHeard, run.at - goodbye.heardAt);
+      if (deregistration.confirmedAt !== undefined)
+        found.goodbyeConfirmed = Math.max(
+          found.goodbyeConfirmed,
+          run.at - deregistration.confirmedAt,
+        );
+      found.goodbyeHeard = Math.max(found.goodbyeHeard, run.at - deregistration.heardAt);
     }
   }
   for (const change of sight.changes) {
--- a/tools/simulator/src/worlds/control-cut.ts
+++ b/tools/simulator/src/worlds/control-cut.ts
@@ -24,8 +24,10 @@
   const runners = new RunnerClients(site);
   runners.start(RUNNERS);
   for (let cut = 0; cut < CUTS; cut += 1) {
-    for (let goodbye = 0; goodbye < GOODBYES; goodbye += 1)
-      site.deployment.world.after(site.chance.between(0, CUT_LASTS), () => runners.sayGoodbye());
+    for (let deregistration = 0; deregistration < GOODBYES; deregistration += 1)
+      site.deployment.world.after(site.chance.between(0, CUT_LASTS), () =>
+        runners.sayDeregistration(),
+      );
     cutOnce(site, () => Number(actedLast.slice("control-".length)));
     session.recover();
     site.wait(site.chance.between(0, 3_000));
--- a/tools/simulator/src/worlds/runner-clients.ts
+++ b/tools/simulator/src/worlds/runner-clients.ts
@@ -19,7 +19,7 @@
   goodbyeAt: number | undefined;
 }
 
-/** Runners that report to any control machine, and say goodbye; nodes must know what was acknowledged. */
+/** Runners that report to any control machine, and deregister; nodes must know what was acknowledged. */
 export class RunnerClients {
   readonly #site: Site;
   readonly #runners: ReportingRunner[] = [];
@@ -38,13 +38,13 @@
     look();
   }
 
-  /** One of those that report says goodbye, and another one comes in its place. */
-  sayGoodbye(): void {
+  /** One of those that report deregisters, and another one comes in its place. */
+  sayDeregistration(): void {
     const staying = this.#runners.filter(({ leaving }) => !leaving);
     const runner = this.#site.chance.pick(staying);
     runner.leaving = true;
     this.#add();
-    this.#goodbye(runner);
+    this.#deregistration(runner);
   }
 
   #add(): void {
@@ -83,11 +83,11 @@
     runner.acknowledgedSince = undefined;
   }
 
-  #goodbye(runner: ReportingRunner): void {
+  #deregistration(runner: ReportingRunner): void {
     const { chance, controls, deployment, history, refusing } = this.#site;
     const machine = chance.pick(controls);
     const again = (): void => {
-      deployment.world.after(chance.between(200, 800), () => this.#goodbye(runner));
+      deployment.world.after(chance.between(200, 800), () => this.#deregistration(runner));
     };
     if (refusing.has(machine.address)) return again();
     machine.inquire({ kind: "goodbye", runner: runner.id, incarnation: 1 }, (outcome) => {
@@ -101,9 +101,13 @@
     const { now, bounds, deployment, history } = this.#site;
     if (!access.alive || access.frozen || !access.core.membership.holds(now)) return;
     const lasts = deployment.policy.runnerLasts;
-    for (const { id, goodbyeAt, leaving, acknowledgedSince } of this.#runners) {
+    for (const { id, goodbyeAt: deregisteredAt, leaving, acknowledgedSince } of this.#runners) {
       const known = deployment.known(access, id) !== undefined;
-      if (known && goodbyeAt !== undefined && now - goodbyeAt > bounds.drainWithin * ABOUT)
+      if (
+        known &&
+        deregisteredAt !== undefined &&
+        now - deregisteredAt > bounds.drainWithin * ABOUT
+      )
         this.#once("goodbye", `${access.name} lists ${id} after its goodbye was confirmed`);
       const spread =
         acknowledgedSince !== undefined && now - acknowledgedSince > lasts + SPREAD_WITHIN;
