--- a/tools/simulator/src/checker.ts
+++ b/tools/simulator/src/checker.ts
@@ -394,6 +394,12 @@
       if (begin.mark < change.mark!)
         found.change = Math.max(found.change, begin.at - change.endedAt!);
   }
+  measureCancels(sight, found);
+  return found;
+}
+
+/** How late new items of cancelled lots began. */
+function measureCancels(sight: Sight, found: Worst): void {
   const cancelled = new Map<string, LotRecord>();
   for (const lot of sight.lots) if (lot.cancelledAt !== undefined) cancelled.set(lot.key, lot);
   for (const run of sight.runs) {
@@ -405,5 +411,4 @@
     found.cancel = Math.max(found.cancel, run.at - lot.cancelledAt!);
     found.cancelAsked = Math.max(found.cancelAsked, run.at - lot.cancelAskedAt!);
   }
-  return found;
 }
