--- a/features/worlds.feature
+++ b/features/worlds.feature
@@ -18,6 +18,10 @@
       | many-changes  | 5    | 5  | 12000 | node away by isolate, wipe, replacement                                                      |
       | wrong-answers | 5    | 5  | 12000 | answer late, answer doubled, answer cut, answer swapped, answer reset unread, runner crashed |
 
+  Scenario: second-loss, seed 1035: a queue serves again after each loss
+    When the seeds 1035 to 1035 of the world "second-loss" are played
+    Then no rule broke in it
+
   Scenario Outline: <world> finds <rule> without the guard "<guard>"
     When the seed <seed> of the world "<world>" is played without the guard "<guard>"
     Then the rule "<rule>" broke in it
