A model checker drives the control group's own classes, three machines exhaustively

tools/model explores ControlCore (agreement, chain, feed, sessions, orders) and the Membership of nodes with no copy of their logic: a loader makes the private fields of the compiled classes readable, so that states are copied and fingerprinted, up to renaming of machines. Messages lost, repeated and overtaking, crashes that keep any first part of what was not synced, lost disks within the tolerated number, cuts, freezes, stalled disks, drift, planned stops and retirements, two operators with repeated orders, reads. Four and five machines by random schedules with fast-check. Liveness is checked from sampled states.

--- /dev/null
+++ b/tools/model/src/guards.ts
@@ -0,0 +1,165 @@
+import type { Cut } from "@chutewick/simulator/without";
+
+/**
+ * For each invariant a guard of the product that holds it. The guard is taken out of the compiled
+ * text as in the simulator's table, and the checker must then find the invariant violated.
+ */
+export interface GuardRow {
+  readonly guard: string;
+  readonly invariant: string;
+  readonly cuts: readonly Cut[];
+  readonly start: string;
+}
+
+const agreement = "packages/parts/dist/view.js";
+const chain = "packages/parts/dist/chain.js";
+const session = "packages/parts/dist/session.js";
+const machine = "packages/control/dist/machine.js";
+const control = "packages/control/dist/core.js";
+
+export const guardRows: readonly GuardRow[] = [
+  {
+    start: "electing",
+    guard: "a proposer takes over what was accepted",
+    invariant: "one view for a number",
+    cuts: [
+      { file: agreement, from: "best?.view ?? held.wished", to: "held.wished" },
+      { file: agreement, from: "held.promises.size < majority(this.#state.view)", to: "false" },
+    ],
+  },
+  {
+    start: "electing",
+    guard: "a vote needs a majority",
+    invariant: "one view for a number",
+    cuts: [
+      { file: agreement, from: "held.accepts.size < majority(this.#state.view)", to: "false" },
+      { file: agreement, from: "held.promises.size < majority(this.#state.view)", to: "false" },
+    ],
+  },
+  {
+    start: "formed",
+    guard: "confirmed when the tail has it",
+    invariant: "a view that serves holds what was confirmed",
+    cuts: [
+      {
+        file: chain,
+        from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {",
+        to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {",
+      },
+      { file: control, from: "held.result.place <= covered", to: "true" },
+    ],
+  },
+  {
+    start: "stalled",
+    guard: "nothing is acted upon before it is synced",
+    invariant: "a view that serves holds what was confirmed",
+    cuts: [
+      {
+        file: control,
+        from: 'case "send":\n                case "write":\n                    outputs.push(command);',
+        to: 'case "send":\n                case "write":\n                    outputs.push(command); if (command.kind === "write") outputs.push(...this.#perform(this.#chain.written(command.ticket, now), now));',
+      },
+    ],
+  },
+  {
+    start: "deposed",
+    guard: "a read probes the whole chain",
+    invariant: "a read sees what was confirmed",
+    cuts: [
+      {
+        file: chain,
+        from: "this.#probes.set(probe.number, probe);",
+        to: 'return [{ kind: "result", ticket, result: { kind: "confirmed", place: this.#place, value } }];',
+      },
+    ],
+  },
+  {
+    start: "formed",
+    guard: "an order names the version it builds on",
+    invariant: "one order for a version",
+    cuts: [
+      {
+        file: machine,
+        from: "if (expected !== undefined && expected !== null && expected !== held.mark)",
+        to: "if (false)",
+      },
+      { file: machine, from: "own > held.mark", to: "true" },
+    ],
+  },
+  {
+    start: "formed",
+    guard: "an order taken before is known by its digest",
+    invariant: "a confirmed order stays acknowledged",
+    cuts: [{ file: machine, from: "if (mark === own && held === digest)", to: "if (false)" }],
+  },
+  {
+    start: "formed",
+    guard: "an order is recorded when it is entered",
+    invariant: "a refused order takes no effect",
+    cuts: [
+      {
+        file: machine,
+        from: 'return { kind: "CONFLICT", mark: held.mark };',
+        to: '{ if (digest !== undefined) ledger.put(keys.taken, { orders: [...taken, [own, digest]] }); return { kind: "CONFLICT", mark: held.mark }; }',
+      },
+    ],
+  },
+  {
+    start: "formed",
+    guard: "a lease is a majority's",
+    invariant: "nobody serves without a majority's word",
+    cuts: [{ file: session, from: "ends[Math.floor(granters.length / 2)]", to: "ends[0]" }],
+  },
+  {
+    start: "formed",
+    guard: "a change is told when every lease has it",
+    invariant: "a confirmed change is in force",
+    cuts: [{ file: control, from: "held.result.place <= covered", to: "true" }],
+  },
+  {
+    start: "severed",
+    guard: "leases count by where the node stands",
+    invariant: "a confirmed change is in force",
+    cuts: [{ file: session, from: "place = Math.min(place, session.card.place);", to: ";" }],
+  },
+  {
+    start: "rejoining",
+    guard: "a joiner counts when its copy is whole",
+    invariant: "a leaving member is let go when others hold all",
+    cuts: [
+      {
+        file: agreement,
+        from: "return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark",
+        to: "return true",
+      },
+    ],
+  },
+  {
+    start: "formed",
+    guard: "what was taken is not sent again at once",
+    invariant: "comes to rest",
+    cuts: [
+      {
+        file: chain,
+        from: "if (this.#synced > this.#passed)\n            commands.push(...this.#sendEntries(this.#successor, this.#passed, now));",
+        to: "commands.push(...this.#sendEntries(this.#successor, 0, now));",
+      },
+    ],
+  },
+  {
+    start: "pair",
+    guard: "who was voted out still votes",
+    invariant: "the group serves again",
+    cuts: [
+      { file: agreement, from: "return view.voters ?? view.members;", to: "return view.members;" },
+    ],
+  },
+  {
+    start: "lone",
+    guard: "who held all goes on when the lone copy is lost",
+    invariant: "the group serves again",
+    cuts: [
+      { file: chain, from: "return view.holders ?? view.members;", to: "return view.members;" },
+    ],
+  },
+];
