--- a/tools/model/src/world.ts
+++ b/tools/model/src/world.ts
@@ -19,8 +19,8 @@
 
 /** ms of one tick: each machine gets a beat, and all time-outs of the product are some ticks long. */
 export const TICK = 200;
-/** Part by which the clock of a machine may go faster or slower. */
-export const DRIFT = 0.01;
+/** Part by which the clock of a machine may go faster or slower; two are apart by twice that at most. */
+export const DRIFT = constants.clockRatesApart / 2;
 /** Events after which a world without a tick must have come to rest. */
 const EVENTS_MOST = 20_000;
 /** Ticks within which a calm run must have come to a start state. */
