A folder cut off before it began is refused; one that had begun is set aside

Cause: the step still expected the refusal of a cut-off folder that had begun, which is set aside now; the machine of that step stayed up and joined the fleets of later scenarios. The step takes the marker away, so the refusal is tested as before; the other case is in features/disk.feature.

--- a/features/steps/input.ts
+++ b/features/steps/input.ts
@@ -212,6 +212,8 @@
   const copied = join(this.folder, "copied");
   cpSync(machine.data, copied, { recursive: true });
   rmSync(join(copied, "process"));
+  /** With this marker the database would be set aside, and the machine would come back blank (features/disk.feature). */
+  rmSync(join(copied, "begun"));
   truncateSync(join(copied, "data.mdb"), usedBytes(join(copied, "data.mdb")) - 4_096);
   const cutOff = await fleet.chutewick([...words, copied]);
   equal(cutOff.code, 1);
