The three daemons open wire, folder and operator's routes through one module

Cause: control, storage and access repeated how a wire, a data folder and the operator's routes are opened, and how a wire is counted (the three longest pairs that a search for repeated lines found in the tree).

One module of the shell, daemon-parts, holds them; the daemons keep what differs.

--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,20 +1,23 @@
 import { createHash, randomUUID } from "node:crypto";
 import {
   Beat,
-  Disk,
+  countsOfWire,
+  createWire,
   Gateway,
-  Wire,
-  diskListener,
   listen,
   metrics,
   monotonic,
+  openDataFolder,
+  operatorOpenings,
   reply,
   replyTrouble,
   settings as configured,
   settled,
   type Arrival,
+  type Disk,
   type Log,
   type Settings,
+  type Wire,
 } from "@chutewick/shell";
 import {
   constants,
@@ -75,19 +78,13 @@
       monotonic(),
     );
     disk.forgetFound();
-    this.#wire = new Wire({
-      address: settings.wire,
-      listen: settings.wireListen ?? settings.wire,
-      log,
-      receive,
-    });
+    this.#wire = createWire(settings, log, receive);
     this.#gateway = new Gateway({
       address: settings.http,
       log,
       owners: [this.#owner()],
       openings: [
-        { method: "GET", path: "/status", event: "operator.status" },
-        { method: "GET", path: "/metrics", event: "operator.metrics" },
+        ...operatorOpenings,
         { method: "GET", path: "/seasons/explain", event: "operator.explain" },
         { method: "POST", path: "/seasons/preview", event: "operator.preview" },
         { method: "GET", path: "/configuration", event: "operator.configuration.get" },
@@ -105,15 +102,12 @@
     extras: ControlExtras = {},
   ): Promise<Outcome<ControlProcess>> {
     const running: { process?: ControlProcess } = {};
-    function changed(condition: DiskCondition): void {
+    function conditionChanged(condition: DiskCondition): void {
       running.process?.changeDisk(condition);
     }
-    const owner = { kind: "control", name: settings.name };
-    const disk = await Disk.open(settings.data!, owner, diskListener(log, changed));
+    const disk = await openDataFolder({ kind: "control", settings, log, conditionChanged });
     if (!disk.ok) return disk;
     const held = disk.value;
-    const { damage } = held;
-    if (damage !== undefined) log.error({ damage }, "the database was set aside as damaged");
     const opened = new ControlProcess(settings, log, held, extras);
     running.process = opened;
     const trouble = await listen(opened.#wire, opened.#gateway);
@@ -177,9 +171,7 @@
         ...self.#core.status(monotonic()),
         counts: {
           syncs: self.#disk.syncs,
-          sent: self.#wire.sent,
-          dropped: self.#wire.dropped,
-          refused: self.#wire.refused,
+          ...countsOfWire(self.#wire),
         },
       });
     }
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -9,19 +9,22 @@
 } from "@chutewick/parts";
 import {
   Beat,
-  Gateway,
-  Wire,
+  countsOfWire,
+  createWire,
   explain,
+  Gateway,
   listen,
   metrics,
   monotonic,
-  settings as configured,
-  settled,
+  operatorOpenings,
   reply,
   replyTrouble,
+  settings as configured,
+  settled,
   type Arrival,
   type Log,
   type Settings,
+  type Wire,
 } from "@chutewick/shell";
 import type { ServiceSchema } from "moleculer";
 import { z } from "zod";
@@ -118,19 +121,13 @@
       share,
       now: monotonic,
     });
-    this.#wire = new Wire({
-      address: settings.wire,
-      listen: settings.wireListen ?? settings.wire,
-      log,
-      receive,
-    });
+    this.#wire = createWire(settings, log, receive);
     this.#gateway = new Gateway({
       address: settings.http,
       log,
       owners: [this.#owner()],
       openings: [
-        { method: "GET", path: "/status", event: "operator.status" },
-        { method: "GET", path: "/metrics", event: "operator.metrics" },
+        ...operatorOpenings,
         { method: "POST", path: "/ways/:way", event: "inquiry.arrived" },
         { method: "GET", path: "/ways/:way/:path*", event: "inquiry.fetch" },
         { method: "POST", path: "/lots/:way", event: "lot.handed-in" },
@@ -280,9 +277,7 @@
           ...self.#core.counts,
           ...self.#relay.counts,
           ...self.#passLinks.counts,
-          sent: self.#wire.sent,
-          dropped: self.#wire.dropped,
-          refused: self.#wire.refused,
+          ...countsOfWire(self.#wire),
         },
       });
     }
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -1,18 +1,21 @@
 import {
   Beat,
-  Disk,
+  countsOfWire,
+  createWire,
   Gateway,
-  Wire,
-  diskListener,
   listen,
   metrics,
   monotonic,
+  openDataFolder,
+  operatorOpenings,
   reply,
   settings as configured,
   settled,
   type Arrival,
+  type Disk,
   type Log,
   type Settings,
+  type Wire,
 } from "@chutewick/shell";
 import {
   constants,
@@ -57,34 +60,23 @@
       monotonic(),
       configured.policyOf(settings),
     );
-    this.#wire = new Wire({
-      address: settings.wire,
-      listen: settings.wireListen ?? settings.wire,
-      log,
-      receive,
-    });
+    this.#wire = createWire(settings, log, receive);
     this.#gateway = new Gateway({
       address: settings.http,
       log,
       owners: [this.#owner()],
-      openings: [
-        { method: "GET", path: "/status", event: "operator.status" },
-        { method: "GET", path: "/metrics", event: "operator.metrics" },
-      ],
+      openings: operatorOpenings,
     });
   }
 
   static async open(settings: Settings, log: Log): Promise<Outcome<StorageProcess>> {
     const running: { process?: StorageProcess } = {};
-    function changed(condition: DiskCondition): void {
+    function conditionChanged(condition: DiskCondition): void {
       running.process?.changeDisk(condition);
     }
-    const owner = { kind: "storage", name: settings.name };
-    const disk = await Disk.open(settings.data!, owner, diskListener(log, changed));
+    const disk = await openDataFolder({ kind: "storage", settings, log, conditionChanged });
     if (!disk.ok) return disk;
     const held = disk.value;
-    const { damage } = held;
-    if (damage !== undefined) log.error({ damage }, "the database was set aside as damaged");
     const opened = new StorageProcess(settings, log, held);
     running.process = opened;
     const trouble = await listen(opened.#wire, opened.#gateway);
@@ -125,9 +117,7 @@
         ...self.#core.status(monotonic()),
         counts: {
           syncs: self.#disk.syncs,
-          sent: self.#wire.sent,
-          dropped: self.#wire.dropped,
-          refused: self.#wire.refused,
+          ...countsOfWire(self.#wire),
         },
       });
     }
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./wire.js";
 export * from "./write-queue.js";
 export * from "./program.js";
+export * from "./daemon-parts.js";
