--- a/features/draw-days.feature
+++ b/features/draw-days.feature
@@ -18,4 +18,11 @@
     When the table of played days is made for "small" and "large"
     Then the row of "core_cut" is "1" and "1"
     And the row of "node_freeze" is "1" and "**0**"
-    And each variant of day 0 of seed 7 has the row "1 (1)" and "**0**"
+    And each variant of day 0 of seed 7 in edition 1 has the row "1 (1)" and "**0**"
+
+  Scenario: A day of the journal is counted by the edition of the catalogue that it was drawn from
+    Given a journal whose entries hold
+      | site  | day         | troubles | rules |
+      | small | drawn-2.7-0 |          |       |
+    When the table of played days is made for "small" and "large"
+    Then each variant of day 0 of seed 7 in edition 2 has the row "1" and "**0**"
--- a/features/steps/draw-days.ts
+++ b/features/steps/draw-days.ts
@@ -7,11 +7,14 @@
 import {
   closings,
   drawDay,
+  editions,
   namesOfDay,
+  newestDay,
+  NEWEST_EDITION,
   readCoverage,
   tableOf,
-  variants,
   variantsOfDay,
+  type Edition,
 } from "@chutewick/draw-days";
 
 interface DaysWorld {
@@ -25,7 +28,8 @@
   "as many days are drawn with seed {int} as it takes to go through the catalogue once",
   function (this: DaysWorld, seed: number) {
     this.seed = seed;
-    const each = variantsOfDay(0, seed).length;
+    const variants = editions[NEWEST_EDITION];
+    const each = variantsOfDay(newestDay(0, seed)).length;
     const count = Math.max(Math.ceil(variants.length / each), closings.length);
     this.days = Array.from({ length: count }, (_, day) => day);
   },
@@ -34,18 +38,19 @@
 Then("each variant stands in one of them, twice, at different moments", function (this: DaysWorld) {
   const held = new Map<string, number>();
   for (const day of this.days) {
-    const moments = [...drawDay(day, this.seed).matchAll(/^ {2}\{ at = ([\d.]+)/gm)];
-    const own = variantsOfDay(day, this.seed);
+    const moments = [...drawDay(newestDay(day, this.seed)).matchAll(/^ {2}\{ at = ([\d.]+)/gm)];
+    const own = variantsOfDay(newestDay(day, this.seed));
     equal(moments.length, own.length * 2);
     equal(new Set(moments.map((moment) => moment[1])).size, moments.length);
     for (const { name } of own) held.set(name, day);
   }
+  const variants = editions[NEWEST_EDITION];
   equal(held.size, new Set(variants.map(({ name }) => name)).size);
   equal(held.size, variants.length);
 });
 
 Then("every closing fault ends one of them", function (this: DaysWorld) {
-  const texts = this.days.map((day) => namesOfDay(day, this.seed).join(";"));
+  const texts = this.days.map((day) => namesOfDay(newestDay(day, this.seed)).join(";"));
   for (const closing of closings)
     ok(closing === undefined || texts.some((text) => text.includes(`closing ${closing.name}`)));
 });
@@ -53,8 +58,8 @@
 Then(
   "day {int} of seed {int} is the same each time, and another with seed {int}",
   function (day: number, seed: number, other: number) {
-    equal(drawDay(day, seed), drawDay(day, seed));
-    notEqual(drawDay(day, seed), drawDay(day, other));
+    equal(drawDay(newestDay(day, seed)), drawDay(newestDay(day, seed)));
+    notEqual(drawDay(newestDay(day, seed)), drawDay(newestDay(day, other)));
   },
 );
 
@@ -88,9 +93,9 @@
 );
 
 Then(
-  "each variant of day 0 of seed 7 has the row {string} and {string}",
-  function (this: DaysWorld, one: string, other: string) {
-    for (const name of namesOfDay(0, 7))
+  "each variant of day 0 of seed 7 in edition {int} has the row {string} and {string}",
+  function (this: DaysWorld, edition: Edition, one: string, other: string) {
+    for (const name of namesOfDay({ number: 0, seed: 7, edition }))
       equal(this.rows.get(name)?.join(), [one, other].join(), name);
   },
 );
--- a/tools/draw-days/src/catalogue.ts
+++ b/tools/draw-days/src/catalogue.ts
@@ -1,32 +1,11 @@
 /** The kinds of trouble that a day of the users' bench can hold, each with the variants to be played. */
-
-/** One variant of a trouble; its fields go into the day's file as they are. */
-export interface Variant {
-  /** How the table of played days names it: the kind, and what sets the variant apart. */
-  readonly name: string;
-  /** Whether it is planned work (`plan`) or a fault (`faults`). */
-  readonly list: "plan" | "faults";
-  readonly fields: Readonly<Record<string, string | number>>;
-}
+import { secondEdition } from "./second-edition.js";
+import { variantsOf, withHow, type Variant, type VariantFields } from "./variants.js";
 
 /** How a day ends, if it ends with a closing fault. */
 export interface Closing {
   readonly name: string;
-  readonly fields: Readonly<Record<string, string | number>>;
-}
-
-type Fields = Variant["fields"];
-
-function variantsOf(kind: string, list: Variant["list"], all: Record<string, Fields>): Variant[] {
-  return Object.entries(all).map(([name, fields]) => ({
-    name: name === "" ? kind : `${kind} ${name}`,
-    list,
-    fields: { kind, ...fields },
-  }));
-}
-
-function byHow(ways: readonly string[], base: Fields = {}): Record<string, Fields> {
-  return Object.fromEntries(ways.map((how) => [how, { ...base, how }]));
+  readonly fields: VariantFields;
 }
 
 const CUT_SECONDS = 5;
@@ -127,17 +106,17 @@
 const runners: Variant[] = [
   ...variantsOf("srv_crash", "faults", {
     "": { share: 0.17, for_s: 4 },
-    ...byHow(["dark", "gone"], { share: 0.17, for_s: 4 }),
+    ...withHow(["dark", "gone"], { share: 0.17, for_s: 4 }),
   }),
   ...variantsOf("srv_slow", "faults", { "": { share: 0.17, for_s: 5 } }),
   ...variantsOf(
     "srv_grey",
     "faults",
-    byHow(["errors", "shed", "busy", "hang", "reset", "mute", "slow"], { share: 0.17, for_s: 5 }),
+    withHow(["errors", "shed", "busy", "hang", "reset", "mute", "slow"], { share: 0.17, for_s: 5 }),
   ),
   ...variantsOf("replace_with_reuse", "faults", {
     "": { share: 0.17 },
-    ...byHow(["drain", "dark"], { share: 0.17 }),
+    ...withHow(["drain", "dark"], { share: 0.17 }),
   }),
   ...variantsOf("answer_lost", "faults", {
     "": { share: 0.5, x: 0.05, for_s: 5 },
@@ -172,13 +151,27 @@
   }),
   ...variantsOf("bad_config", "plan", {
     "": { count: 3, gap_s: 0.8 },
-    ...byHow(["same_version", "old_version", "cut_short", "same_place"], { count: 2, gap_s: 0.8 }),
+    ...withHow(["same_version", "old_version", "cut_short", "same_place"], {
+      count: 2,
+      gap_s: 0.8,
+    }),
   }),
-  ...variantsOf("config_change", "plan", byHow(["route", "weights", "timeout", "quota", "idle"])),
+  ...variantsOf("config_change", "plan", withHow(["route", "weights", "timeout", "quota", "idle"])),
 ];
 
-/** Every variant to be played. */
-export const variants: readonly Variant[] = [...control, ...machines, ...runners, ...planned];
+/** Edition of the catalogue that a day is drawn from; each later one adds to the one before. */
+export type Edition = 1 | 2;
+
+/** Edition that new days are drawn from. */
+export const NEWEST_EDITION: Edition = 2;
+
+const firstEdition: readonly Variant[] = [...control, ...machines, ...runners, ...planned];
+
+/** Every variant of each edition. Days of the journal are read by the edition that they were drawn from. */
+export const editions: Readonly<Record<Edition, readonly Variant[]>> = {
+  1: firstEdition,
+  2: [...firstEdition, ...secondEdition],
+};
 
 /** Every way in which a day may end, the first without a closing fault. */
 export const closings: readonly (Closing | undefined)[] = [
--- a/tools/draw-days/src/coverage.ts
+++ b/tools/draw-days/src/coverage.ts
@@ -1,7 +1,7 @@
 /** Which kinds of trouble were played on which deployment, counted from the bench's journal. */
 import { readFileSync, readdirSync } from "node:fs";
 import { join } from "node:path";
-import { namesOfDay } from "./draw.js";
+import { dayOfName, namesOfDay } from "./draw.js";
 
 /** What is read of one day in an entry of the journal. */
 interface JournalDay {
@@ -25,14 +25,12 @@
 /** Counts by kind or variant, then by deployment. */
 export type Coverage = Map<string, Map<string, Count>>;
 
-const DRAWN = /^drawn-(\d+)-(\d+)/;
-
 /** The kinds of a day, and the variants too where it was drawn by this tool. */
 function heldBy(day: JournalDay): string[] {
   const kinds = day.troubles ?? [];
-  const drawn = DRAWN.exec(day.name);
-  if (drawn === null) return [...kinds];
-  return [...new Set([...kinds, ...namesOfDay(Number(drawn[2]), Number(drawn[1]))])];
+  const drawn = dayOfName(day.name);
+  if (drawn === undefined) return [...kinds];
+  return [...new Set([...kinds, ...namesOfDay(drawn)])];
 }
 
 function isBroken(day: JournalDay): boolean {
--- a/tools/draw-days/src/index.ts
+++ b/tools/draw-days/src/index.ts
@@ -1,3 +1,4 @@
 export * from "./catalogue.js";
 export * from "./coverage.js";
 export * from "./draw.js";
+export * from "./variants.js";
--- a/tools/draw-days/src/main.ts
+++ b/tools/draw-days/src/main.ts
@@ -8,14 +8,15 @@
 import { join } from "node:path";
 import { command, number, option, restPositionals, run, string, subcommands } from "cmd-ts";
 import { readCoverage, tableOf } from "./coverage.js";
-import { drawDay, namesOfDay } from "./draw.js";
+import { drawDay, nameOfDay, namesOfDay, newestDay } from "./draw.js";
 
 function writeDays(given: { from: number; to: number; seed: number; folder: string }): void {
   mkdirSync(given.folder, { recursive: true });
-  for (let day = given.from; day <= given.to; day += 1) {
-    const path = join(given.folder, `drawn-${given.seed}-${day}.toml`);
-    writeFileSync(path, drawDay(day, given.seed));
-    process.stdout.write(`${path}: ${namesOfDay(day, given.seed).join("; ")}\n`);
+  for (let number = given.from; number <= given.to; number += 1) {
+    const day = newestDay(number, given.seed);
+    const path = join(given.folder, `${nameOfDay(day)}.toml`);
+    writeFileSync(path, drawDay(day));
+    process.stdout.write(`${path}: ${namesOfDay(day).join("; ")}\n`);
   }
 }
 
