--- a/features/draw-days.feature
+++ b/features/draw-days.feature
@@ -26,3 +26,14 @@
       | small | drawn-2.7-0 |          |       |
     When the table of played days is made for "small" and "large"
     Then each variant of day 0 of seed 7 in edition 2 has the row "1" and "**0**"
+
+  Scenario: Recovery is gathered over the reports of several days
+    Given reports of days in which "next ack after a core kill" took
+      | median | longest |
+      | 900    | 2000    |
+      | 1100   | 1500    |
+      |        |         |
+      | 1000   | 4000    |
+    Then "next ack after a core kill" occurred on 3 days, and took
+      | median | median of the longest | longest |
+      | 1000   | 2000                  | 4000    |
--- a/features/steps/draw-days.ts
+++ b/features/steps/draw-days.ts
@@ -1,5 +1,5 @@
 /** Steps of draw-days.feature. */
-import { equal, notEqual, ok } from "node:assert/strict";
+import { deepEqual, equal, notEqual, ok } from "node:assert/strict";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,6 +12,7 @@
   newestDay,
   NEWEST_EDITION,
   readCoverage,
+  readSpans,
   tableOf,
   variantsOfDay,
   type Edition,
@@ -22,6 +23,7 @@
   days: number[];
   folder: string;
   rows: Map<string, string[]>;
+  reports: string[];
 }
 
 When(
@@ -99,3 +101,25 @@
       equal(this.rows.get(name)?.join(), [one, other].join(), name);
   },
 );
+
+Given(
+  "reports of days in which {string} took",
+  function (this: DaysWorld, span: string, table: DataTable) {
+    const folder = mkdtempSync(join(tmpdir(), "reports-"));
+    this.reports = table.hashes().map(({ median, longest }, index) => {
+      const path = join(folder, `${index}.json`);
+      const took = median === "" ? null : [Number(median), Number(longest)];
+      writeFileSync(path, JSON.stringify({ times: { [span]: took } }));
+      return path;
+    });
+  },
+);
+
+Then(
+  "{string} occurred on {int} days, and took",
+  function (this: DaysWorld, name: string, days: number, table: DataTable) {
+    const [row] = table.hashes();
+    const [median, medianLongest, longest] = Object.values(row!).map(Number);
+    deepEqual(readSpans(this.reports), [{ name, days, median, medianLongest, longest }]);
+  },
+);
--- a/tools/draw-days/src/index.ts
+++ b/tools/draw-days/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./catalogue.js";
 export * from "./coverage.js";
 export * from "./draw.js";
+export * from "./recovery.js";
 export * from "./variants.js";
--- a/tools/draw-days/src/main.ts
+++ b/tools/draw-days/src/main.ts
@@ -3,11 +3,13 @@
  *
  *   npm run draw-days -- write --from 0 --to 9 --seed 1 --folder days   one file a day
  *   npm run draw-days -- table --since 20261202T06                      what the journal says was played
+ *   npm run draw-days -- recovery days/*.json                           how soon the days of these reports recovered
  */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { command, number, option, restPositionals, run, string, subcommands } from "cmd-ts";
 import { readCoverage, tableOf } from "./coverage.js";
+import { readSpans, spansTable } from "./recovery.js";
 import { drawDay, nameOfDay, namesOfDay, newestDay } from "./draw.js";
 
 function writeDays(given: { from: number; to: number; seed: number; folder: string }): void {
@@ -45,4 +47,16 @@
   },
 });
 
-void run(subcommands({ name: "draw-days", cmds: { write, table } }), process.argv.slice(2));
+const recovery = command({
+  name: "recovery",
+  description: "how soon a deployment serves again, from reports of days played",
+  args: { reports: restPositionals({ type: string, displayName: "report" }) },
+  handler: ({ reports }) => {
+    process.stdout.write(spansTable(readSpans(reports)));
+  },
+});
+
+void run(
+  subcommands({ name: "draw-days", cmds: { write, table, recovery } }),
+  process.argv.slice(2),
+);
