--- a/tools/simulator/src/main.ts
+++ b/tools/simulator/src/main.ts
@@ -1,28 +1,66 @@
 import { command, flag, number, option, optional, run, string } from "cmd-ts";
+import type { CampaignOptions } from "./campaign.js";
 import { playAll, seeds } from "./crew.js";
 import { runWorldCommand } from "./worlds/command.js";
 
+/** What the command line gave. */
+interface Given {
+  readonly from: number;
+  readonly to: number;
+  readonly stormy: number;
+  readonly calm: number;
+  readonly calmOnly: boolean;
+  readonly details: boolean;
+  readonly quiet: boolean;
+  readonly losses: boolean;
+  readonly twoLost: boolean;
+  readonly allowance: number;
+  readonly tokens: number;
+  readonly season: number | undefined;
+  readonly access: number | undefined;
+  readonly jobs: number | undefined;
+  readonly racing: number | undefined;
+  readonly lostAnswers: number;
+  readonly world: string | undefined;
+  readonly without: string | undefined;
+}
+
+/** A firm's size, as in features/storm.feature, with so many access nodes. */
+function firmSize(access: number) {
+  return {
+    access,
+    modelRunners: 13,
+    plainRunners: 3,
+    seats: 8,
+    requestEvery: [4, 20],
+  } satisfies Partial<CampaignOptions>;
+}
+
+/** Storms of losses on disks as slow as the slowest of the deployments. */
+const lossOptions = { losses: true, syncTakes: [5, 12] } satisfies Partial<CampaignOptions>;
+
+/**
+ * The options of each campaign. A spread is not checked for unknown names, so each object that is
+ * spread here is checked by itself.
+ */
+function campaignOptions(given: Given): Partial<CampaignOptions> {
+  const { stormy, calm, allowance, tokens, season, twoLost, racing, lostAnswers } = given;
+  return {
+    faults: !given.calmOnly,
+    stormy,
+    calm,
+    allowance,
+    tokens,
+    season,
+    ...(given.access === undefined ? {} : firmSize(given.access)),
+    twoLost,
+    racing: racing === undefined ? undefined : { operators: racing, lostAnswers },
+    ...(given.losses ? lossOptions : {}),
+  } satisfies Partial<CampaignOptions>;
+}
+
 /** `npm run simulator -- --from 1 --to 100` */
-async function play(given: {
-  from: number;
-  to: number;
-  stormy: number;
-  calm: number;
-  calmOnly: boolean;
-  details: boolean;
-  quiet: boolean;
-  losses: boolean;
-  twoLost: boolean;
-  allowance: number;
-  tokens: number;
-  season: number | undefined;
-  access: number | undefined;
-  jobs: number | undefined;
-  racing: number | undefined;
-  lostAnswers: number;
-  world: string | undefined;
-  without: string | undefined;
-}): Promise<void> {
+async function play(given: Given): Promise<void> {
   const { world } = given;
   if (world !== undefined) {
     const held = await runWorldCommand({ ...given, world });
@@ -30,33 +68,8 @@
   }
   let broken = 0;
   const recovery: number[] = [];
-  const { from, to, stormy, calm, allowance, tokens, season } = given;
-  /** At a firm's size as in features/storm.feature. */
-  const size =
-    given.access === undefined
-      ? {}
-      : {
-          access: given.access,
-          modelRunners: 13,
-          plainRunners: 3,
-          seats: 8,
-          inquiryEvery: [4, 20] as const,
-        };
   for (const played of await playAll(
-    seeds(from, to, {
-      faults: !given.calmOnly,
-      stormy,
-      calm,
-      allowance,
-      tokens,
-      season,
-      ...size,
-      twoLost: given.twoLost,
-      ...(given.racing === undefined
-        ? {}
-        : { racing: { operators: given.racing, lostAnswers: given.lostAnswers } }),
-      ...(given.losses ? { losses: true, syncTakes: [5, 12] as const } : {}),
-    }),
+    seeds(given.from, given.to, campaignOptions(given)),
     undefined,
     given.jobs,
   )) {
