The simulator's campaign stands in modules of one job each, and no longer imports its faults

It is now tools/simulator/src/campaign/: options, fleet, configuration, live-clients, lot-clients, operators, racing-operators (was operators.ts), runner-reports, observer, traffic, machine-faults, network-faults, disk-losses, planned-changes, storm, copies (the checks at the end), counts, and campaign, which puts them together.

The import circles aims <-> campaign <-> losses and machines <-> runners are gone: a campaign is handed its targeted fault (`run(fault)`) in place of its name, `Play` names it beside the options, and a runner knows of a node only the address.

The order in which random numbers are drawn is unchanged.

--- a/features/steps/marks.ts
+++ b/features/steps/marks.ts
@@ -76,7 +76,7 @@
     records.push(record);
     campaign.sight.lots.push(record);
     /** The same key with the same items is the lot that the folder holds. */
-    campaign.tryLot(record, "slips");
+    campaign.lotClients.submit(record, "slips");
   }
   campaign.world.run(30_000);
   campaign.look();
--- a/features/steps/proof.ts
+++ b/features/steps/proof.ts
@@ -17,7 +17,7 @@
   aim: string,
 ): Promise<void> {
   this.aim = aim;
-  this.played = await playAll(seeds(from, to, { ...aims[aim]!.options, aim }));
+  this.played = await playAll(seeds(from, to, aims[aim]!.options, aim));
 }
 When(
   "the seeds {int} to {int} are played with the fault {string}",
@@ -60,10 +60,7 @@
   guard: string,
 ): Promise<void> {
   ok(Object.hasOwn(guards, guard), guard);
-  this.played = await playAll(
-    seeds(from, to, { ...aims[this.aim]!.options, aim: this.aim }),
-    guard,
-  );
+  this.played = await playAll(seeds(from, to, aims[this.aim]!.options, this.aim), guard);
 }
 When(
   "the seeds {int} to {int} are played without the guard {string}",
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/aims.ts
@@ -1,5 +1,6 @@
-import { poolOf, type Campaign } from "./campaign.js";
-import type { CampaignOptions } from "./campaign.js";
+import type { Campaign, TargetedFault } from "./campaign/campaign.js";
+import { poolOf } from "./campaign/fleet.js";
+import type { CampaignOptions } from "./campaign/options.js";
 import { allDisks, fullOverPowerLoss, oneControlDisk, oneStorageDisk } from "./disk-troubles.js";
 import {
   cutStorage,
@@ -16,16 +17,6 @@
 } from "./losses.js";
 import type { AccessMachine } from "./machines.js";
 
-/** A fault set at the moment that matters to one rule, and the count of how often it struck (docs/testing.md §2). */
-export interface Aim {
-  /** What must never happen, as the checker names it. */
-  readonly rule: string;
-  readonly options: Partial<CampaignOptions>;
-  readonly set: (campaign: Campaign) => void;
-  /** Counted at the end; others count as they strike. */
-  readonly struck?: (campaign: Campaign) => number;
-}
-
 type Told = {
   readonly kind: string;
   readonly ticket?: string;
@@ -237,7 +228,7 @@
     for (const lot of campaign.sight.lots) {
       if (lot.lot !== outcome.value.lot || lot.cancelAskedAt !== undefined) continue;
       campaign.strikes += 1;
-      campaign.cancel(lot);
+      campaign.lotClients.cancel(lot);
     }
     return 3_600;
   }
@@ -311,7 +302,7 @@
         if (other !== head) world.cut(head!.address, other.address);
       campaign.strikes += 1;
     }
-    campaign.change(head, 1, false, cut);
+    campaign.operators.change({ from: head, operators: 1, isMalformed: false, beforeOrders: cut });
   }
   function mend(): void {
     world.mend();
@@ -327,7 +318,9 @@
   const { world } = campaign;
   function strike(): void {
     const head = campaign.head();
-    for (const control of campaign.controls) if (control.alive) campaign.change(control, 1, true);
+    for (const control of campaign.controls)
+      if (control.alive)
+        campaign.operators.change({ from: control, operators: 1, isMalformed: true });
     if (head === undefined) return;
     campaign.strikes += 1;
     function kill(): void {
@@ -350,7 +343,7 @@
     const head = campaign.head();
     if (head === undefined) return;
     campaign.strikes += 1;
-    campaign.change(head, 2);
+    campaign.operators.change({ from: head, operators: 2 });
     function kill(): void {
       head!.kill(true);
     }
@@ -402,7 +395,7 @@
     for (const runner of campaign.runners) if (!runner.alive) runner.restart();
   }
   function watch(): void {
-    campaign.countWaiting();
+    campaign.observer.countWaiting();
     world.after(100, watch);
   }
   for (const at of [9_000, 13_000, 17_000]) world.at(at, strike);
@@ -420,7 +413,7 @@
     campaign.strikes += 1;
     for (const other of campaign.machines)
       if (other !== hearer) world.cut(hearer.address, other.address);
-    campaign.deregister(runner, hearer, 1);
+    campaign.runnerReports.deregister(runner, { first: hearer, triesMost: 1 });
     hearer.kill(true);
     head?.kill(true);
     world.after(4_500, back);
@@ -446,11 +439,11 @@
     for (const runner of campaign.runners)
       if (isStaying(runner) && campaign.strikes < 2) {
         campaign.strikes += 1;
-        campaign.deregister(runner, hearer, 1);
+        campaign.runnerReports.deregister(runner, { first: hearer, triesMost: 1 });
       }
   }
   function away(): void {
-    campaign.away(8_000);
+    campaign.networkFaults.cutControl(8_000);
   }
   world.at(9_000, away);
   world.at(11_500, strike);
@@ -472,7 +465,7 @@
       /** It dies before anybody else has heard. */
       for (const other of campaign.machines)
         if (other !== all[0]) world.cut(all[0]!.address, other.address);
-      campaign.deregister(runner!, all[0], 1);
+      campaign.runnerReports.deregister(runner!, { first: all[0], triesMost: 1 });
       all[0]!.kill(true);
     }
     function wake(): void {
@@ -539,7 +532,7 @@
     for (const lot of campaign.sight.lots) {
       if (lot.lot !== outcome.value.lot || lot.cancelAskedAt !== undefined) continue;
       function cancel(): void {
-        campaign.cancel(lot);
+        campaign.lotClients.cancel(lot);
       }
       world.after(100, cancel);
     }
@@ -588,7 +581,7 @@
   for (const run of campaign.sight.runs)
     if (typeof run.prompt !== "string" && run.at > 9_500 && run.at < 15_000) began += 1;
   if (began < 50)
-    campaign.breaches.push({
+    campaign.violations.push({
       rule: "pace",
       facts: `only ${began} prompts of lots began while runners were free`,
     });
@@ -613,7 +606,7 @@
       lost.start();
     }
     if (campaign.options.seed % 2 === 0) world.after(800, back);
-    else campaign.blankInstead(lost, 800);
+    else campaign.replaceControl(lost, 800);
   }
   function mend(): void {
     world.mend();
@@ -643,7 +636,7 @@
       continue;
     count += 1;
     if (poolOf(run.runner) !== "big")
-      campaign.breaches.push({
+      campaign.violations.push({
         rule: "season-runners",
         facts: `${run.inquiry} ran at ${run.runner}`,
       });
@@ -681,7 +674,7 @@
   return count;
 }
 
-export const aims: Readonly<Record<string, Aim>> = {
+export const aims: Readonly<Record<string, TargetedFault>> = {
   "links break after the first byte": {
     rule: "runs-twice",
     options: calm,
--- /dev/null
+++ b/tools/simulator/src/campaign/client-sight.ts
@@ -0,0 +1,21 @@
+import type { CallerSight } from "../machines.js";
+
+/** What a client sees who overrides only the answers that matter to it. */
+
+function nothing(): void {
+  // Nobody listens.
+}
+
+/** A client that listens to nothing. */
+export const deafClient: CallerSight = {
+  reply: nothing,
+  bytes: nothing,
+  open: nothing,
+  piece: nothing,
+  close: nothing,
+  trouble: nothing,
+  torn: nothing,
+};
+
+/** ms that a client waits for the answer to a live request or a hand-in. */
+export const CLIENT_PATIENCE = 12_000;
--- a/tools/simulator/src/operators.ts
+++ b/tools/simulator/src/campaign/racing-operators.ts
@@ -1,15 +1,10 @@
 import type { ControlCommand, ControlOutcome } from "@chutewick/control";
-import type { Campaign } from "./campaign.js";
-import type { ChangeRecord } from "./checker.js";
-import { Chance } from "./world.js";
-
-/** Operators who race each other with orders that are sent again after a lost answer. */
-export interface RacingOptions {
-  /** Orders under way at once. */
-  readonly operators: number;
-  /** Share of the answers that never reach their operator. */
-  readonly lostAnswers: number;
-}
+import type { ChangeRecord } from "../checker.js";
+import { Chance } from "../world.js";
+import { campaignConfiguration } from "./configuration.js";
+import type { Fleet } from "./fleet.js";
+import type { RacingOptions } from "./options.js";
+import { orderIdOf, toldOf } from "./order-outcome.js";
 
 /** ms that an operator waits for an answer before it sends its order again. */
 const ANSWER_PATIENCE = 1_500;
@@ -34,61 +29,49 @@
   sendings: number;
 }
 
-/** What an operator learnt of an order. */
-export function toldOf(outcome: ControlOutcome | undefined): Pick<ChangeRecord, "told" | "mark"> {
-  if (outcome === undefined || outcome.kind === "unknown") return { told: "unknown" };
-  if (outcome.kind === "not-run") return { told: "not-run" };
-  switch (outcome.value.kind) {
-    case "IN_FORCE":
-      return { told: "confirmed", mark: outcome.value.mark };
-    case "CONFLICT":
-      return { told: "conflict", mark: outcome.value.mark };
-    default:
-      return { told: "refused" };
-  }
-}
-
 /** Operators who read the configuration, and order the next one, whole with a version of their own or as a patch, all at once. */
 export class RacingOperators {
-  #campaign: Campaign;
+  #fleet: Fleet;
   #options: RacingOptions;
   #quietAt: number;
   #chance: Chance;
   #orders = 0;
 
-  constructor(campaign: Campaign, options: RacingOptions, quietAt: number) {
-    this.#campaign = campaign;
+  constructor(fleet: Fleet, options: RacingOptions, quietAt: number) {
+    this.#fleet = fleet;
     this.#options = options;
     this.#quietAt = quietAt;
-    this.#chance = new Chance(campaign.options.seed + SEED_OFFSET);
+    this.#chance = new Chance(fleet.options.seed + SEED_OFFSET);
   }
 
+  /** Each operator begins after a rest of its own. */
   begin(): void {
     for (let number = 1; number <= this.#options.operators; number += 1)
       this.#rest(`operator-${number}`);
   }
 
   #rest(operator: string): void {
-    const { world } = this.#campaign;
+    const { world } = this.#fleet;
     const begin = (): void => this.#read(operator);
     if (world.now < this.#quietAt) world.after(this.#chance.between(0, REST_MOST), begin);
   }
 
   /** The version in force is the base of the order, so that operators who read at once race. */
   #read(operator: string): void {
-    const { world, sight } = this.#campaign;
+    const { world, sight } = this.#fleet;
     const askedAt = world.now;
     this.#ask({ kind: "read" }, (outcome) => {
       if (outcome?.kind !== "confirmed" || outcome.value.kind !== "CONFIGURATION")
         return this.#rest(operator);
       const { mark, value } = outcome.value;
-      const id = value.ways["slips"]?.labels["change"];
+      const id = orderIdOf(value);
       sight.reads.push({ askedAt, at: world.now, mark, id });
       this.#send(operator, this.#newOrder(operator, mark));
     });
   }
 
   #newOrder(operator: string, base: number): RacingOrder {
+    const { options, world } = this.#fleet;
     this.#orders += 1;
     const id = `${operator}-order-${this.#orders}`;
     const version = base + 1 + this.#chance.below(STEP_MOST);
@@ -97,13 +80,13 @@
       const command = { kind: "patch" as const, expected: base, change, word: id };
       return { id, base, version: undefined, command, sendings: 0 };
     }
-    const value = this.#campaign.configurationWith(id);
+    const value = campaignConfiguration(options, world.chance, id);
     const command = { kind: "put" as const, expected: base, mark: version, value, word: id };
     return { id, base, version, command, sendings: 0 };
   }
 
   #send(operator: string, order: RacingOrder): void {
-    const { world, sight } = this.#campaign;
+    const { world, sight } = this.#fleet;
     order.sendings += 1;
     const record: ChangeRecord = {
       id: `${order.id}/${order.sendings}`,
@@ -128,7 +111,7 @@
 
   /** Told once: what any one control machine answered, or undefined where that was lost or came too late. */
   #ask(command: ControlCommand, told: (outcome: ControlOutcome | undefined) => void): void {
-    const { world, controls } = this.#campaign;
+    const { world, controls } = this.#fleet;
     const isLost = command.kind !== "read" && this.#chance.happens(this.#options.lostAnswers);
     let isTold = false;
     const tell = (outcome: ControlOutcome | undefined): void => {
--- a/tools/simulator/src/crew.ts
+++ b/tools/simulator/src/crew.ts
@@ -1,13 +1,18 @@
 import { availableParallelism } from "node:os";
-import type { CampaignOptions } from "./campaign.js";
+import type { CampaignOptions } from "./campaign/options.js";
 import type { Violation, Worst } from "./checker.js";
 import { runThreads } from "./threads.js";
 
 /** Plays many seeds on all processors: each play is one seeded run of its own, so the order of ending does not matter. */
+
+/** One run that is to be played. */
 export interface Play {
   readonly options: CampaignOptions;
+  /** Name of the targeted fault, which strikes at the moment that matters. */
+  readonly aim?: string | undefined;
 }
 
+/** What one run showed, as plain data. */
 export interface Played {
   readonly options: CampaignOptions;
   readonly violations: readonly Violation[];
@@ -37,9 +42,15 @@
   return left.options.seed - right.options.seed;
 }
 
-export function seeds(from: number, to: number, options: Partial<CampaignOptions>): Play[] {
+/** A play of each seed from the first to the last, with a targeted fault where one is named. */
+export function seeds(
+  from: number,
+  to: number,
+  options: Partial<CampaignOptions>,
+  aim?: string,
+): Play[] {
   const plays: Play[] = [];
   for (let seed = from; seed <= to; seed += 1)
-    plays.push({ options: { seed, faults: true, ...options } });
+    plays.push({ options: { seed, faults: true, ...options }, aim });
   return plays;
 }
--- a/tools/simulator/src/disk-troubles.ts
+++ b/tools/simulator/src/disk-troubles.ts
@@ -1,4 +1,4 @@
-import type { Campaign } from "./campaign.js";
+import type { Campaign } from "./campaign/campaign.js";
 import { isHeadOf } from "./machines.js";
 import type { Machine } from "./world.js";
 
--- a/tools/simulator/src/index.ts
+++ b/tools/simulator/src/index.ts
@@ -1,4 +1,5 @@
-export * from "./campaign.js";
+export { Campaign, type TargetedFault } from "./campaign/campaign.js";
+export type { CampaignOptions, CampaignResult } from "./campaign/options.js";
 export * from "./checker.js";
 export * from "./world.js";
 export * from "./measure.js";
--- a/tools/simulator/src/losses.ts
+++ b/tools/simulator/src/losses.ts
@@ -1,4 +1,4 @@
-import type { Campaign } from "./campaign.js";
+import type { Campaign } from "./campaign/campaign.js";
 import type { ControlMachine, StorageMachine } from "./machines.js";
 import type { Machine } from "./world.js";
 
@@ -99,7 +99,7 @@
     function started(): void {
       campaign.mended();
     }
-    campaign.blankStorageInstead(gone, 1_000, started);
+    campaign.replaceStorage(gone, 1_000, started);
   }
   afterLot(campaign, strike);
 }
--- a/tools/simulator/src/main.ts
+++ b/tools/simulator/src/main.ts
@@ -1,5 +1,5 @@
 import { command, flag, number, option, optional, run, string } from "cmd-ts";
-import type { CampaignOptions } from "./campaign.js";
+import type { CampaignOptions } from "./campaign/options.js";
 import { playAll, seeds } from "./crew.js";
 import { runWorldCommand } from "./worlds/command.js";
 
--- a/tools/simulator/src/measure.ts
+++ b/tools/simulator/src/measure.ts
@@ -1,4 +1,4 @@
-import { Campaign } from "./campaign.js";
+import { Campaign } from "./campaign/campaign.js";
 import type { LotRecord } from "./checker.js";
 
 /** Figures in virtual time: `npm run measure` (docs/measurements.md). */
@@ -20,7 +20,7 @@
 function handIn(campaign: Campaign, key: string, count: number): LotRecord {
   const lot: LotRecord = { key, count, tries: [], views: [], handIns: [] };
   campaign.sight.lots.push(lot);
-  campaign.tryLot(lot, "slips");
+  campaign.lotClients.submit(lot, "slips");
   return lot;
 }
 
@@ -89,7 +89,7 @@
   const idle = world.messages - idleStart;
   const before = world.messages;
   const syncs = world.syncs;
-  for (let number = 0; number < 100; number += 1) campaign.inquire();
+  for (let number = 0; number < 100; number += 1) campaign.liveClients.request();
   world.run(world.now + 3_000);
   return {
     messages: world.messages - before - idle,
--- a/tools/simulator/src/play.ts
+++ b/tools/simulator/src/play.ts
@@ -1,47 +1,55 @@
-import { Campaign } from "./campaign.js";
-import { worst } from "./checker.js";
+import { aims } from "./aims.js";
+import { Campaign } from "./campaign/campaign.js";
+import type { CampaignResult } from "./campaign/options.js";
+import { worst, type Worst } from "./checker.js";
 import type { Play, Played } from "./crew.js";
 import { playSwapped } from "./swapped.js";
 
+/** The fault that is played with real links over sockets, and not in a simulated fleet. */
+const SWAPPED_FAULT = "runners answer for another";
+const SWAPPED_REQUESTS = 20;
+/** Violations told of one run at most. */
+const VIOLATIONS_TOLD = 20;
+/** What a run without a fleet has for the worst delays. */
+const NO_WORST: Worst = {
+  goodbyeConfirmed: -1,
+  goodbyeHeard: -1,
+  change: -1,
+  cancel: -1,
+  cancelAsked: -1,
+};
+
 /** One seeded run, told as plain data. */
-export async function play({ options }: Play): Promise<Played> {
+export async function play({ options, aim }: Play): Promise<Played> {
   const start = performance.now();
-  if (options.aim === "runners answer for another") {
-    const { violations, strikes } = await playSwapped(20);
-    const none = {
-      goodbyeConfirmed: -1,
-      goodbyeHeard: -1,
-      change: -1,
-      cancel: -1,
-      cancelAsked: -1,
-    };
-    return {
-      options,
-      violations,
-      rules: violations.length > 0 ? ["someone-elses"] : [],
-      counts: {},
-      faults: [],
-      strikes,
-      back: 0,
-      worst: none,
-      ms: performance.now() - start,
-    };
-  }
-  const { violations, counts, faults, sight, strikes } = new Campaign(options).run();
+  const shown =
+    aim === SWAPPED_FAULT
+      ? await swapped()
+      : campaignShown(new Campaign(options).run(aim === undefined ? undefined : aims[aim]!));
+  return { options, ...shown, ms: performance.now() - start };
+}
+
+type Shown = Omit<Played, "options" | "ms">;
+
+async function swapped(): Promise<Shown> {
+  const { violations, strikes } = await playSwapped(SWAPPED_REQUESTS);
+  const rules = violations.length > 0 ? ["someone-elses"] : [];
+  return { violations, rules, counts: {}, faults: [], strikes, back: 0, worst: NO_WORST };
+}
+
+function campaignShown({ violations, counts, faults, sight, strikes }: CampaignResult): Shown {
   const { live, lot, change } = sight.serviceAt;
   const never = Number.POSITIVE_INFINITY;
   const back = Math.max(live ?? never, lot ?? never, change ?? never) - sight.healedAt;
   const rules = new Set<string>();
   for (const { rule } of violations) rules.add(rule);
   return {
-    options,
-    violations: violations.slice(0, 20),
+    violations: violations.slice(0, VIOLATIONS_TOLD),
     rules: [...rules],
     counts,
     faults,
     strikes,
     back,
     worst: worst(sight),
-    ms: performance.now() - start,
   };
 }
--- a/tools/simulator/src/proof.ts
+++ b/tools/simulator/src/proof.ts
@@ -23,8 +23,8 @@
   without: number,
 ): Promise<Proof> {
   const { rule, options } = aims[aim]!;
-  const held = await playAll(seeds(from, to, { ...options, aim }));
-  const bare = await playAll(seeds(from, from + without - 1, { ...options, aim }), guard);
+  const held = await playAll(seeds(from, to, options, aim));
+  const bare = await playAll(seeds(from, from + without - 1, options, aim), guard);
   let strikes = 0;
   let leastStrikes = Number.POSITIVE_INFINITY;
   const broken: string[] = [];
--- a/tools/simulator/src/record.ts
+++ b/tools/simulator/src/record.ts
@@ -1,7 +1,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { constants } from "@chutewick/parts";
 import { Packr } from "msgpackr";
-import { Campaign } from "./campaign.js";
+import { Campaign } from "./campaign/campaign.js";
 
 /** Keeps what this mark writes: one message of each kind and the folders of a small fleet (docs/design.md §10.6). */
 const campaign = new Campaign({ seed: 5, faults: false, tokens: 6 });
@@ -16,7 +16,10 @@
 campaign.begin();
 campaign.world.run(8_000);
 for (let lot = 1; lot <= 3; lot += 1)
-  campaign.tryLot({ key: `kept-${lot}`, count: 8, tries: [], views: [], handIns: [] }, "slips");
+  campaign.lotClients.submit(
+    { key: `kept-${lot}`, count: 8, tries: [], views: [], handIns: [] },
+    "slips",
+  );
 campaign.world.run(9_500);
 campaign.storages[0]!.kill(true);
 campaign.world.run(13_000);
--- a/tools/simulator/src/runners.ts
+++ b/tools/simulator/src/runners.ts
@@ -1,5 +1,4 @@
 import type { GoEvent, Work } from "@chutewick/data";
-import type { AccessMachine } from "./machines.js";
 import type { World } from "./world.js";
 
 /** Runners as they are met: slow, full, troubled, torn, gone. */
@@ -25,6 +24,13 @@
   pieceMs: number;
 }
 
+/** What a runner is: its name, its kind and how much it takes at once. */
+export interface RunnerShape {
+  readonly id: string;
+  readonly kind: "model" | "plain";
+  readonly seats: number;
+}
+
 export class Runner {
   readonly world: World;
   readonly id: string;
@@ -42,9 +48,7 @@
 
   constructor(
     world: World,
-    id: string,
-    kind: "model" | "plain",
-    seats: number,
+    { id, kind, seats }: RunnerShape,
     records: RunRecord[],
     manner: Manner,
   ) {
@@ -71,7 +75,7 @@
   }
 
   /** Takes work over one connection; returns how the other side leaves it. */
-  take(from: AccessMachine, work: Work, tell: (event: GoEvent) => void): () => void {
+  take(from: { readonly address: string }, work: Work, tell: (event: GoEvent) => void): () => void {
     const { world } = this;
     const self = this;
     const life = this.#life;
