--- a/features/loss.feature
+++ b/features/loss.feature
@@ -2,14 +2,14 @@
   On disks that take 5 to 12 ms to sync. The loss strikes right after a caller heard that a lot is accepted, or an operator that a
   change is in force; processes are back within 2 s of it, and service counts from the last one (docs/design.md §8.10).
 
-  Scenario Outline: <aim>
-    When the seeds 1 to 12 are played with the fault "<aim>"
+  Scenario Outline: <fault>
+    When the seeds 1 to 12 are played with the fault "<fault>"
     Then it struck at least 12 times in all
     And nothing broke
     And live work, lots and changes are back within <most> ms
 
     Examples:
-      | aim                                                           | most |
+      | fault                                                         | most |
       | all processes are killed at once                              | 3000 |
       | all machines lose power at once                               | 3000 |
       | a storage disk is lost and all other machines lose power      | 4000 |
--- a/features/proof.feature
+++ b/features/proof.feature
@@ -2,15 +2,15 @@
   The fault must really strike; with the guard nothing breaks, and with only that guard taken out of the compiled
   product the rule does (docs/testing.md §2).
 
-  Scenario Outline: <rule>: <aim>
-    When the seeds 1 to 6 are played with the fault "<aim>"
+  Scenario Outline: <rule>: <fault>
+    When the seeds 1 to 6 are played with the fault "<fault>"
     Then it struck at least <least> times in all
     And nothing broke
     When the seeds 1 to 4 are played without the guard "<guard>"
     Then "<rule>" breaks
 
     Examples:
-      | rule                 | least | aim                                               | guard                                              |
+      | rule                 | least | fault                                             | guard                                              |
       | runs-twice           | 651   | links break after the first byte                  | another runner only if no byte went out            |
       | not-run-ran          | 473   | the last runner's links break                     | another runner only if no byte went out            |
       | stream-pieces        | 651   | streams break with the caller still there         | a begun stream is never tried again                |
@@ -44,9 +44,9 @@
       | someone-elses        | 100   | runners answer for another                        | a result names its inquiry                         |
 
   Scenario Outline: seeds that once failed stay, with their cause: <cause>
-    When the seeds <seed> to <seed> are played with the fault "<aim>"
+    When the seeds <seed> to <seed> are played with the fault "<fault>"
     Then nothing broke
 
     Examples:
-      | seed | aim                                    | cause                                                              |
+      | seed | fault                                  | cause                                                              |
       | 13   | all runners die with prompts under way | a queue no longer configured kept the pace of its last moment, 0   |
--- a/features/steps/proof.ts
+++ b/features/steps/proof.ts
@@ -1,12 +1,12 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
-import { aims, guards, playAll, seeds, type Played } from "@chutewick/simulator";
+import { targetedFaults, guards, playAll, seeds, type Played } from "@chutewick/simulator";
 
 /** ms. A bound for many seeds on a loaded machine: only a hang reaches it. */
 export const patience = { timeout: 900_000 };
 
 interface World {
-  aim: string;
+  fault: string;
   played: Played[];
 }
 
@@ -14,10 +14,10 @@
   this: World,
   from: number,
   to: number,
-  aim: string,
+  fault: string,
 ): Promise<void> {
-  this.aim = aim;
-  this.played = await playAll(seeds(from, to, aims[aim]!.options, aim));
+  this.fault = fault;
+  this.played = await playAll(seeds(from, to, targetedFaults[fault]!.options, fault));
 }
 When(
   "the seeds {int} to {int} are played with the fault {string}",
@@ -60,7 +60,10 @@
   guard: string,
 ): Promise<void> {
   ok(Object.hasOwn(guards, guard), guard);
-  this.played = await playAll(seeds(from, to, aims[this.aim]!.options, this.aim), guard);
+  this.played = await playAll(
+    seeds(from, to, targetedFaults[this.fault]!.options, this.fault),
+    guard,
+  );
 }
 When(
   "the seeds {int} to {int} are played without the guard {string}",
@@ -69,7 +72,7 @@
 );
 
 function theRuleBreaks(this: World, rule: string): void {
-  equal(rule, aims[this.aim]!.rule);
+  equal(rule, targetedFaults[this.fault]!.rule);
   const found = new Set<string>();
   for (const { rules } of this.played) for (const each of rules) found.add(each);
   ok(found.has(rule), `only these broke: ${[...found].join(", ")}`);
--- a/tools/simulator/src/crew.ts
+++ b/tools/simulator/src/crew.ts
@@ -9,7 +9,7 @@
 export interface Play {
   readonly options: CampaignOptions;
   /** Name of the targeted fault, which strikes at the moment that matters. */
-  readonly aim?: string | undefined;
+  readonly fault?: string | undefined;
 }
 
 /** What one run showed, as plain data. */
@@ -20,7 +20,7 @@
   readonly rules: readonly string[];
   readonly counts: Readonly<Record<string, number>>;
   readonly faults: readonly string[];
-  /** How often the fault that was aimed struck while the rule was at stake. */
+  /** How often the targeted fault struck while the rule was at stake. */
   readonly strikes: number;
   /** ms from the last fault until live work, lots and changes were all served again. */
   readonly back: number;
@@ -47,10 +47,10 @@
   from: number,
   to: number,
   options: Partial<CampaignOptions>,
-  aim?: string,
+  fault?: string,
 ): Play[] {
   const plays: Play[] = [];
   for (let seed = from; seed <= to; seed += 1)
-    plays.push({ options: { seed, faults: true, ...options }, aim });
+    plays.push({ options: { seed, faults: true, ...options }, fault });
   return plays;
 }
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -283,8 +283,8 @@
   },
 };
 
-/** The aim that threatens a rule, and the guard that holds it: one row of the table. */
-export const rows: readonly (readonly [aim: string, guard: string])[] = [
+/** The targeted fault that threatens a rule, and the guard that holds it: one row of the table. */
+export const rows: readonly (readonly [fault: string, guard: string])[] = [
   ["links break after the first byte", "another runner only if no byte went out"],
   ["the last runner's links break", "another runner only if no byte went out"],
   ["streams break with the caller still there", "a begun stream is never tried again"],
--- a/tools/simulator/src/index.ts
+++ b/tools/simulator/src/index.ts
@@ -8,6 +8,6 @@
 export * from "./deployment.js";
 export * from "./machines.js";
 export * from "./proof.js";
-export { aims } from "./aims.js";
+export { targetedFaults } from "./targeted-faults/index.js";
 export { guards, rows } from "./guards.js";
 export * from "./worlds/index.js";
--- a/tools/simulator/src/play.ts
+++ b/tools/simulator/src/play.ts
@@ -1,4 +1,4 @@
-import { aims } from "./aims.js";
+import { targetedFaults } from "./targeted-faults/index.js";
 import { Campaign } from "./campaign/campaign.js";
 import type { CampaignResult } from "./campaign/options.js";
 import { worst, type Worst } from "./checker.js";
@@ -20,12 +20,14 @@
 };
 
 /** One seeded run, told as plain data. */
-export async function play({ options, aim }: Play): Promise<Played> {
+export async function play({ options, fault }: Play): Promise<Played> {
   const start = performance.now();
   const shown =
-    aim === SWAPPED_FAULT
+    fault === SWAPPED_FAULT
       ? await swapped()
-      : campaignShown(new Campaign(options).run(aim === undefined ? undefined : aims[aim]!));
+      : campaignShown(
+          new Campaign(options).run(fault === undefined ? undefined : targetedFaults[fault]!),
+        );
   return { options, ...shown, ms: performance.now() - start };
 }
 
--- a/tools/simulator/src/proof.ts
+++ b/tools/simulator/src/proof.ts
@@ -1,9 +1,9 @@
-import { aims } from "./aims.js";
+import { targetedFaults } from "./targeted-faults/index.js";
 import { playAll, seeds } from "./crew.js";
 
 /** Plays each row of the proof table with its guard and without (docs/testing.md §2). */
 export interface Proof {
-  readonly aim: string;
+  readonly fault: string;
   readonly guard: string;
   readonly rule: string;
   readonly seeds: number;
@@ -16,15 +16,15 @@
 }
 
 export async function prove(
-  aim: string,
+  fault: string,
   guard: string,
   from: number,
   to: number,
   without: number,
 ): Promise<Proof> {
-  const { rule, options } = aims[aim]!;
-  const held = await playAll(seeds(from, to, options, aim));
-  const bare = await playAll(seeds(from, from + without - 1, options, aim), guard);
+  const { rule, options } = targetedFaults[fault]!;
+  const held = await playAll(seeds(from, to, options, fault));
+  const bare = await playAll(seeds(from, from + without - 1, options, fault), guard);
   let strikes = 0;
   let leastStrikes = Number.POSITIVE_INFINITY;
   const broken: string[] = [];
@@ -36,5 +36,5 @@
   }
   let brokenWithout = 0;
   for (const one of bare) if (one.rules.includes(rule)) brokenWithout += 1;
-  return { aim, guard, rule, seeds: held.length, strikes, leastStrikes, broken, brokenWithout };
+  return { fault, guard, rule, seeds: held.length, strikes, leastStrikes, broken, brokenWithout };
 }
--- a/tools/simulator/src/table.ts
+++ b/tools/simulator/src/table.ts
@@ -10,9 +10,9 @@
   only: string | undefined;
 }): Promise<void> {
   let bad = 0;
-  for (const [aim, guard] of rows) {
-    if (given.only !== undefined && !given.only.split(",").some(isIn, aim)) continue;
-    const proof = await prove(aim, guard, given.from, given.to, given.without);
+  for (const [fault, guard] of rows) {
+    if (given.only !== undefined && !given.only.split(",").some(isIn, fault)) continue;
+    const proof = await prove(fault, guard, given.from, given.to, given.without);
     if (proof.broken.length > 0 || proof.brokenWithout === 0 || proof.strikes === 0) bad += 1;
     process.stdout.write(`${JSON.stringify({ ...proof, broken: proof.broken.slice(0, 4) })}\n`);
   }
@@ -35,7 +35,7 @@
 void run(
   command({
     name: "proof",
-    description: "each rule's aimed fault, with its guard and without",
+    description: "each rule's targeted fault, with its guard and without",
     handler: play,
     args: {
       from: option({ type: number, long: "from", defaultValue: one }),
@@ -49,7 +49,7 @@
       only: option({
         type: optional(string),
         long: "only",
-        description: "parts of aims' names, with commas between",
+        description: "parts of faults' names, with commas between",
       }),
     },
   }),
--- a/tools/simulator/src/disk-troubles.ts
+++ b/tools/simulator/src/targeted-faults/disk-troubles.ts
@@ -1,6 +1,6 @@
-import type { Campaign } from "./campaign/campaign.js";
-import { isHeadOf } from "./machines.js";
-import type { Machine } from "./world.js";
+import type { Campaign } from "../campaign/campaign.js";
+import { isHeadOf } from "../machines.js";
+import type { Machine } from "../world.js";
 
 /** Disks that refuse writes, as a full one does, or answer nothing for a time (docs/testing.md §3). */
 
--- a/tools/simulator/src/aims.ts
+++ b/tools/simulator/src/targeted-faults/index.ts
@@ -1,6 +1,6 @@
-import type { Campaign, TargetedFault } from "./campaign/campaign.js";
-import { poolOf } from "./campaign/fleet.js";
-import type { CampaignOptions } from "./campaign/options.js";
+import type { Campaign, TargetedFault } from "../campaign/campaign.js";
+import { poolOf } from "../campaign/fleet.js";
+import type { CampaignOptions } from "../campaign/options.js";
 import { allDisks, fullOverPowerLoss, oneControlDisk, oneStorageDisk } from "./disk-troubles.js";
 import {
   cutStorage,
@@ -15,7 +15,7 @@
   wipeStorage,
   wipeStorageAndPower,
 } from "./losses.js";
-import type { AccessMachine } from "./machines.js";
+import type { AccessMachine } from "../machines.js";
 
 type Told = {
   readonly kind: string;
@@ -674,7 +674,7 @@
   return count;
 }
 
-export const aims: Readonly<Record<string, TargetedFault>> = {
+export const targetedFaults: Readonly<Record<string, TargetedFault>> = {
   "links break after the first byte": {
     rule: "runs-twice",
     options: calm,
@@ -809,7 +809,7 @@
     set: nothing,
     struck: ranInPool,
   },
-  /** Real links over sockets, not a simulated fleet (swapped.ts). */
+  /** Real links over sockets, not a simulated fleet (../swapped.ts). */
   "runners answer for another": { rule: "someone-elses", options: {}, set: nothing },
   "the lone control machine loses its disk": {
     rule: "service",
--- a/tools/simulator/src/losses.ts
+++ b/tools/simulator/src/targeted-faults/losses.ts
@@ -1,6 +1,6 @@
-import type { Campaign } from "./campaign/campaign.js";
-import type { ControlMachine, StorageMachine } from "./machines.js";
-import type { Machine } from "./world.js";
+import type { Campaign } from "../campaign/campaign.js";
+import type { ControlMachine, StorageMachine } from "../machines.js";
+import type { Machine } from "../world.js";
 
 /** Losses of many machines at one moment, and of the last copy but those that are only away (docs/testing.md §3). */
 
