The simulator's targeted faults stand in modules by what they go for

Moments, spans and shares are named constants; what kills the head of control, and what cuts a node from all machines, stands once. The fault played with real links has its name beside the table (`SWAPPED_FAULT`), and play.ts takes it from there.

The order in which random numbers are drawn is unchanged.

--- a/tools/simulator/src/play.ts
+++ b/tools/simulator/src/play.ts
@@ -1,12 +1,10 @@
-import { targetedFaults } from "./targeted-faults/index.js";
+import { SWAPPED_FAULT, targetedFaults } from "./targeted-faults/index.js";
 import { Campaign } from "./campaign/campaign.js";
 import type { CampaignResult } from "./campaign/options.js";
 import { worst, type Worst } from "./checker.js";
 import type { Play, Played } from "./crew.js";
 import { playSwapped } from "./swapped.js";
 
-/** The fault that is played with real links over sockets, and not in a simulated fleet. */
-const SWAPPED_FAULT = "runners answer for another";
 const SWAPPED_REQUESTS = 20;
 /** Violations told of one run at most. */
 const VIOLATIONS_TOLD = 20;
--- a/tools/simulator/src/targeted-faults/disk-troubles.ts
+++ b/tools/simulator/src/targeted-faults/disk-troubles.ts
@@ -2,14 +2,18 @@
 import { isHeadOf } from "../machines.js";
 import type { Machine } from "../world.js";
 
-/** Disks that refuse writes, as a full one does, or answer nothing for a time (docs/testing.md §3). */
+/** Targeted faults of disks that refuse writes, as a full one does, or answer nothing for a time (docs/testing.md §3). */
 
 /** ms. When the first trouble may strike, once the fleet serves. */
-const strikeAt = 12_000;
+const STRIKES_AT = 12_000;
 /** ms. How long the disk of one machine, or the disks of all of a kind, are in trouble. */
-const oneLasts = 8_000;
-const allLast = 4_000;
+const ONE_LASTS = 8_000;
+const ALL_LAST = 4_000;
+/** ms from the trouble until all machines lose power, by seed, and until power is back. */
+const POWER_LOST_AFTER = [200, 1_100, 3_000];
+const POWER_BACK_AFTER = 1_000;
 
+/** Whether a disk takes no writes, or answers nothing. */
 type DiskTrouble = "full" | "stalled";
 
 function trouble(machine: Machine, kind: DiskTrouble, lasts: number): void {
@@ -24,10 +28,10 @@
     const { world, storages, options } = campaign;
     function strike(): void {
       campaign.strikes += 1;
-      trouble(storages[options.seed % storages.length]!, kind, oneLasts);
+      trouble(storages[options.seed % storages.length]!, kind, ONE_LASTS);
       campaign.mended();
     }
-    world.at(strikeAt, strike);
+    world.at(STRIKES_AT, strike);
   }
   return set;
 }
@@ -40,10 +44,10 @@
       campaign.strikes += 1;
       const head = controls.find(isHeadOf) ?? controls[0]!;
       const struck = options.seed % 3 === 0 ? controls[options.seed % controls.length]! : head;
-      trouble(struck, kind, oneLasts);
+      trouble(struck, kind, ONE_LASTS);
       campaign.mended();
     }
-    world.at(strikeAt, strike);
+    world.at(STRIKES_AT, strike);
   }
   return set;
 }
@@ -54,13 +58,13 @@
     const { world, controls, storages } = campaign;
     function strike(): void {
       campaign.strikes += 1;
-      for (const machine of [...controls, ...storages]) trouble(machine, kind, allLast);
-      world.after(allLast, mended);
+      for (const machine of [...controls, ...storages]) trouble(machine, kind, ALL_LAST);
+      world.after(ALL_LAST, mended);
     }
     function mended(): void {
       campaign.mended();
     }
-    world.at(strikeAt, strike);
+    world.at(STRIKES_AT, strike);
   }
   return set;
 }
@@ -68,20 +72,19 @@
 /** One disk of each kind is full; then all machines lose power while they are. */
 export function fullOverPowerLoss(campaign: Campaign): void {
   const { world, controls, storages, options, machines } = campaign;
-  const pausesUntilPowerLoss = [200, 1_100, 3_000];
   function strike(): void {
     campaign.strikes += 1;
-    trouble(controls[options.seed % controls.length]!, "full", oneLasts);
-    trouble(storages[options.seed % storages.length]!, "full", oneLasts);
-    world.after(pausesUntilPowerLoss[options.seed % 3]!, losePower);
+    trouble(controls[options.seed % controls.length]!, "full", ONE_LASTS);
+    trouble(storages[options.seed % storages.length]!, "full", ONE_LASTS);
+    world.after(POWER_LOST_AFTER[options.seed % 3]!, losePower);
   }
   function losePower(): void {
     for (const machine of machines) machine.kill(true);
-    world.after(1_000, start);
+    world.after(POWER_BACK_AFTER, start);
   }
   function start(): void {
     for (const machine of machines) machine.start();
     campaign.mended();
   }
-  world.at(strikeAt, strike);
+  world.at(STRIKES_AT, strike);
 }
--- a/tools/simulator/src/targeted-faults/losses.ts
+++ b/tools/simulator/src/targeted-faults/losses.ts
@@ -1,21 +1,35 @@
+import type { ControlOutcome } from "@chutewick/control";
 import type { Campaign } from "../campaign/campaign.js";
-import type { ControlMachine, StorageMachine } from "../machines.js";
+import type { StorageMachine } from "../machines.js";
 import type { Machine } from "../world.js";
 
-/** Losses of many machines at one moment, and of the last copy but those that are only away (docs/testing.md §3). */
+/** Targeted losses of storage machines, and of many machines at one moment (docs/testing.md §3). */
 
 /** ms. When the loss may strike, once the fleet serves. */
-const strikeFrom = 12_000;
+const STRIKES_FROM = 12_000;
+/** ms between two looks whether the moment has come. */
+const LOOK_EVERY = 0.2;
+/** ms within which each machine of those that went down together is started again. */
+const BACK_AFTER = [300, 2_000] as const;
+/** ms until the empty machine starts, the frozen one wakes, and the one cut off is heard again. */
+const REPLACED_AFTER = 1_000;
+const FROZEN_FOR = 3_000;
+const CUT_FOR = 5_000;
+/** ms. When a machine is added, from there until one is emptied, and between two orders and two looks. */
+const ADDED_AT = 7_000;
+const EMPTIED_AFTER = 2_500;
+const EMPTY_PAUSE = 300;
+const EMPTY_LOOK_EVERY = 50;
 
 /** Right after an operator heard that a change is in force. */
 function afterChange(campaign: Campaign, strike: () => void): void {
   const { world, sight } = campaign;
   function look(): void {
     for (const change of sight.changes)
-      if (change.told === "confirmed" && change.endedAt! >= strikeFrom) return strike();
-    world.after(0.2, look);
+      if (change.told === "confirmed" && change.endedAt! >= STRIKES_FROM) return strike();
+    world.after(LOOK_EVERY, look);
   }
-  world.at(strikeFrom, look);
+  world.at(STRIKES_FROM, look);
 }
 
 /** Right after a caller heard that a lot is accepted. */
@@ -23,10 +37,10 @@
   const { world, sight } = campaign;
   function look(): void {
     for (const lot of sight.lots)
-      if (lot.acceptedAt !== undefined && lot.acceptedAt >= strikeFrom) return strike();
-    world.after(0.2, look);
+      if (lot.acceptedAt !== undefined && lot.acceptedAt >= STRIKES_FROM) return strike();
+    world.after(LOOK_EVERY, look);
   }
-  world.at(strikeFrom, look);
+  world.at(STRIKES_FROM, look);
 }
 
 /** They go down at one moment, those named lose their disks, and each is started again within two seconds. */
@@ -47,10 +61,11 @@
       left -= 1;
       if (left === 0) campaign.mended();
     }
-    world.after(world.chance.between(300, 2_000), back);
+    world.after(world.chance.between(...BACK_AFTER), back);
   }
 }
 
+/** All processes end right after a change is in force. */
 export function killAll(campaign: Campaign): void {
   function strike(): void {
     downTogether(campaign, campaign.machines, false, []);
@@ -58,6 +73,7 @@
   afterChange(campaign, strike);
 }
 
+/** All machines lose power right after a lot is accepted. */
 export function powerAll(campaign: Campaign): void {
   function strike(): void {
     downTogether(campaign, campaign.machines, true, []);
@@ -65,6 +81,7 @@
   afterLot(campaign, strike);
 }
 
+/** All machines lose power, and one storage machine its disk. */
 export function wipeStorageAndPower(campaign: Campaign): void {
   function strike(): void {
     downTogether(campaign, campaign.machines, true, [storageBySeed(campaign)]);
@@ -72,6 +89,7 @@
   afterLot(campaign, strike);
 }
 
+/** All machines lose power, and one control machine its disk. */
 export function wipeControlAndPower(campaign: Campaign): void {
   function strike(): void {
     downTogether(campaign, campaign.machines, true, [
@@ -81,6 +99,7 @@
   afterChange(campaign, strike);
 }
 
+/** One storage machine loses its disk right after a lot is accepted. */
 export function wipeStorage(campaign: Campaign): void {
   function strike(): void {
     const lost = storageBySeed(campaign);
@@ -89,7 +108,7 @@
   afterLot(campaign, strike);
 }
 
-/** Gone for good; an empty one starts at another address. */
+/** One storage machine is gone for good; an empty one starts at another address. */
 export function replaceStorage(campaign: Campaign): void {
   function strike(): void {
     campaign.strikes += 1;
@@ -99,11 +118,12 @@
     function started(): void {
       campaign.mended();
     }
-    campaign.replaceStorage(gone, 1_000, started);
+    campaign.replaceStorage(gone, REPLACED_AFTER, started);
   }
   afterLot(campaign, strike);
 }
 
+/** One storage machine sleeps right after a lot is accepted. */
 export function freezeStorage(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
@@ -114,12 +134,12 @@
       machine.wake();
       campaign.mended();
     }
-    world.after(3_000, wake);
+    world.after(FROZEN_FOR, wake);
   }
   afterLot(campaign, strike);
 }
 
-/** Cut off from its peers alone, or from everybody. */
+/** One storage machine is cut off from its peers alone, or from everybody. */
 export function cutStorage(campaign: Campaign): void {
   const { world } = campaign;
   function strike(): void {
@@ -132,7 +152,7 @@
       world.mend();
       campaign.mended();
     }
-    world.after(5_000, join);
+    world.after(CUT_FOR, join);
   }
   afterLot(campaign, strike);
 }
@@ -143,117 +163,29 @@
   let emptied: StorageMachine;
   function begin(): void {
     campaign.addStorage();
-    world.after(2_500, ask);
+    world.after(EMPTIED_AFTER, ask);
   }
   function ask(): void {
     emptied = storageBySeed(campaign);
     const { identity } = emptied.folder!;
-    function told(outcome: Parameters<Parameters<ControlMachine["inquire"]>[1]>[0]): void {
+    function told(outcome: ControlOutcome | undefined): void {
       if (outcome?.kind === "confirmed" && outcome.value.kind === "DONE") return leave();
-      world.after(300, ask);
+      world.after(EMPTY_PAUSE, ask);
     }
     campaign.controls[0]!.inquire({ kind: "empty", identity, wanted: true }, told);
   }
   function leave(): void {
-    if (emptied.core.held > 0) return world.after(50, leave);
+    if (emptied.core.held > 0) return world.after(EMPTY_LOOK_EVERY, leave);
     emptied.kill(true);
     emptied.wipe();
     emptied.retired = true;
     campaign.storages.splice(campaign.storages.indexOf(emptied), 1);
     downTogether(campaign, campaign.machines, true, [storageBySeed(campaign)]);
   }
-  world.at(7_000, begin);
+  world.at(ADDED_AT, begin);
 }
 
+/** The storage machine that is struck, another one with each seed. */
 function storageBySeed({ options, storages }: Campaign): StorageMachine {
   return storages[options.seed % storages.length]!;
 }
-
-/** Of a control pair one loses power; as soon as the other goes on alone it loses its disk, and the first comes back. */
-export function loneControlLost(campaign: Campaign): void {
-  const { world, controls } = campaign;
-  function cut(): void {
-    world.isolate(controls[options.seed % 3]!.address);
-  }
-  const { options } = campaign;
-  let down: ControlMachine;
-  function lose(): void {
-    const pair = controls.filter(isServing);
-    down = pair[(options.seed >> 1) % 2]!;
-    down.kill(true);
-    /** The third is heard again only when the other of the pair knows of the silence. */
-    world.after(2_000, join);
-    look();
-  }
-  function join(): void {
-    world.mend();
-  }
-  function look(): void {
-    const lone = controls.find(isLone);
-    if (lone === undefined) return world.after(1, look);
-    campaign.strikes += 1;
-    lone.kill(true);
-    lone.wipe();
-    function back(): void {
-      lone!.start();
-      down.start();
-      campaign.mended();
-    }
-    world.after(800, back);
-  }
-  world.at(9_000, cut);
-  world.at(12_500, lose);
-}
-
-function isServing(control: ControlMachine): boolean {
-  return (
-    control.alive &&
-    control.core.view?.members.length === 2 &&
-    control.core.view.members.some(isMachine, control)
-  );
-}
-
-function isLone(control: ControlMachine): boolean {
-  return control.alive && control.core.view?.members.length === 1 && control.core.isHead;
-}
-
-function isMachine(this: Machine, member: { identity: string }): boolean {
-  return this.folder?.identity === member.identity;
-}
-
-/** The same with the last two copies of a queue. */
-export function loneQueueLost(campaign: Campaign): void {
-  const { world, storages, options } = campaign;
-  const [away, down, lone] = [
-    storages[options.seed % 3]!,
-    storages[(options.seed + 1) % 3]!,
-    storages[(options.seed + 2) % 3]!,
-  ];
-  function first(): void {
-    away.kill(true);
-  }
-  function come(): void {
-    away.start();
-  }
-  function second(): void {
-    down.kill(true);
-    /** Heard just before the other is given up. */
-    world.after(1_800, come);
-    look();
-  }
-  function look(): void {
-    const view = lone.folder!.holdings().get("reader")?.state.view;
-    if (view === undefined || view.members.length > 1) return world.after(1, look);
-    campaign.strikes += 1;
-    lone.kill(true);
-    lone.wipe();
-    function back(): void {
-      lone.start();
-      down.start();
-      campaign.mended();
-    }
-    world.after(800, back);
-  }
-  world.at(9_000, first);
-  world.at(12_500, second);
-}
