The play of lots on passages stands in modules of one job each

`breaches` are `violations`, as in campaigns.

The order in which random numbers are drawn is unchanged.

--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -14,7 +14,15 @@
   type QueueResult,
   type TaskRecord,
 } from "@chutewick/parts";
-import { Chance, PassPlay, type Fault, type PassPlayOptions } from "@chutewick/simulator";
+import {
+  Chance,
+  PassPlay,
+  handInDelays,
+  heldReadDelays,
+  newLifeDelay,
+  type Fault,
+  type PassPlayOptions,
+} from "@chutewick/simulator";
 
 interface World {
   ledger: Ledger;
@@ -588,8 +596,8 @@
 
 function breaksNoRule(this: PlayWorld): void {
   const found: string[] = [];
-  for (const { options, breaches } of this.plays)
-    for (const breach of breaches) found.push(`seed ${options.seed}: ${breach}`);
+  for (const { options, violations } of this.plays)
+    for (const violation of violations) found.push(`seed ${options.seed}: ${violation}`);
   deepEqual(found.slice(0, 5), []);
 }
 Then("every fault struck, and what callers and runners saw breaks no rule", breaksNoRule);
@@ -600,7 +608,7 @@
   Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 60 });
   play.begin();
   play.world.run(6_500);
-  this.waits = play.watchHeld(12_000);
+  this.waits = heldReadDelays(play, 12_000);
   this.plays = [play];
   breaksNoRule.call(this);
 }
@@ -620,7 +628,7 @@
   Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
   play.begin();
   play.world.run(6_500);
-  this.waits = [play.watchNewLife()];
+  this.waits = [newLifeDelay(play)];
 }
 When("the only dispatcher dies amid its runs and begins anew", theOnlyDispatcherDies);
 
@@ -749,7 +757,7 @@
   play.begin();
   play.world.run(6_500);
   play.world.isolate("access-1");
-  this.waits = play.watchHandIns(12, 150);
+  this.waits = handInDelays(play, 12, 150);
   this.plays = [play];
 }
 When("a node is cut off and lots are handed in there", aNodeIsCutOff);
--- /dev/null
+++ b/tools/simulator/src/passages/exchanges.ts
@@ -0,0 +1,72 @@
+import type { AccessOutput, LotTold } from "@chutewick/data";
+import type { LotInput } from "@chutewick/history";
+import type { AccessMachine } from "../machines.js";
+import { lotOperationOf } from "./lot-operations.js";
+import type { PassFleet } from "./pass-fleet.js";
+import type { LotSight } from "./records.js";
+
+/** ms that a client waits for an answer. */
+const USUAL_PATIENCE = 4_000;
+/** ms until a client sees that a node is down. */
+const REFUSED_AFTER = 5;
+
+/** What is asked of a node under the client's ticket. */
+export type Enter = (machine: AccessMachine, ticket: string) => readonly AccessOutput[];
+
+/** Who hears the answer, undefined where none came in time, and for how many ms it is waited for. */
+export interface Answered {
+  readonly told: (told: LotTold | undefined) => void;
+  readonly patience?: number;
+}
+
+/** Requests of clients to any access node, each with at most one answer. */
+export class LotExchanges {
+  readonly #fleet: PassFleet;
+  readonly #waiting = new Map<string, (told: LotTold) => void>();
+  #ticketNumber = 0;
+
+  constructor(fleet: PassFleet) {
+    this.#fleet = fleet;
+  }
+
+  /** A node answers. */
+  answer(ticket: string, told: LotTold): void {
+    const waiting = this.#waiting.get(ticket);
+    this.#waiting.delete(ticket);
+    waiting?.(told);
+  }
+
+  /** Asks any node. */
+  ask(enter: Enter, { told, patience = USUAL_PATIENCE }: Answered): void {
+    const { world, accesses } = this.#fleet;
+    const machine = world.chance.pick(accesses);
+    this.#ticketNumber += 1;
+    const ticket = `caller-${this.#ticketNumber}`;
+    let hasEnded = false;
+    const end = (answer: LotTold | undefined): void => {
+      if (hasEnded) return;
+      hasEnded = true;
+      told(answer);
+    };
+    this.#waiting.set(ticket, end);
+    const silence = (): void => {
+      this.#waiting.delete(ticket);
+      end(undefined);
+    };
+    if (!machine.alive) return world.after(REFUSED_AFTER, silence);
+    machine.mine(() => machine.perform(enter(machine, ticket)))();
+    world.after(patience, silence);
+  }
+
+  /** As `ask`, and recorded as an operation of the lot's history. */
+  askLot(lot: LotSight, input: LotInput, enter: Enter, { told, patience }: Answered): void {
+    const { world } = this.#fleet;
+    const calledAt = world.now;
+    const tell = (answer: LotTold | undefined): void => {
+      const exchange = { lot: lot.id, input, calledAt, returnedAt: world.now, told: answer };
+      lot.operations.push(lotOperationOf(exchange));
+      told(answer);
+    };
+    this.ask(enter, { told: tell, patience });
+  }
+}
--- /dev/null
+++ b/tools/simulator/src/passages/lot-reader.ts
@@ -0,0 +1,111 @@
+import type { LotResult, LotTold } from "@chutewick/data";
+import type { LotExchanges } from "./exchanges.js";
+import { PASSAGE_HOST, type PassFleet } from "./pass-fleet.js";
+import { bodyOf, eventDataOf, type ItemRecord, type LotSight } from "./records.js";
+
+/** ms that a reader waits beyond its hold. */
+const READ_PATIENCE = 1_500;
+/** ms between two looks whether an item whose body is missing is listed. */
+const LISTED_LOOK_EVERY = 1_000;
+/** ms after the end of traffic by which it must be listed. */
+const LISTED_WITHIN = 10_000;
+/** Troubles after which an item may be given up, and ms from the first try of its lot on. */
+const TROUBLES_LEAST = 3;
+const GIVEN_UP_AFTER = 120_000;
+
+/** One read of a lot's list: from which place, and for how many ms it is held while nothing comes. */
+export interface Reading {
+  readonly from: number;
+  readonly hold: number;
+}
+
+/** Clients that read lots and the bodies of their items, and what no answer may show. */
+export class LotReader {
+  readonly #fleet: PassFleet;
+  readonly #exchanges: LotExchanges;
+
+  constructor(fleet: PassFleet, exchanges: LotExchanges) {
+    this.#fleet = fleet;
+    this.#exchanges = exchanges;
+  }
+
+  /** Reads a lot's results at any node; `after` is called whatever came. */
+  read(lot: LotSight, { from, hold }: Reading, after: () => void): void {
+    const { world } = this.#fleet;
+    const told = (answer: LotTold | undefined): void => {
+      this.#fleet.count(`read ${answer?.kind ?? "silence"}`);
+      if (answer?.kind === "results") this.#see(lot, from, answer);
+      after();
+    };
+    this.#exchanges.askLot(
+      lot,
+      { kind: "read", from },
+      (machine, ticket) =>
+        machine.core.lots.read(ticket, lot.id, PASSAGE_HOST, from, hold, world.now),
+      { told, patience: hold + READ_PATIENCE },
+    );
+  }
+
+  /** Reads the body of one item. */
+  readBody(lot: LotSight): void {
+    const { world } = this.#fleet;
+    const { id } = world.chance.pick(lot.entries);
+    const told = (answer: LotTold | undefined): void => {
+      if (answer?.kind === "body" && new TextDecoder().decode(answer.bytes) !== bodyOf(id))
+        this.#fleet.violation(`the body of ${id} differs`);
+      if (answer?.kind === "missing" && lot.endAskedAt === undefined)
+        world.after(LISTED_LOOK_EVERY, () => this.#judgeMissing(lot, id));
+    };
+    this.#exchanges.ask(
+      (machine, ticket) => machine.core.lots.item(ticket, lot.id, id, world.now),
+      { told },
+    );
+  }
+
+  /** A body may be missing only where its item is listed by now. */
+  #judgeMissing(lot: LotSight, id: string): void {
+    const { world, quietAt } = this.#fleet;
+    if (lot.endAskedAt !== undefined || lot.shown.some(({ item }) => item === id)) return;
+    if (lot.doneAt !== undefined || world.now > quietAt + LISTED_WITHIN)
+      this.#fleet.violation(`the body of ${id} was missing, and it is not listed`);
+    else world.after(LISTED_LOOK_EVERY, () => this.#judgeMissing(lot, id));
+  }
+
+  /** What one answer shows for itself; what answers show together is judged as the lot's history. */
+  #see(
+    lot: LotSight,
+    from: number,
+    { total, results, next }: Extract<LotTold, { kind: "results" }>,
+  ): void {
+    if (total !== lot.items.size || next !== from + results.length)
+      this.#fleet.violation(`${lot.id}: total ${total}, next ${next}`);
+    for (const [offset, result] of results.entries()) {
+      if (from + offset < lot.shown.length) continue;
+      this.#judge(lot, result);
+      lot.shown.push(result);
+    }
+    if (lot.shown.length === lot.items.size) lot.doneAt ??= this.#fleet.world.now;
+  }
+
+  #judge(lot: LotSight, result: LotResult): void {
+    const item = lot.items.get(result.item);
+    if (item === undefined)
+      return this.#fleet.violation(`${lot.id} lists ${result.item}, which is not its own`);
+    this.#fleet.count(`item ${result.state}`);
+    if (result.state === "failed") return this.#judgeFailed(lot, item);
+    const texts: string[] = [];
+    for (let number = 1; number <= item.events; number += 1)
+      texts.push(eventDataOf(item.id, number));
+    if (result.text !== texts.join("\n"))
+      this.#fleet.violation(`${item.id} is solved with ${JSON.stringify(result.text)}`);
+  }
+
+  #judgeFailed(lot: LotSight, item: ItemRecord): void {
+    const mayFail =
+      item.poisoned ||
+      item.troubles >= TROUBLES_LEAST ||
+      lot.endAskedAt !== undefined ||
+      this.#fleet.world.now >= lot.firstAt + GIVEN_UP_AFTER;
+    if (!mayFail) this.#fleet.violation(`${item.id} is given up after ${item.troubles} troubles`);
+  }
+}
--- /dev/null
+++ b/tools/simulator/src/passages/options.ts
@@ -0,0 +1,32 @@
+/** Kinds of faults, of which one machine, network or runner is struck at a time. */
+export type Fault =
+  | "kill-access"
+  | "freeze-access"
+  | "kill-storage"
+  | "freeze-storage"
+  | "wipe-storage"
+  | "cut-storage"
+  | "power"
+  | "kill-control"
+  | "loss"
+  | "runners"
+  | "cut-access";
+
+/** Options of one seeded run of lots on passages; times are ms of virtual time. */
+export interface PassPlayOptions {
+  readonly seed: number;
+  /** ms of traffic, with faults where they are wanted, and then of calm. */
+  readonly stormy: number;
+  readonly calm: number;
+  readonly faults: readonly Fault[];
+  /** Tokens that may wait on the passage; without it none are bounded. */
+  readonly allowance?: number;
+  /** ms between two lots, on average. */
+  readonly lotEvery?: number;
+  /** Access nodes. */
+  readonly access?: number;
+  /** Items of a lot, on average. */
+  readonly items?: number;
+  /** The passage moves between pools, goes and comes back. */
+  readonly moves?: boolean;
+}
