--- a/tools/simulator/src/campaign/client-sight.ts
+++ b/tools/simulator/src/campaign/client-sight.ts
@@ -1,4 +1,4 @@
-import type { CallerSight } from "../machines.js";
+import type { ClientSight } from "../machines.js";
 
 /** What a client sees who overrides only the answers that matter to it. */
 
@@ -7,7 +7,7 @@
 }
 
 /** A client that listens to nothing. */
-export const deafClient: CallerSight = {
+export const deafClient: ClientSight = {
   reply: nothing,
   bytes: nothing,
   open: nothing,
--- a/tools/simulator/src/campaign/fleet.ts
+++ b/tools/simulator/src/campaign/fleet.ts
@@ -105,7 +105,7 @@
     const { world, controls } = this;
     this.#controlNumber += 1;
     const name = `control-${this.#controlNumber}`;
-    const blank = new ControlMachine(world, name, name, this.#seedsNow(gone));
+    const blank = new ControlMachine(world, { name, seeds: this.#seedsNow(gone) });
     controls[controls.indexOf(gone)] = blank;
     gone.retired = true;
     world.after(after, () => startIfDown(blank));
@@ -116,7 +116,7 @@
     const { world, storages } = this;
     this.#storageNumber += 1;
     const name = `storage-${this.#storageNumber}`;
-    const blank = new StorageMachine(world, name, name, this.#seedsNow());
+    const blank = new StorageMachine(world, { name, seeds: this.#seedsNow() });
     storages[storages.indexOf(gone)] = blank;
     gone.retired = true;
     world.after(after, () => {
@@ -130,7 +130,7 @@
   addStorage(): void {
     if (this.storages.length > USUAL_MACHINES) return;
     const name = `storage-${ADDED_STORAGE_NUMBER}`;
-    const added = new StorageMachine(this.world, name, name, SEED_ADDRESSES);
+    const added = new StorageMachine(this.world, { name, seeds: SEED_ADDRESSES });
     this.storages.push(added);
     this.note(`${name} is added`);
     added.start();
@@ -147,11 +147,11 @@
   #addCoreMachines(count: number): void {
     for (let number = 1; number <= count; number += 1) {
       const name = `control-${number}`;
-      this.controls.push(new ControlMachine(this.world, name, name, SEED_ADDRESSES));
+      this.controls.push(new ControlMachine(this.world, { name, seeds: SEED_ADDRESSES }));
     }
     for (let number = 1; number <= count; number += 1) {
       const name = `storage-${number}`;
-      this.storages.push(new StorageMachine(this.world, name, name, SEED_ADDRESSES));
+      this.storages.push(new StorageMachine(this.world, { name, seeds: SEED_ADDRESSES }));
     }
   }
 
@@ -163,7 +163,7 @@
     };
     for (let number = 1; number <= count; number += 1) {
       const name = `access-${number}`;
-      this.accesses.push(new AccessMachine(this.world, name, name, SEED_ADDRESSES, hooks));
+      this.accesses.push(new AccessMachine(this.world, { name, seeds: SEED_ADDRESSES }, hooks));
     }
   }
 
--- a/tools/simulator/src/campaign/live-clients.ts
+++ b/tools/simulator/src/campaign/live-clients.ts
@@ -1,6 +1,6 @@
 import type { AccessOutput } from "@chutewick/data";
 import type { RequestRecord } from "../checker.js";
-import type { AccessMachine, CallerSight } from "../machines.js";
+import type { AccessMachine, ClientSight } from "../machines.js";
 import { CLIENT_PATIENCE } from "./client-sight.js";
 import type { Fleet } from "./fleet.js";
 import type { Range } from "./options.js";
@@ -71,7 +71,7 @@
       sight.serviceAt.live ??= world.now;
   }
 
-  #clientOf(record: RequestRecord): CallerSight {
+  #clientOf(record: RequestRecord): ClientSight {
     const end = (told: RequestEnd): void => this.#end(record, told);
     const whole = (value: unknown): void => {
       record.value = value;
--- a/tools/simulator/src/campaign/lot-clients.ts
+++ b/tools/simulator/src/campaign/lot-clients.ts
@@ -1,5 +1,5 @@
 import type { LotRecord } from "../checker.js";
-import type { CallerSight } from "../machines.js";
+import type { ClientSight } from "../machines.js";
 import { CLIENT_PATIENCE, deafClient } from "./client-sight.js";
 import type { Fleet } from "./fleet.js";
 import type { Range } from "./options.js";
@@ -62,7 +62,7 @@
     for (let slip = 0; slip < record.count; slip += 1) items.push({ key: record.key, slip });
     const attempt: Attempt = { record, way, askedAt: world.now, hasEnded: false };
     const torn = (): void => this.#end(attempt, { told: "torn" });
-    const client: CallerSight = {
+    const client: ClientSight = {
       ...deafClient,
       reply: (status, body) => this.#replied(attempt, status, body),
       torn,
@@ -80,7 +80,7 @@
     if (record.acceptedAt === undefined || record.lot === undefined) return;
     record.cancelAskedAt ??= world.now;
     const access = world.chance.pick(accesses);
-    const client: CallerSight = {
+    const client: ClientSight = {
       ...deafClient,
       reply: (status) => {
         if (status === 200) record.cancelledAt ??= world.now;
--- a/tools/simulator/src/campaign/observer.ts
+++ b/tools/simulator/src/campaign/observer.ts
@@ -1,6 +1,6 @@
 import type { ChainView } from "@chutewick/parts";
 import type { LotRecord, LotView } from "../checker.js";
-import type { CallerSight, StorageMachine } from "../machines.js";
+import type { ClientSight, StorageMachine } from "../machines.js";
 import { StuckWatch } from "../stuck.js";
 import { deafClient } from "./client-sight.js";
 import type { Fleet } from "./fleet.js";
@@ -96,7 +96,7 @@
     const { world, accesses } = this.#fleet;
     const access = world.chance.pick(accesses);
     const askedAt = world.now;
-    const client: CallerSight = {
+    const client: ClientSight = {
       ...deafClient,
       reply: (status, body) => {
         const view = viewOf(status, body);
--- a/tools/simulator/src/deployment.ts
+++ b/tools/simulator/src/deployment.ts
@@ -94,19 +94,27 @@
   }
 
   addControl(name: string, seeds: readonly string[] = this.#seeds): ControlMachine {
-    const machine = new ControlMachine(this.world, name, name, seeds, this.#setting(name));
+    const machine = new ControlMachine(this.world, { name, seeds, setting: this.#setting(name) });
     this.controls.push(machine);
     return machine;
   }
 
   addStorage(name: string): StorageMachine {
-    const machine = new StorageMachine(this.world, name, name, this.#seeds, this.#setting(name));
+    const machine = new StorageMachine(this.world, {
+      name,
+      seeds: this.#seeds,
+      setting: this.#setting(name),
+    });
     this.storages.push(machine);
     return machine;
   }
 
   addAccess(name: string, seeds: readonly string[]): AccessMachine {
-    const machine = new AccessMachine(this.world, name, name, seeds, deaf, this.#setting(name));
+    const machine = new AccessMachine(
+      this.world,
+      { name, seeds, setting: this.#setting(name) },
+      deaf,
+    );
     this.accesses.push(machine);
     return machine;
   }
--- a/tools/simulator/src/passages/pass-fleet.ts
+++ b/tools/simulator/src/passages/pass-fleet.ts
@@ -52,14 +52,14 @@
     this.quietAt = TRAFFIC_STARTS_AT + options.stormy;
     const { world } = this;
     for (const name of SEED_ADDRESSES)
-      this.controls.push(new ControlMachine(world, name, name, SEED_ADDRESSES));
+      this.controls.push(new ControlMachine(world, { name, seeds: SEED_ADDRESSES }));
     for (let number = 1; number <= STORAGE_MACHINES; number += 1) {
       const name = `storage-${number}`;
-      this.storages.push(new StorageMachine(world, name, name, SEED_ADDRESSES));
+      this.storages.push(new StorageMachine(world, { name, seeds: SEED_ADDRESSES }));
     }
     for (let number = 1; number <= (options.access ?? USUAL_ACCESS); number += 1) {
       const name = `access-${number}`;
-      this.accesses.push(new AccessMachine(world, name, name, SEED_ADDRESSES, noHooks));
+      this.accesses.push(new AccessMachine(world, { name, seeds: SEED_ADDRESSES }, noHooks));
     }
     for (let number = 1; number <= RUNNERS; number += 1) this.runners.push(newRunner(number));
   }
