--- a/tools/simulator/src/histories.ts
+++ b/tools/simulator/src/checker/histories.ts
@@ -16,9 +16,9 @@
   ReadRecord,
   Sight,
   Violation,
-} from "./checker.js";
+} from "./records.js";
 
-/** What a campaign's operators and callers saw, as histories that tools/history judges (docs/testing.md §3). */
+/** What a campaign's operators and clients saw, as histories that tools/history judges (docs/testing.md §3). */
 
 function orderOutput({ told, mark }: ChangeRecord): RegisterOutput | undefined {
   switch (told) {
@@ -109,7 +109,7 @@
   return { kind: "results", results, ending: isEnded ? view.state : undefined };
 }
 
-/** Everything that the callers of one lot saw. */
+/** Everything that the clients of one lot saw. */
 export function lotHistory(lot: LotRecord): LotOperation[] {
   const operations: LotOperation[] = [];
   for (const { askedAt, at, told, lot: name } of lot.handIns)
