Messages and outputs of the data plane stand in modules of their own

The types of access-core.ts moved to access-output.ts and error-reply.ts, the messages between access nodes and queue owners from storage-core.ts to queue-messages.ts. The import circles of access-core.ts with pending-calls.ts, pass-draw.ts and pass-lots.ts are gone with it. PendingCalls.ask takes a call and the time in place of six parameters.

--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -23,84 +23,15 @@
   type QueueStanding,
   type Way,
 } from "@chutewick/control";
+import type { AccessOutput, GoEvent, Work } from "./access-output.js";
 import { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
-import { PendingCalls, type PendingCallEnded } from "./pending-calls.js";
+import { errorReply, type ErrorBody } from "./error-reply.js";
+import { PendingCalls, type QueueResultHandler } from "./pending-calls.js";
 import { Membership, type Standing } from "./membership.js";
 import { PassLots } from "./pass-lots.js";
-import type { PassOutput } from "./pass.js";
 import { RelayCore } from "./relay-core.js";
-import type { DataMessage, QueueOutcome } from "./storage-core.js";
-
-/** An access node without I/O: live proxy and batch dispatcher (docs/design.md §5, §6). */
-export interface Trouble {
-  readonly trouble: string;
-  readonly reason: string;
-  readonly retryAfter?: number;
-  readonly [more: string]: unknown;
-}
-
-export type AccessOutput =
-  | { readonly kind: "send"; readonly to: string; readonly message: DataMessage }
-  | {
-      readonly kind: "reply";
-      readonly ticket: string;
-      readonly status: number;
-      readonly body: unknown;
-    }
-  | {
-      readonly kind: "reply-bytes";
-      readonly ticket: string;
-      readonly status: number;
-      readonly type: string;
-      readonly bytes: Uint8Array;
-    }
-  | { readonly kind: "stream-open"; readonly ticket: string }
-  | {
-      readonly kind: "stream-piece";
-      readonly ticket: string;
-      readonly number: number;
-      readonly data: unknown;
-    }
-  | { readonly kind: "stream-close"; readonly ticket: string; readonly pieces: number }
-  | { readonly kind: "stream-trouble"; readonly ticket: string; readonly body: Trouble }
-  /** Send to a runner; `mayStart(go)` is asked again at the last moment before the first byte. */
-  | {
-      readonly kind: "run";
-      readonly go: number;
-      readonly url: string;
-      readonly work: Work;
-      readonly silence: number;
-    }
-  | { readonly kind: "abandon"; readonly go: number }
-  | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> }
-  | PassOutput;
-
-export type Work =
-  | { readonly kind: "stream"; readonly request: string; readonly body: Record<string, unknown> }
-  | { readonly kind: "one-shot"; readonly request: string; readonly body: Record<string, unknown> }
-  | { readonly kind: "fetch"; readonly request: string; readonly path: string };
-
-/** What a runner's link tells of one go. */
-export type GoEvent =
-  /** No byte went out. */
-  | { readonly kind: "unsent"; readonly reason: string }
-  /** The runner said outright that it did not take it. */
-  | { readonly kind: "refused"; readonly retryAfter: number }
-  /** The runner said that it failed. */
-  | { readonly kind: "troubled"; readonly reason: string }
-  /** Bytes went out, and no whole result came back. */
-  | { readonly kind: "broken"; readonly reason: string }
-  | { readonly kind: "opened" }
-  | { readonly kind: "piece"; readonly number: number; readonly data: unknown }
-  | { readonly kind: "closed"; readonly pieces: number }
-  | { readonly kind: "whole"; readonly value: unknown }
-  | {
-      readonly kind: "bytes";
-      readonly status: number;
-      readonly type: string;
-      readonly bytes: Uint8Array;
-    };
+import type { DataMessage, QueueOutcome } from "./queue-messages.js";
 
 interface Live {
   readonly kind: "live";
@@ -157,6 +88,7 @@
   readonly heardAt: number;
 }
 
+/** An access node without I/O: live proxy and batch dispatcher (docs/design.md §5, §6). */
 export class AccessCore {
   readonly membership: Membership;
   readonly choice: Choice;
@@ -306,18 +238,18 @@
     const way = Object.hasOwn(marked.value.ways, wayName) ? marked.value.ways[wayName] : undefined;
     if (way === undefined)
       return [
-        trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
+        errorReply(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
       ];
     if (way.kind === "lot")
       return [
-        trouble(ticket, 405, {
+        errorReply(ticket, 405, {
           trouble: "wrong-kind",
           reason: `${wayName} takes lots: hand them in at /lots/${wayName}`,
         }),
       ];
     if ((way.kind === "fetch") !== (path !== undefined))
       return [
-        trouble(ticket, 405, {
+        errorReply(ticket, 405, {
           trouble: "wrong-kind",
           reason:
             way.kind === "fetch"
@@ -330,11 +262,14 @@
     else {
       if (typeof body !== "object" || body === null || Array.isArray(body))
         return [
-          trouble(ticket, 400, { trouble: "bad-body", reason: "the body must be one JSON object" }),
+          errorReply(ticket, 400, {
+            trouble: "bad-body",
+            reason: "the body must be one JSON object",
+          }),
         ];
       const prompt = (body as Record<string, unknown>)["prompt"];
       if (prompt === undefined)
-        return [trouble(ticket, 400, { trouble: "bad-body", reason: "prompt: is needed" })];
+        return [errorReply(ticket, 400, { trouble: "bad-body", reason: "prompt: is needed" })];
       work = {
         kind: way.kind,
         request: ticket,
@@ -370,7 +305,7 @@
 
   #notRun(ticket: string, reason: string, retryAfter: number): AccessOutput[] {
     this.counts.notRun += 1;
-    return [trouble(ticket, 503, { trouble: "not-run", reason, retryAfter })];
+    return [errorReply(ticket, 503, { trouble: "not-run", reason, retryAfter })];
   }
 
   #tryLive(live: Live, now: number): AccessOutput[] {
@@ -536,13 +471,13 @@
         this.#endLive(number, live);
         if (event.kind === "troubled") this.counts.runnerFailed += 1;
         else this.counts.mayHaveRun += 1;
-        const body: Trouble =
+        const body: ErrorBody =
           event.kind === "troubled"
             ? { trouble: "runner-failed", reason: event.reason }
             : { trouble: "may-have-run", reason: event.reason };
         return live.begun
           ? [{ kind: "stream-trouble", ticket, body }]
-          : [trouble(ticket, 502, body)];
+          : [errorReply(ticket, 502, body)];
       }
       case "opened":
         live.begun = true;
@@ -601,7 +536,7 @@
   announce(ticket: string, card: Omit<RunnerCard, "age">, now: number): AccessOutput[] {
     if (this.membership.isClosed(card.id, card.incarnation)) {
       return [
-        trouble(ticket, 409, {
+        errorReply(ticket, 409, {
           trouble: "said-goodbye",
           reason: "this incarnation said goodbye; announce again under a higher one",
         }),
@@ -609,7 +544,7 @@
     }
     if ((this.#announced.get(card.id)?.card.incarnation ?? 0) > card.incarnation) {
       return [
-        trouble(ticket, 409, {
+        errorReply(ticket, 409, {
           trouble: "older-incarnation",
           reason: "a later life of this runner has announced already",
         }),
@@ -640,7 +575,7 @@
       if (ended.kind === "confirmed")
         return [{ kind: "reply", ticket, status: 200, body: { done: true, newWorkWithin: 0 } }];
       return [
-        trouble(ticket, 504, {
+        errorReply(ticket, 504, {
           trouble: "unknown",
           reason: "the goodbye is not confirmed everywhere; say it again before leaving",
         }),
@@ -693,29 +628,29 @@
     const way = Object.hasOwn(marked.value.ways, wayName) ? marked.value.ways[wayName] : undefined;
     if (way === undefined)
       return [
-        trouble(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
+        errorReply(ticket, 404, { trouble: "unknown-way", reason: `there is no way ${wayName}` }),
       ];
     if (way.kind !== "lot")
       return [
-        trouble(ticket, 405, { trouble: "wrong-kind", reason: `${wayName} does not take lots` }),
+        errorReply(ticket, 405, { trouble: "wrong-kind", reason: `${wayName} does not take lots` }),
       ];
     if (typeof key !== "string" || key.length === 0 || key.length > 200)
       return [
-        trouble(ticket, 400, {
+        errorReply(ticket, 400, {
           trouble: "bad-body",
           reason: "key: must be a text of 1 to 200 characters of the caller's own",
         }),
       ];
     if (!Array.isArray(items) || items.length === 0)
       return [
-        trouble(ticket, 400, {
+        errorReply(ticket, 400, {
           trouble: "bad-body",
           reason: "items: must be a list with at least one prompt",
         }),
       ];
     if (items.length > constants.lotItemsMost)
       return [
-        trouble(ticket, 413, {
+        errorReply(ticket, 413, {
           trouble: "lot-too-large",
           reason: `items: ${constants.lotItemsMost} at most`,
         }),
@@ -723,7 +658,7 @@
     const own = configuration.labelsOf(labels ?? {});
     if (own === undefined)
       return [
-        trouble(ticket, 400, {
+        errorReply(ticket, 400, {
           trouble: "bad-body",
           reason:
             'labels: must be an object of label names and values, such as {"shift": "night"}, 20 at most',
@@ -752,7 +687,7 @@
     function told(ended: QueueOutcome, later: number, since: number): AccessOutput[] {
       if (ended.kind === "unknown")
         return [
-          trouble(ticket, 504, {
+          errorReply(ticket, 504, {
             trouble: "unknown",
             reason:
               "whether the lot was accepted is not known yet; look it up, or hand it in again under the same key",
@@ -763,7 +698,7 @@
       if (ended.kind === "elsewhere") {
         counts.notRun += 1;
         return [
-          trouble(ticket, 503, {
+          errorReply(ticket, 503, {
             trouble: "not-run",
             reason: ended.reason,
             retryAfter: constants.retryAfter,
@@ -785,10 +720,10 @@
             },
           },
         ];
-      if (value.kind === "GONE") return [trouble(ticket, 410, goneLot(value))];
+      if (value.kind === "GONE") return [errorReply(ticket, 410, goneLot(value))];
       if (value.kind === "CONFLICT")
         return [
-          trouble(ticket, 409, {
+          errorReply(ticket, 409, {
             trouble: "conflict",
             reason: "this key was used with another body",
             lot: value.lot,
@@ -803,7 +738,7 @@
         const change = value.wait === undefined ? self.#roomAt(queue, count) : undefined;
         const wait = value.wait ?? (change === undefined ? undefined : change - self.#wall);
         return [
-          trouble(ticket, 429, {
+          errorReply(ticket, 429, {
             trouble: "refused",
             reason,
             ...(wait === undefined
@@ -813,7 +748,7 @@
           }),
         ];
       }
-      return [trouble(ticket, 500, { trouble: "internal", reason: value.kind })];
+      return [errorReply(ticket, 500, { trouble: "internal", reason: value.kind })];
     }
     return this.#pendingCall(queue, command, constants.ownerPatience, told, now);
   }
@@ -843,7 +778,7 @@
         "this access node is cut off from the control group",
         constants.retryAfter,
       );
-    return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
+    return [errorReply(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
   }
 
   lookUp(ticket: string, lot: string, now: number): AccessOutput[] {
@@ -853,17 +788,17 @@
     function told(ended: QueueOutcome): AccessOutput[] {
       if (ended.kind !== "confirmed")
         return [
-          trouble(ticket, 503, {
+          errorReply(ticket, 503, {
             trouble: "not-run",
             reason: "the lot's owner cannot answer now",
             retryAfter: constants.retryAfter,
           }),
         ];
       const value = ended.value;
-      if (value.kind === "GONE") return [trouble(ticket, 410, goneLot(value))];
+      if (value.kind === "GONE") return [errorReply(ticket, 410, goneLot(value))];
       if (value.kind !== "LOT")
         return [
-          trouble(ticket, 404, {
+          errorReply(ticket, 404, {
             trouble: "unknown-lot",
             reason: "there is no such lot, or it ended more than a day ago",
           }),
@@ -896,7 +831,7 @@
     function told(ended: QueueOutcome): AccessOutput[] {
       if (ended.kind === "elsewhere")
         return [
-          trouble(ticket, 503, {
+          errorReply(ticket, 503, {
             trouble: "not-run",
             reason: ended.reason,
             retryAfter: constants.retryAfter,
@@ -904,14 +839,16 @@
         ];
       if (ended.kind === "unknown")
         return [
-          trouble(ticket, 504, {
+          errorReply(ticket, 504, {
             trouble: "unknown",
             reason: "whether the lot is cancelled is not known yet; cancel it again",
             lot,
           }),
         ];
       if (ended.value.kind !== "CANCELLED")
-        return [trouble(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" })];
+        return [
+          errorReply(ticket, 404, { trouble: "unknown-lot", reason: "there is no such lot" }),
+        ];
       return [
         {
           kind: "reply",
@@ -930,10 +867,10 @@
     queue: string,
     command: QueueCommand,
     patience: number,
-    told: PendingCallEnded,
+    told: QueueResultHandler,
     now: number,
   ): AccessOutput[] {
-    return this.#pendingCalls.ask(queue, command, patience, told, now);
+    return this.#pendingCalls.ask({ queue, command, patience, onResult: told }, now);
   }
 
   #pendingCallEnded(
@@ -1292,7 +1229,7 @@
   items,
   cancelled,
   endedBefore,
-}: Extract<QueueResult, { kind: "GONE" }>): Trouble {
+}: Extract<QueueResult, { kind: "GONE" }>): ErrorBody {
   return {
     trouble: "gone",
     reason:
@@ -1307,13 +1244,9 @@
 
 /** The answer to an announcement that this node cannot pass on, or has not taken in. */
 function announceElsewhere(ticket: string): AccessOutput {
-  return trouble(ticket, 503, {
+  return errorReply(ticket, 503, {
     trouble: "not-run",
     reason: "this access node is cut off, was asleep or is about to stop; announce at another",
     retryAfter: constants.retryAfter,
   });
 }
-
-function trouble(ticket: string, status: number, body: Trouble): AccessOutput {
-  return { kind: "reply", ticket, status, body };
-}
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -28,15 +28,17 @@
 } from "@chutewick/shell";
 import type { ServiceSchema } from "moleculer";
 import { z } from "zod";
-import { AccessCore, type AccessOutput, type GoEvent, type Trouble } from "./access-core.js";
+import { AccessCore } from "./access-core.js";
+import type { AccessOutput, GoEvent } from "./access-output.js";
 import type { AccessDesk, AccessFront, LotCaller, PassCaller } from "./access-desk.js";
 import type { PassEvent, PassRequest, RunnerDialect } from "./dialect.js";
+import type { ErrorBody } from "./error-reply.js";
 import { Links } from "./link.js";
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
 import type { LotHandedIn, PassOutput } from "./pass.js";
 import type { RelayCore } from "./relay-core.js";
-import type { DataMessage } from "./storage-core.js";
+import type { DataMessage } from "./queue-messages.js";
 
 /** The access process: callers, runners and links round the core (docs/design.md §10). */
 const announcement = z.strictObject({
@@ -483,7 +485,7 @@
     switch (output.kind) {
       case "reply":
         this.#waiting.delete(output.ticket);
-        if (output.status >= 400) replyTrouble(to, output.status, output.body as Trouble);
+        if (output.status >= 400) replyTrouble(to, output.status, output.body as ErrorBody);
         else reply(to, output.status, output.body);
         break;
       case "reply-bytes":
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -1,4 +1,7 @@
 export * from "./access-core.js";
+export * from "./access-output.js";
+export * from "./error-reply.js";
+export * from "./queue-messages.js";
 export * from "./access-service.js";
 export * from "./choice.js";
 export * from "./dialect.js";
--- a/packages/data/src/link.ts
+++ b/packages/data/src/link.ts
@@ -1,7 +1,7 @@
 import { connect as connectSocket, type Socket } from "node:net";
 import { constants } from "@chutewick/parts";
 import { Client, type Dispatcher } from "undici";
-import type { GoEvent, Work } from "./access-core.js";
+import type { GoEvent, Work } from "./access-output.js";
 
 /** Links to runners: one fresh connection per go, never used twice, so no caller can get another's bytes (docs/design.md §6.2). */
 export class Links {
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -8,12 +8,12 @@
   type PassTask,
 } from "@chutewick/parts";
 import { configuration, keys, type Passage } from "@chutewick/control";
-import type { AccessOutput } from "./access-core.js";
+import type { AccessOutput } from "./access-output.js";
 import type { Choice, GoEnd } from "./choice.js";
 import type { PassEvent, PassRequest } from "./dialect.js";
 import type { PendingCalls } from "./pending-calls.js";
 import type { Membership } from "./membership.js";
-import type { QueueOutcome } from "./storage-core.js";
+import type { QueueOutcome } from "./queue-messages.js";
 
 /** The dispatcher of items: draws prompts as far as live work leaves room, runs them, and tells their owner how they ended (docs/design.md §13.7). */
 interface Job {
@@ -197,18 +197,20 @@
     }
     /** A grant that comes too late to be begun still has to be given back. */
     return this.#pendingCalls.ask(
-      queue,
       {
-        kind: "draw",
-        holder: this.#membership.address,
-        by: this.#membership.identity,
-        most: Math.min(room, constants.drawMost),
-        able,
+        queue,
+        command: {
+          kind: "draw",
+          holder: this.#membership.address,
+          by: this.#membership.identity,
+          most: Math.min(room, constants.drawMost),
+          able,
+        },
+        patience: constants.orphanAfter,
+        hold: constants.drawHold,
+        onResult: told,
       },
-      constants.orphanAfter,
-      told,
       now,
-      constants.drawHold,
     );
   }
 
@@ -410,10 +412,12 @@
       return self.#tell(queue, settling, later);
     }
     return this.#pendingCalls.ask(
-      queue,
-      { kind: "settle", endings: bare(settling.sent) },
-      constants.ownerPatience,
-      told,
+      {
+        queue,
+        command: { kind: "settle", endings: bare(settling.sent) },
+        patience: constants.ownerPatience,
+        onResult: told,
+      },
       now,
     );
   }
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -1,6 +1,6 @@
 import { constants, type ChainView, type QueueCommand } from "@chutewick/parts";
 import { configuration, keys } from "@chutewick/control";
-import type { AccessOutput } from "./access-core.js";
+import type { AccessOutput } from "./access-output.js";
 import type { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
 import { PendingCalls } from "./pending-calls.js";
@@ -8,7 +8,7 @@
 import type { LotHandedIn, LotTold } from "./pass.js";
 import { PassDraw } from "./pass-draw.js";
 import type { RelayCore } from "./relay-core.js";
-import type { QueueOutcome } from "./storage-core.js";
+import type { QueueOutcome } from "./queue-messages.js";
 
 type Found = Extract<QueueOutcome, { kind: "confirmed" }>["value"];
 
@@ -95,7 +95,10 @@
         }),
       ];
     }
-    return this.#pendingCalls.ask(queue, command, constants.handInPatience, ended, now);
+    return this.#pendingCalls.ask(
+      { queue, command, patience: constants.handInPatience, onResult: ended },
+      now,
+    );
   }
 
   #remember(lot: string, queue: string): void {
@@ -199,12 +202,14 @@
       }
       outputs.push(
         ...this.#pendingCalls.ask(
-          queue,
-          command,
-          constants.readPatience + hold,
-          answered,
+          {
+            queue,
+            command,
+            patience: constants.readPatience + hold,
+            hold,
+            onResult: answered,
+          },
           now,
-          hold,
         ),
       );
     }
--- a/packages/data/src/pending-calls.ts
+++ b/packages/data/src/pending-calls.ts
@@ -1,30 +1,39 @@
+/** Requests to owners of queues that have no result yet (docs/design.md §5.2). */
 import { constants, type ChainView, type QueueCommand } from "@chutewick/parts";
 import { keys } from "@chutewick/control";
-import type { AccessOutput } from "./access-core.js";
+import type { AccessOutput } from "./access-output.js";
 import type { Membership } from "./membership.js";
-import type { QueueOutcome } from "./storage-core.js";
+import type { QueueOutcome } from "./queue-messages.js";
 
-/** since: the moment of the asking, which no stamp of the owner comes before. */
-export type PendingCallEnded = (
+/** Takes the result of a call. askedAt: the moment of the asking, which no stamp of the owner comes before. */
+export type QueueResultHandler = (
   outcome: QueueOutcome,
   now: number,
-  since: number,
+  askedAt: number,
 ) => AccessOutput[];
 
-/** A request to a queue's owner, sent again while that cannot do harm (docs/design.md §5.2). */
-export interface PendingCall {
+/** A call as its maker words it. */
+export interface QueueCall {
   readonly queue: string;
   readonly command: QueueCommand;
-  readonly since: number;
+  /** ms after which the call ends without a result. */
   readonly patience: number;
+  /** ms that the owner may keep the result back; none where it is left out. */
+  readonly hold?: number;
+  readonly onResult: QueueResultHandler;
+}
+
+/** A call under way, sent again while that cannot do harm. */
+export interface PendingCall extends QueueCall {
+  readonly since: number;
   readonly hold: number;
-  readonly told: PendingCallEnded;
   sentTo: string | undefined;
   sentAt: number;
   /** Whether some owner may have taken it without our hearing. */
   doubtful: boolean;
 }
 
+/** All calls of one access node to owners of queues. */
 export class PendingCalls {
   #membership: Membership;
   #pendingCalls = new Map<string, PendingCall>();
@@ -42,23 +51,17 @@
     return this.#pendingCalls.values();
   }
 
-  /** hold in ms: the owner may keep the result back so long. */
-  ask(
-    queue: string,
-    command: QueueCommand,
-    patience: number,
-    told: PendingCallEnded,
-    now: number,
-    hold = 0,
-  ): AccessOutput[] {
+  /** Begins a call; its handler is called exactly once. */
+  ask(call: QueueCall, now: number): AccessOutput[] {
     const ticket = this.ticket();
+    const { command } = call;
     const pendingCall: PendingCall = {
-      queue,
+      queue: call.queue,
       command: command.kind === "hand-in" ? { ...command, ticket } : command,
+      patience: call.patience,
+      hold: call.hold ?? 0,
+      onResult: call.onResult,
       since: now,
-      patience,
-      hold,
-      told,
       sentTo: undefined,
       sentAt: now,
       doubtful: false,
@@ -125,36 +128,22 @@
       (ended.kind === "confirmed" &&
         (ended.value.kind === "FULL" ||
           (ended.value.kind === "NO_ROOM" && ended.value.final !== true)));
-    return pendingCall.told(
+    return pendingCall.onResult(
       refusal && pendingCall.doubtful ? { kind: "unknown" } : ended,
       now,
       pendingCall.since + held,
     );
   }
 
+  /** Ends the calls whose patience is over, and sends again what may be sent again. */
   beat(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
-    const near = this.#membership.holds(now);
+    const holdsLease = this.#membership.holds(now);
     for (const [ticket, pendingCall] of [...this.#pendingCalls]) {
-      /** A node that heard nothing of its owner and lost its lease is cut off: the caller does better at another. */
-      const hopeless = !near && pendingCall.doubtful && pendingCall.command.kind === "hand-in";
-      if (now - pendingCall.since >= pendingCall.patience || hopeless) {
+      if (isOver(pendingCall, holdsLease, now)) {
         this.#pendingCalls.delete(ticket);
-        outputs.push(
-          ...pendingCall.told(
-            pendingCall.sentTo !== undefined || pendingCall.doubtful
-              ? { kind: "unknown" }
-              : { kind: "elsewhere", reason: "the queue's owner cannot be reached" },
-            now,
-            pendingCall.since,
-          ),
-        );
-      } else if (
-        pendingCall.sentTo === undefined
-          ? now - pendingCall.sentAt >= constants.ownerRetry
-          : !isOnce(pendingCall.command) &&
-            now - pendingCall.sentAt >= constants.grantLasts + pendingCall.hold
-      ) {
+        outputs.push(...pendingCall.onResult(outcomeUnheard(pendingCall), now, pendingCall.since));
+      } else if (isDueAgain(pendingCall, now)) {
         if (pendingCall.sentTo !== undefined) pendingCall.doubtful = true;
         outputs.push(...this.#send(ticket, pendingCall, now));
       }
@@ -163,6 +152,25 @@
   }
 }
 
+/** A node that heard nothing of its owner and lost its lease is cut off: the caller does better at another. */
+function isOver(pendingCall: PendingCall, holdsLease: boolean, now: number): boolean {
+  const isHopeless = !holdsLease && pendingCall.doubtful && pendingCall.command.kind === "hand-in";
+  return now - pendingCall.since >= pendingCall.patience || isHopeless;
+}
+
+function outcomeUnheard(pendingCall: PendingCall): QueueOutcome {
+  return pendingCall.sentTo !== undefined || pendingCall.doubtful
+    ? { kind: "unknown" }
+    : { kind: "elsewhere", reason: "the queue's owner cannot be reached" };
+}
+
+function isDueAgain(pendingCall: PendingCall, now: number): boolean {
+  const unanswered = now - pendingCall.sentAt;
+  return pendingCall.sentTo === undefined
+    ? unanswered >= constants.ownerRetry
+    : !isOnce(pendingCall.command) && unanswered >= constants.grantLasts + pendingCall.hold;
+}
+
 /** A draw asked for twice would take two prompts. */
 function isOnce(command: QueueCommand): boolean {
   return command.kind === "pop" || command.kind === "draw";
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -21,49 +21,11 @@
   type ShareTelling,
   type Telling,
 } from "@chutewick/parts";
-import {
-  configuration,
-  keys,
-  standingClasses,
-  type ControlMessage,
-  type QueueStanding,
-} from "@chutewick/control";
+import { configuration, keys, standingClasses, type QueueStanding } from "@chutewick/control";
 import { Membership, type Standing } from "./membership.js";
+import type { DataMessage, QueueOutcome } from "./queue-messages.js";
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
-export type QueueMessage =
-  /** hold in ms: a read of results where there is none yet, or a draw where nothing waits, is kept at the owner so long (§13.7). */
-  | {
-      readonly kind: "queue-inquiry";
-      readonly ticket: string;
-      readonly queue: string;
-      readonly command: QueueCommand;
-      readonly hold?: number;
-    }
-  /** held in ms: how long the owner kept the request before it began to work on it. */
-  | {
-      readonly kind: "queue-result";
-      readonly ticket: string;
-      readonly outcome: QueueOutcome;
-      readonly held?: number;
-    }
-  | {
-      readonly kind: "life";
-      readonly queue: string;
-      readonly items: readonly Claim[];
-      readonly tasks?: readonly Claim[];
-    }
-  /** What is under way of this lot is dropped. */
-  | { readonly kind: "lot-ended"; readonly lot: string };
-
-export type QueueOutcome =
-  | { readonly kind: "confirmed"; readonly value: QueueResult }
-  /** Surely not taken here. */
-  | { readonly kind: "elsewhere"; readonly reason: string }
-  | { readonly kind: "unknown" };
-
-export type DataMessage = ControlMessage | QueueMessage;
-
 export type StorageOutput =
   | { readonly kind: "send"; readonly to: string; readonly message: DataMessage }
   | {
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -25,7 +25,8 @@
   type Outcome,
 } from "@chutewick/parts";
 import type { ServiceSchema } from "moleculer";
-import { StorageCore, type DataMessage, type StorageOutput } from "./storage-core.js";
+import type { DataMessage } from "./queue-messages.js";
+import { StorageCore, type StorageOutput } from "./storage-core.js";
 
 /** The storage process: sockets, folder and beats round the core (docs/design.md §10). */
 export class StorageProcess {
