Live requests, deregistrations and calls to control have modules of their own

Out of access-core.ts: live-requests.ts with live-request-check.ts and unserved-requests.ts, attempts.ts (attempts under way, the last look before the first byte, loads), runner-selection.ts, runner-registrations.ts, control-calls.ts, admission.ts (whether new work is taken), access-counts.ts, access-jobs.ts and routes.ts. What noticed a sleep of the process stood in access-core.ts and relay-core.ts and is now sleep-detector.ts; the weighted choice of access-core.ts and pass-draw.ts is weighted-choice.ts. Guards of the proof follow to the new files.

--- a/packages/data/src/error-reply.ts
+++ b/packages/data/src/error-reply.ts
@@ -1,4 +1,5 @@
 /** Errors as callers of the HTTP interface are told them (docs/interface.md). */
+import { constants } from "@chutewick/parts";
 
 /** Tells errors apart for programs; the field `trouble` of the body. */
 export type ErrorCode =
@@ -49,3 +50,12 @@
 export function errorReply(ticket: string, status: number, body: ErrorBody): ErrorReply {
   return { kind: "reply", ticket, status, body };
 }
+
+/** Ends a request with the promise that it did not run and never will. retryAfter in s. */
+export function notRunReply(
+  ticket: string,
+  reason: string,
+  retryAfter: number = constants.retryAfter,
+): ErrorReply {
+  return errorReply(ticket, 503, { trouble: "not-run", reason, retryAfter });
+}
--- /dev/null
+++ b/packages/data/src/live-requests.ts
@@ -0,0 +1,240 @@
+/** Live requests: callers wait while a runner works, and one runner after another may be tried (docs/design.md §6). */
+import { constants, type RunnerCard } from "@chutewick/parts";
+import type { AccessCounts } from "./access-counts.js";
+import type { LiveRequest } from "./access-jobs.js";
+import type { AccessOutput, GoEvent } from "./access-output.js";
+import { NO_NEW_WORK, type Admission } from "./admission.js";
+import type { Attempts } from "./attempts.js";
+import { errorReply, notRunReply, type ErrorBody } from "./error-reply.js";
+import { checkLiveRequest, type LiveArrival } from "./live-request-check.js";
+import type { Membership } from "./membership.js";
+import { findRoute } from "./routes.js";
+import type { RunnerSelection } from "./runner-selection.js";
+import { UnservedRequests } from "./unserved-requests.js";
+
+/** Live requests fill all seats of a runner. */
+const ALL_SEATS = 1;
+
+/** What live requests need of their node. */
+export interface LiveRequestsParts {
+  readonly membership: Membership;
+  readonly admission: Admission;
+  readonly attempts: Attempts;
+  readonly selection: RunnerSelection;
+  readonly counts: AccessCounts;
+}
+
+/** Events of an attempt by what they tell. */
+type EventOf<Kind extends GoEvent["kind"]> = Extract<GoEvent, { kind: Kind }>;
+
+/** The live requests of one access node. */
+export class LiveRequests {
+  #membership: Membership;
+  #admission: Admission;
+  #attempts: Attempts;
+  #selection: RunnerSelection;
+  #counts: AccessCounts;
+  /** The attempt under way of each ticket. */
+  #attemptOf = new Map<string, number>();
+  readonly unserved = new UnservedRequests();
+
+  constructor({ membership, admission, attempts, selection, counts }: LiveRequestsParts) {
+    this.#membership = membership;
+    this.#admission = admission;
+    this.#attempts = attempts;
+    this.#selection = selection;
+    this.#counts = counts;
+  }
+
+  get size(): number {
+    return this.#attemptOf.size;
+  }
+
+  arrive(arrival: LiveArrival, now: number): AccessOutput[] {
+    const { ticket, routeName } = arrival;
+    this.#counts.live += 1;
+    const { value } = this.#membership.configuration;
+    if (!this.#admission.isOpen(now)) return this.#notRun(ticket, NO_NEW_WORK);
+    const checked = checkLiveRequest(arrival, findRoute(value, routeName));
+    if (checked.kind === "reply") return [checked];
+    if (this.#attemptOf.size >= constants.liveMost)
+      return this.#notRun(ticket, "this access node has as many inquiries under way as it takes");
+    const request: LiveRequest = {
+      kind: "live",
+      ticket,
+      route: checked.route,
+      work: checked.work,
+      triedRunners: new Set(),
+      fullRunnersTried: 0,
+      retryAfter: undefined,
+      isStreamOpen: false,
+      nextPiece: 0,
+    };
+    return this.#tryNextRunner(request, now);
+  }
+
+  /** The caller left, which frees the runner's seat. */
+  left(ticket: string): AccessOutput[] {
+    const attempt = this.#attemptOf.get(ticket);
+    if (attempt === undefined) return [];
+    this.#attemptOf.delete(ticket);
+    this.#attempts.end(attempt);
+    return [{ kind: "abandon", go: attempt }];
+  }
+
+  /** What the link to a runner tells of an attempt of this request. */
+  attemptEvent(attempt: number, request: LiveRequest, event: GoEvent, now: number): AccessOutput[] {
+    const { ticket } = request;
+    switch (event.kind) {
+      case "unsent":
+      case "refused":
+        return this.#retry(attempt, request, event, now);
+      case "troubled":
+      case "broken":
+        return this.#fail(attempt, request, event);
+      case "opened":
+        request.isStreamOpen = true;
+        return [{ kind: "stream-open", ticket }];
+      case "piece":
+        return this.#passOnPiece(attempt, request, event);
+      case "closed":
+        return this.#closeStream(attempt, request, event);
+      case "whole": {
+        const body = { inquiry: ticket, result: event.value };
+        return this.#finish(attempt, request, { kind: "reply", ticket, status: 200, body });
+      }
+      case "bytes": {
+        const { status, type, bytes } = event;
+        return this.#finish(attempt, request, { kind: "reply-bytes", ticket, status, type, bytes });
+      }
+    }
+  }
+
+  #tryNextRunner(request: LiveRequest, now: number): AccessOutput[] {
+    const runner = this.#nextRunner(request, now);
+    if (runner === undefined) return this.#giveUp(request, now);
+    request.triedRunners.add(runner.id);
+    if (this.#attempts.load(runner, now) >= runner.seats) request.fullRunnersTried += 1;
+    const start = { job: request, runner, work: request.work, silence: constants.runnerSilence };
+    const run = this.#attempts.start(start, now);
+    this.#attemptOf.set(request.ticket, run.go);
+    return [run];
+  }
+
+  #nextRunner(request: LiveRequest, now: number): RunnerCard | undefined {
+    const { route, triedRunners, fullRunnersTried } = request;
+    if (triedRunners.size >= constants.runnersTried) return undefined;
+    return this.#selection.choose(
+      {
+        kind: request.work.kind === "fetch" ? "plain" : "model",
+        model: route.model,
+        adapter: route.adapter,
+        labels: route.runners,
+        tried: triedRunners,
+        seatPart: ALL_SEATS,
+        fullRunnersTried,
+      },
+      now,
+    );
+  }
+
+  /** Only want of seats holds lots back: a node that cannot reach its runners says nothing of their room (§8.5). */
+  #giveUp(request: LiveRequest, now: number): AccessOutput[] {
+    const { model } = request.route;
+    const wantedSeats = request.retryAfter !== undefined || request.fullRunnersTried > 0;
+    if (model !== undefined && wantedSeats) this.unserved.add(model, now);
+    return this.#notRun(request.ticket, reasonOf(request), request.retryAfter);
+  }
+
+  /** Nothing ran: another runner may be tried. */
+  #retry(
+    attempt: number,
+    request: LiveRequest,
+    event: EventOf<"unsent" | "refused">,
+    now: number,
+  ): AccessOutput[] {
+    this.#end(attempt, request);
+    if (event.kind === "refused")
+      request.retryAfter = Math.min(
+        request.retryAfter ?? Number.POSITIVE_INFINITY,
+        event.retryAfter,
+      );
+    return this.#tryNextRunner(request, now);
+  }
+
+  /** It ran, or may have run: no other runner is tried. */
+  #fail(
+    attempt: number,
+    request: LiveRequest,
+    { kind, reason }: EventOf<"troubled" | "broken">,
+  ): AccessOutput[] {
+    const { ticket } = request;
+    this.#end(attempt, request);
+    if (kind === "troubled") this.#counts.runnerFailed += 1;
+    else this.#counts.mayHaveRun += 1;
+    const body: ErrorBody = {
+      trouble: kind === "troubled" ? "runner-failed" : "may-have-run",
+      reason,
+    };
+    return request.isStreamOpen
+      ? [{ kind: "stream-trouble", ticket, body }]
+      : [errorReply(ticket, 502, body)];
+  }
+
+  #passOnPiece(attempt: number, request: LiveRequest, event: EventOf<"piece">): AccessOutput[] {
+    const { ticket, nextPiece } = request;
+    if (event.number !== nextPiece)
+      return this.#cutStream(
+        attempt,
+        request,
+        `piece ${nextPiece} is missing: ${event.number} came`,
+      );
+    request.nextPiece += 1;
+    return [{ kind: "stream-piece", ticket, number: event.number, data: event.data }];
+  }
+
+  #closeStream(attempt: number, request: LiveRequest, event: EventOf<"closed">): AccessOutput[] {
+    const { ticket, nextPiece } = request;
+    if (event.pieces !== nextPiece)
+      return this.#cutStream(
+        attempt,
+        request,
+        `the runner closed with ${event.pieces} pieces, and ${nextPiece} came`,
+      );
+    return this.#finish(attempt, request, { kind: "stream-close", ticket, pieces: event.pieces });
+  }
+
+  /** A stream that is not whole must not look whole. */
+  #cutStream(attempt: number, request: LiveRequest, reason: string): AccessOutput[] {
+    this.#end(attempt, request);
+    this.#counts.mayHaveRun += 1;
+    const body: ErrorBody = { trouble: "may-have-run", reason };
+    return [
+      { kind: "abandon", go: attempt },
+      { kind: "stream-trouble", ticket: request.ticket, body },
+    ];
+  }
+
+  #finish(attempt: number, request: LiveRequest, result: AccessOutput): AccessOutput[] {
+    this.#end(attempt, request);
+    this.#counts.done += 1;
+    return [result];
+  }
+
+  #end(attempt: number, request: LiveRequest): void {
+    this.#attempts.end(attempt);
+    this.#attemptOf.delete(request.ticket);
+  }
+
+  #notRun(ticket: string, reason: string, retryAfter?: number): AccessOutput[] {
+    this.#counts.notRun += 1;
+    return [notRunReply(ticket, reason, retryAfter)];
+  }
+}
+
+function reasonOf({ triedRunners, retryAfter }: LiveRequest): string {
+  if (triedRunners.size === 0) return "no runner for this way is known here now";
+  return retryAfter === undefined
+    ? "no runner tried could be reached"
+    : "every runner tried is full";
+}
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -1,7 +1,6 @@
 import {
   constants,
   heldFor,
-  duty,
   type ChainView,
   type Claim,
   type PassEnding,
@@ -14,6 +13,7 @@
 import type { PendingCalls } from "./pending-calls.js";
 import type { Membership } from "./membership.js";
 import type { QueueOutcome } from "./queue-messages.js";
+import { weightedKey } from "./weighted-choice.js";
 
 /** The dispatcher of items: draws prompts as far as live work leaves room, runs them, and tells their owner how they ended (docs/design.md §13.7). */
 interface Job {
@@ -475,8 +475,7 @@
   const weighed: [number, string][] = [];
   for (const { pool, weight } of passage.pools) {
     if (weight <= 0) continue;
-    const chance = (duty.spread(`${seed}/${pool}`) + 1) / 4_294_967_297;
-    weighed.push([Math.log(chance) / weight, pool]);
+    weighed.push([weightedKey(`${seed}/${pool}`, weight), pool]);
   }
   weighed.sort(heavier);
   const pools: string[] = [];
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -4,6 +4,7 @@
 import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
 import type { Membership } from "./membership.js";
 import type { PassOutput } from "./pass.js";
+import { SleepDetector } from "./sleep-detector.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 export interface Found {
@@ -67,8 +68,7 @@
   #indexed: MarkedConfiguration | undefined;
   #index = new Map<string, Found>();
   #leaving = false;
-  #struckAt = Number.POSITIVE_INFINITY;
-  #wokeAt = Number.NEGATIVE_INFINITY;
+  #sleep = new SleepDetector(Number.POSITIVE_INFINITY);
   /** Bytes of the bodies of requests under way. */
   #bytes = 0;
   readonly counts = {
@@ -254,9 +254,8 @@
   beat(now: number): PassOutput[] {
     const outputs: PassOutput[] = [];
     /** After a sleep of this process signs may wait to be read. */
-    if (now - this.#struckAt > constants.sleptLeast) this.#wokeAt = now;
-    this.#struckAt = now;
-    const awake = now - this.#wokeAt > constants.rescueAfter;
+    this.#sleep.observe(now);
+    const awake = this.#sleep.awakeFor(now) > constants.rescueAfter;
     for (const live of this.#live.values()) {
       if (awake && now < live.deadline && live.repeatable && live.go !== undefined)
         this.#rescue(live, live.go, now, outputs);
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -8,6 +8,8 @@
 }
 
 const access = "packages/data/dist/access-core.js";
+const liveRequests = "packages/data/dist/live-requests.js";
+const runnerSelection = "packages/data/dist/runner-selection.js";
 const pendingCalls = "packages/data/dist/pending-calls.js";
 const storage = "packages/data/dist/storage-core.js";
 const control = "packages/control/dist/core.js";
@@ -41,20 +43,20 @@
         from: "goEvent(number, event, now) {",
         to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
       },
-      { file: access, from: "if (event.number !== live.next)", to: "if (false)" },
-      { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
+      { file: liveRequests, from: "if (event.number !== nextPiece)", to: "if (false)" },
+      { file: liveRequests, from: "if (event.pieces !== nextPiece)", to: "if (false)" },
     ],
   },
   "the close counts the pieces": {
     section: "§6.3",
     cuts: [
-      { file: access, from: "if (event.pieces !== live.next)", to: "if (false)" },
+      { file: liveRequests, from: "if (event.pieces !== nextPiece)", to: "if (false)" },
       { file: access, from: "return event.pieces === prompt.pieces.length", to: "return true" },
     ],
   },
   "pieces come in order": {
     section: "§6.3",
-    cuts: [{ file: access, from: "if (event.number !== live.next)", to: "if (false)" }],
+    cuts: [{ file: liveRequests, from: "if (event.number !== nextPiece)", to: "if (false)" }],
   },
   "only the go that holds the claim records": {
     section: "§5.3",
@@ -110,8 +112,8 @@
     cuts: [
       {
         file: access,
-        from: "until: askedAt + heldFor(constants.grantLasts)",
-        to: "until: Number.POSITIVE_INFINITY",
+        from: "grantedUntil: askedAt + heldFor(constants.grantLasts)",
+        to: "grantedUntil: Number.POSITIVE_INFINITY",
       },
       { file: access, from: "{ unable }) }, constants.grantLasts", to: "{ unable }) }, 60_000" },
     ],
@@ -219,9 +221,9 @@
     section: "§8.5",
     cuts: [
       {
-        file: access,
-        from: "live.way.model !== undefined && (live.retryAfter !== undefined || live.doubts > 0)",
-        to: "live.way.model !== undefined",
+        file: liveRequests,
+        from: "model !== undefined && wantedSeats",
+        to: "model !== undefined",
       },
     ],
   },
@@ -237,7 +239,13 @@
   },
   "a season's lots use its runners": {
     section: "§8.4",
-    cuts: [{ file: access, from: "!season.matches(selectors, card.labels)", to: "false" }],
+    cuts: [
+      {
+        file: runnerSelection,
+        from: "return season.matches(demand.selectors ?? [], card.labels);",
+        to: "return true;",
+      },
+    ],
   },
   "a result names its inquiry": {
     section: "§6.2",
