Control calls silent nodes, so old settings lead to a group that moved

A node keeps no address of control, so it asked three addresses where nobody stands.

Ruled out: the joiner's gate, the head's plan, contact and disk health. Every chain of the newest views served and confirmed, the control group was whole, in contact and writable throughout, and the machines named had place 0 of the feed.

Mend: once a second each member of control tells addresses that control state names, or that had a session within 30 s, and that have none now, where the group stands. The node adds them to those that it tells of itself, and nothing else: no lease, no nearness.

Tests (features/deployment.feature): a restart with the disk, one without it and one of an access node, with nodes that go on alone and with nodes that promise each other, fail without the calls ("storage-1 is at 0") and pass with them, each within 4 s; a call is no sign of nearness (fails with the lease without a grant in its place); the list of silent nodes by itself.

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -167,3 +167,30 @@
       | hears the others no more          | 3 |
       | is killed                         | 2 |
       | cannot reach one of the others    | 3 |
+
+  Scenario: a control machine calls nodes that are silent
+    Given a control machine that hears a node at access-1
+    Then it calls access-1 while the node is silent, until it is forgotten
+    And it calls access-1 as long as control state names it, and not while it is heard
+
+  Scenario Outline: nodes that <alone> find the group though their settings name only control machines that are gone
+    Given a deployment of three machines of each kind whose nodes <alone>
+    When each control machine that the settings name is replaced by an empty one elsewhere
+    And storage-1 comes back with what it kept, 5 s after it lost power
+    Then storage-1 holds a lease and has the newest configuration within 4 s
+    And each queue is whole again with 3 copies
+    When storage-2 comes back without its disk, 5 s after it lost power
+    Then storage-2 holds a lease and has the newest configuration within 4 s
+    And each queue is whole again with 3 copies
+    When access-1 comes back with what it kept, 5 s after it lost power
+    Then access-1 holds a lease and has the newest configuration within 4 s
+
+    Examples:
+      | alone              |
+      | go on alone        |
+      | promise each other |
+
+  Scenario: a call of control is no sign that it is near
+    Given a deployment of three machines of each kind whose nodes promise each other
+    When no control machine hears any node, and every node hears control
+    Then after 6 s every access node counts control as away and goes on by its peers' promises
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -36,6 +36,7 @@
 import { keys } from "./keys.js";
 import { QuorumContact } from "./quorum-contact.js";
 import { published } from "./published.js";
+import { SilentNodes, recordedNodes } from "./silent-nodes.js";
 import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
 import {
   ControlMachine,
@@ -77,6 +78,8 @@
     }
   /** Runners heard of just now, told at once (§13.8). */
   | { readonly kind: "runners"; readonly runners: readonly RunnerCard[] }
+  /** Where the control group stands, told to a node that is not heard (§13.8.4). */
+  | { readonly kind: "controls"; readonly addresses: readonly string[] }
   | {
       readonly kind: "covered";
       readonly identity: string;
@@ -171,6 +174,8 @@
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #forwarding: Forwarding;
   #contact: QuorumContact;
+  #silentNodes = new SilentNodes();
+  #calledSilentAt = Number.NEGATIVE_INFINITY;
   #disk: DiskCondition = "writable";
   /** A planned stop is under way. */
   #isStopping = false;
@@ -727,6 +732,10 @@
     outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark, stuck), now));
     outputs.push(...this.#perform(this.#chain.beat(now), now));
     outputs.push(...this.#cover(now));
+    if (now - this.#calledSilentAt >= constants.callSilentEvery) {
+      this.#calledSilentAt = now;
+      outputs.push(...this.#callSilentNodes(now));
+    }
     if (now - this.#registryAt >= constants.greetEvery) {
       this.#registryAt = now;
       const registry = this.#sessions.registry(now);
@@ -759,6 +768,19 @@
     return outputs;
   }
 
+  /** A node whose settings name only control machines that are gone is told where the group stands now (§13.8.4). */
+  #callSilentNodes(now: number): ControlOutput[] {
+    if (!this.#isMember) return [];
+    const live = new Set<string>();
+    for (const kind of ["access", "storage"] as const)
+      for (const card of this.#sessions.live(kind, now)) live.add(card.address);
+    const addresses = [this.#self.address, ...this.#agreement.addresses()];
+    const outputs: ControlOutput[] = [];
+    for (const to of this.#silentNodes.silent(live, recordedNodes(this.#feed), now))
+      outputs.push({ kind: "send", to, message: { kind: "controls", addresses } });
+    return outputs;
+  }
+
   /** The head's duty: place queues, take the lost and the slow out, bring copies up (§8.2). */
   #plan(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./keys.js";
 export * from "./order-log.js";
 export * from "./quorum-contact.js";
+export * from "./silent-nodes.js";
 export * from "./published.js";
 export * from "./core.js";
 export * from "./pace.js";
--- /dev/null
+++ b/packages/control/src/silent-nodes.ts
@@ -0,0 +1,37 @@
+import { constants, holdersOf, type ChainView, type Feed } from "@chutewick/parts";
+import { keys } from "./keys.js";
+import type { FleetRecord } from "./machine.js";
+
+/**
+ * Addresses at which a node was known and none is heard now. A node that starts there may have settings that name only control
+ * machines that are gone, so it can find the group only if the group calls it (docs/design.md §13.8.4).
+ */
+export class SilentNodes {
+  /** ms. When a node at the address was last heard by some control machine. */
+  #heardAt = new Map<string, number>();
+
+  /**
+   * Whom to call now.
+   * @param live addresses of nodes that have a session
+   * @param recorded addresses that control state names
+   */
+  silent(live: ReadonlySet<string>, recorded: Iterable<string>, now: number): string[] {
+    for (const address of live) this.#heardAt.set(address, now);
+    for (const [address, heardAt] of this.#heardAt)
+      if (now - heardAt > constants.fleetForgets) this.#heardAt.delete(address);
+    const silent: string[] = [];
+    for (const address of new Set([...recorded, ...this.#heardAt.keys()]))
+      if (!live.has(address)) silent.push(address);
+    return silent;
+  }
+}
+
+/** Addresses of nodes that control state names: the fleet, and the storage machines of each queue's view. */
+export function recordedNodes(feed: Feed): Set<string> {
+  const addresses = new Set<string>(feed.read<FleetRecord>(keys.fleet)?.addresses ?? []);
+  for (const [, view] of feed.under<ChainView>(keys.queue)) {
+    for (const { address } of [...view.members, ...holdersOf(view)]) addresses.add(address);
+    if (view.joiner !== undefined) addresses.add(view.joiner.address);
+  }
+  return addresses;
+}
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -134,6 +134,7 @@
         this.lots.dispatcher.hurry();
         return this.membership.tell(now);
       case "lease":
+      case "controls":
       case "runners":
         this.membership.receive(message, from, now);
         return [];
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -303,6 +303,9 @@
     /** Runners that control heard of just now; ages in it count from here, as deregistrations are confirmed before they are told (§13.8). */
     if (message.kind === "runners")
       for (const card of message.runners) this.heardRunner(card, now - card.age);
+    /** No sign of nearness: whoever says so does not hear this node. */
+    if (message.kind === "controls")
+      for (const address of message.addresses) this.#controls.add(address);
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -190,6 +190,7 @@
         return [...this.#views(now), ...this.membership.tell(now)];
       }
       case "lease":
+      case "controls":
         this.membership.receive(message, from, now);
         return [];
       case "fellow-ask":
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -19,6 +19,8 @@
   permitLasts: 1_000,
   /** ms. An address that no control machine heard of for this long is no longer counted as part of the fleet. */
   fleetForgets: 30_000,
+  /** ms. A control machine tells silent nodes where the group stands; a node at such an address waits for that at most, beside its session's end. */
+  callSilentEvery: 1_000,
   /** ms. Silence after which a member's session ends; longer than a lease, so a dead one has stopped. */
   sessionLasts: 2_000,
   /** ms. Control machines greet each other. */
--- a/tools/model/src/enabled.ts
+++ b/tools/model/src/enabled.ts
@@ -11,6 +11,7 @@
   "runners",
   "session",
   "lease",
+  "controls",
   "fellow-ask",
   "fellow-tell",
 ]);
