A control machine that stops leaves only when those who stay have promised

A planned stop of a control machine while another member was silent left one without a majority. Three causes: - The view without the leaving member counted whoever had greeted within 1.5 s as staying, so one that had frozen, lost its disk or was cut off just now counted; the leaving member's own vote then decided that view. - The leaving member proposed that view itself, so those who stay need not have reached each other, and it could end when it alone knew of the decision. - Where the silence was known, `isNeeded` let it end at once, because "the group cannot soon do without it" counted as not needed.

Mend: such a view is proposed by one of those who stay, and only with promises of a majority of its voters and of enough members to confirm, none of them from one that leaves. A machine that stops waits while it is a member, a holder, or a voter without which those that are there are no majority, for the 4 s of before.

Ruled out: with five members, two losses and one silent nothing broke before (two rows, 160 plays each). The group came back within 7 s of a return before as well: what was lost was the copy and the place of the one that stopped. Younger greetings instead of promises: they go one way and miss a shorter freeze.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -39,3 +39,31 @@
       | lose their disks | elsewhere          | gone for good              | 1     | start        | 1      | 5    | 8     |
       | stop as planned  | elsewhere          | gone for good              | 1     | loss         | 1      | 5    | 8     |
       | stop as planned  | elsewhere          | gone for good              | 2     | all put in   | 2      | 5    | 8     |
+
+  Scenario Outline: of <size> control machines, of which <losses> may be lost, <silent> <silence>, and another one stops as planned; <back> comes back
+    Given a group of <size> control machines of which <losses> may be lost
+    And <silent> of them <silence>
+    When another one stops as planned 0 to 3.5 s later, and <back> comes back, in <plays> plays
+    Then in each none is let go that leaves no majority or too few copies to confirm
+    And in each the group goes on, and no acknowledged configuration is gone
+
+    Examples:
+      | size | losses | silent | silence                   | back            | plays |
+      | 3    | 1      | 1      | is frozen                 | the stopped one | 16    |
+      | 3    | 1      | 1      | is frozen                 | a silent one    | 16    |
+      | 3    | 1      | 1      | is lost with their disks  | the stopped one | 16    |
+      | 3    | 1      | 1      | is unheard                | the stopped one | 8     |
+      | 3    | 1      | 1      | is unheard                | a silent one    | 8     |
+      | 3    | 1      | 1      | is deaf                   | the stopped one | 8     |
+      | 3    | 1      | 1      | is deaf                   | a silent one    | 8     |
+      | 4    | 1      | 1      | is frozen                 | the stopped one | 8     |
+      | 4    | 1      | 1      | is lost with their disks  | the stopped one | 8     |
+      | 4    | 2      | 1      | is frozen                 | a silent one    | 8     |
+      | 4    | 2      | 1      | is lost with their disks  | the stopped one | 8     |
+      | 5    | 2      | 1      | is frozen                 | a silent one    | 8     |
+      | 5    | 2      | 1      | is lost with their disks  | the stopped one | 8     |
+      | 5    | 2      | 2      | are frozen                | the stopped one | 8     |
+      | 5    | 2      | 2      | are frozen                | a silent one    | 8     |
+      | 5    | 2      | 2      | are lost with their disks | the stopped one | 8     |
+      | 5    | 2      | 2      | are unheard               | a silent one    | 8     |
+      | 5    | 2      | 2      | are deaf                  | the stopped one | 8     |
--- a/features/model.feature
+++ b/features/model.feature
@@ -15,6 +15,7 @@
       | deposed  | 2     | 1      | 1000   |
       | joining  | 2     | 1      | 1200   |
       | lone     | 2     | 1      | 700    |
+      | retiring | 2     | 1      | 600    |
 
   Scenario Outline: <machines> machines, random schedules with replacement, from the state <start>
     When <runs> random schedules are played with <machines> machines from the state "<start>"
@@ -26,6 +27,8 @@
       | 4        | joining | 40   |
       | 5        | formed  | 20   |
       | 5        | pair    | 20   |
+      | 4        | retiring | 40   |
+      | 5        | retiring | 20   |
 
   Scenario Outline: <invariant>: without "<guard>" the checker finds it violated
     When the product is explored without the guard "<guard>"
@@ -46,6 +49,7 @@
       | a confirmed change is in force                  | a holder counts its lease shorter than its granter | 2000   |
       | a confirmed change is in force                  | leases count by where the node stands              | 1000   |
       | a leaving member is let go when others hold all | a joiner counts when its copy is whole             | 1000   |
+      | a leaving member is let go when others can go on | those who stay have just promised                  | 1000   |
       | comes to rest                                   | what was taken is not sent again at once           | 1000   |
       | the group serves again                          | who was voted out still votes                      | 1000   |
       | the group serves again                          | who held all goes on when the lone copy is lost    | 1000   |
--- a/features/steps/second-loss.ts
+++ b/features/steps/second-loss.ts
@@ -2,7 +2,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { ControlCommand, ControlOutcome } from "@chutewick/control";
 import { constants, type ChainView, type Member } from "@chutewick/parts";
-import { Chance, Deployment, configurationOf, type ControlMachine } from "@chutewick/simulator";
+import { Deployment, configurationOf, type ControlMachine } from "@chutewick/simulator";
+import { choices, spreadOf } from "./choices.js";
 
 interface World {
   kind: { isPlanned: boolean; isElsewhere: boolean; isGone: boolean };
@@ -243,15 +244,6 @@
   return voters - gone - losses < Math.floor(voters / 2) + 1;
 }
 
-/** All choices of so many numbers below a bound. */
-function choices(count: number, bound: number, from = 0): number[][] {
-  if (count === 0) return [[]];
-  const found: number[][] = [];
-  for (let first = from; first < bound; first += 1)
-    for (const rest of choices(count - 1, bound, first + 1)) found.push([first, ...rest]);
-  return found;
-}
-
 function kindOfLoss(this: World, how: string, where: string, then: string): void {
   this.kind = {
     isPlanned: how === "stop as planned",
@@ -288,11 +280,8 @@
           after,
           delay,
         });
-  /** Of too many, a spread that is the same each time. */
-  const chance = new Chance(size + first);
-  while (plays.length > most) plays.splice(chance.below(plays.length), 1);
   this.broken = [];
-  for (const [index, play] of plays.entries()) {
+  for (const [index, play] of spreadOf(plays, most, size + first).entries()) {
     const played = new GroupPlay(play, index + 1);
     played.run();
     for (const broken of played.broken) this.broken.push(`${JSON.stringify(play)}: ${broken}`);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -259,14 +259,9 @@
     return this.#disk === "writable";
   }
 
-  /** Whether the group still counts on this machine and can soon do without it: others are enough, or one is being copied to. */
+  /** Whether one that stops as planned must wait: it is a member yet, or the others are too few without it (§8.6). */
   get isNeeded(): boolean {
-    const view = this.#chain.view;
-    return (
-      this.#isMember &&
-      view !== undefined &&
-      (view.members.length > this.#policy.copiesLeast || view.joiner !== undefined)
-    );
+    return this.#isMember || this.#agreement.isNeeded;
   }
 
   get #isMember(): boolean {
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -68,6 +68,8 @@
   readonly mark: number;
   readonly ballot: Ballot;
   readonly wished: ChainView;
+  /** Whether the wished view goes on without one that stops as planned. */
+  readonly isHandover: boolean;
   readonly promises: Map<string, VoteState["accepted"]>;
   readonly accepts: Set<string>;
   value: ChainView | undefined;
@@ -143,6 +145,20 @@
     return this.#greetings();
   }
 
+  /**
+   * Whether one that stops as planned must still wait though it is no member: it holds all that was confirmed while too few do, or
+   * the voters that are there are no majority without it (§8.6).
+   */
+  get isNeeded(): boolean {
+    const view = this.#state.view;
+    const { identity } = this.#self;
+    if (view === undefined) return false;
+    if (holdersOf(view).some(hasIdentity, { identity })) return true;
+    const voters = votersOf(view);
+    if (!voters.some(hasIdentity, { identity })) return false;
+    return this.#alive(voters, this.#beatAt).length - 1 < majority(view);
+  }
+
   #isLeaving(identity: string): boolean {
     return identity === this.#self.identity
       ? this.#leaving
@@ -392,11 +408,12 @@
       this.#wishSince = undefined;
       return [];
     }
+    const isHandover = this.#isHandover(view, wished, now);
+    /** Those who stay must reach each other, so one of them proposes that they go on alone. */
+    if (isHandover && this.#leaving) return [];
     this.#wishSince ??= now;
-    let rank = 0;
-    for (const member of proposers.slice(0, position))
-      if (this.heardWithin(member.identity, constants.memberSilence, now)) rank += 1;
-    if (now - this.#wishSince < rank * constants.agreeEvery) return [];
+    if (now - this.#wishSince < this.#rank(proposers, position, now) * constants.agreeEvery)
+      return [];
     this.#wishSince = now + constants.agreeEvery;
     this.#round += 1;
     const ballot: Ballot = { round: this.#round, identity: this.#self.identity };
@@ -404,6 +421,7 @@
       mark: wished.mark,
       ballot,
       wished,
+      isHandover,
       promises: new Map(),
       accepts: new Set(),
       value: undefined,
@@ -411,6 +429,38 @@
     return this.#toVoters({ kind: "prepare", mark: wished.mark, ballot }, now);
   }
 
+  /** Proposers that are there and come before this one; those that leave come last. */
+  #rank(proposers: readonly Member[], position: number, now: number): number {
+    const before = this.#leaving ? proposers : proposers.slice(0, position);
+    let rank = 0;
+    for (const { identity } of before)
+      if (!this.#isLeaving(identity) && this.heardWithin(identity, constants.memberSilence, now))
+        rank += 1;
+    return rank;
+  }
+
+  /** Whether a wished view leaves out a member that is there and stops as planned. */
+  #isHandover(view: ChainView, wished: ChainView, now: number): boolean {
+    for (const { identity } of this.#alive(view.members, now))
+      if (this.#isLeaving(identity) && !wished.members.some(hasIdentity, { identity })) return true;
+    return false;
+  }
+
+  /**
+   * Whether those who stay can go on by themselves: a promise just given shows that its giver is there and is reached both ways, where
+   * a greeting may be as old as silence takes (§8.6).
+   */
+  #canGoOn({ wished, promises }: Try): boolean {
+    let voters = 0;
+    let copies = 0;
+    for (const identity of promises.keys()) {
+      if (this.#isLeaving(identity)) continue;
+      if (votersOf(wished).some(hasIdentity, { identity })) voters += 1;
+      if (wished.members.some(hasIdentity, { identity })) copies += 1;
+    }
+    return voters >= majority(wished) && copies >= this.#least;
+  }
+
   /** Whether everybody in the view was heard, or another identity at the address, so that nothing is judged from silence. */
   #knowsAll(now: number): boolean {
     const view = this.#state.view!;
@@ -557,15 +607,8 @@
     if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
     held.promises.set(message.member, message.accepted);
     if (held.promises.size < majority(this.#state.view!)) return [];
-    let best: VoteState["accepted"];
-    for (const accepted of held.promises.values()) {
-      if (
-        accepted !== undefined &&
-        accepted !== null &&
-        (best === undefined || higher(accepted.ballot, best.ballot))
-      )
-        best = accepted;
-    }
+    const best = highestAccepted(held.promises.values());
+    if (best === undefined && held.isHandover && !this.#canGoOn(held)) return [];
     held.value = best?.view ?? held.wished;
     return this.#toVoters(
       { kind: "accept", mark: held.mark, ballot: held.ballot, view: held.value },
@@ -627,6 +670,14 @@
   return left.round > right.round || (left.round === right.round && left.identity > right.identity);
 }
 
+/** What was accepted under the highest ballot, of what promises told; a view that is decided already is among it. */
+function highestAccepted(told: Iterable<VoteState["accepted"] | null>): VoteState["accepted"] {
+  let best: VoteState["accepted"];
+  for (const accepted of told)
+    if (accepted && (best === undefined || higher(accepted.ballot, best.ballot))) best = accepted;
+  return best;
+}
+
 function sameBallot(left: Ballot, right: Ballot): boolean {
   return left.round === right.round && left.identity === right.identity;
 }
--- a/tools/model/src/actions.ts
+++ b/tools/model/src/actions.ts
@@ -69,7 +69,8 @@
     case "silence":
       return cut(world, host, action.kind);
     default:
-      return hinder(host, action.kind);
+      hinder(host, action.kind);
+      return action.kind === "wake" ? world.isUp(host) : undefined;
   }
 }
 
--- a/tools/model/src/guards.ts
+++ b/tools/model/src/guards.ts
@@ -145,6 +145,18 @@
       },
     ],
   },
+  {
+    start: "retiring",
+    guard: "those who stay have just promised",
+    invariant: "a leaving member is let go when others can go on",
+    cuts: [
+      {
+        file: agreement,
+        from: "best === undefined && held.isHandover && !this.#canGoOn(held)",
+        to: "false",
+      },
+    ],
+  },
   {
     start: "formed",
     guard: "what was taken is not sent again at once",
--- a/tools/model/src/invariants.ts
+++ b/tools/model/src/invariants.ts
@@ -1,4 +1,4 @@
-import { holdersOf } from "@chutewick/parts";
+import { holdersOf, majority, votersOf } from "@chutewick/parts";
 import { chainOf, heldInMemory, heldOnDisk, type Held } from "./inspect.js";
 import { AccessProcess, ControlProcess, StorageProcess } from "./process.js";
 import type { Host, World } from "./world.js";
@@ -75,3 +75,20 @@
       `${leaving.name} goes, ${others} others hold what was confirmed`,
     );
 }
+
+/** A member is let go only when those who stay, as far as they were up since it was to stop, have a majority and copies enough to confirm. */
+export function checkCanGoOn(world: World, leaving: Host): void {
+  const view = chainOf(leaving)?.view;
+  const { upSince } = leaving;
+  if (view === undefined || upSince === undefined) return;
+  let voters = 0;
+  for (const { identity } of votersOf(view))
+    if (identity !== leaving.disk.identity && upSince.has(identity)) voters += 1;
+  let copies = 0;
+  for (const { identity } of view.members) if (upSince.has(identity)) copies += 1;
+  if (voters < majority(view) || copies < world.setup.policy.copiesLeast)
+    world.history.violate(
+      "a leaving member is let go when others can go on",
+      `${leaving.name} goes, view ${view.mark} has ${voters} of ${votersOf(view).length} voters and ${copies} copies that were up`,
+    );
+}
--- a/tools/model/src/main.ts
+++ b/tools/model/src/main.ts
@@ -15,6 +15,7 @@
   "pair",
   "joining",
   "rejoining",
+  "retiring",
   "lone",
 ];
 
--- a/tools/model/src/start.ts
+++ b/tools/model/src/start.ts
@@ -55,6 +55,8 @@
     schedule: ["crash c 0", LONG, LONG, "start c", "stall c"],
     until: hasJoiner,
   },
+  /** One froze just now, and another one is to stop for good. */
+  retiring: { schedule: ["freeze c", "retire a"] },
   /** Of the pair one more stopped as the third came back: the one left has just been agreed on. */
   lone: { schedule: ["crash c 0", LONG, LONG, "start c", "crash b 0"], until: hasLone },
 };
--- a/tools/model/src/world.ts
+++ b/tools/model/src/world.ts
@@ -3,7 +3,8 @@
 import type { DataMessage } from "@chutewick/data";
 import { Disk } from "./disk.js";
 import { History } from "./history.js";
-import { checkHost, checkLetGo, checkState } from "./invariants.js";
+import { chainOf } from "./inspect.js";
+import { checkCanGoOn, checkHost, checkLetGo, checkState } from "./invariants.js";
 import {
   AccessProcess,
   ControlProcess,
@@ -57,6 +58,8 @@
   leaving: "stop" | "retire" | undefined;
   /** ms of its own clock, when that was asked for. */
   leavingSince: number;
+  /** Identities of the machines that were up at some moment since then; undefined where it was no member then. */
+  upSince: Set<string> | undefined;
 }
 
 export interface Message {
@@ -135,6 +138,7 @@
       disks: 1,
       leaving: undefined,
       leavingSince: 0,
+      upSince: undefined,
     });
   }
 
@@ -160,10 +164,18 @@
     };
     host.isFrozen = false;
     host.leaving = undefined;
+    this.isUp(host);
     host.process = processOf(host.kind, origin, host.clock);
     this.perform(host, host.process.start(host.clock));
   }
 
+  /** Word for those that leave: a machine that was down or stood still goes on. */
+  isUp({ disk }: Host): void {
+    for (const { name, leaving, upSince } of this.hosts.values())
+      if (leaving !== undefined && upSince !== undefined)
+        this.own(name)!.upSince!.add(disk.identity);
+  }
+
   /** Ends a process; of its transactions that were not synced the first ones survive. */
   crash(host: Host, kept: number): void {
     host.process = undefined;
@@ -196,6 +208,7 @@
       if (host.leaving === undefined || host.isFrozen) continue;
       const isLate = host.clock - host.leavingSince > constants.handOverPatience;
       const isNeeded = process instanceof ControlProcess && process.core.isNeeded;
+      if (!isLate && !isNeeded && host.upSince !== undefined) checkCanGoOn(this, host);
       if (isLate || !isNeeded) this.letGo(host);
     }
   }
@@ -215,9 +228,17 @@
   leave(host: Host, leaving: "stop" | "retire"): void {
     host.leaving = leaving;
     host.leavingSince = host.clock;
+    host.upSince = isMember(chainOf(host)?.view, host) ? this.#identitiesUp() : undefined;
     this.perform(host, host.process!.leave(host.clock));
   }
 
+  #identitiesUp(): Set<string> {
+    const found = new Set<string>();
+    for (const { process, isFrozen, disk } of this.of("control"))
+      if (process !== undefined && !isFrozen) found.add(disk.identity);
+    return found;
+  }
+
   deliver(message: Message, keep = false): void {
     if (!keep) this.network = this.network.filter((each) => each !== message);
     const host = this.own(message.to)!;
