Lots and the drawing of prompts leave access-core.ts, which routes events alone

lot-submission.ts checks what is handed in and words the command, lot-requests.ts asks the owners, lot-replies.ts words what callers are told, lot-names.ts holds how a lot's name tells its queue; prompt-dispatcher.ts draws prompts, runs them and records their ends. Guards of the proof follow.

--- a/packages/data/src/pending-calls.ts
+++ b/packages/data/src/pending-calls.ts
@@ -109,13 +109,18 @@
     ];
   }
 
-  /** undefined where nobody waits for it any more. */
-  told(ticket: string, ended: QueueOutcome, now: number, held = 0): AccessOutput[] | undefined {
+  /** An owner's word on a call; undefined where nobody waits for it any more. held in ms: how long the owner kept the request. */
+  ended(
+    ticket: string,
+    outcome: QueueOutcome,
+    now: number,
+    held: number,
+  ): AccessOutput[] | undefined {
     const pendingCall = this.#pendingCalls.get(ticket);
     if (pendingCall === undefined) return undefined;
-    const late = now - pendingCall.since >= pendingCall.patience;
-    if (ended.kind === "unknown") pendingCall.doubtful = true;
-    if (ended.kind !== "confirmed" && !late && !isOnce(pendingCall.command)) {
+    const isLate = now - pendingCall.since >= pendingCall.patience;
+    if (outcome.kind === "unknown") pendingCall.doubtful = true;
+    if (outcome.kind !== "confirmed" && !isLate && !isOnce(pendingCall.command)) {
       /** Taken nowhere, or idempotent by its key: looked for again at the next beat. */
       pendingCall.sentTo = undefined;
       pendingCall.sentAt = now;
@@ -123,13 +128,13 @@
     }
     this.#pendingCalls.delete(ticket);
     /** A refusal is final only if no earlier send of this pending call may still be taken. */
-    const refusal =
-      ended.kind === "elsewhere" ||
-      (ended.kind === "confirmed" &&
-        (ended.value.kind === "FULL" ||
-          (ended.value.kind === "NO_ROOM" && ended.value.final !== true)));
+    const isRefusal =
+      outcome.kind === "elsewhere" ||
+      (outcome.kind === "confirmed" &&
+        (outcome.value.kind === "FULL" ||
+          (outcome.value.kind === "NO_ROOM" && outcome.value.final !== true)));
     return pendingCall.onResult(
-      refusal && pendingCall.doubtful ? { kind: "unknown" } : ended,
+      isRefusal && pendingCall.doubtful ? { kind: "unknown" } : outcome,
       now,
       pendingCall.since + held,
     );
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -10,6 +10,8 @@
 const access = "packages/data/dist/access-core.js";
 const liveRequests = "packages/data/dist/live-requests.js";
 const runnerSelection = "packages/data/dist/runner-selection.js";
+const promptDispatcher = "packages/data/dist/prompt-dispatcher.js";
+const lotReplies = "packages/data/dist/lot-replies.js";
 const pendingCalls = "packages/data/dist/pending-calls.js";
 const storage = "packages/data/dist/storage-core.js";
 const control = "packages/control/dist/core.js";
@@ -30,8 +32,8 @@
     cuts: [
       {
         file: access,
-        from: "goEvent(number, event, now) {",
-        to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
+        from: "goEvent(attempt, event, now) {",
+        to: "goEvent(attempt, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
       },
     ],
   },
@@ -40,8 +42,8 @@
     cuts: [
       {
         file: access,
-        from: "goEvent(number, event, now) {",
-        to: "goEvent(number, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
+        from: "goEvent(attempt, event, now) {",
+        to: "goEvent(attempt, event, now) { if (event.kind === 'broken') event = { kind: 'unsent', reason: '' };",
       },
       { file: liveRequests, from: "if (event.number !== nextPiece)", to: "if (false)" },
       { file: liveRequests, from: "if (event.pieces !== nextPiece)", to: "if (false)" },
@@ -51,7 +53,7 @@
     section: "§6.3",
     cuts: [
       { file: liveRequests, from: "if (event.pieces !== nextPiece)", to: "if (false)" },
-      { file: access, from: "return event.pieces === prompt.pieces.length", to: "return true" },
+      { file: promptDispatcher, from: "event.pieces === prompt.pieces.length", to: "true" },
     ],
   },
   "pieces come in order": {
@@ -105,17 +107,17 @@
   },
   "refused only when no earlier sending may be taken": {
     section: "§5.2",
-    cuts: [{ file: pendingCalls, from: "refusal && pendingCall.doubtful", to: "false" }],
+    cuts: [{ file: pendingCalls, from: "isRefusal && pendingCall.doubtful", to: "false" }],
   },
   "a grant is begun within a second": {
     section: "§5.4",
     cuts: [
       {
-        file: access,
+        file: promptDispatcher,
         from: "grantedUntil: askedAt + heldFor(constants.grantLasts)",
         to: "grantedUntil: Number.POSITIVE_INFINITY",
       },
-      { file: access, from: "{ unable }) }, constants.grantLasts", to: "{ unable }) }, 60_000" },
+      { file: promptDispatcher, from: "patience: constants.grantLasts", to: "patience: 60_000" },
     ],
   },
   "leases go to those who have come as far": {
@@ -204,7 +206,7 @@
     section: "§5.5",
     cuts: [
       { file: lot, from: "command.lasts + constants.deadlineGrace", to: "command.lasts" },
-      { file: access, from: "Math.min(lasts, value.remaining - (later - since))", to: "lasts" },
+      { file: lotReplies, from: "Math.min(lot.lasts, value.remaining - waited)", to: "lot.lasts" },
     ],
   },
   "a cancelled lot takes nothing back": {
