--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -126,7 +126,7 @@
       case "feed-digest":
         if (!this.membership.receive(message, from, now)) return [];
         this.#dispatcher.endPauses();
-        this.lots.dispatcher.hurry();
+        this.lots.dispatcher.endPauses();
         return this.membership.tell(now);
       case "lease":
       case "controls":
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -240,7 +240,7 @@
   /** A planned stop: no new work; what is under way goes on. */
   leave(): void {
     this.draining = true;
-    this.dispatcher.draining = true;
+    this.dispatcher.leave();
   }
 }
 
--- a/packages/data/src/prompt-dispatcher.ts
+++ b/packages/data/src/prompt-dispatcher.ts
@@ -4,7 +4,6 @@
   duty,
   heldFor,
   type ChainView,
-  type Claim,
   type Ending,
   type QueueCommand,
   type QueueResult,
@@ -16,6 +15,7 @@
 import type { AccessOutput, GoEvent, Work } from "./access-output.js";
 import type { Admission } from "./admission.js";
 import type { Attempts } from "./attempts.js";
+import { groupByQueue, type QueueClaim } from "./claims-by-queue.js";
 import { queueOfLot } from "./lot-names.js";
 import type { Membership } from "./membership.js";
 import type { PendingCalls } from "./pending-calls.js";
@@ -274,7 +274,7 @@
   /** Runners report on themselves alone: the sign of life of a prompt is its tokens, seen here (§5.4). */
   #heartbeats(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
-    for (const [queue, items] of this.#claimsByQueue(now)) {
+    for (const [queue, items] of groupByQueue(this.#claims(now))) {
       const owner = this.#pendingCalls.owner(queue);
       if (owner !== undefined)
         outputs.push({ kind: "send", to: owner, message: { kind: "life", queue, items } });
@@ -283,20 +283,13 @@
   }
 
   /** Claims of prompts that make progress, and of those whose end the owner has not recorded yet. */
-  #claimsByQueue(now: number): Map<string, Claim[]> {
-    const claims = new Map<string, Claim[]>();
-    function add(queue: string, claim: Claim): void {
-      const ofQueue = claims.get(queue);
-      if (ofQueue === undefined) claims.set(queue, [claim]);
-      else ofQueue.push(claim);
-    }
+  *#claims(now: number): Generator<QueueClaim> {
     for (const { queue, lot, index, claim, lastProgressAt } of this.#attempts.prompts())
-      if (now - lastProgressAt <= constants.promptSilence) add(queue, { lot, index, go: claim });
+      if (now - lastProgressAt <= constants.promptSilence) yield [queue, { lot, index, go: claim }];
     for (const { queue, command } of this.#pendingCalls.values()) {
       if (command.kind !== "record") continue;
-      add(queue, { lot: command.lot, index: command.index, go: command.go });
+      yield [queue, { lot: command.lot, index: command.index, go: command.go }];
     }
-    return claims;
   }
 }
 
