--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -1,26 +1,26 @@
-import { constants, type ChainView, type QueueCommand } from "@chutewick/parts";
-import { configuration, keys } from "@chutewick/control";
+/** Lots of passages at an access node, without I/O (docs/design.md §13.7). */
+import { constants, type QueueCommand, type QueueResult } from "@chutewick/parts";
+import { configuration, type Passage } from "@chutewick/control";
 import type { AccessOutput } from "./access-output.js";
+import { NO_NEW_WORK } from "./admission.js";
 import type { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
-import { PendingCalls } from "./pending-calls.js";
+import { LotSearch, lotTold } from "./lot-search.js";
 import type { Membership } from "./membership.js";
 import type { LotHandedIn, LotTold } from "./pass.js";
-import { PassDraw } from "./pass-draw.js";
-import type { RelayCore } from "./relay-core.js";
+import { PassDraw, type ItemStartRefusal } from "./pass-draw.js";
+import type { PendingCalls } from "./pending-calls.js";
 import type { QueueOutcome } from "./queue-messages.js";
+import type { RelayCore } from "./relay-core.js";
 
-type Found = Extract<QueueOutcome, { kind: "confirmed" }>["value"];
-
-/** Lots of passages at an access node, without I/O (docs/design.md §13.7). */
+/** Hands lots in, reads their results and ends them; `dispatcher` runs their items. */
 export class PassLots {
+  readonly dispatcher: PassDraw;
   #membership: Membership;
   #pendingCalls: PendingCalls;
   #relay: RelayCore;
-  readonly dispatcher: PassDraw;
-  /** In which queue a lot was seen. */
-  #seenIn = new Map<string, string>();
-  draining = false;
+  #search: LotSearch;
+  #isLeaving = false;
 
   constructor(
     membership: Membership,
@@ -31,84 +31,30 @@
     this.#membership = membership;
     this.#relay = relay;
     this.#pendingCalls = pendingCalls;
+    this.#search = new LotSearch(membership, pendingCalls);
     this.dispatcher = new PassDraw(membership, choice, pendingCalls);
   }
 
-  handIn(ticket: string, { lot, host, path, entries }: LotHandedIn, now: number): AccessOutput[] {
-    if (this.draining || !this.#membership.holds(now))
-      return [
-        told(ticket, {
-          kind: "refused",
-          room: false,
-          retryAfter: constants.retryAfter,
-          reason: "this access node is cut off from the control group or about to stop",
-        }),
-      ];
-    const found = this.#relay.find(host, path);
+  handIn(ticket: string, handedIn: LotHandedIn, now: number): AccessOutput[] {
+    if (this.#isLeaving || !this.#membership.holds(now))
+      return [lotTold(ticket, refusedForNow(NO_NEW_WORK))];
+    const found = this.#relay.find(handedIn.host, handedIn.path);
     if (found === undefined || found.passage.kind !== "lot")
-      return [told(ticket, { kind: "missing" })];
-    const { name: way, passage } = found;
+      return [lotTold(ticket, { kind: "missing" })];
+    const { name, passage } = found;
     const queue = configuration.queueFor(
       this.#membership.configuration.value,
       passage,
-      entries[0]?.model,
+      handedIn.entries[0]?.model,
     );
-    const command: QueueCommand = {
-      kind: "hand-in",
-      lot,
-      way,
-      host,
-      entries,
-      allowance: passage.waitingTokens,
-      goesMost: passage.goesMost,
-      keeps: constants.lotDeadline,
+    const onResult = (outcome: QueueOutcome): AccessOutput[] => {
+      const isTaken = outcome.kind === "confirmed" && outcome.value.kind === "HANDED";
+      if (isTaken) this.#search.remember(handedIn.lot, queue);
+      return [lotTold(ticket, handInTold(outcome))];
     };
-    const self = this;
-    function ended(outcome: QueueOutcome): AccessOutput[] {
-      if (outcome.kind === "unknown")
-        return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
-      if (outcome.kind === "elsewhere")
-        return [
-          told(ticket, {
-            kind: "refused",
-            room: false,
-            retryAfter: constants.retryAfter,
-            reason: outcome.reason,
-          }),
-        ];
-      if (outcome.value.kind === "HANDED") {
-        self.#remember(lot, queue);
-        return [told(ticket, { kind: "taken" })];
-      }
-      if (outcome.value.kind !== "NO_ROOM")
-        return [told(ticket, { kind: "later", retryAfter: constants.retryAfter })];
-      const { tokens, waiting, allowance, wait } = outcome.value;
-      return [
-        told(ticket, {
-          kind: "refused",
-          room: true,
-          retryAfter:
-            wait === undefined
-              ? constants.retryAfter
-              : Math.max(constants.emptyPause, wait) / 1_000,
-          reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait`,
-        }),
-      ];
-    }
-    return this.#pendingCalls.ask(
-      { queue, command, patience: constants.handInPatience, onResult: ended },
-      now,
-    );
-  }
-
-  #remember(lot: string, queue: string): void {
-    this.#seenIn.delete(lot);
-    this.#seenIn.set(lot, queue);
-    if (this.#seenIn.size <= constants.lotsRemembered) return;
-    for (const first of this.#seenIn.keys()) {
-      this.#seenIn.delete(first);
-      break;
-    }
+    const command = handInCommand(name, passage, handedIn);
+    const patience = constants.handInPatience;
+    return this.#pendingCalls.ask({ queue, command, patience, onResult }, now);
   }
 
   /** from: the first position wanted; hold in ms. */
@@ -120,112 +66,42 @@
     hold: number,
     now: number,
   ): AccessOutput[] {
-    function found(value: Found): AccessOutput[] | undefined {
+    const onFound = (value: QueueResult): AccessOutput[] | undefined => {
       if (value.kind !== "RESULTS") return undefined;
-      return [
-        told(ticket, {
-          kind: "results",
-          total: value.total,
-          results: value.results,
-          next: from + value.results.length,
-        }),
-      ];
-    }
-    return this.#seek(ticket, lot, { kind: "results", lot, from }, found, now, hold);
+      const { total, results } = value;
+      const next = from + results.length;
+      return [lotTold(ticket, { kind: "results", total, results, next })];
+    };
+    const command = { kind: "results", lot, from } as const;
+    return this.#search.ask({ ticket, lot, command, hold, onFound }, now);
   }
 
   item(ticket: string, lot: string, item: string, now: number): AccessOutput[] {
-    function found(value: Found): AccessOutput[] | undefined {
-      return value.kind === "BODY"
-        ? [told(ticket, { kind: "body", bytes: value.body })]
-        : undefined;
-    }
-    return this.#seek(ticket, lot, { kind: "read-item", lot, item }, found, now);
+    const onFound = (value: QueueResult): AccessOutput[] | undefined =>
+      value.kind === "BODY" ? [lotTold(ticket, { kind: "body", bytes: value.body })] : undefined;
+    const command = { kind: "read-item", lot, item } as const;
+    return this.#search.ask({ ticket, lot, command, hold: 0, onFound }, now);
   }
 
   end(ticket: string, lot: string, _host: string, now: number): AccessOutput[] {
-    const self = this;
-    function found(value: Found, later: number): AccessOutput[] | undefined {
-      return value.kind === "ENDED"
-        ? [told(ticket, { kind: "ended" }), ...self.dispatcher.ended(lot, later)]
+    const onFound = (value: QueueResult, later: number): AccessOutput[] | undefined =>
+      value.kind === "ENDED"
+        ? [lotTold(ticket, { kind: "ended" }), ...this.dispatcher.ended(lot, later)]
         : undefined;
-    }
-    return this.#seek(ticket, lot, { kind: "end", lot }, found, now);
+    const command = { kind: "end", lot } as const;
+    return this.#search.ask({ ticket, lot, command, hold: 0, onFound }, now);
   }
 
-  /** No queue stands in a lot's name: where it was seen is asked, or the owners of all queues of their kind, which are few. */
-  #seek(
-    ticket: string,
-    lot: string,
-    command: QueueCommand,
-    found: (value: Found, now: number) => AccessOutput[] | undefined,
-    now: number,
-    hold = 0,
-  ): AccessOutput[] {
-    const queues: string[] = [];
-    const seen = this.#seenIn.get(lot);
-    if (seen !== undefined) queues.push(seen);
-    else
-      for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
-        const queue = key.slice(keys.queue.length);
-        if (configuration.isPoolQueue(queue)) queues.push(queue);
-      }
-    const self = this;
-    let open = queues.length;
-    let sure = this.#membership.holds(now);
-    let ended = false;
-    function close(): AccessOutput[] {
-      ended = true;
-      return [
-        told(
-          ticket,
-          sure ? { kind: "missing" } : { kind: "later", retryAfter: constants.retryAfter },
-        ),
-      ];
-    }
-    if (open === 0) return close();
-    const outputs: AccessOutput[] = [];
-    for (const queue of queues) {
-      function answered(outcome: QueueOutcome, later: number): AccessOutput[] {
-        open -= 1;
-        if (ended) return [];
-        const result = outcome.kind === "confirmed" ? found(outcome.value, later) : undefined;
-        if (result !== undefined) {
-          ended = true;
-          self.#remember(lot, queue);
-          return result;
-        }
-        if (outcome.kind !== "confirmed") sure = false;
-        /** That it stood nowhere counts only where this node knew of all queues all the while. */
-        if (!self.#membership.holds(later)) sure = false;
-        return open === 0 ? close() : [];
-      }
-      outputs.push(
-        ...this.#pendingCalls.ask(
-          {
-            queue,
-            command,
-            patience: constants.readPatience + hold,
-            hold,
-            onResult: answered,
-          },
-          now,
-        ),
-      );
-    }
-    return outputs;
+  has(attempt: number): boolean {
+    return this.dispatcher.has(attempt);
   }
 
-  has(go: number): boolean {
-    return this.dispatcher.has(go);
+  mayStart(attempt: number, now: number): ItemStartRefusal | undefined {
+    return this.dispatcher.mayStart(attempt, now);
   }
 
-  mayStart(go: number, now: number): string | undefined {
-    return this.dispatcher.mayStart(go, now);
-  }
-
-  goEvent(go: number, event: PassEvent, now: number): AccessOutput[] {
-    return this.dispatcher.goEvent(go, event, now);
+  goEvent(attempt: number, event: PassEvent, now: number): AccessOutput[] {
+    return this.dispatcher.goEvent(attempt, event, now);
   }
 
   /** An owner says that a lot is ended. */
@@ -239,11 +115,46 @@
 
   /** A planned stop: no new work; what is under way goes on. */
   leave(): void {
-    this.draining = true;
+    this.#isLeaving = true;
     this.dispatcher.leave();
   }
 }
 
-function told(ticket: string, what: LotTold): AccessOutput {
-  return { kind: "lot-told", ticket, told: what };
+function handInCommand(
+  way: string,
+  passage: Passage,
+  { lot, host, entries }: LotHandedIn,
+): QueueCommand {
+  return {
+    kind: "hand-in",
+    lot,
+    way,
+    host,
+    entries,
+    allowance: passage.waitingTokens,
+    goesMost: passage.goesMost,
+    keeps: constants.lotDeadline,
+  };
+}
+
+/** What a caller is told by what the owner said of a lot that was handed in. */
+function handInTold(outcome: QueueOutcome): LotTold {
+  if (outcome.kind === "elsewhere") return refusedForNow(outcome.reason);
+  if (outcome.kind === "unknown") return { kind: "later", retryAfter: constants.retryAfter };
+  const { value } = outcome;
+  if (value.kind === "HANDED") return { kind: "taken" };
+  if (value.kind !== "NO_ROOM") return { kind: "later", retryAfter: constants.retryAfter };
+  const { tokens, waiting, allowance, wait } = value;
+  return {
+    kind: "refused",
+    room: true,
+    retryAfter:
+      wait === undefined ? constants.retryAfter : Math.max(constants.emptyPause, wait) / 1_000,
+    reason: `a lot of ${tokens} tokens does not fit: ${waiting} of ${allowance} wait`,
+  };
+}
+
+/** Nobody can take the lot now; that says nothing of its size. */
+function refusedForNow(reason: string): LotTold {
+  return { kind: "refused", room: false, retryAfter: constants.retryAfter, reason };
 }
