--- a/tools/simulator/src/campaign/copies.ts
+++ b/tools/simulator/src/campaign/copies.ts
@@ -1,13 +1,11 @@
 import type { ChainHolding, ChainView } from "@chutewick/parts";
 import { zoneNamed } from "../machines.js";
+import { CONTROL_CHAIN, QUEUE_PREFIX } from "../stuck.js";
 import type { Machine } from "../world.js";
 import { machineOf, type Fleet } from "./fleet.js";
 
 /** Where the copies of the chains stand: judged before a disk may be lost, and at the end of a run. */
 
-/** The chain of the control group, and the keys under which it keeps the queues' views. */
-const CONTROL_CHAIN = "control";
-const QUEUE_PREFIX = "queue/";
 /** Zones of a fleet, and so zones over which a queue's copies are spread. */
 const ZONES = 3;
 
--- a/tools/simulator/src/player.ts
+++ b/tools/simulator/src/player.ts
@@ -11,5 +11,5 @@
 async function told(one: Play): Promise<void> {
   parentPort!.postMessage(await play(one));
 }
-parentPort!.on("message", told);
+parentPort!.on("message", (one: Play) => void told(one));
 parentPort!.postMessage("ready");
--- a/tools/simulator/src/proof.ts
+++ b/tools/simulator/src/proof.ts
@@ -2,6 +2,8 @@
 import { playAll, seeds } from "./crew.js";
 
 /** Plays each row of the proof table with its guard and without (docs/testing.md §2). */
+
+/** What a row showed. */
 export interface Proof {
   readonly fault: string;
   readonly guard: string;
@@ -15,13 +17,19 @@
   readonly brokenWithout: number;
 }
 
-export async function prove(
-  fault: string,
-  guard: string,
-  from: number,
-  to: number,
-  without: number,
-): Promise<Proof> {
+/** A row of the table, and the seeds that are played. */
+export interface ProofOptions {
+  readonly fault: string;
+  readonly guard: string;
+  /** The first and the last seed with the guard. */
+  readonly from: number;
+  readonly to: number;
+  /** Seeds without it, from the first on. */
+  readonly without: number;
+}
+
+/** Plays one row with its guard, and without it. */
+export async function prove({ fault, guard, from, to, without }: ProofOptions): Promise<Proof> {
   const { rule, options } = targetedFaults[fault]!;
   const held = await playAll(seeds(from, to, options, fault));
   const bare = await playAll(seeds(from, from + without - 1, options, fault), guard);
--- a/tools/simulator/src/record.ts
+++ b/tools/simulator/src/record.ts
@@ -7,10 +7,10 @@
 const campaign = new Campaign({ seed: 5, faults: false, tokens: 6 });
 const packer = new Packr({ useRecords: false });
 const messages: Record<string, string> = {};
-const { send } = campaign.world;
+const send = campaign.world.send.bind(campaign.world);
 function sendAndKeep(from: string, to: string, message: unknown): void {
   messages[(message as { kind: string }).kind] ??= packer.pack(message).toString("base64");
-  send.call(campaign.world, from, to, message);
+  send(from, to, message);
 }
 campaign.world.send = sendAndKeep;
 campaign.begin();
--- a/tools/simulator/src/stuck.ts
+++ b/tools/simulator/src/stuck.ts
@@ -2,6 +2,10 @@
 import type { ControlMachine, StorageMachine } from "./machines.js";
 import type { Machine } from "./world.js";
 
+/** The chain of the control group, and the keys under which it keeps the queues' views. */
+export const CONTROL_CHAIN = "control";
+export const QUEUE_PREFIX = "queue/";
+
 /** A chain that does not serve, and why: which view stands, and who in it waits for whom (docs/testing.md §3). */
 export interface Stuck {
   readonly chain: string;
@@ -27,29 +31,32 @@
   ): Stuck[] {
     const found: Stuck[] = [];
     const views = new Map<string, { view: ChainView; machines: readonly Machine[] }>();
-    for (const { folder } of controls) newest(views, "control", folder?.votes?.view, controls);
+    for (const { folder } of controls) newest(views, CONTROL_CHAIN, folder?.votes?.view, controls);
     for (const { folder } of controls)
-      for (const [key, value] of folder?.holdings().get("control")?.records ?? [])
-        if (key.startsWith("queue/")) newest(views, key.slice(6), value as ChainView, storages);
+      for (const [key, value] of folder?.holdings().get(CONTROL_CHAIN)?.records ?? [])
+        if (key.startsWith(QUEUE_PREFIX))
+          newest(views, key.slice(QUEUE_PREFIX.length), value as ChainView, storages);
     for (const [chain, { view, machines }] of views) {
-      const sight = chain === "control" ? controlSight(controls) : queueSight(storages, chain, now);
-      const held = this.#progress.get(chain);
-      if (
-        held === undefined ||
-        (sight.serves && (sight.confirmed >= sight.place || sight.confirmed !== held.confirmed))
-      ) {
-        this.#progress.set(chain, { confirmed: sight.confirmed, since: now });
-        this.#told.delete(chain);
-      } else if (now - held.since > bound && !this.#told.has(chain)) {
-        this.#told.add(chain);
-        found.push({
-          chain,
-          why: `for ${Math.round(now - held.since)} ms: ${reason(chain, view, machines)}; ${sight.facts}`,
-        });
-      }
+      const sight =
+        chain === CONTROL_CHAIN ? controlSight(controls) : queueSight(storages, chain, now);
+      const since = this.#stuckSince(chain, sight, now);
+      if (now - since <= bound || this.#told.has(chain)) continue;
+      this.#told.add(chain);
+      const why = `for ${Math.round(now - since)} ms: ${reason(chain, view, machines)}; ${sight.facts}`;
+      found.push({ chain, why });
     }
     return found;
   }
+
+  /** ms. Since when a chain does not go on; now where it does. */
+  #stuckSince(chain: string, { serves, confirmed, place }: Sight, now: number): number {
+    const held = this.#progress.get(chain);
+    const goesOn = serves && (confirmed >= place || confirmed !== held?.confirmed);
+    if (held !== undefined && !goesOn) return held.since;
+    this.#progress.set(chain, { confirmed, since: now });
+    this.#told.delete(chain);
+    return now;
+  }
 }
 
 function newest(
@@ -78,7 +85,7 @@
       machine.core.view!.members.length < 2
     )
       continue;
-    const place = machine.folder!.holdings().get("control")?.state.place ?? 0;
+    const place = machine.folder!.holdings().get(CONTROL_CHAIN)?.state.place ?? 0;
     return {
       serves: true,
       place,
@@ -110,21 +117,23 @@
 
 /** What the newest view waits for. */
 function reason(chain: string, view: ChainView, machines: readonly Machine[]): string {
-  const told: string[] = [`view ${view.mark} of ${view.members.length}`];
-  for (const member of view.members) told.push(`member ${stateOf(member, chain, view, machines)}`);
+  const state = (member: Member): string => stateOf(member, chain, view, machines);
+  const facts: string[] = [`view ${view.mark} of ${view.members.length}`];
+  for (const member of view.members) facts.push(`member ${state(member)}`);
   for (const member of holdersOf(view))
-    if (!view.members.some(isSame, member))
-      told.push(`holder ${stateOf(member, chain, view, machines)}`);
-  if (view.joiner !== undefined) told.push(`joiner ${stateOf(view.joiner, chain, view, machines)}`);
-  if (view.members.length < 2) told.push("too few members to confirm");
-  if (chain !== "control") return told.join(", ");
+    if (!view.members.some(isSame, member)) facts.push(`holder ${state(member)}`);
+  if (view.joiner !== undefined) facts.push(`joiner ${state(view.joiner)}`);
+  if (view.members.length < 2) facts.push("too few members to confirm");
+  if (chain === CONTROL_CHAIN) facts.push(votersThere(view, machines));
+  return facts.join(", ");
+}
+
+function votersThere(view: ChainView, machines: readonly Machine[]): string {
   const voters = view.voters ?? view.members;
   let alive = 0;
   for (const voter of voters) if (machineOf(voter, machines)?.alive === true) alive += 1;
-  told.push(
-    `${alive} of ${voters.length} voters are there${alive > voters.length / 2 ? "" : ", which is no majority"}`,
-  );
-  return told.join(", ");
+  const isMajority = alive > voters.length / 2;
+  return `${alive} of ${voters.length} voters are there${isMajority ? "" : ", which is no majority"}`;
 }
 
 function stateOf(
--- a/tools/simulator/src/swapped.ts
+++ b/tools/simulator/src/swapped.ts
@@ -4,71 +4,79 @@
 import type { Violation } from "./checker.js";
 
 /** The product's real links against a runner that answers one request with another's result, over loopback sockets (docs/testing.md §2). */
-export async function playSwapped(
-  count: number,
-): Promise<{ violations: Violation[]; strikes: number }> {
+
+/** The header in which runners name the request that they answer. */
+const REQUEST_HEADER = "chutewick-inquiry";
+/** ms without a word after which a link gives up. */
+const SILENCE = 2_000;
+/** What the first answer names, since no request came before. */
+const NO_REQUEST = "nobody";
+
+/** What the links made of the answers, and how many answers were another's. */
+export interface SwappedResult {
+  readonly violations: Violation[];
+  readonly strikes: number;
+}
+
+/** Sends so many requests, one after another. */
+export async function playSwapped(count: number): Promise<SwappedResult> {
+  const runner = new SwappingRunner();
+  const url = await runner.listen();
   const violations: Violation[] = [];
-  let strikes = 0;
-  let before = "nobody";
-  async function serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const request = String(incoming.headers["chutewick-inquiry"]);
-    for await (const _chunk of incoming);
-    const named = before;
-    before = request;
-    if (named !== "nobody") strikes += 1;
-    const text = JSON.stringify({ inquiry: named, result: { read: named } });
-    outgoing.writeHead(200, {
-      "content-type": "application/json",
-      "chutewick-inquiry": named,
-      "content-length": String(text.length),
-    });
-    outgoing.end(text);
-  }
-  function served(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    void serve(incoming, outgoing);
-  }
-  const server = createServer(served);
-  function listening(resolve: () => void): void {
-    server.listen(0, "127.0.0.1", resolve);
-  }
-  await new Promise<void>(listening);
-  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   const waiting = new Map<number, () => void>();
-  function told(go: number, event: GoEvent): void {
+  const told = (go: number, event: GoEvent): void => {
     if (event.kind === "whole")
       violations.push({
         rule: "someone-elses",
         facts: `inquiry ${go} got ${JSON.stringify(event.value)}`,
       });
     waiting.get(go)?.();
-  }
-  function mayStart(): undefined {
-    return undefined;
-  }
-  const links = new Links(mayStart, told);
+  };
+  const links = new Links(() => undefined, told);
   for (let go = 1; go <= count; go += 1) {
-    function begin(resolve: () => void): void {
+    const request = `inquiry-${go}`;
+    await new Promise<void>((resolve) => {
       waiting.set(go, resolve);
-      links.run(
-        go,
-        url,
-        {
-          kind: "one-shot",
-          request: `inquiry-${go}`,
-          body: { inquiry: `inquiry-${go}`, prompt: go },
-        },
-        2_000,
-      );
-    }
-    await new Promise<void>(begin);
+      const body = { inquiry: request, prompt: go };
+      links.run(go, url, { kind: "one-shot", request, body }, SILENCE);
+    });
+  }
+  await runner.close();
+  return { violations, strikes: runner.strikes };
+}
+
+/** A runner that answers each request with the result of the one before. */
+class SwappingRunner {
+  /** Answers that were another's. */
+  strikes = 0;
+  #before = NO_REQUEST;
+  readonly #server = createServer((incoming, outgoing) => void this.#serve(incoming, outgoing));
+
+  /** Listens on a free port of the loopback address; returns its URL. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
   }
-  function closed(resolve: () => void): void {
-    function done(): void {
-      resolve();
-    }
-    server.close(done);
-    server.closeAllConnections();
+
+  async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const request = String(incoming.headers[REQUEST_HEADER]);
+    for await (const _chunk of incoming);
+    const named = this.#before;
+    this.#before = request;
+    if (named !== NO_REQUEST) this.strikes += 1;
+    const text = JSON.stringify({ inquiry: named, result: { read: named } });
+    outgoing.writeHead(200, {
+      "content-type": "application/json",
+      [REQUEST_HEADER]: named,
+      "content-length": String(text.length),
+    });
+    outgoing.end(text);
   }
-  await new Promise<void>(closed);
-  return { violations, strikes };
 }
--- a/tools/simulator/src/table.ts
+++ b/tools/simulator/src/table.ts
@@ -2,17 +2,20 @@
 import { rows } from "./guards.js";
 import { prove } from "./proof.js";
 
+/** What the command line gave. */
+interface Given {
+  readonly from: number;
+  readonly to: number;
+  readonly without: number;
+  readonly only: string | undefined;
+}
+
 /** `npm run proof -- --from 1 --to 20` plays the proof table. */
-async function play(given: {
-  from: number;
-  to: number;
-  without: number;
-  only: string | undefined;
-}): Promise<void> {
+async function play({ only, from, to, without }: Given): Promise<void> {
   let bad = 0;
   for (const [fault, guard] of rows) {
-    if (given.only !== undefined && !given.only.split(",").some(isIn, fault)) continue;
-    const proof = await prove(fault, guard, given.from, given.to, given.without);
+    if (only !== undefined && !only.split(",").some(isIn, fault)) continue;
+    const proof = await prove({ fault, guard, from, to, without });
     if (proof.broken.length > 0 || proof.brokenWithout === 0 || proof.strikes === 0) bad += 1;
     process.stdout.write(`${JSON.stringify({ ...proof, broken: proof.broken.slice(0, 4) })}\n`);
   }
