An owner's claims, refusals and judging of commands leave storage-core.ts

claim-heartbeats.ts holds signs of life of claims, queue-refusals.ts what was refused lately and how fast room comes, queue-governance.ts what the configuration says of a command.

--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -5,7 +5,6 @@
   classesOf,
   constants,
   policy,
-  taskKey,
   type Claim,
   type PassEnding,
   type Policy,
@@ -21,9 +20,12 @@
   type ShareTelling,
   type Telling,
 } from "@chutewick/parts";
-import { configuration, keys, standingClasses, type QueueStanding } from "@chutewick/control";
+import { keys, standingClasses, type QueueStanding } from "@chutewick/control";
+import { ClaimHeartbeats } from "./claim-heartbeats.js";
 import { Membership, type Standing } from "./membership.js";
+import { governed, isGoverned, type GovernedCommand } from "./queue-governance.js";
 import type { DataMessage, QueueOutcome } from "./queue-messages.js";
+import { QueueRefusals } from "./queue-refusals.js";
 
 /** A storage machine without I/O: queues, each one chain partition (docs/design.md §3). */
 export type StorageOutput =
@@ -55,25 +57,25 @@
 interface Partition {
   readonly chain: Chain;
   readonly machine: QueueMachine;
-  /** Last sign of life of each claim, known at the owner alone and begun anew by the next. */
-  readonly life: Map<string, { go: number; at: number; taken?: boolean; place?: number }>;
+  readonly heartbeats: ClaimHeartbeats;
+  readonly refusals: QueueRefusals;
   ownedMark: number;
   lookedAt: number;
   limiting: boolean;
   /** Mark of the share being entered, and of that which is confirmed under this ownership. */
   enteredMark: number;
   shareMark: number;
-  /** Items lately refused for want of room. */
-  refused: { at: number; count: number; season: string }[];
   held: Held[];
   /** Since when the configuration has had no such passage, of those with items here. */
   readonly gone: Map<string, number>;
-  /** Tokens that left the queue lately. */
-  freed: { at: number; tokens: number }[];
-  /** When lots were refused first, of those that may come again. */
-  readonly refusedAt: Map<string, number>;
 }
 
+type QueueShareTelling = NonNullable<Telling["shares"]>[number];
+
+/** Why an owner does not take what the configuration governs. */
+const NO_LEASE = "the owner holds no lease";
+
+/** The queues of one storage machine. */
 export class StorageCore {
   readonly membership: Membership;
   #standing: Standing;
@@ -116,17 +118,15 @@
     const partition: Partition = {
       chain,
       machine,
-      life: new Map(),
+      heartbeats: new ClaimHeartbeats(),
+      refusals: new QueueRefusals(),
       ownedMark: 0,
       lookedAt: 0,
       limiting: false,
       enteredMark: 0,
       shareMark: 0,
-      refused: [],
       held: [],
       gone: new Map(),
-      freed: [],
-      refusedAt: new Map(),
     };
     this.#partitions.set(queue, partition);
     return partition;
@@ -140,30 +140,10 @@
       const held = chain.stuck(this.#now);
       if (held !== undefined) stuck.push([queue, chain.view!.mark, held.identity]);
     }
-    const shares: [string, number, number, number, ShareTelling[]][] = [];
-    for (const [queue, { chain, machine, shareMark, refused }] of this.#partitions) {
-      const share = machine.share(chain.ledger);
-      if (!chain.serves || share === undefined || shareMark !== share.mark) continue;
-      const open = machine.open();
-      const needs = new Map(open);
-      for (const { at, count, season } of refused)
-        if (this.#now - at <= constants.pressureLasts)
-          needs.set(season, (needs.get(season) ?? 0) + count);
-      const classes: ShareTelling[] = [];
-      let [allHeld, allNeed] = [0, 0];
-      for (const { season, share: may } of classesOf(share)) {
-        const held = Math.max(may, open.get(season) ?? 0);
-        open.delete(season);
-        classes.push([season, held, needs.get(season) ?? 0]);
-        allHeld += held;
-        allNeed += needs.get(season) ?? 0;
-      }
-      /** Lots of seasons that have no class any more. */
-      for (const [season, held] of open) {
-        classes.push([season, held, held]);
-        allHeld += held;
-      }
-      shares.push([queue, shareMark, allHeld, allNeed, classes]);
+    const shares: QueueShareTelling[] = [];
+    for (const partition of this.#partitions.values()) {
+      const share = shareTelling(partition, this.#now);
+      if (share !== undefined) shares.push(share);
     }
     return { copied, stuck, shares };
   }
@@ -207,10 +187,8 @@
         );
       case "life": {
         const partition = this.#partitions.get(message.queue);
-        for (const { lot, index, go } of message.items)
-          partition?.life.set(`item/${lot}/${String(index).padStart(6, "0")}`, { go, at: now });
-        for (const { lot, index, go } of message.tasks ?? [])
-          partition?.life.set(taskKey(lot, index), { go, at: now, taken: true });
+        for (const claim of message.items) partition?.heartbeats.heardItem(claim, now);
+        for (const claim of message.tasks ?? []) partition?.heartbeats.heardTask(claim, now);
         return [];
       }
       default:
@@ -258,71 +236,9 @@
       return [result(from, ticket, { kind: "elsewhere", reason: "this queue is not kept here" })];
     if (!this.#isWritable && !isRead(command))
       return [result(from, ticket, { kind: "elsewhere", reason: this.#unwritableReason })];
-    let entered = command;
-    /** What a configuration or a season governs needs a lease; records and cancels never wait for one (§7). */
-    if (
-      command.kind === "admit" ||
-      command.kind === "pop" ||
-      command.kind === "hand-in" ||
-      command.kind === "draw"
-    ) {
-      if (!this.membership.holds(now))
-        return [result(from, ticket, { kind: "elsewhere", reason: "the owner holds no lease" })];
-      const { value } = this.membership.configuration;
-      if (command.kind === "admit") {
-        const plan = configuration.queues(value).find(isQueue, { queue });
-        if (plan === undefined)
-          return [
-            result(from, ticket, {
-              kind: "elsewhere",
-              reason: "the configuration has no such queue",
-            }),
-          ];
-        if (partition.machine.share(partition.chain.ledger) === undefined)
-          return [
-            result(from, ticket, {
-              kind: "elsewhere",
-              reason: "the queue has no share of waiting work yet",
-            }),
-          ];
-        /** A lot brings labels of its own and of its way; those of model and adapter are the configuration's. */
-        entered = {
-          ...command,
-          allowance: plan.waiting,
-          labels: { ...command.labels, ...plan.labels },
-        };
-      }
-      if (command.kind === "hand-in") {
-        const passage = Object.hasOwn(value.passages, command.way)
-          ? value.passages[command.way]
-          : undefined;
-        if (passage === undefined || passage.kind !== "lot")
-          return [
-            result(from, ticket, {
-              kind: "elsewhere",
-              reason: "the configuration has no such passage for lots",
-            }),
-          ];
-        /** What the owner's configuration says binds, with an equal part of the allowance for each queue that lots of it may fall into. */
-        const allowance =
-          passage.waitingTokens === 0
-            ? 0
-            : Math.max(
-                1,
-                passage.waitingTokens / Math.max(1, configuration.queuesOf(value, passage).length),
-              );
-        const refusedAt = partition.refusedAt.get(command.lot);
-        const late = refusedAt !== undefined && now - refusedAt > passage.aim;
-        entered = {
-          ...command,
-          ...(late ? { late } : {}),
-          allowance,
-          goesMost: passage.goesMost,
-          keeps: passage.keeps === undefined ? constants.lotDeadline : passage.keeps * 1_000,
-          within: passage.within,
-        };
-      }
-    }
+    const judged = this.#judge(partition, command, now);
+    if (judged.kind === "refused")
+      return [result(from, ticket, { kind: "elsewhere", reason: judged.reason })];
     const lost = command.kind === "draw" ? this.#takeBack(partition, command, now) : [];
     if (
       hold > 0 &&
@@ -333,26 +249,36 @@
       partition.held.push({ ticket, to: from, command, since: now, until: now + hold });
       return lost;
     }
-    return [...lost, ...this.#enter(partition, ticket, from, entered, now)];
+    return [...lost, ...this.#enter(partition, ticket, from, judged.command, now)];
+  }
+
+  #judge(partition: Partition, command: QueueCommand, now: number): GovernedCommand {
+    if (!isGoverned(command)) return { kind: "entered", command };
+    if (!this.membership.holds(now)) return { kind: "refused", reason: NO_LEASE };
+    const { chain, machine, refusals } = partition;
+    const queue = {
+      queue: chain.name,
+      configuration: this.membership.configuration.value,
+      hasShare: machine.share(chain.ledger) !== undefined,
+      refusals,
+    };
+    return governed(command, queue, now);
   }
 
   /** A dispatcher that began anew at its address has lost what it had under way. */
   #takeBack(
-    { chain, machine }: Partition,
+    partition: Partition,
     { holder, by }: Extract<QueueCommand, { kind: "draw" }>,
     now: number,
   ): StorageOutput[] {
+    const { chain, machine } = partition;
     if (!chain.serves || by === undefined) return [];
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     for (const [key, held] of machine.passes.processing())
       if (held.holder === holder && held.by !== undefined && held.by !== by)
         lost.push(broken(key, held.go));
     if (lost.length === 0) return [];
-    return this.#perform(
-      this.#partitions.get(chain.name)!,
-      chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now),
-      now,
-    );
+    return this.#enterOwn(partition, "lost", { kind: "settle", endings: lost }, now);
   }
 
   #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
@@ -379,7 +305,7 @@
       if (command.kind !== "draw")
         outputs.push(...this.#enter(partition, ticket, to, command, now, now - since));
       else if (!this.membership.holds(now))
-        outputs.push(result(to, ticket, { kind: "elsewhere", reason: "the owner holds no lease" }));
+        outputs.push(result(to, ticket, { kind: "elsewhere", reason: NO_LEASE }));
       else {
         /** Each that waits gets its part, so that the work is spread. */
         const most = Math.min(
@@ -418,6 +344,16 @@
     return this.#perform(partition, partition.chain.inquire(own, command, now), now);
   }
 
+  /** Enters a command of the owner itself, of whose result nobody is told. */
+  #enterOwn(
+    partition: Partition,
+    ticket: string,
+    command: QueueCommand,
+    now: number,
+  ): StorageOutput[] {
+    return this.#perform(partition, partition.chain.inquire(ticket, command, now), now);
+  }
+
   #perform(partition: Partition, commands: ChainCommand[], now: number): StorageOutput[] {
     const outputs: StorageOutput[] = [];
     for (const command of commands) {
@@ -446,21 +382,7 @@
         }),
       ];
     if (told.kind === "unknown") return [result(waiting.to, waiting.ticket, { kind: "unknown" })];
-    let value = told.value as QueueResult;
-    if (value.kind === "SETTLED" && value.freed > 0)
-      partition.freed.push({ at: now, tokens: value.freed });
-    if (value.kind === "NO_ROOM") value = this.#refusal(partition, value, waiting.command, now);
-    if (value.kind === "HANDED") partition.refusedAt.delete(value.lot);
-    /** A dispatcher can take up only what it was told of. */
-    if (value.kind === "DRAWN")
-      for (const { lot, index, go } of value.tasks)
-        partition.life.set(taskKey(lot, index), { go, at: now });
-    if (value.kind === "FULL") {
-      partition.refused = partition.refused.filter(isLate, {
-        since: now - constants.pressureLasts,
-      });
-      partition.refused.push({ at: now, count: value.items, season: value.season });
-    }
+    const value = this.#noted(partition, told.value as QueueResult, waiting.command, now);
     const outputs: StorageOutput[] = [
       result(waiting.to, waiting.ticket, { kind: "confirmed", value }, waiting.held),
     ];
@@ -472,31 +394,33 @@
     return outputs;
   }
 
-  /** With the wait until what is too much has left, at the pace at which it lately did. */
-  #refusal(
-    partition: Partition,
-    value: Extract<QueueResult, { kind: "NO_ROOM" }>,
+  /** What a result says of the queue's room and claims is noted; a refusal for want of room is told with a wait. */
+  #noted(
+    { refusals, heartbeats }: Partition,
+    value: QueueResult,
     command: QueueCommand,
     now: number,
   ): QueueResult {
-    if (command.kind === "hand-in" && !partition.refusedAt.has(command.lot)) {
-      partition.refusedAt.set(command.lot, now);
-      if (partition.refusedAt.size > constants.refusedRemembered)
-        for (const first of partition.refusedAt.keys()) {
-          partition.refusedAt.delete(first);
-          break;
-        }
+    switch (value.kind) {
+      case "SETTLED":
+        if (value.freed > 0) refusals.addFreed(value.freed, now);
+        return value;
+      case "NO_ROOM":
+        if (command.kind === "hand-in") refusals.addLot(command.lot, now);
+        return refusals.withWait(value, now);
+      case "HANDED":
+        refusals.forgetLot(value.lot);
+        return value;
+      case "DRAWN":
+        /** A dispatcher can take up only what it was told of. */
+        for (const task of value.tasks) heartbeats.toldTask(task, now);
+        return value;
+      case "FULL":
+        refusals.addItems(value.items, value.season, now);
+        return value;
+      default:
+        return value;
     }
-    partition.freed = partition.freed.filter(isLate, { since: now - constants.drainCounted });
-    let freed = 0;
-    for (const { tokens } of partition.freed) freed += tokens;
-    if (freed === 0 || value.tokens > value.allowance) return value;
-    return {
-      ...value,
-      wait:
-        (Math.max(0, value.waiting + value.tokens - value.allowance) / freed) *
-        constants.drainCounted,
-    };
   }
 
   written(queue: string, ticket: number, now: number): StorageOutput[] {
@@ -521,85 +445,75 @@
 
   /** The owner's watch: limits in force, claims without a sign of life, lots out of time (§3, §5). */
   #own(partition: Partition, now: number): StorageOutput[] {
-    const { chain, machine, life } = partition;
-    const outputs: StorageOutput[] = [];
+    const { chain, machine } = partition;
     if (partition.ownedMark !== chain.view!.mark) {
       partition.ownedMark = chain.view!.mark;
       partition.limiting = false;
       partition.shareMark = 0;
-      life.clear();
+      partition.heartbeats.clear();
     }
-    if (now - partition.lookedAt < constants.planEvery) return outputs;
+    if (now - partition.lookedAt < constants.planEvery) return [];
     partition.lookedAt = now;
+    const outputs = this.#enterLimits(partition, now);
+    outputs.push(...this.#takeBackOrphans(partition, now));
+    outputs.push(...this.#dropGone(partition, now));
+    if (machine.due(chain.ledger, chain.time(now)))
+      outputs.push(...this.#enterOwn(partition, "expire", { kind: "expire" }, now));
+    return outputs;
+  }
+
+  /** A new owner enters nothing new, but has what it holds confirmed once before it tells of it. */
+  #enterLimits(partition: Partition, now: number): StorageOutput[] {
+    const { chain, machine } = partition;
+    if (partition.limiting) return [];
     const standing = this.membership.follower.read<QueueStanding>(keys.standing + chain.name);
     const share = machine.share(chain.ledger);
-    /** A new owner enters nothing new, but has what it holds confirmed once before it tells of it. */
-    if (
-      !partition.limiting &&
-      ((standing !== undefined && standing.shareMark > (share?.mark ?? 0)) ||
-        partition.shareMark < (share?.mark ?? 0))
-    ) {
-      partition.limiting = true;
-      const entered =
-        standing !== undefined && standing.shareMark > (share?.mark ?? 0) ? standing : undefined;
-      const command: QueueCommand = {
-        kind: "limit",
-        limits: entered?.limits ?? share!.limits,
-        share: entered?.target ?? share!.share,
-        mark: entered?.shareMark ?? share!.mark,
-        classes: entered === undefined ? classesOf(share) : sharesOf(entered),
-      };
-      partition.enteredMark = command.mark;
-      outputs.push(
-        ...this.#perform(partition, chain.inquire(`limit/${chain.name}`, command, now), now),
-      );
-    }
+    const shareMark = share?.mark ?? 0;
+    const entered = standing !== undefined && standing.shareMark > shareMark ? standing : undefined;
+    if (entered === undefined && partition.shareMark >= shareMark) return [];
+    partition.limiting = true;
+    const command: QueueCommand = {
+      kind: "limit",
+      limits: entered?.limits ?? share!.limits,
+      share: entered?.target ?? share!.share,
+      mark: entered?.shareMark ?? share!.mark,
+      classes: entered === undefined ? classesOf(share) : sharesOf(entered),
+    };
+    partition.enteredMark = command.mark;
+    return this.#enterOwn(partition, `limit/${chain.name}`, command, now);
+  }
+
+  /** Claims without a sign of life go back to where they waited. */
+  #takeBackOrphans(partition: Partition, now: number): StorageOutput[] {
+    const { chain, machine, heartbeats } = partition;
     const orphans: Claim[] = [];
     const processing = machine.processing();
     for (const [key, go] of processing)
-      if (!lives(life, key, go, now)) orphans.push(claimOf(key, go));
+      if (!heartbeats.isAlive(key, go, now)) orphans.push(claimOf(key, go));
     const lost: { claim: Claim; ending: PassEnding }[] = [];
     const tasks = machine.passes.processing();
     for (const [key, { go }] of tasks)
-      if (!livesTask(life, key, go, now, chain)) lost.push(broken(key, go));
-    for (const key of life.keys()) if (!processing.has(key) && !tasks.has(key)) life.delete(key);
-    if (orphans.length + lost.length > 0)
-      outputs.push({
+      if (!heartbeats.isTaskAlive(key, go, chain, now)) lost.push(broken(key, go));
+    heartbeats.forgetAllBut(processing, tasks);
+    const count = orphans.length + lost.length;
+    if (count === 0) return [];
+    const outputs: StorageOutput[] = [
+      {
         kind: "note",
         text: "claims without a sign of life are taken back",
-        facts: { queue: chain.name, count: orphans.length + lost.length },
-      });
+        facts: { queue: chain.name, count },
+      },
+    ];
     if (orphans.length > 0)
-      outputs.push(
-        ...this.#perform(
-          partition,
-          chain.inquire("orphans", { kind: "reset", items: orphans } satisfies QueueCommand, now),
-          now,
-        ),
-      );
+      outputs.push(...this.#enterOwn(partition, "orphans", { kind: "reset", items: orphans }, now));
     if (lost.length > 0)
-      outputs.push(
-        ...this.#perform(
-          partition,
-          chain.inquire("lost", { kind: "settle", endings: lost } satisfies QueueCommand, now),
-          now,
-        ),
-      );
-    outputs.push(...this.#dropGone(partition, now));
-    if (machine.due(chain.ledger, chain.time(now)))
-      outputs.push(
-        ...this.#perform(
-          partition,
-          chain.inquire("expire", { kind: "expire" } satisfies QueueCommand, now),
-          now,
-        ),
-      );
+      outputs.push(...this.#enterOwn(partition, "lost", { kind: "settle", endings: lost }, now));
     return outputs;
   }
 
   /** Items of passages that the configuration no longer has end with them. */
   #dropGone(partition: Partition, now: number): StorageOutput[] {
-    const { chain, machine, gone } = partition;
+    const { machine, gone } = partition;
     const outputs: StorageOutput[] = [];
     if (!this.membership.holds(now)) {
       gone.clear();
@@ -614,13 +528,7 @@
       const since = gone.get(way) ?? now;
       gone.set(way, since);
       if (now - since >= constants.passageGone)
-        outputs.push(
-          ...this.#perform(
-            partition,
-            chain.inquire("drop-way", { kind: "drop-way", way } satisfies QueueCommand, now),
-            now,
-          ),
-        );
+        outputs.push(...this.#enterOwn(partition, "drop-way", { kind: "drop-way", way }, now));
     }
     return outputs;
   }
@@ -683,41 +591,6 @@
   }
 }
 
-/** Whether a claim showed a sign of life lately; one seen for the first time begins to count now. */
-function lives(
-  life: Map<string, { go: number; at: number }>,
-  key: string,
-  go: number,
-  now: number,
-): boolean {
-  const sign = life.get(key);
-  if (sign === undefined || sign.go !== go) {
-    life.set(key, { go, at: now });
-    return true;
-  }
-  return now - sign.at <= constants.orphanAfter;
-}
-
-/** The same for a prompt of a passage, whose dispatcher is to take it up at once. */
-function livesTask(
-  life: Partition["life"],
-  key: string,
-  go: number,
-  now: number,
-  { place, confirmed }: Chain,
-): boolean {
-  const sign = life.get(key);
-  if (sign === undefined || sign.go !== go) {
-    life.set(key, { go, at: now, place });
-    return true;
-  }
-  /** What is not confirmed was not told yet. */
-  if (sign.place !== undefined && confirmed < sign.place) life.set(key, { ...sign, at: now });
-  return (
-    now - sign.at <= (sign.taken === true ? constants.taskOrphanAfter : constants.claimTakenUp)
-  );
-}
-
 function broken(key: string, go: number): { claim: Claim; ending: PassEnding } {
   return {
     claim: claimOf(key, go),
@@ -737,12 +610,32 @@
   return kind === "status" || kind === "count" || kind === "results" || kind === "read-item";
 }
 
-function isQueue(this: { queue: string }, plan: { queue: string }): boolean {
-  return plan.queue === this.queue;
-}
-
-function isLate(this: { since: number }, refusal: { at: number }): boolean {
-  return refusal.at >= this.since;
+/** What an owner tells control of its share; undefined before the share is confirmed under this ownership. */
+function shareTelling(
+  { chain, machine, shareMark, refusals }: Partition,
+  now: number,
+): QueueShareTelling | undefined {
+  const share = machine.share(chain.ledger);
+  if (!chain.serves || share === undefined || shareMark !== share.mark) return undefined;
+  const open = machine.open();
+  const needs = new Map(open);
+  refusals.addNeeds(needs, now);
+  const classes: ShareTelling[] = [];
+  let [allHeld, allNeed] = [0, 0];
+  for (const { season, share: may } of classesOf(share)) {
+    const held = Math.max(may, open.get(season) ?? 0);
+    const need = needs.get(season) ?? 0;
+    open.delete(season);
+    classes.push([season, held, need]);
+    allHeld += held;
+    allNeed += need;
+  }
+  /** Lots of seasons that have no class any more. */
+  for (const [season, held] of open) {
+    classes.push([season, held, held]);
+    allHeld += held;
+  }
+  return [chain.name, shareMark, allHeld, allNeed, classes];
 }
 
 function concerns(view: ChainView, identity: string): boolean {
