Why a request on a passage has no result yet is a tagged type, worded in one place

relay-core.ts kept the words for the caller in live.why, written in six places; relay-failure.ts has the kinds and describeFailure their words, which are the same.

--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -4,6 +4,7 @@
 import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
 import type { Membership } from "./membership.js";
 import type { PassOutput } from "./pass.js";
+import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
@@ -40,7 +41,8 @@
   last: number | undefined;
   numbered: boolean;
   slow: boolean;
-  why: string;
+  /** What went wrong last, told to the caller when nothing else can be tried. */
+  failure: RelayFailure;
 }
 
 interface Go {
@@ -165,7 +167,7 @@
       last: request.resumeAfter,
       numbered: true,
       slow: false,
-      why: "no runner is known",
+      failure: { kind: "no-runner-known" },
     };
     this.#live.set(ticket, live);
     this.#bytes += request.body.length;
@@ -232,13 +234,13 @@
         break;
       case "unsent":
         go.live.unsent += 1;
-        go.live.why = event.reason;
+        go.live.failure = { kind: "unsent", reason: event.reason };
         this.#part(go, "unsent", undefined, now);
         this.#goOn(go.live, now, outputs);
         break;
       case "refused":
         go.live.sent += 1;
-        go.live.why = event.otherRunner ? "another runner stands there" : "the runner has no seat";
+        go.live.failure = { kind: event.otherRunner ? "other-runner" : "no-seat" };
         if (event.retryAfter !== undefined)
           go.live.retryAfter = Math.min(event.retryAfter, go.live.retryAfter ?? event.retryAfter);
         this.#part(go, "refused", event.retryAfter, now);
@@ -260,7 +262,7 @@
       if (awake && now < live.deadline && live.repeatable && live.go !== undefined)
         this.#rescue(live, live.go, now, outputs);
       if (now < live.deadline) continue;
-      live.why = "the time is up";
+      live.failure = { kind: "time-up" };
       if (live.go?.began === true) live.mayHaveRun = true;
       this.#giveUp(live, now, outputs);
     }
@@ -303,7 +305,7 @@
     if (status >= 500 && live.repeatable && this.#mayTry(live, now, 1)) {
       live.sent += 1;
       live.mayHaveRun = true;
-      live.why = `the runner answered ${status}`;
+      live.failure = { kind: "runner-status", status };
       /** The rest of it is read away by the link, whose connection stays good. */
       this.#part(go, "failed", undefined, now);
       return this.#goOn(live, now, outputs);
@@ -381,7 +383,7 @@
     const { live } = go;
     live.sent += 1;
     live.mayHaveRun = true;
-    live.why = reason;
+    live.failure = { kind: "broken", reason };
     this.#part(go, "broken", undefined, now);
     if (live.repeatable && (!live.opened || (live.passage.kind === "stream" && live.numbered)))
       return this.#goOn(live, now, outputs);
@@ -481,7 +483,7 @@
         ticket,
         status: now >= live.deadline ? 504 : 502,
         retryAfter: undefined,
-        reason: live.why,
+        reason: describeFailure(live.failure),
       });
     } else {
       outputs.push(
@@ -490,7 +492,7 @@
           503,
           live.retryAfter ??
             (this.#choice.knows(live.pool, now) ? constants.seatAfter : constants.knownAfter),
-          live.why,
+          describeFailure(live.failure),
         ),
       );
     }
