A change of the fleet drops the old addresses once it is in force

Where nodes need leases, a change is told when a majority of the fleet has taken it, and while the fleet changes a majority of the old and of the new. The record named the old addresses until the next change of the fleet, so in a fleet at rest nodes that were long gone still counted, and the next change of the fleet, which would have left them out, waited for them too: for ever. Also, addresses of lost nodes counted for 30 s, and those of nodes that stop as planned as well, so one node after another replaced elsewhere left no majority.

Mend, in a module of its own (control/fleet-plan.ts): once the record is in force (all leases of all members have it, and majorities of both have taken it) the same record without the old addresses is entered, as in joint consensus. Nodes that stop as planned are left out as soon as they say so, others 2.5 s after their session ended. No rule rests on these times.

Ruled out: the nodes' side. Permits count by the newest addresses only, so no node can get one that the dropped majority would have prevented (design 7.4).

Before: 8 of 11 rows of features/fleet-record.feature fail (3 to 61 access nodes; "told: undefined" after 4 s). After: all 11.

Left: while half of the fleet is lost within some 5 s and none of it is back at its address, no change is told; the rule asks for it (design 7.4).

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -32,6 +32,7 @@
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { explanations, type Asked, type Explained, type Known } from "./explain.js";
 import { emptying } from "./emptying.js";
+import { FleetPlan } from "./fleet-plan.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
 import { keys } from "./keys.js";
 import { QuorumContact } from "./quorum-contact.js";
@@ -164,8 +165,7 @@
   #registryAt = 0;
   #forgetAt = 0;
   #moved = false;
-  #fleetSeen = { mark: 0, place: 0 };
-  #seenAt = new Map<string, number>();
+  #fleetPlan = new FleetPlan();
   #wall = 0;
   #pacer: Pacer;
   /** Where and since when a node stands behind the feed. */
@@ -534,12 +534,7 @@
   /** A change is told as confirmed only when it is in force: all lease holders of all members have it (§7). */
   #release(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    const view = this.#chain.view;
-    if (view === undefined) return outputs;
-    let covered = this.#ownCover(now);
-    for (const member of view.members)
-      if (member.identity !== this.#self.identity)
-        covered = Math.min(covered, this.#coveredBy.get(member.identity) ?? 0);
+    const covered = this.#coveredByAll(now);
     for (const [own, held] of this.#held) {
       if (
         held.result !== undefined &&
@@ -551,6 +546,17 @@
     return outputs;
   }
 
+  /** The place that all holders of leases of all members have. */
+  #coveredByAll(now: number): number {
+    const view = this.#chain.view;
+    if (view === undefined) return 0;
+    let covered = this.#ownCover(now);
+    for (const { identity } of view.members)
+      if (identity !== this.#self.identity)
+        covered = Math.min(covered, this.#coveredBy.get(identity) ?? 0);
+    return covered;
+  }
+
   #ownCover(now: number): number {
     return now < this.#coverFrom ? 0 : this.#sessions.covered(this.#feed.place, now);
   }
@@ -572,30 +578,16 @@
     return addresses.length === 0 || count > addresses.length / 2;
   }
 
-  /** The fleet by address: who is there is added, who was away for long is left out, one change after another. */
   #planFleet(now: number): ControlOutput[] {
-    const fleet = this.#feed.read<FleetRecord>(keys.fleet);
-    if (fleet !== undefined && fleet.mark !== this.#fleetSeen.mark)
-      this.#fleetSeen = { mark: fleet.mark, place: this.#feed.place };
-    const wanted = new Set<string>();
-    for (const kind of ["access", "storage"] as const)
-      for (const card of this.#sessions.live(kind, now)) wanted.add(card.address);
-    for (const address of wanted) this.#seenAt.set(address, now);
-    for (const address of fleet?.addresses ?? []) {
-      const seenAt = this.#seenAt.get(address) ?? now;
-      this.#seenAt.set(address, seenAt);
-      if (now - seenAt < constants.fleetForgets) wanted.add(address);
+    const nodes = [...this.#sessions.live("access", now), ...this.#sessions.live("storage", now)];
+    const self = this;
+    function isInForce(place: number): boolean {
+      return place <= self.#coveredByAll(now) && self.#fleetTook(place);
     }
-    const held = fleet?.addresses ?? [];
-    if (wanted.size === held.length && held.every(isWithin, wanted)) return [];
-    if (fleet !== undefined && !this.#fleetTook(this.#fleetSeen.place)) return [];
-    return this.#command(
-      {
-        kind: "fleet",
-        fleet: { mark: (fleet?.mark ?? 0) + 1, addresses: [...wanted].sort(), previous: held },
-      },
-      now,
-    );
+    const record = this.#feed.read<FleetRecord>(keys.fleet);
+    const known = { record, place: this.#feed.place };
+    const fleet = this.#fleetPlan.next(known, nodes, isInForce, now);
+    return fleet === undefined ? [] : this.#command({ kind: "fleet", fleet }, now);
   }
 
   #coveredFrom(identity: string, mark: number, place: number, now: number): ControlOutput[] {
@@ -1145,10 +1137,6 @@
   return this.has(member.identity);
 }
 
-function isWithin(this: ReadonlySet<string>, address: string): boolean {
-  return this.has(address);
-}
-
 function isOf(this: readonly Member[], member: Member, place: number): boolean {
   return this[place]!.identity === member.identity;
 }
--- a/packages/control/src/silent-nodes.ts
+++ b/packages/control/src/silent-nodes.ts
@@ -18,7 +18,7 @@
   silent(live: ReadonlySet<string>, recorded: Iterable<string>, now: number): string[] {
     for (const address of live) this.#heardAt.set(address, now);
     for (const [address, heardAt] of this.#heardAt)
-      if (now - heardAt > constants.fleetForgets) this.#heardAt.delete(address);
+      if (now - heardAt > constants.silentNodeRemembered) this.#heardAt.delete(address);
     const silent: string[] = [];
     for (const address of new Set([...recorded, ...this.#heardAt.keys()]))
       if (!live.has(address)) silent.push(address);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -17,8 +17,10 @@
   nearLasts: 1_000,
   /** ms. A peer's promise to take nothing from control, and so the permit that a majority of promises gives. */
   permitLasts: 1_000,
-  /** ms. An address that no control machine heard of for this long is no longer counted as part of the fleet. */
-  fleetForgets: 30_000,
+  /** ms. An address without a session for this long is no longer counted as part of the fleet: with the session itself (2 s) less than a machine has to come up to date in the place of a lost one (§7.4). */
+  fleetForgets: 2_500,
+  /** ms. How long control remembers an address that had a session, to tell a node that starts there where the group stands (§13.8.4). */
+  silentNodeRemembered: 30_000,
   /** ms. A control machine tells silent nodes where the group stands; a node at such an address waits for that at most, beside its session's end. */
   callSilentEvery: 1_000,
   /** ms. Silence after which a member's session ends; longer than a lease, so a dead one has stopped. */
