The simulated worlds' orders are judged as histories; their own rules are gone

So order-rules.ts and the rule for repeated orders in judge.ts go. Each sending of an order is an operation of its own, instead of one outcome for all.

Nodes are sent no origin of a configuration, so what they work with named no order, and "a refused order takes effect at a node" could never be found. An order's name now stands in what it writes, as a label of a way that nobody calls.

The rule that a node with a lease serves nothing older than what was confirmed (node-serves-old) stays beside the histories; it is stricter than change-ignored of the old rules, which goes.

A value of an order beside which another one was acknowledged is told as two-winners. features/worlds.feature plants each kind of fault that the old rules knew, and one more, in a right history.

--- a/features/steps/worlds.ts
+++ b/features/steps/worlds.ts
@@ -1,13 +1,26 @@
 import { deepEqual, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { Site, guards, playWorlds, summarize, type WorldPlayed } from "@chutewick/simulator";
+import {
+  Site,
+  guards,
+  judgeWorld,
+  playWorlds,
+  summarize,
+  worlds,
+  type Violation,
+  type WorldHistory,
+  type WorldPlayed,
+} from "@chutewick/simulator";
 import { patience } from "./proof.js";
+import { plantedFaults } from "./worlds-planted.js";
 
 interface World {
   played: WorldPlayed[];
   site: Site;
   /** Number of the core machine that was added last. */
   added: number;
+  history: WorldHistory;
+  found: Violation[];
 }
 
 const VIOLATIONS_SHOWN = 10;
@@ -89,3 +102,21 @@
   ok(site.storage(added).core.membership.head !== undefined, "its storage process knows no head");
 }
 Then("both processes of that one know the group within {int} s", isInTouch);
+
+function historyOfASeed(this: World, seed: number, world: string): void {
+  this.history = worlds[world]!(seed).history;
+  deepEqual(judgeWorld(this.history), []);
+}
+Given("the history of seed {int} of the world {string}, which is right", patience, historyOfASeed);
+
+function faultIsPlanted(this: World, fault: string): void {
+  plantedFaults[fault]!(this.history);
+  this.found = judgeWorld(this.history);
+}
+When(/^this is planted in it: (.+)$/, faultIsPlanted);
+
+function ruleIsFoundBroken(this: World, rule: string): void {
+  const rules = this.found.map((violation) => violation.rule);
+  ok(rules.includes(rule), `only these: ${rules.join(", ") || "none"}`);
+}
+Then("the rule {string} is found broken", ruleIsFoundBroken);
--- a/features/worlds.feature
+++ b/features/worlds.feature
@@ -44,3 +44,22 @@
       | second-loss   | 1005 | lot-lost            | told when the tail has it                          |
       | many-changes  | 6    | node-serves-old     | leases go to those who have come as far            |
       | wrong-answers | 5    | someone-elses       | a passed result bears the stamp of its call        |
+
+  Scenario Outline: <fault>, planted in a right history
+    Given the history of seed 5 of the world "racing-orders", which is right
+    When this is planted in it: <fault>
+    Then the rule "<rule>" is found broken
+
+    Examples:
+      | fault                                             | rule                 |
+      | another order confirmed under the same version    | two-winners          |
+      | another order confirmed on the same base          | two-winners          |
+      | a read of a refused order                         | refused-takes-effect |
+      | a node at work with a refused order               | refused-takes-effect |
+      | a node that goes back                             | slips-back           |
+      | a node that missed a change                       | node-serves-old      |
+      | a node at work with another order under a version | confirmed-gone       |
+      | an old version read                               | confirmed-gone       |
+      | another order read under the newest version       | confirmed-gone       |
+      | no read after the last confirmation               | confirmed-gone       |
+      | a confirmed order refused when sent again         | taken-then-refused   |
--- a/tools/history/src/configuration-register.ts
+++ b/tools/history/src/configuration-register.ts
@@ -300,6 +300,20 @@
   return "confirmed-gone";
 }
 
+/** Whether the value is that of an acknowledged order beside which another one was acknowledged. */
+function isOfSecondWinner(
+  value: string | undefined,
+  history: History<RegisterInput, RegisterOutput>,
+): boolean {
+  return history.some(
+    ({ input, output }) =>
+      input.kind === "order" &&
+      output?.kind === "accepted" &&
+      input.value === value &&
+      diagnoseAccepted(input, output.version, history) === "two-winners",
+  );
+}
+
 function diagnoseOrder(
   state: RegisterState,
   order: OrderInput,
@@ -318,7 +332,8 @@
 ): RegisterRule {
   if (input.kind === "order") return diagnoseOrder(state, input, output, history);
   if (output?.kind !== "value") return "confirmed-gone";
-  return isOfRefused(output.value, history) ? "refused-takes-effect" : "confirmed-gone";
+  if (isOfRefused(output.value, history)) return "refused-takes-effect";
+  return isOfSecondWinner(output.value, history) ? "two-winners" : "confirmed-gone";
 }
 
 /** The order and value that an answer says to be in force. */
--- a/tools/simulator/src/checker/histories.ts
+++ b/tools/simulator/src/checker/histories.ts
@@ -1,6 +1,6 @@
 import {
-  judge,
   judgeConfiguration,
+  judge,
   lotLog,
   type LotOperation,
   type LotOutput,
@@ -18,7 +18,10 @@
   Violation,
 } from "./records.js";
 
-/** What a campaign's operators and clients saw, as histories that tools/history judges (docs/testing.md §3). */
+/** What a simulated run's operators and clients saw, as histories that tools/history judges (docs/testing.md §4). */
+
+/** What was seen of the configuration; each change is one sending of an order. */
+export type OrderSight = Pick<Sight, "founding" | "changes" | "reads" | "begins">;
 
 function orderOutput({ told, mark }: ChangeRecord): RegisterOutput | undefined {
   switch (told) {
@@ -83,7 +86,7 @@
 }
 
 /** Everything that operators and nodes saw of the configuration. */
-export function configurationHistory(sight: Sight): RegisterOperation[] {
+function configurationHistory(sight: OrderSight): RegisterOperation[] {
   return [
     ...[...sight.founding, ...sight.changes].map(orderOperation),
     ...sight.reads.map(readOperation),
@@ -136,23 +139,31 @@
   return operations;
 }
 
-/** ms. When the last acknowledged order was acknowledged; 0 where none was. */
-function lastAcknowledgedAt(sight: Sight): number {
-  let last = 0;
-  for (const { told, endedAt } of sight.changes)
-    if (told === "confirmed") last = Math.max(last, endedAt!);
-  return last;
+/** ms. When the last order was acknowledged for the first time; 0 where none was. */
+function lastAcknowledgedAt(changes: readonly ChangeRecord[]): number {
+  const acknowledgedAt = new Map<string, number>();
+  for (const { id, order = id, told, endedAt } of changes) {
+    if (told !== "confirmed") continue;
+    acknowledgedAt.set(order, Math.min(endedAt!, acknowledgedAt.get(order) ?? endedAt!));
+  }
+  return Math.max(0, ...acknowledgedAt.values());
+}
+
+/** The verdict over what operators and nodes saw of the configuration. */
+export function judgeOrders(sight: OrderSight): Violation[] {
+  const found: Violation[] = [...judgeConfiguration(configurationHistory(sight))];
+  /** A history that ends before anybody reads again would let every order vanish. */
+  const acknowledgedAt = lastAcknowledgedAt(sight.changes);
+  if (!sight.reads.some(({ askedAt }) => askedAt > acknowledgedAt))
+    found.push({ rule: "confirmed-gone", facts: "nobody read after the last acknowledged order" });
+  return found;
 }
 
 /** The verdict over every history of a campaign. */
 export function judgeHistories(sight: Sight): Violation[] {
-  const found: Violation[] = [...judgeConfiguration(configurationHistory(sight))];
+  const found = judgeOrders(sight);
   for (const lot of sight.lots)
     for (const { rule, facts } of judge(lotLog, lotHistory(lot)))
       found.push({ rule, facts: `${lot.key}: ${facts}` });
-  /** A history that ends before anybody reads again would let every order vanish. */
-  const confirmedAt = lastAcknowledgedAt(sight);
-  if (!sight.reads.some(({ askedAt }) => askedAt > confirmedAt))
-    found.push({ rule: "confirmed-gone", facts: "nobody read after the last acknowledged order" });
   return found;
 }
--- a/tools/simulator/src/worlds/history.ts
+++ b/tools/simulator/src/worlds/history.ts
@@ -59,40 +59,22 @@
     this.violations.push({ rule, facts });
   }
 
-  /** Orders as the checker of the storms reads them: one outcome for all sendings of each. */
+  /** Each sending of each order, as the histories of orders have it. */
   changes(): ChangeRecord[] {
-    return this.orders.map(changeOf);
+    return this.orders.flatMap((order) =>
+      order.sendings.map((sending) => changeOf(order, sending)),
+    );
   }
 }
 
-/**
- * A refusal that holds for ever. A conflict with an older version than the base is none: the same order
- * may be taken once the base is in force.
- */
-export function isFinalRefusal({ base }: OrderRecord, { answer, mark }: Sending): boolean {
-  return answer === "refused" || (answer === "conflict" && mark! > base);
-}
-
-/** A confirmation counts from the moment it left the machine, since the answer may have been delivered then. */
-function changeOf(order: OrderRecord): ChangeRecord {
-  const { id, base, askedAt, sendings } = order;
-  const change: ChangeRecord = { id, kind: "racing", askedAt, expected: base };
-  const confirmed = earliest(sendings.filter(({ answer }) => answer === "confirmed"));
-  if (confirmed !== undefined)
-    return { ...change, told: "confirmed", endedAt: confirmed.answeredAt!, mark: confirmed.mark! };
-  const refused = earliest(sendings.filter((sending) => isFinalRefusal(order, sending)));
-  if (refused !== undefined) return { ...change, told: "conflict", endedAt: refused.answeredAt! };
-  const surelyNotRun = sendings.every(
-    ({ answer }) => answer === "not-run" || answer === "conflict",
-  );
-  return { ...change, told: surelyNotRun ? "not-run" : "unknown" };
-}
-
-function earliest(sendings: readonly Sending[]): Sending | undefined {
-  const [first, ...others] = sendings;
-  if (first === undefined) return undefined;
-  return others.reduce(
-    (left, right) => (right.answeredAt! < left.answeredAt! ? right : left),
-    first,
-  );
+/** An answer counts from the moment it left the machine, since it may have been delivered then. */
+function changeOf({ id, base, number }: OrderRecord, sending: Sending): ChangeRecord {
+  const { askedAt, answeredAt, answer = "unknown", mark } = sending;
+  const change = { id, kind: "racing", askedAt, expected: base, version: number } as const;
+  return {
+    ...change,
+    told: answer,
+    ...(answeredAt === undefined ? {} : { endedAt: answeredAt }),
+    ...(mark === undefined ? {} : { mark }),
+  };
 }
--- a/tools/simulator/src/worlds/judge.ts
+++ b/tools/simulator/src/worlds/judge.ts
@@ -1,39 +1,12 @@
 import type { Violation } from "../checker.js";
-import { isFinalRefusal, type History, type OrderRecord } from "./history.js";
-import { checkOrders } from "./order-rules.js";
+import { judgeOrders } from "../checker/histories.js";
+import type { History } from "./history.js";
 
 /** What must hold of the history of a simulated world. */
 export function judge(history: History): Violation[] {
-  return [
-    ...judgeOrders(history),
-    ...judgeRepeatedOrders(history),
-    ...judgeNodes(history),
-    ...history.violations,
-  ];
-}
-
-/**
- * The one place where orders and reads are checked for consistency: another check with the same
- * records may take its place here.
- */
-function judgeOrders(history: History): Violation[] {
-  const found: Violation[] = [];
   const { reads, begins } = history;
-  const sight = { changes: history.changes(), reads, begins };
-  checkOrders(sight, (rule, facts) => found.push({ rule, facts }));
-  return found;
-}
-
-/** An order that was taken is never refused, however often and wherever it is sent. */
-function judgeRepeatedOrders(history: History): Violation[] {
-  const found: Violation[] = [];
-  for (const order of history.orders) {
-    const { sendings } = order;
-    const confirmed = sendings.some(({ answer }) => answer === "confirmed");
-    if (confirmed && sendings.some((sending) => isFinalRefusal(order, sending)))
-      found.push({ rule: "taken-then-refused", facts: describe(order) });
-  }
-  return found;
+  const sight = { founding: [], changes: history.changes(), reads, begins };
+  return [...judgeOrders(sight), ...judgeNodes(history), ...history.violations];
 }
 
 /** A node that holds a lease serves no configuration older than one confirmed before. */
@@ -57,11 +30,3 @@
   }
   return found;
 }
-
-function describe({ id, base, number, sendings }: OrderRecord): string {
-  const told = sendings.map(
-    ({ machine, askedAt, answeredAt, answer }) =>
-      `${machine} ${Math.round(askedAt)}-${Math.round(answeredAt ?? NaN)} ${answer ?? "silent"}`,
-  );
-  return `${id} (${base} to ${number}): ${told.join(", ")}`;
-}
--- a/tools/simulator/src/worlds/observers.ts
+++ b/tools/simulator/src/worlds/observers.ts
@@ -1,4 +1,5 @@
 import type { Machine } from "../world.js";
+import { orderIn } from "./configuration.js";
 import type { Site } from "./site.js";
 
 /** ms between two looks at what each node serves. */
@@ -12,9 +13,13 @@
     for (const node of [...accesses, ...storages]) {
       const { membership } = node.core ?? {};
       if (!node.alive || node.frozen || !membership?.holds(site.now)) continue;
-      const { mark, origin } = membership.configuration;
-      const id = mark === 0 ? undefined : origin;
-      site.history.begins.push({ node: nameOfLife(node), at: site.now, mark, id });
+      const { mark, value } = membership.configuration;
+      site.history.begins.push({
+        node: nameOfLife(node),
+        at: site.now,
+        mark,
+        id: orderIn(value),
+      });
     }
   }
   look();
--- a/tools/simulator/src/worlds/operators.ts
+++ b/tools/simulator/src/worlds/operators.ts
@@ -1,6 +1,6 @@
 import type { ControlOutcome } from "@chutewick/control";
 import type { ControlMachine } from "../machines.js";
-import { worldConfiguration } from "./configuration.js";
+import { configurationOf, orderIn } from "./configuration.js";
 import type { OrderRecord, Sending } from "./history.js";
 import type { Site } from "./site.js";
 
@@ -54,8 +54,8 @@
         return told(undefined);
       }
       history.count("read answered");
-      const { mark, origin } = value;
-      history.reads.push({ askedAt, at: site.now, mark, id: mark === 0 ? undefined : origin });
+      const { mark } = value;
+      history.reads.push({ askedAt, at: site.now, mark, id: orderIn(value.value) });
       told(mark);
     }
     at.inquire({ kind: "read" }, answered);
@@ -121,7 +121,7 @@
       heard(sending);
     };
     const { id, base, number } = order;
-    const value = worldConfiguration;
+    const value = configurationOf(id);
     machine.inquire({ kind: "put", expected: base, mark: number, value, origin: id }, told);
   }
 
