--- a/features/steps/silent-nodes.ts
+++ b/features/steps/silent-nodes.ts
@@ -37,13 +37,13 @@
 
 function callsWhileRemembered(this: World, address: string): void {
   deepEqual(this.silentNodes.silent(none, [], constants.sessionLasts), [address]);
-  deepEqual(this.silentNodes.silent(none, [], constants.fleetForgets), [address]);
-  deepEqual(this.silentNodes.silent(none, [], constants.fleetForgets + 1), []);
+  deepEqual(this.silentNodes.silent(none, [], constants.silentNodeRemembered), [address]);
+  deepEqual(this.silentNodes.silent(none, [], constants.silentNodeRemembered + 1), []);
 }
 Then("it calls {word} while the node is silent, until it is forgotten", callsWhileRemembered);
 
 function callsWhileRecorded(this: World, address: string): void {
-  const late = constants.fleetForgets * 10;
+  const late = constants.silentNodeRemembered * 10;
   deepEqual(this.silentNodes.silent(none, [address], late), [address]);
   deepEqual(this.silentNodes.silent(new Set([address]), [address], late + 1), []);
 }
