SIMULATOR_JOBS bounds the threads of simulated plays

On a shared machine the features took one thread a processor, whatever ran beside them. An environment variable names the number; without it nothing changes.

--- a/tools/simulator/src/crew.ts
+++ b/tools/simulator/src/crew.ts
@@ -1,7 +1,6 @@
-import { availableParallelism } from "node:os";
 import type { CampaignOptions } from "./campaign/options.js";
 import type { Violation, Worst } from "./checker.js";
-import { runThreads } from "./threads.js";
+import { runThreads, usualJobs } from "./threads.js";
 
 /** Plays many seeds on all processors: each play is one seeded run of its own, so the order of ending does not matter. */
 
@@ -32,7 +31,7 @@
 export async function playAll(
   plays: readonly Play[],
   guard?: string,
-  jobs = availableParallelism(),
+  jobs = usualJobs(),
 ): Promise<Played[]> {
   const results = await runThreads<Play, Played>("./player.js", plays, { guard, jobs });
   return results.sort(bySeed);
--- a/tools/simulator/src/threads.ts
+++ b/tools/simulator/src/threads.ts
@@ -1,6 +1,16 @@
+import { availableParallelism } from "node:os";
 import { Worker } from "node:worker_threads";
 import { guards } from "./guards.js";
 
+/** Environment variable that bounds the threads, for a machine that is shared. */
+const JOBS_VARIABLE = "SIMULATOR_JOBS";
+
+/** Threads at most where a caller names no number: as the environment says, else one a processor. */
+export function usualJobs(): number {
+  const told = Number(process.env[JOBS_VARIABLE]);
+  return Number.isInteger(told) && told > 0 ? told : availableParallelism();
+}
+
 /** Runs tasks of one kind on worker threads, with a guard of the product taken out where one is named. */
 export interface ThreadOptions<Result> {
   /** Name of the guard that is taken out; undefined for the product as it is. */
--- a/tools/simulator/src/worlds/crew.ts
+++ b/tools/simulator/src/worlds/crew.ts
@@ -1,5 +1,4 @@
-import { availableParallelism } from "node:os";
-import { runThreads } from "../threads.js";
+import { runThreads, usualJobs } from "../threads.js";
 import type { WorldPlay, WorldPlayed } from "./registry.js";
 
 export interface WorldRange {
@@ -30,7 +29,7 @@
 
 /** Plays each seed of a range in threads of its own; the result is the same however many there are. */
 export async function playWorlds(
-  { world, from, to, jobs = availableParallelism(), guard }: WorldRange,
+  { world, from, to, jobs = usualJobs(), guard }: WorldRange,
   done?: (played: WorldPlayed) => void,
 ): Promise<WorldPlayed[]> {
   const plays: WorldPlay[] = [];
