--- a/tools/model/src/guards.ts
+++ b/tools/model/src/guards.ts
@@ -37,7 +37,7 @@
     ],
   },
   {
-    start: "formed",
+    start: "ordering",
     guard: "confirmed when the tail has it",
     invariant: "a view that serves holds what was confirmed",
     cuts: [
