Connections between processes that stall are replaced by heartbeats on them

An access node went on with the old configuration, and answered 404 on an added route. Ruled out: the feed losing its place (sessions tell it each 0.3 s), a frozen node (it served all the time). Status tells violations and connections.

--- a/features/steps/connections.ts
+++ b/features/steps/connections.ts
@@ -1,7 +1,10 @@
-import { ok } from "node:assert/strict";
+import { equal, ok } from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { Relay } from "@chutewick/fleet";
-import { Wire, log, settled } from "@chutewick/shell";
+import { constants } from "@chutewick/parts";
+import { ConnectionHeartbeat, Wire, invariants, log, settled } from "@chutewick/shell";
+import { Packr } from "msgpackr";
 
 /** ms. */
 const SEND_EVERY = 50;
@@ -21,6 +24,15 @@
   ends: End[];
   relay: Relay | undefined;
   timers: NodeJS.Timeout[];
+  heartbeat: ConnectionHeartbeat;
+  oldRelease: OldRelease | undefined;
+}
+
+/** A listener of a release that knows no heartbeats. */
+interface OldRelease {
+  readonly server: Server;
+  readonly sockets: Socket[];
+  readonly messages: unknown[];
 }
 
 const quiet = log.open("test", "connections", "fatal");
@@ -51,10 +63,15 @@
     end.sent += 1;
     end.wire.send(end.to, { number: end.sent });
   }
+  function beat(): void {
+    end.wire.beat(performance.now());
+  }
   every(world, SEND_EVERY, send);
+  every(world, constants.beatEvery, beat);
 }
 
 async function twoProcesses(this: World): Promise<void> {
+  invariants.reset();
   this.timers = [];
   this.relay = new Relay();
   for (const own of [0, 1] as const) await this.relay.open(addresses[own], listens[own]);
@@ -113,9 +130,107 @@
   return end.sent;
 }
 
+function noneStalled(): void {
+  equal(invariants.counts()["connection-stalled"] ?? 0, 0);
+}
+Then("no connection stalled longer than it may", noneStalled);
+
+function awaited(this: World): void {
+  this.heartbeat = new ConnectionHeartbeat(false);
+  this.heartbeat.answered(0);
+  elapse(this.heartbeat, constants.heartbeatEvery, 0);
+  ok(this.heartbeat.isDue);
+  this.heartbeat.send();
+}
+Given("a connection of which a heartbeat is awaited", awaited);
+
+/** Looks at a connection with each beat of a process that runs. */
+function elapse(heartbeat: ConnectionHeartbeat, milliseconds: number, waitingBytes: number): void {
+  for (let at = 0; at < milliseconds; at += constants.beatEvery)
+    heartbeat.elapse(constants.beatEvery, { flushedBytes: 0, waitingBytes });
+}
+
+function standsStill(this: World, seconds: number): void {
+  this.heartbeat.elapse(seconds * 1_000, { flushedBytes: 0, waitingBytes: 0 });
+}
+When("the process stands still for {int} s", standsStill);
+
+function hasNotExpired(this: World): void {
+  equal(this.heartbeat.hasExpired, false);
+}
+Then("the connection has not expired", hasNotExpired);
+
+function expiresAfter(this: World, seconds: number): void {
+  elapse(this.heartbeat, seconds * 1_000, 0);
+  equal(this.heartbeat.hasExpired, true);
+}
+Then("it has after {float} s in which the process runs and nothing arrives", expiresAfter);
+
+function slowLink(this: World, seconds: number): void {
+  for (let second = 1; second <= seconds; second += 1) {
+    elapse(this.heartbeat, 950, 10_000);
+    this.heartbeat.elapse(constants.beatEvery, {
+      flushedBytes: second * 1_000,
+      waitingBytes: 10_000,
+    });
+  }
+}
+When("nothing is answered for {int} s while waiting bytes are flushed each second", slowLink);
+
+async function anOldRelease(this: World): Promise<void> {
+  const packer = new Packr({ useRecords: false });
+  const release: OldRelease = { server: createServer(accepted), sockets: [], messages: [] };
+  function accepted(socket: Socket): void {
+    release.sockets.push(socket);
+    let held = Buffer.alloc(0);
+    function arrived(chunk: Buffer): void {
+      held = Buffer.concat([held, chunk]);
+      while (held.length >= 4 && held.length >= held.readUInt32BE(0) + 4) {
+        const length = held.readUInt32BE(0);
+        release.messages.push(packer.unpack(held.subarray(4, length + 4)));
+        held = held.subarray(length + 4);
+      }
+    }
+    socket.on("data", arrived);
+    socket.on("error", ignored);
+  }
+  function listening(resolve: () => void): void {
+    release.server.listen(7_101, "127.11.0.2", resolve);
+  }
+  await new Promise<void>(listening);
+  this.oldRelease = release;
+  this.timers = [];
+  this.relay = undefined;
+}
+Given("a process that answers nothing on connections that it accepts", anOldRelease);
+
+function ignored(): void {
+  // Ends of connections are counted by what arrives.
+}
+
+async function sendsFor(this: World, seconds: number): Promise<void> {
+  const end = await openEnd(0);
+  this.ends = [{ ...end, to: listens[1] }];
+  startSending(this, this.ends[0]!);
+  await passed(seconds * 1_000);
+}
+When("another process sends it messages for {int} s", { timeout: 10_000 }, sendsFor);
+
+function onlyMessages(this: World): void {
+  const { sockets, messages } = this.oldRelease!;
+  equal(sockets.length, 1);
+  const [hello, ...rest] = messages as Record<string, unknown>[];
+  equal(hello!["product"], "chutewick");
+  ok(rest.length > 30, `${rest.length} messages came`);
+  for (const message of rest) equal(typeof message["number"], "number");
+}
+Then("all of them came on one connection, with nothing but messages on it", onlyMessages);
+
 function closeAll(this: World): void {
   for (const timer of this.timers ?? []) clearInterval(timer);
   for (const { wire } of this.ends ?? []) wire.close();
   this.relay?.close();
+  this.oldRelease?.server.close();
+  for (const socket of this.oldRelease?.sockets ?? []) socket.destroy();
 }
 After(closeAll);
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -4,6 +4,7 @@
   countsOfWire,
   createWire,
   Gateway,
+  invariants,
   listen,
   metrics,
   monotonic,
@@ -115,6 +116,7 @@
     function strike(now: number): void {
       held.beat(now);
       opened.#perform(opened.#core.beat(now, Date.now()));
+      opened.#wire.beat(now);
     }
     opened.#perform(opened.#core.start(monotonic()));
     opened.#beat.start(strike);
@@ -173,6 +175,7 @@
           syncs: self.#disk.syncs,
           ...countsOfWire(self.#wire),
         },
+        violations: invariants.counts(),
       });
     }
     function get(arrival: Arrival): void {
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -13,6 +13,7 @@
   createWire,
   explain,
   Gateway,
+  invariants,
   listen,
   metrics,
   monotonic,
@@ -151,6 +152,7 @@
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void {
       access.#perform(access.#core.beat(now, Date.now()));
+      access.#wire.beat(now);
       access.#passLinks.beat(now);
     }
     access.#beat.start(strike);
@@ -281,6 +283,7 @@
           ...self.#passLinks.counts,
           ...countsOfWire(self.#wire),
         },
+        violations: invariants.counts(),
       });
     }
     async function measured(arrival: Arrival): Promise<void> {
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -3,6 +3,7 @@
   countsOfWire,
   createWire,
   Gateway,
+  invariants,
   listen,
   metrics,
   monotonic,
@@ -85,6 +86,7 @@
     function strike(now: number): void {
       held.beat(now);
       opened.#perform(opened.#core.beat(now));
+      opened.#wire.beat(now);
     }
     opened.#beat.start(strike);
     log.info({ identity: disk.value.identity, wire: settings.wire }, "storage machine is up");
@@ -120,6 +122,7 @@
           syncs: self.#disk.syncs,
           ...countsOfWire(self.#wire),
         },
+        violations: invariants.counts(),
       });
     }
     async function measured(arrival: Arrival): Promise<void> {
--- a/packages/shell/src/daemon-parts.ts
+++ b/packages/shell/src/daemon-parts.ts
@@ -5,6 +5,7 @@
 import type { Log } from "./log.js";
 import { diskListener } from "./program.js";
 import type { Settings } from "./settings.js";
+import type { ConnectionCounts } from "./outgoing-connection.js";
 import { Wire } from "./wire.js";
 
 /** HTTP routes that every daemon answers for its operator. */
@@ -52,9 +53,11 @@
   readonly dropped: number;
   /** Connections refused because the other process speaks another protocol version. */
   readonly refused: number;
+  /** Connections to other processes. */
+  readonly connections: Readonly<ConnectionCounts>;
 }
 
 /** The counts of a wire as they stand now. */
-export function countsOfWire({ sent, dropped, refused }: Wire): WireCounts {
-  return { sent, dropped, refused };
+export function countsOfWire({ sent, dropped, refused, connections }: Wire): WireCounts {
+  return { sent, dropped, refused, connections: { ...connections } };
 }
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -11,3 +11,5 @@
 export * from "./write-queue.js";
 export * from "./program.js";
 export * from "./daemon-parts.js";
+export * from "./invariants.js";
+export * from "./connection-heartbeat.js";
--- /dev/null
+++ b/packages/shell/src/outgoing-connection.ts
@@ -0,0 +1,165 @@
+/** A process's own connection to another process, replaced where it stalls (docs/design.md §10.3). */
+import { connect, type Socket } from "node:net";
+import { constants } from "@chutewick/parts";
+import { ConnectionHeartbeat } from "./connection-heartbeat.js";
+import { encodeFrame, FrameReader } from "./frames.js";
+import { invariants } from "./invariants.js";
+import type { Log } from "./log.js";
+import { isHeartbeatAnswer, type Hello } from "./wire-messages.js";
+
+/** What all connections of a process have in common. */
+export interface OutgoingOptions {
+  readonly log: Log;
+  /** IP that connections come from. */
+  readonly localAddress: string;
+  /** The first frame of the connection with a number. */
+  readonly hello: (connection: number) => Hello;
+  readonly counts: ConnectionCounts;
+}
+
+/** Outgoing connections of a process since its start. */
+export interface ConnectionCounts {
+  opened: number;
+  /** Closed by whichever side, or never come up. */
+  lost: number;
+  /** Of these, closed here because they carried nothing any more. */
+  stalled: number;
+}
+
+interface OpenSocket {
+  readonly socket: Socket;
+  readonly heartbeat: ConnectionHeartbeat;
+}
+
+/** Opens a connection with the first message, and another after one that was lost or has stalled. */
+export class OutgoingConnection {
+  readonly #to: string;
+  readonly #options: OutgoingOptions;
+  #open: OpenSocket | undefined;
+  #retryAt = 0;
+  #number = 0;
+  /** The other process has answered heartbeats; earlier releases do not. */
+  #answersHeartbeats = false;
+  #wasConnected = false;
+
+  constructor(to: string, options: OutgoingOptions) {
+    this.#to = to;
+    this.#options = options;
+  }
+
+  /** Best effort; false where the message was dropped. A connection that is not there is opened. */
+  send(message: unknown): boolean {
+    if (this.#open === undefined && performance.now() >= this.#retryAt) this.#connect();
+    if (this.#open === undefined) return false;
+    const { socket, heartbeat } = this.#open;
+    if (socket.writableLength > constants.wireBacklog) return false;
+    socket.cork();
+    if (heartbeat.isDue) socket.write(encodeFrame({ heartbeat: heartbeat.send() }));
+    socket.write(encodeFrame(message));
+    socket.uncork();
+    return true;
+  }
+
+  /** Some ms have passed: a connection that carries nothing any more is closed, so that the next message opens another. */
+  elapse(milliseconds: number): void {
+    if (this.#open === undefined || this.#open.socket.connecting) return;
+    const { socket, heartbeat } = this.#open;
+    const waitingBytes = socket.writableLength;
+    heartbeat.elapse(milliseconds, {
+      flushedBytes: socket.bytesWritten - waitingBytes,
+      waitingBytes,
+    });
+    if (heartbeat.isOverdue) invariants.violated("connection-stalled", { to: this.#to });
+    if (heartbeat.hasExpired) this.#replace(socket, heartbeat);
+  }
+
+  close(): void {
+    this.#open?.socket.destroy();
+  }
+
+  #replace(socket: Socket, heartbeat: ConnectionHeartbeat): void {
+    this.#options.counts.stalled += 1;
+    this.#options.log.warn({ to: this.#to }, "connection to another process stalled; replaced");
+    /** A reset takes back what the kernel has not delivered: it must not arrive after what the next connection brings. */
+    if (heartbeat.hasAnswered) socket.resetAndDestroy();
+    else socket.destroySoon();
+    this.#closed(socket);
+  }
+
+  #connect(): void {
+    const self = this;
+    const separator = this.#to.lastIndexOf(":");
+    const socket = connect({
+      host: this.#to.slice(0, separator),
+      port: Number(this.#to.slice(separator + 1)),
+      localAddress: this.#options.localAddress,
+      noDelay: true,
+    });
+    const heartbeat = new ConnectionHeartbeat(this.#answersHeartbeats);
+    this.#open = { socket, heartbeat };
+    this.#number += 1;
+    /** Written before the connection stands: what is sent meanwhile waits behind it, for this short time. */
+    socket.write(encodeFrame(this.#options.hello(this.#number)));
+    function giveUp(): void {
+      if (socket.connecting) socket.destroy();
+    }
+    const patience = setTimeout(giveUp, constants.connectPatience);
+    function connected(): void {
+      self.#connected();
+    }
+    function closed(): void {
+      clearTimeout(patience);
+      self.#closed(socket);
+    }
+    function failed(): void {
+      socket.destroy();
+    }
+    socket.once("connect", connected);
+    socket.once("close", closed);
+    socket.on("error", failed);
+    this.#readAnswers(socket, heartbeat);
+  }
+
+  #connected(): void {
+    this.#options.counts.opened += 1;
+    if (!this.#wasConnected)
+      this.#options.log.info({ to: this.#to }, "connected to another process");
+    this.#wasConnected = true;
+  }
+
+  #closed(socket: Socket): void {
+    if (this.#open?.socket !== socket) return;
+    this.#open = undefined;
+    this.#retryAt = performance.now() + constants.reconnectAfter;
+    this.#options.counts.lost += 1;
+    if (this.#wasConnected)
+      this.#options.log.info({ to: this.#to }, "connection to another process lost");
+    this.#wasConnected = false;
+  }
+
+  #readAnswers(socket: Socket, heartbeat: ConnectionHeartbeat): void {
+    const self = this;
+    const reader = new FrameReader();
+    function arrived(chunk: Buffer): void {
+      try {
+        for (const answer of reader.read(chunk)) self.#answered(answer, heartbeat);
+      } catch (error) {
+        self.#options.log.error(
+          { to: self.#to, reason: (error as Error).message },
+          "an answer on a connection cannot be read: connection ended",
+        );
+        socket.destroy();
+      }
+    }
+    socket.on("data", arrived);
+  }
+
+  #answered(answer: unknown, heartbeat: ConnectionHeartbeat): void {
+    if (isHeartbeatAnswer(answer)) {
+      this.#answersHeartbeats = true;
+      heartbeat.answered(answer.heartbeatAnswer);
+      return;
+    }
+    this.#options.log.error({ to: this.#to, message: answer }, "refused by the other process");
+  }
+}
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -2,6 +2,7 @@
 import { option, optional, string } from "cmd-ts";
 import { StartError } from "./errors.js";
 import type { Gateway } from "./gateway.js";
+import { invariants } from "./invariants.js";
 import { log as logs, type Log } from "./log.js";
 import { settings, type Flags, type Settings } from "./settings.js";
 import type { Wire } from "./wire.js";
@@ -71,6 +72,7 @@
   open: (settings: Settings, log: Log) => Promise<Outcome<Daemon>>,
 ): Promise<void> {
   const log = logs.open(program, checked.name, checked.logLevel);
+  invariants.reportTo(log);
   const opened = await open(checked, log);
   if (!opened.ok) {
     log.fatal({ reason: opened.reason }, "cannot start");
