Only a node with a lease says that there is no passage

Cause: a node that goes on alone answered 404 on a passage that had been added and acknowledged meanwhile; a caller that hears 404 does not come again. Before: features/relay.feature, new scenario, 404. After: 503 with when to come back.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -34,6 +34,13 @@
       When "q2" arrives for "shop.example" at "/nowhere/x"
       Then the caller of "q2" gets "refused 503 after 0.35"
 
+    Scenario: A node without a lease may lack passages that were added, so it calls none unknown
+      Given the node serves without a lease
+      When "q1" arrives for "shop.example" at "/nowhere/x"
+      Then the caller of "q1" gets "refused 503 after 0.35"
+      When "q2" arrives for "shop.example" at "/fetch/x"
+      Then "q2" is sent to the pool "plain"
+
     Scenario: Weights share inquiries over pools, and one of no weight gets none
       When 2000 inquiries arrive for "even.example" at "/x"
       Then 160 to 240 of them are sent to the pool "other"
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -30,11 +30,15 @@
   cards: RunnerCard[] = [];
   closed = new Set<string>();
   may = true;
+  hasLease = true;
   registry: RunnerRegistry = { nodes: [], runners: [] };
 
   serves(): boolean {
     return this.may;
   }
+  holds(): boolean {
+    return this.may && this.hasLease;
+  }
   runners(): RunnerCard[] {
     return this.cards.filter(isOpen, this.closed);
   }
@@ -151,6 +155,11 @@
 }
 Given("the node may not serve", mayNotServe);
 
+function hasNoLease(this: World): void {
+  this.known.hasLease = false;
+}
+Given("the node serves without a lease", hasNoLease);
+
 function weights(this: World, name: string, text: string): void {
   const { value } = this.known.configuration;
   this.known.configuration = {
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -138,10 +138,7 @@
     if (!this.#membership.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(request.host, request.path);
-    if (found === undefined) {
-      this.counts.passUnknown += 1;
-      return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
-    }
+    if (found === undefined) return this.#turnAwayUnknown(ticket, now);
     const { passage } = found;
     if (this.#bytes + request.body.length > this.#policy.memory * constants.bodiesPart)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
@@ -176,6 +173,19 @@
     return outputs;
   }
 
+  /** Only a node that holds a lease has every acknowledged change; another one may not know of a passage that was added. */
+  #turnAwayUnknown(ticket: string, now: number): PassOutput[] {
+    if (!this.#membership.holds(now))
+      return this.#turnAway(
+        ticket,
+        503,
+        constants.knownAfter,
+        "there is no passage at this host and path in a configuration that may be out of date",
+      );
+    this.counts.passUnknown += 1;
+    return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
+  }
+
   /** The caller is gone: what runs for it is broken off. */
   left(ticket: string, now: number): PassOutput[] {
     const live = this.#live.get(ticket);
