Invariant: a node that hears control has each change within 2 s

Counted by every node itself, told in its status under violations, and a rule of the simulator's campaigns (behind-control).

--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -283,7 +283,10 @@
           ...self.#passLinks.counts,
           ...countsOfWire(self.#wire),
         },
-        violations: invariants.counts(),
+        violations: {
+          ...invariants.counts(),
+          "feed-behind-control": self.#core.membership.feedProgress.violations,
+        },
       });
     }
     async function measured(arrival: Arrival): Promise<void> {
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -24,6 +24,8 @@
   type MarkedConfiguration,
 } from "@chutewick/control";
 
+import { FeedProgress } from "./feed-progress.js";
+
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
 export interface Standing {
   readonly identity: string;
@@ -43,6 +45,7 @@
 
 export class Membership {
   readonly follower = new Follower();
+  readonly feedProgress = new FeedProgress();
   #lease = new Lease();
   #standing: Standing;
   #controls: Set<string>;
@@ -308,6 +311,7 @@
       for (const address of message.addresses) this.#controls.add(address);
     if (message.kind === "lease") {
       this.#heardAt.set(message.identity, now);
+      this.feedProgress.heard(message.place, this.follower.place, now);
       this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
       this.#heldLease ||= this.#lease.holds(now, this.follower.place);
       if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -122,7 +122,10 @@
           syncs: self.#disk.syncs,
           ...countsOfWire(self.#wire),
         },
-        violations: invariants.counts(),
+        violations: {
+          ...invariants.counts(),
+          "feed-behind-control": self.#core.membership.feedProgress.violations,
+        },
       });
     }
     async function measured(arrival: Arrival): Promise<void> {
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -13,6 +13,8 @@
   leaseLasts: 1_400,
   /** ms. A node that stays behind the feed for this long gets no further lease, so it holds up no change (§7.3). */
   lagLasts: 500,
+  /** ms. A node that hears control has each change within this after control told of it: the least time in which a deployment may ask for a change to be in force. */
+  feedLagMost: 2_000,
   /** ms. Without a word from a majority of control for this long, a node counts the group as away (§7.4). */
   nearLasts: 1_000,
   /** ms. A peer's promise to take nothing from control, and so the permit that a majority of promises gives. */
--- a/tools/simulator/src/campaign/observer.ts
+++ b/tools/simulator/src/campaign/observer.ts
@@ -1,3 +1,4 @@
+import type { FeedProgress } from "@chutewick/data";
 import type { ChainView } from "@chutewick/parts";
 import type { LotRecord, LotView } from "../checker.js";
 import type { ClientSight, StorageMachine } from "../machines.js";
@@ -34,6 +35,8 @@
 export class Observer {
   readonly #fleet: Fleet;
   readonly #stuckWatch = new StuckWatch();
+  /** Violations of a node's own invariant that were told, by its life. */
+  readonly #toldBehind = new WeakMap<FeedProgress, number>();
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -45,9 +48,23 @@
     const open = this.#lookUpLots();
     if (sight.healedAt > 0) this.#lookForStuckChains();
     if (open === 0 && sight.healedAt > 0) sight.serviceAt.finished ??= world.now;
+    this.#lookForNodesBehindControl();
     this.countWaiting();
   }
 
+  /** A node that hears control has each change within a bound; every node counts by itself where it has not. */
+  #lookForNodesBehindControl(): void {
+    const { accesses, storages, violations } = this.#fleet;
+    for (const machine of [...accesses, ...storages]) {
+      if (!machine.alive) continue;
+      const { feedProgress } = machine.core.membership;
+      if (feedProgress.violations === (this.#toldBehind.get(feedProgress) ?? 0)) continue;
+      this.#toldBehind.set(feedProgress, feedProgress.violations);
+      const facts = `${machine.name} heard control and stayed behind its feed`;
+      violations.push({ rule: "behind-control", facts });
+    }
+  }
+
   /** Records what waits at the owners against what may wait. */
   countWaiting(): void {
     const { world, sight, options } = this.#fleet;
