Control core split: messages, placement, planning, status and lease coverage on their own

Out of it came control-messages.ts, queue-placement.ts and zones.ts (pure: views, live machines, machines being emptied and policy in, the next view out), head-planner.ts, queue-reports.ts, control-status.ts, lease-coverage.ts and lagging-nodes.ts. No field of a message or record was renamed. The guard "leases go to those who have come as far" names the piece in lagging-nodes.js.

--- a/packages/control/src/control-desk.ts
+++ b/packages/control/src/control-desk.ts
@@ -1,5 +1,5 @@
 import type { RunnerCard } from "@chutewick/parts";
-import type { Announced, ControlOutcome } from "./core.js";
+import type { Announced, ControlOutcome } from "./control-messages.js";
 import type { ControlCommand } from "./machine.js";
 
 /** What an interface (ours or an adapter's) may ask of a control machine (docs/design.md §13.2). */
--- /dev/null
+++ b/packages/control/src/control-messages.ts
@@ -0,0 +1,132 @@
+import type {
+  Back,
+  ChainMessage,
+  ChainView,
+  ChainWrite,
+  FeedMessage,
+  NodeCard,
+  PeerMessage,
+  RunnerCard,
+  RunnerRegistry,
+  Stamp,
+  ViewMessage,
+  VoteState,
+} from "@chutewick/parts";
+import type { ControlCommand, ControlResult } from "./machine.js";
+
+/** Messages that a control machine takes in and sends, and its other outputs (docs/design.md §2, §4, §7, §8). */
+export type ControlMessage =
+  | ChainMessage
+  | ViewMessage
+  | FeedMessage
+  | PeerMessage
+  | SessionMessage
+  | LeaseMessage
+  | RegistryMessage
+  | RunnersMessage
+  | ControlAddressesMessage
+  | CoverageMessage
+  | ForwardedCommandMessage
+  | ForwardedResultMessage;
+
+/** Heartbeat of a node, which asks for a lease. */
+export interface SessionMessage {
+  readonly kind: "session";
+  readonly card: NodeCard;
+  /** ms, by the clock of the node. When the heartbeat was sent. */
+  readonly askedAt: number;
+  readonly back?: Back | null;
+  /** ms since the node last got the registry from some control machine. */
+  readonly rolled?: number;
+}
+
+/** Answer to a heartbeat: a lease that counts from `askedAt`, or the view only. */
+export interface LeaseMessage {
+  readonly kind: "lease";
+  /** Of the control machine that grants it. */
+  readonly identity: string;
+  readonly view: ChainView;
+  /** ms, by the clock of the node; minus infinity where no lease is granted. */
+  readonly askedAt: number;
+  /** Newest place of the feed. */
+  readonly place: number;
+  readonly roll: RunnerRegistry;
+  /** Addresses of the control machines. */
+  readonly controls: readonly string[];
+  readonly stamp?: Stamp;
+}
+
+/** Heartbeat between control machines, with the registry as the sender knows it. */
+export interface RegistryMessage {
+  readonly kind: "roll";
+  readonly roll: RunnerRegistry;
+  readonly stamp?: Stamp;
+  readonly back?: Back | null;
+}
+
+/** Runners heard of just now, told at once (§13.8). */
+export interface RunnersMessage {
+  readonly kind: "runners";
+  readonly runners: readonly RunnerCard[];
+}
+
+/** Where the control group stands, told to a node that is not heard (§13.8.4). */
+export interface ControlAddressesMessage {
+  readonly kind: "controls";
+  readonly addresses: readonly string[];
+}
+
+/** Tells the head the place that all lease holders of a member have. */
+export interface CoverageMessage {
+  readonly kind: "covered";
+  readonly identity: string;
+  /** Of the view in which it holds. */
+  readonly mark: number;
+  readonly place: number;
+}
+
+/** A request on its way to the head. */
+export interface ForwardedCommandMessage {
+  readonly kind: "control-inquiry";
+  readonly ticket: string;
+  readonly command: ControlCommand;
+}
+
+/** The head's answer to a forwarded request. */
+export interface ForwardedResultMessage {
+  readonly kind: "control-result";
+  readonly ticket: string;
+  readonly outcome: ControlOutcome;
+}
+
+/** What became of a request. */
+export type ControlOutcome =
+  | { readonly kind: "confirmed"; readonly value: ControlResult; readonly place: number }
+  /** Surely without effect. */
+  | {
+      readonly kind: "not-run";
+      readonly reason: string;
+      /** Set where the head's disk takes no writes. */
+      readonly isUnwritable?: boolean;
+    }
+  | { readonly kind: "unknown" };
+
+/** What the core asks of its surroundings. */
+export type ControlOutput =
+  | { readonly kind: "send"; readonly to: string; readonly message: ControlMessage }
+  | {
+      readonly kind: "write";
+      readonly chain: string;
+      readonly ticket: number;
+      readonly write: ChainWrite;
+    }
+  | { readonly kind: "vote"; readonly ticket: number; readonly state: VoteState }
+  | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
+  | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
+
+/** What a runner is told that reported here. */
+export type Announced =
+  | { readonly kind: "TAKEN" }
+  | { readonly kind: "SAID_GOODBYE" }
+  /** Passed on to whoever is reached, and not acknowledged: no majority of control is. */
+  | { readonly kind: "NO_QUORUM" };
--- /dev/null
+++ b/packages/control/src/control-status.ts
@@ -0,0 +1,119 @@
+import type {
+  ChainView,
+  DiskCondition,
+  Feed,
+  Member,
+  NodeCard,
+  Policy,
+  RunnerRegistry,
+} from "@chutewick/parts";
+import type { MarkedConfiguration } from "./configuration.js";
+import { keys } from "./keys.js";
+import type { QueueStanding } from "./machine.js";
+import type { ShareReport } from "./pace.js";
+import { queuesByMachine } from "./queue-placement.js";
+import { queuesUnder } from "./queue-reports.js";
+import { zonesOf } from "./zones.js";
+
+/** What a control machine knows of itself and the system, for its status. */
+export interface StatusSource {
+  readonly self: Member;
+  readonly view: ChainView | undefined;
+  readonly isHead: boolean;
+  /** Whether a majority of control is reached; where not, all of the status is what was known before. */
+  readonly hasQuorum: boolean;
+  readonly disk: DiskCondition;
+  readonly feed: Feed;
+  readonly registry: RunnerRegistry;
+  /** Storage machines with a session. */
+  readonly storage: readonly NodeCard[];
+  readonly standings: ReadonlyMap<string, QueueStanding>;
+  readonly reports: ReadonlyMap<string, ShareReport>;
+  readonly policy: Policy;
+}
+
+/** Status of a control machine, for operators. */
+export function controlStatus(source: StatusSource): Record<string, unknown> {
+  const { feed, registry } = source;
+  const queues = queuesUnder<ChainView>(feed, keys.queue);
+  return {
+    self: source.self,
+    place: feed.place,
+    configuration: feed.read<MarkedConfiguration>(keys.configuration)?.mark ?? 0,
+    view: source.view,
+    head: source.isHead,
+    quorum: source.hasQuorum,
+    disk: source.disk,
+    nodes: registry.nodes.map(nodeStatus),
+    runners: registry.runners,
+    queues: Object.fromEntries(queues),
+    standings: standingsStatus(source),
+    emptying: emptyingStatus(feed, queues),
+    safeToLoseOne: isSafeToLoseOne(source, queues),
+    safeToLoseZone: zonesNotSafeToLose(source, queues) ?? true,
+  };
+}
+
+/** A node as its session has it, without its reports. */
+function nodeStatus(node: RunnerRegistry["nodes"][number]): Record<string, unknown> {
+  const { telling: _telling, ...card } = node.card;
+  return { ...card, age: Math.round(node.age) };
+}
+
+function standingsStatus({ standings, reports }: StatusSource): Record<string, unknown> {
+  const status: Record<string, unknown> = {};
+  for (const [queue, standing] of standings)
+    status[queue] = { ...standing, report: reportStatus(reports.get(queue)) };
+  return status;
+}
+
+function reportStatus(report: ShareReport | undefined): Record<string, unknown> | undefined {
+  if (report === undefined) return undefined;
+  return { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
+}
+
+/** How many queues each machine that is being emptied still keeps. */
+function emptyingStatus(
+  feed: Feed,
+  queues: ReadonlyMap<string, ChainView>,
+): Record<string, unknown> {
+  const counts = queuesByMachine(queues.values());
+  const status: Record<string, unknown> = {};
+  for (const identity of queuesUnder(feed, keys.emptying).keys())
+    status[identity] = { queuesLeft: counts.get(identity) ?? 0 };
+  return status;
+}
+
+/** Whether the control group and each queue have all copies that are wanted. */
+function isSafeToLoseOne(
+  { view, storage, policy }: StatusSource,
+  queues: ReadonlyMap<string, ChainView>,
+): boolean {
+  if (view === undefined || view.members.length < policy.copiesWanted) return false;
+  const live = new Set(storage.map(({ identity }) => identity));
+  for (const { members } of queues.values()) {
+    const copies = members.filter(({ identity }) => live.has(identity)).length;
+    if (copies < policy.copiesWanted) return false;
+  }
+  return true;
+}
+
+/** For each zone, why its loss would leave a queue too few copies; undefined where none would. */
+function zonesNotSafeToLose(
+  { storage, policy }: StatusSource,
+  queues: ReadonlyMap<string, ChainView>,
+): Record<string, string> | undefined {
+  const live = new Map(storage.map((card) => [card.identity, card]));
+  const reasons: Record<string, string> = {};
+  for (const [queue, { members }] of queues) {
+    for (const zone of zonesOf(members, live)) {
+      const outside = members.filter(({ identity }) => isOutside(zone, live.get(identity))).length;
+      if (outside < policy.copiesLeast) reasons[zone] = `${queue} has ${outside} copies outside`;
+    }
+  }
+  return Object.keys(reasons).length === 0 ? undefined : reasons;
+}
+
+function isOutside(zone: string, card: NodeCard | undefined): boolean {
+  return card !== undefined && card.zone !== zone;
+}
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -6,19 +6,12 @@
   constants,
   duty,
   giveBack,
-  holdersOf,
   lateness,
-  presentOf,
   policy,
-  type Back,
   type ChainCommand,
   type ChainHolding,
-  type ChainMessage,
   type ChainView,
-  type ChainWrite,
   type DiskCondition,
-  type FeedMessage,
-  type PeerMessage,
   type Member,
   type NodeCard,
   type Policy,
@@ -26,92 +19,35 @@
   type RunnerRegistry,
   type Stamp,
   type ViewCommand,
-  type ViewMessage,
   type VoteState,
 } from "@chutewick/parts";
-import { configuration, type MarkedConfiguration } from "./configuration.js";
-import { explanations, type Asked, type Explained, type Known } from "./explain.js";
+import type {
+  Announced,
+  ControlMessage,
+  ControlOutcome,
+  ControlOutput,
+  LeaseMessage,
+  SessionMessage,
+} from "./control-messages.js";
+import { controlStatus } from "./control-status.js";
 import { emptying } from "./emptying.js";
-import { FleetPlan } from "./fleet-plan.js";
+import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
+import { HeadPlanner } from "./head-planner.js";
 import { keys } from "./keys.js";
-import { QuorumContact } from "./quorum-contact.js";
-import { published } from "./published.js";
-import { SilentNodes, recordedNodes } from "./silent-nodes.js";
-import { Pacer, type ShareReport, type Surroundings } from "./pace.js";
+import { LaggingNodes } from "./lagging-nodes.js";
+import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
 import {
   ControlMachine,
   type ControlCommand,
   type ControlResult,
-  type FleetRecord,
   type Deregistration,
-  type QueueStanding,
+  type FleetRecord,
 } from "./machine.js";
-
-/** A control machine without I/O: chain, agreed view, feed, sessions, plans (docs/design.md §2, §4, §7, §8). */
-export type ControlMessage =
-  | ChainMessage
-  | ViewMessage
-  | FeedMessage
-  | PeerMessage
-  | {
-      readonly kind: "session";
-      readonly card: NodeCard;
-      readonly askedAt: number;
-      readonly back?: Back | null;
-      readonly rolled?: number;
-    }
-  | {
-      readonly kind: "lease";
-      readonly identity: string;
-      readonly view: ChainView;
-      readonly askedAt: number;
-      readonly place: number;
-      readonly roll: RunnerRegistry;
-      readonly controls: readonly string[];
-      readonly stamp?: Stamp;
-    }
-  | {
-      readonly kind: "roll";
-      readonly roll: RunnerRegistry;
-      readonly stamp?: Stamp;
-      readonly back?: Back | null;
-    }
-  /** Runners heard of just now, told at once (§13.8). */
-  | { readonly kind: "runners"; readonly runners: readonly RunnerCard[] }
-  /** Where the control group stands, told to a node that is not heard (§13.8.4). */
-  | { readonly kind: "controls"; readonly addresses: readonly string[] }
-  | {
-      readonly kind: "covered";
-      readonly identity: string;
-      readonly mark: number;
-      readonly place: number;
-    }
-  | { readonly kind: "control-inquiry"; readonly ticket: string; readonly command: ControlCommand }
-  | { readonly kind: "control-result"; readonly ticket: string; readonly outcome: ControlOutcome };
-
-export type ControlOutcome =
-  | { readonly kind: "confirmed"; readonly value: ControlResult; readonly place: number }
-  /** Surely without effect. */
-  | {
-      readonly kind: "not-run";
-      readonly reason: string;
-      /** Set where the head's disk takes no writes. */
-      readonly isUnwritable?: boolean;
-    }
-  | { readonly kind: "unknown" };
-
-export type ControlOutput =
-  | { readonly kind: "send"; readonly to: string; readonly message: ControlMessage }
-  | {
-      readonly kind: "write";
-      readonly chain: string;
-      readonly ticket: number;
-      readonly write: ChainWrite;
-    }
-  | { readonly kind: "vote"; readonly ticket: number; readonly state: VoteState }
-  | { readonly kind: "result"; readonly ticket: string; readonly result: ControlOutcome }
-  | { readonly kind: "note"; readonly text: string; readonly facts: Record<string, unknown> };
+import { published } from "./published.js";
+import { surroundingsOf, type SurroundingsSource } from "./queue-reports.js";
+import { QuorumContact } from "./quorum-contact.js";
+import { SilentNodes, recordedNodes } from "./silent-nodes.js";
 
 /** A request entered here as the head. */
 interface Held {
@@ -122,6 +58,7 @@
   result: { value: ControlResult; place: number } | undefined;
 }
 
+/** What a control machine starts from. */
 export interface ControlOrigin {
   readonly member: Member;
   readonly seeds: readonly string[];
@@ -134,18 +71,16 @@
   readonly founding?: boolean;
 }
 
-/** What a runner is told that reported here. */
-export type Announced =
-  | { readonly kind: "TAKEN" }
-  | { readonly kind: "SAID_GOODBYE" }
-  /** Passed on to whoever is reached, and not acknowledged: no majority of control is. */
-  | { readonly kind: "NO_QUORUM" };
-
 const noView = "the control group has no view yet";
 const tooSoon = "the head of the control group has not heard of all machines yet";
 /** Why a machine without contact runs nothing. */
 export const noQuorum = "this control machine reaches no majority of the control group";
 
+/**
+ * A control machine without I/O (docs/design.md §2, §4, §7, §8): takes messages, finished writes and the passing of time, and
+ * returns what is to be sent, written and answered. Ties the chain of control records, the agreed view, the feed to nodes,
+ * sessions with leases, and the plans of the head.
+ */
 export class ControlCore {
   #self: Member;
   #life: string;
@@ -156,20 +91,16 @@
   #sessions: Sessions;
   #held = new Map<string, Held>();
   #ticketNumber = 0;
-  #coveredBy = new Map<string, number>();
-  #coverFrom: number;
+  #coverage: LeaseCoverage;
   #planAt = 0;
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
   #planFrom: number;
   #beatAt: number;
   #registryAt = 0;
   #forgetAt = 0;
-  #moved = false;
-  #fleetPlan = new FleetPlan();
   #wall = 0;
-  #pacer: Pacer;
-  /** Where and since when a node stands behind the feed. */
-  #laggingSince = new Map<string, { at: number; place: number }>();
+  #planner: HeadPlanner;
+  #laggingNodes = new LaggingNodes();
   /** The last stamp of each other control machine. */
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #forwarding: Forwarding;
@@ -187,7 +118,7 @@
     this.#sessions = new Sessions(this.#policy);
     this.#contact = new QuorumContact(origin.member.address, origin.life);
     this.#forwarding = new Forwarding(origin.life);
-    this.#pacer = new Pacer(this.#policy);
+    this.#planner = new HeadPlanner(this.#policy);
     this.#agreement = new Agreement(
       origin.member,
       origin.seeds,
@@ -205,7 +136,7 @@
       origin.holding,
       this.#policy.copiesLeast,
     );
-    this.#coverFrom = now + constants.leaseLasts;
+    this.#coverage = new LeaseCoverage(now);
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
     if (
@@ -295,13 +226,7 @@
           ? this.#perform(this.#chain.receive(message, from, now), now)
           : [];
       case "session":
-        return this.#session(
-          message.card,
-          message.askedAt,
-          lateness(message.back, this.#life, now),
-          message.rolled,
-          now,
-        );
+        return this.#session(message, now);
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
@@ -400,11 +325,6 @@
     return emptying.resolved(this.#feed, command, sight);
   }
 
-  /** Machines being emptied, also under the identity that they got with a new disk. */
-  #emptying(now: number): Set<string> {
-    return new Set(emptying.machines(this.#feed, this.#sessions.live("storage", now)).keys());
-  }
-
   /** A runner's own word, told here; what is new in it goes to all at once, the rest with the registry; all of it where no majority is reached (§13.8). */
   announce(
     card: Omit<RunnerCard, "age">,
@@ -438,47 +358,11 @@
     return this.#vote(this.#agreement.written(ticket), now);
   }
 
-  /**
-   * Whether those who stay know of every lease that still counts (§7.2): no member left, or all had worked in the view before for
-   * longer than a lease lasts, and every majority of it has one that stays.
-   */
-  #knowsGrants(next: ChainView, now: number): boolean {
-    const before = this.#chain.view;
-    if (
-      before === undefined ||
-      next.mark !== before.mark + 1 ||
-      before.members.length < constants.copiesLeast ||
-      next.members.length < constants.copiesLeast
-    )
-      return false;
-    let staying = 0;
-    for (const { identity } of before.members)
-      if (next.members.some(hasIdentity, { identity })) staying += 1;
-    if (staying === before.members.length) return true;
-    const settled = this.#agreement.settledBefore;
-    return (
-      settled !== undefined &&
-      now - settled > constants.leaseLasts + constants.sleptLeast &&
-      staying >= before.members.length / 2
-    );
-  }
-
   #vote(commands: ViewCommand[], now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     for (const command of commands) {
       if (command.kind === "decided") {
-        if (!this.#knowsGrants(command.view, now)) this.#coverFrom = now + constants.leaseLasts;
-        this.#coveredBy.clear();
-        outputs.push({
-          kind: "note",
-          text: "view decided",
-          facts: {
-            mark: command.view.mark,
-            members: command.view.members.length,
-            joiner: command.view.joiner?.identity,
-          },
-        });
-        outputs.push(...this.#perform(this.#chain.adopt(command.view, now), now));
+        outputs.push(...this.#adopt(command.view, now));
       } else if (command.kind === "send" && command.to === this.#self.address) {
         outputs.push(
           ...this.#vote(this.#agreement.receive(command.message, this.#self.address, now), now),
@@ -488,6 +372,20 @@
     return outputs;
   }
 
+  #adopt(view: ChainView, now: number): ControlOutput[] {
+    const settledBefore = this.#agreement.settledBefore;
+    this.#coverage.viewDecided(knowsGrants(this.#chain.view, view, settledBefore, now), now);
+    const facts = {
+      mark: view.mark,
+      members: view.members.length,
+      joiner: view.joiner?.identity,
+    };
+    return [
+      { kind: "note", text: "view decided", facts },
+      ...this.#perform(this.#chain.adopt(view, now), now),
+    ];
+  }
+
   #perform(commands: ChainCommand[], now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     let news = false;
@@ -550,49 +448,24 @@
   #coveredByAll(now: number): number {
     const view = this.#chain.view;
     if (view === undefined) return 0;
-    let covered = this.#ownCover(now);
-    for (const { identity } of view.members)
-      if (identity !== this.#self.identity)
-        covered = Math.min(covered, this.#coveredBy.get(identity) ?? 0);
-    return covered;
+    const others = view.members.filter(({ identity }) => identity !== this.#self.identity);
+    return this.#coverage.ofAll(others, this.#ownCover(now));
   }
 
   #ownCover(now: number): number {
-    return now < this.#coverFrom ? 0 : this.#sessions.covered(this.#feed.place, now);
+    return this.#coverage.own(this.#sessions, this.#feed.place, now);
   }
 
   /** Without this, a majority of nodes that cannot hear control might go on by each other's promises (§7.4). */
   #fleetTook(place: number): boolean {
     /** Nodes that go on alone promise nothing to each other (§13.3). */
     if (this.#policy.goesOnAlone) return true;
-    const fleet = this.#feed.read<FleetRecord>(keys.fleet);
-    return (
-      fleet === undefined ||
-      (this.#majorityTook(fleet.addresses, place) && this.#majorityTook(fleet.previous, place))
-    );
-  }
-
-  #majorityTook(addresses: readonly string[], place: number): boolean {
-    let count = 0;
-    for (const address of addresses) if (this.#sessions.taken(address) >= place) count += 1;
-    return addresses.length === 0 || count > addresses.length / 2;
-  }
-
-  #planFleet(now: number): ControlOutput[] {
-    const nodes = [...this.#sessions.live("access", now), ...this.#sessions.live("storage", now)];
-    const self = this;
-    function isInForce(place: number): boolean {
-      return place <= self.#coveredByAll(now) && self.#fleetTook(place);
-    }
-    const record = this.#feed.read<FleetRecord>(keys.fleet);
-    const known = { record, place: this.#feed.place };
-    const fleet = this.#fleetPlan.next(known, nodes, isInForce, now);
-    return fleet === undefined ? [] : this.#command({ kind: "fleet", fleet }, now);
+    return isTakenByFleet(this.#feed.read<FleetRecord>(keys.fleet), place, this.#sessions);
   }
 
   #coveredFrom(identity: string, mark: number, place: number, now: number): ControlOutput[] {
     if (mark !== this.#chain.view?.mark) return [];
-    this.#coveredBy.set(identity, Math.max(place, this.#coveredBy.get(identity) ?? 0));
+    this.#coverage.told(identity, place);
     return this.#release(now);
   }
 
@@ -615,70 +488,53 @@
   #feedAll(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     if (!this.#isMember) return outputs;
-    for (const card of this.#sessions.followers(now)) {
-      const message = this.#feed.since(card.place);
-      if (message !== undefined) outputs.push({ kind: "send", to: card.address, message });
-    }
+    for (const card of this.#sessions.followers(now)) outputs.push(...this.#newsFor(card));
     return outputs;
   }
 
-  #session(
-    card: NodeCard,
-    askedAt: number,
-    late: number,
-    rolled: number | undefined,
-    now: number,
-  ): ControlOutput[] {
-    const stamp: Stamp = { life: this.#life, at: now };
-    const view = this.#chain.view;
-    if (view === undefined || !this.#isMember || !card.free || this.#lags(card, now)) {
-      const news = view === undefined || !this.#isMember ? undefined : this.#feed.since(card.place);
+  /** Answers a node's heartbeat: with a lease, where the node keeps up and this machine may grant one. */
+  #session({ card, askedAt, back, rolled }: SessionMessage, now: number): ControlOutput[] {
+    const late = lateness(back, this.#life, now);
+    const { view } = this.#chain;
+    if (
+      view === undefined ||
+      !this.#isMember ||
+      !card.free ||
+      this.#laggingNodes.isLagging(card, this.#feed.place, now)
+    ) {
+      const news = view === undefined || !this.#isMember ? [] : this.#newsFor(card);
       this.#sessions.heard(card, now, undefined, 0, late, askedAt);
-      const controls = this.#agreement.addresses();
-      const told: ControlOutput[] =
-        news === undefined ? [] : [{ kind: "send", to: card.address, message: news }];
-      return view === undefined
-        ? []
-        : [
-            ...told,
-            {
-              kind: "send",
-              to: card.address,
-              message: {
-                kind: "lease",
-                identity: this.#self.identity,
-                view,
-                askedAt: Number.NEGATIVE_INFINITY,
-                place: 0,
-                roll: { nodes: [], runners: [] },
-                controls,
-                stamp,
-              },
-            },
-          ];
+      if (view === undefined) return [];
+      const noLease = { askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: emptyRegistry };
+      return [...news, this.#answerTo(card, { view, ...noLease }, now)];
     }
     this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late, askedAt);
-    const outputs: ControlOutput[] = [];
-    const news = this.#feed.since(card.place);
-    if (news !== undefined) outputs.push({ kind: "send", to: card.address, message: news });
-    outputs.push({
-      kind: "send",
-      to: card.address,
-      message: {
-        kind: "lease",
-        identity: this.#self.identity,
-        view,
-        askedAt,
-        place: this.#feed.place,
-        roll: this.#registriesFor(card, rolled)
-          ? this.#sessions.registryForNodes(now, card.identity)
-          : nothing,
-        controls: this.#agreement.addresses(),
-        stamp,
-      },
-    });
-    outputs.push(...this.#cover(now));
-    return outputs;
+    const roll = this.#registriesFor(card, rolled)
+      ? this.#sessions.registryForNodes(now, card.identity)
+      : emptyRegistry;
+    const granted = { view, askedAt, place: this.#feed.place, roll };
+    return [...this.#newsFor(card), this.#answerTo(card, granted, now), ...this.#cover(now)];
+  }
+
+  /** What a node still misses of the feed. */
+  #newsFor(card: NodeCard): ControlOutput[] {
+    const message = this.#feed.since(card.place);
+    return message === undefined ? [] : [{ kind: "send", to: card.address, message }];
+  }
+
+  #answerTo(
+    card: NodeCard,
+    lease: Pick<LeaseMessage, "view" | "askedAt" | "place" | "roll">,
+    now: number,
+  ): ControlOutput {
+    const message: LeaseMessage = {
+      kind: "lease",
+      identity: this.#self.identity,
+      ...lease,
+      controls: this.#agreement.addresses(),
+      stamp: { life: this.#life, at: now },
+    };
+    return { kind: "send", to: card.address, message };
   }
 
   /** One member sends a node the registry; the others only where it got none lately (§4.3). */
@@ -691,22 +547,26 @@
     );
   }
 
-  /** A node that does not keep up loses its lease here rather than hold up a change. */
-  #lags(card: NodeCard, now: number): boolean {
-    if (card.place >= this.#feed.place) {
-      this.#laggingSince.delete(card.identity);
-      return false;
-    }
-    const since = this.#laggingSince.get(card.identity);
-    if (since === undefined || since.place <= card.place - 1) {
-      this.#laggingSince.set(card.identity, { at: now, place: card.place });
-      return false;
-    }
-    return now - since.at > constants.lagLasts;
-  }
-
+  /** Time passes. */
   beat(now: number, wall: number): ControlOutput[] {
     this.#wall = wall;
+    this.#putOffPlanning(now);
+    const stuck = this.#chain.stuck(now)?.identity;
+    return [
+      ...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark, stuck), now),
+      ...this.#perform(this.#chain.beat(now), now),
+      ...this.#cover(now),
+      ...this.#callSilentNodes(now),
+      ...this.#sendRegistry(now),
+      ...this.#plan(now),
+      ...this.#forget(now),
+      ...this.#expireHeld(now),
+      ...this.#forwardAgain(now),
+    ];
+  }
+
+  /** Who slept or hears nobody lets others be heard first: their silence may be its own. */
+  #putOffPlanning(now: number): void {
     if (
       now - this.#beatAt > constants.sleptLeast ||
       !this.#agreement.isNear(now) ||
@@ -714,49 +574,41 @@
     )
       this.#planFrom = Math.max(this.#planFrom, now + constants.sessionEvery * 2);
     this.#beatAt = now;
+  }
+
+  #sendRegistry(now: number): ControlOutput[] {
+    if (now - this.#registryAt < constants.greetEvery) return [];
+    this.#registryAt = now;
+    const roll = this.#sessions.registry(now);
+    const stamp: Stamp = { life: this.#life, at: now };
     const outputs: ControlOutput[] = [];
-    const stuck = this.#chain.stuck(now)?.identity;
-    outputs.push(...this.#vote(this.#agreement.beat(now, this.#chain.copiedMark, stuck), now));
-    outputs.push(...this.#perform(this.#chain.beat(now), now));
-    outputs.push(...this.#cover(now));
-    if (now - this.#calledSilentAt >= constants.callSilentEvery) {
-      this.#calledSilentAt = now;
-      outputs.push(...this.#callSilentNodes(now));
-    }
-    if (now - this.#registryAt >= constants.greetEvery) {
-      this.#registryAt = now;
-      const registry = this.#sessions.registry(now);
-      for (const to of this.#agreement.addresses())
-        outputs.push({
-          kind: "send",
-          to,
-          message: {
-            kind: "roll",
-            roll: registry,
-            stamp: { life: this.#life, at: now },
-            back: giveBack(this.#stamps.get(to), now),
-          },
-        });
-    }
-    if (now - this.#planAt >= constants.planEvery) {
-      this.#planAt = now;
-      outputs.push(...this.#plan(now));
-    }
-    if (now - this.#forgetAt > constants.sessionLasts) {
-      this.#forgetAt = now;
-      this.#sessions.forget(now);
-      for (const [identity, since] of this.#laggingSince)
-        if (now - since.at > constants.sessionLasts * 8) this.#laggingSince.delete(identity);
+    for (const to of this.#agreement.addresses()) {
+      const back = giveBack(this.#stamps.get(to), now);
+      outputs.push({ kind: "send", to, message: { kind: "roll", roll, stamp, back } });
     }
+    return outputs;
+  }
+
+  #forget(now: number): ControlOutput[] {
+    if (now - this.#forgetAt <= constants.sessionLasts) return [];
+    this.#forgetAt = now;
+    this.#sessions.forget(now);
+    this.#laggingNodes.forget(now);
+    return [];
+  }
+
+  #expireHeld(now: number): ControlOutput[] {
+    const outputs: ControlOutput[] = [];
     for (const [own, held] of [...this.#held])
       if (now - held.since > constants.confirmPatience)
         outputs.push(...this.#finish(own, { kind: "unknown" }));
-    outputs.push(...this.#forwardAgain(now));
     return outputs;
   }
 
   /** A node whose settings name only control machines that are gone is told where the group stands now (§13.8.4). */
   #callSilentNodes(now: number): ControlOutput[] {
+    if (now - this.#calledSilentAt < constants.callSilentEvery) return [];
+    this.#calledSilentAt = now;
     if (!this.#isMember) return [];
     const live = new Set<string>();
     for (const kind of ["access", "storage"] as const)
@@ -768,316 +620,61 @@
     return outputs;
   }
 
-  /** The head's duty: place queues, take the lost and the slow out, bring copies up (§8.2). */
+  /** Enters what the head finds to be changed. */
   #plan(now: number): ControlOutput[] {
+    if (now - this.#planAt < constants.planEvery) return [];
+    this.#planAt = now;
+    if (!this.#mayPlan(now)) return [];
+    const commands = this.#planner.plan({
+      ...this.#surroundingsSource(now),
+      chainTime: this.#chain.time(now),
+      isInForce: (place) => place <= this.#coveredByAll(now) && this.#fleetTook(place),
+    });
     const outputs: ControlOutput[] = [];
-    if (
-      !this.#isWritable ||
-      !this.#chain.serves ||
-      this.#chain.confirmed !== this.#chain.place ||
-      now < this.#planFrom
-    )
-      return outputs;
-    if (!this.#policy.goesOnAlone) outputs.push(...this.#planFleet(now));
-    for (const [, deregistration] of this.#feed.under<Deregistration>(keys.goodbye)) {
-      if (deregistration.at + constants.deregistrationKept > this.#chain.time(now)) continue;
-      outputs.push(...this.#command({ kind: "forget-goodbyes" }, now));
-      break;
-    }
-    const live = this.#sessions.live("storage", now);
-    const byIdentity = new Map<string, NodeCard>();
-    for (const card of live) byIdentity.set(card.identity, card);
-    const toEmpty = this.#emptying(now);
-    const marked = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
-    const wanted = new Set<string>();
-    for (const plan of configuration.queues(marked.value, this.#policy)) wanted.add(plan.queue);
-    for (const queue of wanted) {
-      if (this.#feed.read(keys.queue + queue) !== undefined) continue;
-      const able: string[] = [];
-      for (const card of live)
-        if (!toEmpty.has(card.identity) && !card.leaving) able.push(card.identity);
-      if (able.length < this.#policy.copiesLeast) continue;
-      const members: Member[] = [];
-      for (const identity of spreadOverZones(duty.rank(queue, able), byIdentity).slice(
-        0,
-        this.#policy.copiesWanted,
-      ))
-        members.push({ identity, address: byIdentity.get(identity)!.address });
-      outputs.push(...this.#command({ kind: "place", queue, view: { mark: 1, members } }, now));
-    }
-    for (const [queue, standing] of this.#pacer.plan({
-      value: marked.value,
-      ...this.#surroundings(live, now),
-    })) {
-      outputs.push(...this.#command({ kind: "stand", queue, standing }, now));
-    }
-    this.#moved = false;
-    for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) {
-      const queue = key.slice(keys.queue.length);
-      const next = this.#review(queue, view, byIdentity, toEmpty);
-      if (next !== undefined)
-        outputs.push(...this.#command({ kind: "review", queue, view: next }, now));
-    }
+    for (const command of commands)
+      outputs.push(...this.#perform(this.#chain.inquire(`plan/${now}`, command, now), now));
     return outputs;
   }
 
-  #surroundings(storage: readonly NodeCard[], now: number): Omit<Surroundings, "value"> {
-    const standings = new Map<string, QueueStanding>();
-    for (const [key, standing] of this.#feed.under<QueueStanding>(keys.standing))
-      standings.set(key.slice(keys.standing.length), standing);
-    const reports = new Map<string, ShareReport>();
-    for (const card of storage) {
-      for (const [queue, shareMark, held, need, classes] of card.telling.shares ?? []) {
-        /** Only the owner's word counts, and of two only that under the newer share. */
-        if (this.#feed.read<ChainView>(keys.queue + queue)?.members[0]?.identity !== card.identity)
-          continue;
-        const told = new Map<string, { held: number; need: number }>();
-        for (const [season, heldOf, needOf] of classes ?? [
-          [standings.get(queue)?.season ?? "", held, need] as const,
-        ])
-          told.set(season, { held: heldOf, need: needOf });
-        reports.set(queue, { shareMark, classes: told });
-      }
-    }
-    return {
-      now,
-      wall: this.#wall,
-      standings,
-      reports,
-      runners: this.#sessions.registry(now).runners,
-      access: this.#sessions.live("access", now),
-    };
-  }
-
-  #command(command: ControlCommand, now: number): ControlOutput[] {
-    return this.#perform(this.#chain.inquire(`plan/${now}`, command, now), now);
-  }
-
-  #review(
-    queue: string,
-    view: ChainView,
-    live: ReadonlyMap<string, NodeCard>,
-    toEmpty: ReadonlySet<string>,
-  ): ChainView | undefined {
-    const mark = view.mark + 1;
-    const joiner = view.joiner;
-    const joinerCard = joiner === undefined ? undefined : live.get(joiner.identity);
-    /** Where the members are too few to confirm, those that confirmed last go on as soon as they are back (§1.5). */
-    const alive = presentOf(view, live);
-    /** One that stops as planned leaves at once, as long as two stay. */
-    const staying: Member[] = [];
-    for (const member of alive) if (!live.get(member.identity)!.leaving) staying.push(member);
-    const keep = joinerCard === undefined ? {} : { joiner };
-    const holding = view.holders === undefined ? {} : { holders: view.holders };
-    if (staying.length < alive.length && staying.length >= this.#policy.copiesLeast)
-      return { mark, members: staying, ...keep };
-    if (alive.length !== view.members.length || !alive.every(isOf, view.members)) {
-      return alive.length >= this.#policy.copiesLeast
-        ? { mark, members: alive, ...keep }
-        : this.#lone(view, alive, live, toEmpty);
-    }
-    for (const card of live.values()) {
-      for (const [stuckQueue, stuckMark, identity] of card.telling.stuck ?? []) {
-        if (stuckQueue !== queue || stuckMark !== view.mark) continue;
-        if (identity === joiner?.identity) return { mark, members: view.members, ...holding };
-        if (view.members.length <= this.#policy.copiesLeast) continue;
-        const members: Member[] = [];
-        for (const member of view.members) if (member.identity !== identity) members.push(member);
-        if (members.length < view.members.length) return { mark, members, ...keep };
-      }
-    }
-    if (joiner !== undefined) {
-      if (joinerCard === undefined) return { mark, members: view.members, ...holding };
-      for (const [copiedQueue, copiedMark] of joinerCard.telling.copied ?? []) {
-        if (copiedQueue === queue && copiedMark === view.mark)
-          return { mark, members: [...view.members, joiner] };
-      }
-      return undefined;
-    }
-    const leaving = view.members.find(isIn, toEmpty);
-    if (view.members.length > this.#policy.copiesWanted) {
-      const doubled = sharingZone(view.members, live);
-      const surplus = leaving ?? this.#mostBurdened(doubled.length > 0 ? doubled : view.members);
-      const members: Member[] = [];
-      for (const member of view.members)
-        if (member.identity !== surplus.identity) members.push(member);
-      return { mark, members };
-    }
-    const able: string[] = [];
-    for (const card of live.values())
-      if (
-        !card.leaving &&
-        !toEmpty.has(card.identity) &&
-        !view.members.some(hasIdentity, { identity: card.identity })
-      )
-        able.push(card.identity);
-    /** Nowhere to copy to: one that is emptied leaves as long as enough stay. */
-    if (able.length === 0) {
-      if (leaving === undefined || view.members.length <= this.#policy.copiesLeast)
-        return undefined;
-      const members: Member[] = [];
-      for (const member of view.members)
-        if (member.identity !== leaving.identity) members.push(member);
-      return { mark, members };
-    }
-    const counted = leaving === undefined ? view.members.length : view.members.length - 1;
-    const ranked = duty.rank(queue, able);
-    const zones = zonesOf(view.members, live);
-    let identity = ranked[0]!;
-    for (const other of ranked) {
-      const [otherNew, heldNew] = [
-        !zones.has(live.get(other)!.zone),
-        !zones.has(live.get(identity)!.zone),
-      ];
-      if (otherNew !== heldNew ? otherNew : this.#queuesAt(other) < this.#queuesAt(identity))
-        identity = other;
-    }
-    /** Two copies in one zone while another zone has a place: that comes before balance (§8.2). */
-    const { zone } = live.get(identity)!;
-    const gainsZone = sharingZone(view.members, live).length > 0 && !zones.has(zone);
-    /** A move within a zone takes the place of a machine of that zone; else zones would be doubled and mended in turn. */
-    const rivals: Member[] = [];
-    for (const member of view.members)
-      if (!zones.has(zone) || live.get(member.identity)!.zone === zone) rivals.push(member);
-    /** Balance: one queue at a time goes from the machine with most to the one with fewest. */
-    if (
-      counted >= this.#policy.copiesWanted &&
-      (this.#moved ||
-        this.#copying() ||
-        (!gainsZone &&
-          this.#queuesAt(this.#mostBurdened(rivals).identity) - this.#queuesAt(identity) < 2))
-    )
-      return undefined;
-    if (counted >= this.#policy.copiesWanted) this.#moved = true;
-    return {
-      mark,
-      members: view.members,
-      ...holding,
-      joiner: { identity, address: live.get(identity)!.address },
-    };
-  }
-
-  #queuesAt(identity: string): number {
-    let count = 0;
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue))
-      if (view.members.some(hasIdentity, { identity }) || view.joiner?.identity === identity)
-        count += 1;
-    return count;
-  }
-
-  #copying(): boolean {
-    for (const [, view] of this.#feed.under<ChainView>(keys.queue))
-      if (view.joiner !== undefined || view.members.length !== this.#policy.copiesWanted)
-        return true;
-    return false;
-  }
-
-  /** The member whose machine keeps most queues; the owner only if it alone does, since moving it costs a pause. */
-  #mostBurdened(members: readonly Member[]): Member {
-    let most = members.at(-1)!;
-    for (const member of [...members].reverse())
-      if (this.#queuesAt(member.identity) > this.#queuesAt(most.identity)) most = member;
-    return most;
-  }
-
-  /** Too few copies left to confirm: each holds all that was confirmed, serves nothing, and is copied from; who comes back goes on at once (§1.5, §8.2). */
-  #lone(
-    view: ChainView,
-    alive: readonly Member[],
-    live: ReadonlyMap<string, NodeCard>,
-    toEmpty: ReadonlySet<string>,
-  ): ChainView | undefined {
-    const holders = holdersOf(view);
-    const able: string[] = [];
-    for (const identity of live.keys())
-      if (!toEmpty.has(identity) && !holders.some(hasIdentity, { identity })) able.push(identity);
-    if (alive.length === 0 || able.length === 0) return undefined;
-    const joiner =
-      view.joiner !== undefined && live.has(view.joiner.identity)
-        ? view.joiner
-        : { identity: able.sort()[0]!, address: live.get(able[0]!)!.address };
-    return { mark: view.mark + 1, members: alive, joiner, holders };
+  #mayPlan(now: number): boolean {
+    return (
+      this.#isWritable &&
+      this.#chain.serves &&
+      this.#chain.confirmed === this.#chain.place &&
+      now >= this.#planFrom
+    );
   }
 
-  #known(now: number): Known {
-    const marked = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
-    return { value: marked.value, ...this.#surroundings(this.#sessions.live("storage", now), now) };
+  #surroundingsSource(now: number): SurroundingsSource {
+    return { feed: this.#feed, sessions: this.#sessions, now, wall: this.#wall };
   }
 
+  /** What holds for a way, a model or a lot, and why. */
   explain(asked: Asked, now: number): Explained {
-    return explanations.explain(asked, this.#known(now));
+    return explanations.explain(asked, surroundingsOf(this.#surroundingsSource(now)));
   }
 
+  /** What a season would select if it were entered. */
   preview(season: unknown, now: number): Explained {
-    return explanations.preview(season, this.#known(now));
+    return explanations.preview(season, surroundingsOf(this.#surroundingsSource(now)));
   }
 
   /** For operators. */
   status(now: number): Record<string, unknown> {
-    const registry = this.#sessions.registry(now);
-    const queues: Record<string, unknown> = {};
-    for (const [key, view] of this.#feed.under<ChainView>(keys.queue))
-      queues[key.slice(keys.queue.length)] = view;
-    const progress: Record<string, unknown> = {};
-    for (const [key] of this.#feed.under(keys.emptying))
-      progress[key.slice(keys.emptying.length)] = {
-        queuesLeft: this.#queuesAt(key.slice(keys.emptying.length)),
-      };
-    return {
+    const { standings, reports } = surroundingsOf(this.#surroundingsSource(now));
+    return controlStatus({
       self: this.#self,
-      place: this.#feed.place,
-      configuration: this.#feed.read<MarkedConfiguration>(keys.configuration)?.mark ?? 0,
       view: this.#chain.view,
-      head: this.#chain.isHead,
-      /** Whether a majority of control is reached; where not, all of this is what was known before. */
-      quorum: this.inContact(now),
+      isHead: this.#chain.isHead,
+      hasQuorum: this.inContact(now),
       disk: this.#disk,
-      nodes: registry.nodes.map(cardOf),
-      runners: registry.runners,
-      queues,
-      standings: this.#standings(now),
-      emptying: progress,
-      safeToLoseOne: this.#safe(now),
-      safeToLoseZone: this.#zoneless(now),
-    };
-  }
-
-  #standings(now: number): Record<string, unknown> {
-    const { standings, reports } = this.#surroundings(this.#sessions.live("storage", now), now);
-    const told: Record<string, unknown> = {};
-    for (const [queue, standing] of standings)
-      told[queue] = { ...standing, report: reportOf(reports.get(queue)) };
-    return told;
-  }
-
-  /** For each zone, why its loss would leave a queue fewer than two copies; true where none would. */
-  #zoneless(now: number): true | Record<string, string> {
-    const live = new Map<string, NodeCard>();
-    for (const card of this.#sessions.live("storage", now)) live.set(card.identity, card);
-    const told: Record<string, string> = {};
-    for (const [key, view] of this.#feed.under<ChainView>(keys.queue)) {
-      for (const zone of zonesOf(view.members, live)) {
-        let others = 0;
-        for (const member of view.members)
-          if (live.has(member.identity) && live.get(member.identity)!.zone !== zone) others += 1;
-        if (others < this.#policy.copiesLeast)
-          told[zone] = `${key.slice(keys.queue.length)} has ${others} copies outside`;
-      }
-    }
-    return Object.keys(told).length === 0 ? true : told;
-  }
-
-  #safe(now: number): boolean {
-    const view = this.#chain.view;
-    if (view === undefined || view.members.length < this.#policy.copiesWanted) return false;
-    const live = new Set<string>();
-    for (const card of this.#sessions.live("storage", now)) live.add(card.identity);
-    for (const [, queue] of this.#feed.under<ChainView>(keys.queue)) {
-      let copies = 0;
-      for (const member of queue.members) if (live.has(member.identity)) copies += 1;
-      if (copies < this.#policy.copiesWanted) return false;
-    }
-    return true;
+      feed: this.#feed,
+      registry: this.#sessions.registry(now),
+      storage: this.#sessions.live("storage", now),
+      standings,
+      reports,
+      policy: this.#policy,
+    });
   }
 }
 
@@ -1085,62 +682,4 @@
   return { kind: "result", ticket, result: outcome };
 }
 
-const nothing: RunnerRegistry = { nodes: [], runners: [] };
-
-function cardOf(node: RunnerRegistry["nodes"][number]): Record<string, unknown> {
-  const { telling: _telling, ...card } = node.card;
-  return { ...card, age: Math.round(node.age) };
-}
-
-function zonesOf(members: readonly Member[], live: ReadonlyMap<string, NodeCard>): Set<string> {
-  const zones = new Set<string>();
-  for (const member of members)
-    if (live.has(member.identity)) zones.add(live.get(member.identity)!.zone);
-  return zones;
-}
-
-/** The members that stand in a zone with another. */
-function sharingZone(members: readonly Member[], live: ReadonlyMap<string, NodeCard>): Member[] {
-  const byZone = new Map<string, Member[]>();
-  for (const member of members) {
-    const zone = live.get(member.identity)?.zone;
-    if (zone === undefined) continue;
-    const held = byZone.get(zone) ?? [];
-    held.push(member);
-    byZone.set(zone, held);
-  }
-  const found: Member[] = [];
-  for (const held of byZone.values()) if (held.length > 1) found.push(...held);
-  return found;
-}
-
-/** In the same order, but the first of each zone before the second of any. */
-function spreadOverZones(ranked: readonly string[], live: ReadonlyMap<string, NodeCard>): string[] {
-  const first: string[] = [];
-  const others: string[] = [];
-  const zones = new Set<string>();
-  for (const identity of ranked) {
-    const { zone } = live.get(identity)!;
-    (zones.has(zone) ? others : first).push(identity);
-    zones.add(zone);
-  }
-  return [...first, ...others];
-}
-
-function reportOf(report: ShareReport | undefined): Record<string, unknown> | undefined {
-  return report === undefined
-    ? undefined
-    : { shareMark: report.shareMark, classes: Object.fromEntries(report.classes) };
-}
-
-function isIn(this: ReadonlySet<string>, member: Member): boolean {
-  return this.has(member.identity);
-}
-
-function isOf(this: readonly Member[], member: Member, place: number): boolean {
-  return this[place]!.identity === member.identity;
-}
-
-function hasIdentity(this: { identity: string }, member: Member): boolean {
-  return member.identity === this.identity;
-}
+const emptyRegistry: RunnerRegistry = { nodes: [], runners: [] };
--- a/packages/control/src/forwarding.ts
+++ b/packages/control/src/forwarding.ts
@@ -1,5 +1,5 @@
 import { constants } from "@chutewick/parts";
-import type { ControlOutcome } from "./core.js";
+import type { ControlOutcome } from "./control-messages.js";
 import { isRepeatable, type ControlCommand } from "./machine.js";
 
 /** A request that arrived at this machine and is answered by the head of the control group, wherever that is. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./quorum-contact.js";
 export * from "./silent-nodes.js";
 export * from "./published.js";
+export * from "./control-messages.js";
 export * from "./core.js";
 export * from "./pace.js";
 export * from "./calendar.js";
--- /dev/null
+++ b/packages/control/src/queue-reports.ts
@@ -0,0 +1,65 @@
+import type { ChainView, Feed, NodeCard, Sessions } from "@chutewick/parts";
+import { configuration, type MarkedConfiguration } from "./configuration.js";
+import { keys } from "./keys.js";
+import type { QueueStanding } from "./machine.js";
+import type { ShareReport, Surroundings } from "./pace.js";
+
+/** Sources of what the pace of queues goes by. */
+export interface SurroundingsSource {
+  readonly feed: Feed;
+  readonly sessions: Sessions;
+  /** ms, of the monotonic clock. */
+  readonly now: number;
+  /** ms, of the wall clock. */
+  readonly wall: number;
+}
+
+/** What the pace of queues, and explanations of it, go by: records in force, reports and sessions. */
+export function surroundingsOf({ feed, sessions, now, wall }: SurroundingsSource): Surroundings {
+  const marked = configuration.read(feed.read<MarkedConfiguration>(keys.configuration));
+  const standings = queuesUnder<QueueStanding>(feed, keys.standing);
+  return {
+    value: marked.value,
+    now,
+    wall,
+    standings,
+    reports: ownerReports(feed, sessions.live("storage", now), standings),
+    runners: sessions.registry(now).runners,
+    access: sessions.live("access", now),
+  };
+}
+
+/** Records of queues, by queue. */
+export function queuesUnder<Value>(feed: Feed, prefix: string): Map<string, Value> {
+  const records = new Map<string, Value>();
+  for (const [key, value] of feed.under<Value>(prefix))
+    records.set(key.slice(prefix.length), value);
+  return records;
+}
+
+/** Newest report of each queue's owner on its share of waiting work (docs/design.md §8.4); reports of others do not count. */
+function ownerReports(
+  feed: Feed,
+  storage: readonly NodeCard[],
+  standings: ReadonlyMap<string, QueueStanding>,
+): Map<string, ShareReport> {
+  const reports = new Map<string, ShareReport>();
+  for (const { identity, telling } of storage) {
+    for (const [queue, shareMark, held, need, classes] of telling.shares ?? []) {
+      const owner = feed.read<ChainView>(keys.queue + queue)?.members[0];
+      if (owner?.identity !== identity) continue;
+      /** Earlier releases report no classes: all belongs to the season in force. */
+      const told = classes ?? [[standings.get(queue)?.season ?? "", held, need] as const];
+      reports.set(queue, { shareMark, classes: byClass(told) });
+    }
+  }
+  return reports;
+}
+
+function byClass(
+  told: readonly (readonly [season: string, held: number, need: number])[],
+): Map<string, { held: number; need: number }> {
+  const classes = new Map<string, { held: number; need: number }>();
+  for (const [season, held, need] of told) classes.set(season, { held, need });
+  return classes;
+}
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -30,14 +30,13 @@
 import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
 import type { ControlDesk, ControlFront } from "./control-desk.js";
-import {
-  ControlCore,
-  noQuorum,
-  type Announced,
-  type ControlMessage,
-  type ControlOutcome,
-  type ControlOutput,
-} from "./core.js";
+import type {
+  Announced,
+  ControlMessage,
+  ControlOutcome,
+  ControlOutput,
+} from "./control-messages.js";
+import { ControlCore, noQuorum } from "./core.js";
 import type { Explained } from "./explain.js";
 import type { ControlCommand, ControlResult } from "./machine.js";
 
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -15,6 +15,7 @@
 const pendingCalls = "packages/data/dist/pending-calls.js";
 const storage = "packages/data/dist/storage-core.js";
 const control = "packages/control/dist/core.js";
+const laggingNodes = "packages/control/dist/lagging-nodes.js";
 const machine = "packages/control/dist/machine.js";
 const pace = "packages/control/dist/pace.js";
 const chain = "packages/parts/dist/chain.js";
@@ -125,7 +126,11 @@
     cuts: [
       { file: session, from: "grant.place <= place", to: "true" },
       { file: session, from: "place = Math.min(place, session.card.place);", to: ";" },
-      { file: control, from: "#lags(card, now) {", to: "#lags(card, now) { return false;" },
+      {
+        file: laggingNodes,
+        from: "isLagging(card, feedPlace, now) {",
+        to: "isLagging(card, feedPlace, now) { return false;",
+      },
     ],
   },
   "a follower only goes on": {
