Control core: heartbeats of nodes, requests at the head, origin and announcements moved out

core.ts 685 -> 576 lines, behaviour unchanged: node-heartbeats.ts (sessions and leases), head-requests.ts, control-origin.ts, runner-announcements.ts; SilentNodes finds whom to call by itself.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,78 +1,49 @@
 import {
-  Agreement,
-  Chain,
-  Feed,
   Sessions,
   constants,
-  duty,
   giveBack,
   lateness,
   policy,
+  type Agreement,
+  type Chain,
   type ChainCommand,
-  type ChainHolding,
   type ChainView,
   type DiskCondition,
+  type Feed,
   type Member,
-  type NodeCard,
   type Policy,
   type RunnerCard,
-  type RunnerRegistry,
   type Stamp,
   type ViewCommand,
-  type VoteState,
 } from "@chutewick/parts";
 import type {
   Announced,
   ControlMessage,
   ControlOutcome,
   ControlOutput,
-  LeaseMessage,
   SessionMessage,
 } from "./control-messages.js";
+import { agreementFrom, chainFrom, feedFrom, type ControlOrigin } from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
 import { HeadPlanner } from "./head-planner.js";
+import { HeadRequests } from "./head-requests.js";
 import { keys } from "./keys.js";
-import { LaggingNodes } from "./lagging-nodes.js";
 import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
-import {
-  ControlMachine,
-  type ControlCommand,
-  type ControlResult,
-  type Deregistration,
-  type FleetRecord,
-} from "./machine.js";
-import { published } from "./published.js";
+import type { ControlCommand, ControlResult, FleetRecord } from "./machine.js";
+import { NodeHeartbeats, newsFor } from "./node-heartbeats.js";
 import { surroundingsOf, type SurroundingsSource } from "./queue-reports.js";
 import { QuorumContact } from "./quorum-contact.js";
-import { SilentNodes, recordedNodes } from "./silent-nodes.js";
-
-/** A request entered here as the head. */
-interface Held {
-  readonly ticket: string;
-  /** Set where the request came over the wire. */
-  readonly to: string | undefined;
-  readonly since: number;
-  result: { value: ControlResult; place: number } | undefined;
-}
+import { isDeregistered, takeReport } from "./runner-announcements.js";
+import { SilentNodes } from "./silent-nodes.js";
 
-/** What a control machine starts from. */
-export interface ControlOrigin {
-  readonly member: Member;
-  readonly seeds: readonly string[];
-  /** Differs with each start, so a result meant for an earlier life is not taken for one of this. */
-  readonly life: string;
-  readonly votes?: VoteState;
-  readonly holding?: ChainHolding;
-  readonly policy?: Policy;
-  /** True only at the very first start of the whole system. */
-  readonly founding?: boolean;
-}
+type ChainResult = Extract<ChainCommand, { kind: "result" }>;
 
 const noView = "the control group has no view yet";
 const tooSoon = "the head of the control group has not heard of all machines yet";
+const notHead = "this control machine is not the head, or the group has too few copies";
 /** Why a machine without contact runs nothing. */
 export const noQuorum = "this control machine reaches no majority of the control group";
 
@@ -86,11 +57,10 @@
   #life: string;
   #agreement: Agreement;
   #chain: Chain;
-  #feed = new Feed(published);
+  #feed: Feed;
   #policy: Policy;
   #sessions: Sessions;
-  #held = new Map<string, Held>();
-  #ticketNumber = 0;
+  #requests = new HeadRequests();
   #coverage: LeaseCoverage;
   #planAt = 0;
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
@@ -100,7 +70,7 @@
   #forgetAt = 0;
   #wall = 0;
   #planner: HeadPlanner;
-  #laggingNodes = new LaggingNodes();
+  #nodeHeartbeats = new NodeHeartbeats();
   /** The last stamp of each other control machine. */
   #stamps = new Map<string, { stamp: Stamp; at: number }>();
   #forwarding: Forwarding;
@@ -119,33 +89,12 @@
     this.#contact = new QuorumContact(origin.member.address, origin.life);
     this.#forwarding = new Forwarding(origin.life);
     this.#planner = new HeadPlanner(this.#policy);
-    this.#agreement = new Agreement(
-      origin.member,
-      origin.seeds,
-      now,
-      origin.votes,
-      origin.founding ?? true,
-      this.#policy.controlsWanted,
-      this.#policy.copiesLeast,
-    );
-    this.#chain = new Chain(
-      "control",
-      origin.member,
-      new ControlMachine(),
-      now,
-      origin.holding,
-      this.#policy.copiesLeast,
-    );
+    this.#agreement = agreementFrom(origin, this.#policy, now);
+    this.#chain = chainFrom(origin, this.#policy, now);
+    this.#feed = feedFrom(origin, this.#isMember);
     this.#coverage = new LeaseCoverage(now);
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
-    if (
-      origin.holding !== undefined &&
-      origin.holding.state.place === origin.holding.state.confirmed &&
-      this.#chain.position >= 0
-    ) {
-      this.#feed.restore(origin.holding.state.place, origin.holding.records);
-    }
   }
 
   get view(): ChainView | undefined {
@@ -170,7 +119,7 @@
    */
   diskChanged(condition: DiskCondition, now: number): ControlOutput[] {
     this.#disk = condition;
-    const outputs = this.#isWritable ? [] : this.#abandonHeld();
+    const outputs = this.#isWritable ? [] : this.#abandonRequests();
     if (!this.#isStopping)
       outputs.push(
         ...this.#vote(this.#isWritable ? this.#agreement.stay() : this.#agreement.leave(), now),
@@ -179,10 +128,10 @@
   }
 
   /** Nobody waits for what was entered here: whether it takes effect is for the next head to find out. */
-  #abandonHeld(): ControlOutput[] {
+  #abandonRequests(): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    for (const own of [...this.#held.keys()])
-      outputs.push(...this.#finish(own, { kind: "unknown" }));
+    for (const [id] of this.#requests.entries())
+      outputs.push(...this.#finish(id, { kind: "unknown" }));
     return outputs;
   }
 
@@ -226,7 +175,7 @@
           ? this.#perform(this.#chain.receive(message, from, now), now)
           : [];
       case "session":
-        return this.#session(message, now);
+        return this.#heartbeat(message, now);
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
@@ -293,14 +242,12 @@
     to: string | undefined,
     now: number,
   ): ControlOutput[] {
-    for (const held of this.#held.values()) if (held.ticket === ticket && held.to === to) return [];
+    if (this.#requests.has(ticket, to)) return [];
     if (!this.#isWritable && command.kind !== "read") return this.#answer(ticket, to, unwritable);
     const judged = this.#withSight(command, now);
     if (judged === undefined) return this.#answer(ticket, to, { kind: "not-run", reason: tooSoon });
-    this.#ticketNumber += 1;
-    const own = `own/${this.#ticketNumber}`;
-    this.#held.set(own, { ticket, to, since: now, result: undefined });
-    return this.#perform(this.#chain.inquire(own, judged, now), now);
+    const id = this.#requests.add(ticket, to, now);
+    return this.#perform(this.#chain.inquire(id, judged, now), now);
   }
 
   #answer(ticket: string, to: string | undefined, outcome: ControlOutcome): ControlOutput[] {
@@ -309,11 +256,11 @@
       : [{ kind: "send", to, message: { kind: "control-result", ticket, outcome } }];
   }
 
-  #finish(own: string, ended: ControlOutcome): ControlOutput[] {
-    const held = this.#held.get(own);
-    if (held === undefined) return [];
-    this.#held.delete(own);
-    return this.#answer(held.ticket, held.to, ended);
+  #finish(id: string, outcome: ControlOutcome): ControlOutput[] {
+    const request = this.#requests.get(id);
+    if (request === undefined) return [];
+    this.#requests.remove(id);
+    return this.#answer(request.ticket, request.to, outcome);
   }
 
   /** A command with what the head knows of storage machines; undefined while their silence may be the head's own. */
@@ -325,31 +272,25 @@
     return emptying.resolved(this.#feed, command, sight);
   }
 
-  /** A runner's own word, told here; what is new in it goes to all at once, the rest with the registry; all of it where no majority is reached (§13.8). */
+  /** A runner's own report, made here; passed on at once where others should not wait for the registry (§13.8). */
   announce(
     card: Omit<RunnerCard, "age">,
     sequence: number,
     now: number,
   ): { told: Announced; outputs: ControlOutput[] } {
-    if (
-      (this.#feed.read<Deregistration>(keys.goodbyeKey(card.id))?.incarnation ?? 0) >=
-      card.incarnation
-    )
-      return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
-    const word: RunnerCard = { ...card, sequence, age: 0 };
-    const { newer, news } = this.#sessions.announced(word, now);
+    if (isDeregistered(card, this.#feed)) return { told: { kind: "SAID_GOODBYE" }, outputs: [] };
     const inContact = this.inContact(now);
-    const outputs: ControlOutput[] = [];
-    /** Without contact, nodes may be reading the registry of a machine that never hears of this report. */
-    if (news || (newer && !inContact)) {
-      const message: ControlMessage = { kind: "runners", runners: [word] };
-      for (const to of this.#agreement.addresses()) outputs.push({ kind: "send", to, message });
-      for (const node of this.#sessions.live("access", now))
-        outputs.push({ kind: "send", to: node.address, message });
-    }
+    const message = takeReport({ ...card, sequence, age: 0 }, this.#sessions, inContact, now);
+    const outputs = message === undefined ? [] : this.#toControlsAndAccess(message, now);
     return { told: { kind: inContact ? "TAKEN" : "NO_QUORUM" }, outputs };
   }
 
+  #toControlsAndAccess(message: ControlMessage, now: number): ControlOutput[] {
+    const access = this.#sessions.live("access", now).map(({ address }) => address);
+    const addresses = [...this.#agreement.addresses(), ...access];
+    return addresses.map((to) => ({ kind: "send", to, message }));
+  }
+
   writtenChain(ticket: number, now: number): ControlOutput[] {
     return this.#perform(this.#chain.written(ticket, now), now);
   }
@@ -404,7 +345,7 @@
           news = true;
           break;
         case "result":
-          outputs.push(...this.#chainResult(command.ticket, command.result, now));
+          outputs.push(...this.#chainResult(command, now));
           break;
       }
     }
@@ -412,20 +353,12 @@
     return outputs;
   }
 
-  #chainResult(
-    own: string,
-    result: Extract<ChainCommand, { kind: "result" }>["result"],
-    now: number,
-  ): ControlOutput[] {
-    const held = this.#held.get(own);
-    if (held === undefined) return [];
-    if (result.kind === "elsewhere")
-      return this.#finish(own, {
-        kind: "not-run",
-        reason: "this control machine is not the head, or the group has too few copies",
-      });
-    if (result.kind === "unknown") return this.#finish(own, { kind: "unknown" });
-    held.result = { value: result.value as ControlResult, place: result.place };
+  #chainResult({ ticket: id, result }: ChainResult, now: number): ControlOutput[] {
+    const request = this.#requests.get(id);
+    if (request === undefined) return [];
+    if (result.kind === "elsewhere") return this.#finish(id, { kind: "not-run", reason: notHead });
+    if (result.kind === "unknown") return this.#finish(id, { kind: "unknown" });
+    request.result = { value: result.value as ControlResult, place: result.place };
     return this.#release(now);
   }
 
@@ -433,13 +366,13 @@
   #release(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     const covered = this.#coveredByAll(now);
-    for (const [own, held] of this.#held) {
+    for (const [id, held] of this.#requests.entries()) {
       if (
         held.result !== undefined &&
         held.result.place <= covered &&
         this.#fleetTook(held.result.place)
       )
-        outputs.push(...this.#finish(own, { kind: "confirmed", ...held.result }));
+        outputs.push(...this.#finish(id, { kind: "confirmed", ...held.result }));
     }
     return outputs;
   }
@@ -488,63 +421,24 @@
   #feedAll(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
     if (!this.#isMember) return outputs;
-    for (const card of this.#sessions.followers(now)) outputs.push(...this.#newsFor(card));
+    for (const card of this.#sessions.followers(now))
+      outputs.push(...sendAll(card.address, newsFor(card, this.#feed)));
     return outputs;
   }
 
-  /** Answers a node's heartbeat: with a lease, where the node keeps up and this machine may grant one. */
-  #session({ card, askedAt, back, rolled }: SessionMessage, now: number): ControlOutput[] {
-    const late = lateness(back, this.#life, now);
-    const { view } = this.#chain;
-    if (
-      view === undefined ||
-      !this.#isMember ||
-      !card.free ||
-      this.#laggingNodes.isLagging(card, this.#feed.place, now)
-    ) {
-      const news = view === undefined || !this.#isMember ? [] : this.#newsFor(card);
-      this.#sessions.heard(card, now, undefined, 0, late, askedAt);
-      if (view === undefined) return [];
-      const noLease = { askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: emptyRegistry };
-      return [...news, this.#answerTo(card, { view, ...noLease }, now)];
-    }
-    this.#sessions.heard(card, now, now + constants.leaseLasts, 0, late, askedAt);
-    const roll = this.#registriesFor(card, rolled)
-      ? this.#sessions.registryForNodes(now, card.identity)
-      : emptyRegistry;
-    const granted = { view, askedAt, place: this.#feed.place, roll };
-    return [...this.#newsFor(card), this.#answerTo(card, granted, now), ...this.#cover(now)];
-  }
-
-  /** What a node still misses of the feed. */
-  #newsFor(card: NodeCard): ControlOutput[] {
-    const message = this.#feed.since(card.place);
-    return message === undefined ? [] : [{ kind: "send", to: card.address, message }];
-  }
-
-  #answerTo(
-    card: NodeCard,
-    lease: Pick<LeaseMessage, "view" | "askedAt" | "place" | "roll">,
-    now: number,
-  ): ControlOutput {
-    const message: LeaseMessage = {
-      kind: "lease",
-      identity: this.#self.identity,
-      ...lease,
+  #heartbeat(message: SessionMessage, now: number): ControlOutput[] {
+    const { messages, isLeaseGranted } = this.#nodeHeartbeats.answer(message, {
+      self: this.#self.identity,
+      life: this.#life,
+      view: this.#chain.view,
+      isMember: this.#isMember,
       controls: this.#agreement.addresses(),
-      stamp: { life: this.#life, at: now },
-    };
-    return { kind: "send", to: card.address, message };
-  }
-
-  /** One member sends a node the registry; the others only where it got none lately (§4.3). */
-  #registriesFor(card: NodeCard, rolled: number | undefined): boolean {
-    const members = this.#chain.view!.members;
-    return (
-      rolled === undefined ||
-      rolled >= constants.sessionEvery * 2 ||
-      members[duty.spread(card.identity) % members.length]!.identity === this.#self.identity
-    );
+      feed: this.#feed,
+      sessions: this.#sessions,
+      now,
+    });
+    const outputs = sendAll(message.card.address, messages);
+    return isLeaseGranted ? [...outputs, ...this.#cover(now)] : outputs;
   }
 
   /** Time passes. */
@@ -560,7 +454,7 @@
       ...this.#sendRegistry(now),
       ...this.#plan(now),
       ...this.#forget(now),
-      ...this.#expireHeld(now),
+      ...this.#expireRequests(now),
       ...this.#forwardAgain(now),
     ];
   }
@@ -593,15 +487,14 @@
     if (now - this.#forgetAt <= constants.sessionLasts) return [];
     this.#forgetAt = now;
     this.#sessions.forget(now);
-    this.#laggingNodes.forget(now);
+    this.#nodeHeartbeats.forget(now);
     return [];
   }
 
-  #expireHeld(now: number): ControlOutput[] {
+  #expireRequests(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    for (const [own, held] of [...this.#held])
-      if (now - held.since > constants.confirmPatience)
-        outputs.push(...this.#finish(own, { kind: "unknown" }));
+    for (const id of this.#requests.overdue(now))
+      outputs.push(...this.#finish(id, { kind: "unknown" }));
     return outputs;
   }
 
@@ -610,14 +503,10 @@
     if (now - this.#calledSilentAt < constants.callSilentEvery) return [];
     this.#calledSilentAt = now;
     if (!this.#isMember) return [];
-    const live = new Set<string>();
-    for (const kind of ["access", "storage"] as const)
-      for (const card of this.#sessions.live(kind, now)) live.add(card.address);
     const addresses = [this.#self.address, ...this.#agreement.addresses()];
-    const outputs: ControlOutput[] = [];
-    for (const to of this.#silentNodes.silent(live, recordedNodes(this.#feed), now))
-      outputs.push({ kind: "send", to, message: { kind: "controls", addresses } });
-    return outputs;
+    return this.#silentNodes
+      .toCall(this.#sessions, this.#feed, now)
+      .map((to) => ({ kind: "send", to, message: { kind: "controls", addresses } }));
   }
 
   /** Enters what the head finds to be changed. */
@@ -682,4 +571,6 @@
   return { kind: "result", ticket, result: outcome };
 }
 
-const emptyRegistry: RunnerRegistry = { nodes: [], runners: [] };
+function sendAll(to: string, messages: readonly ControlMessage[]): ControlOutput[] {
+  return messages.map((message) => ({ kind: "send", to, message }));
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./silent-nodes.js";
 export * from "./published.js";
 export * from "./control-messages.js";
+export * from "./control-origin.js";
 export * from "./core.js";
 export * from "./pace.js";
 export * from "./calendar.js";
--- a/packages/control/src/silent-nodes.ts
+++ b/packages/control/src/silent-nodes.ts
@@ -1,4 +1,4 @@
-import { constants, holdersOf, type ChainView, type Feed } from "@chutewick/parts";
+import { constants, holdersOf, type ChainView, type Feed, type Sessions } from "@chutewick/parts";
 import { keys } from "./keys.js";
 import type { FleetRecord } from "./machine.js";
 
@@ -10,6 +10,14 @@
   /** ms. When a node at the address was last heard by some control machine. */
   #heardAt = new Map<string, number>();
 
+  /** Addresses to call now, by the sessions and the control records. */
+  toCall(sessions: Sessions, feed: Feed, now: number): string[] {
+    const live = new Set<string>();
+    for (const kind of ["access", "storage"] as const)
+      for (const { address } of sessions.live(kind, now)) live.add(address);
+    return this.silent(live, recordedNodes(feed), now);
+  }
+
   /**
    * Whom to call now.
    * @param live addresses of nodes that have a session
