--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -29,6 +29,36 @@
   | ForwardedCommandMessage
   | ForwardedResultMessage;
 
+const viewKinds: ReadonlySet<string> = new Set<ViewMessage["kind"]>([
+  "greet",
+  "prepare",
+  "promise",
+  "accept",
+  "accepted",
+  "overtaken",
+]);
+
+const chainKinds: ReadonlySet<string> = new Set<ChainMessage["kind"]>([
+  "entries",
+  "taken",
+  "confirm",
+  "probe",
+  "probed",
+  "want",
+  "digest",
+  "digest-got",
+]);
+
+/** Whether a message belongs to the agreement on views. */
+export function isViewMessage(message: ControlMessage): message is ViewMessage {
+  return viewKinds.has(message.kind);
+}
+
+/** Whether a message belongs to a chain. */
+export function isChainMessage(message: ControlMessage): message is ChainMessage {
+  return chainKinds.has(message.kind);
+}
+
 /** Heartbeat of a node, which asks for a lease. */
 export interface SessionMessage {
   readonly kind: "session";
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,7 +1,6 @@
 import {
   Sessions,
   constants,
-  giveBack,
   lateness,
   policy,
   type Agreement,
@@ -13,15 +12,16 @@
   type Member,
   type Policy,
   type RunnerCard,
-  type Stamp,
   type ViewCommand,
 } from "@chutewick/parts";
-import type {
-  Announced,
-  ControlMessage,
-  ControlOutcome,
-  ControlOutput,
-  SessionMessage,
+import {
+  isChainMessage,
+  isViewMessage,
+  type Announced,
+  type ControlMessage,
+  type ControlOutcome,
+  type ControlOutput,
+  type SessionMessage,
 } from "./control-messages.js";
 import { agreementFrom, chainFrom, feedFrom, type ControlOrigin } from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
@@ -34,6 +34,7 @@
 import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
 import type { ControlCommand, ControlResult, FleetRecord } from "./machine.js";
 import { NodeHeartbeats, newsFor } from "./node-heartbeats.js";
+import { PeerHeartbeats } from "./peer-heartbeats.js";
 import { surroundingsOf, type SurroundingsSource } from "./queue-reports.js";
 import { QuorumContact } from "./quorum-contact.js";
 import { isDeregistered, takeReport } from "./runner-announcements.js";
@@ -66,13 +67,11 @@
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
   #planFrom: number;
   #beatAt: number;
-  #registryAt = 0;
   #forgetAt = 0;
   #wall = 0;
   #planner: HeadPlanner;
   #nodeHeartbeats = new NodeHeartbeats();
-  /** The last stamp of each other control machine. */
-  #stamps = new Map<string, { stamp: Stamp; at: number }>();
+  #peerHeartbeats: PeerHeartbeats;
   #forwarding: Forwarding;
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
@@ -88,6 +87,7 @@
     this.#sessions = new Sessions(this.#policy);
     this.#contact = new QuorumContact(origin.member.address, origin.life);
     this.#forwarding = new Forwarding(origin.life);
+    this.#peerHeartbeats = new PeerHeartbeats(origin.life);
     this.#planner = new HeadPlanner(this.#policy);
     this.#agreement = agreementFrom(origin, this.#policy, now);
     this.#chain = chainFrom(origin, this.#policy, now);
@@ -155,30 +155,17 @@
   }
 
   receive(message: ControlMessage, from: string, now: number): ControlOutput[] {
+    if (isViewMessage(message)) return this.#vote(this.#agreement.receive(message, from, now), now);
+    if (isChainMessage(message))
+      return message.chain === "control"
+        ? this.#perform(this.#chain.receive(message, from, now), now)
+        : [];
     switch (message.kind) {
-      case "greet":
-      case "prepare":
-      case "promise":
-      case "accept":
-      case "accepted":
-      case "overtaken":
-        return this.#vote(this.#agreement.receive(message, from, now), now);
-      case "entries":
-      case "taken":
-      case "confirm":
-      case "probe":
-      case "probed":
-      case "want":
-      case "digest":
-      case "digest-got":
-        return message.chain === "control"
-          ? this.#perform(this.#chain.receive(message, from, now), now)
-          : [];
       case "session":
         return this.#heartbeat(message, now);
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
-        if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
+        this.#peerHeartbeats.heard(from, message.stamp, now);
         this.#contact.heard(from, message.back, now);
         return [];
       case "runners":
@@ -451,7 +438,7 @@
       ...this.#perform(this.#chain.beat(now), now),
       ...this.#cover(now),
       ...this.#callSilentNodes(now),
-      ...this.#sendRegistry(now),
+      ...this.#sendPeerHeartbeats(now),
       ...this.#plan(now),
       ...this.#forget(now),
       ...this.#expireRequests(now),
@@ -470,17 +457,12 @@
     this.#beatAt = now;
   }
 
-  #sendRegistry(now: number): ControlOutput[] {
-    if (now - this.#registryAt < constants.greetEvery) return [];
-    this.#registryAt = now;
-    const roll = this.#sessions.registry(now);
-    const stamp: Stamp = { life: this.#life, at: now };
-    const outputs: ControlOutput[] = [];
-    for (const to of this.#agreement.addresses()) {
-      const back = giveBack(this.#stamps.get(to), now);
-      outputs.push({ kind: "send", to, message: { kind: "roll", roll, stamp, back } });
-    }
-    return outputs;
+  #sendPeerHeartbeats(now: number): ControlOutput[] {
+    if (!this.#peerHeartbeats.begin(now)) return [];
+    const registry = this.#sessions.registry(now);
+    return this.#agreement
+      .addresses()
+      .map((to) => ({ kind: "send", to, message: this.#peerHeartbeats.to(to, registry, now) }));
   }
 
   #forget(now: number): ControlOutput[] {
