--- a/features/steps/platform-fleet.ts
+++ b/features/steps/platform-fleet.ts
@@ -1,38 +1,19 @@
 import { deepEqual, equal } from "node:assert/strict";
-import { spawn, type ChildProcess } from "node:child_process";
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ChildProcess } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { settled } from "@chutewick/shell";
 import { request } from "undici";
-
-type Class = "access" | "core" | "storage";
-
-interface Machine {
-  readonly name: string;
-  readonly ip: string;
-  readonly child: ChildProcess;
-  ended: number | null | undefined;
-}
-
-interface StandIn {
-  readonly id: string;
-  readonly address: string;
-  readonly service: string;
-  readonly server: Server;
-  readonly ran: string[];
-  state: "in_service" | "draining";
-  calls: number;
-  /** Requests begun whose answers have not gone out. */
-  underWay: number;
-}
+import { firstDocument as document } from "../system/document.js";
+import { startMachine, type Machine, type MachineClass } from "../system/machine.js";
+import { eventsOf, StandInRunner } from "../system/stand-in-runner.js";
 
 interface System {
   readonly folder: string;
   readonly machines: Machine[];
-  readonly runners: StandIn[];
+  readonly runners: StandInRunner[];
   beat: NodeJS.Timeout | undefined;
 }
 
@@ -41,12 +22,13 @@
   document: string;
   frozen: FrozenCalls;
   read: unknown;
-  drained: StandIn;
+  drained: StandInRunner;
   stream: Promise<{ status: number; text: string }>;
 }
 
-const roles = { access: "access", core: "control", storage: "storage" } as const;
-const nets = { access: 3, core: 1, storage: 2 } as const;
+/** Second number of the loopback addresses. */
+const net = 9;
+const controls = 3;
 const bound = 20_000;
 
 async function until(what: string, holds: () => Promise<boolean>): Promise<void> {
@@ -71,155 +53,15 @@
   await settled(look);
 }
 
-function start(system: System, kind: Class, index: number, founding: boolean): Machine {
-  const name = `${kind}-a-${index}`;
-  const ip = `127.9.${nets[kind]}.${index}`;
-  const path = join(system.folder, `${name}.json`);
-  const data = join(system.folder, name);
-  if (kind !== "access") mkdirSync(data, { recursive: true });
-  writeFileSync(
-    path,
-    JSON.stringify({
-      nodeName: name,
-      role: roles[kind],
-      machineClass: kind,
-      serves: [kind === "core" ? "control" : kind],
-      ip,
-      zone: ["a", "b", "c"][index % 3],
-      region: "r",
-      bindAddresses:
-        kind === "access"
-          ? { access: `${ip}:8144`, readiness: `${ip}:8140` }
-          : kind === "core"
-            ? { control: `${ip}:8146` }
-            : {},
-      internalPorts: [7_660, 7_675],
-      seedNodes: ["127.9.1.1:8146", "127.9.1.2:8146", "127.9.1.3:8146"],
-      initialStart: founding,
-      limits: {
-        cpuShare: 1,
-        cores: 1,
-        memoryMb: 400,
-        fileDescriptors: 4_100,
-        linkMbps: 1_000,
-        diskMb: 500,
-      },
-      dataPath: kind === "access" ? null : data,
-      reportIntervalMs: 400,
-      faultTolerance: { machines: 1, zones: 0, regions: 0 },
-      bounds: {
-        seedLagS: 3,
-        contactMs: 3_000,
-        ackMs: 4_000,
-        syncS: 5,
-        drainMs: 2_000,
-        graceS: 8,
-        applyMs: 2_000,
-        recoveryS: 12,
-        cancelMs: 3_000,
-        settleMs: 1_000,
-        quotaExcess: 0.1,
-      },
-    }),
-  );
-  const child = spawn(process.execPath, ["platform/dist/main.js", roles[kind]], {
-    env: { ...process.env, CHUTEWICK_CONFIG: path },
-    stdio: "ignore",
-  });
-  const machine: Machine = { name, ip, child, ended: undefined };
-  function ended(code: number | null): void {
-    machine.ended = code;
-  }
-  child.once("exit", ended);
-  system.machines.push(machine);
-  return machine;
-}
-
-/** ms. */
-const paymentTakes = 40;
-
-/** A runner of its own making: five events for tokens, the path for plain work. */
-function standIn(system: System, index: number, service: string): Promise<StandIn> {
-  const address = `127.9.8.${index}:8000`;
-  const runner: StandIn = {
-    id: `i-${index}`,
-    address,
-    service,
-    server: createServer(serve),
-    ran: [],
-    state: "in_service",
-    calls: 0,
-    underWay: 0,
-  };
-  function serve(incoming: IncomingMessage, response: ServerResponse): void {
-    const id = String(incoming.headers["chutewick-attempt-id"] ?? "");
-    if (incoming.headers["chutewick-expected-instance"] !== runner.id) {
-      response.writeHead(421, { "chutewick-not-executed": "1", "chutewick-attempt-id": id }).end();
-      return;
-    }
-    runner.ran.push(id);
-    incoming.resume();
-    const head = { "chutewick-attempt-id": id, "chutewick-answer-seal": `seal-${id}` };
-    if (service === "printer") {
-      function print(): void {
-        response
-          .writeHead(200, { ...head, "content-type": "text/plain" })
-          .end(`label ${incoming.url}`);
-      }
-      runner.underWay += 1;
-      response.once("close", printed);
-      setTimeout(print, incoming.url!.startsWith("/pay/") ? paymentTakes : 0);
-      return;
-    }
-    response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-    let next = Number(incoming.headers["last-event-id"] ?? -1) + 1;
-    const slow = incoming.url!.includes("slow");
-    function tell(): void {
-      if (next < 5) response.write(`id: ${next}\ndata: piece ${next} of ${incoming.url}\n\n`);
-      next += 1;
-      if (next < 5) return;
-      clearInterval(beats);
-      response.end();
-    }
-    const beats = setInterval(tell, slow ? 250 : 4);
-    function left(): void {
-      clearInterval(beats);
-    }
-    response.once("close", left);
-  }
-  function printed(): void {
-    runner.underWay -= 1;
-  }
+function start(system: System, kind: MachineClass, index: number): void {
+  const { folder } = system;
+  system.machines.push(startMachine({ folder, net, kind, index, isInitialStart: true }));
+}
+
+async function startRunner(system: System, index: number, service: string): Promise<void> {
+  const runner = new StandInRunner({ net, index, service, controls });
+  await runner.start();
   system.runners.push(runner);
-  function listen(resolve: (runner: StandIn) => void): void {
-    function listening(): void {
-      resolve(runner);
-    }
-    runner.server.listen(8_000, `127.9.8.${index}`, listening);
-  }
-  return new Promise<StandIn>(listen);
-}
-
-async function report(runner: StandIn): Promise<number> {
-  runner.calls += 1;
-  const body = JSON.stringify({
-    service: runner.service,
-    address: runner.address,
-    zone: "a",
-    revision: "v1",
-    capacitySlots: 8,
-    state: runner.state,
-    warmupLeftMs: 0,
-    phase: "both",
-    models: runner.service === "reader" ? [{ name: "m", revision: 1, adapters: [] }] : [],
-    callSequence: runner.calls,
-  });
-  const told = await request(
-    `http://127.9.1.${1 + (runner.calls % 3)}:8146/chutewick/instances/${runner.id}/report`,
-    { method: "POST", body },
-  );
-  await told.body.dump();
-  return told.statusCode;
 }
 
 async function aSystem(
@@ -237,13 +79,14 @@
     beat: undefined,
   };
   this.system = system;
-  for (let index = 1; index <= cores; index += 1) start(system, "core", index, true);
-  for (let index = 1; index <= stores; index += 1) start(system, "storage", index, true);
-  for (let index = 1; index <= accesses; index += 1) start(system, "access", index, true);
-  for (let index = 1; index <= models; index += 1) await standIn(system, index, "reader");
-  for (let index = 1; index <= plains; index += 1) await standIn(system, models + index, "printer");
+  for (let index = 1; index <= cores; index += 1) start(system, "core", index);
+  for (let index = 1; index <= stores; index += 1) start(system, "storage", index);
+  for (let index = 1; index <= accesses; index += 1) start(system, "access", index);
+  for (let index = 1; index <= models; index += 1) await startRunner(system, index, "reader");
+  for (let index = 1; index <= plains; index += 1)
+    await startRunner(system, models + index, "printer");
   function beat(): void {
-    for (const runner of system.runners) report(runner).catch(ignored);
+    for (const runner of system.runners) runner.report().catch(ignored);
   }
   system.beat = setInterval(beat, 400);
 }
@@ -257,80 +100,6 @@
   // The next report goes to the next machine.
 }
 
-function documentOf(): string {
-  return JSON.stringify({
-    revision: 5,
-    routes: [
-      {
-        name: "notes",
-        host: "shop.example",
-        pathPrefix: "/notes/",
-        routeType: "streaming",
-        guardMs: 4_000,
-        targetMs: 500,
-        precedence: 0,
-        service: "reader",
-        maxAttempts: 2,
-        affinity: true,
-        resumable: true,
-        gapTargetMs: 600,
-      },
-      {
-        name: "slips",
-        host: "shop.example",
-        pathPrefix: "/slips/",
-        routeType: "bulk",
-        guardMs: 6_000,
-        targetMs: 500,
-        precedence: 2,
-        service: "reader",
-        maxAttempts: 3,
-        affinity: true,
-        resumable: true,
-        completionTargetMs: 8_000,
-        queueTokenCap: 100_000,
-        retentionS: 40,
-      },
-      {
-        name: "payments",
-        host: "shop.example",
-        pathPrefix: "/pay/",
-        routeType: "unsafe",
-        guardMs: 2_000,
-        targetMs: 300,
-        precedence: 0,
-        service: "printer",
-        maxAttempts: 3,
-        affinity: false,
-        resumable: false,
-      },
-      {
-        name: "labels",
-        host: "shop.example",
-        pathPrefix: "/labels/",
-        routeType: "safe",
-        guardMs: 2_000,
-        targetMs: 300,
-        precedence: 2,
-        service: "printer",
-        maxAttempts: 2,
-        affinity: false,
-        resumable: false,
-      },
-    ],
-    services: [
-      {
-        name: "reader",
-        healthPath: "/health",
-        maxConnections: 100,
-        engine: { capacitySlots: 8, cacheTokens: 100_000, models: [{ name: "m" }] },
-      },
-      { name: "printer", healthPath: "/health", maxConnections: 100 },
-    ],
-    limits: {},
-  });
-}
-
 async function order(body: string, base: number, core = 1): Promise<number> {
   const told = await request(`http://127.9.1.${core}:8146/chutewick/configuration/replace`, {
     method: "POST",
@@ -342,10 +111,10 @@
 }
 
 async function firstDocument(this: World): Promise<void> {
-  this.document = documentOf();
-  const { document } = this;
+  this.document = JSON.stringify(document);
+  const { document: body } = this;
   async function taken(): Promise<boolean> {
-    return (await order(document, 0)) === 200;
+    return (await order(body, 0)) === 200;
   }
   await until("the first document is taken", taken);
 }
@@ -418,18 +187,11 @@
   safeAnswered,
 );
 
-function events(path: string): string {
-  let text = "";
-  for (let index = 0; index < 5; index += 1)
-    text += `id: ${index}\ndata: piece ${index} of ${path}\n\n`;
-  return text;
-}
-
 async function streamWhole(): Promise<void> {
   async function served(): Promise<boolean> {
     const told = await ask(2, "POST", "/notes/1", live(), "read this");
     if (told.status !== 200) return false;
-    equal(told.text, events("/notes/1"));
+    equal(told.text, eventsOf("/notes/1"));
     return true;
   }
   await until("a stream is served", served);
@@ -531,11 +293,11 @@
 Then("it is answered 200, and an older base 412, and a cut one 400", isAnswered);
 
 async function drains(this: World): Promise<void> {
-  const [runner] = this.system!.runners as [StandIn, ...StandIn[]];
+  const [runner] = this.system!.runners as [StandInRunner, ...StandInRunner[]];
   runner.state = "draining";
   this.drained = runner;
   async function acknowledged(): Promise<boolean> {
-    return (await report(runner)) === 200;
+    return (await runner.report()) === 200;
   }
   await until("the goodbye is acknowledged", acknowledged);
 }
@@ -565,7 +327,7 @@
 
 async function stoppedWhole(this: World): Promise<void> {
   const { status, text } = await this.stream;
-  deepEqual([status, text], [200, events("/notes/slow")]);
+  deepEqual([status, text], [200, eventsOf("/notes/slow")]);
   const stopped = this.system!.machines.find(isNamed, { name: "access-a-2" })!;
   async function ended(): Promise<boolean> {
     return Promise.resolve(stopped.ended !== undefined);
@@ -663,7 +425,7 @@
 async function freezeInTurn(
   calls: FrozenCalls,
   child: ChildProcess,
-  runners: readonly StandIn[],
+  runners: readonly StandInRunner[],
 ): Promise<void> {
   for (const span of freezes) {
     await pause(150 + ((calls.sent * 7) % 40));
@@ -767,10 +529,7 @@
   if (system === undefined) return;
   clearInterval(system.beat);
   for (const { child } of system.machines) child.kill("SIGKILL");
-  for (const { server } of system.runners) {
-    server.closeAllConnections();
-    server.close();
-  }
+  for (const runner of system.runners) runner.stop();
   rmSync(system.folder, { recursive: true, force: true });
 }
 After(ended);
