--- a/features/soak/answer-checks.ts
+++ b/features/soak/answer-checks.ts
@@ -25,6 +25,7 @@
   #stoppedAt = new Map<Machine, number>();
   #unsafeIds = new Set<string>();
   #promised = new Map<string, number>();
+  #promisedRepeatable = new Set<string>();
 
   constructor(system: SoakSystem, violations: Violations) {
     this.#system = system;
@@ -41,12 +42,20 @@
     const { call, status, isComplete } = exchange;
     this.#count(`${kind} ${isComplete ? status : "cut"}`);
     if (kind === "unsafe") this.#unsafeIds.add(call.id);
-    if (kind === "unsafe" && isComplete && promises.has(status!))
-      this.#promised.set(call.id, status!);
+    if (isComplete && promises.has(status!)) {
+      if (kind === "unsafe") this.#promised.set(call.id, status!);
+      else this.#promisedRepeatable.add(call.id);
+    }
     if (isComplete && status === 200) this.#judgeContent(kind, exchange);
     this.#judgeStop(exchange, takes);
   }
 
+  /** Repeatable requests that ran though their answer promised that they did not: the rules allow it, so it is only told. */
+  countRepeatableRan(): number {
+    const counts = this.#system.runCounts();
+    return [...this.#promisedRepeatable].filter((id) => counts.has(id)).length;
+  }
+
   /** Judges what ran, once all work is over. */
   judgeRuns(): void {
     const counts = this.#system.runCounts();
--- a/features/soak/run.ts
+++ b/features/soak/run.ts
@@ -6,9 +6,9 @@
 import { AnswerChecks } from "./answer-checks.js";
 import { Lots } from "./lots.js";
 import { Operator } from "./operator.js";
+import { OwnCounters } from "./own-counters.js";
 import { Probes } from "./probes.js";
 import { Random } from "./random.js";
-import { checkOwnCounters } from "./status-checks.js";
 import { sizes, SoakSystem } from "./system.js";
 import { holdsWithin, pause } from "./time.js";
 import { Traffic } from "./traffic.js";
@@ -48,7 +48,11 @@
   readonly probes: number;
   /** Requests sent to a process after its planned stop had begun. */
   readonly lateRequests: number;
+  /** Repeatable requests that ran though they were answered as not run. */
+  readonly repeatableRan: number;
   readonly lots: number;
+  /** Readings of the processes' own counters. */
+  readonly counterReads: number;
   /** Answers by kind and status. */
   readonly answers: Readonly<Record<string, number>>;
   /** Troubles by name. */
@@ -65,6 +69,7 @@
   readonly traffic: Traffic;
   readonly lots: Lots;
   readonly troubles: Troubles;
+  readonly counters: OwnCounters;
 }
 
 /** Plays one seed from the start of the processes to their end. */
@@ -100,7 +105,8 @@
   const traffic = new Traffic(system, checks, random.split());
   const lots = new Lots(system, violations, random.split());
   const troubles = new Troubles({ system, traffic, checks, violations, random: random.split() });
-  return { system, violations, operator, probes, checks, traffic, lots, troubles };
+  const counters = new OwnCounters(system, violations);
+  return { system, violations, operator, probes, checks, traffic, lots, troubles, counters };
 }
 
 async function isReady({ system, operator }: Parts): Promise<boolean> {
@@ -121,26 +127,29 @@
 }
 
 async function play(parts: Parts, span: number): Promise<void> {
-  const { system, violations, operator, probes, checks, traffic, lots, troubles } = parts;
-  const going = [operator.run(), probes.run(), traffic.run(), lots.run()];
+  const { operator, probes, checks, traffic, lots, troubles, counters } = parts;
+  const players = [operator, lots, probes, traffic, counters];
+  const going = players.map((player) => player.run());
   await troubles.run(span);
   await pause(calmAfter);
-  for (const part of [operator, lots, probes, traffic]) part.stop();
+  for (const player of players) player.stop();
   await Promise.all(going);
   await operator.checkReadBack();
   await lots.check();
   checks.judgeRuns();
-  await checkOwnCounters(system, violations);
+  await counters.check();
 }
 
-function figuresOf({ operator, probes, checks, lots, troubles }: Parts): SoakFigures {
+function figuresOf({ operator, probes, checks, lots, troubles, counters }: Parts): SoakFigures {
   return {
     changes: operator.acknowledged,
     races: operator.races,
     lostAnswers: operator.lostAnswers,
     probes: probes.judged,
     lateRequests: checks.lateRequests,
+    repeatableRan: checks.countRepeatableRan(),
     lots: lots.accepted.length,
+    counterReads: counters.reads,
     answers: Object.fromEntries(checks.counts),
     troubles: Object.fromEntries(troubles.counts),
   };
