--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,7 +8,8 @@
     Then a new connection is answered within 300 ms after the cut
     And the bytes are answered no sooner than 300 ms and no later than 900 ms after the cut
 
-  Scenario: seeds
-    When the soak plays seeds 1 to 2 with 15 s of troubles each
+  # In both an access node is cut off from control for over 7 s at the start, and processes are stopped as planned.
+  Scenario: seeds whose first trouble is a long cut
+    When the soak plays seeds 5 and 16 with 15 s of troubles each
     Then it acknowledged changes, judged probes and saw requests sent after planned stops
     And no invariant was broken
--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -17,7 +17,7 @@
 
 interface World {
   results: SoakResult[];
-  link?: Link;
+  stalledLink?: Link;
 }
 
 const serverHost = "127.39.1.1";
@@ -49,20 +49,20 @@
   await proxy.open(serverHost, advertisedPort, boundPort);
   const open = await connected();
   await echoed(open);
-  this.link = { proxy, server, open, healedAt: 0, answered: Promise.resolve(0) };
+  this.stalledLink = { proxy, server, open, healedAt: 0, answered: Promise.resolve(0) };
 }
 Given("an echo server behind a link proxy, and an open connection to it", echoBehindProxy);
 
 async function cutFor(this: World, span: number, sentAfter: number): Promise<void> {
-  const { proxy, open } = this.link!;
+  const { proxy, open } = this.stalledLink!;
   proxy.cut(clientHost, serverHost);
   proxy.cut(serverHost, clientHost);
   await pause(sentAfter);
-  this.link!.answered = echoed(open);
+  this.stalledLink!.answered = echoed(open);
   await pause(span - sentAfter);
   proxy.heal(clientHost, serverHost);
   proxy.heal(serverHost, clientHost);
-  this.link!.healedAt = now();
+  this.stalledLink!.healedAt = now();
 }
 When(
   "the link is cut for {int} ms in both directions, and bytes are sent {int} ms into the cut",
@@ -71,14 +71,14 @@
 
 async function newAnswered(this: World, bound: number): Promise<void> {
   const socket = await connected();
-  const took = (await echoed(socket)) - this.link!.healedAt;
+  const took = (await echoed(socket)) - this.stalledLink!.healedAt;
   socket.destroy();
   equal(took <= bound, true, `answered after ${took} ms`);
 }
 Then("a new connection is answered within {int} ms after the cut", newAnswered);
 
 async function heldAnswered(this: World, least: number, most: number): Promise<void> {
-  const took = (await this.link!.answered) - this.link!.healedAt;
+  const took = (await this.stalledLink!.answered) - this.stalledLink!.healedAt;
   equal(took >= least && took <= most, true, `answered after ${took} ms`);
 }
 Then(
@@ -87,19 +87,19 @@
 );
 
 function linkEnded(this: World): void {
-  this.link?.open.destroy();
-  this.link?.proxy.close();
-  this.link?.server.close();
+  this.stalledLink?.open.destroy();
+  this.stalledLink?.proxy.close();
+  this.stalledLink?.server.close();
 }
 After(linkEnded);
 
-async function plays(this: World, from: number, to: number, seconds: number): Promise<void> {
+async function plays(this: World, first: number, second: number, seconds: number): Promise<void> {
   this.results = [];
-  for (let seed = from; seed <= to; seed += 1)
+  for (const seed of [first, second])
     this.results.push(await runSeed({ seed, processes: "small", seconds }));
 }
 When(
-  "the soak plays seeds {int} to {int} with {int} s of troubles each",
+  "the soak plays seeds {int} and {int} with {int} s of troubles each",
   { timeout: soakTimeout },
   plays,
 );
