--- a/features/soak/answer-checks.ts
+++ b/features/soak/answer-checks.ts
@@ -99,8 +99,7 @@
     if (isComplete && isAnswered(status!, endedAt - writtenAt)) return;
     if (endedAt - writtenAt <= bounds.lossSlackMs) return;
     if (!this.#system.calm.hadNoFault(call.machine.name, writtenAt, endedAt)) return;
-    const isWorkTooLong = since < 0 && since + takes > (bounds.graceS * 1_000) / 2;
-    if (isWorkTooLong) return;
+    if (isWorkTooLong(since, since + takes, endedAt - stoppedAt)) return;
     const outcome = isComplete ? `answered ${status}` : `${exchange.error}, head ${status}`;
     this.#violations.add(
       "LOST",
@@ -109,6 +108,12 @@
   }
 }
 
+/** Work begun in the first half of the grace whose runner is still at it in the second half may be ended. */
+function isWorkTooLong(begun: number, finished: number, cut: number): boolean {
+  const half = (bounds.graceS * 1_000) / 2;
+  return begun < half && finished > half && cut > half;
+}
+
 /** A success, a promise that it did not run, or the word that the route's time is over once it is. */
 function isAnswered(status: number, took: number): boolean {
   const isSuccess = status >= 200 && status < 300;
