A stopping access machine refuses what it cannot finish, and answers the rest

Cause: requests were taken up to stopWithin, which is graceS itself; then the beat stopped and the server waited past the kill.

--- a/features/access-stop.feature
+++ b/features/access-stop.feature
@@ -24,3 +24,19 @@
     And the machine is killed 8 s after it began
     Then each work that outlasts the stop is answered 502, and half a request 503
     And the machine ended by itself with 0 before it was killed
+
+  Scenario Outline: phases of a stop within <within> ms
+    Given a stop within <within> ms of a node with work under way until <work> ms after it began
+    Then it refuses new requests from <refuses> ms, gives last answers from <last> and is closed at <closed>
+
+    Examples:
+      | within | work  | refuses | last  | closed |
+      | 8000   | 0     | 2500    | never | 3500   |
+      | 8000   | 3480  | 2500    | never | 3500   |
+      | 8000   | 5000  | 2500    | never | 5000   |
+      | 8000   | 7100  | 2500    | never | 7100   |
+      | 8000   | 7300  | 2500    | 7100  | 7300   |
+      | 8000   | 99999 | 2500    | 7100  | 7400   |
+      | 2000   | 0     | 700     | never | 1100   |
+      | 2000   | 99999 | 700     | 1100  | 1400   |
+      | 20000  | 99999 | 2500    | 19100 | 19400  |
--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -117,7 +117,6 @@
     }
     return {
       isReady: () => true,
-      isStopping: () => false,
       takesLots: () => false,
       callerLimits: () => callerLimits.withUsual(self.known.configuration.value.callers),
       pass,
--- /dev/null
+++ b/features/steps/closing-server.ts
@@ -0,0 +1,173 @@
+/** HTTP servers that end their connections in order, with real sockets. */
+import { deepEqual, equal } from "node:assert/strict";
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { connect, type Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Gateway, invariants, log, type WholeArrival } from "@chutewick/shell";
+
+interface World {
+  server: AnsweringServer;
+  connections: RecordedConnection[];
+}
+
+const ADDRESS = { host: "127.9.7.1", port: 8_100 };
+
+/** Answers each request some time after it came, with its path. */
+class AnsweringServer {
+  readonly passedOn: string[] = [];
+  readonly gateway: Gateway;
+  readonly #answers = new Set<NodeJS.Timeout>();
+  #closing: Promise<void> | undefined;
+
+  constructor(takes: number) {
+    const arrived = ({ path, reply }: WholeArrival): void => {
+      this.passedOn.push(path);
+      this.#answers.add(setTimeout(() => answer(reply, path), takes));
+    };
+    this.gateway = new Gateway({
+      address: `${ADDRESS.host}:${ADDRESS.port}`,
+      log: log.open("test", "test", "fatal"),
+      openings: [],
+      whole: "request.arrived",
+      owners: [{ name: "answers", events: { "request.arrived": arrived } }],
+    });
+  }
+
+  /** Another hook may have begun to close it: whoever closes it waits until it is closed. */
+  close(): Promise<void> {
+    for (const timer of this.#answers) clearTimeout(timer);
+    this.#closing ??= this.gateway.close();
+    return this.#closing;
+  }
+}
+
+const MEBIBYTE = 1_048_576;
+const LARGE = "/large-answer";
+
+function answer(reply: ServerResponse, path: string): void {
+  const body = path === LARGE ? Buffer.alloc(64 * MEBIBYTE) : path;
+  reply.writeHead(200, { "content-length": String(body.length) }).end(body);
+}
+
+/** Whatever the server says on one connection. */
+class RecordedConnection {
+  readonly socket: Socket;
+  text = "";
+
+  private constructor(socket: Socket) {
+    this.socket = socket;
+    const read = (bytes: Buffer): void => {
+      this.text += bytes.toString("latin1");
+    };
+    socket.on("data", read);
+    socket.on("error", ignored);
+  }
+
+  static async open(): Promise<RecordedConnection> {
+    const socket = connect(ADDRESS);
+    await once(socket, "connect");
+    return new RecordedConnection(socket);
+  }
+
+  async ended(): Promise<void> {
+    if (!this.socket.closed) await once(this.socket, "close");
+  }
+
+  get statuses(): number[] {
+    return [...this.text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status));
+  }
+}
+
+function ignored(): void {
+  // The end of the connection is what counts.
+}
+
+async function aServer(this: World, takes: number): Promise<void> {
+  this.server = new AnsweringServer(takes);
+  await this.server.gateway.open();
+  this.connections = [await RecordedConnection.open()];
+}
+Given("an HTTP server whose answers take {int} ms, and a connection", aServer);
+
+const HEAD = "HTTP/1.1\r\nHost: shop.example\r\n";
+
+async function twoAtOnce(this: World, after: number): Promise<void> {
+  const [{ socket }] = this.connections as [RecordedConnection];
+  socket.write(`GET /first ${HEAD}\r\nGET /second ${HEAD}\r\n`);
+  await pause(after);
+  this.server.gateway.leave();
+}
+When(
+  "two requests come at once on it, and the server begins to end its connections {int} ms later",
+  twoAtOnce,
+);
+
+async function bothAnswered(this: World): Promise<void> {
+  const [connection] = this.connections as [RecordedConnection];
+  await connection.ended();
+  deepEqual(connection.statuses, [200, 200]);
+  const { text } = connection;
+  const bodies = [text.indexOf("/first"), text.indexOf("/second")];
+  equal(bodies[0]! > 0 && bodies[0]! < bodies[1]!, true, text);
+  equal(text.toLowerCase().match(/connection: close/g)?.length, 1, text);
+}
+Then("both are answered in order, and the second ends the connection", bothAnswered);
+
+/** ms. Until bytes sent on loopback were read. */
+const READ_WITHIN = 100;
+
+async function closedUnderWay(this: World): Promise<void> {
+  invariants.reset();
+  const [whole] = this.connections as [RecordedConnection];
+  const half = await RecordedConnection.open();
+  this.connections.push(half);
+  whole.socket.write(`GET /whole ${HEAD}\r\n`);
+  half.socket.write(`POST /half ${HEAD}Content-Length: 2\r\n\r\n{`);
+  await pause(READ_WITHIN);
+  const closed = this.server.close();
+  half.socket.write("}");
+  await closed;
+}
+When("a request comes on it, and half of one on another, and the server is closed", closedUnderWay);
+
+async function answeredAtEnd(this: World, whole: number, half: number): Promise<void> {
+  for (const connection of this.connections) await connection.ended();
+  deepEqual(
+    this.connections.map(({ statuses }) => statuses),
+    [[whole], [half]],
+  );
+  deepEqual(invariants.counts(), {});
+}
+Then(
+  "the whole one is answered {int}, the half one {int}, and no request is counted as dropped",
+  answeredAtEnd,
+);
+
+function notPassedOn(this: World): void {
+  deepEqual(this.server.passedOn, ["/whole"]);
+}
+Then("the second half of the other is not passed on", notPassedOn);
+
+async function unreadAnswer(this: World): Promise<void> {
+  invariants.reset();
+  const [{ socket }] = this.connections as [RecordedConnection];
+  socket.pause();
+  socket.write(`GET ${LARGE} ${HEAD}\r\n`);
+  await pause(READ_WITHIN);
+  await this.server.close();
+}
+When("its answer of 64 MiB is not read, and the server is closed", unreadAnswer);
+
+function countedDropped(this: World, count: number): void {
+  deepEqual(invariants.counts(), { requestsDroppedAtStop: count });
+  invariants.reset();
+}
+Then("{int} request is counted as dropped", countedDropped);
+
+async function ended(this: World): Promise<void> {
+  for (const { socket } of this.connections ?? []) socket.destroy();
+  await this.server?.close();
+}
+After(ended);
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -140,9 +140,10 @@
       return !self.#core.isNeeded || monotonic() > until;
     }
     await settled(handedOver);
+    const closing = [this.#gateway.close(constants.ordersAnsweredWithin)];
+    for (const front of this.#fronts) closing.push(front.close());
+    await Promise.all(closing);
     this.#beat.stop();
-    for (const front of this.#fronts) await front.close();
-    await this.#gateway.close();
     this.#wire.close();
     await this.#disk.close();
   }
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -114,11 +114,16 @@
   /** A planned stop: no new work; what is under way goes on. */
   leave(now: number): AccessOutput[] {
     this.#admission.leave();
-    this.relay.leave();
     this.lots.leave();
     return this.membership.leave(now);
   }
 
+  /** Later in a planned stop: whatever is new is refused. */
+  refuseNew(): void {
+    this.relay.refuseNew();
+    this.lots.refuseNew();
+  }
+
   receive(message: DataMessage, from: string, now: number): AccessOutput[] {
     this.#now = now;
     switch (message.kind) {
--- a/packages/data/src/access-desk.ts
+++ b/packages/data/src/access-desk.ts
@@ -18,8 +18,6 @@
 export interface AccessDesk {
   /** Whether new callers are to be sent here. */
   isReady(): boolean;
-  /** Whether this node is about to stop: connections are to be ended with their results. */
-  isStopping(): boolean;
   /** What callers may send and how long they may take, by the configuration known here. */
   callerLimits(): CallerLimits;
   /** Whether what is posted there is a lot, by the configuration known here. */
@@ -40,5 +38,9 @@
 /** An interface towards callers that stands beside our own. */
 export interface AccessFront {
   open(desk: AccessDesk): Promise<void>;
+  /** Requests whose answers have not been written whole. */
+  readonly underWay: number;
+  /** A planned stop begins: each connection ends with its next answer. */
+  leave(): void;
   close(): Promise<void>;
 }
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -37,6 +37,7 @@
 import { Links } from "./link.js";
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
+import { PlannedStop, stopTimes } from "./planned-stop.js";
 import type { LotHandedIn, PassOutput } from "./pass.js";
 import type { RelayCore } from "./relay-core.js";
 import type { DataMessage } from "./queue-messages.js";
@@ -75,7 +76,7 @@
   #fronts: readonly AccessFront[];
   #passLinks: PassConnections;
   #relay: RelayCore;
-  #isStopping = false;
+  #stop: PlannedStop | undefined;
   #ticketPrefix = randomUUID().slice(0, 8);
   #ticketNumber = 0;
 
@@ -164,26 +165,51 @@
     return outcome.good(access);
   }
 
-  /** Planned stop: no new work, then what is under way finishes within its bound. */
+  /** Planned stop: new work goes elsewhere, and what is under way is answered within its bound. */
   async close(): Promise<void> {
-    this.#isStopping = true;
-    this.#perform(this.#core.leave(monotonic()));
-    const self = this;
     const begun = monotonic();
-    const until = begun + this.#core.membership.policy.stopWithin;
-    /** Callers are sent here for a while after the word that this node is not ready; they are served all the same (§13.5). */
-    const from = this.#fronts.length === 0 ? begun : begun + constants.unreadyLasts;
-    function finished(): boolean {
-      return (monotonic() > from && self.#core.busy === 0) || monotonic() > until;
-    }
-    await settled(finished);
+    const { stopWithin } = this.#core.membership.policy;
+    const stop = new PlannedStop(stopTimes(stopWithin, this.#fronts.length > 0), begun);
+    this.#stop = stop;
+    this.#perform(this.#core.leave(begun));
+    this.#gateway.leave();
+    for (const front of this.#fronts) front.leave();
+    const isClosed = (): boolean => this.#goOnStopping(stop);
+    await settled(isClosed);
+    const closing = [this.#gateway.close()];
+    for (const front of this.#fronts) closing.push(front.close());
+    await Promise.all(closing);
     this.#beat.stop();
-    for (const front of this.#fronts) await front.close();
     this.#passLinks.close();
-    await this.#gateway.close();
     this.#wire.close();
   }
 
+  /** @returns whether all is answered, or no time is left */
+  #goOnStopping(stop: PlannedStop): boolean {
+    const now = monotonic();
+    const before = stop.phase;
+    const phase = stop.advance(now, this.#underWay);
+    if (phase === before) return phase === "closed";
+    this.#log.info({ phase, underWay: this.#underWay }, "the planned stop goes on");
+    this.#core.refuseNew();
+    if (phase === "last-answers") this.#giveLastAnswers(now);
+    return phase === "closed";
+  }
+
+  get #underWay(): number {
+    let underWay = this.#core.busy + this.#gateway.underWay;
+    for (const front of this.#fronts) underWay += front.underWay;
+    return underWay;
+  }
+
+  #giveLastAnswers(now: number): void {
+    this.#perform(this.#relay.giveLastAnswers(now));
+    for (const [ticket, caller] of [...this.#lotCallers]) {
+      this.#lotCallers.delete(ticket);
+      caller({ kind: "later", retryAfter: constants.retryAfter });
+    }
+  }
+
   /** What an interface beside our own may ask (§13.2). */
   #desk(): AccessDesk {
     const self = this;
@@ -247,17 +273,13 @@
       self.#perform(self.#relay.ready(ticket));
     }
     function isReady(): boolean {
-      return !self.#isStopping && self.#core.membership.serves(monotonic());
-    }
-    function isStopping(): boolean {
-      return self.#isStopping;
+      return self.#stop === undefined && self.#core.membership.serves(monotonic());
     }
     function limitsOfCallers(): CallerLimits {
       return callerLimits.withUsual(self.#core.membership.configuration.value.callers);
     }
     return {
       isReady,
-      isStopping,
       callerLimits: limitsOfCallers,
       takesLots,
       pass,
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./pass-link.js";
 export * from "./pass-lots.js";
 export * from "./pass.js";
+export * from "./planned-stop.js";
 export * from "./relay-core.js";
 export * from "./storage-core.js";
 export * from "./storage-service.js";
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -21,6 +21,7 @@
   #relay: RelayCore;
   #search: LotSearch;
   #isLeaving = false;
+  #isRefusing = false;
 
   constructor(
     membership: Membership,
@@ -66,6 +67,7 @@
     hold: number,
     now: number,
   ): AccessOutput[] {
+    if (this.#isRefusing) return [lotTold(ticket, LATER)];
     const onFound = (value: QueueResult): AccessOutput[] | undefined => {
       if (value.kind !== "RESULTS") return undefined;
       const { total, results } = value;
@@ -77,6 +79,7 @@
   }
 
   item(ticket: string, lot: string, item: string, now: number): AccessOutput[] {
+    if (this.#isRefusing) return [lotTold(ticket, LATER)];
     const onFound = (value: QueueResult): AccessOutput[] | undefined =>
       value.kind === "BODY" ? [lotTold(ticket, { kind: "body", bytes: value.body })] : undefined;
     const command = { kind: "read-item", lot, item } as const;
@@ -84,6 +87,7 @@
   }
 
   end(ticket: string, lot: string, _host: string, now: number): AccessOutput[] {
+    if (this.#isRefusing) return [lotTold(ticket, LATER)];
     const onFound = (value: QueueResult, later: number): AccessOutput[] | undefined =>
       value.kind === "ENDED"
         ? [lotTold(ticket, { kind: "ended" }), ...this.dispatcher.ended(lot, later)]
@@ -118,8 +122,16 @@
     this.#isLeaving = true;
     this.dispatcher.leave();
   }
+
+  /** Later in a planned stop: reads and ends are sent elsewhere too. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
 }
 
+/** Another node can say it at once. */
+const LATER: LotTold = { kind: "later", retryAfter: constants.retryAfter };
+
 function handInCommand(
   way: string,
   passage: Passage,
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -69,7 +69,7 @@
   #waiting = new Set<Live>();
   #indexed: MarkedConfiguration | undefined;
   #index = new Map<string, Found>();
-  #leaving = false;
+  #isRefusing = false;
   #sleep = new SleepDetector(Number.POSITIVE_INFINITY);
   /** Bytes of the bodies of requests under way. */
   #bytes = 0;
@@ -97,17 +97,25 @@
   get busy(): number {
     return this.#live.size;
   }
-  get leaving(): boolean {
-    return this.#leaving;
-  }
 
   has(go: number): boolean {
     return this.#gos.has(go);
   }
 
-  /** A planned stop: what comes on connections that are open still is served; the shell opens no new ones. */
-  leave(): void {
-    this.#leaving = true;
+  /** A planned stop has come so far that new requests may outlast it: they are refused, those under way go on. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
+
+  /** A planned stop is over: whatever is under way gets its last answer now. */
+  giveLastAnswers(now: number): PassOutput[] {
+    const outputs: PassOutput[] = [];
+    for (const live of [...this.#live.values()]) {
+      live.failure = { kind: "node-ends" };
+      if (live.go?.began === true) live.mayHaveRun = true;
+      this.#giveUp(live, now, outputs);
+    }
+    return outputs;
   }
 
   /** The passage with the longest prefix that begins the path. */
@@ -135,13 +143,18 @@
 
   arrive(ticket: string, request: PassRequest, now: number): PassOutput[] {
     this.counts.passed += 1;
+    if (this.#isRefusing)
+      return this.#turnAway(ticket, 503, constants.retryAfter, "this node is about to stop");
     if (!this.#membership.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(request.host, request.path);
     if (found === undefined) return this.#turnAwayUnknown(ticket, now);
-    const { passage } = found;
     if (this.#bytes + request.body.length > this.#policy.memory * constants.bodiesPart)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
+    return this.#take(ticket, request, found, now);
+  }
+
+  #take(ticket: string, request: PassRequest, { passage }: Found, now: number): PassOutput[] {
     const patience = request.patience ?? passage.guard;
     const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
--- a/packages/data/src/relay-failure.ts
+++ b/packages/data/src/relay-failure.ts
@@ -12,7 +12,9 @@
   | { readonly kind: "runner-status"; readonly status: number }
   /** Bytes went out, and no whole result came back. */
   | { readonly kind: "broken"; readonly reason: string }
-  | { readonly kind: "time-up" };
+  | { readonly kind: "time-up" }
+  /** A planned stop of this node has no time left. */
+  | { readonly kind: "node-ends" };
 
 /** The text that a caller is told. */
 export function describeFailure(failure: RelayFailure): string {
@@ -27,6 +29,8 @@
       return `the runner answered ${failure.status}`;
     case "time-up":
       return "the time is up";
+    case "node-ends":
+      return "this node is about to end";
     case "unsent":
     case "broken":
       return failure.reason;
--- a/packages/data/src/storage-service.ts
+++ b/packages/data/src/storage-service.ts
@@ -107,8 +107,8 @@
       return self.#core.held === 0 || monotonic() > until;
     }
     if (held > 0) await settled(handedOver);
-    this.#beat.stop();
     await this.#gateway.close();
+    this.#beat.stop();
     this.#wire.close();
     await this.#disk.close();
   }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -226,6 +226,18 @@
   passHeadersMost: 65_536,
   /** ms. After the word that a node is not ready, callers may still be sent to it for so long: two missed looks a second apart, and their way. */
   unreadyLasts: 2_500,
+  /** part of a planned stop in which requests are taken at most: the rest of it is for their answers. */
+  stopTakesPart: 0.35,
+  /** ms. Requests are refused for so long at least before the process closes: a look that was late, or lost, sends callers here a second longer. */
+  refusesLeast: 1_000,
+  /** ms. So long before the end of a planned stop the rest gets its last answers: a killed process answers nobody, and a busy one is late. */
+  lastAnswersBefore: 900,
+  /** ms. So long before the end of a planned stop the process closes whatever is open. */
+  closeBefore: 600,
+  /** ms. Last answers are handed to the network within this. */
+  answersWrittenWithin: 200,
+  /** ms. A control machine that ends waits so long for the orders that it has taken. */
+  ordersAnsweredWithin: 1_000,
   /** ms. From the first byte of a request on a passage to the end of its headers, where the deployment tells no other. */
   passHeaderWait: 10_000,
   /** ms. A caller's connection to a passage may stay idle this long, where the deployment tells no other. */
--- a/packages/shell/src/caller-connections.ts
+++ b/packages/shell/src/caller-connections.ts
@@ -7,6 +7,13 @@
   readonly response: ServerResponse;
 }
 
+/** A request that has no response yet. */
+export interface Unanswered {
+  readonly response: ServerResponse;
+  /** Whether it was read to its end. */
+  readonly isWhole: boolean;
+}
+
 /** How a connection stands at which a request could not be read to its end. */
 export type Unread =
   /** The request has a response of its own, to be written in its turn. */
@@ -26,6 +33,8 @@
 export class CallerConnections {
   #exchanges = new WeakMap<Duplex, Exchange[]>();
   #ending = new WeakSet<Duplex>();
+  #open = new Set<Exchange>();
+  #isClosing = false;
 
   /** Notes every request of the server before anyone else hears of it. */
   watch(server: Server): void {
@@ -36,6 +45,39 @@
     server.prependListener("request", arrived);
   }
 
+  /** Requests whose responses have not been written whole, those included that are still being read. */
+  get underWay(): number {
+    return this.#open.size;
+  }
+
+  /** From now on each connection ends with the response to the last request that was read on it. */
+  endWithResponses(): void {
+    this.#isClosing = true;
+    for (const { incoming, response } of this.#open)
+      if (isLast(this.#exchanges.get(incoming.socket), response)) endWith(response);
+  }
+
+  /** Whether a response that ends the connection has begun: nothing that is read after it can be answered. */
+  isOver(socket: Duplex): boolean {
+    const exchanges = this.#exchanges.get(socket) ?? [];
+    return exchanges.some(endsConnection);
+  }
+
+  /** Requests that have no response yet. */
+  *unanswered(): Generator<Unanswered> {
+    for (const { incoming, response } of [...this.#open])
+      if (!response.headersSent && !response.destroyed)
+        yield { response, isWhole: incoming.complete };
+  }
+
+  /** Requests that were read whole and whose responses are missing, or not yet handed to the network whole. */
+  get wholeUnfinished(): number {
+    let count = 0;
+    for (const { incoming, response } of this.#open)
+      if (incoming.complete && !response.destroyed) count += 1;
+    return count;
+  }
+
   /** Ends a connection from which nothing more can be read, and says where the refusal belongs. */
   endUnread(socket: Duplex): Unread {
     const exchanges = this.#exchanges.get(socket) ?? [];
@@ -59,7 +101,18 @@
     this.#exchanges.set(socket, exchanges);
     const exchange: Exchange = { incoming, response };
     const ending = this.#ending;
+    if (this.#isClosing) {
+      const last = exchanges.at(-1);
+      if (last !== undefined && !last.response.headersSent) last.response.shouldKeepAlive = true;
+      endWith(response);
+    }
     exchanges.push(exchange);
+    const open = this.#open;
+    open.add(exchange);
+    function over(): void {
+      open.delete(exchange);
+    }
+    response.once("close", over);
     function settled(): void {
       if (!incoming.complete && !socket.destroyed && !ending.has(socket)) return;
       const index = exchanges.indexOf(exchange);
@@ -73,3 +126,15 @@
     }
   }
 }
+
+function isLast(exchanges: readonly Exchange[] | undefined, response: ServerResponse): boolean {
+  return exchanges?.at(-1)?.response === response;
+}
+
+function endWith(response: ServerResponse): void {
+  if (!response.headersSent) response.shouldKeepAlive = false;
+}
+
+function endsConnection({ response }: Exchange): boolean {
+  return response.headersSent && !response.shouldKeepAlive;
+}
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -11,6 +11,8 @@
 import ApiService from "moleculer-web";
 import { CallerConnections } from "./caller-connections.js";
 import { CallerTiming } from "./caller-timing.js";
+import { settled } from "./beat.js";
+import { invariants } from "./invariants.js";
 import type { Log } from "./log.js";
 import { metrics } from "./metrics.js";
 import { refuseUnread, type ReadError } from "./read-errors.js";
@@ -55,6 +57,9 @@
 export class Gateway {
   #options: GatewayOptions;
   #broker: ServiceBroker;
+  #connections = new CallerConnections();
+  #server: Server | undefined;
+  #isEnding = false;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -71,9 +76,11 @@
     const { address, openings, owners } = this.#options;
     const cut = address.lastIndexOf(":");
     const broker = this.#broker;
+    const self = this;
     const aliases: Record<string, unknown> = {};
     for (const opening of openings) {
       function arrive(incoming: Incoming, response: ServerResponse): void {
+        if (self.#isEnding) return refuseAtEnd(response);
         const url = new URL(incoming.url ?? "/", "http://gateway");
         const original = new URL(
           (incoming as { originalUrl?: string }).originalUrl ?? incoming.url ?? "/",
@@ -123,7 +130,10 @@
     function taken(arrival: WholeArrival): void {
       void broker.emit(whole!, arrival);
     }
+    const connections = this.#connections;
     function gather(incoming: IncomingMessage, response: ServerResponse): void {
+      if (connections.isOver(incoming.socket)) return;
+      if (self.#isEnding) return refuseAtEnd(response);
       readWhole(incoming, response, limits(), taken);
     }
     /** The library's own server cannot be told how often to look for slow callers. */
@@ -173,7 +183,7 @@
     const service = broker.createService(api) as unknown as {
       server: Server;
     };
-    const connections = new CallerConnections();
+    this.#server = service.server;
     connections.watch(service.server);
     if (whole !== undefined) new CallerTiming(service.server, limits).watch();
     function unreadable(error: ReadError, socket: Duplex): void {
@@ -183,9 +193,57 @@
     await broker.start();
   }
 
-  async close(): Promise<void> {
-    await this.#broker.stop();
+  /** Requests whose responses have not been written whole. */
+  get underWay(): number {
+    return this.#connections.underWay;
   }
+
+  /** A planned stop begins: each connection ends with its next response. */
+  leave(): void {
+    this.#connections.endWithResponses();
+  }
+
+  /** Closes once each request that was read has its response. patience in ms: after it, those without one get a last answer. */
+  async close(patience = 0): Promise<void> {
+    this.leave();
+    await this.#answered(patience);
+    this.#isEnding = true;
+    this.#answerRest();
+    await this.#answered(constants.answersWrittenWithin);
+    this.#countDropped();
+    const stopped = this.#broker.stop();
+    this.#server?.closeAllConnections();
+    await stopped;
+  }
+
+  async #answered(patience: number): Promise<void> {
+    const until = performance.now() + patience;
+    const isOver = (): boolean => this.underWay === 0 || performance.now() >= until;
+    if (!isOver()) await settled(isOver);
+  }
+
+  /** Requests that were read whole, and end without a complete answer; those of callers that read too slowly count too. */
+  #countDropped(): void {
+    const { address } = this.#options;
+    const dropped = this.#connections.wholeUnfinished;
+    for (let count = 0; count < dropped; count += 1)
+      invariants.violated("requestsDroppedAtStop", { address, dropped });
+  }
+
+  /** A request that was not read to its end surely did not run; of any other nothing may be promised. */
+  #answerRest(): void {
+    for (const { response, isWhole } of this.#connections.unanswered())
+      if (isWhole) replyTrouble(response, 504, { trouble: "unknown", reason: ENDING });
+      else refuseAtEnd(response);
+  }
+}
+
+const ENDING = "this process is about to end";
+
+/** Promises that the request does not run: nobody has heard of it, and nobody will. */
+function refuseAtEnd(response: ServerResponse): void {
+  const { retryAfter } = constants;
+  replyTrouble(response, 503, { trouble: "not-run", reason: ENDING, retryAfter });
 }
 
 function usualLimits(): CallerLimits {
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./disk.js";
 export * from "./errors.js";
 export * from "./gateway.js";
+export * from "./invariants.js";
 export * from "./reply.js";
 export * from "./whole-request.js";
 export * from "./log.js";
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -86,7 +86,7 @@
     stopping = true;
     log.info({ signal }, "planned stop");
     await daemon.close();
-    log.info({}, "stopped");
+    log.info({ violations: invariants.counts() }, "stopped");
     process.exit(0);
   }
   /** Settings changed: what is kept open stays; addresses of control machines are learnt from control itself (§10.1). */
--- a/packages/shell/src/whole-request.ts
+++ b/packages/shell/src/whole-request.ts
@@ -37,7 +37,9 @@
     if (size > limits.bodyBytes) refuse(413);
   }
   function ended(): void {
-    if (!refused) taken(arrivalOf(incoming, response, Buffer.concat(chunks, size)));
+    /** One that was answered already was promised not to run. */
+    if (!refused && !response.headersSent)
+      taken(arrivalOf(incoming, response, Buffer.concat(chunks, size)));
   }
   function failed(): void {
     response.destroy();
--- a/tools/scale/src/passing-node.ts
+++ b/tools/scale/src/passing-node.ts
@@ -64,6 +64,14 @@
     await this.#gateway.open();
   }
 
+  get underWay(): number {
+    return this.#gateway?.underWay ?? 0;
+  }
+
+  leave(): void {
+    this.#gateway?.leave();
+  }
+
   async close(): Promise<void> {
     await this.#gateway?.close();
   }
