Signals that come while a process starts no longer end it

Cause: the handlers of SIGHUP and SIGTERM stood behind the opening of folder and servers, and without one a signal ends the process. Before: features/signals.feature failed (the process ended on SIGHUP). After: it passes. Before the program itself runs nothing can be done, so the soak sends signals only to processes that had 1 s.

--- a/deploy/chutewick.cjs
+++ b/deploy/chutewick.cjs
@@ -1,5 +1,8 @@
 "use strict";
 /** Starts the programs from compiled code where it fits this release of Node.js; else they are compiled anew. */
+/** Without a handler the signal of changed settings ends a process that has only begun to start. */
+process.on("SIGHUP", () => {});
+
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { createRequire } = require("node:module");
 const { join } = require("node:path");
--- /dev/null
+++ b/features/signals.feature
@@ -0,0 +1,9 @@
+Feature: signals while a process starts
+  A signal may come at any moment, also before the process has opened its data folder and its servers.
+
+  Scenario: changed settings, and a planned stop, before the process is up
+    Given a daemon that takes long to open
+    When it is sent SIGHUP while it opens
+    Then it goes on
+    When it is sent SIGTERM while it opens
+    Then it ends by itself with 0
--- a/features/soak/troubles.ts
+++ b/features/soak/troubles.ts
@@ -13,6 +13,8 @@
 const killAfter = bounds.graceS * 1_000;
 /** ms. A killed process is gone within this. */
 const goneWithin = 5_000;
+/** ms. Before the program of a process runs, a signal ends it whatever the program is. */
+const COMES_UP_WITHIN = 1_000;
 const accessCutLeast = 5_000;
 const accessCutMost = 9_000;
 
@@ -192,6 +194,7 @@
     const { system } = this.#parts;
     this.counts.set("hang-up of all", (this.counts.get("hang-up of all") ?? 0) + 1);
     for (const kind of ["core", "storage", "access"] as const)
-      for (const { child } of system.machines(kind)) child.kill("SIGHUP");
+      for (const { child, startedAt } of system.machines(kind))
+        if (performance.now() - startedAt > COMES_UP_WITHIN) child.kill("SIGHUP");
   }
 }
--- a/features/system/machine.ts
+++ b/features/system/machine.ts
@@ -59,6 +59,8 @@
   readonly kind: MachineClass;
   readonly ip: string;
   readonly child: ChildProcess;
+  /** ms, monotonic. */
+  readonly startedAt: number;
   ended: number | null | undefined;
 }
 
@@ -131,7 +133,9 @@
   if (kind !== "access") mkdirSync(data, { recursive: true });
   writeFileSync(path, JSON.stringify(settingsOf(options, data)));
   const child = spawnLogged(options, path);
-  const machine: Machine = { name, kind, ip: ipOf(net, kind, index), child, ended: undefined };
+  const startedAt = performance.now();
+  const ip = ipOf(net, kind, index);
+  const machine: Machine = { name, kind, ip, child, startedAt, ended: undefined };
   function ended(code: number | null): void {
     machine.ended = code;
   }
--- a/packages/shell/src/program.ts
+++ b/packages/shell/src/program.ts
@@ -73,19 +73,13 @@
 ): Promise<void> {
   const log = logs.open(program, checked.name, checked.logLevel);
   invariants.reportTo(log);
-  const opened = await open(checked, log);
-  if (!opened.ok) {
-    log.fatal({ reason: opened.reason }, "cannot start");
-    process.stderr.write(`chutewick ${program}: ${opened.reason}\n`);
-    process.exit(1);
-  }
-  const daemon = opened.value;
-  let stopping = false;
+  let daemon: Daemon | undefined = undefined as Daemon | undefined;
+  let isStopping = false;
   async function stop(signal: NodeJS.Signals): Promise<void> {
-    if (stopping) return;
-    stopping = true;
+    if (isStopping) return;
+    isStopping = true;
     log.info({ signal }, "planned stop");
-    await daemon.close();
+    await daemon?.close();
     log.info({ violations: invariants.counts() }, "stopped");
     process.exit(0);
   }
@@ -93,9 +87,17 @@
   function changed(): void {
     log.info({}, "settings may have changed");
   }
+  /** Before it opens anything: without a handler each of them ends the process. */
   process.on("SIGHUP", changed);
   process.on("SIGTERM", (signal) => void stop(signal));
   process.on("SIGINT", (signal) => void stop(signal));
+  const opened = await open(checked, log);
+  if (!opened.ok) {
+    log.fatal({ reason: opened.reason }, "cannot start");
+    process.stderr.write(`chutewick ${program}: ${opened.reason}\n`);
+    process.exit(1);
+  }
+  daemon = opened.value;
 }
 
 /** Opens what a daemon listens on; the reason where that cannot be done. */
