--- a/features/soak/link-proxy.ts
+++ b/features/soak/link-proxy.ts
@@ -1,5 +1,5 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { LinkChannel } from "./link-channel.js";
+import { LinkChannel } from "@chutewick/fleet";
 
 /** ms. A connection whose opening packet met a cut is tried again after this long; then its process gives it up. */
 const openingRetransmission = 1_000;
--- a/tools/fleet/src/relay.ts
+++ b/tools/fleet/src/relay.ts
@@ -1,82 +1,6 @@
 /** Links between the processes of a fleet that can be cut and mended from outside, and that stall as TCP does after a cut. */
 import { connect, createServer, type Server, type Socket } from "node:net";
-
-/** ms. TCP's first retransmission of bytes that were not acknowledged; each further one waits twice as long. */
-const FIRST_RETRANSMISSION = 200;
-
-/** One direction of a connection. */
-class Stream {
-  readonly #target: Socket;
-  readonly #isCut: () => boolean;
-  /** What was sent and has not arrived; the end of the stream counts as sent too. */
-  #unacknowledged: Buffer[] = [];
-  #hasEnded = false;
-  #nextTry: NodeJS.Timeout | undefined;
-  #pause = FIRST_RETRANSMISSION;
-
-  constructor(target: Socket, isCut: () => boolean) {
-    this.#target = target;
-    this.#isCut = isCut;
-  }
-
-  send(chunk: Buffer): void {
-    if (this.#nextTry === undefined && !this.#isCut()) {
-      this.#target.write(chunk);
-      return;
-    }
-    this.#unacknowledged.push(chunk);
-    this.#retransmitLater();
-  }
-
-  /** The sender closed its connection: the other end hears of it as late as of bytes. */
-  end(): void {
-    this.#hasEnded = true;
-    /** A closed socket keeps no bytes that a cut holds up. */
-    this.#unacknowledged = [];
-    if (this.#isCut()) this.#retransmitLater();
-    else this.#finish();
-  }
-
-  /** Drops what is held, with the fleet that it belongs to. */
-  discard(): void {
-    clearTimeout(this.#nextTry);
-    this.#target.destroy();
-  }
-
-  #retransmitLater(): void {
-    if (this.#nextTry !== undefined) return;
-    const self = this;
-    function retransmit(): void {
-      self.#retransmit();
-    }
-    this.#nextTry = setTimeout(retransmit, this.#pause);
-    this.#pause *= 2;
-  }
-
-  #retransmit(): void {
-    this.#nextTry = undefined;
-    if (this.#isCut()) {
-      this.#retransmitLater();
-      return;
-    }
-    this.#pause = FIRST_RETRANSMISSION;
-    for (const chunk of this.#unacknowledged) this.#target.write(chunk);
-    this.#unacknowledged = [];
-    if (this.#hasEnded) this.#finish();
-  }
-
-  #finish(): void {
-    clearTimeout(this.#nextTry);
-    this.#nextTry = undefined;
-    this.#target.destroy();
-  }
-}
-
-/** A connection through the relay. */
-interface Pair {
-  readonly forth: Stream;
-  readonly back: Stream;
-}
+import { LinkChannel } from "./link-channel.js";
 
 /**
  * Stands before each process's wire address. A cut is silent: no side is told, and bytes stay with their sender, who tries again
@@ -85,7 +9,7 @@
  */
 export class Relay {
   #servers: Server[] = [];
-  #pairs = new Set<Pair>();
+  #channels = new Set<LinkChannel>();
   #cuts = new Set<string>();
   /** Connections that were opened during a cut and come up with its end. */
   #opening = new Set<() => void>();
@@ -128,30 +52,17 @@
     function isCutBack(): boolean {
       return self.#isCut(to, from);
     }
-    const pair: Pair = { forth: new Stream(far, isCutForth), back: new Stream(near, isCutBack) };
-    this.#pairs.add(pair);
-    function nearClosed(): void {
-      pair.forth.end();
-      forget();
-    }
-    function farClosed(): void {
-      pair.back.end();
-      forget();
-    }
+    const channels = [
+      new LinkChannel(near, far, isCutForth),
+      new LinkChannel(far, near, isCutBack),
+    ];
+    for (const channel of channels) this.#channels.add(channel);
     function forget(): void {
-      if (near.destroyed && far.destroyed) self.#pairs.delete(pair);
+      if (!near.destroyed || !far.destroyed) return;
+      for (const channel of channels) self.#channels.delete(channel);
     }
-    function sentForth(chunk: Buffer): void {
-      pair.forth.send(chunk);
-    }
-    function sentBack(chunk: Buffer): void {
-      pair.back.send(chunk);
-    }
-    far.on("error", ignored);
-    near.on("data", sentForth);
-    far.on("data", sentBack);
-    near.on("close", nearClosed);
-    far.on("close", farClosed);
+    near.once("close", forget);
+    far.once("close", forget);
   }
 
   #isCut(from: string, to: string): boolean {
@@ -179,10 +90,7 @@
 
   close(): void {
     for (const server of this.#servers) server.close();
-    for (const pair of this.#pairs) {
-      pair.forth.discard();
-      pair.back.discard();
-    }
+    for (const channel of this.#channels) channel.stop();
   }
 }
 
