--- a/features/soak/operator.ts
+++ b/features/soak/operator.ts
@@ -126,7 +126,8 @@
 
   async #race(): Promise<void> {
     this.races += 1;
-    const pair = [this.#draw(false), this.#draw(false)] as const;
+    const first = this.#draw(false);
+    const pair = [first, this.#drawOther(first)] as const;
     const statuses = await Promise.all([
       this.#sendUntilClear("modify", pair[0]),
       this.#sendUntilClear("modify", pair[1]),
@@ -168,6 +169,16 @@
     return { base, version, body, isAnswerLost };
   }
 
+  /** A change that differs from another one on the same base: sent twice, the same change would rightly be taken twice. */
+  #drawOther(first: Change): Change {
+    let other = this.#draw(false);
+    while (other.body === first.body) {
+      other.version.state = "refused";
+      other = this.#draw(false);
+    }
+    return other;
+  }
+
   /** The name and what becomes of it; undefined where it is removed. */
   #drawRoute(newest: Version): [name: string, route: RouteDocument | undefined] {
     const random = this.#random;
