--- a/packages/data/src/pending-calls.ts
+++ b/packages/data/src/pending-calls.ts
@@ -148,13 +148,23 @@
       if (isOver(pendingCall, holdsLease, now)) {
         this.#pendingCalls.delete(ticket);
         outputs.push(...pendingCall.onResult(outcomeUnheard(pendingCall), now, pendingCall.since));
-      } else if (isDueAgain(pendingCall, now)) {
+      } else if (this.#isDueAgain(pendingCall, now)) {
         if (pendingCall.sentTo !== undefined) pendingCall.doubtful = true;
         outputs.push(...this.#send(ticket, pendingCall, now));
       }
     }
     return outputs;
   }
+
+  #isDueAgain(pendingCall: PendingCall, now: number): boolean {
+    const { sentTo, sentAt, command, queue, hold } = pendingCall;
+    const unanswered = now - sentAt;
+    if (sentTo === undefined) return unanswered >= constants.ownerRetry;
+    if (isOnce(command)) return false;
+    /** Whoever it was sent to is the owner no more, and may never answer. */
+    if (this.owner(queue) !== sentTo) return unanswered >= constants.ownerRetry;
+    return unanswered >= constants.grantLasts + hold;
+  }
 }
 
 /** A node that heard nothing of its owner and lost its lease is cut off: the caller does better at another. */
@@ -169,13 +179,6 @@
     : { kind: "elsewhere", reason: "the queue's owner cannot be reached" };
 }
 
-function isDueAgain(pendingCall: PendingCall, now: number): boolean {
-  const unanswered = now - pendingCall.sentAt;
-  return pendingCall.sentTo === undefined
-    ? unanswered >= constants.ownerRetry
-    : !isOnce(pendingCall.command) && unanswered >= constants.grantLasts + pendingCall.hold;
-}
-
 /** A draw asked for twice would take two prompts. */
 function isOnce(command: QueueCommand): boolean {
   return command.kind === "pop" || command.kind === "draw";
