A node's requests to control follow the head, and are not sent at each beat

Cause: a request was sent again after 1 s whoever was the head, and one that was not run at the very next beat, with a spread to all nodes each time (the time was taken off the wrong bound). Before: the new scenario of features/pending-calls.feature failed.

--- a/features/pending-calls.feature
+++ b/features/pending-calls.feature
@@ -11,3 +11,11 @@
       | results | new       |
       | end     | new       |
       | draw    |           |
+
+  Scenario: a request to the head of the control group follows the head
+    Given a request to the head "first"
+    When the head is "second" 0.3 s later
+    Then within 0.2 s the request is sent to "second"
+    When "second" answers that it does not run it
+    Then within 0.1 s the request is sent to ""
+    And within 0.1 s the request is sent to "second"
--- a/features/steps/pending-calls.ts
+++ b/features/steps/pending-calls.ts
@@ -1,11 +1,12 @@
 import { deepEqual } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { PendingCalls, type AccessOutput, type Membership } from "@chutewick/data";
+import { ControlCalls, PendingCalls, type AccessOutput, type Membership } from "@chutewick/data";
 import { constants, type ChainView, type QueueCommand } from "@chutewick/parts";
 
 interface World {
   owner: string;
-  calls: PendingCalls;
+  calls: Pick<PendingCalls, "beat">;
+  requests: ControlCalls;
   now: number;
   receivers: string[];
 }
@@ -40,7 +41,8 @@
     return { mark: 1, members: [{ identity: world.owner, address: world.owner }] };
   }
   const membership = { identity: "node-1", follower: { read }, holds: () => true };
-  world.calls = new PendingCalls(membership as unknown as Membership);
+  const calls = new PendingCalls(membership as unknown as Membership);
+  world.calls = calls;
   const call = {
     queue: "queue",
     command: commands[name]!,
@@ -48,7 +50,7 @@
     hold: seconds * 1_000,
     onResult: () => [],
   };
-  note(world, world.calls.ask(call, world.now));
+  note(world, calls.ask(call, world.now));
   deepEqual(world.receivers, [owner]);
 }
 Given("a call {string} that may be held for {int} s, sent to the owner {string}", aCall);
@@ -68,3 +70,39 @@
   deepEqual(this.receivers, expected);
 }
 Then("within {float} s it is sent to {string}, and to nobody else in {int} s", sentTo);
+
+const TICKET = "request-1";
+
+function aRequest(this: World, head: string): void {
+  const world = this;
+  world.owner = head;
+  world.now = 0;
+  world.receivers = [];
+  const membership = {
+    get head(): string {
+      return world.owner;
+    },
+    spread: () => [],
+  };
+  world.requests = new ControlCalls(membership as unknown as Membership, () => TICKET);
+  world.calls = world.requests;
+  note(
+    world,
+    world.requests.ask({ kind: "read" }, () => [], world.now),
+  );
+  deepEqual(world.receivers, [head]);
+}
+Given("a request to the head {string}", aRequest);
+When("the head is {string} {float} s later", newOwner);
+
+function requestSentTo(this: World, within: number, receiver: string): void {
+  this.receivers = [];
+  elapse(this, within);
+  deepEqual(this.receivers, receiver === "" ? [] : [receiver]);
+}
+Then("within {float} s the request is sent to {string}", requestSentTo);
+
+function notRun(this: World, _head: string): void {
+  note(this, this.requests.ended(TICKET, { kind: "not-run", reason: "no head" }, this.now));
+}
+When("{string} answers that it does not run it", notRun);
--- a/packages/data/src/control-calls.ts
+++ b/packages/data/src/control-calls.ts
@@ -12,6 +12,8 @@
   readonly since: number;
   readonly onResult: ControlResultHandler;
   sentAt: number;
+  /** The head that it went to; undefined where none was known, or the one asked did not run it. */
+  sentTo: string | undefined;
 }
 
 /** Sends each request again until it has a result or its patience is over. */
@@ -28,7 +30,13 @@
 
   ask(command: ControlCommand, onResult: ControlResultHandler, now: number): AccessOutput[] {
     const ticket = this.#nextTicket();
-    const call: PendingControlCall = { command, since: now, onResult, sentAt: now };
+    const call: PendingControlCall = {
+      command,
+      since: now,
+      onResult,
+      sentAt: now,
+      sentTo: undefined,
+    };
     this.#calls.set(ticket, call);
     return this.#send(ticket, call, now);
   }
@@ -37,7 +45,8 @@
     const call = this.#calls.get(ticket);
     if (call === undefined) return [];
     if (outcome.kind === "not-run") {
-      call.sentAt = now - constants.confirmPatience + constants.ownerRetry;
+      call.sentTo = undefined;
+      call.sentAt = now;
       return [];
     }
     this.#calls.delete(ticket);
@@ -50,15 +59,21 @@
       if (now - call.since >= constants.confirmPatience) {
         this.#calls.delete(ticket);
         outputs.push(...call.onResult({ kind: "unknown" }));
-      } else if (now - call.sentAt >= constants.grantLasts)
+      } else if (this.#isDueAgain(call, now))
         outputs.push(...this.#membership.spread(), ...this.#send(ticket, call, now));
     }
     return outputs;
   }
 
+  #isDueAgain(call: PendingControlCall, now: number): boolean {
+    const isWithCurrentHead = call.sentTo !== undefined && call.sentTo === this.#membership.head;
+    return now - call.sentAt >= (isWithCurrentHead ? constants.grantLasts : constants.ownerRetry);
+  }
+
   #send(ticket: string, call: PendingControlCall, now: number): AccessOutput[] {
-    call.sentAt = now;
     const { head } = this.#membership;
+    call.sentAt = now;
+    call.sentTo = head;
     if (head === undefined) return [];
     const message = { kind: "control-inquiry", ticket, command: call.command } as const;
     return [{ kind: "send", to: head, message }];
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./access-service.js";
 export * from "./choice.js";
 export * from "./dialect.js";
+export * from "./control-calls.js";
 export * from "./pending-calls.js";
 export * from "./events.js";
 export * from "./link.js";
