Connections between processes acknowledge bytes in place of heartbeats

The scenario 'a slow link that still carries bytes' fed made-up flushes; it feeds acknowledgements now, and is joined by one that is full when the cut begins and one that expires. The invariant counts by itself.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -6,7 +6,7 @@
     Given two processes with a link between them, that send each other a message each 50 ms
     When the link is cut for <seconds> s
     Then a message sent after the cut arrives both ways within 1.2 s
-    And no connection stalled longer than it may
+    And no connection stalled longer than it may, and no message came out of order
 
     Examples:
       | seconds |
@@ -14,18 +14,32 @@
       | 3.4     |
       | 7.5     |
 
-  Scenario: a process that stood still for seconds keeps its connections
-    Given a connection of which a heartbeat is awaited
-    When the process stands still for 20 s
-    Then the connection has not expired
-    But it has after 1.5 s in which the process runs and nothing arrives
+  Scenario: a connection that is full when the cut begins is replaced too
+    Given two processes with a link between them, that send each other a message each 50 ms
+    When the link is cut, and the first sends 40 MiB at once
+    And the cut ends after 7.5 s
+    Then a message sent after the cut arrives both ways within 1.2 s
+    And no connection stalled longer than it may, and no message came out of order
+
+  Scenario: a connection expires where bytes wait and none is acknowledged
+    Given a connection of which all 100 bytes are acknowledged
+    Then it has not expired 60.0 s later
+    When 40000000 bytes more are written
+    Then it has not expired 1.4 s later
+    And it has expired 0.1 s after that
 
   Scenario: a slow link that still carries bytes is no stalled one
-    Given a connection of which a heartbeat is awaited
-    When nothing is answered for 30 s while waiting bytes are flushed each second
-    Then the connection has not expired
+    Given a connection of which all 100 bytes are acknowledged
+    When 40000000 bytes more are written
+    And one byte of them is acknowledged each second for 30 s
+    Then it has not expired 1.4 s later
+    And it has expired 0.1 s after that
+
+  Scenario: a process that stood still for seconds keeps its connections
+    Given two processes with a link between them, that send each other a message each 50 ms
+    Then a process whose clock jumps by 20 s five times keeps its connections
 
-  Scenario: a release that knows no heartbeats is never given up
+  Scenario: a release that acknowledges nothing is never given up
     Given a process that answers nothing on connections that it accepts
     When another process sends it messages for 3 s
     Then all of them came on one connection, with nothing but messages on it
--- a/features/steps/connections.ts
+++ b/features/steps/connections.ts
@@ -1,9 +1,9 @@
-import { equal, ok } from "node:assert/strict";
+import { deepEqual, equal, ok } from "node:assert/strict";
 import { createServer, type Server, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { Relay } from "@chutewick/fleet";
 import { constants } from "@chutewick/parts";
-import { ConnectionHeartbeat, Wire, invariants, log, settled } from "@chutewick/shell";
+import { ConnectionProgress, Wire, invariants, log, settled } from "@chutewick/shell";
 import { Packr } from "msgpackr";
 
 /** ms. */
@@ -18,17 +18,21 @@
   readonly to: string;
   sent: number;
   received: number;
+  /** Messages that came after one that was sent later. */
+  outOfOrder: number;
 }
 
 interface World {
   ends: End[];
   relay: Relay | undefined;
   timers: NodeJS.Timeout[];
-  heartbeat: ConnectionHeartbeat;
+  progress: ConnectionProgress;
+  /** Bytes. */
+  written: number;
   oldRelease: OldRelease | undefined;
 }
 
-/** A listener of a release that knows no heartbeats. */
+/** A listener of a release that acknowledges nothing. */
 interface OldRelease {
   readonly server: Server;
   readonly sockets: Socket[];
@@ -45,7 +49,9 @@
 
 async function openEnd(own: 0 | 1): Promise<End> {
   function receive(message: unknown): void {
-    end.received = Math.max(end.received, (message as Numbered).number);
+    const { number } = message as Numbered;
+    if (number < end.received && number > 0) end.outOfOrder += 1;
+    end.received = Math.max(end.received, number);
   }
   const wire = new Wire({
     address: addresses[own],
@@ -53,7 +59,7 @@
     log: quiet,
     receive,
   });
-  const end: End = { wire, to: addresses[own === 0 ? 1 : 0], sent: 0, received: 0 };
+  const end: End = { wire, to: addresses[own === 0 ? 1 : 0], sent: 0, received: 0, outOfOrder: 0 };
   await wire.open();
   return end;
 }
@@ -130,52 +136,80 @@
   return end.sent;
 }
 
-function noneStalled(): void {
-  equal(invariants.counts()["connection-stalled"] ?? 0, 0);
+function noneStalled(this: World): void {
+  deepEqual(invariants.counts(), {});
+  for (const { outOfOrder } of this.ends) equal(outOfOrder, 0);
 }
-Then("no connection stalled longer than it may", noneStalled);
+Then("no connection stalled longer than it may, and no message came out of order", noneStalled);
 
-function awaited(this: World): void {
-  this.heartbeat = new ConnectionHeartbeat(false);
-  this.heartbeat.answered(0);
-  elapse(this.heartbeat, constants.heartbeatEvery, 0);
-  ok(this.heartbeat.isDue);
-  this.heartbeat.send();
+function acknowledged(this: World, bytes: number): void {
+  this.progress = new ConnectionProgress(false);
+  this.written = bytes;
+  this.progress.acknowledged(bytes);
 }
-Given("a connection of which a heartbeat is awaited", awaited);
+Given("a connection of which all {int} bytes are acknowledged", acknowledged);
+
+function written(this: World, bytes: number): void {
+  this.written += bytes;
+}
+When("{int} bytes more are written", written);
 
 /** Looks at a connection with each beat of a process that runs. */
-function elapse(heartbeat: ConnectionHeartbeat, milliseconds: number, waitingBytes: number): void {
+function elapse({ progress, written: bytes }: World, milliseconds: number): void {
   for (let at = 0; at < milliseconds; at += constants.beatEvery)
-    heartbeat.elapse(constants.beatEvery, { flushedBytes: 0, waitingBytes });
+    progress.elapse(constants.beatEvery, bytes);
 }
 
-function standsStill(this: World, seconds: number): void {
-  this.heartbeat.elapse(seconds * 1_000, { flushedBytes: 0, waitingBytes: 0 });
+function slowLink(this: World, seconds: number): void {
+  let received = 100;
+  for (let second = 1; second <= seconds; second += 1) {
+    elapse(this, 1_000);
+    this.progress.acknowledged((received += 1));
+    equal(this.progress.hasExpired, false);
+  }
 }
-When("the process stands still for {int} s", standsStill);
+When("one byte of them is acknowledged each second for {int} s", slowLink);
 
-function hasNotExpired(this: World): void {
-  equal(this.heartbeat.hasExpired, false);
+function hasNotExpired(this: World, seconds: number): void {
+  elapse(this, seconds * 1_000);
+  equal(this.progress.hasExpired, false);
 }
-Then("the connection has not expired", hasNotExpired);
+Then("it has not expired {float} s later", hasNotExpired);
 
-function expiresAfter(this: World, seconds: number): void {
-  elapse(this.heartbeat, seconds * 1_000, 0);
-  equal(this.heartbeat.hasExpired, true);
+function hasExpired(this: World, seconds: number): void {
+  elapse(this, seconds * 1_000);
+  equal(this.progress.hasExpired, true);
 }
-Then("it has after {float} s in which the process runs and nothing arrives", expiresAfter);
+Then("it has expired {float} s after that", hasExpired);
 
-function slowLink(this: World, seconds: number): void {
-  for (let second = 1; second <= seconds; second += 1) {
-    elapse(this.heartbeat, 950, 10_000);
-    this.heartbeat.elapse(constants.beatEvery, {
-      flushedBytes: second * 1_000,
-      waitingBytes: 10_000,
-    });
-  }
+async function standsStill(this: World, seconds: number): Promise<void> {
+  const [end] = this.ends as [End, End];
+  let now = performance.now();
+  const before = end.wire.connections.stalled;
+  /** As after a stop of the process: the clock has gone on, and nothing was read meanwhile. */
+  for (let beat = 0; beat < 5; beat += 1) end.wire.beat((now += seconds * 1_000));
+  await passed(SEND_EVERY);
+  equal(end.wire.connections.stalled, before);
+}
+Then(
+  "a process whose clock jumps by {int} s five times keeps its connections",
+  { timeout: 10_000 },
+  standsStill,
+);
+
+function sendMuch(this: World, mebibytes: number): void {
+  const [end] = this.ends as [End, End];
+  const message = { number: 0, filling: Buffer.alloc(1_048_576) };
+  this.relay!.cut("127.11.0.1", "127.11.0.2");
+  for (let count = 0; count < mebibytes; count += 1) end.wire.send(end.to, message);
+}
+When("the link is cut, and the first sends {int} MiB at once", sendMuch);
+
+async function endsAfter(this: World, seconds: number): Promise<void> {
+  await passed(seconds * 1_000);
+  this.relay!.mend();
 }
-When("nothing is answered for {int} s while waiting bytes are flushed each second", slowLink);
+When("the cut ends after {float} s", { timeout: 20_000 }, endsAfter);
 
 async function anOldRelease(this: World): Promise<void> {
   const packer = new Packr({ useRecords: false });
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -152,14 +152,16 @@
   messageMost: 33_554_432,
   /** bytes. Unsent messages kept per member; more are dropped and sent again by the cores. */
   wireBacklog: 16_777_216,
-  /** ms. A connection between processes that carries messages brings a heartbeat along this often. */
-  heartbeatEvery: 500,
+  /** ms. A process acknowledges what it received on a connection at most this often. */
+  acknowledgeEvery: 500,
   /**
-   * ms. A connection whose heartbeat is not answered, and that flushes nothing, for this long has stalled. With the time between
-   * heartbeats it is the 2 s after which a session ends, so that a cut that ended a session leaves no connection stalled; and it is
-   * longer than a process usually stands still.
+   * ms. A connection on which bytes wait for an acknowledgement and none tells of more for this long has stalled. With the time
+   * between two it is the 2 s after which a session ends, so that a cut that ended a session leaves no connection stalled; and it
+   * is longer than a process usually stands still.
    */
-  heartbeatPatience: 1_500,
+  acknowledgementPatience: 1_500,
+  /** hellos. After so many in a row without an answer a process is taken for one of a release that gives none. */
+  unansweredHellos: 3,
   /** ms. Pause before a lost connection between processes is made again. */
   reconnectAfter: 150,
   /** mark. Of the messages between processes and of the data folder. */
--- a/packages/shell/src/frames.ts
+++ b/packages/shell/src/frames.ts
@@ -23,6 +23,8 @@
 export class FrameReader {
   #held: Buffer[] = [];
   #size = 0;
+  /** Bytes that must be here before the next frame can be whole. */
+  #needed = LENGTH_BYTES;
 
   /**
    * Takes the next bytes and yields each message that is whole.
@@ -32,7 +34,7 @@
   *read(chunk: Buffer): Generator<unknown> {
     this.#held.push(chunk);
     this.#size += chunk.length;
-    if (this.#size < LENGTH_BYTES) return;
+    if (this.#size < this.#needed) return;
     let rest = this.#held.length === 1 ? chunk : Buffer.concat(this.#held, this.#size);
     for (;;) {
       const frameSize = frameSizeOf(rest);
@@ -43,6 +45,7 @@
     }
     this.#held = rest.length === 0 ? [] : [rest];
     this.#size = rest.length;
+    this.#needed = frameSizeOf(rest) ?? LENGTH_BYTES;
   }
 }
 
--- a/packages/shell/src/incoming-connections.ts
+++ b/packages/shell/src/incoming-connections.ts
@@ -3,7 +3,7 @@
 import { constants } from "@chutewick/parts";
 import { encodeFrame, FrameError, FrameReader } from "./frames.js";
 import type { Log } from "./log.js";
-import { isHeartbeat, readHello, type Hello } from "./wire-messages.js";
+import { readHello, type Acknowledgement, type Hello } from "./wire-messages.js";
 
 /** What all connections to a process have in common. */
 export interface IncomingOptions {
@@ -17,6 +17,10 @@
 interface Sender {
   readonly hello: Hello;
   readonly socket: Socket;
+  /** Bytes that were acknowledged. */
+  acknowledged: number;
+  /** ms, monotonic. */
+  acknowledgedAt: number;
 }
 
 /** Hands on what other processes send, from the newest connection of each alone. */
@@ -36,6 +40,7 @@
     this.#sockets.add(socket);
     const reader = new FrameReader();
     let hello: Hello | undefined;
+    let isOver = false;
     function failed(): void {
       socket.destroy();
     }
@@ -45,12 +50,17 @@
         self.#senders.delete(hello.from);
     }
     function arrived(chunk: Buffer): void {
+      if (isOver) return;
       try {
-        for (const message of reader.read(chunk)) {
+        const messages = reader.read(chunk);
+        if (hello !== undefined)
+          self.#acknowledge(self.#senders.get(hello.from), performance.now());
+        for (const message of messages) {
           /** Refused, or replaced by a newer connection of the same process: the rest is not handed on. */
-          if (socket.destroyed || socket.writableEnded) return;
+          isOver = socket.destroyed || socket.writableEnded;
+          if (isOver) return;
           if (hello === undefined) hello = self.#greeted(socket, message);
-          else self.#received(socket, message, hello.from);
+          else self.#options.receive(message, hello.from);
         }
       } catch (error) {
         if (!(error instanceof FrameError)) throw error;
@@ -70,9 +80,20 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  #received(socket: Socket, message: unknown, from: string): void {
-    if (isHeartbeat(message)) socket.write(encodeFrame({ heartbeatAnswer: message.heartbeat }));
-    else this.#options.receive(message, from);
+  /** To be called with each beat of the process: acknowledges what came last on each connection. */
+  beat(now: number): void {
+    for (const sender of this.#senders.values()) this.#acknowledge(sender, now);
+  }
+
+  /** Tells the other side how much has come, where that is more than it knows and was told long enough ago. */
+  #acknowledge(sender: Sender | undefined, now: number): void {
+    if (sender === undefined || now - sender.acknowledgedAt < constants.acknowledgeEvery) return;
+    const received = sender.socket.bytesRead;
+    if (received === sender.acknowledged) return;
+    sender.acknowledged = received;
+    sender.acknowledgedAt = now;
+    const acknowledgement: Acknowledgement = { received };
+    sender.socket.write(encodeFrame(acknowledgement));
   }
 
   /** The hello, where the connection is taken. */
@@ -88,10 +109,21 @@
       socket.destroy();
       return undefined;
     }
+    if (held !== undefined && held.hello.life !== hello.life)
+      this.#options.log.warn(
+        { from: hello.from, address: socket.remoteAddress },
+        "another process says that it has this address; its connection replaces the one before",
+      );
     /** Its sender has given it up, and the word of that may have been lost with the rest. */
     held?.socket.destroy();
-    this.#senders.set(hello.from, { hello, socket });
-    socket.write(encodeFrame({ heartbeatAnswer: 0 }));
+    const sender: Sender = {
+      hello,
+      socket,
+      acknowledged: 0,
+      acknowledgedAt: Number.NEGATIVE_INFINITY,
+    };
+    this.#senders.set(hello.from, sender);
+    this.#acknowledge(sender, performance.now());
     return hello;
   }
 
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -13,4 +13,4 @@
 export * from "./program.js";
 export * from "./daemon-parts.js";
 export * from "./invariants.js";
-export * from "./connection-heartbeat.js";
+export * from "./connection-progress.js";
--- a/packages/shell/src/outgoing-connection.ts
+++ b/packages/shell/src/outgoing-connection.ts
@@ -1,11 +1,14 @@
 /** A process's own connection to another process, replaced where it stalls (docs/design.md §10.3). */
 import { connect, type Socket } from "node:net";
 import { constants } from "@chutewick/parts";
-import { ConnectionHeartbeat } from "./connection-heartbeat.js";
+import { ConnectionProgress } from "./connection-progress.js";
 import { encodeFrame, FrameReader } from "./frames.js";
 import { invariants } from "./invariants.js";
 import type { Log } from "./log.js";
-import { isHeartbeatAnswer, type Hello } from "./wire-messages.js";
+import { isAcknowledgement, type Hello } from "./wire-messages.js";
+
+/** ms. Something is wrong here where messages are sent for so long and nothing is heard. */
+const UNANSWERED_MOST = 2 * (constants.acknowledgeEvery + constants.acknowledgementPatience);
 
 /** What all connections of a process have in common. */
 export interface OutgoingOptions {
@@ -28,7 +31,7 @@
 
 interface OpenSocket {
   readonly socket: Socket;
-  readonly heartbeat: ConnectionHeartbeat;
+  readonly progress: ConnectionProgress;
 }
 
 /** Opens a connection with the first message, and another after one that was lost or has stalled. */
@@ -38,9 +41,14 @@
   #open: OpenSocket | undefined;
   #retryAt = 0;
   #number = 0;
-  /** The other process has answered heartbeats; earlier releases do not. */
-  #answersHeartbeats = false;
+  /** The other process acknowledges what it receives; earlier releases do not. */
+  #acknowledges = false;
+  /** Connections in a row that came up and whose hello was not answered in time. */
+  #unansweredHellos = 0;
   #wasConnected = false;
+  /** ms in which this process ran and had something to send, since the other one answered on this connection. */
+  #unansweredFor = 0;
+  #hadMessages = false;
 
   constructor(to: string, options: OutgoingOptions) {
     this.#to = to;
@@ -51,38 +59,42 @@
   send(message: unknown): boolean {
     if (this.#open === undefined && performance.now() >= this.#retryAt) this.#connect();
     if (this.#open === undefined) return false;
-    const { socket, heartbeat } = this.#open;
+    const { socket } = this.#open;
+    this.#hadMessages = true;
     if (socket.writableLength > constants.wireBacklog) return false;
-    socket.cork();
-    if (heartbeat.isDue) socket.write(encodeFrame({ heartbeat: heartbeat.send() }));
     socket.write(encodeFrame(message));
-    socket.uncork();
     return true;
   }
 
-  /** Some ms have passed: a connection that carries nothing any more is closed, so that the next message opens another. */
+  /** Some ms have passed in which this process ran: a connection that carries nothing any more is closed, so that the next message opens another. */
   elapse(milliseconds: number): void {
     if (this.#open === undefined || this.#open.socket.connecting) return;
-    const { socket, heartbeat } = this.#open;
-    const waitingBytes = socket.writableLength;
-    heartbeat.elapse(milliseconds, {
-      flushedBytes: socket.bytesWritten - waitingBytes,
-      waitingBytes,
-    });
-    if (heartbeat.isOverdue) invariants.violated("connection-stalled", { to: this.#to });
-    if (heartbeat.hasExpired) this.#replace(socket, heartbeat);
+    const { socket, progress } = this.#open;
+    progress.elapse(milliseconds, socket.bytesWritten);
+    this.#checkAnswers(milliseconds);
+    if (progress.hasExpired) this.#replace(socket, progress);
   }
 
   close(): void {
     this.#open?.socket.destroy();
   }
 
-  #replace(socket: Socket, heartbeat: ConnectionHeartbeat): void {
+  /** Invariant: whatever the progress says, nothing is sent for long on a connection of which nothing is heard. */
+  #checkAnswers(milliseconds: number): void {
+    if (!this.#acknowledges || !this.#hadMessages) return;
+    this.#unansweredFor += milliseconds;
+    if (this.#unansweredFor < UNANSWERED_MOST) return;
+    invariants.violated("connection-stalled", { to: this.#to, unansweredFor: this.#unansweredFor });
+    this.#unansweredFor = 0;
+  }
+
+  #replace(socket: Socket, progress: ConnectionProgress): void {
     this.#options.counts.stalled += 1;
     this.#options.log.warn({ to: this.#to }, "connection to another process stalled; replaced");
+    if (!progress.hasAnswered) this.#unansweredHellos += 1;
+    if (this.#unansweredHellos >= constants.unansweredHellos) this.#acknowledges = false;
     /** A reset takes back what the kernel has not delivered: it must not arrive after what the next connection brings. */
-    if (heartbeat.hasAnswered) socket.resetAndDestroy();
-    else socket.destroySoon();
+    socket.resetAndDestroy();
     this.#closed(socket);
   }
 
@@ -95,9 +107,10 @@
       localAddress: this.#options.localAddress,
       noDelay: true,
     });
-    const heartbeat = new ConnectionHeartbeat(this.#answersHeartbeats);
-    this.#open = { socket, heartbeat };
+    const progress = new ConnectionProgress(this.#acknowledges);
+    this.#open = { socket, progress };
     this.#number += 1;
+    this.#heard();
     /** Written before the connection stands: what is sent meanwhile waits behind it, for this short time. */
     socket.write(encodeFrame(this.#options.hello(this.#number)));
     function giveUp(): void {
@@ -117,7 +130,7 @@
     socket.once("connect", connected);
     socket.once("close", closed);
     socket.on("error", failed);
-    this.#readAnswers(socket, heartbeat);
+    this.#readAnswers(socket, progress);
   }
 
   #connected(): void {
@@ -137,12 +150,17 @@
     this.#wasConnected = false;
   }
 
-  #readAnswers(socket: Socket, heartbeat: ConnectionHeartbeat): void {
+  #heard(): void {
+    this.#unansweredFor = 0;
+    this.#hadMessages = false;
+  }
+
+  #readAnswers(socket: Socket, progress: ConnectionProgress): void {
     const self = this;
     const reader = new FrameReader();
     function arrived(chunk: Buffer): void {
       try {
-        for (const answer of reader.read(chunk)) self.#answered(answer, heartbeat);
+        for (const answer of reader.read(chunk)) self.#answered(answer, progress);
       } catch (error) {
         self.#options.log.error(
           { to: self.#to, reason: (error as Error).message },
@@ -154,10 +172,12 @@
     socket.on("data", arrived);
   }
 
-  #answered(answer: unknown, heartbeat: ConnectionHeartbeat): void {
-    if (isHeartbeatAnswer(answer)) {
-      this.#answersHeartbeats = true;
-      heartbeat.answered(answer.heartbeatAnswer);
+  #answered(answer: unknown, progress: ConnectionProgress): void {
+    if (isAcknowledgement(answer)) {
+      this.#acknowledges = true;
+      this.#unansweredHellos = 0;
+      this.#heard();
+      progress.acknowledged(answer.received);
       return;
     }
     this.#options.log.error({ to: this.#to, message: answer }, "refused by the other process");
--- a/packages/shell/src/wire-messages.ts
+++ b/packages/shell/src/wire-messages.ts
@@ -16,20 +16,15 @@
   readonly mark: number;
   /** Address of the process that opened the connection. */
   readonly from: string;
-  /** Differs with each start of that process; absent in releases that know no heartbeats. */
+  /** Differs with each start of that process; absent in releases that know no acknowledgements. */
   readonly life?: string | undefined;
   /** Rises with each connection of that life to the same process. */
   readonly connection?: number | undefined;
 }
 
-/** Asks for an answer with the same number, to show that the connection carries bytes both ways. */
-export interface Heartbeat {
-  readonly heartbeat: number;
-}
-
-/** Number 0 answers the hello. */
-export interface HeartbeatAnswer {
-  readonly heartbeatAnswer: number;
+/** The only answer on a connection that was taken: bytes received on it so far. */
+export interface Acknowledgement {
+  readonly received: number;
 }
 
 /** The hello that a frame brings, whatever its version; undefined where it is none. */
@@ -37,12 +32,7 @@
   return hello.safeParse(message).data;
 }
 
-/** Whether a frame is a heartbeat and no message. */
-export function isHeartbeat(message: unknown): message is Heartbeat {
-  return typeof (message as Partial<Heartbeat> | null)?.heartbeat === "number";
-}
-
-/** Whether a frame answers a heartbeat or a hello. */
-export function isHeartbeatAnswer(message: unknown): message is HeartbeatAnswer {
-  return typeof (message as Partial<HeartbeatAnswer> | null)?.heartbeatAnswer === "number";
+/** Whether a frame acknowledges bytes. */
+export function isAcknowledgement(message: unknown): message is Acknowledgement {
+  return typeof (message as Partial<Acknowledgement> | null)?.received === "number";
 }
--- a/packages/shell/src/wire.ts
+++ b/packages/shell/src/wire.ts
@@ -89,11 +89,14 @@
     return isSent;
   }
 
-  /** To be called with each beat of the process: finds connections that have stalled. */
+  /** To be called with each beat of the process; now in ms, monotonic. Finds connections that have stalled, and acknowledges what came on others. */
   beat(now: number): void {
     const elapsed = now - (this.#beatAt ?? now);
     this.#beatAt = now;
-    for (const connection of this.#outgoing.values()) connection.elapse(elapsed);
+    /** A process that stood still has not yet read what came meanwhile: no more than two beats of that time count. */
+    const ran = Math.min(elapsed, constants.beatEvery * 2);
+    for (const connection of this.#outgoing.values()) connection.elapse(ran);
+    this.#incoming.beat(now);
   }
 
   #connection(to: string): OutgoingConnection {
