--- a/features/closing-server.feature
+++ b/features/closing-server.feature
@@ -16,3 +16,13 @@
     Given an HTTP server whose answers take 0 ms, and a connection
     When its answer of 64 MiB is not read, and the server is closed
     Then 1 request is counted as dropped
+
+  Scenario: connections that come while a server closes do not hold it up
+    Given an HTTP server whose answers take 0 ms, and a connection
+    When others connect each 10 ms and say nothing, and the server is closed
+    Then it has closed within 2 s
+
+  Scenario: requests whose caller left before their turn are not under way
+    Given an HTTP server whose answers take 60000 ms, and a connection
+    When two requests come at once on it, and the caller leaves
+    Then the server has no request under way within 2 s
--- a/features/steps/closing-server.ts
+++ b/features/steps/closing-server.ts
@@ -5,11 +5,14 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { Gateway, invariants, log, type WholeArrival } from "@chutewick/shell";
+import { Gateway, invariants, log, settled, type WholeArrival } from "@chutewick/shell";
 
 interface World {
   server: AnsweringServer;
   connections: RecordedConnection[];
+  closing: Promise<void>;
+  /** Connections of callers that say nothing. */
+  others: Socket[];
 }
 
 const ADDRESS = { host: "127.9.7.1", port: 8_100 };
@@ -166,6 +169,48 @@
 }
 Then("{int} request is counted as dropped", countedDropped);
 
+async function closedWhileOthersCome(this: World): Promise<void> {
+  const sockets: Socket[] = [];
+  function come(): void {
+    const socket = connect(ADDRESS);
+    socket.on("error", ignored);
+    sockets.push(socket);
+  }
+  const comers = setInterval(come, 10);
+  await pause(READ_WITHIN);
+  this.closing = this.server.close();
+  await pause(READ_WITHIN * 3);
+  clearInterval(comers);
+  this.others = sockets;
+}
+When("others connect each 10 ms and say nothing, and the server is closed", closedWhileOthersCome);
+
+async function closesWithin(this: World, seconds: number): Promise<void> {
+  const isClosed = this.closing.then(() => true);
+  const isLate = pause(seconds * 1_000).then(() => false);
+  const hasClosed = await Promise.race([isClosed, isLate]);
+  for (const socket of this.others) socket.destroy();
+  equal(hasClosed, true);
+}
+Then("it has closed within {int} s", closesWithin);
+
+async function twoAndGone(this: World): Promise<void> {
+  const [{ socket }] = this.connections as [RecordedConnection];
+  socket.write(`GET /first ${HEAD}\r\nGET /second ${HEAD}\r\n`);
+  await pause(READ_WITHIN);
+  equal(this.server.gateway.underWay, 2);
+  socket.destroy();
+}
+When("two requests come at once on it, and the caller leaves", twoAndGone);
+
+async function noneUnderWay(this: World, seconds: number): Promise<void> {
+  const until = performance.now() + seconds * 1_000;
+  const isOver = (): boolean => this.server.gateway.underWay === 0 || performance.now() >= until;
+  await settled(isOver);
+  equal(this.server.gateway.underWay, 0);
+}
+Then("the server has no request under way within {int} s", noneUnderWay);
+
 async function ended(this: World): Promise<void> {
   for (const { socket } of this.connections ?? []) socket.destroy();
   await this.server?.close();
--- a/packages/shell/src/caller-connections.ts
+++ b/packages/shell/src/caller-connections.ts
@@ -95,10 +95,23 @@
     return { kind: "silent" };
   }
 
+  /** Those under way on a connection; with it they end, also the ones whose response still waits for its turn. */
+  #exchangesOn(socket: Duplex): Exchange[] {
+    const known = this.#exchanges.get(socket);
+    if (known !== undefined) return known;
+    const exchanges: Exchange[] = [];
+    const open = this.#open;
+    function closed(): void {
+      for (const exchange of exchanges) open.delete(exchange);
+    }
+    socket.once("close", closed);
+    this.#exchanges.set(socket, exchanges);
+    return exchanges;
+  }
+
   #arrived(incoming: IncomingMessage, response: ServerResponse): void {
     const { socket } = incoming;
-    const exchanges = this.#exchanges.get(socket) ?? [];
-    this.#exchanges.set(socket, exchanges);
+    const exchanges = this.#exchangesOn(socket);
     const exchange: Exchange = { incoming, response };
     const ending = this.#ending;
     if (this.#isClosing) {
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Duplex } from "node:stream";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { callerLimits, constants, type CallerLimits } from "@chutewick/parts";
 import { ServiceBroker, type ServiceSchema } from "moleculer";
 import ApiService from "moleculer-web";
@@ -77,9 +78,11 @@
     const cut = address.lastIndexOf(":");
     const broker = this.#broker;
     const self = this;
+    const connections = this.#connections;
     const aliases: Record<string, unknown> = {};
     for (const opening of openings) {
       function arrive(incoming: Incoming, response: ServerResponse): void {
+        if (connections.isOver(incoming.socket)) return;
         if (self.#isEnding) return refuseAtEnd(response);
         const url = new URL(incoming.url ?? "/", "http://gateway");
         const original = new URL(
@@ -130,7 +133,6 @@
     function taken(arrival: WholeArrival): void {
       void broker.emit(whole!, arrival);
     }
-    const connections = this.#connections;
     function gather(incoming: IncomingMessage, response: ServerResponse): void {
       if (connections.isOver(incoming.socket)) return;
       if (self.#isEnding) return refuseAtEnd(response);
@@ -211,9 +213,11 @@
     this.#answerRest();
     await this.#answered(constants.answersWrittenWithin);
     this.#countDropped();
-    const stopped = this.#broker.stop();
+    await readWhatHasCome();
+    /** Before the library, which goes on listening for a while and then waits for whoever came meanwhile. */
+    this.#server?.close();
     this.#server?.closeAllConnections();
-    await stopped;
+    await this.#broker.stop();
   }
 
   async #answered(patience: number): Promise<void> {
@@ -238,6 +242,14 @@
   }
 }
 
+/** Turns of the event loop: in one a connection is taken, in the next its request is read. */
+const TURNS = 3;
+
+/** Lets what callers have sent be read, so that it is refused: a connection that is closed with bytes unread is reset. */
+async function readWhatHasCome(): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) await nextTurn();
+}
+
 const ENDING = "this process is about to end";
 
 /** Promises that the request does not run: nobody has heard of it, and nobody will. */
