--- a/features/soak/troubles.ts
+++ b/features/soak/troubles.ts
@@ -1,4 +1,4 @@
-import { bounds, type Machine } from "../system/machine.js";
+import { handlesSignals, bounds, type Machine } from "../system/machine.js";
 import type { AnswerChecks } from "./answer-checks.js";
 import type { TroubleKind } from "./calm.js";
 import type { Random } from "./random.js";
@@ -13,8 +13,6 @@
 const killAfter = bounds.graceS * 1_000;
 /** ms. A killed process is gone within this. */
 const goneWithin = 5_000;
-/** ms. Before the program of a process runs, a signal ends it whatever the program is. */
-const COMES_UP_WITHIN = 1_000;
 const accessCutLeast = 5_000;
 const accessCutMost = 9_000;
 
@@ -194,7 +192,8 @@
     const { system } = this.#parts;
     this.counts.set("hang-up of all", (this.counts.get("hang-up of all") ?? 0) + 1);
     for (const kind of ["core", "storage", "access"] as const)
-      for (const { child, startedAt } of system.machines(kind))
-        if (performance.now() - startedAt > COMES_UP_WITHIN) child.kill("SIGHUP");
+      for (const machine of system.machines(kind))
+        /** Before the program of a process runs, the signal ends it whatever the program is. */
+        if (handlesSignals(machine)) machine.child.kill("SIGHUP");
   }
 }
--- a/features/system/machine.ts
+++ b/features/system/machine.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from "node:child_process";
-import { mkdirSync, openSync, closeSync, writeFileSync } from "node:fs";
+import { closeSync, existsSync, mkdirSync, openSync, statSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
 /** Starts one process of the system through the platform adapter, with a settings file of its own. */
@@ -59,8 +59,9 @@
   readonly kind: MachineClass;
   readonly ip: string;
   readonly child: ChildProcess;
-  /** ms, monotonic. */
-  readonly startedAt: number;
+  /** Where its output goes, if anywhere, and how much of an earlier process was there before. */
+  readonly log: string | undefined;
+  readonly logBytesBefore: number;
   ended: number | null | undefined;
 }
 
@@ -113,12 +114,24 @@
   };
 }
 
+function logOf({ folder, kind, index }: MachineOptions): string {
+  return join(folder, `${nameOf(kind, index)}.log`);
+}
+
+function bytesIn(file: string | undefined): number {
+  return file !== undefined && existsSync(file) ? statSync(file).size : 0;
+}
+
+/** Whether a process has written to its log, which it does only once its program runs and handles signals. */
+export function handlesSignals({ log, logBytesBefore }: Machine): boolean {
+  return bytesIn(log) > logBytesBefore;
+}
+
 function spawnLogged(options: MachineOptions, path: string): ChildProcess {
-  const name = nameOf(options.kind, options.index);
   const command = ["platform/dist/main.js", roles[options.kind]];
   const env = { ...process.env, CHUTEWICK_CONFIG: path };
   if (options.isLogged !== true) return spawn(process.execPath, command, { env, stdio: "ignore" });
-  const log = openSync(join(options.folder, `${name}.log`), "a");
+  const log = openSync(logOf(options), "a");
   const child = spawn(process.execPath, command, { env, stdio: ["ignore", log, log] });
   closeSync(log);
   return child;
@@ -132,10 +145,11 @@
   const data = join(folder, name);
   if (kind !== "access") mkdirSync(data, { recursive: true });
   writeFileSync(path, JSON.stringify(settingsOf(options, data)));
+  const log = options.isLogged === true ? logOf(options) : undefined;
+  const logBytesBefore = bytesIn(log);
   const child = spawnLogged(options, path);
-  const startedAt = performance.now();
   const ip = ipOf(net, kind, index);
-  const machine: Machine = { name, kind, ip, child, startedAt, ended: undefined };
+  const machine: Machine = { name, kind, ip, child, log, logBytesBefore, ended: undefined };
   function ended(code: number | null): void {
     machine.ended = code;
   }
