Proof: a node whose feed is held up must count it, and that is no breach

The fault names that invariant as its alarm now: a run without it fails the row, and any other violation still does. The step uses the proof's own function for breaches.

--- a/features/steps/storm.ts
+++ b/features/steps/storm.ts
@@ -1,7 +1,7 @@
 import { deepEqual, ok } from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
 import { playAll, rateHeld, seeds, type CampaignOptions, type Played } from "@chutewick/simulator";
-import { breachesOf, patience } from "./proof.js";
+import { allBreachesOf, patience } from "./proof.js";
 
 interface World {
   held: { taken: number; ideal: number };
@@ -133,7 +133,7 @@
 );
 
 function theCheckerFindsNothing(this: World): void {
-  deepEqual(breachesOf(this.played).slice(0, 10), []);
+  deepEqual(allBreachesOf(this.played).slice(0, 10), []);
 }
 Then("the checker finds nothing", theCheckerFindsNothing);
 
@@ -143,7 +143,7 @@
 
 function theCheckerFindsNothingBut(this: World): void {
   const rest: string[] = [];
-  for (const line of breachesOf(this.played)) if (!isStillWaiting(line)) rest.push(line);
+  for (const line of allBreachesOf(this.played)) if (!isStillWaiting(line)) rest.push(line);
   deepEqual(rest.slice(0, 10), []);
 }
 Then("the checker finds nothing but work still waiting", theCheckerFindsNothingBut);
--- a/tools/simulator/src/campaign/campaign.ts
+++ b/tools/simulator/src/campaign/campaign.ts
@@ -22,6 +22,8 @@
 export interface TargetedFault {
   /** What must never happen, as the checker names it. */
   readonly rule: string;
+  /** The invariant of a node that the fault itself breaks: it must be counted in each run, and is no breach of the guard. */
+  readonly alarm?: string;
   /** Options of the campaigns in which it is played. */
   readonly options: Partial<CampaignOptions>;
   /** Called as the run begins, before anything struck. */
--- a/tools/simulator/src/targeted-faults/index.ts
+++ b/tools/simulator/src/targeted-faults/index.ts
@@ -128,7 +128,12 @@
     options: { ...calm, tokens: 10 },
     set: delayGrants,
   },
-  "a node's feed is held up": { rule: "change-ignored", options: calm, set: holdFeed },
+  "a node's feed is held up": {
+    rule: "change-ignored",
+    alarm: "behind-control",
+    options: calm,
+    set: holdFeed,
+  },
   "an old digest comes last": { rule: "slips-back", options: calm, set: oldSnapshot },
   "the head is cut off with a change half confirmed": {
     rule: "confirmed-gone",
