--- a/features/soak/traffic.ts
+++ b/features/soak/traffic.ts
@@ -99,7 +99,7 @@
     const random = this.#random.split();
     await pause(random.between(0, bounds.graceS * 1_000));
     const takes = random.whole(0, lateWorkMost);
-    const path = `/work/take-${takes}/${random.whole(0, 999)}`;
+    const path = `/work/takes-${takes}/${random.whole(0, 999)}`;
     await this.#work(machine, { kind: "safe", path, takes }, agent);
     agent.destroy();
   }
@@ -107,7 +107,7 @@
   /** A stream that keeps the process busy for some seconds. */
   async #streamLong(machine: Machine): Promise<void> {
     const eventTakes = this.#random.whole(300, 1_250);
-    const path = `/long/take-${eventTakes}/${this.#random.whole(0, 999)}`;
+    const path = `/long/takes-${eventTakes}/${this.#random.whole(0, 999)}`;
     const call = { machine, method: "POST", path, id: nextId(), body: "{}" } as const;
     const begun = now();
     const exchange = await send({ ...call, patience: longPatience });
@@ -124,6 +124,6 @@
   const draw = random.next();
   if (draw < 0.3) return { kind: "unsafe", path: `/pay/${number}`, takes: 40 };
   if (draw < 0.45) return { kind: "stream", path: `/notes/${number}`, takes: 20 };
-  if (draw < 0.65) return { kind: "safe", path: `/labels/take-300/${number}`, takes: 300 };
+  if (draw < 0.65) return { kind: "safe", path: `/labels/takes-300/${number}`, takes: 300 };
   return { kind: "safe", path: `/labels/${number}`, takes: 0 };
 }
--- a/features/system/document.ts
+++ b/features/system/document.ts
@@ -76,6 +76,13 @@
   resumable: false,
 };
 
+const longUnsafe: RouteDocument = {
+  ...unsafe,
+  name: "parcels",
+  pathPrefix: "/parcels/",
+  guardMs: 20_000,
+};
+
 const safe: RouteDocument = {
   name: "labels",
   host,
@@ -93,7 +100,7 @@
 /** The document with a route of each type and a service for model and plain runners each. */
 export const firstDocument: OperatorDocument = {
   revision: 5,
-  routes: [streaming, bulk, unsafe, safe],
+  routes: [streaming, bulk, unsafe, longUnsafe, safe],
   services: [
     {
       name: "reader",
--- a/features/system/stand-in-runner.ts
+++ b/features/system/stand-in-runner.ts
@@ -26,9 +26,9 @@
   readonly controls: number;
 }
 
-/** A path may ask for a duration: `/labels/take-600/7` takes 600 ms, and so does each event of such a stream. */
+/** A path may ask for a duration: `/labels/takes-600/7` takes 600 ms, and so does each event of such a stream. */
 function askedDuration(path: string): number | undefined {
-  const found = /\/take-(\d{1,5})\//.exec(path);
+  const found = /takes-(\d{1,5})/.exec(path);
   return found === null ? undefined : Number(found[1]);
 }
 
