--- a/features/access-stop.feature
+++ b/features/access-stop.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a planned stop of an access machine keeps every request
   Real processes on loopback addresses. Callers keep their connections open and go on with them until the process is gone; the process is killed after its grace.
 
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: Every answer reaches its own caller, and a call that may run once is sent once
   Callers and runners on real loopback sockets, the adapter, the relay and the links between them (docs/control-safety.md, point 5).
   A scenario fails if its fault did not occur while a call was at stake.
--- a/features/closing-server.feature
+++ b/features/closing-server.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: an HTTP server that ends its connections loses nothing that it has read
   A planned stop of any process closes its servers like this.
 
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: connections between processes
   Each process keeps one connection to every other process that it speaks to (docs/design.md §10.3). A cut of the network
   leaves such a connection open on both sides; TCP goes on with it only at its next retransmission, long after the cut.
--- a/features/disk-trouble.feature
+++ b/features/disk-trouble.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a disk that takes no writes or does not answer costs its machine its place, not its process
   The machine leaves its chains as one that stops does, refuses what it would have to write, and comes back by being copied to
   (docs/design.md §3.4, §10.2). Of one disk, service is back while the trouble lasts; of all, it counts from the end of the trouble.
--- a/features/disk.feature
+++ b/features/disk.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a data folder after a loss of power
   A folder is refused only where something that was promised from it may be gone (docs/design.md §10.2).
 
--- a/features/fleet-record.feature
+++ b/features/fleet-record.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: nodes that are gone hold up no change
   Where nodes need leases, a change is told when a majority of the fleet has taken it, and while the fleet itself changes, of the old and of
   the new (docs/design.md §7.4). What the fleet was before counts no longer than that.
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a real small fleet over sockets
   Three control, three storage, three access processes and stand-in runners, each on a loopback address of its own.
 
--- a/features/input.feature
+++ b/features/input.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: bad input has a definite end and no half effect
   Callers, runners and operators of a real small fleet send what they should not (docs/interface.md).
 
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -100,6 +100,7 @@
     When 1 other orders are taken within 1 s
     Then the orders "a:5, b:9" are acknowledged again
 
+  @sockets
   Scenario: the adapter tells each order what became of it
     Given the platform's interface on a control machine's records
     Then orders are answered:
@@ -123,6 +124,7 @@
     When the machine reaches no majority
     Then orders, reads, reports and retirements are answered 503 at once, with when to come back
 
+  @sockets
   Scenario: an order to empty a machine that is sent again is acknowledged again
     Given the platform's interface on a control machine's records
     And storage machines "s-1, s-2, s-3, s-4" of which 2 must be left
--- a/features/platform-fleet.feature
+++ b/features/platform-fleet.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a small system started through the adapter
   Real processes on loopback addresses, started from settings files of the platform, with stand-in runners and an operator (docs/platform.md).
 
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -262,6 +262,7 @@
       When 10 inquiries arrive for "shop.example" at "/read/x"
       Then the room for items on "model" falls by 10
 
+  @sockets
   Rule: Links to runners (real sockets)
 
     Scenario: A connection is kept, and not past the time that the runner told
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: signals while a process starts
   A signal may come at any moment, also before the process has opened its data folder and its servers.
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,3 +1,4 @@
+@sockets
 Feature: a short soak
   Real processes on loopback addresses under seeded troubles: kills, freezes, planned stops and links that are cut, while the
   configuration changes and clients go on sending (npm run soak plays more seeds; docs/platform.md).
--- a/features/steps/ci.ts
+++ b/features/steps/ci.ts
@@ -8,6 +8,8 @@
 
 interface CiWorld {
   folder: string;
+  /** Names of the report files in the folder. */
+  reports: string[];
   outcome: SpawnSyncReturns<string>;
 }
 
@@ -25,16 +27,41 @@
   return (list.match(/"[^"]*"/g) ?? []).map((text) => text.slice(1, -1));
 }
 
+function writeReport(world: CiWorld, name: string, scenarios: readonly object[]): void {
+  const report = scenarios.length === 0 ? [] : [{ name: "f", elements: scenarios }];
+  writeFileSync(join(world.folder, name), JSON.stringify(report));
+  world.reports.push(name);
+}
+
+function scenariosOf(good: string, bad: string): object[] {
+  const failing = quotedIn(bad).map((name) => reported(name, "failed"));
+  return [reported(good, "passed"), ...failing];
+}
+
 Given(
   /^a report in which "(.+)" passes and (.+) fail$/,
   function (this: CiWorld, good: string, bad: string) {
     this.folder = mkdtempSync(join(tmpdir(), "verdict-"));
-    const failing = quotedIn(bad).map((name) => reported(name, "failed"));
-    const report = [{ name: "f", elements: [reported(good, "passed"), ...failing] }];
-    writeFileSync(join(this.folder, "report.json"), JSON.stringify(report));
+    this.reports = [];
+    writeReport(this, "report.json", scenariosOf(good, bad));
   },
 );
 
+Given(
+  /^another report in which "(.+)" passes and (.+) fail$/,
+  function (this: CiWorld, good: string, bad: string) {
+    writeReport(this, "other.json", scenariosOf(good, bad));
+  },
+);
+
+Given("another report that is not there", function (this: CiWorld) {
+  this.reports.push("missing.json");
+});
+
+Given("another report without any scenario", function (this: CiWorld) {
+  writeReport(this, "empty.json", []);
+});
+
 Given(/^a list of known failures that holds (.+)$/, function (this: CiWorld, lines: string) {
   const text = quotedIn(lines)
     .map((line) => `${line}\n`)
@@ -43,7 +70,7 @@
 });
 
 When("the verdict is counted", function (this: CiWorld) {
-  this.outcome = run(this.folder, resolve(".ci/count.mjs"), ["list.txt", "report.json"]);
+  this.outcome = run(this.folder, resolve(".ci/count.mjs"), ["list.txt", ...this.reports]);
 });
 
 Then("it is {string}", function (this: CiWorld, verdict: string) {
