A start loads nothing that it does not use

Cause: after a loss of all power each 0.1 s without a listener is lost, and a small access machine takes 3.2 s of its 0.12 core to listen. A profile of the start (0.3 s of processor time unloaded): Node.js's own copy of undici, loaded because undici's index asks for globalThis.Headers, 57 ms; http2, https and tls for servers that nobody opens; mv with rimraf and glob, dtrace-provider and source-map-support for parts of bunyan that nobody uses, 30 ms and more; a validator and a service of moleculer's own; routes of own openings built for interfaces that have none; the bundle read as UTF-8. Ruled out: other sizes of the young generation and flags of V8: no gain beyond the noise of a busy machine. Change: only undici's client is bundled; unused modules are left out or loaded at their first use (deploy/unused-modules.cjs); the bundle is ASCII, read as one byte a character.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,5 +1,6 @@
 import { spawnSync } from "node:child_process";
-import { copyFileSync } from "node:fs";
+import { copyFileSync, readFileSync, writeFileSync } from "node:fs";
+import { resolve } from "node:path";
 import { build } from "esbuild";
 
 /** One file of the programs under target/, and its compiled code beside it, so that a start reads and compiles little (docs/platform.md). */
@@ -25,6 +26,12 @@
   "moment",
 ];
 
+/** Only the client of undici is bundled (deploy/undici-client.cjs). */
+function resolveUndici(bundler) {
+  const path = resolve("deploy/undici-client.cjs");
+  bundler.onResolve({ filter: /^undici$/ }, () => ({ path }));
+}
+
 await build({
   entryPoints: ["platform/src/main.ts"],
   outfile: "target/programs.cjs",
@@ -39,8 +46,11 @@
   legalComments: "none",
   external: left,
   alias: Object.fromEntries(Object.entries(sources).map(([name, path]) => [name, `./${path}`])),
+  plugins: [{ name: "undici-client", setup: resolveUndici }],
 });
-copyFileSync("deploy/chutewick.cjs", "target/chutewick.cjs");
+writeAscii("target/programs.cjs");
+for (const file of ["chutewick.cjs", "unused-modules.cjs"])
+  copyFileSync(`deploy/${file}`, `target/${file}`);
 /** Compiled code holds only for the flags that it was made under: those of deploy/system.toml. */
 const made = spawnSync(
   process.execPath,
@@ -48,3 +58,14 @@
   { stdio: "inherit" },
 );
 process.exitCode = made.status ?? 1;
+
+/** Regular expressions keep characters beyond ASCII; escaped, the file can be read as one byte a character. */
+function writeAscii(file) {
+  const text = readFileSync(file, "utf8");
+  const escaped = text.replace(/[^\x00-\x7f]/g, escapeOf);
+  writeFileSync(file, escaped, "latin1");
+}
+
+function escapeOf(character) {
+  return `\\u${character.charCodeAt(0).toString(16).padStart(4, "0")}`;
+}
--- a/deploy/chutewick.cjs
+++ b/deploy/chutewick.cjs
@@ -4,20 +4,21 @@
 process.on("SIGHUP", () => {});
 
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
-const { createRequire } = require("node:module");
 const { join } = require("node:path");
 const { Script } = require("node:vm");
+const requireOf = require("./unused-modules.cjs");
 
 const file = join(__dirname, "programs.cjs");
 const compiled = join(__dirname, "programs.compiled");
 const compiles = process.argv[2] === "--compile";
-const text = `(function (exports, require, module, __filename, __dirname) {${readFileSync(file, "utf8")}\n})`;
+/** The bundle is ASCII (deploy/build.mjs), and is read fastest as one byte a character. */
+const text = `(function (exports, require, module, __filename, __dirname) {${readFileSync(file, "latin1")}\n})`;
 const cachedData = !compiles && existsSync(compiled) ? readFileSync(compiled) : undefined;
 const script = new Script(text, { filename: file, cachedData });
 const own = { exports: {} };
 if (compiles) process.argv[2] = "--version";
 if (compiles) process.once("exit", keep);
-script.runInThisContext()(own.exports, createRequire(file), own, file, __dirname);
+script.runInThisContext()(own.exports, requireOf(file), own, file, __dirname);
 
 /** At the end, so that what a start runs is in it. */
 function keep() {
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { callerLimits, constants, type CallerLimits } from "@chutewick/parts";
@@ -69,6 +70,9 @@
       transporter: null as never,
       metrics: false,
       tracing: false,
+      /** Neither is used here, and each costs a start some ms of processor time. */
+      validator: false as never,
+      internalServices: false,
       skipProcessEventRegistration: true,
     });
   }
@@ -154,23 +158,22 @@
         whole === undefined ? this.httpHandler : gather,
       );
     }
+    const route = {
+      path: "/",
+      aliases,
+      mappingPolicy: "restrict",
+      mergeParams: false,
+      autoAliases: false,
+      bodyParsers: { json: { strict: true, limit: constants.bodyMost, type: everyBody } },
+      onError,
+    };
     const api = {
       name: "gateway",
       mixins: [ApiService as unknown as ServiceSchema],
       settings: {
         port: Number(address.slice(cut + 1)),
         ip: address.slice(0, cut),
-        routes: [
-          {
-            path: "/",
-            aliases,
-            mappingPolicy: "restrict",
-            mergeParams: false,
-            autoAliases: false,
-            bodyParsers: { json: { strict: true, limit: constants.bodyMost, type: everyBody } },
-            onError,
-          },
-        ],
+        routes: whole === undefined ? [route] : [],
         onError,
         logRequest: false,
         logRequestParams: false,
@@ -195,6 +198,12 @@
     await broker.start();
   }
 
+  /** host:port it listens at; the port that was taken where none was given. */
+  get address(): string {
+    const { address, port } = this.#server!.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
   /** Requests whose responses have not been written whole. */
   get underWay(): number {
     return this.#connections.underWay;
