An access process plays its own path before callers come

Change: a warm-up against runners at loopback addresses, which the first caller ends; the relay and the choice see the fleet through FleetView, so that both run on a sample fleet as they are. Ruled out: to hold back the word that a node is ready, which delays service after a loss.

--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -8,7 +8,6 @@
   RelayCore,
   WholeEvent,
   ownDialect,
-  type Membership,
   type PassEvent,
   type PassRequest,
   type PassOutput,
@@ -129,8 +128,8 @@
   }
   this.known = new KnownFleet();
   this.known.configuration = { mark: 1, value: { ...configuration.blank.value, passages: found } };
-  this.choice = new Choice(this.known as unknown as Membership, standing);
-  this.core = new RelayCore(this.known as unknown as Membership, this.choice, policy.usual);
+  this.choice = new Choice(this.known, standing);
+  this.core = new RelayCore(this.known, this.choice, policy.usual);
   this.now = 1_000;
   this.outputs = [];
   this.sent = new Map();
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -32,6 +32,7 @@
 import { AccessCore } from "./access-core.js";
 import type { AccessOutput, GoEvent } from "./access-output.js";
 import type { AccessDesk, AccessFront, LotCaller, PassCaller } from "./access-desk.js";
+import { PassCallers } from "./caller-delivery.js";
 import type { PassEvent, PassRequest, RunnerDialect } from "./dialect.js";
 import type { ErrorBody } from "./error-reply.js";
 import { Links } from "./link.js";
@@ -41,6 +42,8 @@
 import type { LotHandedIn, PassOutput } from "./pass.js";
 import type { RelayCore } from "./relay-core.js";
 import type { DataMessage } from "./queue-messages.js";
+import { WarmUp, type WarmUpResult } from "./warm-up/warm-up.js";
+import type { WarmUpSample } from "./warm-up/warm-up-sample.js";
 
 /** The access process: callers, runners and links round the core (docs/design.md §10). */
 const announcement = z.strictObject({
@@ -59,6 +62,8 @@
   /** How runners are spoken to on passages; ours where none is given. */
   readonly dialect?: RunnerDialect;
   readonly fronts?: readonly AccessFront[];
+  /** Sample messages for a warm-up (§13.9); none is made where they are left out. */
+  readonly warmUp?: WarmUpSample;
 }
 
 const farewell = z.strictObject({ incarnation: z.int().min(1) });
@@ -71,18 +76,23 @@
   #links: Links;
   #beat = new Beat();
   #waiting = new Map<string, ServerResponse>();
-  #passing = new Map<string, PassCaller>();
+  #passing = new PassCallers();
   #lotCallers = new Map<string, LotCaller>();
   #fronts: readonly AccessFront[];
   #passLinks: PassConnections;
   #relay: RelayCore;
   #stop: PlannedStop | undefined;
+  #dialect: RunnerDialect;
+  /** Until it begins. */
+  #warmUpSample: WarmUpSample | undefined;
   #ticketPrefix = randomUUID().slice(0, 8);
   #ticketNumber = 0;
 
   private constructor(settings: Settings, log: Log, extras: AccessExtras) {
     this.#log = log;
     this.#fronts = extras.fronts ?? [];
+    this.#dialect = extras.dialect ?? ownDialect;
+    this.#warmUpSample = extras.warmUp;
     const self = this;
     function receive(message: unknown, from: string): void {
       self.#perform(self.#core.receive(message as DataMessage, from, monotonic()));
@@ -119,7 +129,7 @@
     }
     this.#relay = this.#core.relay;
     this.#passLinks = new PassConnections({
-      dialect: extras.dialect ?? ownDialect,
+      dialect: this.#dialect,
       mayStart: mayPass,
       told: passed,
       share,
@@ -155,6 +165,7 @@
       access.#perform(access.#core.beat(now, Date.now()));
       access.#wire.beat(now);
       access.#passLinks.beat(now);
+      access.#beginWarmUp(now);
     }
     access.#beat.start(strike);
     for (const front of access.#fronts) await front.open(access.#desk());
@@ -165,6 +176,22 @@
     return outcome.good(access);
   }
 
+  /** Once this node serves and as long as no caller has come: whoever is served is served first. */
+  #beginWarmUp(now: number): void {
+    const sample = this.#warmUpSample;
+    if (sample === undefined || !this.#core.membership.serves(now)) return;
+    this.#warmUpSample = undefined;
+    const isWanted = (): boolean => this.#ticketNumber === 0 && this.#stop === undefined;
+    const log = this.#log;
+    function done(result: WarmUpResult): void {
+      log.info(result, "the warm-up is over");
+    }
+    function failed(error: Error): void {
+      log.warn({ reason: error.message }, "the warm-up failed");
+    }
+    if (isWanted()) new WarmUp(this.#dialect, sample).run(isWanted).then(done, failed);
+  }
+
   /** Planned stop: new work goes elsewhere, and what is under way is answered within its bound. */
   async close(): Promise<void> {
     const begun = monotonic();
@@ -222,7 +249,7 @@
     }
     function pass(request: PassRequest, caller: PassCaller): string {
       const ticket = next();
-      self.#passing.set(ticket, caller);
+      self.#passing.add(ticket, caller);
       self.#perform(self.#relay.arrive(ticket, request, monotonic()));
       return ticket;
     }
@@ -264,7 +291,7 @@
     }
     function left(ticket: string): void {
       if (self.#lotCallers.delete(ticket)) return;
-      if (self.#passing.delete(ticket)) self.#perform(self.#relay.left(ticket, monotonic()));
+      if (self.#passing.remove(ticket)) self.#perform(self.#relay.left(ticket, monotonic()));
     }
     function slow(ticket: string): void {
       self.#perform(self.#relay.slow(ticket));
@@ -466,7 +493,7 @@
         case "pass-end":
         case "pass-cut":
         case "pass-refused":
-          this.#toPassing(output);
+          this.#passing.deliver(output);
           break;
         case "lot-told": {
           const told = this.#lotCallers.get(output.ticket);
@@ -480,31 +507,6 @@
     }
   }
 
-  #toPassing(
-    output: Extract<
-      PassOutput,
-      { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }
-    >,
-  ): void {
-    const to = this.#passing.get(output.ticket);
-    if (to === undefined) return;
-    switch (output.kind) {
-      case "pass-head":
-        return to.head(output.status, output.headers);
-      case "pass-bytes":
-        return to.bytes(output.bytes);
-      case "pass-end":
-        this.#passing.delete(output.ticket);
-        return to.end();
-      case "pass-cut":
-        this.#passing.delete(output.ticket);
-        return to.cut();
-      case "pass-refused":
-        this.#passing.delete(output.ticket);
-        return to.refused(output.status, output.retryAfter, output.reason);
-    }
-  }
-
   #toCaller(
     output: Exclude<AccessOutput, PassOutput | { kind: "send" | "run" | "abandon" | "note" }>,
   ): void {
--- /dev/null
+++ b/packages/data/src/caller-delivery.ts
@@ -0,0 +1,42 @@
+import type { PassCaller } from "./access-desk.js";
+import type { PassOutput } from "./pass.js";
+
+/** Outputs of the relay that go to the caller of a request. */
+export type CallerOutput = Extract<
+  PassOutput,
+  { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }
+>;
+
+/** Callers of live requests on passages, by ticket, until their last output. */
+export class PassCallers {
+  #callers = new Map<string, PassCaller>();
+
+  add(ticket: string, caller: PassCaller): void {
+    this.#callers.set(ticket, caller);
+  }
+
+  /** @returns whether the request was still under way */
+  remove(ticket: string): boolean {
+    return this.#callers.delete(ticket);
+  }
+
+  deliver(output: CallerOutput): void {
+    const caller = this.#callers.get(output.ticket);
+    if (caller === undefined) return;
+    switch (output.kind) {
+      case "pass-head":
+        return caller.head(output.status, output.headers);
+      case "pass-bytes":
+        return caller.bytes(output.bytes);
+      case "pass-end":
+        this.#callers.delete(output.ticket);
+        return caller.end();
+      case "pass-cut":
+        this.#callers.delete(output.ticket);
+        return caller.cut();
+      case "pass-refused":
+        this.#callers.delete(output.ticket);
+        return caller.refused(output.status, output.retryAfter, output.reason);
+    }
+  }
+}
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -1,5 +1,6 @@
 import { constants, type RunnerCard } from "@chutewick/parts";
-import type { Membership, Standing } from "./membership.js";
+import type { FleetView } from "./fleet-view.js";
+import type { Standing } from "./membership.js";
 import type { PassRequest } from "./dialect.js";
 
 /** Which runner a work goes to (docs/design.md §13.4). Learnt from own traffic, and shared between nodes by their sessions. */
@@ -84,7 +85,7 @@
 }
 
 export class Choice {
-  #membership: Membership;
+  #fleet: FleetView;
   #standing: Standing;
   #go = 0;
   #gos = new Map<number, Go>();
@@ -101,8 +102,8 @@
   #chance: number;
   #isWarm: (address: string) => boolean = never;
 
-  constructor(membership: Membership, standing: Standing) {
-    this.#membership = membership;
+  constructor(fleet: FleetView, standing: Standing) {
+    this.#fleet = fleet;
     this.#standing = standing;
     this.#chance = (hashOf(standing.identity) | 1) >>> 0;
   }
@@ -246,7 +247,7 @@
     const most =
       sight === undefined
         ? 0
-        : (this.#membership.configuration.value.pools?.[sight.card.pool ?? ""]?.connections ?? 0);
+        : (this.#fleet.configuration.value.pools?.[sight.card.pool ?? ""]?.connections ?? 0);
     return most === 0
       ? constants.connectionsUntold
       : Math.max(1, Math.floor((most * constants.connectionsPart) / this.#nodes));
@@ -439,14 +440,14 @@
     this.#sights = new Map();
     const others = new Map<string, [live: number, items: number]>();
     let nodes = 0;
-    for (const { card, age } of this.#membership.registry.nodes) {
+    for (const { card, age } of this.#fleet.registry.nodes) {
       if (card.kind !== "access" || age > constants.sessionLasts) continue;
       if (!card.leaving) nodes += 1;
     }
-    for (const [runner, live, items] of this.#membership.registry.others ?? [])
+    for (const [runner, live, items] of this.#fleet.registry.others ?? [])
       others.set(runner, [live, items]);
     this.#nodes = Math.max(1, nodes);
-    for (const card of this.#membership.runners(now)) {
+    for (const card of this.#fleet.runners(now)) {
       if (card.pool === undefined) continue;
       const key = keyOf(card.id, card.incarnation);
       const sight: Sight = held.get(key) ?? {
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -21,3 +21,6 @@
 export * from "./storage-core.js";
 export * from "./storage-service.js";
 export * from "./access-desk.js";
+export * from "./fleet-view.js";
+export * from "./warm-up/warm-up-sample.js";
+export * from "./warm-up/warm-up.js";
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -2,7 +2,7 @@
 import type { MarkedConfiguration, Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
 import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
-import type { Membership } from "./membership.js";
+import type { FleetView } from "./fleet-view.js";
 import type { PassOutput } from "./pass.js";
 import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
@@ -60,7 +60,7 @@
 }
 
 export class RelayCore {
-  #membership: Membership;
+  #fleet: FleetView;
   #choice: Choice;
   #policy: Policy;
   #live = new Map<string, Live>();
@@ -88,8 +88,8 @@
     passRescued: 0,
   };
 
-  constructor(membership: Membership, choice: Choice, policy: Policy) {
-    this.#membership = membership;
+  constructor(fleet: FleetView, choice: Choice, policy: Policy) {
+    this.#fleet = fleet;
     this.#choice = choice;
     this.#policy = policy;
   }
@@ -120,7 +120,7 @@
 
   /** The passage with the longest prefix that begins the path. */
   find(host: string, path: string): Found | undefined {
-    const marked = this.#membership.configuration;
+    const marked = this.#fleet.configuration;
     if (this.#indexed !== marked) {
       this.#indexed = marked;
       this.#index = new Map();
@@ -145,7 +145,7 @@
     this.counts.passed += 1;
     if (this.#isRefusing)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node is about to stop");
-    if (!this.#membership.serves(now))
+    if (!this.#fleet.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(request.host, request.path);
     if (found === undefined) return this.#turnAwayUnknown(ticket, now);
@@ -188,7 +188,7 @@
 
   /** Only a node that holds a lease has every acknowledged change; another one may not know of a passage that was added. */
   #turnAwayUnknown(ticket: string, now: number): PassOutput[] {
-    if (!this.#membership.holds(now))
+    if (!this.#fleet.holds(now))
       return this.#turnAway(
         ticket,
         503,
@@ -229,8 +229,8 @@
     if (go === undefined) return "it is not wanted any more";
     const { runner, incarnation } = go.chosen;
     if (now >= go.until - constants.worthLeast) return "too little time is left";
-    if (!this.#membership.serves(now)) return "this node may not serve now";
-    if (this.#membership.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now))
+    if (!this.#fleet.serves(now)) return "this node may not serve now";
+    if (this.#fleet.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now))
       return "the runner is gone";
     go.began = true;
     go.heardAt = now;
