The registry comes from a control machine of the node's own zone

Cause: bytes between zones are the dearest price of the new customer after the machines; most of what control sends is the registry, some 30 KB to each node with each heartbeat at 81 nodes and 63 runners, and its sender was drawn over all zones. Change: control machines tell their zones in their heartbeats; of the members of a node's zone one sends it the registry, of all members where there is none there; a node that got none for two heartbeats is still answered by all. Ruled out: to send only what changed (the age of each card changes with each heartbeat).

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -168,6 +168,14 @@
       | is killed                         | 2 |
       | cannot reach one of the others    | 3 |
 
+  Scenario: the registry comes from a control machine of the node's own zone
+    Given control machines "c1 in here, c2 in there, c3 in yonder" that have heard each other
+    Then c1 alone sends the registry to a node in here
+    And c2 alone sends the registry to a node in there
+    And c3 alone sends the registry to a node in yonder
+    And one of them sends the registry to a node in nowhere
+    And all of them send it to a node in there that got none for two heartbeats
+
   Scenario: a control machine calls nodes that are silent
     Given a control machine that hears a node at access-1
     Then it calls access-1 while the node is silent, until it is forgotten
--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -90,6 +90,8 @@
 export interface RegistryMessage {
   readonly kind: "roll";
   readonly roll: RunnerRegistry;
+  /** Of the sender; an earlier release tells none. */
+  readonly zone?: string;
   readonly stamp?: Stamp;
   readonly back?: Back | null;
 }
--- a/packages/control/src/control-origin.ts
+++ b/packages/control/src/control-origin.ts
@@ -13,6 +13,8 @@
 /** What a control machine starts from. */
 export interface ControlOrigin {
   readonly member: Member;
+  /** Where it stands; undefined where nobody told. */
+  readonly zone?: string;
   readonly seeds: readonly string[];
   /** Differs with each start, so a result meant for an earlier life is not taken for one of this. */
   readonly life: string;
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -33,6 +33,7 @@
 import { keys } from "./keys.js";
 import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
 import type { ControlCommand, ControlResult, FleetRecord } from "./machine.js";
+import { ControlZones } from "./control-zones.js";
 import { NodeHeartbeats, newsFor } from "./node-heartbeats.js";
 import { PeerHeartbeats } from "./peer-heartbeats.js";
 import { surroundingsOf, type SurroundingsSource } from "./queue-reports.js";
@@ -72,6 +73,7 @@
   #planner: HeadPlanner;
   #nodeHeartbeats = new NodeHeartbeats();
   #peerHeartbeats: PeerHeartbeats;
+  #zones: ControlZones;
   #forwarding: Forwarding;
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
@@ -87,7 +89,8 @@
     this.#sessions = new Sessions(this.#policy);
     this.#contact = new QuorumContact(origin.member.address, origin.life);
     this.#forwarding = new Forwarding(origin.life);
-    this.#peerHeartbeats = new PeerHeartbeats(origin.life);
+    this.#peerHeartbeats = new PeerHeartbeats(origin.life, origin.zone);
+    this.#zones = new ControlZones(origin.member, origin.zone);
     this.#planner = new HeadPlanner(this.#policy);
     this.#agreement = agreementFrom(origin, this.#policy, now);
     this.#chain = chainFrom(origin, this.#policy, now);
@@ -166,6 +169,7 @@
       case "roll":
         this.#sessions.merge(message.roll, now, lateness(message.back, this.#life, now));
         this.#peerHeartbeats.heard(from, message.stamp, now);
+        this.#zones.heard(from, message.zone);
         this.#contact.heard(from, message.back, now);
         return [];
       case "runners":
@@ -420,6 +424,7 @@
       view: this.#chain.view,
       isMember: this.#isMember,
       controls: this.#agreement.addresses(),
+      zones: this.#zones,
       feed: this.#feed,
       sessions: this.#sessions,
       now,
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -14,3 +14,5 @@
 export * from "./explain.js";
 export * from "./service.js";
 export * from "./control-desk.js";
+export * from "./control-zones.js";
+export * from "./node-heartbeats.js";
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -5,11 +5,13 @@
   type ChainView,
   type Feed,
   type FeedMessage,
+  type Member,
   type NodeCard,
   type RunnerRegistry,
   type Sessions,
 } from "@chutewick/parts";
 import type { LeaseMessage, SessionMessage } from "./control-messages.js";
+import type { ControlZones } from "./control-zones.js";
 import { LaggingNodes } from "./lagging-nodes.js";
 
 const emptyRegistry: RunnerRegistry = { nodes: [], runners: [] };
@@ -25,6 +27,7 @@
   readonly isMember: boolean;
   /** Addresses of the control machines. */
   readonly controls: readonly string[];
+  readonly zones: ControlZones;
   readonly feed: Feed;
   readonly sessions: Sessions;
   readonly now: number;
@@ -77,7 +80,7 @@
   const { sessions, feed, life, now } = context;
   const leaseUntil = now + constants.leaseLasts;
   sessions.heard(card, now, leaseUntil, 0, lateness(back, life, now), askedAt);
-  const roll = sendsRegistry(card, rolled, view, context.self)
+  const roll = sendsRegistry(card, rolled, view, context)
     ? sessions.registryForNodes(now, card.identity)
     : emptyRegistry;
   const lease = leaseMessage({ view, askedAt, place: feed.place, roll }, context);
@@ -97,16 +100,24 @@
   return message === undefined ? [] : [message];
 }
 
-/** One member sends a node the registry; the others only where it got none lately (§4.3). */
+/** One member sends a node the registry; the others only where it got none lately (§4.3, §13.8.7). */
 function sendsRegistry(
   card: NodeCard,
   rolled: number | undefined,
   { members }: ChainView,
-  self: string,
+  { self, zones }: HeartbeatContext,
 ): boolean {
-  return (
-    rolled === undefined ||
-    rolled >= constants.sessionEvery * 2 ||
-    members[duty.spread(card.identity) % members.length]!.identity === self
-  );
+  if (rolled === undefined || rolled >= constants.sessionEvery * 2) return true;
+  return registrySender(card, members, zones).identity === self;
+}
+
+/** A member of the node's own zone, where there is one: the registry is most of what control sends. */
+function registrySender(
+  { identity, zone }: NodeCard,
+  members: readonly Member[],
+  zones: ControlZones,
+): Member {
+  const near = members.filter(({ address }) => zones.at(address) === zone);
+  const senders = near.length > 0 ? near : members;
+  return senders[duty.spread(identity) % senders.length]!;
 }
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -11,13 +11,15 @@
 /** Heartbeats between control machines: each carries the registry and gives back the peer's newest stamp (docs/design.md §7.5). */
 export class PeerHeartbeats {
   readonly #life: string;
+  readonly #zone: string | undefined;
   /** The newest stamp of each peer, by its address. */
   readonly #stamps = new Map<string, HeardStamp>();
   /** ms. */
   #sentAt = 0;
 
-  constructor(life: string) {
+  constructor(life: string, zone: string | undefined) {
     this.#life = life;
+    this.#zone = zone;
   }
 
   /** Takes a peer's stamp, to be given back; releases that know none send none. */
@@ -35,6 +37,7 @@
   /** Heartbeat to a peer. */
   to(address: string, roll: RunnerRegistry, now: number): RegistryMessage {
     const back = giveBack(this.#stamps.get(address), now);
-    return { kind: "roll", roll, stamp: { life: this.#life, at: now }, back };
+    const zone = this.#zone === undefined ? {} : { zone: this.#zone };
+    return { kind: "roll", roll, ...zone, stamp: { life: this.#life, at: now }, back };
   }
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -68,6 +68,7 @@
     this.#core = new ControlCore(
       {
         member,
+        zone: settings.zone,
         seeds: settings.seeds,
         life: randomUUID(),
         votes: disk.votes(),
