The choice of a runner knows which connections a node has and may have

Cause: Choice.prefer, by which an open connection should have been preferred, was called nowhere, so every new connection cost the same as an open one. And nothing knew a node's share: 68 nodes with 160 connections a runner have two each, and a third work at a runner waited behind two streams for up to their whole length while other runners stood free; items of one lot share their parts, so one draw of eight went to one home. Change: work beyond the share costs the time until a connection is free, by how long works take on that pool (learnt); within it an open connection costs nothing and a new one what it did. Ruled out: to leave such runners out (where all are in use, waiting is right).

--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -482,6 +482,20 @@
 }
 Then("this node may have {int} connections to {string}", mayConnect);
 
+function connectionIsOpen(this: World, runner: string): void {
+  this.choice.useConnections((address) => (address === `${runner}:80` ? 1 : 0));
+}
+Given("a connection to {string} is open", connectionIsOpen);
+
+function sentToAtMost(this: World, runners: number, most: number): void {
+  const counts = new Map<string, number>();
+  for (const each of this.sent.values())
+    for (const { address } of each) counts.set(address, (counts.get(address) ?? 0) + 1);
+  equal(counts.size, runners);
+  for (const [address, count] of counts) ok(count <= most, `${count} to ${address}`);
+}
+Then("they are sent to {int} runners, at most {int} to each", sentToAtMost);
+
 function poolOf(world: World, sent: Sent): string | undefined {
   for (const each of world.known.cards) if (each.url === sent.address) return each.pool;
   return undefined;
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -135,6 +135,7 @@
       share,
       now: monotonic,
     });
+    this.#core.choice.useConnections((address) => this.#passLinks.openTo(address));
     this.#wire = createWire(settings, log, receive);
     this.#gateway = new Gateway({
       address: settings.http,
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -17,6 +17,8 @@
   card: RunnerCard;
   /** Of its name, by which shared parts are placed. */
   readonly hash: number;
+  /** Connections that this node may have to it. */
+  connections: number;
   /** Begun here and not ended. */
   live: number;
   items: number;
@@ -100,7 +102,9 @@
   #lookedAt = Number.NEGATIVE_INFINITY;
   #nodes = 1;
   #chance: number;
-  #isWarm: (address: string) => boolean = never;
+  #openConnections: (address: string) => number = none;
+  /** ms. How long a work takes from its beginning to its end, by pool, smoothed. */
+  #durations = new Map<string, number>();
 
   constructor(fleet: FleetView, standing: Standing) {
     this.#fleet = fleet;
@@ -108,9 +112,13 @@
     this.#chance = (hashOf(standing.identity) | 1) >>> 0;
   }
 
-  /** Whether a connection is kept to an address: new ones take time, and a place at the runner for a moment. */
-  prefer(isWarm: (address: string) => boolean): void {
-    this.#isWarm = isWarm;
+  /**
+   * A new connection takes time, and a place at the runner for a moment; a work beyond a node's share of connections waits.
+   *
+   * @param openConnections tells how many connections to an address are open, those in use counted
+   */
+  useConnections(openConnections: (address: string) => number): void {
+    this.#openConnections = openConnections;
   }
 
   get zone(): string {
@@ -147,7 +155,7 @@
         this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
       if (prompt.tokens !== undefined) price += awayOf(sight, prompt);
       if (card.zone !== this.#standing.zone) price += constants.otherZone;
-      if (!this.#isWarm(card.url)) price += constants.coldPrice;
+      price += this.#connectionPrice(sight);
       if (now < sight.shyUntil || this.#isQuiet(sight, now)) price += constants.shyPrice;
       if (price < least) {
         least = price;
@@ -189,6 +197,14 @@
     );
   }
 
+  /** ms until a connection to a runner can carry a further work of this node. */
+  #connectionPrice({ card, live, items, connections }: Sight): number {
+    const used = live + items;
+    if (used < connections) return used < this.#openConnections(card.url) ? 0 : constants.coldPrice;
+    const duration = this.#durations.get(card.pool!) ?? constants.durationFirst;
+    return (duration * (used + 1 - connections)) / connections;
+  }
+
   /** Seats taken: what others told is some 0.5 s old, and in a rush they send as this node does. */
   #crowd(sight: Sight, item: boolean): number {
     return (
@@ -243,11 +259,12 @@
 
   /** Connections that this node may have to the runner at an address: what its pool allows, shared by all access nodes. */
   share(address: string): number {
-    const sight = this.#addresses.get(address);
-    const most =
-      sight === undefined
-        ? 0
-        : (this.#fleet.configuration.value.pools?.[sight.card.pool ?? ""]?.connections ?? 0);
+    return this.#addresses.get(address)?.connections ?? constants.connectionsUntold;
+  }
+
+  /** Of what a pool allows one runner, the part of this node. */
+  #shareOf(pool: string): number {
+    const most = this.#fleet.configuration.value.pools?.[pool]?.connections ?? 0;
     return most === 0
       ? constants.connectionsUntold
       : Math.max(1, Math.floor((most * constants.connectionsPart) / this.#nodes));
@@ -327,13 +344,21 @@
     if (!go.begun) sight.reading -= go.reads ?? 0;
     if (go.isLong) this.#long(sight.card.pool!, -1, now);
     if (how === "done" || how === "refused" || how === "failed") sight.heardAt = now;
-    if (how === "done") sight.troubles = 0;
+    if (how === "done") {
+      sight.troubles = 0;
+      this.#learnDuration(sight.card.pool!, now - go.beganAt);
+    }
     if (how !== "refused" && how !== "unsent" && how !== "broken") return;
     sight.troubles = Math.min(sight.troubles + 1, 6);
     const least = how === "refused" ? constants.shyRefused : constants.shyBroken;
     sight.shyUntil = now + Math.min(least * 2 ** (sight.troubles - 1), constants.shyMost);
   }
 
+  #learnDuration(pool: string, took: number): void {
+    const before = this.#durations.get(pool) ?? constants.durationFirst;
+    this.#durations.set(pool, before + (took - before) * constants.learnPart);
+  }
+
   /** Items that this node may have begun beyond those under way, on the runners of a pool. */
   room(pool: string, now: number): number {
     this.#look(now);
@@ -453,6 +478,7 @@
       const sight: Sight = held.get(key) ?? {
         card,
         hash: hashOf(card.id),
+        connections: constants.connectionsUntold,
         live: 0,
         items: 0,
         othersLive: 0,
@@ -467,6 +493,7 @@
         troubles: 0,
       };
       sight.card = card;
+      sight.connections = this.#shareOf(card.pool);
       sight.stands = true;
       [sight.othersLive, sight.othersItems] = others.get(card.id) ?? [0, 0];
       this.#sights.set(key, sight);
@@ -565,8 +592,8 @@
   return Math.min(Math.max(value, least), most);
 }
 
-function never(): boolean {
-  return false;
+function none(): number {
+  return 0;
 }
 
 /** Spread evenly over 32 bits. */
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -81,10 +81,9 @@
     this.#runs.get(go)?.goOn();
   }
 
-  /** Whether a connection to an address is kept that any work could use. */
-  isWarm(address: string): boolean {
-    const last = this.#hosts.get(address)?.idle.at(-1);
-    return last !== undefined && isFresh(last, false, this.#options.now());
+  /** How many connections to an address are open, those in use and those being made counted. */
+  openTo(address: string): number {
+    return this.#hosts.get(address)?.open ?? 0;
   }
 
   /** Idle connections that are past their time are closed, and works past theirs broken off. */
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -328,6 +328,8 @@
   otherZone: 3,
   coldPrice: 4,
   shyPrice: 2_000,
+  /** ms. How long a work takes before any was seen to end. */
+  durationFirst: 500,
   /** part of an item's seat that live work counts as taken: items give way to it at the runner. */
   itemWeight: 0.25,
   /** part of its own live work at a runner that a node takes every other node to have there. */
