Metrics tell what became of the choices of a node

Why work is late could not be told from the metrics: whether shared parts were met at their home, read lately or read anew, whether a connection was open, made or awaited, how late first signs are against what was expected, and how often no runner had room. They are counted in /metrics now, under choices.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -263,6 +263,13 @@
       And another node has 0 live inquiries at "m1" and 0 at "m2"
       When 9 inquiries with the shared part "manual" of 700 tokens arrive for "shop.example" at "/read/x", all at once
       Then they are sent to 3 runners, at most 3 to each
+      And the counts of its choices are
+        | count             | value |
+        | sharedAtHome      | 3     |
+        | sharedUnread      | 6     |
+        | connectionNew     | 9     |
+        | connectionAwaited | 0     |
+        | noRunner          | 0     |
 
     Scenario: A runner to which a connection is open is preferred
       Given a connection to "p2" is open
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -496,6 +496,12 @@
 }
 Then("they are sent to {int} runners, at most {int} to each", sentToAtMost);
 
+function countsAre(this: World, table: DataTable): void {
+  const counts: Readonly<Record<string, number>> = { ...this.choice.counts };
+  for (const { count, value } of table.hashes()) equal(counts[count!], Number(value), count);
+}
+Then("the counts of its choices are", countsAre);
+
 function poolOf(world: World, sent: Sent): string | undefined {
   for (const each of world.known.cards) if (each.url === sent.address) return each.pool;
   return undefined;
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -346,6 +346,7 @@
         200,
         await metrics.read({
           ...self.#core.counts,
+          choices: { ...self.#core.choice.counts },
           gos,
           live,
           leaseLeft,
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -1,4 +1,5 @@
 import { constants, type RunnerCard } from "@chutewick/parts";
+import { ChoiceCounts } from "./choice-counts.js";
 import type { FleetView } from "./fleet-view.js";
 import type { Standing } from "./membership.js";
 import type { PassRequest } from "./dialect.js";
@@ -87,6 +88,7 @@
 }
 
 export class Choice {
+  readonly counts = new ChoiceCounts();
   #fleet: FleetView;
   #standing: Standing;
   #go = 0;
@@ -162,6 +164,7 @@
         best = sight;
       }
     }
+    if (best === undefined) this.counts.noRunner += 1;
     return best === undefined
       ? undefined
       : { runner: best.card.id, incarnation: best.card.incarnation, address: best.card.url };
@@ -276,6 +279,7 @@
     if (sight === undefined) return;
     const prompt = this.#prompt(sight.card.pool!, request, item);
     const expected = this.#expected(sight, prompt, now);
+    this.#count(sight, prompt, now);
     if (sight.live + sight.items === 0) sight.heardAt = now;
     if (item) sight.items += 1;
     else sight.live += 1;
@@ -294,6 +298,21 @@
     if (prompt.isLong) this.#long(sight.card.pool!, 1, now);
   }
 
+  #count(sight: Sight, { tokens, shared, home }: Prompt, now: number): void {
+    const { counts } = this;
+    if (shared !== undefined && home === sight) counts.sharedAtHome += 1;
+    else if (shared !== undefined && this.#wasRead(shared, sight, now))
+      counts.sharedReadLately += 1;
+    else if (shared !== undefined) {
+      counts.sharedUnread += 1;
+      counts.sharedTokensUnread += Math.min(shared.size, tokens ?? 0);
+    }
+    const used = sight.live + sight.items;
+    if (used >= sight.connections) counts.connectionAwaited += 1;
+    else if (used < this.#openConnections(sight.card.url)) counts.connectionOpen += 1;
+    else counts.connectionNew += 1;
+  }
+
   /** Any sign of a go's work. */
   sign(number: number, now: number): void {
     const go = this.#gos.get(number);
@@ -309,6 +328,7 @@
     sight.troubles = 0;
     sight.reading -= go.reads ?? 0;
     const took = now - go.beganAt;
+    if (!go.item) this.#countFirstSign(go.expected, took);
     if (go.reads === undefined) sight.usual += (took - sight.usual) * constants.learnPart;
     else if (!go.item)
       sight.slowness +=
@@ -322,6 +342,12 @@
     if (go.shared !== undefined) this.#remember(go.shared, sight.card.id, now);
   }
 
+  #countFirstSign(expected: number, took: number): void {
+    this.counts.firstSigns += 1;
+    this.counts.firstSignsExpected += expected;
+    this.counts.firstSignsTook += took;
+  }
+
   #remember(shared: Shared, runner: string, now: number): void {
     const held = this.#readAt.get(shared.hash) ?? new Map<string, number>();
     held.set(runner, now);
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -24,3 +24,4 @@
 export * from "./fleet-view.js";
 export * from "./warm-up/warm-up-sample.js";
 export * from "./warm-up/warm-up.js";
+export * from "./choice-counts.js";
