--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -175,6 +175,8 @@
         ip: address.slice(0, cut),
         routes: whole === undefined ? [route] : [],
         onError,
+        /** No two openings of one method match the same path, and sorting them loads a collator. */
+        optimizeOrder: false,
         logRequest: false,
         logRequestParams: false,
         logResponse: false,
