--- a/packages/data/src/warm-up/warm-up.ts
+++ b/packages/data/src/warm-up/warm-up.ts
@@ -27,8 +27,8 @@
 /** Connections to one runner. */
 const CONNECTIONS = 4;
 
-/** Calls after which a warm-up ends: beyond them the time of a call falls no more (docs/decisions.md). */
-const CALLS = 150;
+/** Calls after which a warm-up ends: beyond them the time of a call falls little (docs/decisions.md). */
+const CALLS = 40;
 
 /** ms. Between two calls, so that the node's own messages are not held up. */
 const PAUSE = 2;
