Reverted: the choice prices connections that are new or must come free

What it may do: a node's two connections a runner held items of floods back, and these runners know no ranks, so what they let through goes before live work. Kept of it: the counts of connections open, new and awaited. The price of a new connection, which was the same for every runner and so decided nothing, is gone with it.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -258,24 +258,21 @@
       And another node has 6 live inquiries at "p1" and 6 at "p2"
       Then this node may have 45 connections to "p1"
 
-    Scenario: Work beyond a node's connections to a runner goes to other runners
+    Scenario: The choices of a node are counted by parts kept and by connections
       Given the pool "model" allows 7 connections
       And another node has 0 live inquiries at "m1" and 0 at "m2"
-      When 9 inquiries with the shared part "manual" of 700 tokens arrive for "shop.example" at "/read/x", all at once
-      Then they are sent to 3 runners, at most 3 to each
+      And a connection to "m1" is open
+      When 5 inquiries with the shared part "manual" of 13000 tokens arrive for "shop.example" at "/read/x", all at once
+      Then all of them are sent to one runner
       And the counts of its choices are
-        | count             | value |
-        | sharedAtHome      | 3     |
-        | sharedUnread      | 6     |
-        | connectionNew     | 9     |
-        | connectionAwaited | 0     |
-        | noRunner          | 0     |
-
-    Scenario: A runner to which a connection is open is preferred
-      Given a connection to "p2" is open
-      And the first sign of "p1" takes 20 ms, and of the others 20 ms
-      When 10 inquiries arrive for "shop.example" at "/fetch/x", one after the other
-      Then 10 to 10 of them are sent to the runner "p2"
+        | count              | value |
+        | sharedAtHome       | 5     |
+        | sharedUnread       | 0     |
+        | sharedTokensUnread | 0     |
+        | connectionOpen     | 1     |
+        | connectionNew      | 2     |
+        | connectionAwaited  | 2     |
+        | noRunner           | 0     |
 
     Scenario: Items leave room for live work
       When 10 inquiries arrive for "shop.example" at "/read/x"
--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -105,8 +105,6 @@
   #nodes = 1;
   #chance: number;
   #openConnections: (address: string) => number = none;
-  /** ms. How long a work takes from its beginning to its end, by pool, smoothed. */
-  #durations = new Map<string, number>();
 
   constructor(fleet: FleetView, standing: Standing) {
     this.#fleet = fleet;
@@ -114,11 +112,7 @@
     this.#chance = (hashOf(standing.identity) | 1) >>> 0;
   }
 
-  /**
-   * A new connection takes time, and a place at the runner for a moment; a work beyond a node's share of connections waits.
-   *
-   * @param openConnections tells how many connections to an address are open, those in use counted
-   */
+  /** @param openConnections tells how many connections to an address are open, those in use counted */
   useConnections(openConnections: (address: string) => number): void {
     this.#openConnections = openConnections;
   }
@@ -157,7 +151,6 @@
         this.#expected(sight, prompt, now) * (1 + this.#random() * constants.choiceJitter);
       if (prompt.tokens !== undefined) price += awayOf(sight, prompt);
       if (card.zone !== this.#standing.zone) price += constants.otherZone;
-      price += this.#connectionPrice(sight);
       if (now < sight.shyUntil || this.#isQuiet(sight, now)) price += constants.shyPrice;
       if (price < least) {
         least = price;
@@ -200,14 +193,6 @@
     );
   }
 
-  /** ms until a connection to a runner can carry a further work of this node. */
-  #connectionPrice({ card, live, items, connections }: Sight): number {
-    const used = live + items;
-    if (used < connections) return used < this.#openConnections(card.url) ? 0 : constants.coldPrice;
-    const duration = this.#durations.get(card.pool!) ?? constants.durationFirst;
-    return (duration * (used + 1 - connections)) / connections;
-  }
-
   /** Seats taken: what others told is some 0.5 s old, and in a rush they send as this node does. */
   #crowd(sight: Sight, item: boolean): number {
     return (
@@ -370,21 +355,13 @@
     if (!go.begun) sight.reading -= go.reads ?? 0;
     if (go.isLong) this.#long(sight.card.pool!, -1, now);
     if (how === "done" || how === "refused" || how === "failed") sight.heardAt = now;
-    if (how === "done") {
-      sight.troubles = 0;
-      this.#learnDuration(sight.card.pool!, now - go.beganAt);
-    }
+    if (how === "done") sight.troubles = 0;
     if (how !== "refused" && how !== "unsent" && how !== "broken") return;
     sight.troubles = Math.min(sight.troubles + 1, 6);
     const least = how === "refused" ? constants.shyRefused : constants.shyBroken;
     sight.shyUntil = now + Math.min(least * 2 ** (sight.troubles - 1), constants.shyMost);
   }
 
-  #learnDuration(pool: string, took: number): void {
-    const before = this.#durations.get(pool) ?? constants.durationFirst;
-    this.#durations.set(pool, before + (took - before) * constants.learnPart);
-  }
-
   /** Items that this node may have begun beyond those under way, on the runners of a pool. */
   room(pool: string, now: number): number {
     this.#look(now);
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -324,12 +324,9 @@
   usualFirst: 30,
   /** part by which a price is varied by chance: spread against herds of nodes that see the same. */
   choiceJitter: 0.1,
-  /** ms. What another zone costs, a new connection, and a runner in trouble. */
+  /** ms. What another zone costs, and a runner in trouble. */
   otherZone: 3,
-  coldPrice: 4,
   shyPrice: 2_000,
-  /** ms. How long a work takes before any was seen to end. */
-  durationFirst: 500,
   /** part of an item's seat that live work counts as taken: items give way to it at the runner. */
   itemWeight: 0.25,
   /** part of its own live work at a runner that a node takes every other node to have there. */
