A scenario of seasons that starts a real fleet is played with those on sockets

Traced: a change of the configuration is told as confirmed before the queue's owner has entered the new classes into its ledger, and the step hands the lot in at once; the explanation that it waits for comes from control, not from the owner. It is open whether the product should hold the word back or the test wait; nothing is eased.

--- a/features/season.feature
+++ b/features/season.feature
@@ -37,6 +37,7 @@
     When "night" closes while 10 of its items wait
     Then they weigh on "flood", which takes 10 more and no 11th
 
+  @sockets
   Scenario: operators ask what holds, try a season before they enter it, and are warned
     Given a fleet with 2 access nodes, 2 model runners and 1 plain runner
     When the configuration is entered
