One piece of code hands outputs to callers: access process, warm-up and test node

The test node of calls.feature and the warm-up dispatched the relay's outputs each in their own way, beside PassCallers, which serves the access process; both call it now. KnownFleet of that test is a FleetView, without a cast. Checked: calls, warm-up, start and relay features (100 scenarios passed), build, lint of the files changed, format.

--- a/deploy/unused-modules.cjs
+++ b/deploy/unused-modules.cjs
@@ -1,7 +1,7 @@
 "use strict";
 /**
- * Modules that the bundled libraries require as they load and that these programs never use. Loading them took a third of the
- * processor time of a start (docs/platform.md, Programs).
+ * Modules that the bundled libraries require as they load and that these programs never use: loading them
+ * costs processor time of each start (docs/platform.md, Programs).
  */
 const { createRequire } = require("node:module");
 
--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -1,10 +1,12 @@
 import { configuration, type MarkedConfiguration } from "@chutewick/control";
 import {
   Choice,
+  PassCallers,
+  isForCaller,
   PassConnections,
   RelayCore,
   type AccessDesk,
-  type Membership,
+  type FleetView,
   type PassCaller,
   type PassEvent,
   type PassRequest,
@@ -19,7 +21,7 @@
 const beatEvery = 50;
 
 /** Stands in for what an access node knows of its fleet. */
-class KnownFleet {
+class KnownFleet implements FleetView {
   configuration: MarkedConfiguration = configuration.blank;
   readonly cards: RunnerCard[] = [];
   readonly registry: RunnerRegistry = { nodes: [], runners: [] };
@@ -27,6 +29,9 @@
   serves(): boolean {
     return true;
   }
+  holds(): boolean {
+    return true;
+  }
   runners(): RunnerCard[] {
     return this.cards;
   }
@@ -58,16 +63,15 @@
   readonly relay: RelayCore;
   #links: PassConnections;
   #front: PlatformAccess;
-  #callers = new Map<string, PassCaller>();
+  #callers = new PassCallers();
   #tickets = 0;
   #beat: NodeJS.Timeout | undefined;
 
   constructor(port: number) {
     this.port = port;
     const self = this;
-    const membership = this.known as unknown as Membership;
-    const choice = new Choice(membership, standing);
-    this.relay = new RelayCore(membership, choice, policy.usual);
+    const choice = new Choice(this.known, standing);
+    this.relay = new RelayCore(this.known, choice, policy.usual);
     function mayStart(go: number): string | undefined {
       return self.relay.mayStart(go, monotonic());
     }
@@ -108,12 +112,12 @@
     function pass(request: PassRequest, caller: PassCaller): string {
       self.#tickets += 1;
       const ticket = `t-${self.#tickets}`;
-      self.#callers.set(ticket, caller);
+      self.#callers.add(ticket, caller);
       self.#perform(self.relay.arrive(ticket, request, monotonic()));
       return ticket;
     }
     function left(ticket: string): void {
-      if (self.#callers.delete(ticket)) self.#perform(self.relay.left(ticket, monotonic()));
+      if (self.#callers.remove(ticket)) self.#perform(self.relay.left(ticket, monotonic()));
     }
     return {
       isReady: () => true,
@@ -134,19 +138,7 @@
     for (const output of outputs) {
       if (output.kind === "pass-run") this.#links.run(output.go, output.address, output.work);
       else if (output.kind === "pass-abandon") this.#links.abandon(output.go);
-      else if ("ticket" in output) this.#tell(output);
+      else if (isForCaller(output)) this.#callers.deliver(output);
     }
   }
-
-  #tell(output: Extract<PassOutput, { ticket: string }>): void {
-    const caller = this.#callers.get(output.ticket);
-    if (caller === undefined) return;
-    if (output.kind === "pass-head") return caller.head(output.status, output.headers);
-    if (output.kind === "pass-bytes") return caller.bytes(output.bytes);
-    this.#callers.delete(output.ticket);
-    if (output.kind === "pass-end") caller.end();
-    else if (output.kind === "pass-cut") caller.cut();
-    else if (output.kind === "pass-refused")
-      caller.refused(output.status, output.retryAfter, output.reason);
-  }
 }
--- a/packages/data/src/caller-delivery.ts
+++ b/packages/data/src/caller-delivery.ts
@@ -7,6 +7,11 @@
   { kind: "pass-head" | "pass-bytes" | "pass-end" | "pass-cut" | "pass-refused" }
 >;
 
+/** Whether an output goes to the caller of a request. */
+export function isForCaller(output: PassOutput): output is CallerOutput {
+  return "ticket" in output && output.kind !== "lot-told";
+}
+
 /** Callers of live requests on passages, by ticket, until their last output. */
 export class PassCallers {
   #callers = new Map<string, PassCaller>();
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -25,3 +25,4 @@
 export * from "./warm-up/warm-up-sample.js";
 export * from "./warm-up/warm-up.js";
 export * from "./choice-counts.js";
+export * from "./caller-delivery.js";
--- a/packages/data/src/warm-up/warm-up.ts
+++ b/packages/data/src/warm-up/warm-up.ts
@@ -7,7 +7,7 @@
 import { callerLimits, policy } from "@chutewick/parts";
 import { monotonic } from "@chutewick/shell";
 import type { AccessDesk, PassCaller } from "../access-desk.js";
-import { PassCallers } from "../caller-delivery.js";
+import { isForCaller, PassCallers } from "../caller-delivery.js";
 import { Choice } from "../choice.js";
 import type { PassEvent, PassRequest, RunnerDialect } from "../dialect.js";
 import type { Standing } from "../membership.js";
@@ -117,21 +117,9 @@
   }
 
   #perform(output: PassOutput, links: PassConnections): void {
-    switch (output.kind) {
-      case "pass-run":
-        return links.run(output.go, output.address, output.work);
-      case "pass-abandon":
-        return links.abandon(output.go);
-      case "pass-head":
-      case "pass-bytes":
-      case "pass-end":
-      case "pass-cut":
-      case "pass-refused":
-        return this.#callers.deliver(output);
-      case "pass-pause":
-      case "pass-resume":
-      case "lot-told":
-    }
+    if (output.kind === "pass-run") links.run(output.go, output.address, output.work);
+    else if (output.kind === "pass-abandon") links.abandon(output.go);
+    else if (isForCaller(output)) this.#callers.deliver(output);
   }
 
   #desk(relay: RelayCore, perform: (outputs: readonly PassOutput[]) => void): AccessDesk {
