--- a/features/connections.feature
+++ b/features/connections.feature
@@ -44,3 +44,17 @@
     Given a process that answers nothing on connections that it accepts
     When another process sends it messages for 3 s
     Then all of them came on one connection, with nothing but messages on it
+
+  Scenario: messages of one turn of the event loop go out together
+    When five messages are sent on one connection in one turn, and two in the next
+    Then the connection was written to two times, with all seven messages in order
+
+  Scenario Outline: acknowledgements go among the messages of the other direction where both ends know that
+    Given a process that exchanges messages both ways with one whose hello <says> that it reads acknowledgements there
+    When they have done so for 2 s
+    Then the acknowledgements came <where>, with the bytes that it had written
+
+    Examples:
+      | says          | where                 |
+      | says          | among the messages    |
+      | does not say  | on its own connection |
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -154,6 +154,8 @@
   wireBacklog: 16_777_216,
   /** ms. A process acknowledges what it received on a connection at most this often. */
   acknowledgeEvery: 500,
+  /** ms. The same among the messages of the connection in the other direction: where these flow, no packet is sent for it alone. */
+  crossAcknowledgeEvery: 250,
   /**
    * ms. A connection on which bytes wait for an acknowledgement and none tells of more for this long has stalled. With the time
    * between two it is the 2 s after which a session ends, so that a cut that ended a session leaves no connection stalled; and it
--- a/packages/shell/src/incoming-connections.ts
+++ b/packages/shell/src/incoming-connections.ts
@@ -3,7 +3,13 @@
 import { constants } from "@chutewick/parts";
 import { encodeFrame, FrameError, FrameReader } from "./frames.js";
 import type { Log } from "./log.js";
-import { readHello, type Acknowledgement, type Hello } from "./wire-messages.js";
+import {
+  readCrossAcknowledgement,
+  readHello,
+  type Acknowledgement,
+  type CrossAcknowledgement,
+  type Hello,
+} from "./wire-messages.js";
 
 /** What all connections to a process have in common. */
 export interface IncomingOptions {
@@ -11,6 +17,8 @@
   /** Version of the messages that this process speaks. */
   readonly mark: number;
   readonly receive: (message: unknown, from: string) => void;
+  /** Called with what another process says to have received on a connection from here. */
+  readonly acknowledged: (acknowledgement: CrossAcknowledgement, from: string) => void;
 }
 
 /** The connection that counts of a process that is known by its hello. */
@@ -21,6 +29,8 @@
   acknowledged: number;
   /** ms, monotonic. */
   acknowledgedAt: number;
+  /** The last acknowledgement went with another connection and may be lost with it. */
+  acknowledgedAcross: boolean;
 }
 
 /** Hands on what other processes send, from the newest connection of each alone. */
@@ -60,7 +70,7 @@
           isOver = socket.destroyed || socket.writableEnded;
           if (isOver) return;
           if (hello === undefined) hello = self.#greeted(socket, message);
-          else self.#options.receive(message, hello.from);
+          else self.#hand(message, hello.from);
         }
       } catch (error) {
         if (!(error instanceof FrameError)) throw error;
@@ -85,13 +95,35 @@
     for (const sender of this.#senders.values()) this.#acknowledge(sender, now);
   }
 
+  /**
+   * What is to be acknowledged to a process, to be sent among the messages that go there now; undefined where nothing is, or
+   * where it would not understand it. Due sooner than on the connection itself, so that one with messages both ways needs none.
+   */
+  takeCrossAcknowledgement(to: string, now: number): CrossAcknowledgement | undefined {
+    const sender = this.#senders.get(to);
+    if (sender === undefined || now - sender.acknowledgedAt < constants.crossAcknowledgeEvery)
+      return undefined;
+    const { takesCrossAcknowledgements, life, connection } = sender.hello;
+    if (takesCrossAcknowledgements !== true || life === undefined || connection === undefined)
+      return undefined;
+    const received = sender.socket.bytesRead;
+    if (received === sender.acknowledged) return undefined;
+    markAcknowledged(sender, received, now, true);
+    return { received, life, connection };
+  }
+
+  #hand(message: unknown, from: string): void {
+    const acknowledgement = readCrossAcknowledgement(message);
+    if (acknowledgement === undefined) this.#options.receive(message, from);
+    else this.#options.acknowledged(acknowledgement, from);
+  }
+
   /** Tells the other side how much has come, where that is more than it knows and was told long enough ago. */
   #acknowledge(sender: Sender | undefined, now: number): void {
     if (sender === undefined || now - sender.acknowledgedAt < constants.acknowledgeEvery) return;
     const received = sender.socket.bytesRead;
-    if (received === sender.acknowledged) return;
-    sender.acknowledged = received;
-    sender.acknowledgedAt = now;
+    if (received === sender.acknowledged && !sender.acknowledgedAcross) return;
+    markAcknowledged(sender, received, now, false);
     const acknowledgement: Acknowledgement = { received };
     sender.socket.write(encodeFrame(acknowledgement));
   }
@@ -121,6 +153,7 @@
       socket,
       acknowledged: 0,
       acknowledgedAt: Number.NEGATIVE_INFINITY,
+      acknowledgedAcross: false,
     };
     this.#senders.set(hello.from, sender);
     this.#acknowledge(sender, performance.now());
@@ -144,6 +177,12 @@
   }
 }
 
+function markAcknowledged(sender: Sender, received: number, now: number, isAcross: boolean): void {
+  sender.acknowledged = received;
+  sender.acknowledgedAt = now;
+  sender.acknowledgedAcross = isAcross;
+}
+
 /** Whether a connection was opened before another one of the same life. */
 function isOlder(hello: Hello, held: Hello): boolean {
   return hello.life === held.life && (hello.connection ?? 0) < (held.connection ?? 0);
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -14,3 +14,5 @@
 export * from "./daemon-parts.js";
 export * from "./invariants.js";
 export * from "./connection-progress.js";
+export * from "./frame-batch.js";
+export * from "./frames.js";
--- a/packages/shell/src/outgoing-connection.ts
+++ b/packages/shell/src/outgoing-connection.ts
@@ -2,10 +2,11 @@
 import { connect, type Socket } from "node:net";
 import { constants } from "@chutewick/parts";
 import { ConnectionProgress } from "./connection-progress.js";
+import { FrameBatch } from "./frame-batch.js";
 import { encodeFrame, FrameReader } from "./frames.js";
 import { invariants } from "./invariants.js";
 import type { Log } from "./log.js";
-import { isAcknowledgement, type Hello } from "./wire-messages.js";
+import { isAcknowledgement, type CrossAcknowledgement, type Hello } from "./wire-messages.js";
 
 /** ms. Something is wrong here where messages are sent for so long and nothing is heard. */
 const UNANSWERED_MOST = 2 * (constants.acknowledgeEvery + constants.acknowledgementPatience);
@@ -18,6 +19,8 @@
   /** The first frame of the connection with a number. */
   readonly hello: (connection: number) => Hello;
   readonly counts: ConnectionCounts;
+  /** What is to be acknowledged to another process among the messages that go there now. */
+  readonly takeCrossAcknowledgement: (to: string) => CrossAcknowledgement | undefined;
 }
 
 /** Outgoing connections of a process since its start. */
@@ -31,6 +34,7 @@
 
 interface OpenSocket {
   readonly socket: Socket;
+  readonly batch: FrameBatch;
   readonly progress: ConnectionProgress;
 }
 
@@ -59,10 +63,12 @@
   send(message: unknown): boolean {
     if (this.#open === undefined && performance.now() >= this.#retryAt) this.#connect();
     if (this.#open === undefined) return false;
-    const { socket } = this.#open;
+    const { batch } = this.#open;
     this.#hadMessages = true;
-    if (socket.writableLength > constants.wireBacklog) return false;
-    socket.write(encodeFrame(message));
+    if (batch.unsentBytes > constants.wireBacklog) return false;
+    const acknowledgement = this.#options.takeCrossAcknowledgement(this.#to);
+    if (acknowledgement !== undefined) batch.add(encodeFrame(acknowledgement));
+    batch.add(encodeFrame(message));
     return true;
   }
 
@@ -75,7 +81,21 @@
     if (progress.hasExpired) this.#replace(socket, progress);
   }
 
+  /** The other process says how many bytes it has received on the connection with a number. */
+  crossAcknowledged({ connection, received }: CrossAcknowledgement): void {
+    if (this.#open === undefined || connection !== this.#number) return;
+    this.#acknowledged(received, this.#open.progress);
+  }
+
+  #acknowledged(received: number, progress: ConnectionProgress): void {
+    this.#acknowledges = true;
+    this.#unansweredHellos = 0;
+    this.#heard();
+    progress.acknowledged(received);
+  }
+
   close(): void {
+    this.#open?.batch.flush();
     this.#open?.socket.destroy();
   }
 
@@ -108,11 +128,12 @@
       noDelay: true,
     });
     const progress = new ConnectionProgress(this.#acknowledges);
-    this.#open = { socket, progress };
+    const batch = new FrameBatch(socket);
+    this.#open = { socket, batch, progress };
     this.#number += 1;
     this.#heard();
     /** Written before the connection stands: what is sent meanwhile waits behind it, for this short time. */
-    socket.write(encodeFrame(this.#options.hello(this.#number)));
+    batch.add(encodeFrame(this.#options.hello(this.#number)));
     function giveUp(): void {
       if (socket.connecting) socket.destroy();
     }
@@ -174,10 +195,7 @@
 
   #answered(answer: unknown, progress: ConnectionProgress): void {
     if (isAcknowledgement(answer)) {
-      this.#acknowledges = true;
-      this.#unansweredHellos = 0;
-      this.#heard();
-      progress.acknowledged(answer.received);
+      this.#acknowledged(answer.received, progress);
       return;
     }
     this.#options.log.error({ to: this.#to, message: answer }, "refused by the other process");
--- a/packages/shell/src/wire.ts
+++ b/packages/shell/src/wire.ts
@@ -9,7 +9,7 @@
   type ConnectionCounts,
   type OutgoingOptions,
 } from "./outgoing-connection.js";
-import type { Hello } from "./wire-messages.js";
+import type { CrossAcknowledgement, Hello } from "./wire-messages.js";
 
 export interface WireOptions {
   /** IP:port under which other processes know this one. */
@@ -36,17 +36,34 @@
   constructor(options: WireOptions) {
     this.#options = options;
     const { log, receive } = options;
-    this.#incoming = new IncomingConnections({ log, receive, mark: this.mark });
     const life = randomUUID();
+    const self = this;
+    function acknowledged(acknowledgement: CrossAcknowledgement, from: string): void {
+      if (acknowledgement.life === life)
+        self.#outgoing.get(from)?.crossAcknowledged(acknowledgement);
+    }
+    const incoming = new IncomingConnections({ log, receive, acknowledged, mark: this.mark });
+    this.#incoming = incoming;
     const { mark } = this;
     function hello(connection: number): Hello {
-      return { product: "chutewick", mark, from: options.address, life, connection };
+      return {
+        product: "chutewick",
+        mark,
+        from: options.address,
+        life,
+        connection,
+        takesCrossAcknowledgements: true,
+      };
+    }
+    function takeCrossAcknowledgement(to: string): CrossAcknowledgement | undefined {
+      return incoming.takeCrossAcknowledgement(to, performance.now());
     }
     this.#outgoingOptions = {
       log,
       hello,
       localAddress: split(options.listen).host,
       counts: this.connections,
+      takeCrossAcknowledgement,
     };
   }
 
