--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -1,6 +1,7 @@
 import {
   Sessions,
   constants,
+  emptyRegistry,
   lateness,
   policy,
   type Agreement,
@@ -356,13 +357,11 @@
   /** A change is told as confirmed only when it is in force: all lease holders of all members have it (§7). */
   #release(now: number): ControlOutput[] {
     const outputs: ControlOutput[] = [];
-    const covered = this.#coveredByAll(now);
+    let covered: number | undefined;
     for (const [id, held] of this.#requests.entries()) {
-      if (
-        held.result !== undefined &&
-        held.result.place <= covered &&
-        this.#fleetTook(held.result.place)
-      )
+      if (held.result === undefined) continue;
+      covered ??= this.#coveredByAll(now);
+      if (held.result.place <= covered && this.#fleetTook(held.result.place))
         outputs.push(...this.#finish(id, { kind: "confirmed", ...held.result }));
     }
     return outputs;
@@ -399,7 +398,7 @@
     if (view === undefined || !this.#isMember) return [];
     if (this.#chain.isHead) return this.#release(now);
     const place = this.#ownCover(now);
-    if (place === 0) return [];
+    if (!this.#coverage.isToBeTold(place, view.mark, now)) return [];
     return [
       {
         kind: "send",
@@ -464,7 +463,9 @@
 
   #sendPeerHeartbeats(now: number): ControlOutput[] {
     if (!this.#peerHeartbeats.begin(now)) return [];
-    const registry = this.#sessions.registry(now);
+    const registry = this.#peerHeartbeats.beginRegistry(this.#sessions.size, now)
+      ? this.#sessions.registry(now)
+      : emptyRegistry;
     return this.#agreement
       .addresses()
       .map((to) => ({ kind: "send", to, message: this.#peerHeartbeats.to(to, registry, now) }));
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -16,3 +16,5 @@
 export * from "./control-desk.js";
 export * from "./control-zones.js";
 export * from "./node-heartbeats.js";
+export * from "./lease-coverage.js";
+export * from "./peer-heartbeats.js";
--- a/packages/control/src/lease-coverage.ts
+++ b/packages/control/src/lease-coverage.ts
@@ -1,12 +1,22 @@
 import { constants, type ChainView, type Member, type Sessions } from "@chutewick/parts";
 import type { FleetRecord } from "./machine.js";
 
+/** What a member told the head last. */
+interface ToldHead {
+  readonly place: number;
+  /** Mark of the view. */
+  readonly mark: number;
+  /** ms. */
+  readonly at: number;
+}
+
 /** Places of the feed that all holders of leases have: a change is in force from then on (docs/design.md §7). */
 export class LeaseCoverage {
   /** Place that all lease holders of a member have, by its identity, as told in the view in force. */
   readonly #coveredBy = new Map<string, number>();
   /** ms. Before, leases may count that were granted by a machine of which no member knows. */
   #knownFrom: number;
+  #toldHead: ToldHead = { place: 0, mark: 0, at: Number.NEGATIVE_INFINITY };
 
   constructor(now: number) {
     this.#knownFrom = now + constants.leaseLasts;
@@ -23,6 +33,18 @@
     this.#coveredBy.set(identity, Math.max(place, this.#coveredBy.get(identity) ?? 0));
   }
 
+  /**
+   * Whether the head should be told of a place that all holders of leases granted here have: at once where it is further on than
+   * what was told in that view, else from time to time, since the head may not have been in the view yet. Counts as told then.
+   */
+  isToBeTold(place: number, mark: number, now: number): boolean {
+    const told = this.#toldHead;
+    const isKnown = mark === told.mark && place <= told.place;
+    if (place === 0 || (isKnown && now - told.at < constants.coverageRepeatedEvery)) return false;
+    this.#toldHead = { place, mark, at: now };
+    return true;
+  }
+
   /** The place that all holders of leases granted here have. */
   own(sessions: Sessions, place: number, now: number): number {
     return now < this.#knownFrom ? 0 : sessions.covered(place, now);
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -1,21 +1,19 @@
 import {
   constants,
   duty,
+  emptyRegistry,
   lateness,
   type ChainView,
   type Feed,
   type FeedMessage,
   type Member,
   type NodeCard,
-  type RunnerRegistry,
   type Sessions,
 } from "@chutewick/parts";
 import type { LeaseMessage, SessionMessage } from "./control-messages.js";
 import type { ControlZones } from "./control-zones.js";
 import { LaggingNodes } from "./lagging-nodes.js";
 
-const emptyRegistry: RunnerRegistry = { nodes: [], runners: [] };
-
 /** What a control machine answers heartbeats by. */
 export interface HeartbeatContext {
   /** Identity of this control machine. */
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -8,7 +8,7 @@
   readonly at: number;
 }
 
-/** Heartbeats between control machines: each carries the registry and gives back the peer's newest stamp (docs/design.md §7.5). */
+/** Heartbeats between control machines: they give back the peer's newest stamp and carry the registry (docs/design.md §7.5). */
 export class PeerHeartbeats {
   readonly #life: string;
   readonly #zone: string | undefined;
@@ -16,6 +16,8 @@
   readonly #stamps = new Map<string, HeardStamp>();
   /** ms. */
   #sentAt = 0;
+  /** ms. When a heartbeat carried the registry last. */
+  #registrySentAt = Number.NEGATIVE_INFINITY;
 
   constructor(life: string, zone: string | undefined) {
     this.#life = life;
@@ -34,6 +36,18 @@
     return true;
   }
 
+  /**
+   * Whether the heartbeats that are sent now carry the registry, which counts as sent then. Its size and what it costs to read
+   * grow with the fleet, so in large fleets not each of them does; what is news of a runner is told at once beside it.
+   */
+  beginRegistry(nodes: number, now: number): boolean {
+    const stretched = (constants.greetEvery * nodes) / constants.sessionNodes;
+    const every = Math.min(stretched, constants.peerRegistryEveryMost);
+    if (now - this.#registrySentAt < every) return false;
+    this.#registrySentAt = now;
+    return true;
+  }
+
   /** Heartbeat to a peer. */
   to(address: string, roll: RunnerRegistry, now: number): RegistryMessage {
     const back = giveBack(this.#stamps.get(address), now);
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -25,6 +25,7 @@
 } from "@chutewick/control";
 
 import { FeedProgress } from "./feed-progress.js";
+import { heartbeatInterval } from "./heartbeat-interval.js";
 
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
 export interface Standing {
@@ -265,9 +266,38 @@
 
   /** Whether a life of a runner was heard of lately and has not deregistered: asked again before the first byte. */
   isStanding(runner: string, incarnation: number, now: number): boolean {
-    for (const card of this.runners(now))
-      if (card.id === runner && card.incarnation === incarnation) return true;
-    return false;
+    const held = this.#newestWord(runner, now);
+    return (
+      held !== undefined &&
+      held.incarnation === incarnation &&
+      now - held.heardAt <= this.#runnersLast(now) &&
+      !this.isClosed(runner, incarnation)
+    );
+  }
+
+  /** The newest word of a runner, from control or from elsewhere; heardAt in ms. */
+  #newestWord(runner: string, now: number): (RunnerCard & { heardAt: number }) | undefined {
+    const card = this.#registry.runners.find(({ id }) => id === runner);
+    const listed = card && { ...card, heardAt: this.#registryAt - card.age };
+    const told = this.#told.get(runner);
+    if (told === undefined || now - told.heardAt > this.#forgetsRunnersAfter) return listed;
+    if (listed !== undefined && !isNewerWord(told.card, told.heardAt, listed, listed.heardAt))
+      return listed;
+    return { ...told.card, heardAt: told.heardAt };
+  }
+
+  /** ms. A word of a runner that is older than this says nothing any more. */
+  get #forgetsRunnersAfter(): number {
+    return this.#policy.runnerLasts * constants.aloneTimes;
+  }
+
+  /**
+   * ms since its last word for which a runner counts as there. Cut off from control, a node goes on with the runners that it
+   * knew: those gone since are not reached, or say that they are others (§13.4).
+   */
+  #runnersLast(now: number): number {
+    const isAlone = this.#policy.goesOnAlone && !this.isNear(now);
+    return isAlone ? this.#forgetsRunnersAfter : this.#policy.runnerLasts;
   }
 
   runners(now: number): RunnerCard[] {
@@ -278,15 +308,11 @@
     for (const { card, heardAt } of this.#told.values()) {
       const held = known.get(card.id);
       const age = now - heardAt;
-      if (age > this.#policy.runnerLasts * constants.aloneTimes) this.#told.delete(card.id);
+      if (age > this.#forgetsRunnersAfter) this.#told.delete(card.id);
       if (held === undefined || isNewerWord(card, heardAt, held, now - held.age))
         known.set(card.id, { ...card, age });
     }
-    /** Cut off from control, a node goes on with the runners that it knew: those gone since are not reached, or say that they are others (§13.4). */
-    const lasts =
-      this.#policy.goesOnAlone && !this.isNear(now)
-        ? this.#policy.runnerLasts * constants.aloneTimes
-        : this.#policy.runnerLasts;
+    const lasts = this.#runnersLast(now);
     for (const card of known.values())
       if (card.age <= lasts && !this.isClosed(card.id, card.incarnation)) found.push(card);
     return found;
@@ -338,7 +364,7 @@
     for (const card of registry.runners) runners.set(card.id, card);
     for (const card of this.#registry.runners) {
       const aged = { ...card, age: card.age + at - this.#registryAt };
-      if (aged.age > this.#policy.runnerLasts * constants.aloneTimes) continue;
+      if (aged.age > this.#forgetsRunnersAfter) continue;
       const newer = runners.get(card.id);
       if (newer === undefined || isNewerWord(aged, at - aged.age, newer, at - newer.age))
         runners.set(card.id, aged);
@@ -375,7 +401,7 @@
     const asks = this.#askPeers(now);
     /** The moment a promise ends, control is told so. */
     const freed = this.#toldAt < this.#promisedUntil && now >= this.#promisedUntil;
-    return now - this.#toldAt >= constants.sessionEvery || freed
+    return now - this.#toldAt >= heartbeatInterval(this.#registry.nodes.length) || freed
       ? [...asks, ...this.tell(now)]
       : asks;
   }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -4,6 +4,9 @@
   beatEvery: 50,
   /** ms. A member tells each control machine that it lives; four are lost before a lease runs out. */
   sessionEvery: 300,
+  /** nodes; ms. In a fleet of more nodes heartbeats are sent more seldom, in proportion, up to the most: three within a lease. */
+  sessionNodes: 40,
+  sessionEveryMost: 450,
   /**
    * part. Two monotonic clocks run at most so much apart. Whoever holds a lease, a permit or a grant ends it sooner by this part
    * of it, so it is over before whoever gave it takes it as over. Clocks that are disciplined go 0.0005 apart.
@@ -29,8 +32,12 @@
   sessionLasts: 2_000,
   /** ms. Control machines greet each other. */
   greetEvery: 200,
+  /** ms. Control machines of a large fleet tell each other its registry this often at least: four within the time of a session. */
+  peerRegistryEveryMost: 500,
   /** ms. Silence after which a control member is voted out; leaves 10 s of the 12 s for the rest. */
   memberSilence: 1_500,
+  /** ms. A member of the control group repeats to its head how far its lease holders have come, where nothing is new. */
+  coverageRepeatedEvery: 100,
   /** ms. Pause between two tries to agree, times the rank of the one that tries, so tries seldom collide. */
   agreeEvery: 400,
   /** ms. A chain with entries not yet confirmed sends them again after this long without progress. */
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -78,6 +78,9 @@
   readonly others?: readonly RunnerLoad[];
 }
 
+/** A registry that tells nothing. */
+export const emptyRegistry: RunnerRegistry = { nodes: [], runners: [] };
+
 export type RunnerLoad = readonly [runner: string, live: number, items: number];
 
 interface Session {
@@ -170,6 +173,11 @@
     this.#policy = chosen;
   }
 
+  /** Nodes with a session here, by hearsay too. */
+  get size(): number {
+    return this.#sessions.size;
+  }
+
   /** A runner's own word: whether it is newer than all that was known, and whether it is worth telling at once. */
   announced(card: RunnerCard, now: number): { newer: boolean; news: boolean } {
     const held = this.#runners.get(card.id);
