--- a/features/steps/second-loss.ts
+++ b/features/steps/second-loss.ts
@@ -32,6 +32,8 @@
 
 type Step = "loss" | "start" | "first put in" | "all put in";
 
+/** ms. For so long an operator asks for the configuration again. */
+const readsBackWithin = 3_000;
 /** ms. */
 const lookEvery = 50;
 const orderEvery = 400;
@@ -208,14 +210,27 @@
     deployment.world.after(orderEvery, again);
   }
 
+  /** As operators do: a machine that says that it cannot know now is asked again, or another one, for a bounded time. */
   #readBack(): void {
-    const { deployment } = this;
+    const { world } = this.deployment;
     const acknowledged = this.#acknowledged;
-    const { told } = deployment.order({ kind: "read" }, deployment.one(), 6_000);
-    const mark =
-      told?.kind === "confirmed" && told.value.kind === "CONFIGURATION" ? told.value.mark : 0;
-    if (mark < acknowledged)
-      this.broken.push(`${acknowledged} was acknowledged, and ${mark} is read`);
+    const until = world.now + readsBackWithin;
+    let mark = this.#read();
+    while (mark === undefined && world.now < until) {
+      this.#pass(lookEvery);
+      mark = this.#read();
+    }
+    if (mark === undefined || mark < acknowledged)
+      this.broken.push(`${acknowledged} was acknowledged, and ${mark ?? "nothing"} is read`);
+  }
+
+  /** The version that is told to be in force; undefined where the answer is not definite. */
+  #read(): number | undefined {
+    const { deployment } = this;
+    const { told } = deployment.order({ kind: "read" }, deployment.one(), readsBackWithin);
+    return told?.kind === "confirmed" && told.value.kind === "CONFIGURATION"
+      ? told.value.mark
+      : undefined;
   }
 }
 
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -40,6 +40,7 @@
 import { surroundingsOf, type SurroundingsSource } from "./queue-reports.js";
 import { QuorumContact } from "./quorum-contact.js";
 import { isDeregistered, takeReport } from "./runner-announcements.js";
+import { SharesInStep } from "./shares-in-step.js";
 import { SilentNodes } from "./silent-nodes.js";
 
 type ChainResult = Extract<ChainCommand, { kind: "result" }>;
@@ -64,6 +65,7 @@
   #policy: Policy;
   #sessions: Sessions;
   #requests = new HeadRequests();
+  #sharesInStep = new SharesInStep();
   #coverage: LeaseCoverage;
   #planAt = 0;
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
@@ -351,6 +353,8 @@
     if (result.kind === "elsewhere") return this.#finish(id, { kind: "not-run", reason: notHead });
     if (result.kind === "unknown") return this.#finish(id, { kind: "unknown" });
     request.result = { value: result.value as ControlResult, place: result.place };
+    /** The shares that follow from it are entered with the next beat. */
+    if (request.result.value.kind === "IN_FORCE") this.#planAt = Number.NEGATIVE_INFINITY;
     return this.#release(now);
   }
 
@@ -360,13 +364,20 @@
     let covered: number | undefined;
     for (const [id, held] of this.#requests.entries()) {
       if (held.result === undefined) continue;
+      held.inForceBy ??= this.#inForceBy(held.result);
+      if (held.inForceBy === undefined) continue;
       covered ??= this.#coveredByAll(now);
-      if (held.result.place <= covered && this.#fleetTook(held.result.place))
+      if (held.inForceBy <= covered && this.#fleetTook(held.inForceBy))
         outputs.push(...this.#finish(id, { kind: "confirmed", ...held.result }));
     }
     return outputs;
   }
 
+  /** What changed the configuration needs the shares that follow from it, too. */
+  #inForceBy({ value, place }: { value: ControlResult; place: number }): number | undefined {
+    return value.kind === "IN_FORCE" ? this.#sharesInStep.inForceBy(place, this.#feed) : place;
+  }
+
   /** The place that all holders of leases of all members have. */
   #coveredByAll(now: number): number {
     const view = this.#chain.view;
@@ -507,6 +518,7 @@
       chainTime: this.#chain.time(now),
       isInForce: (place) => place <= this.#coveredByAll(now) && this.#fleetTook(place),
     });
+    this.#sharesInStep.planned(commands, this.#feed);
     const outputs: ControlOutput[] = [];
     for (const command of commands)
       outputs.push(...this.#perform(this.#chain.inquire(`plan/${now}`, command, now), now));
--- a/packages/control/src/head-requests.ts
+++ b/packages/control/src/head-requests.ts
@@ -10,6 +10,8 @@
   readonly since: number;
   /** Set once the chain has confirmed it; it is answered when it is in force. */
   result: { value: ControlResult; place: number } | undefined;
+  /** The place that all lease holders must have before it is answered, once that is known. */
+  inForceBy: number | undefined;
 }
 
 /** Requests that this machine has entered as the head and not answered yet, by their own id. */
@@ -28,7 +30,7 @@
   add(ticket: string, to: string | undefined, now: number): string {
     this.#ticketNumber += 1;
     const id = `own/${this.#ticketNumber}`;
-    this.#open.set(id, { ticket, to, since: now, result: undefined });
+    this.#open.set(id, { ticket, to, since: now, result: undefined, inForceBy: undefined });
     return id;
   }
 
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -72,6 +72,9 @@
 
 type QueueShareTelling = NonNullable<Telling["shares"]>[number];
 
+/** Ticket under which an owner enters limits, before the mark of the share. */
+const LIMIT_TICKET = "limit/";
+
 /** Why an owner does not take what the configuration governs. */
 const NO_LEASE = "the owner holds no lease";
 
@@ -239,7 +242,10 @@
     const judged = this.#judge(partition, command, now);
     if (judged.kind === "refused")
       return [result(from, ticket, { kind: "elsewhere", reason: judged.reason })];
-    const lost = command.kind === "draw" ? this.#takeBack(partition, command, now) : [];
+    const lost = [
+      ...this.#limitsBefore(partition, command, now),
+      ...(command.kind === "draw" ? this.#takeBack(partition, command, now) : []),
+    ];
     if (
       hold > 0 &&
       (command.kind === "results" || command.kind === "draw") &&
@@ -365,10 +371,10 @@
   }
 
   #ended(partition: Partition, own: string, told: ChainResult, now: number): StorageOutput[] {
-    if (own === `limit/${partition.chain.name}`) {
-      partition.limiting = false;
-      if (told.kind === "confirmed")
-        partition.shareMark = Math.max(partition.shareMark, partition.enteredMark);
+    if (own.startsWith(LIMIT_TICKET)) {
+      const mark = Number(own.slice(LIMIT_TICKET.length));
+      if (mark === partition.enteredMark) partition.limiting = false;
+      if (told.kind === "confirmed") partition.shareMark = Math.max(partition.shareMark, mark);
       return [];
     }
     const waiting = this.#waiting.get(own);
@@ -465,12 +471,10 @@
   /** A new owner enters nothing new, but has what it holds confirmed once before it tells of it. */
   #enterLimits(partition: Partition, now: number): StorageOutput[] {
     const { chain, machine } = partition;
-    if (partition.limiting) return [];
-    const standing = this.membership.follower.read<QueueStanding>(keys.standing + chain.name);
     const share = machine.share(chain.ledger);
-    const shareMark = share?.mark ?? 0;
-    const entered = standing !== undefined && standing.shareMark > shareMark ? standing : undefined;
-    if (entered === undefined && partition.shareMark >= shareMark) return [];
+    const entered = this.#newerStanding(partition);
+    if (entered === undefined && (partition.limiting || partition.shareMark >= (share?.mark ?? 0)))
+      return [];
     partition.limiting = true;
     const command: QueueCommand = {
       kind: "limit",
@@ -480,7 +484,24 @@
       classes: entered === undefined ? classesOf(share) : sharesOf(entered),
     };
     partition.enteredMark = command.mark;
-    return this.#enterOwn(partition, `limit/${chain.name}`, command, now);
+    return this.#enterOwn(partition, `${LIMIT_TICKET}${command.mark}`, command, now);
+  }
+
+  /** What the feed says of the queue, where its ledger has an older share. */
+  #newerStanding({ chain, machine }: Partition): QueueStanding | undefined {
+    const standing = this.membership.follower.read<QueueStanding>(keys.standing + chain.name);
+    const shareMark = machine.share(chain.ledger)?.mark ?? 0;
+    return standing !== undefined && standing.shareMark > shareMark ? standing : undefined;
+  }
+
+  /**
+   * A change is told as confirmed once every lease holder has it (§7). So what a share governs is judged by the newest one that
+   * this owner has taken from the feed, which therefore goes into the chain before it.
+   */
+  #limitsBefore(partition: Partition, command: QueueCommand, now: number): StorageOutput[] {
+    const isDue =
+      isGoverned(command) && partition.chain.serves && this.#newerStanding(partition) !== undefined;
+    return isDue ? this.#enterLimits(partition, now) : [];
   }
 
   /** Claims without a sign of life go back to where they waited. */
--- a/tools/model/src/guards.ts
+++ b/tools/model/src/guards.ts
@@ -46,7 +46,7 @@
         from: "commands.push(...this.#pass(now));\n        if (isSame(this.#view.joiner, this.#self)) {",
         to: "if (this.position === 0) commands.push(...this.#confirm(this.#synced, now)); commands.push(...this.#pass(now)); if (isSame(this.#view.joiner, this.#self)) {",
       },
-      { file: control, from: "held.result.place <= covered", to: "true" },
+      { file: control, from: "held.inForceBy <= covered", to: "true" },
     ],
   },
   {
@@ -119,7 +119,7 @@
     start: "formed",
     guard: "a change is told when every lease has it",
     invariant: "a confirmed change is in force",
-    cuts: [{ file: control, from: "held.result.place <= covered", to: "true" }],
+    cuts: [{ file: control, from: "held.inForceBy <= covered", to: "true" }],
   },
   {
     start: "severed",
