--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -184,6 +184,11 @@
       | power, kill-control                                                       | 56    | 61   |
       | kill-access, freeze-access, kill-storage, freeze-storage, runners, moves  | 66    | 75   |
 
+  Scenario: items at a runner that goes dark go on elsewhere long before their usual silence is over
+    Given a passage's queue with 10 tokens per 1 s, bursts of 10, and 1000 tokens that may wait
+    When a runner goes dark amid its runs of items
+    Then the last item of the lot is finished within 5 s
+
   Scenario: a read that is held hears of the next result at once, at any node
     When a lot of slow items is taken and read with a hold from where its list ends
     Then each result is told within 100 ms of its run's end
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -18,6 +18,7 @@
   Chance,
   PassPlay,
   handInDelays,
+  darkRunnerDelay,
   heldReadDelays,
   newLifeDelay,
   type Fault,
@@ -604,12 +605,17 @@
 Then("what callers and runners saw breaks no rule", breaksNoRule);
 
 function slowItemsAreRead(this: PlayWorld): void {
-  const play = new PassPlay({ seed: 7, stormy: 0, calm: 0, faults: [], access: 3 });
-  Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 60 });
-  play.begin();
-  play.world.run(6_500);
-  this.waits = heldReadDelays(play, 12_000);
-  this.plays = [play];
+  this.waits = [];
+  this.plays = [];
+  /** Lots are of one item up to a dozen, as each seed draws them. */
+  for (let seed = 7; seed <= 12; seed += 1) {
+    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access: 3 });
+    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 60 });
+    play.begin();
+    play.world.run(6_500);
+    this.waits.push(...heldReadDelays(play, 12_000));
+    this.plays.push(play);
+  }
   breaksNoRule.call(this);
 }
 When(
@@ -618,11 +624,28 @@
 );
 
 function toldWithin(this: PlayWorld, bound: number): void {
-  ok(this.waits.length >= 5, String(this.waits.length));
+  ok(this.waits.length >= 10, String(this.waits.length));
   ok(Math.max(...this.waits) <= bound, this.waits.join(", "));
 }
 Then("each result is told within {int} ms of its run's end", toldWithin);
 
+function runnerGoesDark(this: PlayWorld): void {
+  this.waits = [];
+  for (let seed = 24; seed <= 29; seed += 1) {
+    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access: 3, items: 8 });
+    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 100 });
+    play.begin();
+    play.world.run(6_500);
+    this.waits.push(darkRunnerDelay(play));
+  }
+}
+When("a runner goes dark amid its runs of items", runnerGoesDark);
+
+function lastFinishedWithin(this: PlayWorld, seconds: number): void {
+  ok(Math.max(...this.waits) <= seconds * 1_000, this.waits.join(", "));
+}
+Then("the last item of the lot is finished within {int} s", lastFinishedWithin);
+
 function theOnlyDispatcherDies(this: PlayWorld): void {
   const play = new PassPlay({ seed: 9, stormy: 0, calm: 0, faults: [], access: 1, items: 3 });
   Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -26,6 +26,7 @@
 import type { Membership } from "./membership.js";
 import type { PendingCalls } from "./pending-calls.js";
 import type { QueueOutcome } from "./queue-messages.js";
+import { SleepDetector } from "./sleep-detector.js";
 import { weightedKey } from "./weighted-choice.js";
 
 /** Statuses from here on are no success. */
@@ -71,6 +72,7 @@
   /** How often pools were chosen, by which each choice is drawn anew. */
   #poolChoices = 0;
   #isLeaving = false;
+  #sleep = new SleepDetector(Number.POSITIVE_INFINITY);
   readonly counts = { drawn: 0, solved: 0, never: 0, troubled: 0, broken: 0, givenBack: 0 };
 
   constructor(membership: Membership, choice: Choice, pendingCalls: PendingCalls) {
@@ -125,9 +127,11 @@
 
   beat(now: number): AccessOutput[] {
     const outputs: AccessOutput[] = [];
+    this.#sleep.observe(now);
     for (const [number, attempt] of [...this.#attempts]) {
       const { lastProgressAt, keepsUntil } = attempt.job;
-      if (now - lastProgressAt > constants.promptSilence || now >= keepsUntil)
+      const isOver = now - lastProgressAt > constants.promptSilence || now >= keepsUntil;
+      if (isOver || this.#isStalled(number, attempt, now))
         outputs.push(...this.#abandon(number, attempt, now));
     }
     if (now - this.#heartbeatAt >= constants.taskLifeEvery) {
@@ -138,6 +142,14 @@
     return outputs;
   }
 
+  /** The runner gives no sign on any work of this node: it is dark, or the connection carries nothing any more. */
+  #isStalled(number: number, { job }: ItemAttempt, now: number): boolean {
+    const silence = now - job.lastProgressAt;
+    /** After a sleep of this process signs may wait to be read. */
+    const isAwake = this.#sleep.awakeFor(now) > constants.rescueAfter;
+    return isAwake && silence > constants.itemStalledAfter && this.#choice.isQuiet(number, now);
+  }
+
   #room(now: number): ItemRoom {
     const able: string[] = [];
     const rooms = new Map<string, number>();
@@ -302,6 +314,7 @@
     const isNext = job.lastEvent === undefined || event.number === job.lastEvent + 1;
     if (event.number === undefined || !isNext) return this.#abandon(number, attempt, now);
     if (job.texts.length === 0) this.#choice.first(number, now);
+    else this.#choice.sign(number, now);
     job.texts.push(event.data);
     job.lastEvent = event.number;
     return [];
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -285,6 +285,8 @@
   unsentMost: 4,
   /** ms without a sign of a go, after which what may be repeated leaves a runner that gives none on anything. */
   rescueAfter: 400,
+  /** ms. The same for an item of a lot: its runner may be reading long prompts, and a run that is broken off is paid for. */
+  itemStalledAfter: 2_000,
   /** ms. Connecting for a passage: a few ms within a region; what was not sent can go elsewhere. */
   passPatience: 200,
   /** bytes for each Megabyte of a process that bodies of live requests may take together: a fifth. */
--- a/tools/simulator/src/index.ts
+++ b/tools/simulator/src/index.ts
@@ -3,7 +3,7 @@
 export * from "./checker.js";
 export * from "./world.js";
 export * from "./measure.js";
-export { handInDelays, heldReadDelays, newLifeDelay } from "./passages/delays.js";
+export { darkRunnerDelay, handInDelays, heldReadDelays, newLifeDelay } from "./passages/delays.js";
 export type { Fault, PassPlayOptions } from "./passages/options.js";
 export { PassPlay } from "./passages/pass-play.js";
 export * from "./crew.js";
--- a/tools/simulator/src/passages/delays.ts
+++ b/tools/simulator/src/passages/delays.ts
@@ -55,6 +55,22 @@
   return last - drawnAt;
 }
 
+/** A runner goes dark amid its runs, and is heard no more; the ms until the last item of the lot that it ran is finished. */
+export function darkRunnerDelay(play: PassPlay): number {
+  const { world } = play;
+  const lot = play.lotClients.handIn();
+  world.run(world.now + RUNS_AFTER);
+  const dark = play.runners.find((runner) => runner.runs.size > 0);
+  if (dark === undefined) return Number.POSITIVE_INFINITY;
+  dark.isDark = true;
+  const darkAt = world.now;
+  world.run(world.now + WATCHED * 2);
+  let last = 0;
+  for (const { finished, finishedAt, poisoned } of lot.items.values())
+    if (!poisoned) last = Math.max(last, finished ? finishedAt : Number.POSITIVE_INFINITY);
+  return last - darkAt;
+}
+
 /** Runs on, and tells when a node first drew from the queue meanwhile. */
 function firstDrawAt({ world }: PassPlay, address: string): number {
   let drawnAt = Number.POSITIVE_INFINITY;
--- a/tools/simulator/src/passages/pass-attempt.ts
+++ b/tools/simulator/src/passages/pass-attempt.ts
@@ -1,4 +1,5 @@
 import type { PassEvent, PassWork } from "@chutewick/data";
+import { constants } from "@chutewick/parts";
 import type { AccessMachine } from "../machines.js";
 import { PASSAGE_HOST, type PassFleet } from "./pass-fleet.js";
 import {
@@ -80,6 +81,7 @@
     const reason = machine.core.mayPass(go, world.now);
     if (reason !== undefined) return this.#tellLast({ kind: "unsent", reason });
     if (!runner.alive) return this.#tellLast({ kind: "unsent", reason: "connection refused" });
+    if (runner.isDark) return this.#unreached();
     if (world.chance.happens(manner.turnAway))
       return this.#tellLast({
         kind: "refused",
@@ -91,6 +93,12 @@
     this.#begin();
   }
 
+  /** A dark runner answers no connection. */
+  #unreached(): void {
+    const unsent = { kind: "unsent", reason: "no connection" } as const;
+    this.#fleet.world.after(constants.passPatience, () => this.#tellLast(unsent));
+  }
+
   #begin(): void {
     const { work } = this.#sending;
     const { world, manner, itemOf } = this.#fleet;
@@ -118,7 +126,7 @@
     const { world, manner } = this.#fleet;
     const { runner } = this.#sending;
     world.after(world.chance.between(...EVENT_PACE) * manner.pieceMs, () => {
-      if (this.#isOver) return;
+      if (this.#isOver || runner.isDark) return;
       if (!runner.alive || number > tearsAt)
         return this.#tellLast({ kind: "broken", reason: "the link broke" });
       if (number > item.events) {
--- a/tools/simulator/src/passages/pass-fleet.ts
+++ b/tools/simulator/src/passages/pass-fleet.ts
@@ -118,6 +118,7 @@
     pool: number <= READERS ? "readers" : "others",
     incarnation: 1,
     alive: true,
+    isDark: false,
     runs: new Set(),
   };
 }
--- a/tools/simulator/src/passages/pass-runners.ts
+++ b/tools/simulator/src/passages/pass-runners.ts
@@ -27,7 +27,7 @@
     for (const runner of runners) {
       const announce = (): void => {
         world.after(constants.announceEvery, announce);
-        if (!runner.alive) return;
+        if (!runner.alive || runner.isDark) return;
         for (let number = 0; number < ANNOUNCED_TO; number += 1) this.#announce(runner);
       };
       world.after(world.chance.between(0, FIRST_ANNOUNCE_MOST), announce);
--- a/tools/simulator/src/passages/records.ts
+++ b/tools/simulator/src/passages/records.ts
@@ -44,6 +44,8 @@
   readonly pool: string;
   incarnation: number;
   alive: boolean;
+  /** Nothing of it arrives any more, and no connection to it comes up. */
+  isDark: boolean;
   /** Attempts that it runs now. */
   readonly runs: Set<object>;
 }
