--- a/packages/data/src/choice.ts
+++ b/packages/data/src/choice.ts
@@ -36,6 +36,8 @@
   slowness: number;
   /** Last sign of it, or the moment when the first work of those under way began. */
   heardAt: number;
+  /** Last event of an item after the item's first, which says nothing of how soon other work would begin. */
+  itemHeardAt: number;
   /** Heard of still, and has not deregistered. */
   stands: boolean;
   /** Passed by until then, and troubles in a row. */
@@ -233,6 +235,13 @@
     return found !== undefined && this.#isQuiet(found.sight, now);
   }
 
+  /** The same, where events of items on their way count as signs, too. */
+  isDark(go: number, now: number): boolean {
+    const found = this.#gos.get(go);
+    if (found === undefined || !this.#isQuiet(found.sight, now)) return false;
+    return now - found.sight.itemHeardAt > constants.quietReading;
+  }
+
   /** Whether any runner of a pool is heard of. */
   knows(pool: string, now: number): boolean {
     this.#look(now);
@@ -304,6 +313,12 @@
     if (go !== undefined) go.sight.heardAt = now;
   }
 
+  /** An event of an item after its first. */
+  itemSign(number: number, now: number): void {
+    const go = this.#gos.get(number);
+    if (go !== undefined) go.sight.itemHeardAt = now;
+  }
+
   first(number: number, now: number): void {
     const go = this.#gos.get(number);
     if (go === undefined || go.begun) return;
@@ -491,6 +506,7 @@
         usual: constants.usualFirst,
         slowness: 1,
         heardAt: now,
+        itemHeardAt: Number.NEGATIVE_INFINITY,
         stands: true,
         shyUntil: 0,
         troubles: 0,
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -147,7 +147,7 @@
     const silence = now - job.lastProgressAt;
     /** After a sleep of this process signs may wait to be read. */
     const isAwake = this.#sleep.awakeFor(now) > constants.rescueAfter;
-    return isAwake && silence > constants.itemStalledAfter && this.#choice.isQuiet(number, now);
+    return isAwake && silence > constants.itemStalledAfter && this.#choice.isDark(number, now);
   }
 
   #room(now: number): ItemRoom {
@@ -314,7 +314,7 @@
     const isNext = job.lastEvent === undefined || event.number === job.lastEvent + 1;
     if (event.number === undefined || !isNext) return this.#abandon(number, attempt, now);
     if (job.texts.length === 0) this.#choice.first(number, now);
-    else this.#choice.sign(number, now);
+    else this.#choice.itemSign(number, now);
     job.texts.push(event.data);
     job.lastEvent = event.number;
     return [];
