Configurations name tenants, keyless routes and bounds of scaling

Operators of the duties deployments send subscribers, keyless and scaling; they were read and dropped. They are checked and kept now: two tenants that share a credential, a tenant named twice and a minimum above the maximum are refused. Nothing acts upon them yet.

Test: features/platform.feature, three rows of what is invalid; they were taken before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -36,6 +36,9 @@
       | a name twice         |
       | a limit below 0      |
       | a limit in words     |
+      | two subscribers with one key        |
+      | a subscriber twice                  |
+      | fewer runners at most than at least |
 
   Scenario Outline: limits of an operator become those of callers
     Given a platform document with revision 7, a streaming, a bulk and a split safe route
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -219,6 +219,22 @@
   if (fault === "a limit below 0") this.document["limits"] = { maxBodyBytes: -1 };
   if (fault === "a limit in words") this.document["limits"] = { idleGuardMs: "long" };
   if (fault === "a name twice") slips["name"] = notes["name"];
+  if (fault === "two subscribers with one key")
+    this.document["subscribers"] = [
+      { name: "huka", credentials: ["k1", "k2"] },
+      { name: "puhu", credentials: ["k2"] },
+    ];
+  if (fault === "a subscriber twice")
+    this.document["subscribers"] = [
+      { name: "huka", credentials: ["k1"] },
+      { name: "huka", credentials: ["k2"] },
+    ];
+  if (fault === "fewer runners at most than at least")
+    (this.document["services"] as Record<string, unknown>[])[0]!["scaling"] = {
+      minimum: 3,
+      maximum: 2,
+      bootS: 4,
+    };
   const text = JSON.stringify(this.document);
   this.told = documents.replaced(
     fault === "cutting it short" ? text.slice(0, text.length / 2) : text,
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -11,6 +11,7 @@
 import { explain } from "@chutewick/shell";
 import { calendars, type Calendar } from "./calendar.js";
 import { z } from "zod";
+import { callers, limits, passage, pool, tenant } from "./configuration-shapes.js";
 
 /** The operators' configuration, read and checked whole before it is entered (docs/design.md §9). */
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, {
@@ -21,15 +22,6 @@
 });
 const labels = z.record(labelName, z.string().min(1).max(63));
 
-const limits = z.strictObject({
-  tokens: z.number().min(0, { error: "must not be negative" }).max(1_000_000),
-  windowSeconds: z.number().positive({ error: "must be more than 0" }).max(86_400),
-  capacity: z
-    .number()
-    .min(1, { error: "must be 1 or more, or no prompt could ever be taken" })
-    .max(1_000_000),
-});
-
 const model = z.strictObject({
   adapters: z.array(name).max(1_000).default([]),
   bucket: limits,
@@ -81,58 +73,6 @@
   lastsMinutes: z.number().positive({ error: "must be more than 0" }).max(525_600).optional(),
 });
 
-/** Runners of one kind that passages lead to (docs/design.md §13.1). */
-const pool = z.strictObject({
-  /** Models that its runners carry; none where they are plain. */
-  models: z.array(z.string().min(1).max(200)).max(1_000).default([]),
-  /** Seats of one runner, and the tokens that its memory takes, where they are told. */
-  seats: z.int().min(1).optional(),
-  memoryTokens: z.int().min(1).optional(),
-  /** Connections that one runner accepts from all nodes together; 0 for no limit. */
-  connections: z.int().min(0).default(0),
-  probePath: z.string().default("/health"),
-  bucket: limits.optional(),
-});
-
-const poolShare = z.strictObject({ pool: z.string().min(1), weight: z.number().min(0) });
-
-/** A way reached by host and path, whose requests pass byte for byte to runners of a pool (docs/design.md §13.1). */
-const passage = z.strictObject({
-  host: z.string().min(1),
-  prefix: z.string().regex(/^\/(.*\/)?$/, { error: "must begin and end with a slash" }),
-  /** safe: may run more than once. once: at most once. stream: a series of events. lot: items handed in, to run later. */
-  kind: z.enum(["safe", "once", "stream", "lot"]),
-  pools: z.array(poolShare).min(1),
-  /** 0 goes first. */
-  rank: z.int().min(0).default(0),
-  /** Runners that one try may be sent to; for an item, failures of its own after which it is given up. */
-  goesMost: z.int().min(1).default(1),
-  /** ms. The longest that one try is held. */
-  guard: z.number().positive({ error: "must be more than 0" }),
-  /** ms. Within which a result is worth most: to the first event, or to the acceptance of a lot. */
-  aim: z.number().min(0).default(0),
-  /** ms. Longest pause between events that is still in time. */
-  gap: z.number().min(0).optional(),
-  resumable: z.boolean().default(false),
-  affinity: z.boolean().default(false),
-  /** Tokens that may wait, of all lots of this passage together; 0 for no limit. */
-  waitingTokens: z.number().min(0).default(0),
-  /** ms after the handing in by which all results are due. */
-  within: z.number().min(0).optional(),
-  /** s after the handing in after which an item may be given up. */
-  keeps: z.number().min(0).optional(),
-});
-
-/** What callers on passages may send and how long they may take; where one is left out the usual holds (docs/design.md §13.2). */
-const callers = z.strictObject({
-  headerBytes: z.int().min(1).max(1_048_576).optional(),
-  bodyBytes: z.int().min(1).max(1_073_741_824).optional(),
-  /** ms */
-  headerWait: z.number().min(1).max(86_400_000).optional(),
-  /** ms */
-  idleWait: z.number().min(1).max(86_400_000).optional(),
-});
-
 const shape = z.strictObject({
   pools: z.record(z.string().regex(/^[^/]+$/, { error: "must have no slash" }), pool).default({}),
   passages: z.record(z.string().min(1), passage).default({}),
@@ -141,6 +81,8 @@
   seasons: z.record(name, season).default({}),
   /** An earlier release knows none, and skips it. */
   callers: callers.optional(),
+  /** Where it is there, even if it names nobody, each request must present a credential. */
+  tenants: z.record(z.string().min(1).max(200), tenant).optional(),
 });
 
 /** The whole document of the operators, as checked. */
@@ -151,6 +93,8 @@
 export type Pool = Configuration["pools"][string];
 /** A way reached by host and path. */
 export type Passage = Configuration["passages"][string];
+/** Who may call, by name. */
+export type Tenant = NonNullable<Configuration["tenants"]>[string];
 
 /** Kept in control state and carried by the feed. */
 export interface MarkedConfiguration {
@@ -245,9 +189,23 @@
     if (impossible !== undefined)
       found.push(`seasons.${key}.runners: can select no runner, since ${impossible}`);
   }
+  found.push(...sharedCredentials(value));
   return found.length > 0 ? outcome.bad(found.join("; ")) : outcome.good(value);
 }
 
+/** Two tenants may not share a credential; the reason does not repeat it, since credentials are secret. */
+function sharedCredentials({ tenants = {} }: Configuration): string[] {
+  const found: string[] = [];
+  const owners = new Map<string, string>();
+  for (const [key, { credentials }] of Object.entries(tenants))
+    for (const credential of credentials) {
+      const owner = owners.get(credential) ?? key;
+      if (owner !== key) found.push(`tenants.${key}.credentials: shares one with ${owner}`);
+      owners.set(credential, owner);
+    }
+  return found;
+}
+
 function calendarOf({
   calendar,
   zone,
