The agreement on views is divided: messages, voters, and the table of peers

Messages and kept state stand in view-messages.ts, who votes in view-voters.ts, peers in control-peers.ts (neighbours -> peers, try -> proposal).

--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -10,6 +10,8 @@
 export * from "./lot-shares.js";
 export * from "./lot.js";
 export * from "./chain.js";
+export * from "./view-messages.js";
+export { majority, votersOf } from "./view-voters.js";
 export * from "./view.js";
 export * from "./feed.js";
 export * from "./session.js";
--- a/packages/parts/src/view.ts
+++ b/packages/parts/src/view.ts
@@ -1,70 +1,20 @@
 import { constants } from "./constants.js";
 import { holdersOf, presentOf, type ChainView, type Member } from "./chain.js";
-
-/** The small agreed view that mends the control chain (docs/design.md §2). */
-export interface Ballot {
-  readonly round: number;
-  readonly identity: string;
-}
-
-/** Kept synced before any word about it leaves this machine. */
-export interface VoteState {
-  readonly view: ChainView | undefined;
-  readonly founding: readonly Member[] | undefined;
-  readonly promised: Ballot | undefined;
-  readonly accepted: { readonly ballot: Ballot; readonly view: ChainView } | undefined;
-}
-
-export type ViewMessage =
-  | {
-      readonly kind: "greet";
-      readonly member: Member;
-      readonly view: ChainView | undefined;
-      readonly founding: readonly Member[] | undefined;
-      readonly copiedMark: number;
-      readonly leaving?: boolean;
-      readonly hears?: readonly string[];
-    }
-  | { readonly kind: "prepare"; readonly mark: number; readonly ballot: Ballot }
-  | {
-      readonly kind: "promise";
-      readonly mark: number;
-      readonly ballot: Ballot;
-      readonly member: string;
-      readonly accepted: VoteState["accepted"];
-    }
-  | {
-      readonly kind: "accept";
-      readonly mark: number;
-      readonly ballot: Ballot;
-      readonly view: ChainView;
-    }
-  | {
-      readonly kind: "accepted";
-      readonly mark: number;
-      readonly ballot: Ballot;
-      readonly member: string;
-    }
-  | { readonly kind: "overtaken"; readonly mark: number; readonly ballot: Ballot };
-
-export type ViewCommand =
-  | { readonly kind: "send"; readonly to: string; readonly message: ViewMessage }
-  | { readonly kind: "vote"; readonly ticket: number; readonly state: VoteState }
-  | { readonly kind: "decided"; readonly view: ChainView };
-
-interface Neighbour {
-  readonly member: Member;
-  readonly heardAt: number;
-  readonly view: ChainView | undefined;
-  readonly founding: readonly Member[] | undefined;
-  readonly copiedMark: number;
-  /** About to stop as planned: the view goes on without it at once (§8.6). */
-  readonly leaving: boolean;
-  /** Whom it hears itself; an earlier release, or one that woke up just now, does not say. */
-  readonly hears: readonly string[] | undefined;
-}
-
-interface Try {
+import { ControlPeers } from "./control-peers.js";
+import type { Ballot, Greeting, ViewCommand, ViewMessage, VoteState } from "./view-messages.js";
+import {
+  byIdentity,
+  hasIdentity,
+  haveSameMembers,
+  highestAccepted,
+  isHigherBallot,
+  isSameBallot,
+  majority,
+  votersOf,
+} from "./view-voters.js";
+
+/** A view that this machine proposes. */
+interface Proposal {
   readonly mark: number;
   readonly ballot: Ballot;
   readonly wished: ChainView;
@@ -75,14 +25,13 @@
   value: ChainView | undefined;
 }
 
+/** The small agreed view that mends the control chain (docs/design.md §2). */
 export class Agreement {
   #self: Member;
   #seeds: readonly string[];
   #state: VoteState;
-  #neighbours = new Map<string, Neighbour>();
-  /** Since when another identity stands at the address of this one. */
-  #retired = new Map<string, number>();
-  #try: Try | undefined;
+  #peers: ControlPeers;
+  #proposal: Proposal | undefined;
   #round = 0;
   #greetAt = Number.NEGATIVE_INFINITY;
   #startedAt: number;
@@ -118,6 +67,7 @@
     this.#mayFound = founding || state?.founding !== undefined;
     this.#wanted = wanted;
     this.#self = self;
+    this.#peers = new ControlPeers(self);
     this.#seeds = [...seeds].sort();
     this.#startedAt = now;
     this.#beatAt = now;
@@ -156,13 +106,13 @@
     if (holdersOf(view).some(hasIdentity, { identity })) return true;
     const voters = votersOf(view);
     if (!voters.some(hasIdentity, { identity })) return false;
-    return this.#alive(voters, this.#beatAt).length - 1 < majority(view);
+    return this.#peers.alive(voters, this.#beatAt).length - 1 < majority(view);
   }
 
   #isLeaving(identity: string): boolean {
     return identity === this.#self.identity
       ? this.#leaving
-      : this.#neighbours.get(identity)?.leaving === true;
+      : this.#peers.get(identity)?.leaving === true;
   }
 
   /** Since when every member of the view before had told that it works in that view; undefined if one never did (§7.2). */
@@ -174,29 +124,20 @@
     const view = this.#state.view;
     if (view === undefined || this.#settledSince !== undefined) return;
     for (const { identity } of view.members)
-      if (
-        identity !== this.#self.identity &&
-        this.#neighbours.get(identity)?.view?.mark !== view.mark
-      )
+      if (identity !== this.#self.identity && this.#peers.get(identity)?.view?.mark !== view.mark)
         return;
     this.#settledSince = now;
   }
 
-  /** One that does not hear a machine counts as silent to it, or a way cut in one direction would hold the chain up for ever (§2.3). */
+  /** Whether a machine was heard lately, and hears this one (§2.3). */
   heardWithin(identity: string, within: number, now: number): boolean {
-    const neighbour = this.#neighbours.get(identity);
-    return (
-      identity === this.#self.identity ||
-      (neighbour !== undefined &&
-        now - neighbour.heardAt <= within &&
-        (neighbour.hears === undefined || neighbour.hears.includes(this.#self.identity)))
-    );
+    return this.#peers.heardWithin(identity, within, now);
   }
 
   /** Whether enough of those who agree are heard: else this machine is the one that is away. */
   isNear(now: number): boolean {
     const view = this.#state.view;
-    return view !== undefined && this.#alive(votersOf(view), now).length >= majority(view);
+    return view !== undefined && this.#peers.alive(votersOf(view), now).length >= majority(view);
   }
 
   /** Control machines to talk to: the view, its joiner, the seeds and whoever greets. */
@@ -206,7 +147,7 @@
     for (const holder of this.#state.view?.holders ?? []) found.add(holder.address);
     for (const voter of this.#state.view?.voters ?? []) found.add(voter.address);
     if (this.#state.view?.joiner !== undefined) found.add(this.#state.view.joiner.address);
-    for (const neighbour of this.#neighbours.values()) found.add(neighbour.member.address);
+    for (const { member } of this.#peers.all()) found.add(member.address);
     found.delete(this.#self.address);
     return [...found];
   }
@@ -237,10 +178,7 @@
     if (now - this.#greetAt >= constants.greetEvery) {
       this.#greetAt = now;
       commands.push(...this.#greetings());
-      for (const [identity, neighbour] of this.#neighbours) {
-        if (now - neighbour.heardAt > constants.memberSilence * 8)
-          this.#neighbours.delete(identity);
-      }
+      this.#peers.forget(now);
     }
     if (this.#state.view === undefined) commands.push(...this.#found(now));
     else commands.push(...this.#mend(now));
@@ -265,53 +203,41 @@
     const members: Member[] = [];
     let same = true;
     for (const seed of this.#seeds) {
-      const neighbour = seed === this.#self.address ? undefined : this.#at(seed, now);
+      const neighbour = seed === this.#self.address ? undefined : this.#peers.at(seed, now);
       if (seed !== this.#self.address && (neighbour === undefined || neighbour.view !== undefined))
         return [];
       members.push(neighbour?.member ?? this.#self);
     }
     for (const seed of this.#seeds) {
       const founding =
-        seed === this.#self.address ? this.#state.founding : this.#at(seed, now)!.founding;
-      if (founding === undefined || !sameMembers(founding, members)) same = false;
+        seed === this.#self.address ? this.#state.founding : this.#peers.at(seed, now)!.founding;
+      if (founding === undefined || !haveSameMembers(founding, members)) same = false;
     }
     if (same) return this.#decide({ mark: 1, members });
     if (
       this.#waiting.size > 0 ||
-      (this.#state.founding !== undefined && sameMembers(this.#state.founding, members))
+      (this.#state.founding !== undefined && haveSameMembers(this.#state.founding, members))
     )
       return [];
     return this.#keep({ ...this.#state, founding: members }, []);
   }
 
-  #at(address: string, now: number): Neighbour | undefined {
-    for (const neighbour of this.#neighbours.values()) {
-      if (
-        neighbour.member.address === address &&
-        now - neighbour.heardAt <= constants.memberSilence &&
-        !this.#retired.has(neighbour.member.identity)
-      )
-        return neighbour;
-    }
-    return undefined;
-  }
-
   /** What the next view should be, judged from silence, from blanks that greet and from copies done. */
   #wish(now: number): ChainView | undefined {
     const view = this.#state.view!;
     /** Where the members are too few to confirm, those that confirmed last go on as soon as they are back (§1.5). */
     const there = new Set<string>();
-    for (const { identity } of this.#alive([...holdersOf(view), ...view.members], now))
+    for (const { identity } of this.#peers.alive([...holdersOf(view), ...view.members], now))
       there.add(identity);
     const alive = presentOf(view, there);
     if (alive.length === 0 || !this.isNear(now)) return undefined;
     const joiner =
       view.joiner !== undefined &&
       view.joiner.identity !== this.#stuckJoiner &&
-      this.heardWithin(view.joiner.identity, constants.memberSilence, now)
+      this.#peers.heardWithin(view.joiner.identity, constants.memberSilence, now)
         ? view.joiner
         : undefined;
-    if (!sameMembers(alive, view.members)) {
+    if (!haveSameMembers(alive, view.members)) {
       /** One copy left confirms nothing: it goes on only where there is one to copy to. */
       const next = joiner ?? (alive.length < this.#least ? this.#candidate(view, now) : undefined);
       return alive.length >= this.#least || next !== undefined
@@ -325,7 +251,7 @@
       return this.#next(view, staying, joiner, now);
     if (view.joiner !== undefined) {
       if (joiner === undefined) return this.#next(view, view.members, undefined, now);
-      return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark
+      return this.#peers.get(joiner.identity)?.copiedMark === view.mark
         ? this.#next(view, [...view.members, joiner], undefined, now)
         : undefined;
     }
@@ -334,13 +260,6 @@
     return candidate === undefined ? undefined : this.#next(view, view.members, candidate, now);
   }
 
-  #alive(members: readonly Member[], now: number): Member[] {
-    const found: Member[] = [];
-    for (const member of members)
-      if (this.heardWithin(member.identity, constants.memberSilence, now)) found.push(member);
-    return found;
-  }
-
   /** A view of fewer than three keeps voters that are no members, those that live first, so the loss of one more can be agreed on (§2.3). */
   #next(
     view: ChainView,
@@ -353,7 +272,7 @@
     const before = votersOf(view);
     for (const other of [
       ...(joiner === undefined ? [] : [joiner]),
-      ...this.#alive(before, now),
+      ...this.#peers.alive(before, now),
       ...holders,
       ...before,
     ]) {
@@ -369,26 +288,12 @@
     };
   }
 
-  /** One that some member does not hear would be voted out again as soon as it is in. */
-  #isHeardByAll(identity: string, view: ChainView, now: number): boolean {
-    for (const member of this.#alive(view.members, now))
-      if (this.#neighbours.get(member.identity)?.hears?.includes(identity) === false) return false;
-    return true;
-  }
-
   #candidate(view: ChainView, now: number): Member | undefined {
+    const inView = [...view.members, ...holdersOf(view)];
     const candidates: Member[] = [];
-    for (const neighbour of this.#neighbours.values()) {
-      const identity = neighbour.member.identity;
-      if (!this.#isHeardByAll(identity, view, now)) continue;
-      if (
-        now - neighbour.heardAt < constants.greetEvery * 3 &&
-        !neighbour.leaving &&
-        !this.#retired.has(identity) &&
-        !view.members.some(hasIdentity, { identity }) &&
-        !holdersOf(view).some(hasIdentity, { identity })
-      )
-        candidates.push(neighbour.member);
+    for (const { member } of this.#peers.joinable(now)) {
+      if (!this.#peers.isHeardByAll(member.identity, view, now)) continue;
+      if (!inView.some(hasIdentity, { identity: member.identity })) candidates.push(member);
     }
     candidates.sort(byIdentity);
     return candidates[0];
@@ -417,7 +322,7 @@
     this.#wishSince = now + constants.agreeEvery;
     this.#round += 1;
     const ballot: Ballot = { round: this.#round, identity: this.#self.identity };
-    this.#try = {
+    this.#proposal = {
       mark: wished.mark,
       ballot,
       wished,
@@ -434,14 +339,17 @@
     const before = this.#leaving ? proposers : proposers.slice(0, position);
     let rank = 0;
     for (const { identity } of before)
-      if (!this.#isLeaving(identity) && this.heardWithin(identity, constants.memberSilence, now))
+      if (
+        !this.#isLeaving(identity) &&
+        this.#peers.heardWithin(identity, constants.memberSilence, now)
+      )
         rank += 1;
     return rank;
   }
 
   /** Whether a wished view leaves out a member that is there and stops as planned. */
   #isHandover(view: ChainView, wished: ChainView, now: number): boolean {
-    for (const { identity } of this.#alive(view.members, now))
+    for (const { identity } of this.#peers.alive(view.members, now))
       if (this.#isLeaving(identity) && !wished.members.some(hasIdentity, { identity })) return true;
     return false;
   }
@@ -450,7 +358,7 @@
    * Whether those who stay can go on by themselves: a promise just given shows that its giver is there and is reached both ways, where
    * a greeting may be as old as silence takes (§8.6).
    */
-  #canGoOn({ wished, promises }: Try): boolean {
+  #canGoOn({ wished, promises }: Proposal): boolean {
     let voters = 0;
     let copies = 0;
     for (const identity of promises.keys()) {
@@ -470,8 +378,8 @@
     ]) {
       const { identity, address } = member;
       if (
-        !this.heardWithin(identity, constants.memberSilence, now) &&
-        this.#at(address, now) === undefined
+        !this.#peers.heardWithin(identity, constants.memberSilence, now) &&
+        this.#peers.at(address, now) === undefined
       )
         return false;
     }
@@ -518,44 +426,19 @@
       founding: this.#state.founding,
       copiedMark: this.#copiedMark,
       leaving: this.#leaving,
-      ...(this.#beatAt - this.#startedAt < constants.memberSilence ? {} : { hears: this.#hears() }),
+      ...(this.#beatAt - this.#startedAt < constants.memberSilence
+        ? {}
+        : { hears: this.#peers.heardLately(this.#beatAt) }),
     };
   }
 
-  #hears(): string[] {
-    const found: string[] = [];
-    for (const [identity, { heardAt }] of this.#neighbours)
-      if (this.#beatAt - heardAt <= constants.memberSilence) found.push(identity);
-    return found;
-  }
-
   #reply(to: string, message: ViewMessage, now: number): ViewCommand[] {
     if (to !== this.#self.address) return [{ kind: "send", to, message }];
     return message.kind === "greet" ? [] : this.receive(message, to, now);
   }
 
-  #greeted(message: Extract<ViewMessage, { kind: "greet" }>, now: number): ViewCommand[] {
-    const identity = message.member.identity;
-    if (identity === this.#self.identity) return [];
-    /** Of two at one address the one that goes on greeting lives; a greeting of the other may have lain here unread. */
-    if (now - (this.#retired.get(identity) ?? Number.NEGATIVE_INFINITY) <= constants.memberSilence)
-      return [];
-    this.#retired.delete(identity);
-    for (const [other, neighbour] of this.#neighbours) {
-      if (other !== identity && neighbour.member.address === message.member.address) {
-        this.#retired.set(other, now);
-        this.#neighbours.delete(other);
-      }
-    }
-    this.#neighbours.set(identity, {
-      member: message.member,
-      heardAt: now,
-      view: message.view,
-      founding: message.founding,
-      copiedMark: message.copiedMark,
-      leaving: message.leaving === true,
-      hears: message.hears,
-    });
+  #greeted(message: Greeting, now: number): ViewCommand[] {
+    if (!this.#peers.greeted(message, now)) return [];
     this.#settle(now);
     if (message.view !== undefined && message.view.mark > (this.#state.view?.mark ?? 0))
       return this.#decide(message.view);
@@ -564,7 +447,7 @@
 
   #decide(view: ChainView): ViewCommand[] {
     if (this.#state.view !== undefined && this.#state.view.mark >= view.mark) return [];
-    this.#try = undefined;
+    this.#proposal = undefined;
     this.#wishSince = undefined;
     this.#settledBefore = this.#settledSince;
     this.#settledSince = undefined;
@@ -581,7 +464,7 @@
     now: number,
   ): ViewCommand[] {
     const promised = this.#state.promised;
-    if (promised !== undefined && higher(promised, message.ballot))
+    if (promised !== undefined && isHigherBallot(promised, message.ballot))
       return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
     const result: ViewMessage = {
       kind: "promise",
@@ -596,12 +479,12 @@
   }
 
   #promise(message: Extract<ViewMessage, { kind: "promise" }>, now: number): ViewCommand[] {
-    const held = this.#try;
+    const held = this.#proposal;
     if (
       held === undefined ||
       held.value !== undefined ||
       held.mark !== message.mark ||
-      !sameBallot(held.ballot, message.ballot)
+      !isSameBallot(held.ballot, message.ballot)
     )
       return [];
     if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
@@ -622,7 +505,7 @@
     now: number,
   ): ViewCommand[] {
     const promised = this.#state.promised;
-    if (promised !== undefined && higher(promised, message.ballot))
+    if (promised !== undefined && isHigherBallot(promised, message.ballot))
       return this.#reply(from, { kind: "overtaken", mark: message.mark, ballot: promised }, now);
     const result: ViewMessage = {
       kind: "accepted",
@@ -641,12 +524,12 @@
   }
 
   #acceptedBy(message: Extract<ViewMessage, { kind: "accepted" }>): ViewCommand[] {
-    const held = this.#try;
+    const held = this.#proposal;
     if (
       held === undefined ||
       held.value === undefined ||
       held.mark !== message.mark ||
-      !sameBallot(held.ballot, message.ballot)
+      !isSameBallot(held.ballot, message.ballot)
     )
       return [];
     if (!votersOf(this.#state.view!).some(hasIdentity, { identity: message.member })) return [];
@@ -655,44 +538,3 @@
     return this.#decide(held.value);
   }
 }
-
-/** Who agrees on the view that follows this one. */
-export function votersOf(view: ChainView): readonly Member[] {
-  return view.voters ?? view.members;
-}
-
-/** How many of the voters of a view make a majority. */
-export function majority(view: ChainView): number {
-  return Math.floor(votersOf(view).length / 2) + 1;
-}
-
-function higher(left: Ballot, right: Ballot): boolean {
-  return left.round > right.round || (left.round === right.round && left.identity > right.identity);
-}
-
-/** What was accepted under the highest ballot, of what promises told; a view that is decided already is among it. */
-function highestAccepted(told: Iterable<VoteState["accepted"] | null>): VoteState["accepted"] {
-  let best: VoteState["accepted"];
-  for (const accepted of told)
-    if (accepted && (best === undefined || higher(accepted.ballot, best.ballot))) best = accepted;
-  return best;
-}
-
-function sameBallot(left: Ballot, right: Ballot): boolean {
-  return left.round === right.round && left.identity === right.identity;
-}
-
-function sameMembers(left: readonly Member[], right: readonly Member[]): boolean {
-  if (left.length !== right.length) return false;
-  for (const [index, member] of left.entries())
-    if (member.identity !== right[index]!.identity) return false;
-  return true;
-}
-
-function hasIdentity(this: { identity: string }, member: Member): boolean {
-  return member.identity === this.identity;
-}
-
-function byIdentity(left: Member, right: Member): number {
-  return left.identity < right.identity ? -1 : 1;
-}
--- a/tools/model/src/guards.ts
+++ b/tools/model/src/guards.ts
@@ -12,6 +12,7 @@
 }
 
 const agreement = "packages/parts/dist/view.js";
+const voters = "packages/parts/dist/view-voters.js";
 const chain = "packages/parts/dist/chain.js";
 const session = "packages/parts/dist/session.js";
 const machine = "packages/control/dist/machine.js";
@@ -140,7 +141,7 @@
     cuts: [
       {
         file: agreement,
-        from: "return this.#neighbours.get(joiner.identity)?.copiedMark === view.mark",
+        from: "return this.#peers.get(joiner.identity)?.copiedMark === view.mark",
         to: "return true",
       },
     ],
@@ -174,7 +175,7 @@
     guard: "who was voted out still votes",
     invariant: "the group serves again",
     cuts: [
-      { file: agreement, from: "return view.voters ?? view.members;", to: "return view.members;" },
+      { file: voters, from: "return view.voters ?? view.members;", to: "return view.members;" },
     ],
   },
   {
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -21,7 +21,7 @@
 const chain = "packages/parts/dist/chain.js";
 const lot = "packages/parts/dist/lot.js";
 const session = "packages/parts/dist/session.js";
-const view = "packages/parts/dist/view.js";
+const voters = "packages/parts/dist/view-voters.js";
 const link = "packages/data/dist/link.js";
 const relay = "packages/data/dist/relay-core.js";
 const feed = "packages/parts/dist/feed.js";
@@ -236,7 +236,9 @@
   },
   "who was voted out still votes": {
     section: "§2.3",
-    cuts: [{ file: view, from: "return view.voters ?? view.members;", to: "return view.members;" }],
+    cuts: [
+      { file: voters, from: "return view.voters ?? view.members;", to: "return view.members;" },
+    ],
   },
   "who held all goes on when the lone copy is lost": {
     section: "§1.5",
