Requests run for the tenant of their credential; 401 where nobody holds it

The relay finds its tenant in an index built once for each version (TenantDirectory), answers 401 to one that nobody holds, as with an unknown passage only under a lease (503 without one), and gives the tenant and its rank along with the work. A keyless passage serves everybody. Names of tenants that cannot stand in a header are refused with the configuration.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -38,6 +38,7 @@
       | a limit in words     |
       | two subscribers with one key        |
       | a subscriber twice                  |
+      | a subscriber of two lines           |
       | fewer runners at most than at least |
 
   Scenario Outline: limits of an operator become those of callers
--- a/features/steps/calls-runner.ts
+++ b/features/steps/calls-runner.ts
@@ -7,6 +7,8 @@
 export interface Call {
   readonly id: string;
   readonly path: string;
+  /** Its first line and headers, as they came. */
+  readonly head: string;
   /** Calls before it on its connection, the newest last. */
   readonly before: readonly Call[];
 }
@@ -20,6 +22,8 @@
   readonly sockets: Set<Socket>;
   /** How often a call of an id was begun. */
   readonly runs: Map<string, number>;
+  /** First line and headers of calls by their ids. */
+  readonly heads: Map<string, string>;
   readonly held: (() => void)[];
   address: string;
   fault: Fault | undefined;
@@ -122,8 +126,9 @@
       if (this.#rest.length < end + 4 + long) return found;
       const id = /chutewick-attempt-id: (\S+)/i.exec(this.#rest)![1]!;
       const path = this.#rest.split(" ")[1]!;
+      const head = this.#rest.slice(0, end);
       this.#rest = this.#rest.slice(end + 4 + long);
-      const call: Call = { id, path, before: [...this.calls] };
+      const call: Call = { id, path, head, before: [...this.calls] };
       this.calls.push(call);
       found.push(call);
     }
@@ -145,6 +150,7 @@
 
 function take(runner: StandIn, call: Call, socket: Socket): void {
   runner.runs.set(call.id, (runner.runs.get(call.id) ?? 0) + 1);
+  runner.heads.set(call.id, call.head);
   function answer(): void {
     socket.write(answerTo(call));
   }
@@ -185,6 +191,7 @@
     server: createServer({ noDelay: true }, accept),
     sockets: new Set(),
     runs: new Map(),
+    heads: new Map(),
     held: [],
     address: "",
     fault: undefined,
--- a/features/steps/calls-world.ts
+++ b/features/steps/calls-world.ts
@@ -35,13 +35,19 @@
   calls: number;
 }
 
-export function configure(world: World, limits: Record<string, number> | undefined): void {
+/** Enters the next version of the document. */
+export function configure(
+  world: World,
+  limits: Record<string, number> | undefined,
+  subscribers?: readonly { readonly name: string; readonly credentials: readonly string[] }[],
+): void {
   world.revision += 1;
   const document = {
     revision: world.revision,
     routes: world.routes,
     services: [{ name: "printer", healthPath: "/health", maxConnections: 0 }],
     ...(limits === undefined ? {} : { limits }),
+    ...(subscribers === undefined ? {} : { subscribers }),
   };
   const translated = documents.replaced(JSON.stringify(document), 0);
   ok(translated !== undefined, "the document is valid");
--- a/features/steps/platform.ts
+++ b/features/steps/platform.ts
@@ -229,6 +229,8 @@
       { name: "huka", credentials: ["k1"] },
       { name: "huka", credentials: ["k2"] },
     ];
+  if (fault === "a subscriber of two lines")
+    this.document["subscribers"] = [{ name: "huka\r\nX-Other: 1", credentials: ["k1"] }];
   if (fault === "fewer runners at most than at least")
     (this.document["services"] as Record<string, unknown>[])[0]!["scaling"] = {
       minimum: 3,
@@ -274,6 +276,7 @@
       resumeAfter: 4,
       events: true,
       repeatable: false,
+      tenancy: undefined,
     },
     100,
   );
--- a/features/steps/relay-requests.ts
+++ b/features/steps/relay-requests.ts
@@ -20,6 +20,7 @@
     tokensOut: undefined,
     parts: [],
     resumeAfter: undefined,
+    credential: undefined,
     ...more,
   };
 }
--- a/features/steps/relay.ts
+++ b/features/steps/relay.ts
@@ -46,13 +46,17 @@
   return !this.has(card.id);
 }
 
+/** Where most of the passages stand. */
+export const host = "shop.example";
+
 interface Sent {
   readonly go: number;
   readonly address: string;
   readonly work: PassWork;
 }
 
-interface World {
+/** What steps on the relay share. */
+export interface World {
   known: KnownFleet;
   choice: Choice;
   core: RelayCore;
@@ -97,13 +101,14 @@
       prefix: row["prefix"]!,
       kind: row["kind"] as Passage["kind"],
       pools: shares(row["pools"]!),
-      rank: 0,
+      rank: Number(row["rank"] ?? 0),
       goesMost: Number(row["gos"]),
       guard: Number(row["guard"]),
       aim: Number(row["aim"]),
       resumable: row["resumable"] === "yes",
       affinity: false,
       waitingTokens: 0,
+      ...(row["keyless"] === "yes" ? { keyless: true } : {}),
     };
   }
   this.known = new KnownFleet();
@@ -166,7 +171,7 @@
 }
 Given("the runner {string} refuses all", refusesAll);
 
-function take(world: World, outputs: readonly PassOutput[]): void {
+export function takeOutputs(world: World, outputs: readonly PassOutput[]): void {
   for (const output of outputs) {
     world.outputs.push(output);
     if (output.kind !== "pass-run") continue;
@@ -177,7 +182,7 @@
       world.refusing.has(output.address) &&
       world.core.mayStart(output.go, world.now) === undefined
     ) {
-      take(
+      takeOutputs(
         world,
         world.core.goEvent(
           output.go,
@@ -190,12 +195,12 @@
 }
 
 function arrives(this: World, id: string, host: string, path: string): void {
-  take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
+  takeOutputs(this, this.core.arrive(id, requestOf(id, host, path), this.now));
 }
 When("{string} arrives for {string} at {string}", arrives);
 
 function arrivesWith(this: World, id: string, host: string, path: string, patience: number): void {
-  take(this, this.core.arrive(id, requestOf(id, host, path, { patience }), this.now));
+  takeOutputs(this, this.core.arrive(id, requestOf(id, host, path, { patience }), this.now));
 }
 When("{string} arrives for {string} at {string} with a patience of {int} ms", arrivesWith);
 
@@ -206,7 +211,7 @@
   path: string,
   resumeAfter: number,
 ): void {
-  take(this, this.core.arrive(id, requestOf(id, host, path, { resumeAfter }), this.now));
+  takeOutputs(this, this.core.arrive(id, requestOf(id, host, path, { resumeAfter }), this.now));
 }
 When("{string} arrives for {string} at {string} after event {int}", arrivesAfter);
 
@@ -216,9 +221,9 @@
   for (let index = 0; index < count; index += 1) {
     const id = `many-${this.arrived.length}-${count}`;
     this.arrived.push(id);
-    take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
+    takeOutputs(this, this.core.arrive(id, requestOf(id, host, path), this.now));
     /** Their seats are free again for the next, where there are more than seats. */
-    if (count > 100) take(this, this.core.left(id, this.now));
+    if (count > 100) takeOutputs(this, this.core.left(id, this.now));
   }
 }
 When("{int} inquiries arrive for {string} at {string}", manyArrive);
@@ -262,7 +267,7 @@
   for (let index = 0; index < count; index += 1) {
     const id = `shared-${index}`;
     this.arrived.push(id);
-    take(
+    takeOutputs(
       this,
       this.core.arrive(
         id,
@@ -276,7 +281,7 @@
       ),
     );
     if (apart === 0) continue;
-    take(this, this.core.left(id, this.now));
+    takeOutputs(this, this.core.left(id, this.now));
     this.now += apart;
   }
 }
@@ -317,9 +322,9 @@
   for (let index = 0; index < count; index += 1) {
     const id = `turn-${index}`;
     this.arrived.push(id);
-    take(this, this.core.arrive(id, requestOf(id, host, path), this.now));
+    takeOutputs(this, this.core.arrive(id, requestOf(id, host, path), this.now));
     this.now +=
-      latest(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
+      latestOf(this, id).address === this.signs.address ? this.signs.late : this.signs.usual;
     gives.call(this, id, 200, "label");
   }
 }
@@ -340,7 +345,7 @@
     const id = `${isLong ? "long" : "short"}-${index}`;
     this.arrived.push(id);
     this.now += 30;
-    take(
+    takeOutputs(
       this,
       this.core.arrive(
         id,
@@ -349,7 +354,7 @@
       ),
     );
     streams.call(this, id, 1, 1);
-    if (index >= 6) take(this, this.core.left(this.arrived[index - 6]!, this.now));
+    if (index >= 6) takeOutputs(this, this.core.left(this.arrived[index - 6]!, this.now));
   }
 }
 When(
@@ -360,7 +365,7 @@
 function noneHasBoth(this: World): void {
   const kinds = new Map<string, Set<string>>();
   for (const id of this.arrived) {
-    const { address } = latest(this, id);
+    const { address } = latestOf(this, id);
     const found = kinds.get(address) ?? new Set<string>();
     found.add(id.split("-")[0]!);
     kinds.set(address, found);
@@ -372,7 +377,7 @@
 
 function toRunner(this: World, least: number, most: number, runner: string): void {
   let count = 0;
-  for (const id of this.arrived) if (latest(this, id).address === `${runner}:80`) count += 1;
+  for (const id of this.arrived) if (latestOf(this, id).address === `${runner}:80`) count += 1;
   ok(count >= least && count <= most, `${count}`);
 }
 Then("{int} to {int} of them are sent to the runner {string}", toRunner);
@@ -455,20 +460,20 @@
   return undefined;
 }
 
-function latest(world: World, id: string): Sent {
+export function latestOf(world: World, id: string): Sent {
   const found = world.sent.get(id)?.at(-1);
   ok(found !== undefined, `${id} was sent nowhere`);
   return found;
 }
 
 function sentToPool(this: World, id: string, pool: string): void {
-  equal(poolOf(this, latest(this, id)), pool);
+  equal(poolOf(this, latestOf(this, id)), pool);
 }
 Then("{string} is sent to the pool {string}", sentToPool);
 
 function countToPool(this: World, least: number, most: number, pool: string): void {
   let count = 0;
-  for (const id of this.arrived) if (poolOf(this, latest(this, id)) === pool) count += 1;
+  for (const id of this.arrived) if (poolOf(this, latestOf(this, id)) === pool) count += 1;
   ok(count >= least && count <= most, `${count}`);
 }
 Then("{int} to {int} of them are sent to the pool {string}", countToPool);
@@ -486,12 +491,12 @@
 Then("{string} was sent to {int} runner(s)", sentTimes);
 
 function tells(world: World, id: string, ...all: PassEvent[]): void {
-  const { go } = latest(world, id);
-  for (const told of all) take(world, world.core.goEvent(go, told, world.now));
+  const { go } = latestOf(world, id);
+  for (const told of all) takeOutputs(world, world.core.goEvent(go, told, world.now));
 }
 
 function begins(world: World, id: string): void {
-  equal(world.core.mayStart(latest(world, id).go, world.now), undefined);
+  equal(world.core.mayStart(latestOf(world, id).go, world.now), undefined);
 }
 
 function bytes(text: string): Uint8Array {
@@ -571,12 +576,12 @@
 When("the runner of {string} streams an event without a number", streamsUnnumbered);
 
 function deregisters(this: World, id: string): void {
-  this.known.closed.add(latest(this, id).work.runner);
+  this.known.closed.add(latestOf(this, id).work.runner);
 }
 When("the runner of {string} says goodbye", deregisters);
 
 function mayNotStart(this: World, id: string, reason: string): void {
-  equal(this.core.mayStart(latest(this, id).go, this.now), reason);
+  equal(this.core.mayStart(latestOf(this, id).go, this.now), reason);
 }
 Then("the go of {string} may not start: {string}", mayNotStart);
 
@@ -586,18 +591,18 @@
 Then("the go of {string} may start", mayStart);
 
 function goesOnAfter(this: World, id: string, number: number): void {
-  equal(latest(this, id).work.resumeAfter, number);
+  equal(latestOf(this, id).work.resumeAfter, number);
 }
 Then("the go of {string} goes on after event {int}", goesOnAfter);
 
 function has(this: World, id: string, left: number): void {
-  equal(latest(this, id).work.until - this.now, left);
+  equal(latestOf(this, id).work.until - this.now, left);
 }
 Then("the runner of {string} has {int} ms", has);
 
 function pass(this: World, span: number): void {
   this.now += span;
-  take(this, this.core.beat(this.now));
+  takeOutputs(this, this.core.beat(this.now));
 }
 When("{int} ms pass", pass);
 
@@ -619,7 +624,7 @@
 Then("the caller of {string} gets {string}", gets);
 
 function linkDoes(world: World, id: string, kind: PassOutput["kind"]): void {
-  const { go } = latest(world, id);
+  const { go } = latestOf(world, id);
   let found = false;
   for (const output of world.outputs)
     if (output.kind === kind && "go" in output && output.go === go) found = true;
@@ -646,15 +651,15 @@
 }
 Then("the link of {string} goes on", resumes);
 function slow(this: World, id: string): void {
-  take(this, this.core.slow(id));
+  takeOutputs(this, this.core.slow(id));
 }
 When("the caller of {string} reads slowly", slow);
 function ready(this: World, id: string): void {
-  take(this, this.core.ready(id));
+  takeOutputs(this, this.core.ready(id));
 }
 When("the caller of {string} reads again", ready);
 function leaves(this: World, id: string): void {
-  take(this, this.core.left(id, this.now));
+  takeOutputs(this, this.core.left(id, this.now));
 }
 When("the caller of {string} leaves", leaves);
 
--- a/features/steps/runner-links.ts
+++ b/features/steps/runner-links.ts
@@ -203,6 +203,7 @@
     resumeAfter: undefined,
     events: false,
     repeatable: false,
+    tenancy: undefined,
     ...more,
   });
   return go;
--- /dev/null
+++ b/features/tenants.feature
@@ -0,0 +1,165 @@
+Feature: Requests run for the tenant that holds the caller's credential, and for nobody else
+  Guards against issue 33: every request of a deployment with tenants ran without its tenant and with the credential passed on,
+  and requests with credentials that nobody holds were run (docs/incidents/requests-without-tenant.md, docs/design.md §13.10).
+
+  Rule: Who is served (virtual time)
+
+    Background:
+      Given passages
+        | name  | host         | prefix  | kind   | pools   | gos | guard | aim | resumable | rank | keyless |
+        | fetch | shop.example | /fetch/ | safe   | plain 1 | 2   | 1000  | 100 | no        | 3    | no      |
+        | long  | shop.example | /long/  | stream | model 1 | 3   | 3000  | 200 | yes       | 3    | no      |
+        | open  | shop.example | /open/  | safe   | plain 1 | 2   | 1000  | 100 | no        | 3    | yes     |
+      And runners
+        | id | pool  |
+        | p1 | plain |
+        | p2 | plain |
+        | m1 | model |
+        | m2 | model |
+      And the tenants
+        | name  | credentials | rank |
+        | north | n-1, n-2    | 1    |
+        | south | s-1         |      |
+
+    Scenario Outline: A credential that is <credential> is answered with 401, and counted
+      When "q1" arrives at "/fetch/x" with the credential "<text>"
+      Then the caller of "q1" gets "refused 401"
+      And 1 request was counted as unauthorized
+
+      Examples:
+        | credential | text |
+        | unknown    | x-1  |
+        | missing    |      |
+        | inherited  | constructor |
+
+    Scenario: What is not there is not found, whatever the credential
+      When "q1" arrives at "/nowhere/x" with the credential ""
+      Then the caller of "q1" gets "refused 404"
+      And 0 requests were counted as unauthorized
+
+    Scenario: A node without a lease may lack a credential that was added, so it refuses none for good
+      Given the node serves without a lease
+      When "q1" arrives at "/fetch/x" with the credential "x-1"
+      Then the caller of "q1" gets "refused 503 after 0.35"
+      And 0 requests were counted as unauthorized
+      When "q2" arrives at "/fetch/x" with the credential "n-1"
+      Then "q2" runs for the tenant "north"
+
+    Scenario: Each credential of a tenant names it, and its rank goes before the passage's
+      When "q1" arrives at "/fetch/x" with the credential "n-2"
+      Then "q1" runs for the tenant "north" with rank 1
+      When "q2" arrives at "/fetch/x" with the credential "s-1"
+      Then "q2" runs for the tenant "south" with rank 3
+
+    Scenario: A tenant's rank is never that of items
+      Given the tenants
+        | name  | credentials | rank |
+        | north | n-1         | 7    |
+      When "q1" arrives at "/fetch/x" with the credential "n-1"
+      Then "q1" runs for the tenant "north" with rank 4
+
+    Scenario: A keyless passage serves everybody, and a known credential still names its tenant
+      When "q1" arrives at "/open/x" with the credential ""
+      Then "q1" runs for no tenant
+      When "q2" arrives at "/open/x" with the credential "x-1"
+      Then "q2" runs for no tenant
+      When "q3" arrives at "/open/x" with the credential "s-1"
+      Then "q3" runs for the tenant "south"
+
+    Scenario: A configuration that names nobody serves keyless passages alone
+      Given the tenants
+        | name | credentials | rank |
+      When "q1" arrives at "/fetch/x" with the credential "n-1"
+      Then the caller of "q1" gets "refused 401"
+      When "q2" arrives at "/open/x" with the credential "n-1"
+      Then "q2" runs for no tenant
+
+    Scenario: A configuration without tenants asks for no credential
+      Given the configuration has no tenants
+      When "q1" arrives at "/fetch/x" with the credential "x-1"
+      Then "q1" runs as it came
+
+    Scenario: Credentials are added, taken away and passed on by versions
+      Given the tenants
+        | name  | credentials | rank |
+        | north | n-2         | 1    |
+        | south | s-1, n-1    |      |
+        | west  | w-1         |      |
+      When "q1" arrives at "/fetch/x" with the credential "w-1"
+      Then "q1" runs for the tenant "west"
+      When "q2" arrives at "/fetch/x" with the credential "n-1"
+      Then "q2" runs for the tenant "south"
+      Given the tenants
+        | name  | credentials | rank |
+        | south | s-1, n-1    |      |
+      When "q3" arrives at "/fetch/x" with the credential "n-2"
+      Then the caller of "q3" gets "refused 401"
+
+    Scenario: What is under way goes on when its credential is taken away
+      When "q1" arrives at "/fetch/x" with the credential "n-1"
+      Given the tenants
+        | name  | credentials | rank |
+        | south | s-1         |      |
+      When the go of "q1" breaks
+      And the runner of "q1" answers 200 with "label"
+      Then the caller of "q1" gets "head 200; label; end"
+      And "q1" runs for the tenant "north" with rank 1
+
+    Scenario: A second runner works for the same tenant, also where a stream goes on there
+      When "q1" arrives at "/long/x" with the credential "n-1"
+      And the runner of "q1" streams events 1 to 3
+      And the go of "q1" breaks
+      Then "q1" was sent to 2 runners
+      And the go of "q1" goes on after event 3
+      And "q1" runs for the tenant "north" with rank 1
+
+    Scenario: Tenants are read once for each version, not for each request
+      Given 8600 tenants, of which each reading is counted
+      When 200 requests arrive at "/fetch/x", each with a credential of another tenant
+      Then the tenants were read 1 time
+      And each of the requests ran for its tenant
+
+  @sockets
+  Rule: What a runner is told (the adapter, the relay and the links on real sockets)
+
+    Background:
+      Given an access node with 1 runners and the routes
+        | name  | path    | kind | attempts |
+        | label | /label/ | safe | 2        |
+      And the subscribers
+        | name  | key |
+        | north | n-1 |
+        | south | s-1 |
+
+    Scenario: The runner is told the tenant of the key and never the key, whatever the caller says of itself
+      When a caller calls "label" with the headers
+        | X-API-KEY            | n-1   |
+        | chutewick-SUBSCRIBER | south |
+        | Chutewick-Subscriber | west  |
+        | X-Kept               | yes   |
+      Then the caller reads 200 first
+      And the runner was told "Chutewick-Subscriber: north" alone and "X-Kept: yes" alone, and no "X-Api-Key"
+
+    Scenario Outline: A call with <keys> gets 401 and does not run
+      When a caller calls "label" with the headers
+        | <name 1> | <key 1> |
+        | <name 2> | <key 2> |
+      Then the caller reads 401 first
+      And no call ran
+
+      Examples:
+        | keys                     | name 1               | key 1 | name 2    | key 2 |
+        | no key                   | Chutewick-Subscriber | north | X-Kept    | yes   |
+        | an unknown key           | X-Api-Key            | x-1   | X-Kept    | yes   |
+        | an empty key             | X-Api-Key            |       | X-Kept    | yes   |
+        | a known key twice        | X-Api-Key            | n-1   | X-Api-Key | n-1   |
+        | two keys of two tenants  | X-Api-Key            | n-1   | x-api-key | s-1   |
+        | two keys in one header   | X-Api-Key            | n-1, s-1 | X-Kept | yes   |
+
+    Scenario: Without subscribers in the configuration all headers are passed on as they came
+      Given a configuration without subscribers
+      When a caller calls "label" with the headers
+        | X-Api-Key            | n-1   |
+        | Chutewick-Subscriber | south |
+      Then the caller reads 200 first
+      And the runner was told "Chutewick-Subscriber: south" alone and "X-Api-Key: n-1" alone, and no "X-Kept"
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -13,6 +13,14 @@
 import { z } from "zod";
 import { callers, limits, passage, pool, tenant } from "./configuration-shapes.js";
 
+/** Runners are told it in a header, where a control character, or one beyond Latin-1, cannot stand. */
+const tenantName = z
+  .string()
+  .max(200)
+  .regex(/^[\x21-\x7e\xa0-\xff]([\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa0-\xff])?$/, {
+    error: "must have no control characters, none beyond Latin-1, and no space at its ends",
+  });
+
 /** The operators' configuration, read and checked whole before it is entered (docs/design.md §9). */
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, {
   error: "must be lower-case letters, digits and dashes, 63 at most",
@@ -82,7 +90,7 @@
   /** An earlier release knows none, and skips it. */
   callers: callers.optional(),
   /** Where it is there, even if it names nobody, each request must present a credential. */
-  tenants: z.record(z.string().min(1).max(200), tenant).optional(),
+  tenants: z.record(tenantName, tenant).optional(),
 });
 
 /** The whole document of the operators, as checked. */
--- a/packages/data/src/dialect.ts
+++ b/packages/data/src/dialect.ts
@@ -27,6 +27,14 @@
   readonly parts: readonly PromptPart[];
   /** The caller goes on with a stream after this event. */
   readonly resumeAfter: number | undefined;
+  /** What the caller presents to be known as a tenant; undefined where it presents nothing of one meaning. */
+  readonly credential: string | undefined;
+}
+
+/** Whom a runner is told to work for, where the configuration names tenants. */
+export interface Tenancy {
+  /** Undefined on a passage that needs no credential, where the caller is not known. */
+  readonly tenant: string | undefined;
 }
 
 /** What goes to a runner. */
@@ -44,6 +52,11 @@
   readonly events: boolean;
   /** Whether it may run more than once: then it may go out on a kept connection that might just be closing. */
   readonly repeatable: boolean;
+  /**
+   * Where it stands, neither the credential of the caller nor the tenant that it names itself is passed on; undefined where
+   * the configuration names no tenants: then such headers are passed on as they came.
+   */
+  readonly tenancy: Tenancy | undefined;
 }
 
 /** What the head of a runner's result says, read through the dialect. */
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./pass.js";
 export * from "./planned-stop.js";
 export * from "./relay-core.js";
+export * from "./tenants.js";
 export * from "./storage-core.js";
 export * from "./storage-service.js";
 export * from "./access-desk.js";
--- a/packages/data/src/item-jobs.ts
+++ b/packages/data/src/item-jobs.ts
@@ -72,6 +72,7 @@
     tokensOut: undefined,
     parts: entry.parts ?? [],
     resumeAfter: upTo ?? undefined,
+    credential: undefined,
   };
 }
 
@@ -85,6 +86,7 @@
     resumeAfter: lastEvent,
     events: true,
     repeatable: true,
+    tenancy: undefined,
   };
 }
 
--- a/packages/data/src/own-dialect.ts
+++ b/packages/data/src/own-dialect.ts
@@ -10,6 +10,7 @@
   other: "chutewick-other-runner",
   stamp: "chutewick-stamp",
   resumeAfter: "last-event-id",
+  tenant: "chutewick-tenant",
 } as const;
 const ours = new Set<string>([
   names.inquiry,
@@ -17,6 +18,7 @@
   names.patience,
   names.rank,
   names.resumeAfter,
+  names.tenant,
 ]);
 
 function headers(work: PassWork, now: number): string[] {
@@ -31,6 +33,8 @@
     String(work.rank),
   ];
   if (work.resumeAfter !== undefined) found.push(names.resumeAfter, String(work.resumeAfter));
+  const tenant = work.tenancy?.tenant;
+  if (tenant !== undefined) found.push(names.tenant, tenant);
   const came = work.request.headers;
   for (let index = 0; index + 1 < came.length; index += 2)
     if (!ours.has(came[index]!.toLowerCase())) found.push(came[index]!, came[index + 1]!);
--- a/packages/data/src/pass.ts
+++ b/packages/data/src/pass.ts
@@ -27,7 +27,7 @@
   | {
       readonly kind: "pass-refused";
       readonly ticket: string;
-      readonly status: 404 | 408 | 413 | 429 | 502 | 503 | 504;
+      readonly status: 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504;
       readonly retryAfter: number | undefined;
       readonly reason: string;
     }
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -1,11 +1,12 @@
 import { constants, type Policy } from "@chutewick/parts";
 import type { MarkedConfiguration, Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
-import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
+import type { PassEvent, PassRequest, PassWork, Tenancy } from "./dialect.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PassOutput } from "./pass.js";
 import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
+import { TenantDirectory, type Identity } from "./tenants.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 export interface Found {
@@ -16,11 +17,26 @@
 /** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
 const promises = new Set([408, 421, 429, 503]);
 
+/** A request that is served: where, and on whose behalf. */
+interface Admitted {
+  readonly request: PassRequest;
+  readonly passage: Passage;
+  readonly identity: Identity;
+}
+
+/** Ranks above it are those of items. */
+const LIVE_RANK_MOST = 4;
+
 interface Live {
   readonly ticket: string;
   readonly request: PassRequest;
   readonly passage: Passage;
   readonly pool: string;
+  /** Name of the tenant that it is served for, where one is known. */
+  readonly tenant: string | undefined;
+  readonly tenancy: Tenancy | undefined;
+  /** 0 goes first. */
+  readonly rank: number;
   readonly arrivedAt: number;
   /** Until when anything may be told at all, and until when a runner may be found. */
   readonly deadline: number;
@@ -60,6 +76,7 @@
 }
 
 export class RelayCore {
+  readonly tenants: TenantDirectory;
   #fleet: FleetView;
   #choice: Choice;
   #policy: Policy;
@@ -82,6 +99,7 @@
     passCut: 0,
     passLeft: 0,
     passUnknown: 0,
+    passUnauthorized: 0,
     passGos: 0,
     passWaited: 0,
     passResumed: 0,
@@ -90,6 +108,7 @@
 
   constructor(fleet: FleetView, choice: Choice, policy: Policy) {
     this.#fleet = fleet;
+    this.tenants = new TenantDirectory(fleet);
     this.#choice = choice;
     this.#policy = policy;
   }
@@ -149,12 +168,15 @@
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
     const found = this.find(request.host, request.path);
     if (found === undefined) return this.#turnAwayUnknown(ticket, now);
+    const identity = this.tenants.identify(found.passage, request.credential);
+    if (identity === undefined) return this.#turnAwayUnauthorized(ticket, now);
     if (this.#bytes + request.body.length > this.#policy.memory * constants.bodiesPart)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
-    return this.#take(ticket, request, found, now);
+    return this.#take(ticket, { request, passage: found.passage, identity }, now);
   }
 
-  #take(ticket: string, request: PassRequest, { passage }: Found, now: number): PassOutput[] {
+  #take(ticket: string, { request, passage, identity }: Admitted, now: number): PassOutput[] {
+    const { tenancy, rank } = identity;
     const patience = request.patience ?? passage.guard;
     const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
@@ -163,6 +185,9 @@
       request,
       passage,
       pool: poolOf(passage, request.id),
+      tenant: tenancy?.tenant,
+      tenancy,
+      rank: rank ?? passage.rank,
       arrivedAt: now,
       deadline,
       waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
@@ -199,6 +224,19 @@
     return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
   }
 
+  /** As with a passage that is not there: one without a lease may lack a credential that was added. */
+  #turnAwayUnauthorized(ticket: string, now: number): PassOutput[] {
+    if (!this.#fleet.holds(now))
+      return this.#turnAway(
+        ticket,
+        503,
+        constants.knownAfter,
+        "no tenant holds this credential in a configuration that may be out of date",
+      );
+    this.counts.passUnauthorized += 1;
+    return this.#turnAway(ticket, 401, undefined, "a credential of a tenant is needed here");
+  }
+
   /** The caller is gone: what runs for it is broken off. */
   left(ticket: string, now: number): PassOutput[] {
     const live = this.#live.get(ticket);
@@ -464,11 +502,12 @@
     const work: PassWork = {
       request: live.request,
       runner: chosen.runner,
-      rank: Math.min(4, live.passage.rank),
+      rank: Math.min(LIVE_RANK_MOST, live.rank),
       until: go.until,
       resumeAfter: live.last,
       events: live.passage.kind === "stream",
       repeatable: live.repeatable,
+      tenancy: live.tenancy,
     };
     outputs.push({ kind: "pass-run", go: number, address: chosen.address, work });
     if (live.slow) outputs.push({ kind: "pass-pause", go: number });
@@ -533,7 +572,7 @@
 
   #turnAway(
     ticket: string,
-    status: 404 | 503,
+    status: 401 | 404 | 503,
     retryAfter: number | undefined,
     reason: string,
   ): PassOutput[] {
--- a/tools/simulator/src/worlds/live-callers.ts
+++ b/tools/simulator/src/worlds/live-callers.ts
@@ -135,5 +135,6 @@
     tokensOut: undefined,
     parts: [],
     resumeAfter: undefined,
+    credential: undefined,
   };
 }
