Rounds for single acts at the platform: who acts, with which fence, and what is said

The records of control decide a duty's act at once, whole: the body that was decided first stays, whoever claims later; the fence rises with each change of the holder and never falls; another holder wins only after a lease without a win. What the platform took is remembered in ranges of numbers and is never decided again. Neither records nor bodies go to nodes.

--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -26,6 +26,7 @@
 } from "./control-messages.js";
 import { agreementFrom, chainFrom, feedFrom, type ControlOrigin } from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
+import { isClaimResult } from "./duties/duty-ledger.js";
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
@@ -373,8 +374,9 @@
     return outputs;
   }
 
-  /** What changed the configuration needs the shares that follow from it, too. */
+  /** What changed the configuration needs the shares that follow from it, too; rounds of duties concern no node. */
   #inForceBy({ value, place }: { value: ControlResult; place: number }): number | undefined {
+    if (isClaimResult(value)) return 0;
     return value.kind === "IN_FORCE" ? this.#sharesInStep.inForceBy(place, this.#feed) : place;
   }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -18,3 +18,6 @@
 export * from "./node-heartbeats.js";
 export * from "./lease-coverage.js";
 export * from "./peer-heartbeats.js";
+export * from "./duties/duty-acts.js";
+export * from "./duties/duty-ledger.js";
+export * from "./duties/number-ranges.js";
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -7,6 +7,12 @@
   type Selector,
 } from "@chutewick/parts";
 import { configuration, type Configuration, type MarkedConfiguration } from "./configuration.js";
+import {
+  dutyLedger,
+  type ClaimAct,
+  type ClaimResult,
+  type FinishAct,
+} from "./duties/duty-ledger.js";
 import { emptying, type EmptyCommand, type EmptyingQuery, type EmptyingState } from "./emptying.js";
 import { keys } from "./keys.js";
 import { OrderLog } from "./order-log.js";
@@ -23,6 +29,8 @@
   | { kind: "fleet"; fleet: FleetRecord }
   | EmptyCommand
   | EmptyingQuery
+  | ClaimAct
+  | FinishAct
   | { kind: "read" };
 
 /** A whole configuration on top of a base. */
@@ -58,6 +66,7 @@
   /** Being emptied already; from heads of earlier releases, and an acknowledgement like any other. */
   | { kind: "UNDER_WAY"; reason: string }
   | { kind: "EMPTYING"; state: EmptyingState }
+  | ClaimResult
   | { kind: "DONE" }
   | { kind: "CONFIGURATION"; mark: number; value: Configuration; origin?: string };
 
@@ -215,6 +224,11 @@
       }
       case "empty":
         return emptying.take(ledger, command, time) ?? { kind: "DONE" };
+      case "claim-act":
+        return dutyLedger.claim(ledger, command, time);
+      case "finish-act":
+        dutyLedger.finish(ledger, command, time);
+        return { kind: "DONE" };
       case "emptying":
         return {
           kind: "EMPTYING",
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -37,6 +37,7 @@
   ControlOutput,
 } from "./control-messages.js";
 import { ControlCore, noQuorum } from "./core.js";
+import { isClaimResult } from "./duties/duty-ledger.js";
 import type { Explained } from "./explain.js";
 import type { ControlCommand, ControlResult } from "./machine.js";
 
@@ -386,6 +387,7 @@
 }
 
 function tellValue(to: ServerResponse, value: ControlResult): void {
+  if (isClaimResult(value)) return reply(to, 200, { done: true });
   switch (value.kind) {
     case "IN_FORCE":
       return reply(to, 200, {
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -360,6 +360,10 @@
   /** connections to one runner: where its pool tells no limit, and the part of the limit that is used. */
   connectionsUntold: 64,
   connectionsPart: 0.9,
+  /** acts. Decided and not taken by the platform yet, of one subject; the oldest are given up beyond. */
+  openActsMost: 512,
+  /** ranges. Numbers of acts that are done, of one subject; gaps between the oldest are closed beyond. */
+  finishedRangesMost: 512,
   /** times as long as usual that a runner is known by a node cut off from control: cuts last some 5 s. */
   aloneTimes: 6,
 } as const;
