Performer of duties: a round for each call, and a model of it with faults

Sources tell what is due (usage by window, scaling by pool and zone); the performer claims a round for each act, calls within a short time since it asked, and tells the group what the platform took. Whoever won last goes on; others take over when the act would be late.

--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -364,6 +364,26 @@
   openActsMost: 512,
   /** ranges. Numbers of acts that are done, of one subject; gaps between the oldest are closed beyond. */
   finishedRangesMost: 512,
+  /** ms. Pauses after a call to the platform that failed: at least, the first at most, and at most after many. */
+  dutyPauseLeast: 50,
+  dutyPauseFirst: 250,
+  dutyPauseMost: 3_000,
+  /** ms. The platform has seen a higher fence: the record may be behind. */
+  dutyOutdatedPause: 1_000,
+  /** ms. An answer of the platform is waited for; twice as long after each call without one. */
+  dutyCallPatience: 3_000,
+  dutyCallPatienceMost: 12_000,
+  /** calls in a row without an answer, and leases. After so many a machine leaves the platform to the others for so long. */
+  dutyTriesUntilYield: 2,
+  dutyYieldLeases: 2,
+  /** ms. Machines that would take an act over follow each other. */
+  takeoverStagger: 250,
+  /** part of the calls that the platform takes, for all control machines together. */
+  dutyCallsPart: 0.5,
+  /** windows. Reports of usage that one machine holds due at once; older ones are made only if they were decided. */
+  usageWindowsMost: 120,
+  /** leases. An order of scaling that nobody has made for so long is made by any machine. */
+  scalingTakeoverLeases: 2,
   /** times as long as usual that a runner is known by a node cut off from control: cuts last some 5 s. */
   aloneTimes: 6,
 } as const;
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -16,3 +16,4 @@
 export * from "./season.js";
 export * from "./policy.js";
 export * from "./caller-limits.js";
+export * from "./duty-bounds.js";
--- a/tools/simulator/src/guards.ts
+++ b/tools/simulator/src/guards.ts
@@ -1,3 +1,4 @@
+import { dutyGuards } from "./duties/duty-guards.js";
 import type { Cut } from "./without.js";
 
 /** What holds each rule, and how it is taken out of the compiled product to show that it does (docs/testing.md §2). */
@@ -28,6 +29,7 @@
 const constant = "packages/parts/dist/constants.js";
 
 export const guards: Readonly<Record<string, Guard>> = {
+  ...dutyGuards,
   "another runner only if no byte went out": {
     section: "§6.1",
     cuts: [
--- a/tools/simulator/src/index.ts
+++ b/tools/simulator/src/index.ts
@@ -13,3 +13,4 @@
 export { targetedFaults } from "./targeted-faults/index.js";
 export { guards, rows } from "./guards.js";
 export * from "./worlds/index.js";
+export * from "./duties/index.js";
