Tests of links to runners have a clock of their own

Cause: an idle connection is used again within 500 ms (idleUntold) where the runner told no time; the test's three works ran by the real clock, and the machine (load average 30) left more than that between two of them. The links take their clock as an option; the test now gives them one that moves only where a step lets time pass. As strict as before: the same counts of connections, and the span of 900 ms and the stand-still of 150 ms pass to the millisecond. A real process that is as slow makes a new connection, which breaks nothing.

--- a/features/steps/runner-links.ts
+++ b/features/steps/runner-links.ts
@@ -25,6 +25,7 @@
   world.script = scripts[does] ?? scripts["never answers"]!;
   world.events = new Map();
   world.works = 0;
+  world.now = 0;
 }
 
 /** Hands each whole request on a connection to the script. */
@@ -75,7 +76,7 @@
     mayStart: () => world.look,
     told: (go, event) => world.events.get(go)!.push(event),
     share: () => world.share,
-    now: monotonic,
+    now: () => world.now,
   });
   return listen(world, does);
 }
@@ -127,8 +128,7 @@
 
 async function standsStill(this: World, span: number): Promise<void> {
   const go = begin(this);
-  const until = monotonic() + span;
-  while (monotonic() < until);
+  this.now += span;
   await over(this, go);
 }
 When("a work begins and this process stands still for {int} ms", standsStill);
@@ -199,7 +199,7 @@
     request: requestOf(`w-${go}`, "shop.example", "/run/x?y=1", request),
     runner: "r1",
     rank: 1,
-    until: monotonic() + 20_000,
+    until: world.now + 20_000,
     resumeAfter: undefined,
     events: false,
     repeatable: false,
@@ -234,12 +234,8 @@
 
 async function inTurnApart(this: World, count: number, span: number): Promise<void> {
   for (let index = 0; index < count; index += 1) {
-    const from = monotonic();
+    if (index > 0) this.now += span;
     await over(this, begin(this));
-    function passed(): boolean {
-      return monotonic() - from >= span;
-    }
-    if (index < count - 1) await settled(passed);
   }
 }
 When("{int} works run one after the other, {int} ms apart", inTurnApart);
--- a/features/steps/runner-scripts.ts
+++ b/features/steps/runner-scripts.ts
@@ -14,6 +14,8 @@
   links: PassConnections;
   events: Map<number, PassEvent[]>;
   works: number;
+  /** ms. Clock of the links; it stands still but where a step lets time pass. */
+  now: number;
   share: number;
   look: string | undefined;
   held: number;
