Soak: a process that is stopped while its runtime starts is told apart

Cause: the process had been started 1.7 s before, starts took 5 s (startedIn 5683), and its log was still empty: the signal came before the program had run, so the system's own handling ended it. No program can have a handler there, and nothing was open, so nothing can have been lost. The check now counts such an end by itself (handlesSignals, which the soak's SIGHUP has always asked first); any process that has written a line must end with 0, as before. It is as strict for all processes that can have taken a request.

--- a/features/soak/answer-checks.ts
+++ b/features/soak/answer-checks.ts
@@ -1,4 +1,4 @@
-import { bounds, type Machine } from "../system/machine.js";
+import { bounds, handlesSignals, type Machine } from "../system/machine.js";
 import { eventsOf } from "../system/stand-in-runner.js";
 import type { Exchange } from "./exchange.js";
 import type { SoakSystem } from "./system.js";
@@ -71,6 +71,8 @@
   /** Judges how a process ended after a planned stop, `took` ms after SIGTERM and before anyone killed it. */
   judgeEnd(machine: Machine, took: number): void {
     if (machine.ended === 0) return;
+    /** The signal came while the runtime still started: the program had opened nothing, and no handler can be there yet. */
+    if (machine.ended === null && !handlesSignals(machine)) return this.#count("stopped unstarted");
     this.#violations.add(
       "NOT_ENDED",
       `${machine.name}: code ${machine.ended ?? "none"} ${Math.round(took)} ms after SIGTERM`,
