--- a/packages/control/src/control-origin.ts
+++ b/packages/control/src/control-origin.ts
@@ -7,6 +7,7 @@
   type Policy,
   type VoteState,
 } from "@chutewick/parts";
+import { DutyRecords } from "./duties/duty-records.js";
 import { ControlMachine } from "./machine.js";
 import { published } from "./published.js";
 
@@ -44,10 +45,21 @@
   return new Chain("control", origin.member, machine, now, origin.holding, policy.copiesLeast);
 }
 
+/** The records of duties, as far as all on the disk of a member was confirmed. */
+export function dutyRecordsFrom({ holding }: ControlOrigin, isMember: boolean): DutyRecords {
+  const records = new DutyRecords();
+  if (isMember && holding !== undefined && isConfirmed(holding)) records.restore(holding.records);
+  return records;
+}
+
+function isConfirmed({ state }: ChainHolding): boolean {
+  return state.place === state.confirmed;
+}
+
 /** The feed to nodes: a member goes on from its disk where all on it was confirmed. */
 export function feedFrom({ holding }: ControlOrigin, isMember: boolean): Feed {
   const feed = new Feed(published);
-  if (isMember && holding !== undefined && holding.state.place === holding.state.confirmed)
+  if (isMember && holding !== undefined && isConfirmed(holding))
     feed.restore(holding.state.place, holding.records);
   return feed;
 }
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -24,12 +24,21 @@
   type ControlOutput,
   type SessionMessage,
 } from "./control-messages.js";
-import { agreementFrom, chainFrom, feedFrom, type ControlOrigin } from "./control-origin.js";
+import {
+  agreementFrom,
+  chainFrom,
+  dutyRecordsFrom,
+  feedFrom,
+  type ControlOrigin,
+} from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
 import { isClaimResult } from "./duties/duty-ledger.js";
+import { DutyRecords } from "./duties/duty-records.js";
+import type { DutyGround } from "./duties/duty-service.js";
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
+import type { MarkedConfiguration } from "./configuration.js";
 import { HeadPlanner } from "./head-planner.js";
 import { HeadRequests } from "./head-requests.js";
 import { keys } from "./keys.js";
@@ -81,6 +90,7 @@
   #forwarding: Forwarding;
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
+  #dutyRecords: DutyRecords;
   #calledSilentAt = Number.NEGATIVE_INFINITY;
   #disk: DiskCondition = "writable";
   /** A planned stop is under way. */
@@ -99,6 +109,7 @@
     this.#agreement = agreementFrom(origin, this.#policy, now);
     this.#chain = chainFrom(origin, this.#policy, now);
     this.#feed = feedFrom(origin, this.#isMember);
+    this.#dutyRecords = dutyRecordsFrom(origin, this.#isMember);
     this.#coverage = new LeaseCoverage(now);
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
@@ -195,6 +206,19 @@
     return this.#contact.hasQuorum(this.#agreement.view, now);
   }
 
+  /** What duties at the platform are performed by; undefined where this machine may win no round, or is about to stop. */
+  dutySituation(now: number): DutyGround | undefined {
+    const view = this.#chain.view;
+    if (view === undefined || this.#isStopping || !this.#isMember) return undefined;
+    if (!this.inContact(now)) return undefined;
+    return {
+      place: this.#chain.position,
+      members: view.members.length,
+      records: this.#dutyRecords,
+      isConfigured: this.#feed.read<MarkedConfiguration>(keys.configuration) !== undefined,
+    };
+  }
+
   /** An operator's or node's request: entered at the head, from wherever it arrived; refused at once where no majority is reached. */
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
     if (!this.inContact(now))
@@ -333,10 +357,12 @@
           break;
         case "confirmed":
           this.#feed.take(command.place, command.changes);
+          this.#dutyRecords.take(command.changes);
           news = true;
           break;
         case "restored":
           this.#feed.restore(command.place, command.records);
+          this.#dutyRecords.restore(command.records);
           news = true;
           break;
         case "result":
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -27,3 +27,4 @@
 export * from "./duties/subject-performer.js";
 export * from "./duties/usage-reports.js";
 export * from "./duties/scaling-orders.js";
+export * from "./duties/duty-service.js";
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -24,10 +24,10 @@
   constants,
   outcome,
   type DiskCondition,
+  type DutyBounds,
   type Outcome,
   type RunnerCard,
 } from "@chutewick/parts";
-import type { ServerResponse } from "node:http";
 import type { ServiceSchema } from "moleculer";
 import type { ControlDesk, ControlFront } from "./control-desk.js";
 import type {
@@ -37,12 +37,15 @@
   ControlOutput,
 } from "./control-messages.js";
 import { ControlCore, noQuorum } from "./core.js";
-import { isClaimResult } from "./duties/duty-ledger.js";
+import { DutyService, type DutyPlatform } from "./duties/duty-service.js";
 import type { Explained } from "./explain.js";
-import type { ControlCommand, ControlResult } from "./machine.js";
+import type { ControlCommand } from "./machine.js";
+import { operatorReplies } from "./operator-replies.js";
 
 export interface ControlExtras {
   readonly fronts?: readonly ControlFront[];
+  /** Where duties are performed; without it none are. */
+  readonly dutyPlatform?: DutyPlatform;
 }
 
 /** The control process: sockets, folder and beats round the core (docs/design.md §10). */
@@ -55,6 +58,7 @@
   #beat = new Beat();
   #waiting = new Map<string, (outcome: ControlOutcome) => void>();
   #fronts: readonly ControlFront[];
+  #duties: DutyService | undefined;
   #ticketNumber = 0;
 
   private constructor(settings: Settings, log: Log, disk: Disk, extras: ControlExtras) {
@@ -112,12 +116,15 @@
     const held = disk.value;
     const opened = new ControlProcess(settings, log, held, extras);
     running.process = opened;
+    if (settings.duties !== undefined && extras.dutyPlatform !== undefined)
+      opened.#duties = opened.#dutyService(settings.name, settings.duties, extras.dutyPlatform);
     const trouble = await listen(opened.#wire, opened.#gateway);
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void {
       held.beat(now);
       opened.#perform(opened.#core.beat(now, Date.now()));
       opened.#wire.beat(now);
+      opened.#duties?.beat(now, opened.#core.dutySituation(now));
     }
     opened.#perform(opened.#core.start(monotonic()));
     opened.#beat.start(strike);
@@ -144,12 +151,21 @@
     await settled(handedOver);
     const closing = [this.#gateway.close(constants.ordersAnsweredWithin)];
     for (const front of this.#fronts) closing.push(front.close());
+    this.#duties?.close();
     await Promise.all(closing);
     this.#beat.stop();
     this.#wire.close();
     await this.#disk.close();
   }
 
+  #dutyService(name: string, bounds: DutyBounds, platform: DutyPlatform): DutyService {
+    const self = this;
+    function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
+      self.#enter(command, told);
+    }
+    return new DutyService({ name, bounds, platform, log: this.#log, inquire });
+  }
+
   /** What an interface beside our own may ask (§13.2). */
   #desk(): ControlDesk {
     const self = this;
@@ -253,7 +269,7 @@
     /** Answers at once where no majority is reached: what is known here may be old. */
     function isAway(arrival: Arrival): boolean {
       if (self.#core.inContact(monotonic())) return false;
-      tell(arrival.reply, { kind: "not-run", reason: noQuorum });
+      operatorReplies.tell(arrival.reply, { kind: "not-run", reason: noQuorum });
       return true;
     }
     function explain(arrival: Arrival): void {
@@ -293,7 +309,7 @@
 
   #inquire(arrival: Arrival, command: ControlCommand): void {
     function told(outcome: ControlOutcome): void {
-      tell(arrival.reply, outcome);
+      operatorReplies.tell(arrival.reply, outcome);
     }
     this.#enter(command, told);
   }
@@ -368,57 +384,3 @@
   const request = JSON.stringify([key, kind, arrival.headers["if-match"] ?? null, arrival.body]);
   return outcome.good(createHash("sha256").update(request).digest("base64url"));
 }
-
-function tell(to: ServerResponse, result: ControlOutcome): void {
-  metrics.changed(result.kind === "confirmed" ? result.value.kind : result.kind);
-  if (result.kind === "not-run")
-    return replyTrouble(to, 503, {
-      trouble: "not-run",
-      reason: result.reason,
-      retryAfter: constants.retryAfter,
-    });
-  if (result.kind === "unknown")
-    return replyTrouble(to, 504, {
-      trouble: "unknown",
-      reason:
-        "whether the change takes effect is not known yet; send it again with the same Idempotency-Key, or read the configuration and its mark",
-    });
-  tellValue(to, result.value);
-}
-
-function tellValue(to: ServerResponse, value: ControlResult): void {
-  if (isClaimResult(value)) return reply(to, 200, { done: true });
-  switch (value.kind) {
-    case "IN_FORCE":
-      return reply(to, 200, {
-        mark: value.mark,
-        ...(value.warnings === undefined ? {} : { warnings: value.warnings }),
-      });
-    case "CONFLICT":
-      return replyTrouble(to, 409, {
-        trouble: "conflict",
-        reason: `the mark is ${value.mark} by now; nothing was changed`,
-        mark: value.mark,
-      });
-    case "UNKNOWN_MACHINE":
-    case "TOO_FEW":
-    case "REFUSED":
-      return replyTrouble(to, 422, { trouble: "refused", reason: value.reason });
-    case "UNDER_WAY":
-    case "DONE":
-      return reply(to, 200, { done: true });
-    case "EMPTYING":
-      return reply(to, 200, { state: value.state ?? null });
-    case "CONFIGURATION":
-      return reply(
-        to,
-        200,
-        {
-          mark: value.mark,
-          configuration: value.value,
-          ...(value.origin === undefined ? {} : { origin: value.origin }),
-        },
-        { etag: `"${value.mark}"` },
-      );
-  }
-}
--- a/packages/shell/src/settings.ts
+++ b/packages/shell/src/settings.ts
@@ -1,6 +1,13 @@
 import { readFileSync } from "node:fs";
 import { isIP } from "node:net";
-import { outcome, policy, type Bounds, type Outcome, type Policy } from "@chutewick/parts";
+import {
+  outcome,
+  policy,
+  type Bounds,
+  type DutyBounds,
+  type Outcome,
+  type Policy,
+} from "@chutewick/parts";
 import { z } from "zod";
 
 /** An IPv4 number and a port. */
@@ -41,6 +48,24 @@
   })
   .superRefine(isHeld);
 
+const duties = z
+  .strictObject({
+    kinds: z.array(z.enum(["usage", "scaling"])),
+    callsPerSecond: z.number().positive(),
+    lease: span,
+    thawSlack: span.default(0),
+    window: z.number().positive(),
+    reportWithin: z.number().positive(),
+  })
+  .refine(hasLease, {
+    error: "the lease must be longer than the slack of a thaw",
+    path: ["lease"],
+  });
+
+function hasLease({ lease, thawSlack }: DutyBounds): boolean {
+  return lease > thawSlack;
+}
+
 /** The reasons for which a combination of bounds cannot hold, as findings of the settings. */
 function isHeld(value: Bounds, context: { addIssue(issue: string): void }): void {
   const worked = policy.from(value);
@@ -68,6 +93,8 @@
   founding: z.boolean().default(true),
   /** What the deployment tells of itself, where it has bounds of its own (§13.3). */
   bounds: bounds.optional(),
+  /** Duties at the deployment's platform, where it has any (§14). */
+  duties: duties.optional(),
   /** Data folder; access nodes have none. */
   data: z.string().min(1).optional(),
   logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
