Requests that began to run are counted by tenant and window of agreed time, and told to control

Nothing counted what tenants use, so no usage report could be made. Access nodes count each live request of a tenant once, in the window of true time in which a runner first began on it, and tell every control machine the counts that changed since its acknowledgement, at least each 0.35 s while there are new ones. Control machines keep the largest count of each life of a node and sum over lives. True time is the median of the control machines' wall clocks over the monotonic clock of the process.

--- a/features/steps/registry-sender.ts
+++ b/features/steps/registry-sender.ts
@@ -55,6 +55,7 @@
       zones,
       feed: new Feed(),
       sessions: new Sessions(),
+      wall: NOW,
       now: NOW,
     });
     const lease = messages.find((each) => each.kind === "lease");
--- /dev/null
+++ b/features/steps/usage.ts
@@ -0,0 +1,385 @@
+/** Steps on usage counted by access nodes and told to control machines, in virtual time (docs/design.md §14.2). */
+import { deepEqual, equal, ok } from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+  ControlUsage,
+  type LeaseMessage,
+  type RegistryMessage,
+  type UsageMessage,
+  type UsageTakenMessage,
+} from "@chutewick/control";
+import { AccessUsage } from "@chutewick/data";
+import { constants, emptyRegistry } from "@chutewick/parts";
+import { Chance } from "@chutewick/simulator";
+
+/** ms */
+const WINDOW = 5_000;
+const STEP = 10;
+/** A message takes as long either way, so that the clock that it tells was read in the middle of a round trip. */
+const TRANSIT = STEP;
+/** ms since the start of 1970 when virtual time stands at 0: the start of a window. */
+const STARTED_AT = 1_790_000_000_000;
+const STARTS_PER_STEP = 0.4;
+
+interface Node {
+  readonly address: string;
+  readonly life: string;
+  readonly usage: AccessUsage;
+  wallStep: number;
+  isDead: boolean;
+  /** Starts counted here: when, in which window by true time, for whom. */
+  readonly starts: Start[];
+}
+
+interface Start {
+  readonly at: number;
+  readonly window: number;
+  readonly tenant: string;
+}
+
+interface Control {
+  readonly address: string;
+  life: string;
+  usage: ControlUsage;
+  wallStep: number;
+}
+
+type Message = LeaseMessage | RegistryMessage | UsageMessage | UsageTakenMessage;
+
+interface OnTheWay {
+  readonly at: number;
+  readonly from: string;
+  readonly to: string;
+  readonly message: Message;
+}
+
+interface Steps {
+  readonly controls: number;
+  readonly nodes: number;
+  readonly by: number;
+  readonly from: number;
+  readonly until: number;
+}
+
+interface World {
+  chance: Chance;
+  now: number;
+  nodes: Node[];
+  controls: Control[];
+  messages: OnTheWay[];
+  doubles: boolean;
+  lateMost: number;
+  losses: number;
+  steps: Steps | undefined;
+  /** ms. When counts were told last, and the most counts of one message. */
+  toldAt: number;
+  countsMost: number;
+}
+
+function newControl(address: string, life: string): ControlUsage {
+  return new ControlUsage({ identity: address, address }, life, WINDOW);
+}
+
+function begin(this: World, nodes: number, controls: number, seconds: number): void {
+  equal(seconds * 1_000, WINDOW);
+  this.chance = new Chance(7);
+  this.now = 0;
+  this.messages = [];
+  this.doubles = false;
+  this.lateMost = TRANSIT;
+  this.losses = 0;
+  this.steps = undefined;
+  this.toldAt = Number.NEGATIVE_INFINITY;
+  this.countsMost = 0;
+  this.nodes = [];
+  this.controls = [];
+  for (let index = 0; index < nodes; index += 1) {
+    const life = `node-${index + 1}-life`;
+    this.nodes.push({
+      address: `node-${index + 1}`,
+      life,
+      usage: new AccessUsage(life, WINDOW),
+      wallStep: 0,
+      isDead: false,
+      starts: [],
+    });
+  }
+  for (let index = 0; index < controls; index += 1) {
+    const address = `control-${index + 1}`;
+    this.controls.push({
+      address,
+      life: "first",
+      usage: newControl(address, "first"),
+      wallStep: 0,
+    });
+  }
+  pass(this, 2, 0);
+}
+Given("{int} access nodes and {int} control machines, with windows of {int} s", begin);
+
+function send(world: World, from: string, to: string, message: Message): void {
+  if (message.kind === "usage") tellSeen(world, message);
+  const isCounts = message.kind === "usage" || message.kind === "usage-taken";
+  if (isCounts && world.chance.next() < world.losses) return;
+  const late = isCounts ? world.lateMost : TRANSIT;
+  const copies = isCounts && world.doubles ? 2 : 1;
+  for (let copy = 0; copy < copies; copy += 1)
+    world.messages.push({
+      at: world.now + TRANSIT + world.chance.next() * (late - TRANSIT),
+      from,
+      to,
+      message: structuredClone(message),
+    });
+}
+
+function tellSeen(world: World, message: UsageMessage): void {
+  world.toldAt = world.now;
+  let counts = 0;
+  for (const window of message.windows) counts += window.counts.length;
+  world.countsMost = Math.max(world.countsMost, counts);
+}
+
+function deliver(world: World): void {
+  const due = world.messages.filter(({ at }) => at <= world.now);
+  world.messages = world.messages.filter(({ at }) => at > world.now);
+  due.sort((left, right) => left.at - right.at);
+  for (const { from, to, message } of due) {
+    const node = world.nodes.find(({ address }) => address === to);
+    const control = world.controls.find(({ address }) => address === to);
+    if (node !== undefined && !node.isDead) toNode(world, node, from, message);
+    if (control !== undefined) toControl(world, control, from, message);
+  }
+}
+
+function toNode(world: World, { usage }: Node, from: string, message: Message): void {
+  if (message.kind === "lease") usage.heardLease(from, message, world.now);
+  if (message.kind === "usage-taken") usage.taken(from, message);
+}
+
+function toControl(
+  world: World,
+  { address, usage }: Control,
+  from: string,
+  message: Message,
+): void {
+  const isOver = (life: string): boolean =>
+    world.nodes.every((node) => node.life !== life || node.isDead);
+  const outputs =
+    message.kind === "usage"
+      ? usage.take(message, from, world.now)
+      : message.kind === "roll"
+        ? usage.heardPeer(from, message, isOver, world.now)
+        : [];
+  for (const output of outputs)
+    if (output.kind === "send") send(world, address, output.to, output.message as Message);
+}
+
+/** Answers to heartbeats, and heartbeats among control machines. */
+function heartbeats(world: World): void {
+  for (const control of world.controls) {
+    const stamp = { life: control.life, at: world.now };
+    const wall = control.usage.wallAt(world.now);
+    for (const { address } of world.nodes)
+      send(world, control.address, address, {
+        kind: "lease",
+        identity: control.address,
+        view: { mark: 1, members: [] },
+        askedAt: world.now - TRANSIT,
+        place: 1,
+        roll: emptyRegistry,
+        controls: [],
+        stamp,
+        wall,
+      });
+    for (const { address } of world.controls)
+      if (address !== control.address)
+        send(world, control.address, address, { kind: "roll", roll: emptyRegistry, stamp, wall });
+  }
+}
+
+function beat(world: World, areHeartbeatsSent: boolean): void {
+  const wall = STARTED_AT + world.now;
+  for (const { usage, wallStep } of world.controls) {
+    usage.beat(world.now, wall + wallStep);
+    usage.ledger.forget(world.now);
+  }
+  for (const node of world.nodes) {
+    if (node.isDead) continue;
+    for (const { to, message } of node.usage.beat(
+      world.now,
+      wall + node.wallStep,
+      areHeartbeatsSent,
+    ))
+      send(world, node.address, to, message as UsageMessage);
+  }
+}
+
+function stepClocks(world: World): void {
+  if (world.steps === undefined) return;
+  const { controls, nodes, by, from, until } = world.steps;
+  const ahead = world.now >= from && world.now < until ? by : 0;
+  for (const control of world.controls.slice(0, controls)) control.wallStep = ahead;
+  for (const node of world.nodes.slice(0, nodes)) node.wallStep = ahead;
+}
+
+function start(world: World, node: Node, tenant: string): void {
+  const window = node.usage.counter.windowAt(world.now);
+  ok(window !== undefined);
+  node.usage.counter.began(tenant, window);
+  const truly = Math.floor((STARTED_AT + world.now) / WINDOW);
+  node.starts.push({ at: world.now, window: truly, tenant });
+}
+
+function pass(world: World, seconds: number, tenants: number): void {
+  const end = world.now + seconds * 1_000;
+  while (world.now < end) {
+    world.now += STEP;
+    stepClocks(world);
+    deliver(world);
+    for (const node of world.nodes)
+      if (!node.isDead && tenants > 0 && world.chance.next() < STARTS_PER_STEP)
+        start(world, node, `tenant-${Math.floor(world.chance.next() ** 2 * tenants)}`);
+    if (world.now % constants.beatEvery !== 0) continue;
+    const areHeartbeatsSent = world.now % constants.sessionEvery === 0;
+    if (areHeartbeatsSent) heartbeats(world);
+    beat(world, areHeartbeatsSent);
+  }
+}
+
+function run(this: World, tenants: number, seconds: number): void {
+  pass(this, seconds, tenants);
+}
+When("requests of {int} tenants begin to run for {int} s", run);
+
+function rest(this: World, seconds: number): void {
+  pass(this, seconds, 0);
+}
+When("nothing begins for {int} s", rest);
+
+function oneOfEach(this: World, tenants: number, node: number): void {
+  for (let tenant = 0; tenant < tenants; tenant += 1)
+    start(this, this.nodes[node - 1]!, `tenant-${tenant}`);
+}
+When("one request of each of {int} tenants begins to run at node {int}", oneOfEach);
+
+function doubledAndLate(this: World, seconds: number): void {
+  this.doubles = true;
+  this.lateMost = seconds * 1_000;
+}
+Given("messages are doubled, and up to {int} s late", doubledAndLate);
+
+function lost(this: World): void {
+  this.losses = 0.5;
+}
+Given("half of the messages are lost", lost);
+
+function clockSteps(this: World, controls: number, nodes: number, by: number): void {
+  this.steps = {
+    controls,
+    nodes,
+    by: by * 1_000,
+    from: this.now + 7_000,
+    until: this.now + 14_000,
+  };
+}
+Given(
+  "the clocks of {int} control machines and {int} access nodes are stepped by {int} s after 7 s, and back after 14 s",
+  clockSteps,
+);
+
+function killed(this: World, node: number): void {
+  this.nodes[node - 1]!.isDead = true;
+}
+When("node {int} is killed", killed);
+
+function restarts(this: World, number: number): void {
+  const control = this.controls[number - 1]!;
+  control.life = "second";
+  control.usage = newControl(control.address, control.life);
+  const isToOrFrom = ({ from, to }: OnTheWay): boolean =>
+    from === control.address || to === control.address;
+  this.messages = this.messages.filter((message) => !isToOrFrom(message));
+}
+When("control machine {int} restarts", restarts);
+
+type Counts = Map<string, number>;
+
+/** Counts of starts by window and tenant. */
+function tally(starts: readonly Start[]): Map<number, Counts> {
+  const windows = new Map<number, Counts>();
+  for (const { window, tenant } of starts) {
+    const counts = windows.get(window) ?? new Map<string, number>();
+    windows.set(window, counts.set(tenant, (counts.get(tenant) ?? 0) + 1));
+  }
+  return windows;
+}
+
+function allStarts(world: World): Start[] {
+  return world.nodes.flatMap(({ starts }) => starts);
+}
+
+function sum(counts: ReadonlyMap<string, number>): number {
+  let total = 0;
+  for (const count of counts.values()) total += count;
+  return total;
+}
+
+function holdsAll(this: World, error: number): void {
+  /** The last of them is told. */
+  pass(this, 4, 0);
+  const truth = tally(allStarts(this));
+  for (const { usage } of this.controls) {
+    let held = 0;
+    for (const [window, counts] of truth) {
+      const told = usage.ledger.countsOf(window);
+      held += sum(told);
+      for (const [tenant, count] of counts) {
+        const apart = Math.abs((told.get(tenant) ?? 0) - count);
+        ok(apart <= Math.max(1, error * count), `${tenant} in ${window}: ${apart} of ${count}`);
+      }
+    }
+    equal(held, allStarts(this).length);
+  }
+}
+Then("each control machine holds all counts, none further than {float} from the truth", holdsAll);
+
+function lacksLast(this: World, seconds: number): void {
+  const killedAt = this.now;
+  pass(this, 4, 0);
+  const dead = this.nodes.find(({ isDead }) => isDead)!;
+  const last = dead.starts.filter(({ at }) => at > killedAt - seconds * 1_000).length;
+  ok(last > 0);
+  for (const { usage } of this.controls) {
+    let held = 0;
+    for (const window of tally(allStarts(this)).keys()) held += sum(usage.ledger.countsOf(window));
+    const lacking = allStarts(this).length - held;
+    ok(lacking <= last, `${lacking} are lacking, ${last} began in the last ${seconds} s`);
+  }
+}
+Then(
+  "each control machine lacks only what began to run there within the last {float} s",
+  lacksLast,
+);
+
+function noneTold(this: World, seconds: number): void {
+  ok(this.toldAt <= this.now - seconds * 1_000, `told ${this.now - this.toldAt} ms ago`);
+}
+Then("no counts were told in the last {int} s", noneTold);
+
+function piecesOf(this: World, most: number): void {
+  ok(this.countsMost <= most, `${this.countsMost} in one message`);
+}
+Then("no message held more than {int} counts", piecesOf);
+
+function noneHeld(this: World): void {
+  for (const { usage } of this.controls) {
+    for (const window of tally(allStarts(this)).keys())
+      equal(usage.ledger.countsOf(window).size, 0);
+    deepEqual(
+      usage.ledger.told(() => true),
+      [],
+    );
+  }
+  for (const { usage } of this.nodes) deepEqual(usage.counter.changedSince(0).windows, []);
+}
+Then("no machine holds counts of any window", noneHeld);
--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -27,7 +27,9 @@
   | ControlAddressesMessage
   | CoverageMessage
   | ForwardedCommandMessage
-  | ForwardedResultMessage;
+  | ForwardedResultMessage
+  | UsageMessage
+  | UsageTakenMessage;
 
 const viewKinds: ReadonlySet<string> = new Set<ViewMessage["kind"]>([
   "greet",
@@ -84,6 +86,8 @@
   /** Addresses of the control machines. */
   readonly controls: readonly string[];
   readonly stamp?: Stamp;
+  /** ms since the start of 1970, by the wall clock of this control machine; an earlier release tells none (§14.1). */
+  readonly wall?: number;
 }
 
 /** Heartbeat between control machines, with the registry as the sender knows it. */
@@ -94,6 +98,8 @@
   readonly zone?: string;
   readonly stamp?: Stamp;
   readonly back?: Back | null;
+  /** ms since the start of 1970, by the wall clock of the sender; an earlier release tells none (§14.1). */
+  readonly wall?: number;
 }
 
 /** Runners heard of just now, told at once (§13.8). */
@@ -131,6 +137,36 @@
   readonly outcome: ControlOutcome;
 }
 
+/** Requests of a tenant. */
+export type TenantCount = readonly [tenant: string, count: number];
+
+/** Requests that began to run in one window, by tenant. */
+export interface WindowUsage {
+  /** True time divided by the length of windows. */
+  readonly window: number;
+  readonly counts: readonly TenantCount[];
+}
+
+/** Counts of one life of an access node; each stands for all up to now, so taking one twice does no harm (§14.2). */
+export interface UsageMessage {
+  readonly kind: "usage";
+  /** The life of the node that counted. */
+  readonly life: string;
+  /** Holds each count that changed after this change of that life, up to and with the other one. */
+  readonly since: number;
+  readonly upTo: number;
+  readonly windows: readonly WindowUsage[];
+}
+
+/** A control machine acknowledges counts. */
+export interface UsageTakenMessage {
+  readonly kind: "usage-taken";
+  /** Of the control machine: what an earlier one took is gone. */
+  readonly life: string;
+  readonly since: number;
+  readonly upTo: number;
+}
+
 /** What became of a request. */
 export type ControlOutcome =
   | { readonly kind: "confirmed"; readonly value: ControlResult; readonly place: number }
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -4,6 +4,7 @@
   emptyRegistry,
   lateness,
   policy,
+  type AgreedTime,
   type Agreement,
   type Chain,
   type ChainCommand,
@@ -42,6 +43,8 @@
 import { isDeregistered, takeReport } from "./runner-announcements.js";
 import { SharesInStep } from "./shares-in-step.js";
 import { SilentNodes } from "./silent-nodes.js";
+import { ControlUsage } from "./usage/control-usage.js";
+import type { UsageLedger } from "./usage/usage-ledger.js";
 
 type ChainResult = Extract<ChainCommand, { kind: "result" }>;
 
@@ -80,6 +83,7 @@
   #forwarding: Forwarding;
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
+  #usage: ControlUsage;
   #calledSilentAt = Number.NEGATIVE_INFINITY;
   #disk: DiskCondition = "writable";
   /** A planned stop is under way. */
@@ -91,6 +95,7 @@
     this.#policy = origin.policy ?? policy.usual;
     this.#sessions = new Sessions(this.#policy);
     this.#contact = new QuorumContact(origin.member.address, origin.life);
+    this.#usage = new ControlUsage(origin.member, origin.life, this.#policy.usageWindow);
     this.#forwarding = new Forwarding(origin.life);
     this.#peerHeartbeats = new PeerHeartbeats(origin.life, origin.zone);
     this.#zones = new ControlZones(origin.member, origin.zone);
@@ -112,6 +117,14 @@
   get isHead(): boolean {
     return this.#chain.isHead;
   }
+  /** Requests that began to run, by window and tenant, as all access nodes tell them (§14.2). */
+  get usage(): UsageLedger {
+    return this.#usage.ledger;
+  }
+  /** True time, by which windows of usage are told apart (§14.1). */
+  get agreedTime(): AgreedTime {
+    return this.#usage.time;
+  }
 
   /** A planned stop: the others take the view over at once (§8.6). */
   leave(now: number): ControlOutput[] {
@@ -174,7 +187,9 @@
         this.#peerHeartbeats.heard(from, message.stamp, now);
         this.#zones.heard(from, message.zone);
         this.#contact.heard(from, message.back, now);
-        return [];
+        return this.#usage.heardPeer(from, message, this.#isOver(now), now);
+      case "usage":
+        return this.#usage.take(message, from, now);
       case "runners":
         for (const card of message.runners) this.#sessions.announced(card, now - card.age);
         return [];
@@ -189,6 +204,12 @@
     }
   }
 
+  /** Whether an access node's life is over, as far as is known here: it tells nothing itself any more. */
+  #isOver(now: number): (life: string) => boolean {
+    const present = new Set(this.#sessions.live("access", now).map(({ identity }) => identity));
+    return (life) => !present.has(life);
+  }
+
   /** Whether what is acknowledged here can be brought to all: a majority of control was reached just now. */
   inContact(now: number): boolean {
     return this.#contact.hasQuorum(this.#agreement.view, now);
@@ -437,6 +458,7 @@
       zones: this.#zones,
       feed: this.#feed,
       sessions: this.#sessions,
+      wall: this.#usage.wallAt(now),
       now,
     });
     const outputs = sendAll(message.card.address, messages);
@@ -446,6 +468,7 @@
   /** Time passes. */
   beat(now: number, wall: number): ControlOutput[] {
     this.#wall = wall;
+    this.#usage.beat(now, wall);
     this.#putOffPlanning(now);
     const stuck = this.#chain.stuck(now)?.identity;
     return [
@@ -477,15 +500,19 @@
     const registry = this.#peerHeartbeats.beginRegistry(this.#sessions.size, now)
       ? this.#sessions.registry(now)
       : emptyRegistry;
-    return this.#agreement
-      .addresses()
-      .map((to) => ({ kind: "send", to, message: this.#peerHeartbeats.to(to, registry, now) }));
+    const wall = this.#usage.wallAt(now);
+    return this.#agreement.addresses().map((to) => ({
+      kind: "send",
+      to,
+      message: this.#peerHeartbeats.to(to, registry, wall, now),
+    }));
   }
 
   #forget(now: number): ControlOutput[] {
     if (now - this.#forgetAt <= constants.sessionLasts) return [];
     this.#forgetAt = now;
     this.#sessions.forget(now);
+    this.#usage.ledger.forget(now);
     this.#nodeHeartbeats.forget(now);
     return [];
   }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -18,3 +18,5 @@
 export * from "./node-heartbeats.js";
 export * from "./lease-coverage.js";
 export * from "./peer-heartbeats.js";
+export * from "./usage/control-usage.js";
+export * from "./usage/usage-ledger.js";
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -28,6 +28,8 @@
   readonly zones: ControlZones;
   readonly feed: Feed;
   readonly sessions: Sessions;
+  /** ms, by the wall clock of this machine. */
+  readonly wall: number;
   readonly now: number;
 }
 
@@ -87,9 +89,9 @@
 
 function leaseMessage(
   terms: Pick<LeaseMessage, "view" | "askedAt" | "place" | "roll">,
-  { self, life, controls, now }: HeartbeatContext,
+  { self, life, controls, wall, now }: HeartbeatContext,
 ): LeaseMessage {
-  return { kind: "lease", identity: self, ...terms, controls, stamp: { life, at: now } };
+  return { kind: "lease", identity: self, ...terms, controls, stamp: { life, at: now }, wall };
 }
 
 /** What a node still misses of the feed. */
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -48,10 +48,10 @@
     return true;
   }
 
-  /** Heartbeat to a peer. */
-  to(address: string, roll: RunnerRegistry, now: number): RegistryMessage {
+  /** Heartbeat to a peer; wall in ms, by the clock of this machine. */
+  to(address: string, roll: RunnerRegistry, wall: number, now: number): RegistryMessage {
     const back = giveBack(this.#stamps.get(address), now);
     const zone = this.#zone === undefined ? {} : { zone: this.#zone };
-    return { kind: "roll", roll, ...zone, stamp: { life: this.#life, at: now }, back };
+    return { kind: "roll", roll, ...zone, stamp: { life: this.#life, at: now }, back, wall };
   }
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -239,6 +239,7 @@
           configuration: mark,
           head,
           view,
+          usageMerged: self.#core.usage.merged,
           sent: self.#wire.sent,
           dropped: self.#wire.dropped,
         }),
--- a/packages/data/src/access-core.ts
+++ b/packages/data/src/access-core.ts
@@ -17,6 +17,7 @@
 import { RelayCore } from "./relay-core.js";
 import { RunnerRegistrations } from "./runner-registrations.js";
 import { RunnerSelection } from "./runner-selection.js";
+import { AccessUsage } from "./usage/access-usage.js";
 
 /** What operators are shown of an access node. */
 export interface AccessStatus {
@@ -45,6 +46,8 @@
   readonly lots: PassLots;
   /** Live requests on passages (§13.5). */
   readonly relay: RelayCore;
+  /** Requests that began to run, by window and tenant (§14.2). */
+  readonly usage: AccessUsage;
   readonly counts: AccessCounts = newAccessCounts();
   #standing: Standing;
   #pendingCalls: PendingCalls;
@@ -88,7 +91,8 @@
     this.#lotRequests = new LotRequests(parts);
     this.#registrations = new RunnerRegistrations(parts, now);
     this.#dispatcher = new PromptDispatcher(parts);
-    this.relay = new RelayCore(membership, this.choice, chosen);
+    this.usage = new AccessUsage(standing.identity, chosen.usageWindow);
+    this.relay = new RelayCore(membership, this.choice, chosen, this.usage.counter);
     this.lots = new PassLots(membership, this.choice, pendingCalls, this.relay);
   }
 
@@ -134,6 +138,12 @@
         this.lots.dispatcher.endPauses();
         return this.membership.tell(now);
       case "lease":
+        this.usage.heardLease(from, message, now);
+        this.membership.receive(message, from, now);
+        return [];
+      case "usage-taken":
+        this.usage.taken(from, message);
+        return [];
       case "controls":
       case "runners":
         this.membership.receive(message, from, now);
@@ -169,6 +179,7 @@
       ...this.membership.beat(now),
       ...this.#pendingCalls.beat(now),
       ...this.#controlCalls.beat(now),
+      ...this.usage.beat(now, wallClock, this.membership.toldAt === now),
     ];
     this.#registrations.beat(now);
     outputs.push(...this.#dispatcher.beat(now));
@@ -264,7 +275,12 @@
       leaseLeft: Math.round(this.membership.leaseLeft(now)),
       live: this.#liveRequests.size,
       gos: this.#attempts.size,
-      counts: { ...this.counts, ...this.relay.counts, ...this.lots.dispatcher.counts },
+      counts: {
+        ...this.counts,
+        ...this.relay.counts,
+        ...this.lots.dispatcher.counts,
+        ...this.usage.counts,
+      },
       runners: this.membership.runners(now),
     };
   }
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -336,6 +336,7 @@
         counts: {
           ...self.#core.counts,
           ...self.#relay.counts,
+          ...self.#core.usage.counts,
           ...self.#passLinks.counts,
           ...countsOfWire(self.#wire),
         },
@@ -353,6 +354,7 @@
         await metrics.read({
           ...self.#core.counts,
           choices: { ...self.#core.choice.counts },
+          usage: self.#core.usage.counts,
           gos,
           live,
           leaseLeft,
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -27,3 +27,6 @@
 export * from "./warm-up/warm-up.js";
 export * from "./choice-counts.js";
 export * from "./caller-delivery.js";
+export * from "./usage/access-usage.js";
+export * from "./usage/usage-counter.js";
+export * from "./usage/usage-reports.js";
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -97,6 +97,10 @@
   get zone(): string {
     return this.#standing.zone;
   }
+  /** ms, monotonic. When the last heartbeats were sent. */
+  get toldAt(): number {
+    return this.#toldAt;
+  }
   get registry(): RunnerRegistry {
     return this.#registry;
   }
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -6,6 +6,7 @@
 import type { PassOutput } from "./pass.js";
 import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
+import type { UsageCounter } from "./usage/usage-counter.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 export interface Found {
@@ -43,6 +44,10 @@
   slow: boolean;
   /** What went wrong last, told to the caller when nothing else can be tried. */
   failure: RelayFailure;
+  /** Whose credential came with it; undefined where none was needed. */
+  tenant: string | undefined;
+  /** Counted as one that began to run: another run of the same try is no other request. */
+  isCounted: boolean;
 }
 
 interface Go {
@@ -51,6 +56,8 @@
   readonly chosen: Chosen;
   readonly until: number;
   began: boolean;
+  /** Window of usage in which it went out; undefined where none is counted. */
+  window: number | undefined;
   /** Last sign of it here. */
   heardAt: number;
   head: { readonly status: number; readonly headers: readonly string[] } | undefined;
@@ -63,6 +70,7 @@
   #fleet: FleetView;
   #choice: Choice;
   #policy: Policy;
+  #usage: UsageCounter | undefined;
   #live = new Map<string, Live>();
   #gos = new Map<number, Go>();
   /** Those without a runner, in the order of their coming. */
@@ -88,10 +96,11 @@
     passRescued: 0,
   };
 
-  constructor(fleet: FleetView, choice: Choice, policy: Policy) {
+  constructor(fleet: FleetView, choice: Choice, policy: Policy, usage?: UsageCounter) {
     this.#fleet = fleet;
     this.#choice = choice;
     this.#policy = policy;
+    this.#usage = usage;
   }
 
   get busy(): number {
@@ -178,6 +187,8 @@
       numbered: true,
       slow: false,
       failure: { kind: "no-runner-known" },
+      tenant: undefined,
+      isCounted: false,
     };
     this.#live.set(ticket, live);
     this.#bytes += request.body.length;
@@ -233,6 +244,7 @@
     if (this.#fleet.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now))
       return "the runner is gone";
     go.began = true;
+    go.window = this.#usage?.windowAt(now);
     go.heardAt = now;
     return undefined;
   }
@@ -322,6 +334,8 @@
         now,
         outputs,
       );
+    /** Any other answer shows that the runner had begun when it was sent there; a stream begins with its first event. */
+    if (live.passage.kind !== "stream") this.#countStart(live, go.window);
     /** Of a run that goes on for another only its events count. */
     if (live.opened && (status < 200 || status >= 300))
       return this.#spoilt(go, `the runner answered ${status}`, now, outputs);
@@ -338,6 +352,13 @@
     else this.#choice.first(go.number, now);
   }
 
+  /** A request counts once, in the window in which a runner first began to work on it (§14.2). */
+  #countStart(live: Live, window: number | undefined): void {
+    if (live.isCounted || live.tenant === undefined || window === undefined) return;
+    live.isCounted = true;
+    this.#usage?.began(live.tenant, window);
+  }
+
   #event(
     go: Go,
     number: number | undefined,
@@ -350,8 +371,10 @@
     /** A run that goes on for another may tell again what came before. */
     else if (live.last !== undefined && number <= live.last) return;
     else live.last = number;
-    if (go.size === 0) this.#choice.first(go.number, now);
-    else this.#choice.sign(go.number, now);
+    if (go.size === 0) {
+      this.#choice.first(go.number, now);
+      this.#countStart(live, this.#usage?.windowAt(now));
+    } else this.#choice.sign(go.number, now);
     go.size += bytes.length;
     this.#open(go, outputs);
     outputs.push({ kind: "pass-bytes", ticket: live.ticket, bytes });
@@ -450,6 +473,7 @@
       chosen,
       until: live.deadline,
       began: false,
+      window: undefined,
       heardAt: now,
       head: undefined,
       kept: [],
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -362,4 +362,21 @@
   connectionsPart: 0.9,
   /** times as long as usual that a runner is known by a node cut off from control: cuts last some 5 s. */
   aloneTimes: 6,
+  /** ms. A wall clock told this much ago says nothing any more: five heartbeats. */
+  toldClockLasts: 3_000,
+  /** ms. A clock told in a message that may have been longer on its way is not read: a window of usage is 5 s and its error 0.05. */
+  toldClockLateMost: 300,
+  /** clocks. With fewer, one that was stepped could be the median. */
+  clocksLeast: 3,
+  /** ms. What was agreed stands so long without enough clocks: monotonic clocks go apart by some 60 ms in it. */
+  agreedTimeStands: 600_000,
+  /** ms. Agreed time waits rather than go back by so much; clocks are stepped by seconds. */
+  agreedTimeWaits: 5_000,
+  /** ms. Counts of usage are told this often at least while there are new ones; with the beat before it they are under 0.5 s old. */
+  usageTellEvery: 350,
+  /** ms. Counts of a window are kept so long at the node that counted, for control machines that restart, and at control. */
+  usageKept: 60_000,
+  usageLedgerKept: 120_000,
+  /** counts. Told in one message. */
+  usageCountsMost: 2_000,
 } as const;
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -15,4 +15,5 @@
 export * from "./session.js";
 export * from "./season.js";
 export * from "./policy.js";
+export * from "./agreed-time.js";
 export * from "./caller-limits.js";
--- a/packages/parts/src/policy.ts
+++ b/packages/parts/src/policy.ts
@@ -29,6 +29,8 @@
   readonly disk: number;
   /** Live work goes on at a node out of touch, by what it knows. */
   readonly goesOnAlone: boolean;
+  /** Usage is reported for windows of this length; none is counted where it is left out (§14.2). */
+  readonly usageWindow?: number | undefined;
 }
 
 /** What follows from the deployment's own bounds; constants are what holds where none are told (docs/design.md §13.3). */
@@ -54,6 +56,8 @@
   /** Megabytes that this process may use, and descriptors. */
   readonly memory: number;
   readonly descriptors: number;
+  /** ms. Windows of usage; undefined where none is reported. */
+  readonly usageWindow?: number | undefined;
 }
 
 const usual: Policy = {
@@ -73,7 +77,7 @@
 
 /** The least that one bound may be, and why: the reason stands before the number in a refusal. */
 interface Least {
-  readonly name: Exclude<keyof Bounds, "losses" | "goesOnAlone" | "disk">;
+  readonly name: Exclude<keyof Bounds, "losses" | "goesOnAlone" | "disk" | "usageWindow">;
   readonly least: number;
   readonly why: string;
 }
@@ -156,6 +160,7 @@
     poolBurst: usual.poolBurst,
     memory: bounds.memory,
     descriptors: bounds.descriptors,
+    usageWindow: bounds.usageWindow,
   });
 }
 
--- a/packages/shell/src/settings.ts
+++ b/packages/shell/src/settings.ts
@@ -38,6 +38,7 @@
     descriptors: span.default(1_024),
     disk: span.default(0),
     goesOnAlone: z.boolean().default(false),
+    usageWindow: z.number().positive().optional(),
   })
   .superRefine(isHeld);
 
