--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -6,7 +6,7 @@
 import type { DutyCall, DutyOutcome, DutyOutput } from "./duty-outputs.js";
 import { DutyPerformer } from "./duty-performer.js";
 import type { DutyRecords } from "./duty-records.js";
-import { UsageReports, type DutySource } from "./usage-reports.js";
+import { UsageReports, type DutySource, type TrueTime, type UsageCounts } from "./usage-reports.js";
 
 /** How the platform is called; an adapter speaks its language. */
 export interface DutyPlatform {
@@ -31,6 +31,8 @@
   readonly bounds: DutyBounds;
   readonly platform: DutyPlatform;
   readonly log: Log;
+  readonly usage: UsageCounts;
+  readonly time: TrueTime;
   readonly inquire: (command: ControlCommand, told: (outcome: ControlOutcome) => void) => void;
 }
 
@@ -43,9 +45,9 @@
 
   constructor(options: DutyServiceOptions) {
     this.#options = options;
-    const { name, bounds } = options;
+    const { name, bounds, usage, time } = options;
     this.#performer = new DutyPerformer({ name, bounds, random: Math.random });
-    this.#usage = new UsageReports(bounds, { countsOf: () => new Map() }, { at: () => Date.now() });
+    this.#usage = new UsageReports(bounds, usage, time);
     if (bounds.kinds.includes("usage")) this.#sources.push(this.#usage);
   }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -28,3 +28,5 @@
 export * from "./duties/usage-reports.js";
 export * from "./duties/scaling-orders.js";
 export * from "./duties/duty-service.js";
+export * from "./usage/control-usage.js";
+export * from "./usage/usage-ledger.js";
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -163,7 +163,8 @@
     function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
       self.#enter(command, told);
     }
-    return new DutyService({ name, bounds, platform, log: this.#log, inquire });
+    const { usage, agreedTime: time } = this.#core;
+    return new DutyService({ name, bounds, platform, log: this.#log, usage, time, inquire });
   }
 
   /** What an interface beside our own may ask (§13.2). */
@@ -256,6 +257,7 @@
           configuration: mark,
           head,
           view,
+          usageMerged: self.#core.usage.merged,
           sent: self.#wire.sent,
           dropped: self.#wire.dropped,
         }),
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -17,5 +17,6 @@
 export * from "./session.js";
 export * from "./season.js";
 export * from "./policy.js";
+export * from "./agreed-time.js";
 export * from "./caller-limits.js";
 export * from "./duty-bounds.js";
