Lots belong to tenants: their items run for them, and to others they are not there

The tenant of the credential is kept with the lot's record and goes out with each drawn item, so items run for it whatever becomes of the credential and of the queue's owner. Calls on a lot need a credential as requests do (401 under a lease, 503 without one), and the owner answers 404 to another tenant, held reads at once. Waiting tokens are summed by passage and tenant (WaitingTokens). All new fields are optional: a lot of an earlier release is everybody's, and a reader of one is not asked. The index of passages moves out of the relay (PassageIndex); calls on lots are objects in place of five parameters.

Test: features/tenants.feature, the machine of a queue, fleets under faults with credentials renewed all the while, and a node without a lease.

--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -7,6 +7,8 @@
   RelayCore,
   type AccessDesk,
   type FleetView,
+  type LotCall,
+  type LotCaller,
   type PassCaller,
   type PassEvent,
   type PassRequest,
@@ -48,7 +50,7 @@
   http: "here:2",
 };
 
-function unused(): never {
+function takesNoLots(): never {
   throw new Error("this node takes no lots");
 }
 
@@ -61,6 +63,8 @@
   readonly known = new KnownFleet();
   readonly port: number;
   readonly relay: RelayCore;
+  /** Calls on lots that came here. */
+  readonly lotCalls: LotCall[] = [];
   #links: PassConnections;
   #front: PlatformAccess;
   #callers = new PassCallers();
@@ -127,13 +131,20 @@
       left,
       slow: ignored,
       ready: ignored,
-      handIn: unused,
-      readLot: unused,
-      readItem: unused,
-      endLot: unused,
+      handIn: takesNoLots,
+      readLot: (call, _reading, caller) => self.#refuse(call, caller),
+      readItem: (call, _item, caller) => self.#refuse(call, caller),
+      endLot: (call, caller) => self.#refuse(call, caller),
     };
   }
 
+  /** Calls on lots are noted, and none is authorized. */
+  #refuse(call: LotCall, caller: LotCaller): string {
+    this.lotCalls.push(call);
+    caller({ kind: "unauthorized" });
+    return "refused";
+  }
+
   #perform(outputs: readonly PassOutput[]): void {
     for (const output of outputs) {
       if (output.kind === "pass-run") this.#links.run(output.go, output.address, output.work);
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -25,7 +25,8 @@
   type PassPlayOptions,
 } from "@chutewick/simulator";
 
-interface World {
+/** What steps on a queue of passages share. */
+export interface World {
   ledger: Ledger;
   machine: QueueMachine;
   allowance: number;
@@ -36,7 +37,7 @@
   faults: string[];
 }
 
-function apply(world: World, command: QueueCommand): QueueResult {
+export function apply(world: World, command: QueueCommand): QueueResult {
   const told = world.machine.apply(world.ledger, command, world.now);
   world.ledger.takeChanges();
   return told;
@@ -70,7 +71,7 @@
   aPassagesQueue,
 );
 
-function handing(
+export function handing(
   lot: string,
   count: number,
   tokens: number,
--- a/features/steps/tenants-sockets.ts
+++ b/features/steps/tenants-sockets.ts
@@ -1,7 +1,7 @@
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When, type DataTable } from "@cucumber/cucumber";
 import { openRaw, requestOf } from "./calls-raw.js";
-import { configure, type World } from "./calls-world.js";
+import { configure, host, type World } from "./calls-world.js";
 
 /** Steps of features/tenants.feature on real sockets: what callers send of themselves, and what runners are told. */
 
@@ -47,3 +47,11 @@
   deepEqual(toldValues(this, missing), []);
 }
 Then("the runner was told {string} alone and {string} alone, and no {string}", wasTold);
+
+function askedForLots(this: World, table: DataTable): void {
+  const expected: unknown[] = [];
+  for (const { lot, credential } of table.hashes())
+    expected.push({ lot, host, credential: credential === "" ? undefined : credential });
+  deepEqual(this.node.lotCalls, expected);
+}
+Then("the node was asked for the lots", askedForLots);
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -119,6 +119,83 @@
       Then the tenants were read 1 time
       And each of the requests ran for its tenant
 
+  Rule: Lots are their tenants' (the machine of a queue)
+
+    Background:
+      Given a passage's queue with 10 tokens per 1 s, bursts of 10, and 1000 tokens that may wait
+
+    Scenario: Items are drawn with the tenant of their lot, also after a new start
+      When the lot "a" of "north" with 2 items of 10 tokens is handed in
+      And the lot "b" with 1 items of 10 tokens is handed in
+      Then the next prompt runs for "north"
+      When the machine starts again from its records
+      Then the next prompt runs for "north"
+      And the next prompt runs for nobody
+
+    Scenario: The allowance counts for each tenant by itself, also after a new start
+      When the lot "a" of "north" with 2 items of 400 tokens is handed in
+      And the lot "b" of "south" with 2 items of 450 tokens is handed in
+      And the lot "c" of "north" with 1 items of 201 tokens is handed in
+      And the lot "d" with 1 items of 1000 tokens is handed in
+      Then the tellings are HANDED, HANDED, NO_ROOM, HANDED
+      When the machine starts again from its records
+      And the lot "c" of "north" with 1 items of 201 tokens is handed in
+      And the lot "e" of "south" with 1 items of 100 tokens is handed in
+      And the lot "f" of "south" with 1 items of 1 tokens is handed in
+      Then the tellings are HANDED, HANDED, NO_ROOM, HANDED, NO_ROOM, HANDED, NO_ROOM
+      When "north" ends the lot "a"
+      And the lot "g" of "north" with 1 items of 1000 tokens is handed in
+      Then the last telling is HANDED
+
+    Scenario: A passage that is gone takes the items of all tenants with it
+      When the lot "a" of "north" with 1 items of 10 tokens is handed in
+      And the lot "b" of "south" with 1 items of 10 tokens is handed in
+      And its passage goes
+      Then position 0 of "a" is item 0, failed
+      And position 0 of "b" is item 0, failed
+      And no passage has anything unfinished
+
+    Scenario: To another tenant a lot is not there, and to its own it is
+      When the lot "a" of "north" with 2 items of 10 tokens is handed in
+      Then "south" and callers without a tenant are told UNKNOWN_LOT of "a", and a held read is told at once
+      When "south" ends the lot "a"
+      Then the last telling is UNKNOWN_LOT
+      And "north" reads the list and a body of "a"
+      When "north" ends the lot "a"
+      Then the last telling is ENDED
+      When 901000 ms pass on the ledger
+      And "south" ends the lot "a"
+      Then the last telling is UNKNOWN_LOT
+      When "north" ends the lot "a"
+      Then the last telling is ENDED
+
+    Scenario: A lot from before there were tenants is everybody's, and an earlier release asks without a tenant
+      When the lot "a" with 1 items of 10 tokens is handed in
+      And the lot "b" of "north" with 1 items of 10 tokens is handed in
+      Then "south" reads the list and a body of "a"
+      And a reader of an earlier release reads the list and a body of "b"
+
+  Rule: Lots of tenants in a fleet (virtual time)
+
+    Scenario Outline: Under <faults>, with credentials renewed all the while, items run for the lot's tenant and strangers see nothing
+      When lots of tenants are played under <faults> with seeds <first> to <last>
+      Then credentials were renewed, strangers asked, and what callers and runners saw breaks no rule
+
+      Examples:
+        | faults                                     | first | last |
+        | runners                                    | 201   | 203  |
+        | kill-storage, freeze-storage, wipe-storage | 211   | 215  |
+        | kill-access, cut-access                    | 221   | 224  |
+        | power                                      | 231   | 232  |
+
+    Scenario: A node without a lease may lack a credential that was added, so it refuses none for good
+      Given a node that holds a lease in a fleet with tenants
+      When lots are handed in, read, looked into and ended there without a credential
+      Then each of these callers is told "unauthorized"
+      Given the node is cut off until its lease is gone
+      When lots are handed in, read, looked into and ended there without a credential
+      Then each of these callers is told that nobody can say it now
+
   @sockets
   Rule: What a runner is told (the adapter, the relay and the links on real sockets)
 
@@ -163,3 +240,16 @@
         | Chutewick-Subscriber | south |
       Then the caller reads 200 first
       And the runner was told "Chutewick-Subscriber: south" alone and "X-Api-Key: n-1" alone, and no "X-Kept"
+
+    Scenario: Calls on lots bring the key alone, and one that no tenant holds gets 401
+      When a caller sends "GET /chutewick/lots/l1 HTTP/1.1\r\nHost: shop.example\r\nx-API-key: n-1\r\n\r\n" alone
+      Then the caller reads 401 first
+      When a caller sends "GET /chutewick/items/l2?instanceId=i HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: n-1\r\nX-Api-Key: n-1\r\n\r\n" alone
+      Then the caller reads 401 first
+      When a caller sends "DELETE /chutewick/lots/l3 HTTP/1.1\r\nHost: shop.example\r\n\r\n" alone
+      Then the caller reads 401 first
+      And the node was asked for the lots
+        | lot | credential |
+        | l1  | n-1        |
+        | l2  |            |
+        | l3  |            |
--- a/packages/data/src/access-desk.ts
+++ b/packages/data/src/access-desk.ts
@@ -1,6 +1,6 @@
 import type { CallerLimits } from "@chutewick/parts";
 import type { PassRequest } from "./dialect.js";
-import type { LotHandedIn, LotTold } from "./pass.js";
+import type { LotCall, LotHandedIn, LotReading, LotTold } from "./pass.js";
 
 /** What an interface (ours or an adapter's) may ask of an access node (docs/design.md §13.2). */
 export interface PassCaller {
@@ -24,10 +24,9 @@
   takesLots(host: string, path: string): boolean;
   pass(request: PassRequest, caller: PassCaller): string;
   handIn(lot: LotHandedIn, caller: LotCaller): string;
-  /** hold in ms: how long the answer may wait for a result at that position. */
-  readLot(lot: string, host: string, from: number, hold: number, caller: LotCaller): string;
-  readItem(lot: string, item: string, host: string, caller: LotCaller): string;
-  endLot(lot: string, host: string, caller: LotCaller): string;
+  readLot(call: LotCall, reading: LotReading, caller: LotCaller): string;
+  readItem(call: LotCall, item: string, caller: LotCaller): string;
+  endLot(call: LotCall, caller: LotCaller): string;
   /** The caller left. */
   left(ticket: string): void;
   /** The caller reads slowly, or again. */
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -39,7 +39,7 @@
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
 import { PlannedStop, stopTimes } from "./planned-stop.js";
-import type { LotHandedIn, PassOutput } from "./pass.js";
+import type { LotCall, LotHandedIn, LotReading, PassOutput } from "./pass.js";
 import type { RelayCore } from "./relay-core.js";
 import type { DataMessage } from "./queue-messages.js";
 import { WarmUp, type WarmUpResult } from "./warm-up/warm-up.js";
@@ -252,7 +252,7 @@
       return `${self.#ticketPrefix}-${self.#ticketNumber}`;
     }
     function takesLots(host: string, path: string): boolean {
-      return self.#relay.find(host, path)?.passage.kind === "lot";
+      return self.#relay.passages.find(host, path)?.passage.kind === "lot";
     }
     function pass(request: PassRequest, caller: PassCaller): string {
       const ticket = next();
@@ -272,27 +272,21 @@
       }
       return asked(caller, ask);
     }
-    function readLot(
-      lot: string,
-      host: string,
-      from: number,
-      hold: number,
-      caller: LotCaller,
-    ): string {
+    function readLot(call: LotCall, reading: LotReading, caller: LotCaller): string {
       function ask(ticket: string): readonly AccessOutput[] {
-        return self.#core.lots.read(ticket, lot, host, from, hold, monotonic());
+        return self.#core.lots.read(ticket, call, reading, monotonic());
       }
       return asked(caller, ask);
     }
-    function readItem(lot: string, item: string, _host: string, caller: LotCaller): string {
+    function readItem(call: LotCall, item: string, caller: LotCaller): string {
       function ask(ticket: string): readonly AccessOutput[] {
-        return self.#core.lots.item(ticket, lot, item, monotonic());
+        return self.#core.lots.item(ticket, call, item, monotonic());
       }
       return asked(caller, ask);
     }
-    function endLot(lot: string, host: string, caller: LotCaller): string {
+    function endLot(call: LotCall, caller: LotCaller): string {
       function ask(ticket: string): readonly AccessOutput[] {
-        return self.#core.lots.end(ticket, lot, host, monotonic());
+        return self.#core.lots.end(ticket, call, monotonic());
       }
       return asked(caller, ask);
     }
--- a/packages/data/src/dialect.ts
+++ b/packages/data/src/dialect.ts
@@ -1,5 +1,7 @@
 /** How runners are spoken to on passages: names of headers belong to whoever deploys, not to the cores (docs/design.md §13.2). */
 
+import type { Tenancy } from "@chutewick/parts";
+
 /** One part of a prompt, shared with other requests where its name is the same. */
 export interface PromptPart {
   readonly name: string;
@@ -31,12 +33,6 @@
   readonly credential: string | undefined;
 }
 
-/** Whom a runner is told to work for, where the configuration names tenants. */
-export interface Tenancy {
-  /** Undefined on a passage that needs no credential, where the caller is not known. */
-  readonly tenant: string | undefined;
-}
-
 /** What goes to a runner. */
 export interface PassWork {
   readonly request: PassRequest;
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./pass-lots.js";
 export * from "./pass.js";
 export * from "./planned-stop.js";
+export * from "./passage-index.js";
 export * from "./relay-core.js";
 export * from "./tenants.js";
 export * from "./storage-core.js";
--- a/packages/data/src/item-jobs.ts
+++ b/packages/data/src/item-jobs.ts
@@ -1,5 +1,5 @@
 /** Items of lots of passages as an access node runs them (docs/design.md §13.7). */
-import type { Claim, PassEnding, PassTask } from "@chutewick/parts";
+import type { Claim, PassEnding, PassTask, Tenancy } from "@chutewick/parts";
 import type { GoEnd } from "./choice.js";
 import type { PassRequest, PassWork } from "./dialect.js";
 import { constants } from "@chutewick/parts";
@@ -76,8 +76,18 @@
   };
 }
 
+/** Whom an item runs for: its lot's tenant, whatever credentials that one holds by now. */
+export function itemTenancy({ tenant }: PassTask, hasTenants: boolean): Tenancy | undefined {
+  if (tenant !== undefined) return { tenant };
+  return hasTenants ? { tenant: undefined } : undefined;
+}
+
 /** What a runner is sent for an item. */
-export function itemWork({ request, keepsUntil, lastEvent }: ItemJob, runner: string): PassWork {
+export function itemWork(
+  { request, keepsUntil, lastEvent }: ItemJob,
+  runner: string,
+  tenancy: Tenancy | undefined,
+): PassWork {
   return {
     request,
     runner,
@@ -86,7 +96,7 @@
     resumeAfter: lastEvent,
     events: true,
     repeatable: true,
-    tenancy: undefined,
+    tenancy,
   };
 }
 
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -17,6 +17,7 @@
   brokenEnd,
   claimOf,
   itemJob,
+  itemTenancy,
   itemWork,
   wholeEnd,
   type AttemptEnd,
@@ -272,7 +273,9 @@
     const number = this.#choice.nextGo();
     this.#attempts.set(number, { job, pool, runner, incarnation, status: undefined });
     this.#choice.begin(number, runner, job.request, true, now);
-    return { kind: "pass-run", go: number, address, work: itemWork(job, runner) };
+    const hasTenants = this.#membership.configuration.value.tenants !== undefined;
+    const work = itemWork(job, runner, itemTenancy(job.task, hasTenants));
+    return { kind: "pass-run", go: number, address, work };
   }
 
   /** What the link to a runner tells of an attempt. */
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -1,13 +1,14 @@
 /** Lots of passages at an access node, without I/O (docs/design.md §13.7). */
-import { constants, type QueueCommand, type QueueResult } from "@chutewick/parts";
-import { configuration, type Passage } from "@chutewick/control";
+import { constants, type QueueCommand, type QueueResult, type Tenancy } from "@chutewick/parts";
+import { configuration } from "@chutewick/control";
 import type { AccessOutput } from "./access-output.js";
 import { NO_NEW_WORK } from "./admission.js";
 import type { Choice } from "./choice.js";
 import type { PassEvent } from "./dialect.js";
-import { LotSearch, lotTold } from "./lot-search.js";
+import { LotSearch, lotTold, type LotQuestion } from "./lot-search.js";
 import type { Membership } from "./membership.js";
-import type { LotHandedIn, LotTold } from "./pass.js";
+import type { LotCall, LotHandedIn, LotReading, LotTold } from "./pass.js";
+import type { Found } from "./passage-index.js";
 import { PassDraw, type ItemStartRefusal } from "./pass-draw.js";
 import type { PendingCalls } from "./pending-calls.js";
 import type { QueueOutcome } from "./queue-messages.js";
@@ -39,10 +40,12 @@
   handIn(ticket: string, handedIn: LotHandedIn, now: number): AccessOutput[] {
     if (this.#isLeaving || !this.#membership.holds(now))
       return [lotTold(ticket, refusedForNow(NO_NEW_WORK))];
-    const found = this.#relay.find(handedIn.host, handedIn.path);
+    const found = this.#relay.passages.find(handedIn.host, handedIn.path);
     if (found === undefined || found.passage.kind !== "lot")
       return [lotTold(ticket, { kind: "missing" })];
-    const { name, passage } = found;
+    const { passage } = found;
+    const identity = this.#relay.tenants.identify(passage, handedIn.credential);
+    if (identity === undefined) return [lotTold(ticket, { kind: "unauthorized" })];
     const queue = configuration.queueFor(
       this.#membership.configuration.value,
       passage,
@@ -53,47 +56,53 @@
       if (isTaken) this.#search.remember(handedIn.lot, queue);
       return [lotTold(ticket, handInTold(outcome))];
     };
-    const command = handInCommand(name, passage, handedIn);
+    const command = handInCommand(found, handedIn, identity.tenancy?.tenant);
     const patience = constants.handInPatience;
     return this.#pendingCalls.ask({ queue, command, patience, onResult }, now);
   }
 
-  /** from: the first position wanted; hold in ms. */
-  read(
-    ticket: string,
-    lot: string,
-    _host: string,
-    from: number,
-    hold: number,
-    now: number,
-  ): AccessOutput[] {
-    if (this.#isRefusing) return [lotTold(ticket, LATER)];
+  read(ticket: string, call: LotCall, { from, hold }: LotReading, now: number): AccessOutput[] {
     const onFound = (value: QueueResult): AccessOutput[] | undefined => {
       if (value.kind !== "RESULTS") return undefined;
       const { total, results } = value;
       const next = from + results.length;
       return [lotTold(ticket, { kind: "results", total, results, next })];
     };
-    const command = { kind: "results", lot, from } as const;
-    return this.#search.ask({ ticket, lot, command, hold, onFound }, now);
+    const commandFor = (reader: LotReader): QueueCommand => ({ kind: "results", from, ...reader });
+    return this.#ask({ ticket, call, commandFor, hold, onFound }, now);
   }
 
-  item(ticket: string, lot: string, item: string, now: number): AccessOutput[] {
-    if (this.#isRefusing) return [lotTold(ticket, LATER)];
+  item(ticket: string, call: LotCall, item: string, now: number): AccessOutput[] {
     const onFound = (value: QueueResult): AccessOutput[] | undefined =>
       value.kind === "BODY" ? [lotTold(ticket, { kind: "body", bytes: value.body })] : undefined;
-    const command = { kind: "read-item", lot, item } as const;
-    return this.#search.ask({ ticket, lot, command, hold: 0, onFound }, now);
+    const commandFor = (reader: LotReader): QueueCommand => ({
+      kind: "read-item",
+      item,
+      ...reader,
+    });
+    return this.#ask({ ticket, call, commandFor, hold: 0, onFound }, now);
   }
 
-  end(ticket: string, lot: string, _host: string, now: number): AccessOutput[] {
-    if (this.#isRefusing) return [lotTold(ticket, LATER)];
+  end(ticket: string, call: LotCall, now: number): AccessOutput[] {
     const onFound = (value: QueueResult, later: number): AccessOutput[] | undefined =>
       value.kind === "ENDED"
-        ? [lotTold(ticket, { kind: "ended" }), ...this.dispatcher.ended(lot, later)]
+        ? [lotTold(ticket, { kind: "ended" }), ...this.dispatcher.ended(call.lot, later)]
         : undefined;
-    const command = { kind: "end", lot } as const;
-    return this.#search.ask({ ticket, lot, command, hold: 0, onFound }, now);
+    const commandFor = (reader: LotReader): QueueCommand => ({ kind: "end", ...reader });
+    return this.#ask({ ticket, call, commandFor, hold: 0, onFound }, now);
+  }
+
+  /** A credential is needed as with requests; which lots it opens is said by their owner. */
+  #ask({ ticket, call, commandFor, hold, onFound }: CallOnLot, now: number): AccessOutput[] {
+    if (this.#isRefusing) return [lotTold(ticket, LATER)];
+    const { lot, host, credential } = call;
+    const { passages, tenants } = this.#relay;
+    const identity = tenants.identifyReader(passages.hasKeylessLots(host), credential);
+    if (identity === undefined)
+      return [lotTold(ticket, this.#membership.holds(now) ? { kind: "unauthorized" } : LATER)];
+    const { tenancy } = identity;
+    const command = commandFor({ lot, ...(tenancy === undefined ? {} : { reader: tenancy }) });
+    return this.#search.ask({ ticket, lot, command, hold, onFound }, now);
   }
 
   has(attempt: number): boolean {
@@ -129,19 +138,32 @@
   }
 }
 
+/** A lot that is asked for, and by whom. */
+interface LotReader {
+  readonly lot: string;
+  readonly reader?: Tenancy;
+}
+
+/** A call on a lot, and what is asked of the lot's owner for it. */
+interface CallOnLot extends Pick<LotQuestion, "ticket" | "hold" | "onFound"> {
+  readonly call: LotCall;
+  readonly commandFor: (reader: LotReader) => QueueCommand;
+}
+
 /** Another node can say it at once. */
 const LATER: LotTold = { kind: "later", retryAfter: constants.retryAfter };
 
 function handInCommand(
-  way: string,
-  passage: Passage,
+  { name, passage }: Found,
   { lot, host, entries }: LotHandedIn,
+  tenant: string | undefined,
 ): QueueCommand {
   return {
     kind: "hand-in",
     lot,
-    way,
+    way: name,
     host,
+    ...(tenant === undefined ? {} : { tenant }),
     entries,
     allowance: passage.waitingTokens,
     goesMost: passage.goesMost,
--- a/packages/data/src/pass.ts
+++ b/packages/data/src/pass.ts
@@ -41,6 +41,22 @@
   readonly host: string;
   readonly path: string;
   readonly entries: readonly LotEntry[];
+  /** As with a request. */
+  readonly credential: string | undefined;
+}
+
+/** What a call on a lot that was handed in says of itself. */
+export interface LotCall {
+  readonly lot: string;
+  readonly host: string;
+  /** As with a request. */
+  readonly credential: string | undefined;
+}
+
+/** Which results are read: from which position on, and for how many ms the answer may wait for one there. */
+export interface LotReading {
+  readonly from: number;
+  readonly hold: number;
 }
 
 export interface LotResult {
@@ -68,6 +84,8 @@
     }
   | { readonly kind: "body"; readonly bytes: Uint8Array }
   | { readonly kind: "ended" }
+  /** No tenant holds the credential. */
+  | { readonly kind: "unauthorized" }
   /** There surely is no such lot, or no such item. */
   | { readonly kind: "missing" }
   /** It cannot be said now. */
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -1,19 +1,15 @@
-import { constants, type Policy } from "@chutewick/parts";
-import type { MarkedConfiguration, Passage } from "@chutewick/control";
+import { constants, type Policy, type Tenancy } from "@chutewick/parts";
+import type { Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
-import type { PassEvent, PassRequest, PassWork, Tenancy } from "./dialect.js";
+import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PassOutput } from "./pass.js";
+import { PassageIndex } from "./passage-index.js";
 import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
 import { TenantDirectory, type Identity } from "./tenants.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
-export interface Found {
-  readonly name: string;
-  readonly passage: Passage;
-}
-
 /** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
 const promises = new Set([408, 421, 429, 503]);
 
@@ -76,6 +72,7 @@
 }
 
 export class RelayCore {
+  readonly passages: PassageIndex;
   readonly tenants: TenantDirectory;
   #fleet: FleetView;
   #choice: Choice;
@@ -84,8 +81,6 @@
   #gos = new Map<number, Go>();
   /** Those without a runner, in the order of their coming. */
   #waiting = new Set<Live>();
-  #indexed: MarkedConfiguration | undefined;
-  #index = new Map<string, Found>();
   #isRefusing = false;
   #sleep = new SleepDetector(Number.POSITIVE_INFINITY);
   /** Bytes of the bodies of requests under way. */
@@ -108,6 +103,7 @@
 
   constructor(fleet: FleetView, choice: Choice, policy: Policy) {
     this.#fleet = fleet;
+    this.passages = new PassageIndex(fleet);
     this.tenants = new TenantDirectory(fleet);
     this.#choice = choice;
     this.#policy = policy;
@@ -137,36 +133,13 @@
     return outputs;
   }
 
-  /** The passage with the longest prefix that begins the path. */
-  find(host: string, path: string): Found | undefined {
-    const marked = this.#fleet.configuration;
-    if (this.#indexed !== marked) {
-      this.#indexed = marked;
-      this.#index = new Map();
-      for (const [name, passage] of Object.entries(marked.value.passages ?? {}))
-        this.#index.set(`${plain(passage.host)}${passage.prefix}`, { name, passage });
-    }
-    const base = plain(host);
-    let end = path.search(/[?#]/);
-    if (end < 0) end = path.length;
-    for (
-      let cut = path.lastIndexOf("/", end - 1);
-      cut >= 0;
-      cut = cut === 0 ? -1 : path.lastIndexOf("/", cut - 1)
-    ) {
-      const found = this.#index.get(base + path.slice(0, cut + 1));
-      if (found !== undefined) return found;
-    }
-    return undefined;
-  }
-
   arrive(ticket: string, request: PassRequest, now: number): PassOutput[] {
     this.counts.passed += 1;
     if (this.#isRefusing)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node is about to stop");
     if (!this.#fleet.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
-    const found = this.find(request.host, request.path);
+    const found = this.passages.find(request.host, request.path);
     if (found === undefined) return this.#turnAwayUnknown(ticket, now);
     const identity = this.tenants.identify(found.passage, request.credential);
     if (identity === undefined) return this.#turnAwayUnauthorized(ticket, now);
@@ -581,14 +554,6 @@
   }
 }
 
-/** A host as passages are found by: without its port, in small letters. */
-function plain(host: string): string {
-  const small = host.toLowerCase();
-  if (small.startsWith("[")) return small.slice(0, small.indexOf("]") + 1);
-  const cut = small.indexOf(":");
-  return cut < 0 ? small : small.slice(0, cut);
-}
-
 /** By weight, and for the same request always the same. */
 function poolOf(passage: Passage, id: string): string {
   const { pools } = passage;
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -288,8 +288,7 @@
   }
 
   #isReady({ chain, machine }: Partition, command: Held["command"], now: number): boolean {
-    if (command.kind === "results")
-      return machine.passes.isTold(chain.ledger, command.lot, command.from);
+    if (command.kind === "results") return machine.passes.isTold(chain.ledger, command);
     return machine.passes.ready(command.able, chain.time(now), 1) > 0;
   }
 
--- a/packages/data/src/tenants.ts
+++ b/packages/data/src/tenants.ts
@@ -1,6 +1,6 @@
 /** Who calls, by the credential that a request presents, as the configuration in force names its tenants (docs/design.md §13.10). */
 import type { Configuration, Passage } from "@chutewick/control";
-import type { Tenancy } from "./dialect.js";
+import type { Tenancy } from "@chutewick/parts";
 import type { FleetView } from "./fleet-view.js";
 
 type Tenants = NonNullable<Configuration["tenants"]>;
@@ -34,10 +34,15 @@
 
   /** Undefined where the passage asks for a credential and the one presented is missing or belongs to no tenant. */
   identify(passage: Passage, credential: string | undefined): Identity | undefined {
+    return this.identifyReader(passage.keyless === true, credential);
+  }
+
+  /** The same where several passages are in question. */
+  identifyReader(isKeyless: boolean, credential: string | undefined): Identity | undefined {
     const { tenants } = this.#fleet.configuration.value;
     if (tenants === undefined) return WITHOUT_TENANTS;
     const tenant = credential === undefined ? undefined : this.#index(tenants).get(credential);
-    if (tenant === undefined && passage.keyless !== true) return undefined;
+    if (tenant === undefined && !isKeyless) return undefined;
     return { tenancy: { tenant: tenant?.name }, rank: tenant?.rank };
   }
 
--- a/packages/parts/src/pass-messages.ts
+++ b/packages/parts/src/pass-messages.ts
@@ -1,3 +1,9 @@
+/** On whose behalf something is done, where the configuration names tenants. */
+export interface Tenancy {
+  /** Undefined on a passage that needs no credential, where the caller is not known. */
+  readonly tenant: string | undefined;
+}
+
 /** One item of a lot, as it was handed in. */
 export interface PassEntry {
   /** The caller's id of the item. */
@@ -45,6 +51,8 @@
       lot: string;
       way: string;
       host: string;
+      /** Whose lot it is; nobody's where it is left out, and so from an earlier release. */
+      tenant?: string;
       entries: readonly PassEntry[];
       allowance: number;
       goesMost: number;
@@ -60,16 +68,19 @@
   /** holder: address of the dispatcher; by: this life of it. */
   | { kind: "draw"; holder: string; by?: string; most: number; able: readonly string[] }
   | { kind: "settle"; endings: readonly { claim: Claim; ending: PassEnding }[] }
-  | { kind: "end"; lot: string }
+  /** reader: who asks for a lot, to whom another tenant's is not there; left out where the configuration names none, and by an earlier release. */
+  | { kind: "end"; lot: string; reader?: Tenancy }
   /** The passage is gone from the configuration: its items end with it. */
   | { kind: "drop-way"; way: string }
-  | { kind: "results"; lot: string; from: number }
-  | { kind: "read-item"; lot: string; item: string };
+  | { kind: "results"; lot: string; from: number; reader?: Tenancy }
+  | { kind: "read-item"; lot: string; item: string; reader?: Tenancy };
 
 /** A prompt that was drawn, with all that its run needs. */
 export interface PassTask extends Claim {
   readonly way: string;
   readonly host: string;
+  /** Whose lot it is of. */
+  readonly tenant?: string;
   readonly entry: PassEntry;
   /** The run goes on after this event. */
   readonly upTo: number | undefined;
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -14,6 +14,7 @@
   bygonePrefix,
   claimOf,
   handedKey,
+  isOpenTo,
   numbered,
   taskKey,
   type BygoneLot,
@@ -26,8 +27,10 @@
 import { RefusedTickets } from "./refused-tickets.js";
 import { Tombstones } from "./tombstones.js";
 import { WaitingItems } from "./waiting.js";
+import { WaitingTokens } from "./waiting-tokens.js";
 
 type HandIn = Extract<PassCommand, { kind: "hand-in" }>;
+type ReadResults = Extract<PassCommand, { kind: "results" }>;
 type DrawCommand = Extract<PassCommand, { kind: "draw" }>;
 
 /** An item that has not ended, with its records. */
@@ -60,8 +63,8 @@
 export class PassQueue {
   /** Derived from the ledger: what waits, by passage. */
   #waiting = new WaitingItems<WaitingTask>();
-  /** Tokens of what has not ended, by passage. */
-  #tokens = new Map<string, number>();
+  /** Tokens of what has not ended. */
+  #tokens = new WaitingTokens();
   #processing = new Map<string, { go: number; holder: string; by: string | undefined }>();
   /** Moment at which time alone ends something of each lot: its items are given up, or it is no longer kept. */
   #dueAt = new Map<string, number>();
@@ -78,7 +81,7 @@
     for (const [, lot] of ledger.under<PassLot>("handed/")) this.#watch(lot);
     for (const [key, task] of ledger.under<TaskRecord>("task/")) {
       const lot = ledger.read<PassLot>(handedKey(claimOf(key, 0).lot))!;
-      this.#weigh(lot.way, task.tokens);
+      this.#tokens.add(lot.way, lot.tenant, task.tokens);
       if (task.state === "queued") this.#waiting.push(lot.way, waitingTask(key, task, lot));
       else this.#processing.set(key, { go: task.go, holder: task.holder!, by: task.by });
     }
@@ -104,9 +107,10 @@
   }
 
   /** Passages that have something unfinished here. */
-  *ways(): Generator<string> {
-    for (const [way, tokens] of this.#tokens)
-      if (tokens > 0 || this.#waiting.of(way).length > 0) yield way;
+  ways(): ReadonlySet<string> {
+    const found = new Set(this.#tokens.ways());
+    for (const way of this.#waiting.groups()) if (this.#waiting.of(way).length > 0) found.add(way);
+    return found;
   }
 
   /** Prompts of some passages that could be drawn now, counted up to a bound. */
@@ -120,14 +124,11 @@
     return count;
   }
 
-  /** Whether a position of a lot is listed, or will never be: what a held read waits for. */
-  isTold(ledger: Ledger, lot: string, from: number): boolean {
+  /** Whether a position of a lot is listed, or will never be for who asks: what a held read waits for. */
+  isTold(ledger: Ledger, { lot, from, reader }: ReadResults): boolean {
     const held = ledger.read<PassLot>(handedKey(lot));
-    return held === undefined || held.listed > from || held.open === 0;
-  }
-
-  #weigh(way: string, tokens: number): void {
-    this.#tokens.set(way, (this.#tokens.get(way) ?? 0) + tokens);
+    if (held === undefined || !isOpenTo(held, reader)) return true;
+    return held.listed > from || held.open === 0;
   }
 
   #watch(lot: PassLot): void {
@@ -144,14 +145,14 @@
   /** All items or none; the same id again is the same lot. */
   handIn(step: Step, command: HandIn): PassResult {
     const { ledger, time } = step;
-    const { lot, way, entries } = command;
+    const { lot, way, tenant, entries } = command;
     const isKnown =
       ledger.read(handedKey(lot)) !== undefined || this.#bygones.read(ledger, lot) !== undefined;
     if (isKnown) return { kind: "HANDED", lot, again: true };
     let tokens = 0;
     for (const entry of entries) tokens += entry.tokens;
     const refused = this.#refused.has(ledger, command.ticket);
-    const waiting = this.#tokens.get(way) ?? 0;
+    const waiting = this.#tokens.of(way, tenant);
     if (refused || (command.allowance > 0 && waiting + tokens > command.allowance)) {
       const { allowance, final, ticket } = command;
       if (final === true && !refused) this.#refused.add(ledger, ticket!, time);
@@ -160,7 +161,7 @@
     }
     const record = lotOf(command, time);
     this.#enterItems(ledger, record, entries);
-    this.#weigh(way, tokens);
+    this.#tokens.add(way, tenant, tokens);
     this.#keep(ledger, record);
     return { kind: "HANDED", lot, again: false };
   }
@@ -242,6 +243,7 @@
       go,
       way: lot.way,
       host: lot.host,
+      ...(lot.tenant === undefined ? {} : { tenant: lot.tenant }),
       entry: ledger.read<PassEntry>(numbered("body", lot.id, index))!,
       upTo: ledger.read<PartialText>(numbered("text", lot.id, index))?.upTo,
       remaining: lot.until - time,
@@ -335,7 +337,7 @@
     const { id: item } = ledger.read<PassEntry>(numbered("body", id, open.index))!;
     ledger.put(numbered("result", id, lot.listed), { item, ...final } satisfies ListedResult);
     this.#clear(ledger, open);
-    this.#weigh(lot.way, -open.task.tokens);
+    this.#tokens.add(lot.way, lot.tenant, -open.task.tokens);
     const left = lot.open - 1;
     this.#keep(ledger, {
       ...lot,
@@ -353,19 +355,21 @@
   }
 
   /** Waiting items end at once and are not listed; those under way are dropped by who holds them. */
-  end({ ledger, time }: Step, { lot: id }: Extract<PassCommand, { kind: "end" }>): PassResult {
+  end(
+    { ledger, time }: Step,
+    { lot: id, reader }: Extract<PassCommand, { kind: "end" }>,
+  ): PassResult {
     const lot = ledger.read<PassLot>(handedKey(id));
-    if (lot === undefined)
-      return this.#bygones.read(ledger, id) === undefined
-        ? { kind: "UNKNOWN_LOT" }
-        : { kind: "ENDED", lot: id, holders: [] };
+    const known = lot ?? this.#bygones.read(ledger, id);
+    if (known === undefined || !isOpenTo(known, reader)) return { kind: "UNKNOWN_LOT" };
+    if (lot === undefined) return { kind: "ENDED", lot: id, holders: [] };
     if (lot.open === 0) return { kind: "ENDED", lot: id, holders: [] };
     const holders = new Set<string>();
     const ended = new Set<string>();
     for (const open of this.#unfinished(ledger, lot)) {
       if (open.task.holder !== undefined) holders.add(open.task.holder);
       ended.add(open.key);
-      this.#weigh(lot.way, -open.task.tokens);
+      this.#tokens.add(lot.way, lot.tenant, -open.task.tokens);
       this.#clear(ledger, open);
     }
     this.#waiting.remove(lot.way, ended);
@@ -427,10 +431,14 @@
   }
 
   /** Results are no longer kept; only that the lot was here. */
-  #bury(ledger: Ledger, { id, listed }: PassLot, since: number): void {
+  #bury(ledger: Ledger, { id, listed, tenant }: PassLot, since: number): void {
     for (let at = 0; at < listed; at += 1) ledger.remove(numbered("result", id, at));
     ledger.remove(handedKey(id));
     this.#dueAt.delete(id);
-    this.#bygones.put(ledger, { lot: id, since });
+    this.#bygones.put(ledger, {
+      lot: id,
+      since,
+      ...(tenant === undefined ? {} : { tenant }),
+    });
   }
 }
--- a/packages/parts/src/pass-reads.ts
+++ b/packages/parts/src/pass-reads.ts
@@ -1,15 +1,15 @@
 import { constants } from "./constants.js";
 import type { Ledger } from "./ledger.js";
 import type { ListedResult, PassCommand, PassEntry, PassResult } from "./pass-messages.js";
-import { handedKey, numbered, type PassLot } from "./pass-records.js";
+import { handedKey, isOpenTo, numbered, type PassLot } from "./pass-records.js";
 
 /** Listed results from a position on, as many as fit into one message. */
 function results(
   ledger: Ledger,
-  { lot: id, from }: Extract<PassCommand, { kind: "results" }>,
+  { lot: id, from, reader }: Extract<PassCommand, { kind: "results" }>,
 ): PassResult {
   const lot = ledger.read<PassLot>(handedKey(id));
-  if (lot === undefined) return { kind: "UNKNOWN_LOT" };
+  if (lot === undefined || !isOpenTo(lot, reader)) return { kind: "UNKNOWN_LOT" };
   const results: ListedResult[] = [];
   let size = 0;
   for (let at = from; at < lot.listed; at += 1) {
@@ -25,10 +25,10 @@
 /** The body of an unfinished item, by its client's id. */
 function readItem(
   ledger: Ledger,
-  { lot: id, item }: Extract<PassCommand, { kind: "read-item" }>,
+  { lot: id, item, reader }: Extract<PassCommand, { kind: "read-item" }>,
 ): PassResult {
   const lot = ledger.read<PassLot>(handedKey(id));
-  if (lot === undefined) return { kind: "UNKNOWN_LOT" };
+  if (lot === undefined || !isOpenTo(lot, reader)) return { kind: "UNKNOWN_LOT" };
   for (let index = 0; index < lot.total; index += 1) {
     const entry = ledger.read<PassEntry>(numbered("body", id, index));
     if (entry?.id === item) return { kind: "BODY", body: entry.body };
--- a/packages/parts/src/pass-records.ts
+++ b/packages/parts/src/pass-records.ts
@@ -1,10 +1,12 @@
-import type { Claim } from "./pass-messages.js";
+import type { Claim, Tenancy } from "./pass-messages.js";
 
 /** A lot of items on a passage, as its queue keeps it. */
 export interface PassLot {
   readonly id: string;
   readonly way: string;
   readonly host: string;
+  /** Whose it is, whatever becomes of the credential with which it was handed in. */
+  readonly tenant?: string;
   readonly total: number;
   readonly open: number;
   readonly listed: number;
@@ -43,6 +45,12 @@
 export interface BygoneLot {
   readonly lot: string;
   readonly since: number;
+  readonly tenant?: string;
+}
+
+/** Whether a lot is there for who asks: another tenant's is not. */
+export function isOpenTo({ tenant }: { readonly tenant?: string }, reader?: Tenancy): boolean {
+  return reader === undefined || tenant === undefined || tenant === reader.tenant;
 }
 
 /** Key of a lot. */
--- a/packages/parts/src/pass-turns.ts
+++ b/packages/parts/src/pass-turns.ts
@@ -31,6 +31,7 @@
     id: command.lot,
     way: command.way,
     host: command.host,
+    ...(command.tenant === undefined ? {} : { tenant: command.tenant }),
     total: entries.length,
     open: entries.length,
     listed: 0,
--- a/tools/simulator/src/passages/exchanges.ts
+++ b/tools/simulator/src/passages/exchanges.ts
@@ -1,8 +1,8 @@
-import type { AccessOutput, LotTold } from "@chutewick/data";
+import type { AccessOutput, LotCall, LotTold } from "@chutewick/data";
 import type { LotInput } from "@chutewick/history";
 import type { AccessMachine } from "../machines.js";
 import { lotOperationOf } from "./lot-operations.js";
-import type { PassFleet } from "./pass-fleet.js";
+import { PASSAGE_HOST, type PassFleet } from "./pass-fleet.js";
 import type { LotSight } from "./records.js";
 
 /** ms that a client waits for an answer. */
@@ -29,6 +29,13 @@
     this.#fleet = fleet;
   }
 
+  /** What a client says with a call on its lot; another tenant's client where one is named. */
+  callOn(lot: LotSight, tenant = lot.tenant): LotCall {
+    const { tenants } = this.#fleet;
+    const credential = tenant === undefined ? undefined : tenants?.credentialOf(tenant);
+    return { lot: lot.id, host: PASSAGE_HOST, credential };
+  }
+
   /** A node answers. */
   answer(ticket: string, told: LotTold): void {
     const waiting = this.#waiting.get(ticket);
--- a/tools/simulator/src/passages/options.ts
+++ b/tools/simulator/src/passages/options.ts
@@ -29,4 +29,6 @@
   readonly items?: number;
   /** The passage moves between pools, goes and comes back. */
   readonly moves?: boolean;
+  /** Lots are tenants', whose credentials change all the while. */
+  readonly tenants?: boolean;
 }
--- a/tools/simulator/src/passages/pass-attempt.ts
+++ b/tools/simulator/src/passages/pass-attempt.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import type { PassEvent, PassWork } from "@chutewick/data";
 import { constants } from "@chutewick/parts";
 import type { AccessMachine } from "../machines.js";
@@ -162,6 +163,9 @@
       path === pathOf(item.id) &&
       new TextDecoder().decode(body) === bodyOf(item.id) &&
       host === PASSAGE_HOST;
+    const tenancy = lot.tenant === undefined ? undefined : { tenant: lot.tenant };
+    if (!isDeepStrictEqual(work.tenancy, tenancy))
+      this.#fleet.violation(`${item.id} runs for ${work.tenancy?.tenant}, not for ${lot.tenant}`);
     if (!isAsHandedIn) this.#fleet.violation(`${item.id} is not as it was handed in`);
     if (runner.pool !== "readers" && options.moves !== true)
       this.#fleet.violation(`${item.id} runs in the wrong pool`);
--- a/tools/simulator/src/passages/pass-play.ts
+++ b/tools/simulator/src/passages/pass-play.ts
@@ -8,6 +8,7 @@
 import { PassFaults } from "./pass-faults.js";
 import { PassFleet, TRAFFIC_STARTS_AT } from "./pass-fleet.js";
 import { PassRunners } from "./pass-runners.js";
+import type { PassTenants } from "./pass-tenants.js";
 import { isRefused, type LotSight } from "./records.js";
 
 /** ms between two lots on average, and by how much that varies. */
@@ -16,6 +17,9 @@
 /** ms. When the passage moves for the first time, and between two moves. */
 const MOVES_FROM = 9_000;
 const MOVE_EVERY = [2_000, 6_000] as const;
+/** ms. When credentials are renewed for the first time, and between two renewals. */
+const RENEWALS_FROM = 8_000;
+const RENEWAL_EVERY = [1_000, 3_000] as const;
 /** Pools to which it moves. */
 const POOL_CHOICES = [["readers"], ["others"], ["readers", "others"]];
 /** How often links break once all stands again. */
@@ -51,6 +55,8 @@
     world.at(TRAFFIC_STARTS_AT, () => this.#handInLots());
     this.#passFaults.begin();
     if (options.moves === true) world.at(MOVES_FROM, () => this.#move());
+    const { tenants } = this;
+    if (tenants !== undefined) world.at(RENEWALS_FROM, () => this.#renew(tenants));
     world.run(quietAt);
     this.#heal();
     world.run(quietAt + options.calm);
@@ -102,6 +108,15 @@
     );
   }
 
+  #renew(tenants: PassTenants): void {
+    const { world, quietAt } = this;
+    if (world.now > quietAt) return;
+    this.renewCredentials(tenants, () => {
+      this.count("renewals");
+      world.after(world.chance.between(...RENEWAL_EVERY), () => this.#renew(tenants));
+    });
+  }
+
   #move(): void {
     const { world, quietAt } = this;
     if (world.now > quietAt) return;
--- a/tools/simulator/src/passages/records.ts
+++ b/tools/simulator/src/passages/records.ts
@@ -21,6 +21,8 @@
 /** One lot as its clients saw it. */
 export interface LotSight {
   readonly id: string;
+  /** Whose it is, where there are tenants. */
+  readonly tenant: string | undefined;
   readonly items: Map<string, ItemRecord>;
   readonly entries: readonly LotEntry[];
   /** What came of each try to hand it in. */
--- a/tools/simulator/src/worlds/lot-clients.ts
+++ b/tools/simulator/src/worlds/lot-clients.ts
@@ -39,7 +39,7 @@
     const id = `lot/${this.#number}.x`;
     const items = 1 + site.chance.below(ITEMS_MOST);
     const entries = Array.from({ length: items }, (_, index) => entryOf(`${id}-${index}`));
-    const lot = { lot: id, host: HOST, path: "/slips/x", entries };
+    const lot = { lot: id, host: HOST, path: "/slips/x", entries, credential: undefined };
     const enter: Enter = (access, ticket) => access.core.lots.handIn(ticket, lot, site.now);
     this.#ask(enter, (answer) => {
       site.history.count(`lot ${answer?.kind ?? "unanswered"}`);
@@ -68,7 +68,12 @@
     const site = this.#site;
     if (tries === 0) return history.violate("lot-unreadable", `${id} cannot be read at the end`);
     const enter: Enter = (access, ticket) =>
-      access.core.lots.read(ticket, id, HOST, 0, 0, site.now);
+      access.core.lots.read(
+        ticket,
+        { lot: id, host: HOST, credential: undefined },
+        { from: 0, hold: 0 },
+        site.now,
+      );
     this.#ask(enter, (told) => {
       if (told?.kind === "missing")
         return history.violate("lot-lost", `${id} was taken and is missing`);
