Status of duties for operators; claims only where the head decides them

chutewick status tells for each duty and subject who won last, with which fence, what the platform took last and what is overdue. A head of an earlier release would end at a claim, whose result it does not know: heartbeats of control machines now say that they decide rounds.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -71,3 +71,11 @@
       | ms   | holder | number | says | told        |
       | 0    | one    | 7      | a: 1 | won 1, a: 1 |
     Then nothing of the records is published
+
+  Scenario: operators are told who acted last, with which fence, and what is overdue
+    When these claims of usage reports are made:
+      | ms | holder | number | says | told        |
+      | 0  | one    | 7      | a: 1 | won 1, a: 1 |
+      | 1  | one    | 8      | a: 2 | won 1, a: 2 |
+    And the platform took the reports 7
+    Then with reports 7, 8, 9, 10 due, operators are told at 9000 ms: {"holder":"one","fence":1,"last":{"number":7,"holder":"one","at":0},"open":[8],"overdue":[8,9]}
--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -94,6 +94,8 @@
   readonly zone?: string;
   readonly stamp?: Stamp;
   readonly back?: Back | null;
+  /** Whether the sender decides rounds of duties; earlier releases do not. */
+  readonly decidesDuties?: boolean;
 }
 
 /** Runners heard of just now, told at once (§13.8). */
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -91,6 +91,8 @@
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
   #dutyRecords: DutyRecords;
+  /** Addresses of control machines that decide rounds of duties. */
+  readonly #decidingDuties = new Set<string>();
   #calledSilentAt = Number.NEGATIVE_INFINITY;
   #disk: DiskCondition = "writable";
   /** A planned stop is under way. */
@@ -125,6 +127,11 @@
     return this.#chain.isHead;
   }
 
+  /** Of duties at the platform, as confirmed and known here. */
+  get dutyRecords(): DutyRecords {
+    return this.#dutyRecords;
+  }
+
   /** A planned stop: the others take the view over at once (§8.6). */
   leave(now: number): ControlOutput[] {
     this.#isStopping = true;
@@ -186,6 +193,8 @@
         this.#peerHeartbeats.heard(from, message.stamp, now);
         this.#zones.heard(from, message.zone);
         this.#contact.heard(from, message.back, now);
+        if (message.decidesDuties === true) this.#decidingDuties.add(from);
+        else this.#decidingDuties.delete(from);
         return [];
       case "runners":
         for (const card of message.runners) this.#sessions.announced(card, now - card.age);
@@ -210,7 +219,7 @@
   dutySituation(now: number): DutyGround | undefined {
     const view = this.#chain.view;
     if (view === undefined || this.#isStopping || !this.#isMember) return undefined;
-    if (!this.inContact(now)) return undefined;
+    if (!this.inContact(now) || !this.#headDecidesDuties(view)) return undefined;
     return {
       place: this.#chain.position,
       members: view.members.length,
@@ -219,6 +228,12 @@
     };
   }
 
+  /** A head of an earlier release would not understand a claim. */
+  #headDecidesDuties({ members }: ChainView): boolean {
+    const head = members[0]!;
+    return head.identity === this.#self.identity || this.#decidingDuties.has(head.address);
+  }
+
   /** An operator's or node's request: entered at the head, from wherever it arrived; refused at once where no majority is reached. */
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
     if (!this.inContact(now))
--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -5,6 +5,7 @@
 import type { DueAct } from "./duty-acts.js";
 import type { DutyCall, DutyOutcome, DutyOutput } from "./duty-outputs.js";
 import { DutyPerformer } from "./duty-performer.js";
+import { dutyStatus, type SubjectStatus } from "./duty-status.js";
 import type { DutyRecords } from "./duty-records.js";
 import { UsageReports, type DutySource } from "./usage-reports.js";
 
@@ -53,12 +54,22 @@
   beat(now: number, ground: DutyGround | undefined): void {
     if (ground === undefined) return;
     if (ground.isConfigured) this.#usage.begin(now);
-    const due: DueAct[] = [];
-    for (const source of this.#sources) due.push(...source.due(now, ground.records));
     const { place, members, records } = ground;
+    const due = this.#due(now, records);
     this.#perform(this.#performer.beat({ now, place, members, records, due }));
   }
 
+  #due(now: number, records: DutyRecords): DueAct[] {
+    const due: DueAct[] = [];
+    for (const source of this.#sources) due.push(...source.due(now, records));
+    return due;
+  }
+
+  /** For operators. */
+  status(now: number, records: DutyRecords): Record<string, SubjectStatus> {
+    return dutyStatus(records, this.#due(now, records), now);
+  }
+
   close(): void {
     this.#options.platform.close();
   }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -28,3 +28,4 @@
 export * from "./duties/usage-reports.js";
 export * from "./duties/scaling-orders.js";
 export * from "./duties/duty-service.js";
+export * from "./duties/duty-status.js";
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -52,6 +52,7 @@
   to(address: string, roll: RunnerRegistry, now: number): RegistryMessage {
     const back = giveBack(this.#stamps.get(address), now);
     const zone = this.#zone === undefined ? {} : { zone: this.#zone };
-    return { kind: "roll", roll, ...zone, stamp: { life: this.#life, at: now }, back };
+    const stamp = { life: this.#life, at: now };
+    return { kind: "roll", roll, ...zone, stamp, back, decidesDuties: true };
   }
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -189,6 +189,7 @@
     function status(arrival: Arrival): void {
       reply(arrival.reply, 200, {
         ...self.#core.status(monotonic()),
+        duties: self.#duties?.status(monotonic(), self.#core.dutyRecords),
         counts: {
           syncs: self.#disk.syncs,
           ...countsOfWire(self.#wire),
