--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -100,6 +100,8 @@
   readonly back?: Back | null;
   /** ms since the start of 1970, by the wall clock of the sender; an earlier release tells none (§14.1). */
   readonly wall?: number;
+  /** Whether the sender decides rounds of duties; earlier releases do not. */
+  readonly decidesDuties?: boolean;
 }
 
 /** Runners heard of just now, told at once (§13.8). */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -30,3 +30,4 @@
 export * from "./duties/duty-service.js";
 export * from "./usage/control-usage.js";
 export * from "./usage/usage-ledger.js";
+export * from "./duties/duty-status.js";
