A control machine grants leases only once its feed tells all that its disk holds

Callers saw: nothing yet reported; by the design, 404 on a route of an acknowledged change, from a node that holds a lease. Cause: a node counts a lease if it stands as far in the feed as the granter. A control machine that starts with an entry on its disk of which it does not know whether it was confirmed begins with an empty feed, at place 0, and granted leases at that place. With the tail of the chain away, two of three such machines let any node go on by what it knew, until the next view (1.5 s). Fix: a lease is granted only from the place on that this machine's disk held when it started or became a member (GrantFloor). Whatever it told as covered in an earlier life, and whatever was confirmed before it joined, is at or below that place, so no lease is older. Price: with the tail away, a restart of all control machines leaves nodes without leases until the next view.

--- /dev/null
+++ b/features/leases.feature
@@ -0,0 +1,14 @@
+Feature: whoever holds a lease knows all that was told as in force
+  A node with a lease gives definite answers, such as "there is no such route" (docs/design.md §7, §13.5). These scenarios guard
+  against a node that holds one and misses an acknowledged change: its callers hear 404 on a route that is there.
+
+  Scenario Outline: control machines that start again let no node go on by what it missed, with <back> of <controls> back
+    Given an access node that is cut off from <controls> control machines while a change is acknowledged
+    When all control machines lose power, the first <back> of their chain are back at once, and the cut ends
+    Then for 6 s the node never holds a lease without that change, and then it has it
+
+    Examples:
+      | controls | losses | back |
+      | 3        | 1      | 2    |
+      | 5        | 2      | 3    |
+      | 5        | 2      | 4    |
--- a/features/steps/registry-sender.ts
+++ b/features/steps/registry-sender.ts
@@ -51,6 +51,7 @@
       life: "life",
       view: world.view,
       isMember: true,
+      mayGrant: true,
       controls: [],
       zones,
       feed: new Feed(),
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -29,6 +29,7 @@
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
+import { GrantFloor } from "./grant-floor.js";
 import { HeadPlanner } from "./head-planner.js";
 import { HeadRequests } from "./head-requests.js";
 import { keys } from "./keys.js";
@@ -67,6 +68,7 @@
   #requests = new HeadRequests();
   #sharesInStep = new SharesInStep();
   #coverage: LeaseCoverage;
+  #grantFloor: GrantFloor;
   #planAt = 0;
   /** No machine is taken out before: what is not heard may be this machine's own silence (§8.2). */
   #planFrom: number;
@@ -99,6 +101,7 @@
     this.#chain = chainFrom(origin, this.#policy, now);
     this.#feed = feedFrom(origin, this.#isMember);
     this.#coverage = new LeaseCoverage(now);
+    this.#grantFloor = new GrantFloor(origin.holding?.state.place ?? 0);
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
   }
@@ -315,10 +318,10 @@
       members: view.members.length,
       joiner: view.joiner?.identity,
     };
-    return [
-      { kind: "note", text: "view decided", facts },
-      ...this.#perform(this.#chain.adopt(view, now), now),
-    ];
+    const wasMember = this.#isMember;
+    const commands = this.#chain.adopt(view, now);
+    if (!wasMember && this.#isMember) this.#grantFloor.becameMember(this.#chain.place);
+    return [{ kind: "note", text: "view decided", facts }, ...this.#perform(commands, now)];
   }
 
   #perform(commands: ChainCommand[], now: number): ControlOutput[] {
@@ -427,12 +430,18 @@
     return outputs;
   }
 
+  /** Whether this machine grants leases: a member whose feed tells all that may have been told as in force before. */
+  get #mayGrant(): boolean {
+    return this.#isMember && this.#grantFloor.isReached(this.#feed.place, this.#chain.place);
+  }
+
   #heartbeat(message: SessionMessage, now: number): ControlOutput[] {
     const { messages, isLeaseGranted } = this.#nodeHeartbeats.answer(message, {
       self: this.#self.identity,
       life: this.#life,
       view: this.#chain.view,
       isMember: this.#isMember,
+      mayGrant: this.#mayGrant,
       controls: this.#agreement.addresses(),
       zones: this.#zones,
       feed: this.#feed,
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -21,8 +21,10 @@
   /** Of this process. */
   readonly life: string;
   readonly view: ChainView | undefined;
-  /** Whether this machine is a member of the view: others grant no leases. */
+  /** Whether this machine is a member of the view: others grant no leases and know no news. */
   readonly isMember: boolean;
+  /** Whether its feed has come so far that it may grant leases. */
+  readonly mayGrant: boolean;
   /** Addresses of the control machines. */
   readonly controls: readonly string[];
   readonly zones: ControlZones;
@@ -43,10 +45,10 @@
 
   /** Takes a heartbeat into the sessions. */
   answer(message: SessionMessage, context: HeartbeatContext): HeartbeatAnswer {
-    const { view, isMember, feed, now } = context;
+    const { view, isMember, mayGrant, feed, now } = context;
     const { card } = message;
     if (view === undefined || !isMember) return withoutLease(message, context, []);
-    if (!card.free || this.#laggingNodes.isLagging(card, feed.place, now))
+    if (!mayGrant || !card.free || this.#laggingNodes.isLagging(card, feed.place, now))
       return withoutLease(message, context, newsFor(card, feed));
     return withLease(message, context, view);
   }
--- a/tools/simulator/src/worlds/observers.ts
+++ b/tools/simulator/src/worlds/observers.ts
@@ -5,10 +5,10 @@
 /** ms between two looks at what each node serves. */
 const LOOK_EVERY = 150;
 
-/** Records again and again which configuration each node that holds a lease serves. */
-export function observeNodes(site: Site): void {
+/** Records again and again, every so many ms, which configuration each node that holds a lease serves. */
+export function observeNodes(site: Site, every = LOOK_EVERY): void {
   function look(): void {
-    site.deployment.world.after(LOOK_EVERY, look);
+    site.deployment.world.after(every, look);
     const { accesses, storages } = site.deployment;
     for (const node of [...accesses, ...storages]) {
       const { membership } = node.core ?? {};
--- a/tools/simulator/src/worlds/registry.ts
+++ b/tools/simulator/src/worlds/registry.ts
@@ -2,6 +2,7 @@
 import { playControlCut } from "./control-cut.js";
 import { judge } from "./judge.js";
 import { playManyChanges } from "./many-changes.js";
+import { playNodeLeases } from "./node-leases.js";
 import { playRacingOrders } from "./racing-orders.js";
 import { playSecondLoss } from "./second-loss.js";
 import type { Site } from "./site.js";
@@ -14,6 +15,7 @@
   "second-loss": playSecondLoss,
   "many-changes": playManyChanges,
   "wrong-answers": playWrongAnswers,
+  "node-leases": playNodeLeases,
 };
 
 export interface WorldPlay {
