Hearsay of an earlier life of a node ends no lease of the next

Cause: the first word of a new identity at an address ends the lease that the earlier identity had. Rolls of other control machines counted as such words, too. One that still lists an earlier life, told to a control machine that has just started, ended the lease of the node that stands there now, so a change could be told while that node goes on without it (until its next heartbeat). Evidence: features/leases.feature, second scenario, failed before (the holder was not counted). Found by reading. Fix: only the node's own first word does so; hearsay carries no moment of asking.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -12,3 +12,10 @@
       | 3        | 1      | 2    |
       | 5        | 2      | 3    |
       | 5        | 2      | 4    |
+
+  Scenario: what another control machine tells of an earlier life of a node ends no lease of the next life
+    Given a control machine that granted a lease to a node at place 7
+    When another control machine tells of an earlier life at the same address, at place 9
+    Then the holders of its leases count as being at place 7
+    When the node starts again and says place 9
+    Then the holders of its leases count as being at place 9
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -207,8 +207,8 @@
     )
       return;
     const heardAt = now - age;
-    /** A new life at an address: the one before is over, and so is its lease. */
-    if (held === undefined)
+    /** The first word of a new life at an address: the one before is over, and so is its lease. Hearsay may be of an earlier life. */
+    if (held?.askedAt === undefined && askedAt !== undefined)
       for (const session of this.#sessions.values())
         if (session.card.address === card.address) session.leaseUntil = undefined;
     if (held === undefined)
