A heartbeat that comes after a later one is not answered

Cause: of two heartbeats of a node the earlier one, if it comes last, is not taken into the sessions, but was answered with a lease all the same. Where the later one had told of a promise to peers, the node got a lease that this control machine did not know of, so it held no change up. Evidence: features/leases.feature, third scenario, failed before. Fix: what is not taken is not answered; the later one has been answered already. Not changed: a heartbeat that is late, but the newest, still renews a lease here that is over at its node; that holds a change up by 1.4 s at most, and lets none pass.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -19,3 +19,8 @@
     Then the holders of its leases count as being at place 7
     When the node starts again and says place 9
     Then the holders of its leases count as being at place 9
+
+  Scenario: a heartbeat that comes after a later one is not answered, or its lease would hold no change up
+    Given a control machine that heard a node say at its 5,300 ms that it is bound by a promise
+    When the node's heartbeat of its 5,000 ms comes after that, from before the promise
+    Then nothing is answered, and no lease is granted
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -39,6 +39,8 @@
   readonly isLeaseGranted: boolean;
 }
 
+const unanswered: HeartbeatAnswer = { messages: [], isLeaseGranted: false };
+
 /** Heartbeats of nodes: each renews the session, and the lease of a node that keeps up (docs/design.md §4, §7). */
 export class NodeHeartbeats {
   readonly #laggingNodes = new LaggingNodes();
@@ -66,8 +68,8 @@
   news: readonly FeedMessage[],
 ): HeartbeatAnswer {
   const { sessions, life, view, now } = context;
-  sessions.heard(card, now, undefined, 0, lateness(back, life, now), askedAt);
-  if (view === undefined) return { messages: [], isLeaseGranted: false };
+  const isNewest = sessions.heard(card, now, undefined, 0, lateness(back, life, now), askedAt);
+  if (view === undefined || !isNewest) return unanswered;
   const terms = { view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: emptyRegistry };
   return { messages: [...news, leaseMessage(terms, context)], isLeaseGranted: false };
 }
@@ -79,7 +81,9 @@
 ): HeartbeatAnswer {
   const { sessions, feed, life, now } = context;
   const leaseUntil = now + constants.leaseLasts;
-  sessions.heard(card, now, leaseUntil, 0, lateness(back, life, now), askedAt);
+  /** A lease of which no session is kept here would hold no change up. */
+  if (!sessions.heard(card, now, leaseUntil, 0, lateness(back, life, now), askedAt))
+    return unanswered;
   const roll = sendsRegistry(card, rolled, view, context)
     ? sessions.registryForNodes(now, card.identity)
     : emptyRegistry;
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -188,7 +188,10 @@
     return { newer, news: newer && saysNew(card, known) };
   }
 
-  /** Late: how long the message may have been on its way, which makes the runners' words in it older. */
+  /**
+   * Late: how long the message may have been on its way, which makes the runners' words in it older. False where a later word of the
+   * node is known, so that nothing was taken.
+   */
   heard(
     card: NodeCard,
     now: number,
@@ -196,7 +199,7 @@
     age: number,
     late: number,
     askedAt?: number,
-  ): void {
+  ): boolean {
     const held = this.#sessions.get(card.identity);
     /** An earlier word of the same life that came after a later one: it says where the node stood, not where it stands (§4.2). */
     if (
@@ -205,7 +208,7 @@
       askedAt < held.askedAt &&
       held.askedAt - askedAt < constants.nearLasts
     )
-      return;
+      return false;
     const heardAt = now - age;
     /** The first word of a new life at an address: the one before is over, and so is its lease. Hearsay may be of an earlier life. */
     if (held?.askedAt === undefined && askedAt !== undefined)
@@ -232,6 +235,7 @@
       }
     }
     for (const runner of card.telling.runners ?? []) this.#heardRunner(runner, now - late);
+    return true;
   }
 
   #heardRunner(card: RunnerCard, now: number): void {
