A node counts only answers to heartbeats of its own life

Cause: a lease runs from the moment that it says it was asked for, by the clock of the node, and that clock begins anew with each life of the process. An answer to the life before, to the same address (a control machine that was frozen, a slow link), gave the next life a lease until that moment of its own clock: for as long as the life before had lasted. Registries, and what peers tell of runners, were dated into the future in the same way.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -24,3 +24,10 @@
     Given a control machine that heard a node say at its 5,300 ms that it is bound by a promise
     When the node's heartbeat of its 5,000 ms comes after that, from before the promise
     Then nothing is answered, and no lease is granted
+
+  Scenario: an answer to an earlier life of a process grants nothing to the next
+    Given a node that started 500 ms ago and has the feed up to place 3
+    When all control machines answer a heartbeat that was sent 60,000 ms after the start of the life before
+    Then the node holds no lease
+    When all control machines answer the heartbeat that it has just sent
+    Then the node holds a lease
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -21,11 +21,13 @@
   type ControlMessage,
   type FleetRecord,
   type Deregistration,
+  type LeaseMessage,
   type MarkedConfiguration,
 } from "@chutewick/control";
 
 import { FeedProgress } from "./feed-progress.js";
 import { heartbeatInterval } from "./heartbeat-interval.js";
+import { RecentAsks } from "./recent-asks.js";
 
 /** How a node of the data plane stands with the control group: session, feed, lease (docs/design.md §4, §7). */
 export interface Standing {
@@ -55,6 +57,9 @@
   #registryAt = Number.NEGATIVE_INFINITY;
   #saidHere = new Map<string, number>();
   #heardAt = new Map<string, number>();
+  /** Heartbeats to control, and questions to other nodes. */
+  readonly #heartbeats = new RecentAsks();
+  readonly #peerAsks = new RecentAsks();
   /** Runners that peers told of. */
   #told = new Map<string, { card: RunnerCard; heardAt: number }>();
   #askedAt = Number.NEGATIVE_INFINITY;
@@ -174,7 +179,8 @@
       ];
     }
     /** No older than from the asking: the telling came after it. */
-    for (const card of message.runners) this.heardRunner(card, message.askedAt - card.age);
+    if (this.#peerAsks.includes(message.askedAt))
+      for (const card of message.runners) this.heardRunner(card, message.askedAt - card.age);
     for (const [runner, incarnation] of message.closed) this.close(runner, incarnation);
     if (message.askedAt !== this.#askedAt || !message.promises) return [];
     /** One that knows more shows that a change was confirmed that this node never heard of. */
@@ -224,6 +230,7 @@
     )
       return [];
     this.#askedAt = now;
+    this.#peerAsks.asked(now);
     this.#promisedUntil = now + constants.permitLasts;
     this.#promises = new Set([this.address]);
     const sends: Send[] = [];
@@ -335,25 +342,34 @@
     /** No sign of nearness: whoever says so does not hear this node. */
     if (message.kind === "controls")
       for (const address of message.addresses) this.#controls.add(address);
-    if (message.kind === "lease") {
-      this.#heardAt.set(message.identity, now);
-      this.feedProgress.heard(message.place, this.follower.place, now);
-      this.#lease.granted(message.identity, message.view, message.askedAt, message.place);
-      this.#heldLease ||= this.#lease.holds(now, this.follower.place);
-      if (message.stamp !== undefined) this.#stamps.set(from, { stamp: message.stamp, at: now });
-      /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
-      if (message.roll.nodes.length > 0 && message.askedAt >= this.#registryAt) {
-        this.#registry = this.#merged(message.roll, message.askedAt);
-        this.#registryAt = message.askedAt;
-      }
-      const controls = new Set<string>([...this.#seeds, ...message.controls]);
-      for (const member of [...message.view.members, ...holdersOf(message.view)])
-        controls.add(member.address);
-      this.#controls = controls;
-    }
+    if (message.kind === "lease") this.#receiveLease(message, from, now);
     return false;
   }
 
+  #receiveLease(message: LeaseMessage, from: string, now: number): void {
+    this.feedProgress.heard(message.place, this.follower.place, now);
+    this.#learnControls(message);
+    const { identity, view, place, roll, stamp } = message;
+    const answered = message.askedAt;
+    /** An answer without a lease does not say what it answers. */
+    const isUntold = answered === Number.NEGATIVE_INFINITY;
+    /** What answers an earlier life of this process grants this one nothing, and neither does what comes so late. */
+    if (!isUntold && !this.#heartbeats.includes(answered)) return;
+    this.#heardAt.set(identity, now);
+    this.#lease.granted(identity, view, message.askedAt, place);
+    this.#heldLease ||= this.#lease.holds(now, this.follower.place);
+    if (stamp !== undefined) this.#stamps.set(from, { stamp, at: now });
+    /** Ages in it count from the asking, before which it was not told: this node or the message may have slept. */
+    if (roll.nodes.length === 0 || message.askedAt < this.#registryAt) return;
+    this.#registry = this.#merged(roll, message.askedAt);
+    this.#registryAt = message.askedAt;
+  }
+
+  #learnControls({ controls, view }: LeaseMessage): void {
+    this.#controls = new Set<string>([...this.#seeds, ...controls]);
+    for (const member of [...view.members, ...holdersOf(view)]) this.#controls.add(member.address);
+  }
+
   /**
    * A newer registry with the runners of the one held that it lacks, or of which it has an older word: a
    * control machine that has just started, or was cut off, does not know them all. They stay until
@@ -374,6 +390,7 @@
 
   tell(now: number): Send[] {
     this.#toldAt = now;
+    this.#heartbeats.asked(now);
     const card: NodeCard = {
       ...this.#standing,
       place: this.follower.place,
