Control counts as near by when it was asked, not by when the answer came

Cause: an answer that was long on its way made a node take control for near, so it asked its peers late, and told them that control was there. Evidence: features/leases.feature, fifth scenario, failed before. Fix: nearness counts from the sending of the heartbeat that was answered. Answers without a lease name it, too (`answers`, optional on the wire; an earlier release leaves it out, and its answers without a lease count by their arrival as before).

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -31,3 +31,10 @@
     Then the node holds no lease
     When all control machines answer the heartbeat that it has just sent
     Then the node holds a lease
+
+  Scenario: an answer that was long on its way is no sign that control is near
+    Given a node that started 500 ms ago and has the feed up to place 3
+    When all control machines answer the heartbeat that it has just sent
+    Then control counts as near
+    When it goes on sending heartbeats for 1,500 ms, and the answers to those of the first 300 ms come only then
+    Then control counts as away
--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -78,6 +78,8 @@
   readonly view: ChainView;
   /** ms, by the clock of the node; minus infinity where no lease is granted. */
   readonly askedAt: number;
+  /** ms, by the clock of the node. When the heartbeat that it answers was sent; an earlier release does not say. */
+  readonly answers?: number;
   /** Newest place of the feed. */
   readonly place: number;
   readonly roll: RunnerRegistry;
--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -70,7 +70,8 @@
   const { sessions, life, view, now } = context;
   const isNewest = sessions.heard(card, now, undefined, 0, lateness(back, life, now), askedAt);
   if (view === undefined || !isNewest) return unanswered;
-  const terms = { view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: emptyRegistry };
+  const askedAtNever = Number.NEGATIVE_INFINITY;
+  const terms = { view, askedAt: askedAtNever, answers: askedAt, place: 0, roll: emptyRegistry };
   return { messages: [...news, leaseMessage(terms, context)], isLeaseGranted: false };
 }
 
@@ -87,12 +88,13 @@
   const roll = sendsRegistry(card, rolled, view, context)
     ? sessions.registryForNodes(now, card.identity)
     : emptyRegistry;
-  const lease = leaseMessage({ view, askedAt, place: feed.place, roll }, context);
+  const terms = { view, askedAt, answers: askedAt, place: feed.place, roll };
+  const lease = leaseMessage(terms, context);
   return { messages: [...newsFor(card, feed), lease], isLeaseGranted: true };
 }
 
 function leaseMessage(
-  terms: Pick<LeaseMessage, "view" | "askedAt" | "place" | "roll">,
+  terms: Pick<LeaseMessage, "view" | "askedAt" | "answers" | "place" | "roll">,
   { self, life, controls, now }: HeartbeatContext,
 ): LeaseMessage {
   return { kind: "lease", identity: self, ...terms, controls, stamp: { life, at: now } };
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -56,6 +56,7 @@
   #registry: RunnerRegistry = { nodes: [], runners: [] };
   #registryAt = Number.NEGATIVE_INFINITY;
   #saidHere = new Map<string, number>();
+  /** ms. When the last heartbeat was sent that a control machine answered, by its identity. */
   #heardAt = new Map<string, number>();
   /** Heartbeats to control, and questions to other nodes. */
   readonly #heartbeats = new RecentAsks();
@@ -350,12 +351,12 @@
     this.feedProgress.heard(message.place, this.follower.place, now);
     this.#learnControls(message);
     const { identity, view, place, roll, stamp } = message;
-    const answered = message.askedAt;
-    /** An answer without a lease does not say what it answers. */
+    const answered = message.answers ?? message.askedAt;
+    /** A release that does not say what it answers grants nothing by such a message. */
     const isUntold = answered === Number.NEGATIVE_INFINITY;
     /** What answers an earlier life of this process grants this one nothing, and neither does what comes so late. */
     if (!isUntold && !this.#heartbeats.includes(answered)) return;
-    this.#heardAt.set(identity, now);
+    this.#heard(identity, isUntold ? now : answered);
     this.#lease.granted(identity, view, message.askedAt, place);
     this.#heldLease ||= this.#lease.holds(now, this.follower.place);
     if (stamp !== undefined) this.#stamps.set(from, { stamp, at: now });
@@ -365,6 +366,14 @@
     this.#registryAt = message.askedAt;
   }
 
+  /** A control machine answered a heartbeat that was sent at a moment. */
+  #heard(identity: string, sentAt: number): void {
+    this.#heardAt.set(
+      identity,
+      Math.max(sentAt, this.#heardAt.get(identity) ?? Number.NEGATIVE_INFINITY),
+    );
+  }
+
   #learnControls({ controls, view }: LeaseMessage): void {
     this.#controls = new Set<string>([...this.#seeds, ...controls]);
     for (const member of [...view.members, ...holdersOf(view)]) this.#controls.add(member.address);
