Promises give a permit only by a majority of the fleet as it is known then

Cause: where nodes go on by each other's promises (design 7.4), promises were counted by number against the newest fleet record. The record may change between the asking and the counting, and the asker and others that had promised may be gone from it; so fewer than a majority of the fleet gave a permit, while a change was confirmed by that fleet without the asker. Fix: promises count by address, of nodes in the fleet record in force. Then the majority that promised and the one that took the change share a node, as the argument of 7.4 needs. Deployments whose nodes go on alone have no such promises.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -38,3 +38,13 @@
     Then control counts as near
     When it goes on sending heartbeats for 1,500 ms, and the answers to those of the first 300 ms come only then
     Then control counts as away
+
+  Scenario: promises of nodes that are no longer of the fleet give no permit
+    Given a node that started 500 ms ago and has the feed up to place 3, in the fleet "node:1, n:2, n:3, n:4, n:5, n:6, n:7"
+    When all control machines answer the heartbeat that it has just sent
+    And control is away for 1,500 ms, and "n:2, n:3" promise to take nothing from it
+    And the feed brings the fleet "n:3, n:4, n:5, n:6, n:7" at place 4
+    And "n:4" promises it too
+    Then the node holds no lease
+    When "n:5" promises it too
+    Then the node holds a lease
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -190,7 +190,7 @@
       return [];
     }
     this.#promises.add(from);
-    if (this.#promises.size > this.#peers.length / 2)
+    if (this.#isPromisedByMajority)
       this.#permitUntil = Math.max(
         this.#permitUntil,
         this.#askedAt + heldFor(constants.permitLasts),
@@ -198,6 +198,13 @@
     return [];
   }
 
+  /** By the fleet as it is known now: it may have changed since the asking, and others' promises hold no change up. */
+  get #isPromisedByMajority(): boolean {
+    const peers = this.#peers;
+    const promising = peers.filter((address) => this.#promises.has(address));
+    return promising.length > peers.length / 2;
+  }
+
   /** A deregistration goes to all nodes at once, before control has confirmed it (§7.5). */
   spread(): Send[] {
     const told = new Set<string>(this.#peers);
