--- a/packages/control/src/node-heartbeats.ts
+++ b/packages/control/src/node-heartbeats.ts
@@ -21,8 +21,10 @@
   /** Of this process. */
   readonly life: string;
   readonly view: ChainView | undefined;
-  /** Whether this machine is a member of the view: others grant no leases. */
+  /** Whether this machine is a member of the view: others grant no leases and know no news. */
   readonly isMember: boolean;
+  /** Whether its feed has come so far that it may grant leases. */
+  readonly mayGrant: boolean;
   /** Addresses of the control machines. */
   readonly controls: readonly string[];
   readonly zones: ControlZones;
@@ -39,16 +41,18 @@
   readonly isLeaseGranted: boolean;
 }
 
+const unanswered: HeartbeatAnswer = { messages: [], isLeaseGranted: false };
+
 /** Heartbeats of nodes: each renews the session, and the lease of a node that keeps up (docs/design.md §4, §7). */
 export class NodeHeartbeats {
   readonly #laggingNodes = new LaggingNodes();
 
   /** Takes a heartbeat into the sessions. */
   answer(message: SessionMessage, context: HeartbeatContext): HeartbeatAnswer {
-    const { view, isMember, feed, now } = context;
+    const { view, isMember, mayGrant, feed, now } = context;
     const { card } = message;
     if (view === undefined || !isMember) return withoutLease(message, context, []);
-    if (!card.free || this.#laggingNodes.isLagging(card, feed.place, now))
+    if (!mayGrant || !card.free || this.#laggingNodes.isLagging(card, feed.place, now))
       return withoutLease(message, context, newsFor(card, feed));
     return withLease(message, context, view);
   }
@@ -66,9 +70,10 @@
   news: readonly FeedMessage[],
 ): HeartbeatAnswer {
   const { sessions, life, view, now } = context;
-  sessions.heard(card, now, undefined, 0, lateness(back, life, now), askedAt);
-  if (view === undefined) return { messages: [], isLeaseGranted: false };
-  const terms = { view, askedAt: Number.NEGATIVE_INFINITY, place: 0, roll: emptyRegistry };
+  const isNewest = sessions.heard(card, now, undefined, 0, lateness(back, life, now), askedAt);
+  if (view === undefined || !isNewest) return unanswered;
+  const askedAtNever = Number.NEGATIVE_INFINITY;
+  const terms = { view, askedAt: askedAtNever, answers: askedAt, place: 0, roll: emptyRegistry };
   return { messages: [...news, leaseMessage(terms, context)], isLeaseGranted: false };
 }
 
@@ -79,16 +84,19 @@
 ): HeartbeatAnswer {
   const { sessions, feed, life, now } = context;
   const leaseUntil = now + constants.leaseLasts;
-  sessions.heard(card, now, leaseUntil, 0, lateness(back, life, now), askedAt);
+  /** A lease of which no session is kept here would hold no change up. */
+  if (!sessions.heard(card, now, leaseUntil, 0, lateness(back, life, now), askedAt))
+    return unanswered;
   const roll = sendsRegistry(card, rolled, view, context)
     ? sessions.registryForNodes(now, card.identity)
     : emptyRegistry;
-  const lease = leaseMessage({ view, askedAt, place: feed.place, roll }, context);
+  const terms = { view, askedAt, answers: askedAt, place: feed.place, roll };
+  const lease = leaseMessage(terms, context);
   return { messages: [...newsFor(card, feed), lease], isLeaseGranted: true };
 }
 
 function leaseMessage(
-  terms: Pick<LeaseMessage, "view" | "askedAt" | "place" | "roll">,
+  terms: Pick<LeaseMessage, "view" | "askedAt" | "answers" | "place" | "roll">,
   { self, life, controls, wall, now }: HeartbeatContext,
 ): LeaseMessage {
   return { kind: "lease", identity: self, ...terms, controls, stamp: { life, at: now }, wall };
