Draws that nothing came for cost the replicas of a queue nothing

A held draw that ended empty went through the chain like a read: a probe down all replicas and back, twice a second for each idle access node. An empty draw promises nothing, so the owner ends it alone.

The test counts 48 probes and 24 answers in 4 s of a simulated fleet at rest on the code before (3 access nodes, 3 replicas), none now.

--- a/features/resting.feature
+++ b/features/resting.feature
@@ -32,3 +32,9 @@
     When something begins in it 10 ms after a beat
     Then the next beat comes 50 ms after that
     And 20 beats come in 1 s
+
+  # Guards against days given up for their processor time (issue 33, SHORT): each empty draw went through all replicas.
+  Scenario: draws of idle access nodes cost the replicas of an empty queue nothing
+    Given 3 control, 4 storage and 3 access machines with a runner and an empty queue of a passage
+    When all of them rest for 4 s
+    Then the queue's owner got 15 draws at least, and no replica asked another for anything
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -45,6 +45,8 @@
   readonly command: QueueCommand;
 }
 
+type DrawCommand = Extract<QueueCommand, { kind: "draw" }>;
+
 /** A read of results that waits for one, or a draw that waits for a prompt. */
 interface Held {
   readonly ticket: string;
@@ -75,6 +77,12 @@
 /** Ticket under which an owner enters limits, before the mark of the share. */
 const LIMIT_TICKET = "limit/";
 
+/** What a draw is told for which nothing came while it was held. */
+const NOTHING_DRAWN: QueueOutcome = {
+  kind: "confirmed",
+  value: { kind: "DRAWN", tasks: [], more: "EMPTY", wait: undefined },
+};
+
 /** Why an owner does not take what the configuration governs. */
 const NO_LEASE = "the owner holds no lease";
 
@@ -272,11 +280,7 @@
   }
 
   /** A dispatcher that began anew at its address has lost what it had under way. */
-  #takeBack(
-    partition: Partition,
-    { holder, by }: Extract<QueueCommand, { kind: "draw" }>,
-    now: number,
-  ): StorageOutput[] {
+  #takeBack(partition: Partition, { holder, by }: DrawCommand, now: number): StorageOutput[] {
     const { chain, machine } = partition;
     if (!chain.serves || by === undefined) return [];
     const lost: { claim: Claim; ending: PassEnding }[] = [];
@@ -297,45 +301,42 @@
   #tellHeld(partition: Partition, now: number): StorageOutput[] {
     if (partition.held.length === 0) return [];
     const outputs: StorageOutput[] = [];
-    const { chain, machine } = partition;
     const all = partition.held;
     partition.held = [];
     let draws = 0;
     for (const { command } of all) if (command.kind === "draw") draws += 1;
     for (const held of all) {
-      const { ticket, to, command, since } = held;
-      if (chain.serves && now < held.until && !this.#isReady(partition, command, now)) {
+      const isVain = partition.chain.serves && !this.#isReady(partition, held.command, now);
+      if (isVain && now < held.until) {
         partition.held.push(held);
         continue;
       }
+      const { ticket, to, command, since } = held;
       if (command.kind !== "draw")
         outputs.push(...this.#enter(partition, ticket, to, command, now, now - since));
-      else if (!this.membership.holds(now))
-        outputs.push(result(to, ticket, { kind: "elsewhere", reason: NO_LEASE }));
-      else {
-        /** Each that waits gets its part, so that the work is spread. */
-        const most = Math.min(
-          command.most,
-          Math.ceil(
-            machine.passes.ready(command.able, chain.time(now), command.most * draws) / draws,
-          ),
-        );
-        outputs.push(
-          ...this.#enter(
-            partition,
-            ticket,
-            to,
-            { ...command, most: Math.max(1, most) },
-            now,
-            now - since,
-          ),
-        );
-      }
+      /** That nothing was drawn promises nothing, so no other replica is asked (docs/design.md §13.7.3). */
+      else if (isVain) outputs.push(result(to, ticket, NOTHING_DRAWN, now - since));
+      else outputs.push(...this.#drawHeld(partition, { ...held, command }, draws, now));
       if (command.kind === "draw") draws -= 1;
     }
     return outputs;
   }
 
+  /** Each of the draws that wait gets its part, so that the work is spread. */
+  #drawHeld(
+    partition: Partition,
+    { ticket, to, command, since }: Held & { readonly command: DrawCommand },
+    draws: number,
+    now: number,
+  ): StorageOutput[] {
+    if (!this.membership.holds(now))
+      return [result(to, ticket, { kind: "elsewhere", reason: NO_LEASE })];
+    const { chain, machine } = partition;
+    const ready = machine.passes.ready(command.able, chain.time(now), command.most * draws);
+    const most = Math.max(1, Math.min(command.most, Math.ceil(ready / draws)));
+    return this.#enter(partition, ticket, to, { ...command, most }, now, now - since);
+  }
+
   #enter(
     partition: Partition,
     ticket: string,
