The end of a node's lease is worked out once for each grant

It depends on the grants and on the node's place alone, so it is kept until a grant or the place changes.

--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -387,6 +387,8 @@
   #grants = new Map<string, { until: number; place: number }>();
   /** The view before: its grants run to their end, since every member of the next waits that long (§7.2). */
   #before: { view: ChainView; grants: Map<string, { until: number; place: number }> } | undefined;
+  /** The end last worked out, until a grant changes it: it is asked for several times with each beat and message. */
+  #known: { readonly place: number; readonly until: number } | undefined;
 
   get view(): ChainView | undefined {
     return this.#view;
@@ -398,9 +400,11 @@
       if (this.#view !== undefined) this.#before = { view: this.#view, grants: this.#grants };
       this.#view = view;
       this.#grants = new Map();
+      this.#known = undefined;
     }
     if (view.mark !== this.#view.mark) return;
     this.#grants.set(identity, { until: askedAt + heldFor(constants.leaseLasts), place });
+    this.#known = undefined;
   }
 
   /** A grant counts only for a node that has come as far in the feed as the granter had. */
@@ -408,7 +412,13 @@
     return now < this.until(place);
   }
 
+  /** Moment at which the lease ends for a node that has come to a place in the feed. */
   until(place: number): number {
+    if (this.#known?.place !== place) this.#known = { place, until: this.#untilAt(place) };
+    return this.#known.until;
+  }
+
+  #untilAt(place: number): number {
     const newest =
       this.#view === undefined
         ? Number.NEGATIVE_INFINITY
