--- a/features/steps/lease-holders.ts
+++ b/features/steps/lease-holders.ts
@@ -165,6 +165,7 @@
     zones: new ControlZones(MEMBERS[0]!, undefined),
     feed: new Feed(),
     sessions: world.sessions,
+    wall: GRANTED_AT,
     now: GRANTED_AT,
   });
 }
