Tenants stand in a record of their own in control, written where they changed

Each change of a passage would have sent all tenants of a site to all of its nodes: with 8,600 tenants and 200 passages one change was more than 500 KB to each node, now less than 200 KB, which is what the passages weigh. One entry writes both records; the feed tells the newest of each in one message, which a node applies at once, so a node has never one without the other. A record that holds its tenants itself is read as before.

--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -196,6 +196,47 @@
       When lots are handed in, read, looked into and ended there without a credential
       Then each of these callers is told that nobody can say it now
 
+  Rule: Tenants in control's records
+
+    Background:
+      Given control's records with 200 passages and 8600 tenants, and a node that follows them
+
+    Scenario: A change of a passage sends no tenants to nodes again, and the node keeps them
+      When a passage is changed
+      Then the node was sent less than 200000 bytes
+      And the node knows the tenants of control's configuration, 8600 of them
+
+    Scenario: A change of a credential comes with its version, in one message
+      When a credential is added and a passage changed
+      Then the node knows the tenants of control's configuration, 8600 of them
+      And the node was sent more than 500000 bytes
+
+    Scenario: A change sent as a patch keeps the tenants
+      When a patch changes a passage
+      Then the node knows the tenants of control's configuration, 8600 of them
+      And the node was sent less than 200000 bytes
+
+    Scenario: A node that missed versions knows newest passages and newest tenants at once
+      Given the node hears nothing
+      When a credential is added and a passage changed
+      And a passage is changed
+      And the node hears control again
+      Then the node knows the tenants of control's configuration, 8600 of them
+
+    Scenario: Tenants that are taken out are gone, and come back
+      When the configuration is entered without tenants
+      Then the node knows the tenants of control's configuration, none of them
+      When a credential is added and a passage changed
+      Then the node knows the tenants of control's configuration, 8600 of them
+
+    Scenario: A record of a configuration that still holds its tenants is read, and written apart with the next change
+      Given the configuration's record holds the tenants itself
+      Then the node knows the tenants of control's configuration, 8600 of them
+      When a patch changes a passage
+      Then the node knows the tenants of control's configuration, 8600 of them
+      When a passage is changed
+      Then the node was sent less than 200000 bytes
+
   @sockets
   Rule: What a runner is told (the adapter, the relay and the links on real sockets)
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./configuration.js";
 export * from "./machine.js";
+export * from "./tenants-record.js";
 export * from "./emptying.js";
 export * from "./keys.js";
 export * from "./order-log.js";
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -10,6 +10,7 @@
 import { emptying, type EmptyCommand, type EmptyingQuery, type EmptyingState } from "./emptying.js";
 import { keys } from "./keys.js";
 import { OrderLog } from "./order-log.js";
+import { configurationIn, putConfiguration } from "./tenants-record.js";
 
 /** Control state: configuration, placement of queues, deregistrations, emptying of machines (docs/design.md §9). */
 export type ControlCommand =
@@ -155,7 +156,7 @@
 
   apply(ledger: Ledger, input: unknown, time: number): ControlResult {
     const command = input as ControlCommand;
-    const held = configuration.read(ledger.read<MarkedConfiguration>(keys.configuration));
+    const held = configurationIn(ledger);
     switch (command.kind) {
       case "read":
         return {
@@ -250,11 +251,11 @@
         reason: `(whole): the mark ${own} must be a whole number above ${held.mark}, which is in force`,
       };
     const mark = own ?? held.mark + 1;
-    ledger.put(keys.configuration, {
+    putConfiguration(ledger, {
       mark,
       value: checked.value,
       ...(origin === undefined ? {} : { origin }),
-    } satisfies MarkedConfiguration);
+    });
     log.add(key, mark, time);
     const warnings = configuration.warnings(checked.value);
     return { kind: "IN_FORCE", mark, ...(warnings.length === 0 ? {} : { warnings }) };
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -16,7 +16,7 @@
   type Telling,
 } from "@chutewick/parts";
 import {
-  configuration,
+  configurationIn,
   keys,
   type ControlMessage,
   type FleetRecord,
@@ -101,7 +101,7 @@
     return this.#registry;
   }
   get configuration(): MarkedConfiguration {
-    return configuration.read(this.follower.read<MarkedConfiguration>(keys.configuration));
+    return configurationIn(this.follower);
   }
   /** Where changes to control state are entered. */
   get head(): string | undefined {
