--- a/packages/control/src/keys.ts
+++ b/packages/control/src/keys.ts
@@ -19,6 +19,7 @@
 export const keys = {
   fleet: "fleet",
   configuration: "configuration",
+  tenants: "tenants",
   queue: "queue/",
   standing: "standing/",
   goodbye: "goodbye/",
