A planner orders runners by the work under way, up at once and down slowly

Configurations name bounds of the number of a pool's runners; nothing planned within them. The planner takes work under way from the sessions of nodes, gives live work room for a burst of 1.7 times its usual, and lots what they usually take; it makes up for runners lost in one zone in others, and gives none up while few nodes are heard, while runners are lost or when it has just started.

Nobody carries its orders out yet.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -20,3 +20,6 @@
 export * from "./peer-heartbeats.js";
 export * from "./usage/control-usage.js";
 export * from "./usage/usage-ledger.js";
+export * from "./scaling/pool-scaler.js";
+export * from "./scaling/scaling-facts.js";
+export * from "./scaling/scaling-planner.js";
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -379,4 +379,30 @@
   usageLedgerKept: 120_000,
   /** counts. Told in one message. */
   usageCountsMost: 2_000,
+  /** part of the seats of a pool's runners that its work is to take; above it streams slow each other down. */
+  scalingFill: 0.8,
+  /** times. Live work grows by so much over its usual in a burst, before runners ordered for it serve; and while it grows. */
+  scalingBurst: 1.7,
+  scalingGrowth: 1.15,
+  /** ms. Smoothing of live work up and down, and of what is usual: lots come in heaps that fill whatever is free. */
+  scalingLiveUp: 1_000,
+  scalingLiveDown: 8_000,
+  scalingUsual: 30_000,
+  /** part of the seats, ms and times. Work that takes nearly all seats for so long waits for more: so many more runners are needed. */
+  scalingFull: 0.95,
+  scalingFullAfter: 3_000,
+  scalingFullGrowth: 1.25,
+  /** ms. Nothing is ordered before a planner has seen this much: runners that it has not heard of yet would be ended. */
+  scalingSettles: 5_000,
+  /** ms and boots. Fewer runners are ordered once fewer were enough for so long, then one at a time. */
+  scalingLowerAfter: 16_000,
+  scalingLowerBoots: 4,
+  scalingLowerEvery: 2_000,
+  /** part of the runners that must be missing before more are ordered, and too many before one is given up: no swing about a border. */
+  scalingMissing: 0.04,
+  scalingSpare: 0.1,
+  /** part of the access nodes heard at most, below which work is not known well enough to order fewer. */
+  scalingHeard: 0.8,
+  /** ms. Runners that don't serve so long after their boot are taken for lost. */
+  scalingBootLate: 2_000,
 } as const;
