--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -1,27 +1,39 @@
-import { constants, type Policy } from "@chutewick/parts";
-import type { MarkedConfiguration, Passage } from "@chutewick/control";
+import { constants, type Policy, type Tenancy } from "@chutewick/parts";
+import type { Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
 import type { PassEvent, PassRequest, PassWork } from "./dialect.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PassOutput } from "./pass.js";
+import { PassageIndex } from "./passage-index.js";
 import { describeFailure, type RelayFailure } from "./relay-failure.js";
 import { SleepDetector } from "./sleep-detector.js";
+import { TenantDirectory, type Identity } from "./tenants.js";
 import type { UsageCounter } from "./usage/usage-counter.js";
 
 /** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
-export interface Found {
-  readonly name: string;
+/** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
+const promises = new Set([408, 421, 429, 503]);
+
+/** A request that is served: where, and on whose behalf. */
+interface Admitted {
+  readonly request: PassRequest;
   readonly passage: Passage;
+  readonly identity: Identity;
 }
 
-/** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
-const promises = new Set([408, 421, 429, 503]);
+/** Ranks above it are those of items. */
+const LIVE_RANK_MOST = 4;
 
 interface Live {
   readonly ticket: string;
   readonly request: PassRequest;
   readonly passage: Passage;
   readonly pool: string;
+  /** Name of the tenant that it is served for, where one is known. */
+  readonly tenant: string | undefined;
+  readonly tenancy: Tenancy | undefined;
+  /** 0 goes first. */
+  readonly rank: number;
   readonly arrivedAt: number;
   /** Until when anything may be told at all, and until when a runner may be found. */
   readonly deadline: number;
@@ -44,8 +56,6 @@
   slow: boolean;
   /** What went wrong last, told to the caller when nothing else can be tried. */
   failure: RelayFailure;
-  /** Whose credential came with it; undefined where none was needed. */
-  tenant: string | undefined;
   /** Counted as one that began to run: another run of the same try is no other request. */
   isCounted: boolean;
 }
@@ -67,6 +77,8 @@
 }
 
 export class RelayCore {
+  readonly passages: PassageIndex;
+  readonly tenants: TenantDirectory;
   #fleet: FleetView;
   #choice: Choice;
   #policy: Policy;
@@ -75,8 +87,6 @@
   #gos = new Map<number, Go>();
   /** Those without a runner, in the order of their coming. */
   #waiting = new Set<Live>();
-  #indexed: MarkedConfiguration | undefined;
-  #index = new Map<string, Found>();
   #isRefusing = false;
   #sleep = new SleepDetector(Number.POSITIVE_INFINITY);
   /** Bytes of the bodies of requests under way. */
@@ -90,6 +100,7 @@
     passCut: 0,
     passLeft: 0,
     passUnknown: 0,
+    passUnauthorized: 0,
     passGos: 0,
     passWaited: 0,
     passResumed: 0,
@@ -98,6 +109,8 @@
 
   constructor(fleet: FleetView, choice: Choice, policy: Policy, usage?: UsageCounter) {
     this.#fleet = fleet;
+    this.passages = new PassageIndex(fleet);
+    this.tenants = new TenantDirectory(fleet);
     this.#choice = choice;
     this.#policy = policy;
     this.#usage = usage;
@@ -127,43 +140,23 @@
     return outputs;
   }
 
-  /** The passage with the longest prefix that begins the path. */
-  find(host: string, path: string): Found | undefined {
-    const marked = this.#fleet.configuration;
-    if (this.#indexed !== marked) {
-      this.#indexed = marked;
-      this.#index = new Map();
-      for (const [name, passage] of Object.entries(marked.value.passages ?? {}))
-        this.#index.set(`${plain(passage.host)}${passage.prefix}`, { name, passage });
-    }
-    const base = plain(host);
-    let end = path.search(/[?#]/);
-    if (end < 0) end = path.length;
-    for (
-      let cut = path.lastIndexOf("/", end - 1);
-      cut >= 0;
-      cut = cut === 0 ? -1 : path.lastIndexOf("/", cut - 1)
-    ) {
-      const found = this.#index.get(base + path.slice(0, cut + 1));
-      if (found !== undefined) return found;
-    }
-    return undefined;
-  }
-
   arrive(ticket: string, request: PassRequest, now: number): PassOutput[] {
     this.counts.passed += 1;
     if (this.#isRefusing)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node is about to stop");
     if (!this.#fleet.serves(now))
       return this.#turnAway(ticket, 503, constants.knownAfter, "this node may not serve now");
-    const found = this.find(request.host, request.path);
+    const found = this.passages.find(request.host, request.path);
     if (found === undefined) return this.#turnAwayUnknown(ticket, now);
+    const identity = this.tenants.identify(found.passage, request.credential);
+    if (identity === undefined) return this.#turnAwayUnauthorized(ticket, now);
     if (this.#bytes + request.body.length > this.#policy.memory * constants.bodiesPart)
       return this.#turnAway(ticket, 503, constants.retryAfter, "this node holds as much as it may");
-    return this.#take(ticket, request, found, now);
+    return this.#take(ticket, { request, passage: found.passage, identity }, now);
   }
 
-  #take(ticket: string, request: PassRequest, { passage }: Found, now: number): PassOutput[] {
+  #take(ticket: string, { request, passage, identity }: Admitted, now: number): PassOutput[] {
+    const { tenancy, rank } = identity;
     const patience = request.patience ?? passage.guard;
     const deadline = now + (patience >= 0 ? Math.min(passage.guard, patience) : passage.guard);
     const wait = passage.aim > 0 ? passage.aim * constants.waitPart : constants.waitUntold;
@@ -172,6 +165,9 @@
       request,
       passage,
       pool: poolOf(passage, request.id),
+      tenant: tenancy?.tenant,
+      tenancy,
+      rank: rank ?? passage.rank,
       arrivedAt: now,
       deadline,
       waitsUntil: Math.min(now + wait, deadline - constants.worthLeast),
@@ -187,7 +183,6 @@
       numbered: true,
       slow: false,
       failure: { kind: "no-runner-known" },
-      tenant: undefined,
       isCounted: false,
     };
     this.#live.set(ticket, live);
@@ -210,6 +205,19 @@
     return this.#turnAway(ticket, 404, undefined, "there is no passage at this host and path");
   }
 
+  /** As with a passage that is not there: one without a lease may lack a credential that was added. */
+  #turnAwayUnauthorized(ticket: string, now: number): PassOutput[] {
+    if (!this.#fleet.holds(now))
+      return this.#turnAway(
+        ticket,
+        503,
+        constants.knownAfter,
+        "no tenant holds this credential in a configuration that may be out of date",
+      );
+    this.counts.passUnauthorized += 1;
+    return this.#turnAway(ticket, 401, undefined, "a credential of a tenant is needed here");
+  }
+
   /** The caller is gone: what runs for it is broken off. */
   left(ticket: string, now: number): PassOutput[] {
     const live = this.#live.get(ticket);
@@ -244,7 +252,7 @@
     if (this.#fleet.isClosed(runner, incarnation) || !this.#choice.stands(go.chosen, now))
       return "the runner is gone";
     go.began = true;
-    go.window = this.#usage?.windowAt(now);
+    go.window ??= this.#usage?.windowAt(now);
     go.heardAt = now;
     return undefined;
   }
@@ -488,11 +496,12 @@
     const work: PassWork = {
       request: live.request,
       runner: chosen.runner,
-      rank: Math.min(4, live.passage.rank),
+      rank: Math.min(LIVE_RANK_MOST, live.rank),
       until: go.until,
       resumeAfter: live.last,
       events: live.passage.kind === "stream",
       repeatable: live.repeatable,
+      tenancy: live.tenancy,
     };
     outputs.push({ kind: "pass-run", go: number, address: chosen.address, work });
     if (live.slow) outputs.push({ kind: "pass-pause", go: number });
@@ -557,7 +566,7 @@
 
   #turnAway(
     ticket: string,
-    status: 404 | 503,
+    status: 401 | 404 | 503,
     retryAfter: number | undefined,
     reason: string,
   ): PassOutput[] {
@@ -566,14 +575,6 @@
   }
 }
 
-/** A host as passages are found by: without its port, in small letters. */
-function plain(host: string): string {
-  const small = host.toLowerCase();
-  if (small.startsWith("[")) return small.slice(0, small.indexOf("]") + 1);
-  const cut = small.indexOf(":");
-  return cut < 0 ? small : small.slice(0, cut);
-}
-
 /** By weight, and for the same request always the same. */
 function poolOf(passage: Passage, id: string): string {
   const { pools } = passage;
