--- /dev/null
+++ b/features/steps/usage-fleet.ts
@@ -0,0 +1,80 @@
+/** Steps on usage in a deployment of the product's cores, in virtual time (docs/design.md §14). */
+import { equal, ok } from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { Deployment, smallBounds } from "@chutewick/simulator";
+
+/** s */
+const FORMED_AFTER = 6;
+const TOLD_AFTER = 1;
+const QUIET_FOR = 3;
+
+interface World {
+  deployment: Deployment;
+  /** ms */
+  length: number;
+  /** Windows in which requests began. */
+  windows: Set<number>;
+}
+
+function begin(this: World, controls: number, accesses: number, seconds: number): void {
+  this.length = seconds * 1_000;
+  this.windows = new Set();
+  const bounds = { ...smallBounds, usageWindow: this.length };
+  this.deployment = new Deployment(5, { controls, storages: 3, accesses, losses: 1, bounds });
+  for (const machine of this.deployment.machines) machine.start();
+  this.deployment.after(FORMED_AFTER);
+}
+Given(
+  "a deployment of {int} control machines and {int} access nodes, with windows of usage of {int} s",
+  { timeout: 60_000 },
+  begin,
+);
+
+function stepped(this: World, seconds: number): void {
+  this.deployment.controls[0]!.wallStep = seconds * 1_000;
+  this.deployment.after(QUIET_FOR);
+}
+When("the clock of one control machine is stepped by {int} s", stepped);
+
+function beginToRun(this: World, count: number, tenant: string, seconds: number): void {
+  const { deployment } = this;
+  for (let number = 0; number < count; number += 1) {
+    deployment.after(seconds / count);
+    for (const { core } of deployment.accesses) {
+      const window = core.usage.counter.windowAt(deployment.world.now);
+      ok(window !== undefined);
+      core.usage.counter.began(tenant, window);
+      this.windows.add(window);
+    }
+  }
+  deployment.after(TOLD_AFTER);
+}
+When("{int} requests of {string} begin to run at each access node within {int} s", beginToRun);
+
+function holds(this: World, count: number, tenant: string): void {
+  for (const { core } of this.deployment.controls) {
+    let held = 0;
+    for (const window of this.windows) held += core.usage.countsOf(window).get(tenant) ?? 0;
+    equal(held, count);
+  }
+}
+Then("each control machine holds {int} requests of {string}", holds);
+
+function nearTrueTime(this: World, most: number): void {
+  const { world, controls, accesses } = this.deployment;
+  const times = [
+    ...controls.map(({ core }) => core.agreedTime.at(world.now)),
+    ...accesses.map(({ core }) => core.usage.time.at(world.now)),
+  ];
+  for (const time of times) ok(Math.abs(time! - world.wall) <= most, `${time! - world.wall} ms`);
+}
+Then("each process is within {int} ms of true time", nearTrueTime);
+
+function nothingMore(this: World): void {
+  const told = this.deployment.accesses.map(({ core }) => core.usage.counts.usageTold);
+  this.deployment.after(QUIET_FOR);
+  this.deployment.accesses.forEach(({ core }, index) => {
+    equal(core.usage.counts.usageTold, told[index]);
+  });
+}
+Then("the access nodes have nothing more to tell", nothingMore);
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -72,3 +72,14 @@
       When requests of 7 tenants begin to run for 6 s
       And nothing begins for 130 s
       Then no machine holds counts of any window
+
+  Rule: The cores of a deployment carry counts and clocks
+
+    # Guards against a core that leaves out a clock, a count or an acknowledgement, so that nothing is reported.
+    Scenario: Counts of access nodes reach every control machine, by a time that a stepped clock does not move
+      Given a deployment of 3 control machines and 2 access nodes, with windows of usage of 1 s
+      When the clock of one control machine is stepped by 30 s
+      And 20 requests of "north" begin to run at each access node within 2 s
+      Then each control machine holds 40 requests of "north"
+      And each process is within 20 ms of true time
+      And the access nodes have nothing more to tell
--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -67,7 +67,7 @@
   readonly until: number;
   began: boolean;
   /** Window of usage in which it went out; undefined where none is counted. */
-  window: number | undefined;
+  window?: number | undefined;
   /** Last sign of it here. */
   heardAt: number;
   head: { readonly status: number; readonly headers: readonly string[] } | undefined;
@@ -481,7 +481,6 @@
       chosen,
       until: live.deadline,
       began: false,
-      window: undefined,
       heardAt: now,
       head: undefined,
       kept: [],
