--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -32,3 +32,6 @@
 export * from "./usage/control-usage.js";
 export * from "./usage/usage-ledger.js";
 export * from "./duties/duty-status.js";
+export * from "./scaling/pool-scaler.js";
+export * from "./scaling/scaling-facts.js";
+export * from "./scaling/scaling-planner.js";
