--- a/features/duty-calls.feature
+++ b/features/duty-calls.feature
@@ -46,9 +46,10 @@
 
   Scenario: the settings name the duties, and nothing is claimed where they name none
     Then the platform's settings are understood:
-      | duties             | kinds         |
-      | accounting,scaling | usage,scaling |
-      | scaling            | scaling       |
-      | accounting,other   | usage         |
-      |                    | none          |
-      | no interface       | none          |
+      | duties             | window | kinds         |
+      | accounting,scaling | 5      | usage,scaling |
+      | accounting,scaling |        | scaling       |
+      | scaling            | 5      | scaling       |
+      | accounting,other   | 5      | usage         |
+      |                    | 5      | none          |
+      | no interface       | 5      | none          |
--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -7,7 +7,7 @@
 import { DutyPerformer } from "./duty-performer.js";
 import { dutyStatus, type SubjectStatus } from "./duty-status.js";
 import type { DutyRecords } from "./duty-records.js";
-import { UsageReports, type DutySource } from "./usage-reports.js";
+import { UsageReports, type DutySource, type TrueTime, type UsageCounts } from "./usage-reports.js";
 
 /** How the platform is called; an adapter speaks its language. */
 export interface DutyPlatform {
@@ -32,6 +32,9 @@
   readonly bounds: DutyBounds;
   readonly platform: DutyPlatform;
   readonly log: Log;
+  /** Usage as this machine knows it, and the time by which its windows are told apart. */
+  readonly counts: UsageCounts;
+  readonly time: TrueTime;
   readonly inquire: (command: ControlCommand, told: (outcome: ControlOutcome) => void) => void;
 }
 
@@ -44,9 +47,9 @@
 
   constructor(options: DutyServiceOptions) {
     this.#options = options;
-    const { name, bounds } = options;
+    const { name, bounds, counts, time } = options;
     this.#performer = new DutyPerformer({ name, bounds, random: Math.random });
-    this.#usage = new UsageReports(bounds, { countsOf: () => new Map() }, { at: () => Date.now() });
+    this.#usage = new UsageReports(bounds, counts, time);
     if (bounds.kinds.includes("usage")) this.#sources.push(this.#usage);
   }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -29,3 +29,5 @@
 export * from "./duties/scaling-orders.js";
 export * from "./duties/duty-service.js";
 export * from "./duties/duty-status.js";
+export * from "./usage/control-usage.js";
+export * from "./usage/usage-ledger.js";
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -48,11 +48,11 @@
     return true;
   }
 
-  /** Heartbeat to a peer. */
-  to(address: string, roll: RunnerRegistry, now: number): RegistryMessage {
+  /** Heartbeat to a peer; wall in ms, by the clock of this machine. */
+  to(address: string, roll: RunnerRegistry, wall: number, now: number): RegistryMessage {
     const back = giveBack(this.#stamps.get(address), now);
     const zone = this.#zone === undefined ? {} : { zone: this.#zone };
     const stamp = { life: this.#life, at: now };
-    return { kind: "roll", roll, ...zone, stamp, back, decidesDuties: true };
+    return { kind: "roll", roll, ...zone, stamp, back, decidesDuties: true, wall };
   }
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -163,7 +163,15 @@
     function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
       self.#enter(command, told);
     }
-    return new DutyService({ name, bounds, platform, log: this.#log, inquire });
+    return new DutyService({
+      name,
+      bounds,
+      platform,
+      log: this.#log,
+      counts: this.#core.usage,
+      time: this.#core.agreedTime,
+      inquire,
+    });
   }
 
   /** What an interface beside our own may ask (§13.2). */
@@ -257,6 +265,7 @@
           configuration: mark,
           head,
           view,
+          usageMerged: self.#core.usage.merged,
           sent: self.#wire.sent,
           dropped: self.#wire.dropped,
         }),
