--- a/features/steps/duty-calls.ts
+++ b/features/steps/duty-calls.ts
@@ -150,13 +150,13 @@
 Then("the first connection was reset and {int} were opened", firstWasReset);
 
 function settingsAre(table: DataTable): void {
-  for (const { duties, kinds } of table.hashes())
-    equal(kindsOf(duties!), kinds, `duties ${duties}`);
+  for (const { duties, window, kinds } of table.hashes())
+    equal(kindsOf(duties!, window!), kinds, `duties ${duties}, window ${window}`);
 }
 Then("the platform's settings are understood:", settingsAre);
 
 /** The kinds of duties that a settings file leads to. */
-function kindsOf(duties: string): string {
+function kindsOf(duties: string, window: string): string {
   const folder = mkdtempSync(join(tmpdir(), "duties-"));
   const path = join(folder, "settings.json");
   const named = duties === "" ? [] : duties.split(",");
@@ -169,6 +169,7 @@
     internalPorts: [7_000, 7_010],
     seedNodes: ["127.0.0.1:7000"],
     limits: {},
+    bounds: window === "" ? {} : { reportWindowS: Number(window) },
     ...(duties === "no interface" ? {} : { platformApi }),
   };
   writeFileSync(path, JSON.stringify(told));
--- a/packages/control/src/control-messages.ts
+++ b/packages/control/src/control-messages.ts
@@ -100,10 +100,10 @@
   readonly zone?: string;
   readonly stamp?: Stamp;
   readonly back?: Back | null;
-  /** ms since the start of 1970, by the wall clock of the sender; an earlier release tells none (§14.1). */
-  readonly wall?: number;
   /** Whether the sender decides rounds of duties; earlier releases do not. */
   readonly decidesDuties?: boolean;
+  /** ms since the start of 1970, by the wall clock of the sender; an earlier release tells none (§14.1). */
+  readonly wall?: number;
 }
 
 /** Runners heard of just now, told at once (§13.8). */
--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -32,7 +32,8 @@
   readonly bounds: DutyBounds;
   readonly platform: DutyPlatform;
   readonly log: Log;
-  readonly usage: UsageCounts;
+  /** Usage as this machine knows it, and the time by which its windows are told apart. */
+  readonly counts: UsageCounts;
   readonly time: TrueTime;
   readonly inquire: (command: ControlCommand, told: (outcome: ControlOutcome) => void) => void;
 }
@@ -46,9 +47,9 @@
 
   constructor(options: DutyServiceOptions) {
     this.#options = options;
-    const { name, bounds, usage, time } = options;
+    const { name, bounds, counts, time } = options;
     this.#performer = new DutyPerformer({ name, bounds, random: Math.random });
-    this.#usage = new UsageReports(bounds, usage, time);
+    this.#usage = new UsageReports(bounds, counts, time);
     if (bounds.kinds.includes("usage")) this.#sources.push(this.#usage);
   }
 
--- a/packages/control/src/peer-heartbeats.ts
+++ b/packages/control/src/peer-heartbeats.ts
@@ -53,6 +53,6 @@
     const back = giveBack(this.#stamps.get(address), now);
     const zone = this.#zone === undefined ? {} : { zone: this.#zone };
     const stamp = { life: this.#life, at: now };
-    return { kind: "roll", roll, ...zone, stamp, back, wall, decidesDuties: true };
+    return { kind: "roll", roll, ...zone, stamp, back, decidesDuties: true, wall };
   }
 }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -163,8 +163,15 @@
     function inquire(command: ControlCommand, told: (outcome: ControlOutcome) => void): void {
       self.#enter(command, told);
     }
-    const { usage, agreedTime: time } = this.#core;
-    return new DutyService({ name, bounds, platform, log: this.#log, usage, time, inquire });
+    return new DutyService({
+      name,
+      bounds,
+      platform,
+      log: this.#log,
+      counts: this.#core.usage,
+      time: this.#core.agreedTime,
+      inquire,
+    });
   }
 
   /** What an interface beside our own may ask (§13.2). */
