--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -647,16 +647,21 @@
 Then("the last item of the lot is finished within {int} s", lastFinishedWithin);
 
 function theOnlyDispatcherDies(this: PlayWorld): void {
-  const play = new PassPlay({ seed: 9, stormy: 0, calm: 0, faults: [], access: 1, items: 3 });
-  Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
-  play.begin();
-  play.world.run(6_500);
-  this.waits = [newLifeDelay(play)];
+  this.waits = [];
+  for (let seed = 9; seed <= 14; seed += 1) {
+    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access: 1, items: 3 });
+    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
+    play.begin();
+    play.world.run(6_500);
+    const delay = newLifeDelay(play);
+    if (delay !== undefined) this.waits.push(delay);
+  }
+  ok(this.waits.length >= 4, "most lots are not ended by their clients");
 }
 When("the only dispatcher dies amid its runs and begins anew", theOnlyDispatcherDies);
 
 function beganAgainWithin(this: PlayWorld, bound: number): void {
-  ok(this.waits[0]! <= bound, String(this.waits[0]));
+  ok(Math.max(...this.waits) <= bound, this.waits.join(", "));
 }
 Then("they begin again within {int} ms of its first draw", beganAgainWithin);
 
--- a/tools/simulator/src/passages/delays.ts
+++ b/tools/simulator/src/passages/delays.ts
@@ -36,8 +36,11 @@
   return delays;
 }
 
-/** The only dispatcher dies amid its runs and begins anew; the ms from its first draw until the last of those runs begins again. */
-export function newLifeDelay(play: PassPlay): number {
+/**
+ * The only dispatcher dies amid its runs and begins anew; the ms from its first draw until the last of those runs begins again, or
+ * undefined where the lot's client asked for its end meanwhile.
+ */
+export function newLifeDelay(play: PassPlay): number | undefined {
   const { world } = play;
   const [access] = play.accesses;
   const lot = play.lotClients.handIn();
@@ -49,6 +52,7 @@
   world.run(world.now + AWAY);
   access!.start();
   const drawnAt = firstDrawAt(play, access!.address);
+  if (lot.endAskedAt !== undefined) return undefined;
   let last = interrupted.length === 0 ? Number.POSITIVE_INFINITY : 0;
   for (const { runs, begunAt } of interrupted)
     last = Math.max(last, runs > 1 ? begunAt : Number.POSITIVE_INFINITY);
