--- a/packages/control/src/scaling/pool-scaler.ts
+++ b/packages/control/src/scaling/pool-scaler.ts
@@ -1,16 +1,10 @@
 /** The control loop of one pool's number of runners; without I/O (docs/design.md §14.4). */
 import { constants } from "@chutewick/parts";
+import type { ScalingOrder } from "../duties/duty-acts.js";
 import { Demand } from "./demand.js";
 import type { PoolLoad, ScalingBounds } from "./scaling-facts.js";
 import { ZoneStanding } from "./zone-standing.js";
 
-/** How many runners of a pool are to be in a zone. */
-export interface ScalingOrder {
-  readonly pool: string;
-  readonly zone: string;
-  readonly desired: number;
-}
-
 /** A need at a moment. */
 interface NeedAt {
   readonly needed: number;
--- a/packages/control/src/scaling/scaling-planner.ts
+++ b/packages/control/src/scaling/scaling-planner.ts
@@ -1,6 +1,7 @@
 /** How many runners there are to be of each pool in each zone; without I/O (docs/design.md §14.4). */
 import { constants } from "@chutewick/parts";
-import { PoolScaler, type ScalingOrder } from "./pool-scaler.js";
+import type { ScalingOrder } from "../duties/duty-acts.js";
+import { PoolScaler } from "./pool-scaler.js";
 import type { ScalingFacts } from "./scaling-facts.js";
 
 /** Plans for all pools whose runners may be ordered. */
