--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -34,12 +34,14 @@
 } from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
 import { isClaimResult } from "./duties/duty-ledger.js";
+import { orderedRunners } from "./duties/ordered-runners.js";
+import { scalingFactsOf, type ScalingFacts } from "./scaling/scaling-facts.js";
 import { DutyRecords } from "./duties/duty-records.js";
 import type { DutyGround } from "./duties/duty-service.js";
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
-import type { MarkedConfiguration } from "./configuration.js";
+import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { HeadPlanner } from "./head-planner.js";
 import { HeadRequests } from "./head-requests.js";
 import { keys } from "./keys.js";
@@ -249,6 +251,20 @@
     };
   }
 
+  /** What the number of runners goes by. */
+  scalingFacts(now: number): ScalingFacts {
+    const held = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
+    const ordered = orderedRunners(this.#dutyRecords);
+    return scalingFactsOf(
+      {
+        configuration: held.value,
+        sessions: this.#sessions,
+        ordered: (pool) => ordered.get(pool) ?? new Map<string, number>(),
+      },
+      now,
+    );
+  }
+
   /** A head of an earlier release would not understand a claim. */
   #headDecidesDuties({ members }: ChainView): boolean {
     const head = members[0]!;
--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -2,11 +2,14 @@
 import type { DutyBounds } from "@chutewick/parts";
 import type { ControlOutcome } from "../control-messages.js";
 import type { ControlCommand } from "../machine.js";
+import type { ScalingFacts } from "../scaling/scaling-facts.js";
 import type { DueAct } from "./duty-acts.js";
 import type { DutyCall, DutyOutcome, DutyOutput } from "./duty-outputs.js";
 import { DutyPerformer } from "./duty-performer.js";
 import { dutyStatus, type SubjectStatus } from "./duty-status.js";
 import type { DutyRecords } from "./duty-records.js";
+import { PlannedScaling } from "./planned-scaling.js";
+import { ScalingOrders } from "./scaling-orders.js";
 import { UsageReports, type DutySource, type TrueTime, type UsageCounts } from "./usage-reports.js";
 
 /** How the platform is called; an adapter speaks its language. */
@@ -35,6 +38,8 @@
   /** Usage as this machine knows it, and the time by which its windows are told apart. */
   readonly counts: UsageCounts;
   readonly time: TrueTime;
+  /** What the number of runners goes by, as this machine knows it. */
+  readonly scalingFacts: (now: number) => ScalingFacts;
   readonly inquire: (command: ControlCommand, told: (outcome: ControlOutcome) => void) => void;
 }
 
@@ -51,6 +56,8 @@
     this.#performer = new DutyPerformer({ name, bounds, random: Math.random });
     this.#usage = new UsageReports(bounds, counts, time);
     if (bounds.kinds.includes("usage")) this.#sources.push(this.#usage);
+    const planned = new PlannedScaling(options.scalingFacts);
+    if (bounds.kinds.includes("scaling")) this.#sources.push(new ScalingOrders(bounds, planned));
   }
 
   /** Time passes; without ground this machine claims nothing. */
--- a/packages/control/src/duties/scaling-orders.ts
+++ b/packages/control/src/duties/scaling-orders.ts
@@ -1,5 +1,6 @@
 import { constants, type DutyBounds } from "@chutewick/parts";
-import type { DueAct, ScalingOrder } from "./duty-acts.js";
+import type { ScalingOrder } from "../scaling/pool-scaler.js";
+import type { DueAct } from "./duty-acts.js";
 import type { DutyRecords, DutySubject } from "./duty-records.js";
 import type { DutySource } from "./usage-reports.js";
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./configuration.js";
 export * from "./machine.js";
+export * from "./tenants-record.js";
 export * from "./emptying.js";
 export * from "./keys.js";
 export * from "./order-log.js";
@@ -31,3 +32,6 @@
 export * from "./duties/duty-status.js";
 export * from "./usage/control-usage.js";
 export * from "./usage/usage-ledger.js";
+export * from "./scaling/pool-scaler.js";
+export * from "./scaling/scaling-facts.js";
+export * from "./scaling/scaling-planner.js";
