--- a/packages/control/src/duties/duty-acts.ts
+++ b/packages/control/src/duties/duty-acts.ts
@@ -1,3 +1,5 @@
+import type { ScalingOrder } from "../scaling/pool-scaler.js";
+
 /** Duties: acts towards the platform that one control machine at a time performs (docs/design.md §14). */
 
 /** What kinds of duties there are. */
@@ -9,13 +11,6 @@
   readonly counts: Readonly<Record<string, number>>;
 }
 
-/** How many runners of a pool there are to be in a zone. */
-export interface ScalingOrder {
-  readonly pool: string;
-  readonly zone: string;
-  readonly desired: number;
-}
-
 /** What an act says, whole. */
 export type ActBody = UsageReport | ScalingOrder;
 
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -170,6 +170,7 @@
       log: this.#log,
       counts: this.#core.usage,
       time: this.#core.agreedTime,
+      scalingFacts: (now) => this.#core.scalingFacts(now),
       inquire,
     });
   }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -384,6 +384,8 @@
   usageWindowsMost: 120,
   /** leases. An order of scaling that nobody has made for so long is made by any machine. */
   scalingTakeoverLeases: 2,
+  /** ms. The number of runners is worked out anew this often. */
+  scalingPlanEvery: 500,
   /** times as long as usual that a runner is known by a node cut off from control: cuts last some 5 s. */
   aloneTimes: 6,
   /** ms. A wall clock told this much ago says nothing any more: five heartbeats. */
