--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -25,11 +25,23 @@
   type ControlOutput,
   type SessionMessage,
 } from "./control-messages.js";
-import { agreementFrom, chainFrom, feedFrom, type ControlOrigin } from "./control-origin.js";
+import {
+  agreementFrom,
+  chainFrom,
+  dutyRecordsFrom,
+  feedFrom,
+  type ControlOrigin,
+} from "./control-origin.js";
 import { controlStatus } from "./control-status.js";
+import { isClaimResult } from "./duties/duty-ledger.js";
+import { orderedRunners } from "./duties/ordered-runners.js";
+import { scalingFactsOf, type ScalingFacts } from "./scaling/scaling-facts.js";
+import { DutyRecords } from "./duties/duty-records.js";
+import type { DutyGround } from "./duties/duty-service.js";
 import { emptying } from "./emptying.js";
 import { explanations, type Asked, type Explained } from "./explain.js";
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
+import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { HeadPlanner } from "./head-planner.js";
 import { HeadRequests } from "./head-requests.js";
 import { keys } from "./keys.js";
@@ -83,6 +95,9 @@
   #forwarding: Forwarding;
   #contact: QuorumContact;
   #silentNodes = new SilentNodes();
+  #dutyRecords: DutyRecords;
+  /** Addresses of control machines that decide rounds of duties. */
+  readonly #decidingDuties = new Set<string>();
   #usage: ControlUsage;
   #calledSilentAt = Number.NEGATIVE_INFINITY;
   #disk: DiskCondition = "writable";
@@ -103,6 +118,7 @@
     this.#agreement = agreementFrom(origin, this.#policy, now);
     this.#chain = chainFrom(origin, this.#policy, now);
     this.#feed = feedFrom(origin, this.#isMember);
+    this.#dutyRecords = dutyRecordsFrom(origin, this.#isMember);
     this.#coverage = new LeaseCoverage(now);
     this.#planFrom = now + constants.sessionLasts;
     this.#beatAt = now;
@@ -126,6 +142,11 @@
     return this.#usage.time;
   }
 
+  /** Of duties at the platform, as confirmed and known here. */
+  get dutyRecords(): DutyRecords {
+    return this.#dutyRecords;
+  }
+
   /** A planned stop: the others take the view over at once (§8.6). */
   leave(now: number): ControlOutput[] {
     this.#isStopping = true;
@@ -187,6 +208,8 @@
         this.#peerHeartbeats.heard(from, message.stamp, now);
         this.#zones.heard(from, message.zone);
         this.#contact.heard(from, message.back, now);
+        if (message.decidesDuties === true) this.#decidingDuties.add(from);
+        else this.#decidingDuties.delete(from);
         return this.#usage.heardPeer(from, message, this.#isOver(now), now);
       case "usage":
         return this.#usage.take(message, from, now);
@@ -215,6 +238,39 @@
     return this.#contact.hasQuorum(this.#agreement.view, now);
   }
 
+  /** What duties at the platform are performed by; undefined where this machine may win no round, or is about to stop. */
+  dutySituation(now: number): DutyGround | undefined {
+    const view = this.#chain.view;
+    if (view === undefined || this.#isStopping || !this.#isMember) return undefined;
+    if (!this.inContact(now) || !this.#headDecidesDuties(view)) return undefined;
+    return {
+      place: this.#chain.position,
+      members: view.members.length,
+      records: this.#dutyRecords,
+      isConfigured: this.#feed.read<MarkedConfiguration>(keys.configuration) !== undefined,
+    };
+  }
+
+  /** What the number of runners goes by. */
+  scalingFacts(now: number): ScalingFacts {
+    const held = configuration.read(this.#feed.read<MarkedConfiguration>(keys.configuration));
+    const ordered = orderedRunners(this.#dutyRecords);
+    return scalingFactsOf(
+      {
+        configuration: held.value,
+        sessions: this.#sessions,
+        ordered: (pool) => ordered.get(pool) ?? new Map<string, number>(),
+      },
+      now,
+    );
+  }
+
+  /** A head of an earlier release would not understand a claim. */
+  #headDecidesDuties({ members }: ChainView): boolean {
+    const head = members[0]!;
+    return head.identity === this.#self.identity || this.#decidingDuties.has(head.address);
+  }
+
   /** An operator's or node's request: entered at the head, from wherever it arrived; refused at once where no majority is reached. */
   inquire(ticket: string, command: ControlCommand, now: number): ControlOutput[] {
     if (!this.inContact(now))
@@ -353,10 +409,12 @@
           break;
         case "confirmed":
           this.#feed.take(command.place, command.changes);
+          this.#dutyRecords.take(command.changes);
           news = true;
           break;
         case "restored":
           this.#feed.restore(command.place, command.records);
+          this.#dutyRecords.restore(command.records);
           news = true;
           break;
         case "result":
@@ -394,8 +452,9 @@
     return outputs;
   }
 
-  /** What changed the configuration needs the shares that follow from it, too. */
+  /** What changed the configuration needs the shares that follow from it, too; rounds of duties concern no node. */
   #inForceBy({ value, place }: { value: ControlResult; place: number }): number | undefined {
+    if (isClaimResult(value)) return 0;
     return value.kind === "IN_FORCE" ? this.#sharesInStep.inForceBy(place, this.#feed) : place;
   }
 
--- /dev/null
+++ b/packages/control/src/duties/planned-scaling.ts
@@ -0,0 +1,24 @@
+import { constants } from "@chutewick/parts";
+import type { ScalingOrder } from "../scaling/pool-scaler.js";
+import type { ScalingFacts } from "../scaling/scaling-facts.js";
+import { ScalingPlanner } from "../scaling/scaling-planner.js";
+import type { ScalingDemand } from "./scaling-orders.js";
+
+/** The planner's wishes, worked out anew now and then: each look goes through all sessions. */
+export class PlannedScaling implements ScalingDemand {
+  readonly #planner = new ScalingPlanner();
+  readonly #facts: (now: number) => ScalingFacts;
+  #orders: readonly ScalingOrder[] = [];
+  #plannedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(facts: (now: number) => ScalingFacts) {
+    this.#facts = facts;
+  }
+
+  desired(now: number): readonly ScalingOrder[] {
+    if (now - this.#plannedAt < constants.scalingPlanEvery) return this.#orders;
+    this.#plannedAt = now;
+    this.#orders = this.#planner.orders(this.#facts(now), now);
+    return this.#orders;
+  }
+}
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -17,3 +17,4 @@
 export * from "./policy.js";
 export * from "./agreed-time.js";
 export * from "./caller-limits.js";
+export * from "./duty-bounds.js";
