Nodes log by what they go on, control why a change is told as in force

A node now has one line for each change of its version or of its ground (lease or permit), with its place, the view, who grants, and when each control machine answered last, and at most three lines a second on definite refusals, with the same. The head has one line for each change told: its place, how long it waited, and how far the lease holders of each member had come. None of it is for each request. features/leases.feature, last scenario.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -48,3 +48,12 @@
     Then the node holds no lease
     When "n:5" promises it too
     Then the node holds a lease
+
+  Scenario: a node logs by what it goes on, once a change, and a few of its definite refusals
+    Given a node that started 500 ms ago and has the feed up to place 3
+    Then it logs "version 0 at place 3, by none"
+    When all control machines answer the heartbeat that it has just sent
+    Then it logs "version 0 at place 3, by lease of control-1 control-2 control-3"
+    And it logs nothing more while nothing changes
+    And of 10 callers refused with 404 within a second it logs 3
+    And of 10 callers refused with 503 within a second it logs 0
--- a/features/steps/lease-holders.ts
+++ b/features/steps/lease-holders.ts
@@ -8,7 +8,7 @@
   type LeaseMessage,
   type SessionMessage,
 } from "@chutewick/control";
-import { Membership } from "@chutewick/data";
+import { Membership, MembershipLog } from "@chutewick/data";
 import { Feed, Sessions, constants, type ChainView, type NodeCard } from "@chutewick/parts";
 import { Deployment, configurationOf, type AccessMachine } from "@chutewick/simulator";
 
@@ -19,6 +19,7 @@
   heartbeats: NodeHeartbeats;
   answer: HeartbeatAnswer;
   membership: Membership;
+  log: MembershipLog;
   /** ms. */
   now: number;
 }
@@ -199,6 +200,7 @@
   const { address, kind, zone, http } = cardOf("node-1", place);
   const standing = { identity: "node-1", address, kind, zone, http };
   this.membership = new Membership(standing, ["control-1"], 0, () => ({}));
+  this.log = new MembershipLog(this.membership);
   this.now = ago;
   this.membership.receive({ kind: "feed-digest", place, records: [] }, "control-1", this.now);
   this.membership.tell(this.now);
@@ -311,3 +313,28 @@
   equal(this.membership.isNear(this.now), false);
 }
 Then("control counts as away", away);
+
+// What a node logs
+
+function logsStanding(this: World, text: string): void {
+  const logged = this.log.changed(this.now);
+  ok(logged !== undefined);
+  const { version, place, ground, granters } = logged;
+  const by = granters.length === 0 ? ground : `${ground} of ${granters.join(" ")}`;
+  equal(`version ${version} at place ${place}, by ${by}`, text);
+}
+Then("it logs {string}", logsStanding);
+
+function logsNothing(this: World): void {
+  for (let beat = 1; beat <= 5; beat += 1)
+    equal(this.log.changed(this.now + beat * constants.beatEvery), undefined);
+}
+Then("it logs nothing more while nothing changes", logsNothing);
+
+function refusalsLogged(this: World, refusals: number, status: number, logged: number): void {
+  let lines = 0;
+  for (let refusal = 0; refusal < refusals; refusal += 1)
+    if (this.log.refused(status, this.now + refusal) !== undefined) lines += 1;
+  equal(lines, logged);
+}
+Then("of {int} callers refused with {int} within a second it logs {int}", refusalsLogged);
--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -31,7 +31,7 @@
 import { Forwarding, unwritable, type Ended } from "./forwarding.js";
 import { GrantFloor } from "./grant-floor.js";
 import { HeadPlanner } from "./head-planner.js";
-import { HeadRequests } from "./head-requests.js";
+import { HeadRequests, type HeadRequest } from "./head-requests.js";
 import { keys } from "./keys.js";
 import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
 import type { ControlCommand, ControlResult, FleetRecord } from "./machine.js";
@@ -371,11 +371,30 @@
       if (held.inForceBy === undefined) continue;
       covered ??= this.#coveredByAll(now);
       if (held.inForceBy <= covered && this.#fleetTook(held.inForceBy))
-        outputs.push(...this.#finish(id, { kind: "confirmed", ...held.result }));
+        outputs.push(
+          ...this.#noteInForce(held, now),
+          ...this.#finish(id, { kind: "confirmed", ...held.result }),
+        );
     }
     return outputs;
   }
 
+  /** Why a change of the configuration is told as in force now: what each member's lease holders have. */
+  #noteInForce({ since, result, inForceBy }: HeadRequest, now: number): ControlOutput[] {
+    if (result?.value.kind !== "IN_FORCE") return [];
+    const facts = {
+      version: result.value.mark,
+      place: result.place,
+      inForceBy,
+      waited: Math.round(now - since),
+      view: this.#chain.view?.mark,
+      own: this.#ownCover(now),
+      holders: this.#sessions.holders(now),
+      others: this.#coverage.toldBy(this.#otherMembers),
+    };
+    return [{ kind: "note", text: "a change is in force", facts }];
+  }
+
   /** What changed the configuration needs the shares that follow from it, too. */
   #inForceBy({ value, place }: { value: ControlResult; place: number }): number | undefined {
     return value.kind === "IN_FORCE" ? this.#sharesInStep.inForceBy(place, this.#feed) : place;
@@ -383,10 +402,13 @@
 
   /** The place that all holders of leases of all members have. */
   #coveredByAll(now: number): number {
-    const view = this.#chain.view;
-    if (view === undefined) return 0;
-    const others = view.members.filter(({ identity }) => identity !== this.#self.identity);
-    return this.#coverage.ofAll(others, this.#ownCover(now));
+    if (this.#chain.view === undefined) return 0;
+    return this.#coverage.ofAll(this.#otherMembers, this.#ownCover(now));
+  }
+
+  get #otherMembers(): readonly Member[] {
+    const members = this.#chain.view?.members ?? [];
+    return members.filter(({ identity }) => identity !== this.#self.identity);
   }
 
   #ownCover(now: number): number {
--- a/packages/control/src/lease-coverage.ts
+++ b/packages/control/src/lease-coverage.ts
@@ -50,6 +50,13 @@
     return now < this.#knownFrom ? 0 : sessions.covered(place, now);
   }
 
+  /** Place that the lease holders of each other member have, as far as it was told in this view; for the log. */
+  toldBy(others: readonly Member[]): Record<string, number> {
+    const told: Record<string, number> = {};
+    for (const { identity } of others) told[identity] = this.#coveredBy.get(identity) ?? 0;
+    return told;
+  }
+
   /** The place that all holders of leases have, of this machine's and of the other members'. */
   ofAll(others: readonly Member[], own: number): number {
     let covered = own;
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -36,6 +36,7 @@
 import type { PassEvent, PassRequest, RunnerDialect } from "./dialect.js";
 import type { ErrorBody } from "./error-reply.js";
 import { Links } from "./link.js";
+import { MembershipLog } from "./membership-log.js";
 import { ownDialect } from "./own-dialect.js";
 import { PassConnections } from "./pass-link.js";
 import { PlannedStop, stopTimes } from "./planned-stop.js";
@@ -80,6 +81,7 @@
   #lotCallers = new Map<string, LotCaller>();
   #fronts: readonly AccessFront[];
   #passLinks: PassConnections;
+  #membershipLog: MembershipLog;
   #relay: RelayCore;
   #stop: PlannedStop | undefined;
   #dialect: RunnerDialect;
@@ -127,6 +129,7 @@
     function share(address: string): number {
       return self.#core.choice.share(address);
     }
+    this.#membershipLog = new MembershipLog(this.#core.membership);
     this.#relay = this.#core.relay;
     this.#passLinks = new PassConnections({
       dialect: this.#dialect,
@@ -164,6 +167,7 @@
     if (trouble !== undefined) return outcome.bad(trouble);
     function strike(now: number): void {
       access.#perform(access.#core.beat(now, Date.now()));
+      access.#logStanding(now);
       access.#wire.beat(now);
       access.#passLinks.beat(now);
       access.#beginWarmUp(now);
@@ -177,6 +181,17 @@
     return outcome.good(access);
   }
 
+  #logStanding(now: number): void {
+    const changed = this.#membershipLog.changed(now);
+    if (changed !== undefined) this.#log.info(changed, "standing with control changed");
+  }
+
+  #logRefusal({ status, reason }: Extract<PassOutput, { kind: "pass-refused" }>): void {
+    const standing = this.#membershipLog.refused(status, monotonic());
+    if (standing !== undefined)
+      this.#log.info({ status, reason, ...standing }, "a caller was refused by the configuration");
+  }
+
   /** Once this node serves and as long as no caller has come: whoever is served is served first. */
   #beginWarmUp(now: number): void {
     const sample = this.#warmUpSample;
@@ -500,7 +515,10 @@
         case "pass-bytes":
         case "pass-end":
         case "pass-cut":
+          this.#passing.deliver(output);
+          break;
         case "pass-refused":
+          this.#logRefusal(output);
           this.#passing.deliver(output);
           break;
         case "lot-told": {
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./feed-progress.js";
 export * from "./heartbeat-interval.js";
 export * from "./membership.js";
+export * from "./membership-log.js";
 export * from "./own-dialect.js";
 export * from "./pass-draw.js";
 export * from "./pass-link.js";
--- a/packages/data/src/membership.ts
+++ b/packages/data/src/membership.ts
@@ -46,6 +46,24 @@
   readonly message: ControlMessage;
 }
 
+/** By what a node takes new work and gives definite answers. */
+export type WorkGround = "lease" | "permit" | "none";
+
+/** How a node stands with control at a moment. */
+export interface MembershipReport {
+  /** Of the configuration that it goes by. */
+  readonly version: number;
+  /** In the feed. */
+  readonly place: number;
+  readonly ground: WorkGround;
+  /** Mark of the newest view that it knows. */
+  readonly view: number | undefined;
+  /** Control machines whose leases count. */
+  readonly granters: readonly string[];
+  /** ms since the heartbeat was sent that each control machine answered last. */
+  readonly heardBefore: Readonly<Record<string, number>>;
+}
+
 export class Membership {
   readonly follower = new Follower();
   readonly feedProgress = new FeedProgress();
@@ -134,6 +152,27 @@
     );
   }
 
+  /** For the log. */
+  report(now: number): MembershipReport {
+    const { place } = this.follower;
+    const heardBefore: Record<string, number> = {};
+    for (const [identity, at] of this.#heardAt) heardBefore[identity] = Math.round(now - at);
+    return {
+      version: this.configuration.mark,
+      place,
+      ground: this.ground(now),
+      view: this.#lease.view?.mark,
+      granters: this.#lease.granters(now, place),
+      heardBefore,
+    };
+  }
+
+  /** By what it takes new work now. */
+  ground(now: number): WorkGround {
+    if (!this.holds(now)) return "none";
+    return this.#lease.holds(now, this.follower.place) ? "lease" : "permit";
+  }
+
   /** Whether live work on passages may begin: also on what is known, where the deployment lets a node go on alone (§13.3). */
   serves(now: number): boolean {
     return this.configuration.mark > 0 && (this.#policy.goesOnAlone || this.holds(now));
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -283,6 +283,14 @@
     return found;
   }
 
+  /** How many leases granted here still count. */
+  holders(now: number): number {
+    let count = 0;
+    for (const { leaseUntil } of this.#sessions.values())
+      if (leaseUntil !== undefined && leaseUntil > now) count += 1;
+    return count;
+  }
+
   /** Place that the node at an address took while it was free. */
   taken(address: string): number {
     let place = 0;
@@ -412,6 +420,14 @@
     return now < this.until(place);
   }
 
+  /** Members of the newest view whose grants count at a moment for a node at a place. */
+  granters(now: number, place: number): string[] {
+    const found: string[] = [];
+    for (const [identity, grant] of this.#grants)
+      if (grant.until > now && grant.place <= place) found.push(identity);
+    return found;
+  }
+
   until(place: number): number {
     const newest =
       this.#view === undefined
