--- a/packages/control/src/core.ts
+++ b/packages/control/src/core.ts
@@ -44,7 +44,7 @@
 import { configuration, type MarkedConfiguration } from "./configuration.js";
 import { GrantFloor } from "./grant-floor.js";
 import { HeadPlanner } from "./head-planner.js";
-import { HeadRequests } from "./head-requests.js";
+import { HeadRequests, type HeadRequest } from "./head-requests.js";
 import { keys } from "./keys.js";
 import { LeaseCoverage, isTakenByFleet, knowsGrants } from "./lease-coverage.js";
 import type { ControlCommand, ControlResult, FleetRecord } from "./machine.js";
@@ -450,11 +450,30 @@
       if (held.inForceBy === undefined) continue;
       covered ??= this.#coveredByAll(now);
       if (held.inForceBy <= covered && this.#fleetTook(held.inForceBy))
-        outputs.push(...this.#finish(id, { kind: "confirmed", ...held.result }));
+        outputs.push(
+          ...this.#noteInForce(held, now),
+          ...this.#finish(id, { kind: "confirmed", ...held.result }),
+        );
     }
     return outputs;
   }
 
+  /** Why a change of the configuration is told as in force now: what each member's lease holders have. */
+  #noteInForce({ since, result, inForceBy }: HeadRequest, now: number): ControlOutput[] {
+    if (result?.value.kind !== "IN_FORCE") return [];
+    const facts = {
+      version: result.value.mark,
+      place: result.place,
+      inForceBy,
+      waited: Math.round(now - since),
+      view: this.#chain.view?.mark,
+      own: this.#ownCover(now),
+      holders: this.#sessions.holders(now),
+      others: this.#coverage.toldBy(this.#otherMembers),
+    };
+    return [{ kind: "note", text: "a change is in force", facts }];
+  }
+
   /** What changed the configuration needs the shares that follow from it, too; rounds of duties concern no node. */
   #inForceBy({ value, place }: { value: ControlResult; place: number }): number | undefined {
     if (isClaimResult(value)) return 0;
@@ -463,10 +482,13 @@
 
   /** The place that all holders of leases of all members have. */
   #coveredByAll(now: number): number {
-    const view = this.#chain.view;
-    if (view === undefined) return 0;
-    const others = view.members.filter(({ identity }) => identity !== this.#self.identity);
-    return this.#coverage.ofAll(others, this.#ownCover(now));
+    if (this.#chain.view === undefined) return 0;
+    return this.#coverage.ofAll(this.#otherMembers, this.#ownCover(now));
+  }
+
+  get #otherMembers(): readonly Member[] {
+    const members = this.#chain.view?.members ?? [];
+    return members.filter(({ identity }) => identity !== this.#self.identity);
   }
 
   #ownCover(now: number): number {
