One lost runner no longer holds all others for ever

Found by reading: a runner that is lost for good, or counted twice while an old life of it was still listed, kept the planner from ever ordering fewer, and its zone from getting new ones. What is lost is part of the need already, so it alone decides; only a zone that lost over a quarter is left out when more are ordered. Test: features/scaling.feature, after the loss of a single runner; it fails with the earlier condition.

--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -40,6 +40,14 @@
       Then runners were ordered in all zones but north
       And there are no fewer runners than before
 
+    # Guards against one runner that never comes back, which holds all others for ever.
+    Scenario: After the loss of a single runner what is too much is still given up
+      Given 6 to 20 runners in each of 3 zones and arrivals that are steady
+      When the planner orders runners for 10 s
+      And a runner in north is lost for good
+      And the planner orders runners for 60 s
+      Then there are fewer runners than before
+
     # Guards against runners given up because the nodes that use them were not heard.
     Scenario: Where few nodes are heard none are given up
       Given 6 to 20 runners in each of 3 zones and arrivals that are waves
--- a/features/steps/scaling-fleet.ts
+++ b/features/steps/scaling-fleet.ts
@@ -108,6 +108,12 @@
     this.#darkZones.add(zone);
   }
 
+  /** One of its runners never serves again, though it stands ordered. */
+  lose(zone: string): void {
+    const lost = this.#runners.findIndex((runner) => runner.zone === zone);
+    this.#runners[lost] = { zone, servesAt: Number.POSITIVE_INFINITY };
+  }
+
   pass(milliseconds: number, way: Way): void {
     const end = this.now + milliseconds;
     while (this.now < end) {
--- a/features/steps/scaling.ts
+++ b/features/steps/scaling.ts
@@ -60,6 +60,11 @@
 }
 When("the zone {word} goes dark", dark);
 
+function oneLost(this: World, zone: string): void {
+  this.scaled.lose(zone);
+}
+When("a runner in {word} is lost for good", oneLost);
+
 function fewHeard(this: World, nodes: number): void {
   this.accessNodes = nodes;
 }
--- a/packages/control/src/scaling/pool-scaler.ts
+++ b/packages/control/src/scaling/pool-scaler.ts
@@ -56,8 +56,7 @@
     const total = sumOf(desired);
     if (needed > total * (1 + constants.scalingMissing))
       this.#raise(desired, needed - total, bounds, now);
-    else if (isWorkKnown && lost === 0 && this.#isLowLong(total, bounds, now))
-      this.#lower(desired, bounds);
+    else if (isWorkKnown && this.#isLowLong(total, bounds, now)) this.#lower(desired, bounds);
     return this.#changed(desired);
   }
 
@@ -110,10 +109,10 @@
     return desired;
   }
 
-  /** In zones that lost nothing, where there is room; the rest where something was lost. */
+  /** In zones that stand, where there is room; the rest where much was lost. */
   #raise(desired: Map<string, number>, more: number, bounds: ScalingBounds, now: number): void {
-    const whole = [...this.#zones].filter(([, standing]) => standing.lost(bounds.boot, now) === 0);
-    let left = this.#add(desired, whole, more, bounds.maximum);
+    const standing = [...this.#zones].filter(([, zone]) => !zone.isBroken(bounds.boot, now));
+    let left = this.#add(desired, standing, more, bounds.maximum);
     if (left > 0) left = this.#add(desired, [...this.#zones], left, bounds.maximum);
   }
 
--- a/packages/control/src/scaling/zone-standing.ts
+++ b/packages/control/src/scaling/zone-standing.ts
@@ -30,4 +30,9 @@
     const expected = isBooted ? this.ordered : this.#served;
     return Math.max(0, expected - this.#runners);
   }
+
+  /** Whether so many are lost that new ones would hardly come up here. */
+  isBroken(boot: number, now: number): boolean {
+    return this.lost(boot, now) > this.ordered * constants.scalingZoneLost;
+  }
 }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -429,6 +429,8 @@
   scalingSpare: 0.1,
   /** part of the access nodes heard at most, below which work is not known well enough to order fewer. */
   scalingHeard: 0.8,
+  /** part of a zone's runners; where more are lost, new ones are ordered in other zones. */
+  scalingZoneLost: 0.25,
   /** ms. Runners that don't serve so long after their boot are taken for lost. */
   scalingBootLate: 2_000,
 } as const;
