--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -69,6 +69,20 @@
       And the planner orders runners for 40 s
       Then there are fewer runners than before
 
+    # Guards against an order that ends runners which the control machine has only not heard of yet.
+    Scenario: A planner that has heard of few runners so far orders nothing
+      When a planner sees 100 live requests at 2 runners in each of 3 zones for 4 s
+      Then nothing was ordered
+
+    Scenario: No need is met beyond the bounds
+      When a planner sees 2000 live requests at 10 runners in each of 3 zones for 30 s
+      Then 20 runners are ordered in each zone
+
+    # Guards against lots that wait while their items fill all the seats that there are.
+    Scenario: Where all seats are taken for long more runners are ordered, whatever the work
+      When a planner sees 10 runners in each of 3 zones idle for 10 s, then items at all seats for 4 s
+      Then 38 runners are ordered in all
+
   Rule: What the planner goes by comes from the sessions of nodes
 
     Scenario: Work under way is summed over all nodes and runners of a pool, by zone
--- a/features/steps/scaling.ts
+++ b/features/steps/scaling.ts
@@ -10,6 +10,9 @@
 /** ms */
 const MINUTE = 60_000;
 const BOOT = 4_000;
+const PLANNED_EVERY = 500;
+const MAXIMUM = 20;
+const SEATS = 16;
 /** Worth of a request in time and late, and price of a second of a runner, as deployments set them. */
 const WORTH = 2;
 const WORTH_LATE = 0.6;
@@ -26,14 +29,14 @@
   scaled: SimulatedFleet;
   planner: ScalingPlanner;
   accessNodes: number;
-  orders: ScalingOrder[];
+  orders: readonly ScalingOrder[];
   sizeBefore: number;
 }
 
 function plannerWay(world: World): Way {
   function way(load: PoolLoad, now: number): readonly ScalingOrder[] {
     const orders = world.planner.orders({ pools: [load], accessNodes: world.accessNodes }, now);
-    world.orders.push(...orders);
+    world.orders = [...world.orders, ...orders];
     return orders;
   }
   return way;
@@ -70,6 +73,55 @@
 }
 When("only {int} of 10 access nodes are heard", fewHeard);
 
+/** Work under way at a number of runners in each zone, the same all the time. */
+interface Sight {
+  readonly live: number;
+  readonly items: number;
+  readonly runners: number;
+}
+
+function see(world: World, sight: Sight, from: number, until: number): void {
+  const { live, items, runners } = sight;
+  const bounds = { minimum: 6, maximum: MAXIMUM, boot: BOOT };
+  const zones = ZONES.map((zone) => ({ zone, runners, ordered: undefined }));
+  const pools = [{ pool: "pool", bounds, seats: SEATS, live, items, zones }];
+  for (let now = from; now <= until; now += PLANNED_EVERY)
+    world.orders = world.planner.orders({ pools, accessNodes: ACCESS_NODES }, now);
+}
+
+function sees(this: World, live: number, runners: number, seconds: number): void {
+  this.planner = new ScalingPlanner();
+  see(this, { live, items: 0, runners }, 0, seconds * 1_000);
+}
+When("a planner sees {int} live requests at {int} runners in each of 3 zones for {int} s", sees);
+
+function seesFull(this: World, runners: number, free: number, full: number): void {
+  this.planner = new ScalingPlanner();
+  const items = runners * SEATS * ZONES.length;
+  see(this, { live: 0, items: 0, runners }, 0, free * 1_000);
+  see(this, { live: 0, items, runners }, free * 1_000, (free + full) * 1_000);
+}
+When(
+  "a planner sees {int} runners in each of 3 zones idle for {int} s, then items at all seats for {int} s",
+  seesFull,
+);
+
+function orderedInEach(this: World, runners: number): void {
+  const desired = this.orders.map((order) => [order.zone, order.desired]);
+  deepEqual(
+    desired,
+    ZONES.map((zone) => [zone, runners]),
+  );
+}
+Then("{int} runners are ordered in each zone", orderedInEach);
+
+function orderedInAll(this: World, runners: number): void {
+  let sum = 0;
+  for (const { desired } of this.orders) sum += desired;
+  equal(sum, runners);
+}
+Then("{int} runners are ordered in all", orderedInAll);
+
 function restarted(this: World): void {
   this.planner = new ScalingPlanner();
 }
