--- a/features/worlds.feature
+++ b/features/worlds.feature
@@ -17,6 +17,7 @@
       | second-loss   | 15   | 15 | 12000 | second loss, wipe, power                                                                     |
       | many-changes  | 5    | 5  | 12000 | node away by isolate, wipe, replacement                                                      |
       | wrong-answers | 5    | 5  | 12000 | answer late, answer doubled, answer cut, answer swapped, answer reset unread, runner crashed |
+      | node-leases   | 15   | 17 | 12000 | core: restart of all, node isolated, node frozen, node restarted                             |
 
   Scenario Outline: second-loss, seed <seed>: all is served again after each loss
     When the seeds <seed> to <seed> of the world "second-loss" are played
