--- a/features/resting.feature
+++ b/features/resting.feature
@@ -38,9 +38,3 @@
     Given 3 control, 4 storage and 3 access machines with a runner and an empty queue of a passage
     When all of them rest for 4 s
     Then the queue's owner got 15 draws at least, and no replica asked another for anything
-
-  # Guards against days given up for their processor time (issue 33, SHORT): storage nodes read runners that they never use.
-  Scenario: the registry tells storage nodes of nodes alone
-    Given a control machine that heard of an access node with a runner and of a storage node
-    Then the registry for the access node names 2 nodes and 1 runner
-    And the registry for the storage node names 2 nodes and 0 runners
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -313,8 +313,6 @@
         },
         age,
       });
-    /** Storage machines send runners nothing. */
-    if (this.#sessions.get(identity)?.card.kind === "storage") return { nodes: told, runners: [] };
     return { nodes: told, runners, others: this.#othersThan(identity, now) };
   }
 
