--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -428,7 +428,7 @@
   granters(now: number, place: number): string[] {
     const found: string[] = [];
     for (const [identity, grant] of this.#grants)
-      if (grant.until > now && grant.place <= place) found.push(identity);
+      if (grant.until > now && isReached(grant, place)) found.push(identity);
     return found;
   }
 
@@ -449,6 +449,11 @@
   }
 }
 
+/** Whether a node has come as far as the granter had. */
+function isReached(grant: { readonly place: number }, place: number): boolean {
+  return grant.place <= place;
+}
+
 function majorityUntil(
   view: ChainView,
   grants: ReadonlyMap<string, { until: number; place: number }>,
@@ -459,7 +464,7 @@
   const ends: number[] = [];
   for (const { identity } of granters) {
     const grant = grants.get(identity);
-    if (grant !== undefined && grant.place <= place) ends.push(grant.until);
+    if (grant !== undefined && isReached(grant, place)) ends.push(grant.until);
   }
   ends.sort(descending);
   return ends[Math.floor(granters.length / 2)] ?? Number.NEGATIVE_INFINITY;
