--- a/features/duty-worlds.feature
+++ b/features/duty-worlds.feature
@@ -33,3 +33,4 @@
     And 40 s go by at the platform
     Then no rule of duties was broken, and every window was reported within 10 s
     And at most 3 machines have reported
+    And each of them reported 2100 ms or more after the one before
--- a/features/steps/duty-worlds.ts
+++ b/features/steps/duty-worlds.ts
@@ -126,3 +126,14 @@
   ok(this.duties.holders.size <= most, [...this.duties.holders].join(", "));
 }
 Then("at most {int} machine(s) have reported", atMostActed);
+
+/** A lease lies between the rounds of two holders, and a call goes out within 900 ms of its round's asking. */
+function changedSlowly(this: World, least: number): void {
+  const reports = this.duties.platform.seen.filter(({ subject }) => subject === "duty/usage/all");
+  for (const [index, report] of reports.entries()) {
+    const before = reports[index - 1];
+    if (before === undefined || before.holder === report.holder) continue;
+    ok(report.at - before.at >= least, `${before.holder}, then ${report.holder}`);
+  }
+}
+Then("each of them reported {int} ms or more after the one before", changedSlowly);
