No time is agreed, and no count acknowledged, before enough clocks were heard

Now agreed time is unknown until three clocks were heard, or for 3 s; counts are acknowledged only where the time is known; a machine that comes back claims no duty for 1 s, in which nodes tell it their counts; a clock that seems to come from the future is not read; a control machine's own clock counts once.

The tests of agreed time look from the moment on at which time is known, and require that within the 3 s; those of starts hear three clocks in place of their own.

--- a/features/steps/agreed-time.ts
+++ b/features/steps/agreed-time.ts
@@ -46,7 +46,11 @@
 }
 
 function look(world: World): void {
-  const time = world.time.at(world.now)!;
+  const time = world.time.at(world.now);
+  if (time === undefined) {
+    ok(world.now <= constants.clocksAwaited, `no time was known after ${world.now} ms`);
+    return;
+  }
   world.worst = Math.max(world.worst, Math.abs(time - truth(world)));
   world.wentBack = Math.max(world.wentBack, world.last - time);
   world.last = time;
--- a/features/steps/usage-starts.ts
+++ b/features/steps/usage-starts.ts
@@ -12,7 +12,8 @@
 function counted(this: World, seconds: number, window: number): void {
   const length = seconds * 1_000;
   const time = new AgreedTime();
-  time.readOwnClock(window * length, this.now);
+  for (const source of ["control-1", "control-2", "control-3"])
+    time.heard({ source, wall: window * length, late: 0 }, this.now);
   this.usage = new UsageCounter(time, length);
   this.core = new RelayCore(this.known, this.choice, policy.usual, this.usage);
 }
--- a/packages/control/src/duties/duty-service.ts
+++ b/packages/control/src/duties/duty-service.ts
@@ -1,5 +1,5 @@
 import { metrics, monotonic, type Log } from "@chutewick/shell";
-import type { DutyBounds } from "@chutewick/parts";
+import { constants, type DutyBounds } from "@chutewick/parts";
 import type { ControlOutcome } from "../control-messages.js";
 import type { ControlCommand } from "../machine.js";
 import type { ScalingFacts } from "../scaling/scaling-facts.js";
@@ -49,6 +49,8 @@
   readonly #performer: DutyPerformer;
   readonly #usage: UsageReports;
   readonly #sources: DutySource[] = [];
+  /** ms, monotonic. Since when this machine may win rounds without a break. */
+  #groundSince: number | undefined;
 
   constructor(options: DutyServiceOptions) {
     this.#options = options;
@@ -60,9 +62,10 @@
     if (bounds.kinds.includes("scaling")) this.#sources.push(new ScalingOrders(bounds, planned));
   }
 
-  /** Time passes; without ground this machine claims nothing. */
+  /** Time passes; without ground, and until nodes had time to tell it their counts, this machine claims nothing. */
   beat(now: number, ground: DutyGround | undefined): void {
-    if (ground === undefined) return;
+    this.#groundSince = ground === undefined ? undefined : (this.#groundSince ?? now);
+    if (ground === undefined || now - this.#groundSince! < constants.dutySettles) return;
     if (ground.isConfigured) this.#usage.begin(now);
     const { place, members, records } = ground;
     const due = this.#due(now, records);
--- a/packages/control/src/usage/control-usage.ts
+++ b/packages/control/src/usage/control-usage.ts
@@ -36,7 +36,6 @@
   beat(now: number, wall: number): void {
     this.#wall = wall;
     this.#wallReadAt = now;
-    this.time.readOwnClock(wall, now);
     this.time.heard({ source: this.#self.address, wall, late: 0 }, now);
   }
 
@@ -56,6 +55,8 @@
 
   /** Takes counts of an access node, or of one that is gone from a peer, whose messages are numbered 0 and not acknowledged. */
   take(message: UsageMessage, from: string, now: number): ControlOutput[] {
+    /** Without the time no window can be kept, and what is acknowledged is never told again. */
+    if (this.ledger.windowAt(now) === undefined) return [];
     this.ledger.take(message, now);
     const { since, upTo } = message;
     if (upTo === 0) return [];
--- a/packages/parts/src/agreed-time.ts
+++ b/packages/parts/src/agreed-time.ts
@@ -26,6 +26,8 @@
 export class AgreedTime {
   readonly #clocks = new Map<string, SeenClock>();
   #ownOffset: number | undefined;
+  /** ms, monotonic. When the first clock was read. */
+  #firstReadAt: number | undefined;
   /** ms. The median, and when enough clocks were heard for it. */
   #offset: number | undefined;
   #agreedAt = Number.NEGATIVE_INFINITY;
@@ -34,7 +36,8 @@
 
   /** A machine told its wall clock; what may be too old says too little. */
   heard({ source, wall, late }: ToldClock, now: number): void {
-    if (!(late <= constants.toldClockLateMost)) return;
+    const isReadable = late >= 0 && late <= constants.toldClockLateMost;
+    if (!isReadable) return;
     /** On average it was read in the middle. */
     this.#clocks.set(source, { offset: wall - now + late / 2, heardAt: now });
     this.#agree(now);
@@ -46,7 +49,7 @@
     this.#agree(now);
   }
 
-  /** ms since the start of 1970; undefined before any clock was read. It waits for a while rather than go back by a little. */
+  /** ms since the start of 1970; undefined before enough clocks were read, or for a while if there are no more. It waits for a while rather than go back by a little. */
   at(now: number): number | undefined {
     if (this.#offset === undefined) return undefined;
     const time = now + this.#offset;
@@ -56,6 +59,7 @@
   }
 
   #agree(now: number): void {
+    this.#firstReadAt ??= now;
     for (const [source, { heardAt }] of this.#clocks)
       if (now - heardAt > constants.toldClockLasts) this.#clocks.delete(source);
     const offsets: number[] = [];
@@ -63,6 +67,8 @@
     if (offsets.length >= constants.clocksLeast) this.#agreedAt = now;
     /** The monotonic clock keeps what was agreed better than a clock or two do that may have been stepped. */
     else if (now - this.#agreedAt <= constants.agreedTimeStands) return;
+    /** A process that has just started may hear of enough clocks in a moment; its own may have been stepped. */
+    else if (now - this.#firstReadAt < constants.clocksAwaited) return;
     else if (this.#ownOffset !== undefined) offsets.push(this.#ownOffset);
     this.#offset = medianNear(this.#offset, offsets);
   }
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -394,6 +394,10 @@
   toldClockLateMost: 300,
   /** clocks. With fewer, one that was stepped could be the median. */
   clocksLeast: 3,
+  /** ms. A control machine that comes back claims no duty for so long: nodes tell it their counts with their next heartbeats. */
+  dutySettles: 1_000,
+  /** ms. What a process waits after its start for so many clocks before it goes by fewer. */
+  clocksAwaited: 3_000,
   /** ms. What was agreed stands so long without enough clocks: monotonic clocks go apart by some 60 ms in it. */
   agreedTimeStands: 600_000,
   /** ms. Agreed time waits rather than go back by so much; clocks are stepped by seconds. */
