--- a/packages/control/src/scaling/pool-scaler.ts
+++ b/packages/control/src/scaling/pool-scaler.ts
@@ -33,6 +33,8 @@
   #changedAt = Number.NEGATIVE_INFINITY;
   #isRising: boolean | undefined;
   #turns = 0;
+  /** ms. When some work was unknown last: needs noted until then may be too low. */
+  #unknownAt = Number.NEGATIVE_INFINITY;
 
   constructor(pool: string, now: number) {
     this.#pool = pool;
@@ -47,6 +49,7 @@
   /** isWorkKnown: whether all nodes that have work under way are heard. */
   orders(load: PoolLoad, isWorkKnown: boolean, now: number): ScalingOrder[] {
     this.#observe(load, now);
+    if (!isWorkKnown) this.#unknownAt = now;
     const { bounds } = load;
     const lost = this.#lost(bounds.boot, now);
     const needed = this.#demand.runners(load.seats, now) + lost;
@@ -145,6 +148,7 @@
     return (
       highest <= total - slack &&
       now - this.#startedAt >= lowerAfter(bounds) &&
+      now - this.#unknownAt >= lowerAfter(bounds) &&
       now - this.#changedAt >= Math.max(bounds.boot, constants.scalingLowerEvery)
     );
   }
