--- a/packages/data/src/relay-core.ts
+++ b/packages/data/src/relay-core.ts
@@ -1,3 +1,4 @@
+/** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 import { constants, type Policy, type Tenancy } from "@chutewick/parts";
 import type { Passage } from "@chutewick/control";
 import { hashOf, type Choice, type Chosen, type GoEnd } from "./choice.js";
@@ -10,7 +11,6 @@
 import { TenantDirectory, type Identity } from "./tenants.js";
 import type { UsageCounter } from "./usage/usage-counter.js";
 
-/** Live requests on passages, passed through to runners; without I/O (docs/design.md §13.5). */
 /** Statuses that promise that a request did not run: of a runner they count only with its word that it did not. */
 const promises = new Set([408, 421, 429, 503]);
 
