--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -128,7 +128,7 @@
     child.once("exit", (code, signal) => {
       machine.hasEnded = true;
       if (!machine.isExpectedToEnd)
-        this.record(`process ${name} ended by itself: code ${code} signal ${signal}`);
+        this.record(`process ${name} ended by itself: ${signal ?? code} ${this.#lastError(name)}`);
       if (!machine.isExpectedToEnd) this.ownEnds.push(name);
     });
     this.machines.set(`${kind}-${index}`, machine);
@@ -137,6 +137,12 @@
 
   ownEnds = [];
 
+  /** The last fatal error in the log of a machine. */
+  #lastError(name) {
+    const log = readFileSync(join(this.folder, `${name}.log`), "utf8");
+    return log.match(/FATAL ERROR: .*/g)?.at(-1) ?? "";
+  }
+
   get(kind, index) {
     return this.machines.get(`${kind}-${index}`);
   }
