--- a/review/lib/load.mjs
+++ b/review/lib/load.mjs
@@ -45,12 +45,28 @@
   };
 }
 
-/** Opens the record file of a case; returns the function that adds a line. */
+/** A script may run for 120 s. */
+const timeLimitMs = 116_000;
+
+/**
+ * Opens the record file of a case; returns the function that adds a line. A script that fails itself, is stopped or takes too
+ * long ends with 2; its processes are ended as it exits.
+ */
 export function openRecord(file) {
   rmSync(file, { force: true });
   const start = Date.now();
-  return (text) =>
-    appendFileSync(file, `${((Date.now() - start) / 1000).toFixed(3).padStart(8)} ${text}\n`);
+  function record(text) {
+    const seconds = ((Date.now() - start) / 1000).toFixed(3).padStart(8);
+    appendFileSync(file, `${seconds} ${text}\n`);
+  }
+  function giveUp(reason) {
+    record(`the case could not run: ${reason}`);
+    process.exit(2);
+  }
+  process.once("uncaughtException", (error) => giveUp(error.stack));
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.once(signal, () => giveUp(signal));
+  setTimeout(() => giveUp("it takes too long"), timeLimitMs).unref();
+  return record;
 }
 
 /** Starts stand-in runners in a process of their own. */
@@ -84,20 +100,25 @@
   return { fleet, isUp: isUp && taken.status === 200 };
 }
 
-export function newLot(items, { bodyBytes = 3200, tokens = 1200 } = {}) {
+/** The part of every prompt that all items of a lot share, in tokens. */
+const sharedTokens = 432;
+
+/** A lot whose sizes agree: the parts of a prompt sum to its tokens, and `tokens` is those plus the most that go out. */
+export function newLot(items, { bodyBytes = 3200, tokensIn = 1200, tokensOut = 700 } = {}) {
   const entries = [];
   for (let index = 0; index < items; index += 1) {
     const item = id();
+    const parts = `9c2e41:${sharedTokens},${item.slice(0, 6)}:${tokensIn - sharedTokens}`;
     entries.push({
       instanceId: item,
       path: `/pule252/3/${item.slice(0, 4)}`,
       headers: {
         "Chutewick-Model": "m",
-        "Chutewick-Token-Count": "768,700",
-        "Chutewick-Prompt-Prefix": `9c2e41:432,${item.slice(0, 6)}:768`,
+        "Chutewick-Token-Count": `${tokensIn},${tokensOut}`,
+        "Chutewick-Prompt-Prefix": parts,
       },
       body: Buffer.alloc(bodyBytes, item).toString("base64"),
-      tokens,
+      tokens: tokensIn + tokensOut,
     });
   }
   return { id: id(), entries };
--- a/review/lib/runners.mjs
+++ b/review/lib/runners.mjs
@@ -112,8 +112,9 @@
     this.active += 1;
     void this.run(id, incoming, response).finally(() => {
       this.active -= 1;
-      const next = this.waiting.shift();
-      if (next !== undefined && !next.response.destroyed) this.accept(next.incoming, next.response);
+      let next = this.waiting.shift();
+      while (next?.response.destroyed === true) next = this.waiting.shift();
+      if (next !== undefined) this.accept(next.incoming, next.response);
     });
   }
 
