A lot is accepted once, whatever becomes of its route: the lot directory

All items ran a second time, and that node listed other results at the same positions.

Cause: no single place decided whether an id is known. Each queue knows the ids that it accepted, and the queue that was asked followed from the configuration at the node: the queue of the first item's model while the route's service has that model, else the route's first queue. A node's memory of the queue (LotSearch) only made nodes differ afterwards.

Change: a chain of its own keeps for each id the queue that it was assigned first; access nodes ask it before each submission and only propose a queue. Lots of one passage and model stay in one queue, so its owner also counts the whole allowance across a move. Owners refuse lots that were not assigned. Queues that still hold lots of the release before are asked for the id first. Control places the directory once all storage machines can keep it. Design 13.11, postmortem docs/incidents/lot-accepted-twice.md.

Why it works: the first entry of an id in one replicated log is final, and neither the configuration, a node's memory nor timing has a part in it.

Changed test: passlot.feature, "a partitioned node answers pending submissions": its first lots were on their way to the queue when the node was cut off and had to hear "later"; now they would all be on their way to the directory and be refused, which promises more. The cut now begins as the first lot is on its way to its queue, so both answers are still demanded.

--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -795,7 +795,14 @@
   const play = new PassPlay({ seed: 11, stormy: 0, calm: 0, faults: [], access: 1 });
   play.begin();
   play.world.run(6_500);
-  play.world.isolate("access-1");
+  // The partition begins as the first lot is on its way to its queue; the others meet it on their way to the lot directory.
+  function watch(_from: string, _to: string, message: unknown): number | undefined {
+    const { kind, command } = message as ObservedMessage;
+    if (kind !== "queue-inquiry" || command?.kind !== "hand-in") return undefined;
+    play.world.isolate("access-1");
+    return Number.POSITIVE_INFINITY;
+  }
+  play.world.watch = watch;
   this.waits = handInDelays(play, 12, 150);
   this.plays = [play];
 }
--- a/packages/control/src/configuration.ts
+++ b/packages/control/src/configuration.ts
@@ -1,6 +1,7 @@
 /** The operators' configuration: its schema, its checks, and what is derived from it (docs/design.md §9). */
 import {
   constants,
+  lotDirectoryQueue,
   outcome,
   policy,
   type Labels,
@@ -312,6 +313,10 @@
   readonly labels: Labels;
 }
 
+const MS_PER_S = 1_000;
+
+const poolQueuePrefix = "pass/";
+
 function queueOf(model: string, adapter: string | undefined): string {
   return adapter === undefined ? model : `${model}.${adapter}`;
 }
@@ -327,11 +332,27 @@
  * (docs/design.md §13.7).
  */
 function poolQueue(model: string | undefined): string {
-  return `pass/${model ?? ""}`;
+  return poolQueuePrefix + (model ?? "");
 }
 
 function isPoolQueue(queue: string): boolean {
-  return queue.includes("/");
+  return queue.startsWith(poolQueuePrefix);
+}
+
+/** Whether a queue belongs to a model or an adapter: it holds items of ways, not those of passages. */
+function isModelQueue(queue: string): boolean {
+  return !isPoolQueue(queue) && queue !== lotDirectoryQueue;
+}
+
+/** Time in ms after the submission of a lot after which its items may be abandoned. */
+function keepsMs({ keeps }: Passage): number {
+  return keeps === undefined ? constants.defaultLotDeadlineMs : keeps * MS_PER_S;
+}
+
+/** Whether lots can be submitted, so that the lot directory must exist. */
+function acceptsLots(value: Configuration): boolean {
+  for (const { kind } of Object.values(value.passages ?? {})) if (kind === "lot") return true;
+  return false;
 }
 
 /** The models of a pool that have queues; an empty name stands for the plain runners of a pool without models. */
@@ -449,6 +470,9 @@
   modelOf,
   poolQueue,
   isPoolQueue,
+  isModelQueue,
+  acceptsLots,
+  keepsMs,
   queueFor,
   poolsOf,
   queuesOf,
--- a/packages/control/src/head-planner.ts
+++ b/packages/control/src/head-planner.ts
@@ -1,4 +1,12 @@
-import { constants, type ChainView, type Feed, type Policy, type Sessions } from "@chutewick/parts";
+import {
+  constants,
+  lotDirectoryQueue,
+  type ChainView,
+  type Feed,
+  type NodeDescriptor,
+  type Policy,
+  type Sessions,
+} from "@chutewick/parts";
 import { configuration } from "./configuration.js";
 import { drain } from "./emptying.js";
 import { FleetPlan } from "./fleet-plan.js";
@@ -39,18 +47,25 @@
   /** Commands to submit now, in this order. */
   plan(input: PlanningInput): ControlCommand[] {
     const context = planningContextOf(input);
-    const placement = this.#placementOf(input);
+    const storage = input.sessions.live("storage", input.now);
+    const placement = this.#placementOf(input, storage);
+    const able = storage.filter(canKeepDirectory);
+    const directoryPlacement =
+      able.length === storage.length ? placement : this.#placementOf(input, able);
     return [
       ...this.#fleetCommands(input),
       ...forgetCommands(input),
       ...this.#firstViewCommands(placement, context, input.feed),
+      // Nodes use the directory once it is placed, so every owner of a queue must know of it by then (docs/design.md §13.11).
+      ...(directoryPlacement === placement
+        ? firstDirectoryView(placement, context, input.feed)
+        : []),
       ...this.#throttleCommands(context),
-      ...nextViewCommands(placement, input.feed),
+      ...nextViewCommands(placement, directoryPlacement, input.feed),
     ];
   }
 
-  #placementOf({ feed, sessions, now }: PlanningInput): QueuePlacement {
-    const storage = sessions.live("storage", now);
+  #placementOf({ feed }: PlanningInput, storage: readonly NodeDescriptor[]): QueuePlacement {
     return new QueuePlacement({
       views: recordsByQueue<ChainView>(feed, keys.queue),
       live: new Map(storage.map((card) => [card.identity, card])),
@@ -92,10 +107,32 @@
   }
 }
 
-function nextViewCommands(placement: QueuePlacement, feed: Feed): ControlCommand[] {
+function canKeepDirectory({ telling }: NodeDescriptor): boolean {
+  return telling.assignsLots === true;
+}
+
+/** Places the lot directory, if lots can be submitted. */
+function firstDirectoryView(
+  placement: QueuePlacement,
+  { value }: PlanningContext,
+  feed: Feed,
+): ControlCommand[] {
+  const isPlaced = feed.read(keys.queue + lotDirectoryQueue) !== undefined;
+  if (isPlaced || !configuration.acceptsLots(value)) return [];
+  const view = placement.firstView(lotDirectoryQueue);
+  return view === undefined ? [] : [{ kind: "place", queue: lotDirectoryQueue, view }];
+}
+
+/** Machines of an earlier release count as absent from the lot directory: they could not serve it. */
+function nextViewCommands(
+  placement: QueuePlacement,
+  directoryPlacement: QueuePlacement,
+  feed: Feed,
+): ControlCommand[] {
   const commands: ControlCommand[] = [];
   for (const [queue, view] of recordsByQueue<ChainView>(feed, keys.queue)) {
-    const next = placement.nextView(queue, view);
+    const chosen = queue === lotDirectoryQueue ? directoryPlacement : placement;
+    const next = chosen.nextView(queue, view);
     if (next !== undefined) commands.push({ kind: "review", queue, view: next });
   }
   return commands;
--- a/packages/data/src/lot-search.ts
+++ b/packages/data/src/lot-search.ts
@@ -1,10 +1,10 @@
 /** Finds the queue that holds a lot of a passage, since the lot's name does not contain the queue (docs/design.md §13.7). */
-import { constants, type ChainView, type QueueCommand, type QueueResult } from "@chutewick/parts";
-import { configuration, keys } from "@chutewick/control";
+import { constants, type QueueCommand, type QueueResult } from "@chutewick/parts";
 import type { AccessOutput } from "./access-output.js";
 import type { Membership } from "./membership.js";
 import type { LotReply } from "./pass.js";
 import type { PendingCalls } from "./pending-calls.js";
+import { knownPoolQueues } from "./pool-queues.js";
 import type { QueueOutcome } from "./queue-messages.js";
 
 /** A command for the owner of a lot whose queue may not be known yet. */
@@ -68,12 +68,7 @@
   #queuesOf(lot: string): string[] {
     const cached = this.#queueByLot.get(lot);
     if (cached !== undefined) return [cached];
-    const queues: string[] = [];
-    for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
-      const queue = key.slice(keys.queue.length);
-      if (configuration.isPoolQueue(queue)) queues.push(queue);
-    }
-    return queues;
+    return knownPoolQueues(this.#membership);
   }
 
   #queryOwner(queue: string, progress: LookupProgress, now: number): AccessOutput[] {
--- a/packages/data/src/pass-draw.ts
+++ b/packages/data/src/pass-draw.ts
@@ -5,12 +5,11 @@
 import {
   constants,
   holderDurationMs,
-  type ChainView,
   type Claim,
   type PassEnding,
   type PassTask,
 } from "@chutewick/parts";
-import { configuration, keys, type Passage } from "@chutewick/control";
+import { configuration, type Passage } from "@chutewick/control";
 import type { AccessOutput } from "./access-output.js";
 import type { RunnerBalancer, ChosenRunner, AttemptOutcome } from "./choice.js";
 import { groupByQueue, type QueueClaim } from "./claims-by-queue.js";
@@ -29,6 +28,7 @@
 } from "./item-jobs.js";
 import type { Membership } from "./membership.js";
 import type { PendingCalls } from "./pending-calls.js";
+import { knownPoolQueues } from "./pool-queues.js";
 import type { QueueOutcome } from "./queue-messages.js";
 import { SleepDetector } from "./sleep-detector.js";
 import { weightedKey } from "./weighted-choice.js";
@@ -183,11 +183,8 @@
   #dequeueFromQueues(now: number): AccessOutput[] {
     if (this.#isStopping || !this.#membership.holds(now)) return [];
     const outputs: AccessOutput[] = [];
-    for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
-      const queue = key.slice(keys.queue.length);
-      if (configuration.isPoolQueue(queue))
-        outputs.push(...this.#dequeue(this.#stateOf(queue), now));
-    }
+    for (const queue of knownPoolQueues(this.#membership))
+      outputs.push(...this.#dequeue(this.#stateOf(queue), now));
     return outputs;
   }
 
--- a/packages/data/src/pass-lots.ts
+++ b/packages/data/src/pass-lots.ts
@@ -5,6 +5,7 @@
 import { NO_NEW_WORK } from "./admission.js";
 import type { RunnerBalancer } from "./choice.js";
 import type { PassageEvent } from "./dialect.js";
+import { LotAssigner, type AssignmentRequest, type LotAssignment } from "./lot-assignment.js";
 import { LotSearch, lotReply, type LotLookup } from "./lot-search.js";
 import type { Membership } from "./membership.js";
 import type { LotCall, SubmittedLot, LotResultsQuery, LotReply } from "./pass.js";
@@ -14,6 +15,8 @@
 import type { QueueOutcome } from "./queue-messages.js";
 import type { RelayCore } from "./relay-core.js";
 
+type SubmitCommand = Extract<QueueCommand, { kind: "hand-in" }>;
+
 /** Submits lots, reads their results and ends them; `dispatcher` runs their items. */
 export class PassageLots {
   readonly dispatcher: ItemDispatcher;
@@ -21,6 +24,7 @@
   #pendingCalls: PendingCalls;
   #relay: RelayCore;
   #search: LotSearch;
+  #assigner: LotAssigner;
   #isStopping = false;
   #isRejectingCalls = false;
 
@@ -34,6 +38,7 @@
     this.#relay = relay;
     this.#pendingCalls = pendingCalls;
     this.#search = new LotSearch(membership, pendingCalls);
+    this.#assigner = new LotAssigner(membership, pendingCalls);
     this.dispatcher = new ItemDispatcher(membership, choice, pendingCalls);
   }
 
@@ -46,19 +51,36 @@
     const { passage } = found;
     const identity = this.#relay.tenants.identify(passage, submission.credential);
     if (identity === undefined) return [lotReply(ticket, { kind: "unauthorized" })];
-    const queue = configuration.queueFor(
-      this.#membership.configuration.value,
-      passage,
-      submission.entries[0]?.model,
-    );
+    const command = submitCommand(found, submission, identity.tenancy?.tenant);
+    const model = submission.entries[0]?.model;
+    const request: AssignmentRequest = {
+      lot: submission.lot,
+      group: JSON.stringify([found.name, model ?? ""]),
+      queue: configuration.queueFor(this.#membership.configuration.value, passage, model),
+      keeps: command.keeps,
+      onAssigned: (assignment, later) =>
+        this.#submitTo(
+          assignment,
+          { ticket, command, until: now + constants.submitTimeoutMs },
+          later,
+        ),
+      onRefused: (reason) => [lotReply(ticket, refusedTemporarily(reason))],
+    };
+    return this.#assigner.assign(request, now);
+  }
+
+  #submitTo(
+    { queue, knownFor }: LotAssignment,
+    { ticket, command, until }: PendingSubmission,
+    now: number,
+  ): AccessOutput[] {
     const onResult = (outcome: QueueOutcome): AccessOutput[] => {
       const isAccepted = outcome.kind === "confirmed" && outcome.value.kind === "HANDED";
-      if (isAccepted) this.#search.remember(submission.lot, queue);
+      if (isAccepted) this.#search.remember(command.lot, queue);
       return [lotReply(ticket, submissionReply(outcome))];
     };
-    const command = submitCommand(found, submission, identity.tenancy?.tenant);
-    const patience = constants.submitTimeoutMs;
-    return this.#pendingCalls.start({ queue, command, patience, onResult }, now);
+    const call = { queue, command: { ...command, knownFor }, patience: until - now, onResult };
+    return this.#pendingCalls.start(call, now);
   }
 
   read(
@@ -145,6 +167,14 @@
   }
 }
 
+/** A lot on its way to its queue. */
+interface PendingSubmission {
+  readonly ticket: string;
+  readonly command: SubmitCommand;
+  /** Monotonic time in ms at which its caller is answered at the latest. */
+  readonly until: number;
+}
+
 /** A lot and the tenancy on whose behalf it is accessed. */
 interface LotReader {
   readonly lot: string;
@@ -164,7 +194,7 @@
   { name, passage }: PassageMatch,
   { lot, host, entries }: SubmittedLot,
   tenant: string | undefined,
-): QueueCommand {
+): SubmitCommand {
   return {
     kind: "hand-in",
     lot,
@@ -174,7 +204,7 @@
     entries,
     allowance: passage.waitingTokens,
     goesMost: passage.goesMost,
-    keeps: constants.defaultLotDeadlineMs,
+    keeps: configuration.keepsMs(passage),
   };
 }
 
--- a/packages/data/src/prompt-dispatcher.ts
+++ b/packages/data/src/prompt-dispatcher.ts
@@ -139,7 +139,7 @@
     for (const node of this.#membership.liveNodes("access")) accessNodes.push(node.identity);
     for (const [key] of this.#membership.follower.under<ChainView>(keys.queue)) {
       const queue = key.slice(keys.queue.length);
-      if (configuration.isPoolQueue(queue)) continue;
+      if (!configuration.isModelQueue(queue)) continue;
       const dispatchers = rendezvous
         .rank(queue, accessNodes)
         .slice(0, constants.dispatchersPerQueue);
--- a/packages/data/src/queue-governance.ts
+++ b/packages/data/src/queue-governance.ts
@@ -2,7 +2,7 @@
  * Applies the configuration that the owner of a queue knows to a command before it is proposed to the queue's log
  * (docs/design.md §7, §8.4).
  */
-import { constants, type QueueCommand } from "@chutewick/parts";
+import { assignmentLifetimeMs, type QueueCommand } from "@chutewick/parts";
 import { configuration, type Configuration } from "@chutewick/control";
 import type { QueueRefusals } from "./queue-refusals.js";
 
@@ -62,12 +62,16 @@
   now: number,
 ): CheckedCommand {
   const { passages } = queue.configuration;
+  if (command.knownFor === undefined) return refused("the lot directory was not asked for the lot");
   const passage = Object.hasOwn(passages, command.way) ? passages[command.way] : undefined;
   if (passage === undefined || passage.kind !== "lot")
     return refused("the configuration has no such passage for lots");
   const queueCount = Math.max(1, configuration.queuesOf(queue.configuration, passage).length);
   const allowance =
     passage.waitingTokens === 0 ? 0 : Math.max(1, passage.waitingTokens / queueCount);
+  const keeps = configuration.keepsMs(passage);
+  if (command.knownFor < assignmentLifetimeMs(keeps))
+    return refused("the lot directory would forget the lot before its queue does");
   const refusedAt = queue.refusals.firstRefusedAt(command.lot);
   const late = refusedAt !== undefined && now - refusedAt > passage.aim;
   return {
@@ -77,7 +81,7 @@
       ...(late ? { late } : {}),
       allowance,
       goesMost: passage.goesMost,
-      keeps: passage.keeps === undefined ? constants.defaultLotDeadlineMs : passage.keeps * 1_000,
+      keeps,
       within: passage.within,
     },
   };
--- a/packages/data/src/storage-core.ts
+++ b/packages/data/src/storage-core.ts
@@ -163,7 +163,7 @@
       const share = createShareReport(partition, this.#now);
       if (share !== undefined) shares.push(share);
     }
-    return { copied, stuck, shares };
+    return { copied, stuck, shares, assignsLots: true };
   }
 
   /** Handles a message from another process. */
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -140,6 +140,10 @@
   lotResultRetentionMs: 900_000,
   /** How much longer the existence of a lot is remembered, so that a late retry runs nothing again; 2 lots/s are 173 000 records of about 0.1 kB. */
   lotTombstoneRetentionMs: 86_400_000,
+  /** How much longer the lot directory keeps an id than its queue needs it: covers a queue whose ledger clock stood still. */
+  lotAssignmentMarginMs: 3_600_000,
+  /** Records of the lot directory expire at multiples of this time, so that few passes remove them. */
+  lotAssignmentStepMs: 600_000,
   /** Items of the largest lot; twenty is usual. */
   maxLotItems: 1_000,
   /** Windows of a recurring season that are checked for overlaps when it is entered, and that are listed in the reply. */
@@ -223,6 +227,8 @@
   itemRank: 9,
   /** How long a submission looks for its queue's owner: half the usual timeout of its callers, so that they can turn to another node. */
   submitTimeoutMs: 2_000,
+  /** How much of that time the search for the queue of the lot may take. */
+  assignTimeoutMs: 1_000,
   /** How long a permanently rejected submission is remembered: no message between processes is delayed longer. */
   rejectionMemoryMs: 60_000,
   /** Period over which the owner of a queue counts dequeued items to estimate the wait, and the number of rejected lots that it remembers. */
--- a/packages/parts/src/index.ts
+++ b/packages/parts/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./pass-queue.js";
 export * from "./bucket.js";
 export * from "./ledger.js";
+export * from "./lot-directory.js";
 export * from "./lot-messages.js";
 export * from "./lot-shares.js";
 export * from "./lot.js";
--- a/packages/parts/src/lot-messages.ts
+++ b/packages/parts/src/lot-messages.ts
@@ -1,5 +1,6 @@
 /** Messages about lots (batch jobs), between access nodes and the owner of a queue, and the records behind them. */
 import type { Limits } from "./bucket.js";
+import type { AssignLotCommand, LotAssignedResult } from "./lot-directory.js";
 import type { ShareClass } from "./lot-shares.js";
 import type { PassCommand, PassResult } from "./pass-messages.js";
 import type { Selector } from "./season.js";
@@ -70,6 +71,7 @@
   | { kind: "expire" }
   | { kind: "status"; lot: string }
   | { kind: "count" }
+  | AssignLotCommand
   | PassCommand;
 
 /** How a claim ended. */
@@ -121,7 +123,6 @@
   | { kind: "RATE_LIMITED"; wait: number | undefined }
   | { kind: "RECORDED"; state: ItemState }
   | { kind: "STALE" }
-  | { kind: "UNKNOWN_LOT" }
   | { kind: "CANCELLED"; lot: string; stopped: number }
   | { kind: "DONE"; count: number }
   | { kind: "LOT"; lot: Lot; items: ItemView[]; now: number }
@@ -134,6 +135,7 @@
       limits: Limits | undefined;
       open: Readonly<Record<string, number>>;
     }
+  | LotAssignedResult
   | PassResult;
 
 /** The part of an item that callers see. */
--- a/packages/parts/src/lot.ts
+++ b/packages/parts/src/lot.ts
@@ -1,6 +1,7 @@
 import { bucket, type Bucket } from "./bucket.js";
 import { constants } from "./constants.js";
 import type { Ledger, StateMachine } from "./ledger.js";
+import { LotDirectory } from "./lot-directory.js";
 import type { Item, Lot, QueueCommand, QueueResult } from "./lot-messages.js";
 import {
   endedAt,
@@ -16,9 +17,8 @@
   type LotTombstone,
 } from "./lot-records.js";
 import { classesOf, governingClass, sameLimits, seasonCharged, type Share } from "./lot-shares.js";
-import type { PassCommand } from "./pass-messages.js";
+import { applyPassCommand } from "./pass-commands.js";
 import { PassQueue } from "./pass-queue.js";
-import { passReads } from "./pass-reads.js";
 import {
   bucketKey,
   limitsKey,
@@ -52,9 +52,12 @@
   #tombstones = new Tombstones<LotTombstone>("gone/", endedAt);
   /** Lots that were submitted on passages; they share the bucket and the sequence numbers (docs/design.md §13.7). */
   readonly passQueue = new PassQueue();
+  /** Only the chain of the lot directory has records of it. */
+  readonly #directory = new LotDirectory();
 
   rebuild(ledger: Ledger): void {
     this.passQueue.rebuild(ledger);
+    this.#directory.rebuild(ledger);
     this.#waiting.clear();
     this.#openByLot.clear();
     this.#processing.clear();
@@ -112,7 +115,11 @@
       const lot = ledger.read<Lot>(lotKey(id));
       if (lot !== undefined && isExpired(lot, time)) return true;
     }
-    return this.#tombstones.hasExpired(time) || this.passQueue.isExpiryDue(time);
+    return (
+      this.#tombstones.hasExpired(time) ||
+      this.passQueue.isExpiryDue(time) ||
+      this.#directory.isExpiryDue(time)
+    );
   }
 
   apply(ledger: Ledger, input: unknown, time: number): QueueResult {
@@ -137,27 +144,10 @@
         return this.#status(context, command.lot);
       case "count":
         return this.#count(context);
+      case "assign-lot":
+        return this.#directory.assign(context, command);
       default:
-        return this.#applyPass(context, command);
-    }
-  }
-
-  #applyPass(context: Context, command: PassCommand): QueueResult {
-    switch (command.kind) {
-      case "hand-in":
-        return this.passQueue.submit(context, command);
-      case "draw":
-        return this.passQueue.dequeue(context, command);
-      case "settle":
-        return this.passQueue.settle(context, command);
-      case "end":
-        return this.passQueue.end(context, command);
-      case "drop-way":
-        return this.passQueue.dropPassage(context, command.way);
-      case "results":
-        return passReads.results(context.ledger, command);
-      case "read-item":
-        return passReads.readItem(context.ledger, command);
+        return applyPassCommand(this.passQueue, context, command);
     }
   }
 
@@ -397,7 +387,7 @@
   /** Fails the lots past their deadline and deletes records past their retention. */
   #expire(context: Context): QueueResult {
     const { ledger, time } = context;
-    let count = this.passQueue.expire(context);
+    let count = this.passQueue.expire(context) + this.#directory.expire(context);
     for (const id of [...this.#lots]) {
       const lot = ledger.read<Lot>(lotKey(id))!;
       if (!isExpired(lot, time)) continue;
--- a/packages/parts/src/pass-messages.ts
+++ b/packages/parts/src/pass-messages.ts
@@ -75,6 +75,8 @@
       ticket?: string;
       /** Earlier transmissions may still arrive: a refusal then holds for all of them. */
       final?: boolean;
+      /** Time in ms for which the lot directory keeps the id; undefined from releases without a directory. */
+      knownFor?: number;
     }
   /**
    * Dequeues up to `most` items, one token each. `able`: passages whose runners have free capacity as seen by the dispatcher;
@@ -137,7 +139,11 @@
   | { kind: "ENDED"; lot: string; holders: readonly string[] }
   | { kind: "RESULTS"; lot: string; total: number; open: boolean; results: readonly ListedResult[] }
   | { kind: "BODY"; body: Uint8Array }
-  | { kind: "UNKNOWN_LOT" };
+  /**
+   * No such lot for this reader. `wasAccepted`: the queue remembers the id of a lot that ended. `isDirectoryComplete`: the lot
+   * directory knows every lot that this queue has accepted; earlier releases don't say.
+   */
+  | { kind: "UNKNOWN_LOT"; wasAccepted?: boolean; isDirectoryComplete?: boolean };
 
 /** The result of a finished item, at its position in the lot's list. */
 export interface ListedResult {
--- a/packages/parts/src/pass-queue.ts
+++ b/packages/parts/src/pass-queue.ts
@@ -1,5 +1,6 @@
 import { bucket, type Bucket } from "./bucket.js";
 import { constants } from "./constants.js";
+import { ExpiryIndex } from "./expiry-index.js";
 import type { Ledger } from "./ledger.js";
 import type {
   Claim,
@@ -11,14 +12,18 @@
   PassTask,
 } from "./pass-messages.js";
 import {
+  lotPrefix,
   tombstonePrefix,
   claimOf,
+  concatenate,
+  hasUnassignedLots,
   passLotKey,
   isVisibleTo,
   indexedKey,
   taskKey,
   type PassTombstone,
   type PartialText,
+  type ActiveClaim,
   type PassLot,
   type TaskRecord,
 } from "./pass-records.js";
@@ -52,15 +57,6 @@
 
 const failed: FinalState = { state: "failed", text: "" };
 
-function concatenate(
-  left: { text: string; events: number } | undefined,
-  right: { text: string; events: number },
-): { text: string; events: number } {
-  if (left === undefined || left.events === 0) return right;
-  if (right.events === 0) return left;
-  return { text: `${left.text}\n${right.text}`, events: left.events + right.events };
-}
-
 function endedAt({ since }: PassTombstone): number {
   return since;
 }
@@ -75,20 +71,20 @@
   /** Token counts of unfinished items. */
   #tokens = new WaitingTokens();
   /** Active claims by item key. */
-  #processing = new Map<string, { go: number; holder: string; by: string | undefined }>();
+  #processing = new Map<string, ActiveClaim>();
   /** Next expiry of each lot, by lot: its unfinished items fail, or its results are deleted. */
-  #expiresAt = new Map<string, number>();
-  #earliestExpiry = Number.POSITIVE_INFINITY;
+  #expiry = new ExpiryIndex();
   #tombstones = new Tombstones<PassTombstone>(tombstonePrefix, endedAt);
   #refusedTickets = new RefusedTickets();
+  /** Whether a lot or tombstone is here whose id the lot directory may not know; derived from the ledger. */
+  #hasUnassignedLots = false;
 
   rebuild(ledger: Ledger): void {
     this.#waiting.clear();
     this.#tokens.clear();
     this.#processing.clear();
-    this.#expiresAt.clear();
-    this.#earliestExpiry = Number.POSITIVE_INFINITY;
-    for (const [, lot] of ledger.under<PassLot>("handed/")) this.#trackExpiry(lot);
+    this.#expiry.clear();
+    for (const [, lot] of ledger.under<PassLot>(lotPrefix)) this.#trackExpiry(lot);
     for (const [key, task] of ledger.under<TaskRecord>("task/")) {
       const lot = ledger.read<PassLot>(passLotKey(claimOf(key, 0).lot))!;
       this.#tokens.add(lot.way, lot.tenant, task.tokens);
@@ -98,6 +94,7 @@
     this.#waiting.sort();
     this.#tombstones.rebuild(ledger);
     this.#refusedTickets.rebuild(ledger);
+    this.#hasUnassignedLots = hasUnassignedLots(ledger);
   }
 
   get waiting(): number {
@@ -105,14 +102,16 @@
   }
 
   get lotCount(): number {
-    return this.#expiresAt.size;
+    return this.#expiry.size;
+  }
+
+  /** Whether the lot directory knows every lot that this queue has accepted and not forgotten. */
+  get isDirectoryComplete(): boolean {
+    return !this.#hasUnassignedLots;
   }
 
   /** Active claims by item key; the queue's owner checks them for missing heartbeats. */
-  processing(): ReadonlyMap<
-    string,
-    { readonly go: number; readonly holder: string; readonly by: string | undefined }
-  > {
+  processing(): ReadonlyMap<string, ActiveClaim> {
     return this.#processing;
   }
 
@@ -145,8 +144,7 @@
   #trackExpiry(lot: PassLot): void {
     const expiry =
       lot.finishedAt === undefined ? lot.until : lot.finishedAt + constants.lotResultRetentionMs;
-    this.#expiresAt.set(lot.id, expiry);
-    this.#earliestExpiry = Math.min(this.#earliestExpiry, expiry);
+    this.#expiry.set(lot.id, expiry);
   }
 
   #saveLot(ledger: Ledger, lot: PassLot): void {
@@ -176,6 +174,7 @@
     this.#addItems(ledger, record, entries);
     this.#tokens.add(passage, tenant, tokens);
     this.#saveLot(ledger, record);
+    if (record.assigned !== true) this.#hasUnassignedLots = true;
     return { kind: "HANDED", lot, again: false };
   }
 
@@ -378,8 +377,7 @@
     const lot = ledger.read<PassLot>(passLotKey(id));
     const known = lot ?? this.#tombstones.read(ledger, id);
     if (known === undefined || !isVisibleTo(known, reader)) return { kind: "UNKNOWN_LOT" };
-    if (lot === undefined) return { kind: "ENDED", lot: id, holders: [] };
-    if (lot.open === 0) return { kind: "ENDED", lot: id, holders: [] };
+    if (lot === undefined || lot.open === 0) return { kind: "ENDED", lot: id, holders: [] };
     const holders = new Set<string>();
     const ended = new Set<string>();
     for (const open of this.#openTasks(ledger, lot)) {
@@ -416,7 +414,7 @@
   /** The passage was removed from the configuration: all unfinished items of its lots fail. */
   dropPassage(context: Context, passage: string): PassResult {
     const listed: string[] = [];
-    for (const id of this.#expiresAt.keys()) {
+    for (const id of this.#expiry.ids()) {
       const lot = context.ledger.read<PassLot>(passLotKey(id))!;
       if (lot.way !== passage || lot.open === 0) continue;
       this.#failOpenItems(context, lot);
@@ -428,7 +426,7 @@
   /** Whether `expire` has something to do at this time. */
   isExpiryDue(time: number): boolean {
     return (
-      this.#earliestExpiry <= time ||
+      this.#expiry.isDue(time) ||
       this.#tombstones.hasExpired(time) ||
       this.#refusedTickets.isDue(time)
     );
@@ -438,29 +436,33 @@
   expire(context: Context): number {
     const { ledger, time } = context;
     let count = this.#refusedTickets.forgetDue(ledger, time);
-    for (const [id, expiry] of [...this.#expiresAt]) {
-      if (expiry > time) continue;
+    for (const id of this.#expiry.due(time)) {
       count += 1;
       const lot = ledger.read<PassLot>(passLotKey(id))!;
       if (lot.finishedAt === undefined) this.#failOpenItems(context, lot);
       else this.#replaceWithTombstone(ledger, lot, lot.finishedAt);
     }
-    this.#earliestExpiry = Number.POSITIVE_INFINITY;
-    for (const expiry of this.#expiresAt.values())
-      this.#earliestExpiry = Math.min(this.#earliestExpiry, expiry);
-    return count + this.#tombstones.removeExpired(ledger, time);
+    this.#expiry.refresh();
+    count += this.#tombstones.removeExpired(ledger, time);
+    if (this.#hasUnassignedLots) this.#hasUnassignedLots = hasUnassignedLots(ledger);
+    return count;
   }
 
   /** Deletes a lot and its results after their retention; a tombstone remains. */
-  #replaceWithTombstone(ledger: Ledger, { id, listed, tenant }: PassLot, since: number): void {
+  #replaceWithTombstone(
+    ledger: Ledger,
+    { id, listed, tenant, assigned }: PassLot,
+    since: number,
+  ): void {
     for (let position = 0; position < listed; position += 1)
       ledger.remove(indexedKey("result", id, position));
     ledger.remove(passLotKey(id));
-    this.#expiresAt.delete(id);
+    this.#expiry.delete(id);
     this.#tombstones.put(ledger, {
       lot: id,
       since,
       ...(tenant === undefined ? {} : { tenant }),
+      ...(assigned === undefined ? {} : { assigned }),
     });
   }
 }
--- a/packages/parts/src/pass-reads.ts
+++ b/packages/parts/src/pass-reads.ts
@@ -2,15 +2,30 @@
 import { constants } from "./constants.js";
 import type { Ledger } from "./ledger.js";
 import type { ListedResult, PassCommand, PassEntry, PassResult } from "./pass-messages.js";
-import { passLotKey, isVisibleTo, indexedKey, type PassLot } from "./pass-records.js";
+import {
+  indexedKey,
+  isVisibleTo,
+  passLotKey,
+  tombstonePrefix,
+  type PassLot,
+} from "./pass-records.js";
 
-/** Listed results from a position on, as many as fit into one message. */
+/**
+ * Listed results from a position on, as many as fit into one message. For a lot that is not here, tells what matters before the
+ * id is assigned to another queue.
+ */
 function results(
   ledger: Ledger,
   { lot: id, from, reader }: Extract<PassCommand, { kind: "results" }>,
+  isDirectoryComplete: boolean,
 ): PassResult {
   const lot = ledger.read<PassLot>(passLotKey(id));
-  if (lot === undefined || !isVisibleTo(lot, reader)) return { kind: "UNKNOWN_LOT" };
+  if (lot === undefined || !isVisibleTo(lot, reader))
+    return {
+      kind: "UNKNOWN_LOT",
+      ...(ledger.read(tombstonePrefix + id) === undefined ? {} : { wasAccepted: true }),
+      ...(isDirectoryComplete ? { isDirectoryComplete } : {}),
+    };
   const results: ListedResult[] = [];
   let size = 0;
   for (let position = from; position < lot.listed; position += 1) {
--- a/packages/parts/src/pass-records.ts
+++ b/packages/parts/src/pass-records.ts
@@ -1,4 +1,5 @@
 /** Records of lots on passages in the ledger of a queue, and their keys. */
+import type { Ledger } from "./ledger.js";
 import type { Claim, Tenancy } from "./pass-messages.js";
 
 /** A lot (batch job) that was submitted on a passage, as stored by its queue. */
@@ -9,6 +10,8 @@
   readonly host: string;
   /** Owner of the lot; later changes to the submitter's credentials don't affect it. */
   readonly tenant?: string;
+  /** Whether the lot directory assigned it to this queue; undefined from releases without a directory. */
+  readonly assigned?: boolean;
   /** Number of items. */
   readonly total: number;
   /** Number of unfinished items. */
@@ -46,6 +49,11 @@
   readonly restsUntil?: number;
 }
 
+/** The newest claim on an item that is being processed. */
+export interface ActiveClaim extends Required<Pick<TaskRecord, "go" | "holder">> {
+  readonly by: string | undefined;
+}
+
 /** Output of the runs that broke. */
 export interface PartialText {
   readonly text: string;
@@ -54,12 +62,24 @@
   readonly upTo: number;
 }
 
+/** Joins the outputs of two runs. */
+export function concatenate(
+  left: { text: string; events: number } | undefined,
+  right: { text: string; events: number },
+): { text: string; events: number } {
+  if (left === undefined || left.events === 0) return right;
+  if (right.events === 0) return left;
+  return { text: `${left.text}\n${right.text}`, events: left.events + right.events };
+}
+
 /** What remains of a lot after its results were deleted. */
 export interface PassTombstone {
   readonly lot: string;
   /** Ledger time at which the lot ended. */
   readonly since: number;
   readonly tenant?: string;
+  /** See `PassLot.assigned`. */
+  readonly assigned?: boolean;
 }
 
 /** Whether a reader may see a lot: a tenant can't see the lots of other tenants. */
@@ -67,13 +87,23 @@
   return reader === undefined || tenant === undefined || tenant === reader.tenant;
 }
 
+export const lotPrefix = "handed/";
+
 /** Ledger key of a lot. */
 export function passLotKey(lot: string): string {
-  return `handed/${lot}`;
+  return lotPrefix + lot;
 }
 
 export const tombstonePrefix = "bygone/";
 
+/** Whether a lot or tombstone was accepted without the lot directory, by an earlier release. */
+export function hasUnassignedLots(ledger: Ledger): boolean {
+  for (const prefix of [lotPrefix, tombstonePrefix])
+    for (const [, { assigned }] of ledger.under<{ readonly assigned?: boolean }>(prefix))
+      if (assigned !== true) return true;
+  return false;
+}
+
 /**
  * Ledger key of a record that belongs to an item or a list position. Lot names are chosen by callers and may contain
  * slashes: the number comes last, with a fixed width, so that `claimOf` can split the key again.
--- a/packages/parts/src/pass-turns.ts
+++ b/packages/parts/src/pass-turns.ts
@@ -33,6 +33,7 @@
     way: command.way,
     host: command.host,
     ...(command.tenant === undefined ? {} : { tenant: command.tenant }),
+    ...(command.knownFor === undefined ? {} : { assigned: true }),
     total: entries.length,
     open: entries.length,
     listed: 0,
--- a/packages/parts/src/session.ts
+++ b/packages/parts/src/session.ts
@@ -44,6 +44,8 @@
   readonly burdens?: readonly RunnerLoad[];
   /** Live requests recently rejected for lack of a free slot, by model. */
   readonly turnedAway?: readonly (readonly [model: string, count: number])[];
+  /** Whether this storage machine can keep the lot directory; undefined from earlier releases, which cannot. */
+  readonly assignsLots?: boolean;
 }
 
 /** Items that a queue holds or may hold, and items that it needs, in one season. */
--- a/tools/simulator/src/index.ts
+++ b/tools/simulator/src/index.ts
@@ -6,6 +6,7 @@
 export { darkRunnerDelay, handInDelays, heldReadDelays, newLifeDelay } from "./passages/delays.js";
 export type { Fault, PassPlayOptions } from "./passages/options.js";
 export { PassPlay } from "./passages/pass-play.js";
+export type { LotSight } from "./passages/records.js";
 export * from "./crew.js";
 export * from "./deployment.js";
 export * from "./machines.js";
--- a/tools/simulator/src/passages/exchanges.ts
+++ b/tools/simulator/src/passages/exchanges.ts
@@ -13,10 +13,11 @@
 /** What is asked of a node under the client's ticket. */
 export type Enter = (machine: AccessMachine, ticket: string) => readonly AccessOutput[];
 
-/** Who hears the answer, undefined where none came in time, and for how many ms it is waited for. */
+/** Who hears the answer, undefined where none came in time, for how many ms it is waited for, and which node is asked: any by default. */
 export interface Answered {
   readonly told: (told: LotReply | undefined) => void;
   readonly patience?: number;
+  readonly at?: AccessMachine;
 }
 
 /** Requests of clients to any access node, each with at most one answer. */
@@ -43,10 +44,10 @@
     waiting?.(told);
   }
 
-  /** Asks any node. */
-  ask(enter: Enter, { told, patience = USUAL_PATIENCE }: Answered): void {
+  /** Asks a node. */
+  ask(enter: Enter, { told, patience = USUAL_PATIENCE, at }: Answered): void {
     const { world, accesses } = this.#fleet;
-    const machine = world.chance.pick(accesses);
+    const machine = at ?? world.chance.pick(accesses);
     this.#ticketNumber += 1;
     const ticket = `caller-${this.#ticketNumber}`;
     let hasEnded = false;
@@ -66,7 +67,7 @@
   }
 
   /** As `ask`, and recorded as an operation of the lot's history. */
-  askLot(lot: LotSight, input: LotInput, enter: Enter, { told, patience }: Answered): void {
+  askLot(lot: LotSight, input: LotInput, enter: Enter, { told, ...answered }: Answered): void {
     const { world } = this.#fleet;
     const calledAt = world.now;
     const tell = (answer: LotReply | undefined): void => {
@@ -74,6 +75,6 @@
       lot.operations.push(lotOperationOf(exchange));
       told(answer);
     };
-    this.ask(enter, { told: tell, patience });
+    this.ask(enter, { told: tell, ...answered });
   }
 }
--- a/tools/simulator/src/passages/lot-clients.ts
+++ b/tools/simulator/src/passages/lot-clients.ts
@@ -1,4 +1,5 @@
 import type { LotEntry, LotReply } from "@chutewick/data";
+import type { AccessMachine } from "../machines.js";
 import type { Enter, LotExchanges } from "./exchanges.js";
 import type { LotReader } from "./lot-reader.js";
 import type { PassFleet } from "./pass-fleet.js";
@@ -26,6 +27,9 @@
 const EARLIER_SHARE = 0.15;
 const HELD_SHARE = 0.7;
 const HOLD = 1_000;
+/** ms from the acceptance of a lot until it is handed in again, and how often that happens at least and below. */
+const RESUBMITTED_AFTER = [200, 6_000] as const;
+const RESUBMISSIONS = [1, 4] as const;
 /** ms between two reads of a lot, and between two reads of a body. */
 const READ_EVERY = [200, 500] as const;
 const BODY_EVERY = [500, 3_000] as const;
@@ -107,14 +111,31 @@
     };
   }
 
+  /** Another client hands the lot in once more; `told` hears the answer. */
+  handInAgain(
+    lot: LotSight,
+    told: (answer: LotReply | undefined) => void,
+    at?: AccessMachine,
+  ): void {
+    const enter = this.#entering(lot);
+    this.#exchanges.askLot(lot, { kind: "admit" }, enter, {
+      told,
+      ...(at === undefined ? {} : { at }),
+    });
+  }
+
+  #entering(lot: LotSight): Enter {
+    const submission = {
+      ...this.#exchanges.callOn(lot),
+      path: pathOf("x"),
+      entries: lot.entries,
+    };
+    return (machine, ticket) => machine.core.lots.submit(ticket, submission, this.#fleet.world.now);
+  }
+
   #submit(lot: LotSight): void {
     const { world } = this.#fleet;
-    const enter: Enter = (machine, ticket) =>
-      machine.core.lots.submit(
-        ticket,
-        { ...this.#exchanges.callOn(lot), path: pathOf("x"), entries: lot.entries },
-        world.now,
-      );
+    const enter = this.#entering(lot);
     const told = (answer: LotReply | undefined): void => this.#submitted(lot, answer);
     this.#exchanges.askLot(lot, { kind: "admit" }, enter, { told });
     const isSentTwice = world.chance.happens(TWICE_SHARE) && lot.tries.length === 0;
@@ -159,9 +180,23 @@
       if (tokens > allowance) this.#fleet.violation(`${tokens} tokens wait, ${allowance} may`);
   }
 
-  #follow(lot: LotSight): void {
+  /** Hands in an accepted lot again a few times, each time at two nodes at once. */
+  #resubmit(lot: LotSight): void {
     const { world } = this.#fleet;
-    if (world.chance.happens(ENDED_SHARE))
+    const told = (answer: LotReply | undefined): void =>
+      this.#fleet.count(`resubmission ${answer?.kind ?? "silence"}`);
+    const count = Math.floor(world.chance.between(...RESUBMISSIONS));
+    for (let number = 0; number < count; number += 1)
+      world.after(world.chance.between(...RESUBMITTED_AFTER), () => {
+        this.handInAgain(lot, told);
+        this.handInAgain(lot, told);
+      });
+  }
+
+  #follow(lot: LotSight): void {
+    const { world, options } = this.#fleet;
+    if (options.resubmits === true) this.#resubmit(lot);
+    if (world.chance.happens(options.endedShare ?? ENDED_SHARE))
       world.after(world.chance.between(...ENDED_AFTER), () => this.end(lot));
     this.#readOn(lot);
     this.#readBodies(lot);
--- a/tools/simulator/src/passages/lot-reader.ts
+++ b/tools/simulator/src/passages/lot-reader.ts
@@ -1,4 +1,5 @@
 import type { LotResult, LotReply } from "@chutewick/data";
+import type { AccessMachine } from "../machines.js";
 import type { Enter, LotExchanges } from "./exchanges.js";
 import type { PassFleet } from "./pass-fleet.js";
 import { bodyOf, eventDataOf, type ItemRecord, type LotSight } from "./records.js";
@@ -17,6 +18,8 @@
 export interface Reading {
   readonly from: number;
   readonly hold: number;
+  /** The node that is asked: any by default. */
+  readonly at?: AccessMachine;
 }
 
 /** Clients that read lots and the bodies of their items, and what no answer may show. */
@@ -29,8 +32,8 @@
     this.#exchanges = exchanges;
   }
 
-  /** Reads a lot's results at any node; `after` is called whatever came. */
-  read(lot: LotSight, { from, hold }: Reading, after: () => void): void {
+  /** Reads a lot's results; `after` is called whatever came. */
+  read(lot: LotSight, { from, hold, at }: Reading, after: () => void): void {
     const { world } = this.#fleet;
     const told = (answer: LotReply | undefined): void => {
       this.#fleet.count(`read ${answer?.kind ?? "silence"}`);
@@ -44,7 +47,7 @@
       { kind: "read", from },
       (machine, ticket) =>
         machine.core.lots.read(ticket, this.#exchanges.callOn(lot), { from, hold }, world.now),
-      { told, patience: hold + READ_PATIENCE },
+      { told, patience: hold + READ_PATIENCE, ...(at === undefined ? {} : { at }) },
     );
   }
 
--- a/tools/simulator/src/passages/options.ts
+++ b/tools/simulator/src/passages/options.ts
@@ -29,6 +29,12 @@
   readonly items?: number;
   /** The passage moves between pools, goes and comes back. */
   readonly moves?: boolean;
+  /** The second pool has no models, so that a move changes where the configuration places new lots. */
+  readonly hasPlainPool?: boolean;
+  /** Other clients hand in accepted lots again, seconds after their acceptance. */
+  readonly resubmits?: boolean;
+  /** Share of lots that their clients end early; a tenth by default. */
+  readonly endedShare?: number;
   /** Lots are tenants', whose credentials change all the while. */
   readonly tenants?: boolean;
 }
--- a/tools/simulator/src/passages/pass-fleet.ts
+++ b/tools/simulator/src/passages/pass-fleet.ts
@@ -46,6 +46,8 @@
   readonly counts: Record<string, number> = {};
   /** Pools to which the passage leads now. */
   pools = ["readers"];
+  /** Name of the passage; undefined while the configuration has none. */
+  passageName: string | undefined = "slips";
   /** ms. When traffic and faults end. */
   readonly quietAt: number;
 
@@ -108,20 +110,20 @@
   }
 
   #configuration(hasNextTenants: boolean): Configuration {
+    const passage = {
+      host: PASSAGE_HOST,
+      prefix: "/slips/",
+      kind: "lot",
+      pools: this.pools.map((pool) => ({ pool, weight: 1 })),
+      goesMost: ATTEMPTS_MOST,
+      guard: GUARD,
+      waitingTokens: this.options.allowance ?? 0,
+      keeps: KEPT_SECONDS,
+    };
+    const otherModels = this.options.hasPlainPool === true ? [] : ["m"];
     const checked = configuration.check({
-      pools: { readers: { models: ["m"] }, others: { models: ["m"] } },
-      passages: {
-        slips: {
-          host: PASSAGE_HOST,
-          prefix: "/slips/",
-          kind: "lot",
-          pools: this.pools.map((pool) => ({ pool, weight: 1 })),
-          goesMost: ATTEMPTS_MOST,
-          guard: GUARD,
-          waitingTokens: this.options.allowance ?? 0,
-          keeps: KEPT_SECONDS,
-        },
-      },
+      pools: { readers: { models: ["m"] }, others: { models: otherModels } },
+      passages: this.passageName === undefined ? {} : { [this.passageName]: passage },
       ...(this.tenants === undefined ? {} : { tenants: this.tenants.entries(hasNextTenants) }),
     });
     if (!checked.ok) throw new Error(checked.reason);
