--- a/features/lot-directory.feature
+++ b/features/lot-directory.feature
@@ -94,3 +94,11 @@
       | kill-access, freeze-access, cut-access     | 121   | 126  |
       | wipe-storage, loss                         | 131   | 135  |
       | power, kill-control                        | 141   | 146  |
+
+  # Guards against the same fault on ways, whose queue follows the configuration.
+  Scenario: a key that is handed in again after its way moved to another model is the same lot
+    Given a deployment whose way leads to the model "reader"
+    When a lot is handed in under the key "k"
+    And the way is moved to the model "writer"
+    And a lot is handed in under the key "k"
+    Then both answers name the same lot
