Deployments in virtual time count the lot directory among their chains

features/deployment.feature compared the placed chains with the queues of the configuration; since the lot directory there is one more.

--- a/features/steps/deployment.ts
+++ b/features/steps/deployment.ts
@@ -482,7 +482,7 @@
 
 function noQueueAt(this: World, name: string, copies: number): void {
   const queues = this.deployment.queues();
-  equal(queues.size, this.models);
+  equal(queues.size, plans(this.models).length);
   for (const [queue, members] of queues) {
     ok(!members.includes(name), `${queue} is at ${members.join(", ")}`);
     equal(members.length, copies, `${queue} is at ${members.join(", ")}`);
