A node that has not heard of the lot directory refuses lots at once

Cause: a restarted node looks for lots of an earlier release in the queues that it knows. Their placement comes before that of the directory in the feed, but the look-up did not wait for the directory: a node that heard of more queues between its look-up and its call to the directory could assign a lot that one of them had accepted. The scenario failed without the check (nothing was refused and a look-up was sent) and passes with it.

--- a/features/lot-directory.feature
+++ b/features/lot-directory.feature
@@ -60,6 +60,13 @@
     When a lot is handed in at the owner of its queue, known for 1 hour
     Then it is refused because "the lot directory would forget the lot before its queue does"
 
+  # Guards against lots of an earlier release in queues that a restarted node has not heard of yet.
+  Scenario: a node that has not heard of the lot directory assigns no lot, whichever queues it knows
+    Given a node that knows the queue "pass/m" but not the lot directory
+    When a lot is assigned there
+    Then it is refused because "the lot directory is not placed yet"
+    And the node sent nothing
+
   # Guards against review/2: the queue of a lot followed the configuration, so a moved route accepted the lot twice.
   Scenario Outline: a lot that is handed in again after <change> is not run again
     When a lot is handed in again at every node after <change>, with seeds <first> to <last>
--- a/features/steps/lot-directory.ts
+++ b/features/steps/lot-directory.ts
@@ -1,7 +1,14 @@
 /** Steps of features/lot-directory.feature: the records of the lot directory, and fleets whose routes move. */
 import { deepEqual, equal, ok } from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import type { LotReply } from "@chutewick/data";
+import { configuration, keys } from "@chutewick/control";
+import {
+  LotAssigner,
+  PendingCalls,
+  type AccessOutput,
+  type LotReply,
+  type Membership,
+} from "@chutewick/data";
 import {
   Ledger,
   QueueMachine,
@@ -155,6 +162,40 @@
 }
 Then("it is refused because {string}", isRefusedBecause);
 
+interface NodeWorld extends PlayWorld {
+  assigner: LotAssigner;
+  outputs: AccessOutput[];
+}
+
+/** A node that has received the view of one queue and nothing else. */
+function aNodeThatKnows(this: NodeWorld, queue: string): void {
+  const key = keys.queue + queue;
+  const view = { mark: 1, members: [{ identity: "s", address: "storage-1" }] };
+  const follower = {
+    read: (asked: string) => (asked === key ? view : undefined),
+    under: () => [[key, view]],
+  };
+  const node = { identity: "n", follower, holds: () => true } as unknown as Membership;
+  this.assigner = new LotAssigner(node, new PendingCalls(node));
+}
+Given("a node that knows the queue {string} but not the lot directory", aNodeThatKnows);
+
+function lotIsAssigned(this: NodeWorld): void {
+  const onRefused = (reason: string): AccessOutput[] => {
+    this.refusal = reason;
+    return [];
+  };
+  const queue = configuration.poolQueue("m");
+  const request = { lot: "a", group: "slips m", queue, keeps: KEEPS, onRefused };
+  this.outputs = this.assigner.assign({ ...request, onAssigned: () => [] }, 0);
+}
+When("a lot is assigned there", lotIsAssigned);
+
+function nothingWasSent(this: NodeWorld): void {
+  deepEqual(this.outputs, []);
+}
+Then("the node sent nothing", nothingWasSent);
+
 function handedInAgainAfter(this: PlayWorld, change: string, first: string, last: string): void {
   this.plays = [];
   this.answers = [];
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./pending-calls.js";
 export * from "./events.js";
 export * from "./link.js";
+export * from "./lot-assignment.js";
 export * from "./feed-progress.js";
 export * from "./heartbeat-interval.js";
 export * from "./membership.js";
--- a/packages/data/src/lot-assignment.ts
+++ b/packages/data/src/lot-assignment.ts
@@ -64,6 +64,9 @@
       foundIn: undefined,
       hasEnded: false,
     };
+    // Queues of an earlier release were placed before the directory: who does not know it may not know them either.
+    if (!this.#isPlaced(lotDirectoryQueue))
+      return refuse(pending, "the lot directory is not placed yet");
     const queues: string[] = [];
     for (const queue of knownPoolQueues(this.#membership))
       if (!this.#completeQueues.has(queue)) queues.push(queue);
@@ -101,7 +104,9 @@
   #askDirectory(pending: PendingAssignment, now: number): AccessOutput[] {
     if (pending.hasEnded) return [];
     const { lot, group, queue, keeps } = pending.request;
-    const placed = pending.foundIn ?? this.#ifPlaced(queue);
+    // A queue that was never placed would keep its lots waiting for ever, so it is not proposed.
+    const proposed = queue !== undefined && this.#isPlaced(queue) ? queue : undefined;
+    const placed = pending.foundIn ?? proposed;
     const command: AssignLotCommand = {
       kind: "assign-lot",
       lot,
@@ -116,10 +121,8 @@
     return this.#pendingCalls.start({ queue: lotDirectoryQueue, command, patience, onResult }, now);
   }
 
-  /** A queue that was never placed would keep its lots waiting for ever, so it is not proposed. */
-  #ifPlaced(queue: string | undefined): string | undefined {
-    const isPlaced = queue !== undefined && this.#pendingCalls.ownerOf(queue) !== undefined;
-    return isPlaced ? queue : undefined;
+  #isPlaced(queue: string): boolean {
+    return this.#pendingCalls.ownerOf(queue) !== undefined;
   }
 }
 
