Worlds and duties after the lot directory: seeds that moved, two known failures

The chain of the lot directory takes part in every deployment with lots, so each seed now draws another sequence of delays and faults.

- many-changes, seed 5, no longer isolates a node.
Seed 6, which does, is played beside it (no rule broken, recovery within 0.7 s): more is checked than before.
- control-cut without its guard, seed 10, no longer breaks node-serves-old.
Without the guard 8 of the seeds 8 to 31 break it; seed 8 takes its place.
- duty-worlds, "nothing happens" and "the platform is slow for 20 s" (seed 91): windows reported 4.2, 4.3 and 11.4 s after their ends, 4 and 10 s asked.

--- a/features/worlds.feature
+++ b/features/worlds.feature
@@ -15,7 +15,7 @@
       | control-cut   | 4    | 7  | 12000 | head cut, restart of cut off, restart of other, restart of acted last                        |
       | racing-orders | 5    | 6  | 12000 | racing pair, one number; racing pair, two numbers; power after a confirmation                |
       | second-loss   | 15   | 15 | 12000 | second loss, wipe, power                                                                     |
-      | many-changes  | 5    | 5  | 12000 | node away by isolate, wipe, replacement                                                      |
+      | many-changes  | 5    | 6  | 12000 | node away by isolate, wipe, replacement                                                      |
       | wrong-answers | 5    | 5  | 12000 | answer late, answer doubled, answer cut, answer swapped, answer reset unread, runner crashed |
       | node-leases   | 15   | 17 | 12000 | core: restart of all, node isolated, node frozen, node restarted                             |
 
@@ -40,7 +40,7 @@
 
     Examples:
       | world         | seed | rule                | guard                                              |
-      | control-cut   | 10   | node-serves-old     | a change is told when every lease has it           |
+      | control-cut   | 8    | node-serves-old     | a change is told when every lease has it           |
       | racing-orders | 5    | two-winners         | of two racers one wins                             |
       | second-loss   | 1006 | lot-lost            | told when the tail has it                          |
       | many-changes  | 1    | node-serves-old     | leases go to those who have come as far            |
