--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -7,6 +7,8 @@
 import { fileURLToPath } from "node:url";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
+/** A script may run for 120 s. */
+const maxCaseMs = 118_000;
 const zones = ["zone-a", "zone-b", "zone-c"];
 
 /** The commands of the deploy file by role. */
@@ -198,6 +200,7 @@
       this.storage.push(this.#machine("storage", "storage", 2, index));
     for (let index = 0; index < access; index += 1)
       this.access.push(this.#machine("access", "access", 3, index));
+    this.#endWithProcess();
     this.seeds = seedsOf?.(this) ?? this.control.map(({ ip }) => `${ip}:8146`);
   }
 
@@ -212,6 +215,17 @@
     );
   }
 
+  /** Ends all processes also where this one ends before `stop`, or is told to end, or takes too long. */
+  #endWithProcess() {
+    process.once("exit", () => {
+      for (const { child } of this.machines) child?.kill("SIGKILL");
+      rmSync(this.folder, { recursive: true, force: true, maxRetries: 3 });
+    });
+    for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
+      process.once(signal, () => process.exit(2));
+    setTimeout(() => process.exit(2), maxCaseMs).unref();
+  }
+
   get machines() {
     return [...this.control, ...this.storage, ...this.access];
   }
