Review case 4: a control machine killed while it creates its database takes the configuration with the next lost disk

Cause: a data folder whose database file exists, but whose record of the folder is not written yet, counts as foreign, so the machine never starts again; after the loss of one more disk no majority is left.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,37 +1,26 @@
 /**
- * Many lots come at once, again and again; every lot fits and is accepted. Each accepted lot must stay readable.
- * Exit status: 1 if a rule was broken, 0 if it held, 2 if the case could not run.
+ * A control machine loses its disk and is killed once more while it starts; later, right after an acknowledgement, another one loses
+ * its disk. The acknowledged configuration must be there. Exit status: 1 if a rule was broken, 0 if it held, 2 if the case could not run.
  */
-import { readFileSync, writeFileSync } from "node:fs";
+import { rmSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { bulk, configuration, host } from "../lib-2/config.mjs";
+import { bulk, configuration, host, route } from "../lib-2/config.mjs";
 import { Fleet, call, sleep } from "../lib-2/fleet.mjs";
-import { Runner, seal } from "../lib-2/runner.mjs";
+import { killWhileCreating } from "../lib-2/kill-at-start.mjs";
+import { Runner, events, plain } from "../lib-2/runner.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-const recordPath = join(dirname(fileURLToPath(import.meta.url)), "record.txt");
-
-/** Lots of the deployment `further/`: 2.19 a second, 80 items each, 32 events an item. */
-const lotsPerSecond = 2.19;
-const itemsPerLot = 80;
-const eventsPerItem = 32;
-const bytesPerEvent = 300;
-const bytesPerBody = 1600;
-const tokensPerItem = 940;
-/** Bursts of the site file: six times the lots for 3 s; here every 6 s. */
-const burstFactor = 6;
-const burstMs = 3000;
-const burstPeriodMs = 6000;
-const trafficMs = 72_000;
-/** The platform starts a process that ended again after this time. */
+/** How long a machine that loses its disk is down. */
+const downMs = 1500;
 const restartDelayMs = 500;
-/** The rule Fault: on two machines at least, processes end by themselves three times. */
-const maxOwnEnds = 3;
-const minFaultyMachines = 2;
-/** Time that lots get after traffic, and how long each lot is then asked for. */
-const completionMs = 10_000;
-const readMs = 6_000;
+/** `syncS` is 5 s: a machine that is back counts as lost for so long. Two seconds more lie between the losses. */
+const betweenLossesMs = 7000;
+/** `recoveryS` is 12 s. */
+const recoveryMs = 13_000;
+/** The operator asks for the configuration for so long; `contactMs` is 3 s. */
+const readMs = 15_000;
+const maxTries = 3;
 
 const lines = [];
 const startedAt = Date.now();
@@ -39,19 +28,7 @@
   lines.push(`${((Date.now() - startedAt) / 1000).toFixed(2)} ${text}`);
 }
 
-function anonymousMb({ child }) {
-  try {
-    const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-    return Math.round(Number(/RssAnon:\s+(\d+)/.exec(status)[1]) / 1024);
-  } catch {
-    return "down";
-  }
-}
-
-const fleet = new Fleet({ access: 4 });
-const runners = [];
-const lots = [];
-let itemsRun = 0;
+const fleet = new Fleet({});
 let isOver = false;
 
 /** Starts a process again that ended by itself, as the platform does. */
@@ -63,12 +40,9 @@
       if (machine.isUp || machine.ownExits.length === known) continue;
       seen.set(machine, machine.ownExits.length);
       const { code, signal } = machine.ownExits.at(-1);
-      note(`${machine.name} ended by itself: code ${code}, signal ${signal}`);
-      const reason = machine.log
-        .split("\n")
-        .filter((line) => line.startsWith("FATAL"))
-        .at(-1);
-      if (reason !== undefined) note(`${machine.name} says: ${reason}`);
+      const words = machine.log.trim().split("\n").at(-1).replaceAll(fleet.folder, "(folder)");
+      if (machine.ownExits.length <= 2)
+        note(`${machine.name} ended by itself: code ${code}, signal ${signal}: ${words}`);
       setTimeout(() => {
         if (!isOver) machine.start();
       }, restartDelayMs);
@@ -77,146 +51,123 @@
   }
 }
 
-async function runItem({ arrival: { id, headers }, answer }) {
-  itemsRun += 1;
-  await sleep(100);
-  if (answer.destroyed) return;
-  answer.writeHead(200, {
-    "chutewick-attempt-id": id,
-    "chutewick-answer-seal": seal(id),
-    "chutewick-weight-versions": "1",
-    "content-type": "text/event-stream",
-  });
-  const last = headers["last-event-id"];
-  let text = "";
-  for (let number = last === undefined ? 1 : Number(last) + 1; number <= eventsPerItem; number += 1)
-    text += `id: ${number}\ndata: ${String(number).padEnd(bytesPerEvent, "x")}\n\n`;
-  answer.end(text);
+function configurationOf(revision) {
+  return configuration(revision, [route("safe", "safe", "plain"), bulk()]);
 }
 
-/** Hands a lot in: up to three tries, at different nodes. */
-async function submit(number) {
-  const lot = { id: `lot${number}`, accepted: false, sentAt: Date.now(), answers: [] };
-  const entries = [];
-  for (let index = 0; index < itemsPerLot; index += 1)
-    entries.push({
-      instanceId: `${lot.id}-${index}`,
-      path: "/lots/slip",
-      headers: { "Chutewick-Model": "m", "Chutewick-Token-Count": "540,400" },
-      body: Buffer.alloc(bytesPerBody, 65).toString("base64"),
-      tokens: tokensPerItem,
-    });
-  const body = JSON.stringify({ entries });
-  for (let turn = 0; turn < 3 && !lot.accepted; turn += 1) {
-    const { status, end } = await call(fleet.front(number + turn), {
-      method: "POST",
-      path: "/lots/batch",
-      headers: { host, "chutewick-attempt-id": lot.id, "content-type": "application/json" },
-      body,
-      timeoutMs: 4000,
-    });
-    lot.answers.push(status ?? end);
-    lot.accepted = status === 202;
-    if (!lot.accepted) await sleep(500);
-  }
-  lots.push(lot);
+async function order(revision, base) {
+  const begunAt = Date.now();
+  const status = await fleet.order(
+    "/chutewick/configuration/replace",
+    configurationOf(revision),
+    base,
+    15_000,
+  );
+  note(`configuration ${revision} on ${base}: ${status} after ${Date.now() - begunAt} ms`);
+  return status;
 }
 
-function isBurst(elapsed) {
-  return hasTrouble && elapsed % burstPeriodMs >= burstPeriodMs - burstMs;
+/** Power and disk of a machine are gone; it comes back empty. */
+async function loseDisk(machine) {
+  await machine.kill();
+  rmSync(machine.dataPath, { recursive: true, force: true });
+  note(`${machine.name} loses its disk`);
+  await sleep(downMs);
+  machine.start();
 }
 
-async function sendTraffic() {
-  const begunAt = Date.now();
-  const submissions = [];
-  let due = 0;
-  let reportedAt = 0;
-  for (let previous = 0; ;) {
-    const elapsed = Date.now() - begunAt;
-    if (elapsed >= trafficMs) break;
-    due += ((elapsed - previous) / 1000) * lotsPerSecond * (isBurst(elapsed) ? burstFactor : 1);
-    previous = elapsed;
-    for (; due >= 1; due -= 1) submissions.push(submit(submissions.length + 1));
-    if (elapsed - reportedAt >= 5000) {
-      reportedAt = elapsed;
-      const accepted = lots.filter((lot) => lot.accepted).length;
-      note(
-        `lots sent ${submissions.length}, accepted ${accepted}, items run ${itemsRun}, ` +
-          `anonymous memory of storage (MB) ${fleet.storage.map(anonymousMb).join(" ")}`,
-      );
+/** The machine comes back empty, and its process is killed once more as it creates its database. */
+async function loseDiskAndKill(machine) {
+  for (let turn = 0; turn < maxTries; turn += 1) {
+    await loseDisk(machine);
+    const files = await killWhileCreating(machine);
+    if (files !== undefined) {
+      note(`${machine.name} is killed while it starts; its folder holds ${files}`);
+      await sleep(restartDelayMs);
+      machine.start();
+      return true;
     }
-    await sleep(20);
+    note(`${machine.name} is killed while it starts, too late for the moment`);
   }
-  await Promise.all(submissions);
+  return false;
 }
 
-/** Reads a lot from the start, again at another node after each failure; resolves with its number of results, or why it cannot be read. */
-async function read(lot, index, until) {
-  let reason = "not asked";
+async function readConfiguration() {
+  const answers = {};
+  let newest = 0;
+  const until = Date.now() + readMs;
   for (let turn = 0; Date.now() < until; turn += 1) {
-    const { status, end, body } = await call(fleet.front(index + turn), {
-      path: `/chutewick/lots/${lot.id}?startToken=0`,
-      headers: { host },
-      timeoutMs: 2500,
+    const { status, end, body } = await call(fleet.controlAddress(turn), {
+      path: "/chutewick/configuration/read",
+      timeoutMs: 2000,
     });
-    if (status === 200 && end === "whole") {
-      const { total, results } = JSON.parse(body.toString());
-      return { total, listed: results.length };
+    let key = String(status ?? end);
+    if (status === 200) {
+      const { revision } = JSON.parse(body.toString());
+      newest = Math.max(newest, revision);
+      key = `200 with revision ${revision}`;
     }
-    reason = String(status ?? end);
-    await sleep(400);
+    answers[key] = (answers[key] ?? 0) + 1;
+    await sleep(200);
+  }
+  note(`answers to reads of the configuration: ${JSON.stringify(answers)}`);
+  return newest;
+}
+
+async function submitLot() {
+  const entries = [];
+  for (let index = 0; index < 5; index += 1)
+    entries.push({
+      instanceId: `item${index}`,
+      path: "/lots/slip",
+      headers: { "Chutewick-Model": "m", "Chutewick-Token-Count": "540,400" },
+      body: "QUJD",
+      tokens: 940,
+    });
+  const answers = [];
+  for (let turn = 0; turn < 4; turn += 1) {
+    const { status, end } = await call(fleet.front(turn), {
+      method: "POST",
+      path: "/lots/batch",
+      headers: { host, "chutewick-attempt-id": "lot1", "content-type": "application/json" },
+      body: JSON.stringify({ entries }),
+      timeoutMs: 4000,
+    });
+    answers.push(status ?? end);
+    if (status === 202) break;
   }
-  return { reason };
+  note(`answers to a lot at the end: ${answers.join(" ")}`);
 }
 
 async function main() {
   fleet.start();
   void supervise();
-  const status = await fleet.order(
-    "/chutewick/configuration/replace",
-    configuration(1, [bulk()]),
-    0,
-    15000,
-  );
-  if (status !== 200) return 2;
+  if ((await order(1, 0)) !== 200) return 2;
   await fleet.ready();
-  for (let index = 0; index < 24; index += 1) {
-    const runner = new Runner(fleet, {
+  const runners = [
+    new Runner(fleet, {
       service: "model",
       models: ["m"],
-      work(given) {
-        given.runner.arrivals.length = 0;
-        return runItem(given);
-      },
-    });
-    runners.push(runner);
-    await runner.start();
-  }
-  await sleep(1500);
-  note(`traffic begins, ${hasTrouble ? "with" : "without"} bursts`);
-  await sendTraffic();
-  note("traffic has ended");
-  await sleep(completionMs);
-  const accepted = lots.filter((lot) => lot.accepted);
-  note(`reading ${accepted.length} accepted lots`);
-  const until = Date.now() + readMs;
-  // A tenth of the lots, spread over the whole time: "some are read from the start".
-  const asked = accepted.filter((_, index) => index % 10 === 0);
-  const found = await Promise.all(asked.map((lot, index) => read(lot, index, until)));
-  const lost = [];
-  for (const [index, { reason }] of found.entries())
-    if (reason !== undefined) lost.push(`${asked[index].id}: ${reason}`);
-  const answers = {};
-  for (const lot of lots)
-    for (const answer of lot.answers) answers[answer] = (answers[answer] ?? 0) + 1;
-  note(`answers to submissions: ${JSON.stringify(answers)}`);
-  note(`lots read at the end: ${asked.length}, not readable: ${lost.length}`);
-  for (const text of lost.slice(0, 20)) note(`cannot be read: ${text}`);
-  const crashes = fleet.machines.filter((machine) => machine.ownExits.length > 0);
-  for (const machine of crashes)
-    note(`${machine.name} ended by itself ${machine.ownExits.length} times`);
-  const looping = crashes.filter((machine) => machine.ownExits.length >= maxOwnEnds);
-  return lost.length > 0 || looping.length >= minFaultyMachines ? 1 : 0;
+      work: (given) => events(given, 5, 20, (number) => `${given.arrival.id} ${number}`),
+    }),
+    new Runner(fleet, { service: "plain", work: (given) => plain(given, "label") }),
+  ];
+  for (const runner of runners) await runner.start();
+  await sleep(3000);
+  const [first, second] = fleet.control;
+  if (hasTrouble && !(await loseDiskAndKill(first))) return 2;
+  await sleep(betweenLossesMs);
+  if ((await order(2, 1)) !== 200) return 2;
+  if (hasTrouble) await loseDisk(second);
+  await sleep(recoveryMs);
+  const newest = await readConfiguration();
+  await order(3, 2);
+  await submitLot();
+  for (const runner of runners) runner.end();
+  for (const machine of fleet.machines)
+    if (machine.ownExits.length > 0)
+      note(`${machine.name} ended by itself ${machine.ownExits.length} times`);
+  return newest < 2 ? 1 : 0;
 }
 
 let result = 2;
@@ -226,8 +177,7 @@
   note(`the case could not run: ${error.stack}`);
 }
 isOver = true;
-for (const runner of runners) runner.end();
 await fleet.stop();
 note(["rules held", "a rule was broken", "the case could not run"][result]);
-writeFileSync(recordPath, `${lines.join("\n")}\n`);
+writeFileSync(join(dirname(fileURLToPath(import.meta.url)), "record.txt"), `${lines.join("\n")}\n`);
 process.exit(result);
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Many lots come at once; TROUBLE=0 plays the same traffic without the bursts.
+# Two control machines lose their disks, one after the other; TROUBLE=0 does the same without any loss or kill.
 cd "$(dirname "$0")" || exit 2
 exec node case.mjs
