--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -7,6 +7,10 @@
 import { fileURLToPath } from "node:url";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
+/** Loopback networks of the fleets: which one a fleet gets follows from the id of this process. */
+const netsPerPart = 200;
+const parts = 50;
+const rowsPerPart = 5;
 /** A script may run for 120 s. */
 const maxCaseMs = 118_000;
 const zones = ["zone-a", "zone-b", "zone-c"];
@@ -190,27 +194,30 @@
     this.commands = commandsOf();
     this.bounds = { ...defaultBounds, ...bounds };
     this.extraSettings = extraSettings;
-    this.net = `127.${20 + (process.pid % 200)}`;
+    // Fleets of several scripts at a time get addresses of their own.
+    const part = (Math.floor(process.pid / netsPerPart) % parts) * rowsPerPart;
+    this.net = `127.${20 + (process.pid % netsPerPart)}`;
+    this.rows = { control: part + 1, storage: part + 2, access: part + 3, runners: part + 4 };
     this.control = [];
     this.storage = [];
     this.access = [];
     for (let index = 0; index < 3; index += 1)
-      this.control.push(this.#machine("core", "control", 1, index));
+      this.control.push(this.#machine("core", "control", index));
     for (let index = 0; index < storage; index += 1)
-      this.storage.push(this.#machine("storage", "storage", 2, index));
+      this.storage.push(this.#machine("storage", "storage", index));
     for (let index = 0; index < access; index += 1)
-      this.access.push(this.#machine("access", "access", 3, index));
+      this.access.push(this.#machine("access", "access", index));
     this.#endWithProcess();
     this.seeds = seedsOf?.(this) ?? this.control.map(({ ip }) => `${ip}:8146`);
   }
 
-  #machine(label, role, row, index) {
+  #machine(label, role, index) {
     const zone = zones[index % zones.length];
     return new Machine(
       this,
       `${label}-${zone}-${index + 1}`,
       role,
-      `${this.net}.${row}.${index + 1}`,
+      `${this.net}.${this.rows[role]}.${index + 1}`,
       zone,
     );
   }
@@ -226,6 +233,11 @@
     setTimeout(() => process.exit(2), maxCaseMs).unref();
   }
 
+  /** Address of a runner by its number. */
+  runnerIp(number) {
+    return `${this.net}.${this.rows.runners}.${number}`;
+  }
+
   get machines() {
     return [...this.control, ...this.storage, ...this.access];
   }
--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -12,7 +12,7 @@
     lastRunner += 1;
     Object.assign(this, { fleet, service, slots, models, work, zone, record });
     this.id = `i-${process.pid.toString(16)}${lastRunner.toString(16).padStart(4, "0")}`;
-    this.ip = ip ?? `${fleet.net}.9.${lastRunner}`;
+    this.ip = ip ?? fleet.runnerIp(lastRunner);
     this.port = port;
     /** What reached this runner: id, method, path, headers, body, and whether it ran. */
     this.arrivals = [];
