A start that was cut short is a start again: files without a transaction are discarded

The next lost disk took the configuration: no answer in 15 s, no order, lots 503.

Cause: lmdb writes two meta pages (transaction 0) when it opens a new file; the record "meta" comes in the first transaction after that. acquireFolder took the file between the two for an initialized database, and the check for other programs' databases then refused it. Seen by printing the meta pages after open (8,192 bytes, transaction 0 in both) and after the first put (transaction 1 in the second).

Change: the first durable transaction makes a folder ours. A file whose meta pages name no transaction is discarded, also beside a marker or a database set aside, and the new one is a replacement where either is there. It is never set aside, so it does not take the place of a damaged database. A marker left beside a database set aside is removed before the next database is created. A database in use without its metadata record is set aside; before it was refused at each start. Inspection of the file and the lock are modules of their own. The page size is read from the file (arm64 kernels may have 16 or 64 KiB pages).

Tests: features/disk-start.feature. Its own scenarios and the walk of all kills and losses of power, on one by one: 24 of these 28 failed, all but the sound databases ("data.mdb is not chutewick's").

--- a/packages/shell/src/data-folder.ts
+++ b/packages/shell/src/data-folder.ts
@@ -1,28 +1,32 @@
-/** Files of a data folder: its lock, its database, and the handling of a damaged database (docs/design.md §10.2). */
+/**
+ * Files of a data folder: its database, and what tells which databases it held before (docs/design.md §10.2).
+ *
+ * A database belongs to this product once its first transaction, which writes the metadata record, is durable. Nothing is promised before
+ * that, so a database without a transaction is discarded. The marker and the damaged database outlive the database: while one of
+ * them is there, a new database is a replacement.
+ */
 import {
   closeSync,
   existsSync,
   fsyncSync,
   mkdirSync,
   openSync,
-  readFileSync,
-  readSync,
   readdirSync,
   renameSync,
   rmSync,
-  statSync,
-  writeFileSync,
   writeSync,
 } from "node:fs";
 import { dirname, join } from "node:path";
 import { outcome, type Outcome } from "@chutewick/parts";
+import { inspectDatabaseFile, type DatabaseFileCondition } from "./database-file.js";
+import { lockFolder } from "./folder-lock.js";
 
 /** Name that lmdb gives to its database file. */
 export const databaseFile = "data.mdb";
 const lmdbLockFile = "lock.mdb";
-/** Marker that exists once the first transaction of the database is durable. */
+/** Marker that exists once the first transaction of a database is durable. */
 const initializedMarkerFile = "begun";
-/** Lock file with the process id and the start time of its owner. */
+/** Lock file that names the process that uses the folder. */
 const ownerFile = "process";
 /** A damaged database that was set aside for the operator. */
 const damagedFile = "data.mdb.damaged";
@@ -41,75 +45,88 @@
   probeFile,
 ]);
 
-/** Bytes of one page of an lmdb file. */
-const pageSize = 4_096;
-/** Magic number of the two meta pages at the start of an lmdb file. */
-const metaPageMagic = 0xbeefc0de;
-/** Byte offset of the magic number in a meta page; the next two offsets count from it. */
-const magicOffset = 24;
-const lastPageOffset = 120;
-const transactionOffset = 128;
-/** Bytes per read when a whole file is checked. */
-const readChunkBytes = 1_048_576;
-
 /** A data folder that this process has locked. */
 export interface AcquiredFolder {
   /** Whether a new database must be created. */
   readonly isFresh: boolean;
-  /** Whether a database of this product has ever been durable in this folder. */
-  readonly wasInitialized: boolean;
   /** Whether an earlier database of this folder was lost; a machine with its replacement must not found a group (docs/design.md §2.2). */
   readonly isReplacement: boolean;
-  /** Why the earlier database was set aside; undefined if it was not. */
+  /** Why the earlier database can no longer be used; undefined if it can, or if there was none. */
   readonly damage: string | undefined;
 }
 
-/** Creates and locks the folder, and sets a damaged database aside. Errors of the file system are thrown unchanged. */
+/** Creates and locks the folder, and makes room for a new database where the present one cannot be used. */
 export function acquireFolder(folder: string): Outcome<AcquiredFolder> {
   mkdirSync(folder, { recursive: true });
   const foreign = readdirSync(folder).find(isForeign);
   if (foreign !== undefined)
     return outcome.failure(`${folder}: holds files that are not chutewick's, such as ${foreign}`);
-  const holder = lock(folder);
+  const holder = lockFolder(join(folder, ownerFile));
   if (holder !== undefined) return outcome.failure(`${folder}: is in use by process ${holder}`);
   probeWrite(join(folder, probeFile));
   const database = join(folder, databaseFile);
-  const wasInitialized = existsSync(join(folder, initializedMarkerFile));
-  const hasQuarantined = existsSync(join(folder, damagedFile));
-  if (!existsSync(database)) return outcome.success(newDatabase(wasInitialized || hasQuarantined));
-  const damage = findDamage(database);
-  if (damage === undefined)
-    return outcome.success({
-      isFresh: false,
-      wasInitialized,
-      isReplacement: false,
-      damage: undefined,
-    });
-  if (wasInitialized) {
-    quarantineDatabase(folder);
-    return outcome.success({ ...newDatabase(true), damage });
+  if (!existsSync(database)) return outcome.success(prepareNewDatabase(folder, undefined));
+  const condition = inspectDatabaseFile(database);
+  if (condition.damage === undefined && condition.hasTransaction)
+    return outcome.success({ isFresh: false, isReplacement: false, damage: undefined });
+  return retireInspected(folder, condition);
+}
+
+/**
+ * Makes room for a new database after lmdb could not read the present one: it is set aside if it was in use, and discarded if it never
+ * was. Fails if nothing shows that the database is this product's.
+ */
+export function retireUnreadable(folder: string, damage: string): Outcome<AcquiredFolder> {
+  return retireInspected(folder, { hasContent: true, hasTransaction: true, damage });
+}
+
+function retireInspected(
+  folder: string,
+  { hasContent, hasTransaction, damage = "holds no transaction" }: DatabaseFileCondition,
+): Outcome<AcquiredFolder> {
+  if (existsSync(join(folder, initializedMarkerFile))) {
+    if (hasContent) quarantineDatabase(folder);
+    else discardDatabase(folder);
+    return outcome.success(prepareNewDatabase(folder, damage));
   }
-  // Power was lost before the first transaction of this folder was durable, so nothing in it was ever acknowledged.
-  if (!hasNoTransaction(database)) return outcome.failure(`${database}: ${damage}`);
-  rmSync(database);
-  rmSync(join(folder, lmdbLockFile), { force: true });
-  return outcome.success(newDatabase(hasQuarantined));
+  // Without the marker it was never in use. Beside a database that was set aside it is the replacement of that one.
+  if (hasTransaction && !existsSync(join(folder, damagedFile)))
+    return outcome.failure(`${join(folder, databaseFile)}: ${damage}`);
+  discardDatabase(folder);
+  return outcome.success(prepareNewDatabase(folder, undefined));
 }
 
-/** Outcome for a folder in which a new database must be created. */
-function newDatabase(isReplacement: boolean): AcquiredFolder {
-  return { isFresh: true, wasInitialized: false, isReplacement, damage: undefined };
+/**
+ * Prepares a folder without a database. Beside a database that was set aside the marker is of no more use, and it would make the
+ * beginnings of the next database replace the one set aside if this start is cut short.
+ */
+function prepareNewDatabase(folder: string, damage: string | undefined): AcquiredFolder {
+  const hasQuarantined = existsSync(join(folder, damagedFile));
+  const wasInitialized = existsSync(join(folder, initializedMarkerFile));
+  if (hasQuarantined && wasInitialized) removeMarker(folder);
+  return { isFresh: true, isReplacement: hasQuarantined || wasInitialized, damage };
 }
 
 /**
  * Sets a damaged database aside for the operator, replacing an earlier one. Each step is durable before the next begins, so after a
  * power loss in between the folder holds either the damaged database or none.
  */
-export function quarantineDatabase(folder: string): void {
+function quarantineDatabase(folder: string): void {
   renameSync(join(folder, databaseFile), join(folder, damagedFile));
   syncFolder(folder);
   rmSync(join(folder, lmdbLockFile), { force: true });
-  rmSync(join(folder, initializedMarkerFile), { force: true });
+  removeMarker(folder);
+}
+
+/** Removes a database in which nothing was ever promised. */
+function discardDatabase(folder: string): void {
+  rmSync(join(folder, databaseFile));
+  rmSync(join(folder, lmdbLockFile), { force: true });
+  syncFolder(folder);
+}
+
+function removeMarker(folder: string): void {
+  rmSync(join(folder, initializedMarkerFile));
   syncFolder(folder);
 }
 
@@ -141,33 +158,6 @@
   return !ownFiles.has(file);
 }
 
-/** Start time of a process in clock ticks, which tells a reused process id from the earlier process; undefined if there is none. */
-function processStartTicks(process: number | "self"): string | undefined {
-  try {
-    const line = readFileSync(`/proc/${process}/stat`, "utf8");
-    return line.slice(line.lastIndexOf(")") + 2).split(" ")[19];
-  } catch {
-    return undefined;
-  }
-}
-
-/** Locks the folder for this process and returns undefined, or returns the id of the running process that has locked it. */
-function lock(folder: string): string | undefined {
-  const file = join(folder, ownerFile);
-  if (existsSync(file)) {
-    const [holder, start] = readFileSync(file, "utf8").split(" ");
-    if (
-      holder !== undefined &&
-      start !== undefined &&
-      Number(holder) !== process.pid &&
-      processStartTicks(Number(holder)) === start
-    )
-      return holder;
-  }
-  writeFileSync(file, `${process.pid} ${processStartTicks("self") ?? "0"}`);
-  return undefined;
-}
-
 /** Writes, syncs and removes a file, to check that the disk accepts writes. */
 function probeWrite(file: string): void {
   const descriptor = openSync(file, "w");
@@ -179,61 +169,3 @@
     rmSync(file);
   }
 }
-
-/** Whether the file has no durable transaction: it is shorter than its two meta pages, or neither of them is valid. */
-function hasNoTransaction(file: string): boolean {
-  return statSync(file).size < pageSize * 2 || readLastPage(file) === undefined;
-}
-
-/** The last used page of the newest transaction, from the two meta pages of the file; undefined if neither is valid. */
-function readLastPage(file: string): bigint | undefined {
-  const bytes = Buffer.alloc(pageSize * 2);
-  const descriptor = openSync(file, "r");
-  try {
-    readSync(descriptor, bytes, 0, bytes.length, 0);
-  } finally {
-    closeSync(descriptor);
-  }
-  let last: bigint | undefined;
-  let newest = -1n;
-  for (const page of [0, pageSize]) {
-    const magic = page + magicOffset;
-    if (bytes.readUInt32LE(magic) !== metaPageMagic) continue;
-    const transaction = bytes.readBigUInt64LE(magic + transactionOffset);
-    if (transaction <= newest) continue;
-    newest = transaction;
-    last = bytes.readBigUInt64LE(magic + lastPageOffset);
-  }
-  return last;
-}
-
-/**
- * Describes the damage of a database file; undefined if there is none. The file is mapped into memory later, where a missing or
- * unreadable page would end the process with a signal, so its length is checked and its pages are read first.
- */
-function findDamage(file: string): string | undefined {
-  const { size } = statSync(file);
-  if (size < pageSize * 2) return "is cut off";
-  try {
-    const last = readLastPage(file);
-    if (last === undefined) return "is not an lmdb file";
-    const used = (last + 1n) * BigInt(pageSize);
-    if (BigInt(size) < used) return `is cut off: ${size} bytes, and page ${last} is used`;
-    readEveryByte(file, Number(used));
-    return undefined;
-  } catch (error) {
-    return `cannot be read: ${(error as Error).message}`;
-  }
-}
-
-/** Reads the first `bytes` bytes of a file; throws if any of them cannot be read. */
-function readEveryByte(file: string, bytes: number): void {
-  const descriptor = openSync(file, "r");
-  try {
-    const chunk = Buffer.alloc(Math.min(readChunkBytes, bytes));
-    for (let position = 0; position < bytes; position += chunk.length)
-      readSync(descriptor, chunk, 0, chunk.length, position);
-  } finally {
-    closeSync(descriptor);
-  }
-}
--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -19,9 +19,8 @@
   databaseFile,
   markInitialized,
   releaseFolder,
-  quarantineDatabase,
+  retireUnreadable,
   acquireFolder,
-  type AcquiredFolder,
 } from "./data-folder.js";
 import { WriteQueue, type JobStore, type WriteJob } from "./write-queue.js";
 import type { RootDatabase } from "lmdb";
@@ -54,18 +53,26 @@
   waiting(reason: string): void;
 }
 
-/** Contents of the folder at the time it was opened. */
+/** State in the folder at the time it was opened. */
 interface PersistedState {
   readonly votes: VoteState | undefined;
   readonly holdings: ReadonlyMap<string, PersistedChain>;
 }
 
-/** A folder whose database is open and checked. */
-interface OpenedFolder {
-  readonly folder: string;
-  readonly base: RootDatabase;
+/** What an initialized database contains. */
+interface DatabaseContents {
   readonly meta: FolderMetadata;
   readonly persisted: PersistedState;
+}
+
+/** An open database with its contents. */
+interface OpenedDatabase extends DatabaseContents {
+  readonly database: RootDatabase;
+}
+
+/** A folder whose database is open and checked. */
+interface OpenedFolder extends OpenedDatabase {
+  readonly folder: string;
   /** Why an earlier database of the folder was set aside, if it was. */
   readonly damage: string | undefined;
 }
@@ -107,11 +114,11 @@
   #reservedBytes = 0;
 
   private constructor(
-    { folder, base, meta, persisted, damage }: OpenedFolder,
+    { folder, database, meta, persisted, damage }: OpenedFolder,
     listener: DiskListener,
   ) {
     this.#folder = folder;
-    this.#database = base;
+    this.#database = database;
     this.identity = meta.identity;
     this.isReplacement = meta.isReplacement === true;
     this.damage = damage;
@@ -147,37 +154,30 @@
     owner: DiskOwner,
     listener: DiskListener,
   ): Promise<Outcome<Disk>> {
-    let database: RootDatabase | undefined;
+    let opened: OpenedDatabase | undefined;
     try {
       let acquired = acquireFolder(folder);
       if (!acquired.ok) return acquired;
-      let damage = acquired.value.damage;
-      database = await openDatabase(folder);
-      let persisted = readAll(database);
-      if (typeof persisted === "string") {
-        if (!acquired.value.wasInitialized) return outcome.failure(`${folder}: ${persisted}`);
-        damage = persisted;
-        await database.close();
-        quarantineDatabase(folder);
-        acquired = acquireFolder(folder);
-        if (!acquired.ok) return acquired;
-        database = await openDatabase(folder);
-        persisted = emptyState;
+      if (!acquired.value.isFresh) {
+        const existing = await openExisting(folder);
+        if (existing.ok) opened = existing.value;
+        else acquired = retireUnreadable(folder, existing.reason);
       }
-      const meta = await checkMetadata(database, folder, owner, acquired.value);
-      if (!meta.ok) {
-        await database.close();
-        return meta;
+      if (!acquired.ok) return acquired;
+      const { isReplacement, damage } = acquired.value;
+      opened ??= await createDatabase(folder, newMetadata(owner, isReplacement));
+      const refusal = refusalOf(opened.meta, owner);
+      if (refusal !== undefined) {
+        await opened.database.close();
+        return outcome.failure(`${folder}: ${refusal}`);
       }
-      const disk = new Disk(
-        { folder, base: database, meta: meta.value, persisted, damage },
-        listener,
-      );
+      markInitialized(folder);
+      const disk = new Disk({ ...opened, folder, damage }, listener);
       await disk.#reserveSpace();
       return outcome.success(disk);
     } catch (error) {
       const cause = await causeOf(error as Error);
-      await database?.close().catch(ignore);
+      await opened?.database.close().catch(ignore);
       if (isTransient(cause)) throw new FolderNotWritableError(cause.message);
       throw cause;
     }
@@ -283,6 +283,8 @@
   }
 }
 
+const metadataKey = "meta";
+
 const emptyState: PersistedState = { votes: undefined, holdings: new Map() };
 
 /** Imports lmdb only here, so that processes without a data folder do not load its native code. */
@@ -299,51 +301,61 @@
   });
 }
 
-/** Reads the metadata of a folder, writes it into an empty database, and checks that the folder belongs to this machine. */
-async function checkMetadata(
-  database: RootDatabase,
-  folder: string,
-  { kind, name }: DiskOwner,
-  acquired: AcquiredFolder,
-): Promise<Outcome<FolderMetadata>> {
-  let meta = database.get("meta") as FolderMetadata | undefined;
-  if (meta === undefined) {
-    if (!acquired.isFresh) return outcome.failure(`${folder}: ${databaseFile} is not chutewick's`);
-    meta = {
-      product: "chutewick",
-      mark: constants.diskFormatVersion,
-      kind,
-      identity: `${name}-${randomUUID()}`,
-      ...(acquired.isReplacement ? { isReplacement: true } : {}),
-    };
-    await database.put("meta", meta);
+/** Opens and reads an existing database. The outcome is bad if its contents cannot be read; other errors are thrown. */
+async function openExisting(folder: string): Promise<Outcome<OpenedDatabase>> {
+  let database: RootDatabase | undefined;
+  try {
+    database = await openDatabase(folder);
+    return outcome.success({ ...readAll(database), database });
+  } catch (error) {
+    await database?.close().catch(ignore);
+    return outcome.failure((error as Error).message);
   }
-  markInitialized(folder);
-  if (meta.product !== "chutewick") return outcome.failure(`${folder}: belongs to ${meta.product}`);
-  if (meta.mark > constants.diskFormatVersion || meta.mark < constants.oldestDiskFormatVersion)
-    return outcome.failure(
-      `${folder}: has disk mark ${meta.mark}; this program knows ${constants.diskFormatVersion}`,
-    );
-  if (meta.kind !== kind)
-    return outcome.failure(`${folder}: belongs to a ${meta.kind} machine, not to ${kind}`);
-  return outcome.success(meta);
 }
 
-/** Reads the persisted state, or returns the reason why it cannot be read. */
-function readAll(database: RootDatabase): PersistedState | string {
+/** Creates a database whose first transaction, which makes the folder this machine's, is durable. */
+async function createDatabase(folder: string, meta: FolderMetadata): Promise<OpenedDatabase> {
+  const database = await openDatabase(folder);
   try {
-    const holdings = new Map<string, PersistedChain>();
-    for (const { key, value } of database.getRange({
-      start: ["state"],
-      end: ["state", "\uffff"],
-    })) {
-      const chain = (key as string[])[1]!;
-      holdings.set(chain, readHolding(database, chain, value as ChainState));
-    }
-    return { votes: database.get("votes") as VoteState | undefined, holdings };
+    await database.put(metadataKey, meta);
   } catch (error) {
-    return `cannot be read: ${(error as Error).message}`;
+    const cause = await causeOf(error as Error);
+    await database.close().catch(ignore);
+    throw cause;
+  }
+  return { database, meta, persisted: emptyState };
+}
+
+/** Metadata of a new database, with a new identity. */
+function newMetadata({ kind, name }: DiskOwner, isReplacement: boolean): FolderMetadata {
+  return {
+    product: "chutewick",
+    mark: constants.diskFormatVersion,
+    kind,
+    identity: `${name}-${randomUUID()}`,
+    ...(isReplacement ? { isReplacement: true } : {}),
+  };
+}
+
+/** Why a machine must not use a folder with this metadata; undefined if it may. */
+function refusalOf({ product, mark, kind }: FolderMetadata, owner: DiskOwner): string | undefined {
+  if (product !== "chutewick") return `belongs to ${product}`;
+  if (mark > constants.diskFormatVersion || mark < constants.oldestDiskFormatVersion)
+    return `has disk mark ${mark}; this program knows ${constants.diskFormatVersion}`;
+  return kind === owner.kind ? undefined : `belongs to a ${kind} machine, not to ${owner.kind}`;
+}
+
+/** Reads the contents of a database; throws if they cannot be read. */
+function readAll(database: RootDatabase): DatabaseContents {
+  const meta = database.get(metadataKey) as FolderMetadata | undefined;
+  if (meta === undefined) throw new Error("has no metadata record: is not chutewick's");
+  const holdings = new Map<string, PersistedChain>();
+  for (const { key, value } of database.getRange({ start: ["state"], end: ["state", "\uffff"] })) {
+    const chain = (key as string[])[1]!;
+    holdings.set(chain, readHolding(database, chain, value as ChainState));
   }
+  const votes = database.get("votes") as VoteState | undefined;
+  return { meta, persisted: { votes, holdings } };
 }
 
 function readHolding(database: RootDatabase, chain: string, state: ChainState): PersistedChain {
