A database that lost one of its two meta pages is damaged, and set aside

What would be seen: a database whose first meta page is gone (zeros, a wrong magic number) ended the process with a signal at each start, so the machine never came back. With the second one gone lmdb took the other for the newest and went on without the last transaction, which had been acknowledged or voted; no error, no log line.

Cause: the inspection before the map asked only for one valid meta page, while lmdb reads through the first one without a check (segmentation fault in a trial with 0, 1, 2 and 3 transactions) and picks the newest of those that it can read (the third of three values was gone in the trial). A sound file has two from its creation on, and a commit never rewrites the magic number of either.

Change: both must be there, with the same page size; else the database is damaged.

Test: two rows of the walk in features/disk-start.feature. On the one ends with a segmentation fault of the test process, the other fails; both pass now.

--- a/features/disk-start.feature
+++ b/features/disk-start.feature
@@ -37,6 +37,8 @@
       | storage | holds a damaged database                                 | the damaged database   | replacement     |
       | control | holds a damaged database and an older one set aside      | the damaged database   | replacement     |
       | control | holds a database whose pages are zeros                   | the damaged database   | replacement     |
+      | control | holds a database without its first meta page             | the damaged database   | replacement     |
+      | control | holds a database without its second meta page            | the damaged database   | replacement     |
       | control | holds a database without its metadata record             | the damaged database   | replacement     |
       | control | holds a database set aside                               | the database set aside | replacement     |
       | storage | holds a database set aside                               | the database set aside | replacement     |
--- a/packages/shell/src/database-file.ts
+++ b/packages/shell/src/database-file.ts
@@ -92,10 +92,16 @@
   return (Number(lastPage) + 1) * pageSize;
 }
 
-/** Describes damage that lmdb does not report: a missing page would end the process with a signal. */
+/**
+ * Describes damage that lmdb does not report. It reads through the first meta page without a check, and takes the older of the two for
+ * the newest where the other one is gone, which would undo the last transaction.
+ */
 function damageOf(size: number, metaPages: readonly MetaPage[]): string | undefined {
-  const newest = newestOf(metaPages);
-  if (newest === undefined) return "is not an lmdb file";
+  const [first, second] = metaPages;
+  if (first === undefined) return "is not an lmdb file";
+  if (second === undefined) return "has lost one of its two meta pages";
+  if (first.pageSize !== second.pageSize) return "has meta pages that do not match";
+  const newest = newestOf(metaPages)!;
   const used = usedBytes(newest);
   return size < used ? `is cut off: ${size} bytes, and page ${newest.lastPage} is used` : undefined;
 }
