The marker of an initialized folder is synced at each start

What would be seen: a process is killed between creating the marker "begun" and its sync. Every later start finds the marker and does not sync it, however long the machine serves. A loss of power then takes it, and if that loss or a later fault damages the database as well, the folder is refused for ever ("is cut off"), where it should come back as a replacement.

Cause: markInitialized returned at once where the marker existed.

Test: "a marker that was not synced is synced by the next start", failed on (0 syncs of the marker), passes.

--- a/features/disk-start.feature
+++ b/features/disk-start.feature
@@ -50,3 +50,8 @@
       | control | holds a marker beside a database without a transaction   | nothing                | replacement     |
       | control | holds a marker beside an empty file                      | nothing                | replacement     |
       | control | holds a marker, an empty file and a database set aside   | the database set aside | replacement     |
+
+  Scenario: a marker that was not synced is synced by the next start
+    Given the data folder of a control machine that holds a sound database
+    When its process is killed before its marker is synced, and it starts again
+    Then a loss of power does not take the marker
--- a/packages/shell/src/data-folder.ts
+++ b/packages/shell/src/data-folder.ts
@@ -130,13 +130,17 @@
   syncFolder(folder);
 }
 
-/** Records that the first transaction is durable, after syncing the directory entries of the folder and its files. */
+/**
+ * Records that the first transaction is durable, after syncing the directory entries of the folder and its files. A marker that is
+ * there already is synced again, since the process that wrote it may have been killed before it did so.
+ */
 export function markInitialized(folder: string): void {
   const marker = join(folder, initializedMarkerFile);
-  if (existsSync(marker)) return;
-  syncFolder(folder);
-  syncFolder(dirname(folder));
-  const descriptor = openSync(marker, "w");
+  if (!existsSync(marker)) {
+    syncFolder(folder);
+    syncFolder(dirname(folder));
+  }
+  const descriptor = openSync(marker, "a");
   fsyncSync(descriptor);
   closeSync(descriptor);
   syncFolder(folder);
