Failed reads and a lack of descriptors at a start do not set a sound database aside

What would be seen: one read of data.mdb that fails (EIO), or one open that fails for want of descriptors or memory (EMFILE, ENOMEM), and the machine sets its sound database aside and comes back blank. On the one machine that holds all, everything acknowledged is out of the group's reach with it.

Cause: the inspection counted every error of the file system as damage, and so did the reader of the open database.

Change: errors of the operating system are no damage. A start that meets one ends or, on EIO, tries again after the pauses of a disk that refuses writes; six failed reads (3 s) count as damage, so that a bad sector does not keep a machine out for good.

Tests: "a disk that fails to return a database for a moment loses nothing" and "a lack of descriptors or memory at a start does not set a database aside" failed on, pass; "a database that its disk never returns is set aside" passed and passes.

--- a/features/disk-start.feature
+++ b/features/disk-start.feature
@@ -55,3 +55,20 @@
     Given the data folder of a control machine that holds a sound database
     When its process is killed before its marker is synced, and it starts again
     Then a loss of power does not take the marker
+
+  Scenario: a disk that fails to return a database for a moment loses nothing
+    Given the data folder of a storage machine that holds a sound database
+    When its disk fails to return the database 4 times
+    Then it starts with the sound database
+
+  Scenario: a database that its disk never returns is set aside
+    Given the data folder of a storage machine that holds a sound database
+    When its disk fails to return the database 1000 times
+    Then it starts again as a new machine that may not found a group
+    And the database is set aside
+
+  Scenario: a lack of descriptors or memory at a start does not set a database aside
+    Given the data folder of a storage machine that holds a sound database
+    When its process may open no further file for the database
+    Then the start fails
+    And the next start has the sound database
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -192,6 +192,8 @@
   /** Pause before a failed commit is retried: it doubles up to the maximum, and starts from the minimum once the disk has worked for the settling time. */
   minDiskRetryMs: 100,
   maxDiskRetryMs: 2_000,
+  /** Failed attempts to read a database at a start, after which it is set aside: they last 3 s, and a disk that hangs for a moment loses nothing. */
+  maxDatabaseReadAttempts: 6,
   diskSettlingMs: 5_000,
   /** A storage machine in a planned stop waits this long for its queues to move to other owners. */
   handOverTimeoutMs: 4_000,
--- a/packages/shell/src/data-folder.ts
+++ b/packages/shell/src/data-folder.ts
@@ -45,6 +45,12 @@
   probeFile,
 ]);
 
+const unreadableDatabase: DatabaseFileCondition = {
+  hasContent: true,
+  hasTransaction: true,
+  damage: "cannot be read",
+};
+
 /** A data folder that this process has locked. */
 export interface AcquiredFolder {
   /** Whether a new database must be created. */
@@ -55,8 +61,11 @@
   readonly damage: string | undefined;
 }
 
-/** Creates and locks the folder, and makes room for a new database where the present one cannot be used. */
-export function acquireFolder(folder: string): Outcome<AcquiredFolder> {
+/**
+ * Creates and locks the folder, and makes room for a new database where the present one cannot be used. Errors of the file system are
+ * thrown unchanged, and so is a DatabaseReadError unless `isUnreadable` says that the database has failed to be read often enough.
+ */
+export function acquireFolder(folder: string, isUnreadable: boolean): Outcome<AcquiredFolder> {
   mkdirSync(folder, { recursive: true });
   const foreign = readdirSync(folder).find(isForeign);
   if (foreign !== undefined)
@@ -66,7 +75,7 @@
   probeWrite(join(folder, probeFile));
   const database = join(folder, databaseFile);
   if (!existsSync(database)) return outcome.success(prepareNewDatabase(folder, undefined));
-  const condition = inspectDatabaseFile(database);
+  const condition = isUnreadable ? unreadableDatabase : inspectDatabaseFile(database);
   if (condition.damage === undefined && condition.hasTransaction)
     return outcome.success({ isFresh: false, isReplacement: false, damage: undefined });
   return retireInspected(folder, condition);
@@ -77,7 +86,7 @@
  * was. Fails if nothing shows that the database is this product's.
  */
 export function retireUnreadable(folder: string, damage: string): Outcome<AcquiredFolder> {
-  return retireInspected(folder, { hasContent: true, hasTransaction: true, damage });
+  return retireInspected(folder, { ...unreadableDatabase, damage });
 }
 
 function retireInspected(
--- a/packages/shell/src/database-file.ts
+++ b/packages/shell/src/database-file.ts
@@ -32,12 +32,14 @@
 /** Bytes per read when a whole file is checked. */
 const readChunkBytes = 1_048_576;
 
-/** Inspects a database file and reads all of its used bytes. */
+/** Thrown when the disk fails to return the bytes of a database file, which may be damage or pass. */
+export class DatabaseReadError extends Error {}
+
+/** Inspects a database file and reads all of its used bytes. Other errors of the file system than failed reads are thrown unchanged. */
 export function inspectDatabaseFile(file: string): DatabaseFileCondition {
   const { size } = statSync(file);
-  let descriptor: number | undefined;
+  const descriptor = openSync(file, "r");
   try {
-    descriptor = openSync(file, "r");
     const metaPages = readMetaPages(descriptor);
     const newest = newestOf(metaPages);
     const pageSize = newest?.pageSize ?? pageSizes[0]!;
@@ -49,10 +51,10 @@
     if (damage === undefined) readEveryByte(descriptor, usedBytes(newest!));
     return { ...condition, damage };
   } catch (error) {
-    const damage = `cannot be read: ${(error as Error).message}`;
-    return { hasContent: true, hasTransaction: true, damage };
+    if ((error as NodeJS.ErrnoException).code !== "EIO") throw error;
+    throw new DatabaseReadError(`${file}: cannot be read: ${(error as Error).message}`);
   } finally {
-    if (descriptor !== undefined) closeSync(descriptor);
+    closeSync(descriptor);
   }
 }
 
--- a/packages/shell/src/disk.ts
+++ b/packages/shell/src/disk.ts
@@ -15,6 +15,7 @@
   type Outcome,
   type VoteState,
 } from "@chutewick/parts";
+import { DatabaseReadError } from "./database-file.js";
 import {
   databaseFile,
   markInitialized,
@@ -136,11 +137,14 @@
     listener: DiskListener,
   ): Promise<Outcome<Disk>> {
     let retryDelayMs: number = constants.minDiskRetryMs;
+    let failedReads = 0;
     for (;;) {
+      const isUnreadable = failedReads >= constants.maxDatabaseReadAttempts;
       try {
-        return await Disk.#tryOpen(folder, owner, listener);
+        return await Disk.#tryOpen({ folder, isUnreadable }, owner, listener);
       } catch (error) {
-        if (!(error instanceof FolderNotWritableError))
+        if (error instanceof DatabaseReadError) failedReads += 1;
+        else if (!(error instanceof FolderNotWritableError))
           return outcome.failure(`${folder}: cannot be opened: ${(error as Error).message}`);
         listener.waiting(error.message);
       }
@@ -150,13 +154,13 @@
   }
 
   static async #tryOpen(
-    folder: string,
+    { folder, isUnreadable }: { folder: string; isUnreadable: boolean },
     owner: DiskOwner,
     listener: DiskListener,
   ): Promise<Outcome<Disk>> {
     let opened: OpenedDatabase | undefined;
     try {
-      let acquired = acquireFolder(folder);
+      let acquired = acquireFolder(folder, isUnreadable);
       if (!acquired.ok) return acquired;
       if (!acquired.value.isFresh) {
         const existing = await openExisting(folder);
@@ -178,6 +182,7 @@
     } catch (error) {
       const cause = await causeOf(error as Error);
       await opened?.database.close().catch(ignore);
+      if (cause instanceof DatabaseReadError) throw cause;
       if (isTransient(cause)) throw new FolderNotWritableError(cause.message);
       throw cause;
     }
@@ -309,6 +314,7 @@
     return outcome.success({ ...readAll(database), database });
   } catch (error) {
     await database?.close().catch(ignore);
+    if (isSystemError(error as Error)) throw error;
     return outcome.failure((error as Error).message);
   }
 }
@@ -402,6 +408,12 @@
   return error;
 }
 
+/** Whether an error comes from the operating system, such as a lack of memory, and says nothing about the contents of the database. */
+function isSystemError(error: Error): boolean {
+  const { errno, code } = error as { errno?: unknown; code?: unknown };
+  return typeof errno === "number" || (typeof code === "number" && code > 0);
+}
+
 function isTransient(error: Error): boolean {
   return transientErrorCodes.has((error as { code?: unknown }).code);
 }
