The lock of a data folder names the start of the machine, so that an earlier one does not hold

What would be seen: a machine loses power with its folder locked. After it is back another process has the id and the start time (in ticks of 10 ms since the machine started) that the lock names; start orders repeat, so do both. The daemon is refused with "is in use by process N" for as long as that process runs.

Change: the lock also names the boot id of the kernel; another one does not hold.

Tests: "the lock of a process that ended with its machine does not hold" failed on, passes; "the lock of a running process holds" passed and passes.

--- a/features/disk-start.feature
+++ b/features/disk-start.feature
@@ -72,3 +72,13 @@
     When its process may open no further file for the database
     Then the start fails
     And the next start has the sound database
+
+  Scenario: the lock of a process that ended with its machine does not hold
+    Given the data folder of a control machine that holds a sound database
+    When its lock names a process of an earlier start of the machine with the id and the start time of one that runs now
+    Then it starts with the sound database
+
+  Scenario: the lock of a running process holds
+    Given the data folder of a control machine that holds a sound database
+    When its lock names another process that runs now
+    Then it is refused as in use
--- a/packages/shell/src/folder-lock.ts
+++ b/packages/shell/src/folder-lock.ts
@@ -1,31 +1,36 @@
 /** Lock of a data folder: a file that names the process that uses the folder (docs/design.md §10.2). */
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 
-/** What identifies a process: its start time tells a reused process id from the earlier process. */
+/** What identifies a process: process ids and start times repeat after the machine has started again. */
 interface FolderHolder {
   readonly processId: string;
   /** Start time in clock ticks since the machine started. */
   readonly startTicks: string;
+  /** Random id of this start of the machine; undefined where it is not known. */
+  readonly bootId: string | undefined;
 }
 
 /** Locks a folder for this process and returns undefined, or returns the id of the running process that has locked it. */
 export function lockFolder(file: string): string | undefined {
   const holder = readHolder(file);
   if (holder !== undefined && isOtherRunningProcess(holder)) return holder.processId;
-  writeFileSync(file, `${process.pid} ${readStartTicks("self") ?? "0"}`);
+  const startTicks = readStartTicks("self") ?? "0";
+  writeFileSync(file, [process.pid, startTicks, readBootId() ?? ""].join(" ").trimEnd());
   return undefined;
 }
 
 /** Reads a lock file; undefined if there is none or a process was killed while it wrote it. */
 function readHolder(file: string): FolderHolder | undefined {
   if (!existsSync(file)) return undefined;
-  const [processId, startTicks] = readFileSync(file, "utf8").split(" ");
+  const [processId, startTicks, bootId] = readFileSync(file, "utf8").split(" ");
   if (!processId || !startTicks) return undefined;
-  return { processId, startTicks };
+  return { processId, startTicks, bootId };
 }
 
-function isOtherRunningProcess({ processId, startTicks }: FolderHolder): boolean {
+function isOtherRunningProcess({ processId, startTicks, bootId }: FolderHolder): boolean {
   if (Number(processId) === process.pid) return false;
+  const currentBootId = readBootId();
+  if (bootId !== undefined && currentBootId !== undefined && bootId !== currentBootId) return false;
   return readStartTicks(processId) === startTicks;
 }
 
@@ -38,3 +43,11 @@
     return undefined;
   }
 }
+
+function readBootId(): string | undefined {
+  try {
+    return readFileSync("/proc/sys/kernel/random/boot_id", "utf8").trim();
+  } catch {
+    return undefined;
+  }
+}
