--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,3 +14,9 @@
     When the soak plays seeds 5 and 16 with 15 s of troubles each
     Then it acknowledged changes, judged probes and saw requests sent after planned stops
     And no invariant was broken
+
+  # Guards against review/4: a machine that lost its disk and was killed as it created its database never started again.
+  Scenario: a seed in which machines lose their disks and are killed in their next starts
+    When the soak plays seed 101 with 15 s of troubles
+    Then machines lost their disks and were killed in their next starts
+    And no invariant was broken
--- a/features/soak/system.ts
+++ b/features/soak/system.ts
@@ -1,5 +1,7 @@
-import { mkdirSync } from "node:fs";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { firstDocument, plainRoute, type OperatorDocument } from "../system/document.js";
+import { blankDatabase } from "../steps/folder-states.js";
 import {
   ipOf,
   nameOf,
@@ -32,6 +34,8 @@
 export const plainServices = ["printer", "stamper"] as const;
 
 const reportEvery = 400;
+/** Name that lmdb gives to the file of a database. */
+const databaseFile = "data.mdb";
 
 /** The document that a run begins with: the usual one, a second plain service, and routes for long streams and long work. */
 export const soakDocument: OperatorDocument = {
@@ -97,6 +101,23 @@
     await this.#startRunners();
   }
 
+  /** Removes all files of a machine that has ended: it starts again with an empty disk. */
+  loseDisk(name: string): void {
+    rmSync(join(this.#folder, name), { recursive: true, force: true });
+  }
+
+  /**
+   * Leaves the disk of a machine that has ended as a kill between the creation of its database and the first transaction does: that
+   * moment lasts a few milliseconds, too short to be met by chance.
+   */
+  leaveUncommittedDatabase(name: string): void {
+    this.loseDisk(name);
+    const folder = join(this.#folder, name);
+    const bytes = blankDatabase(folder);
+    mkdirSync(folder);
+    writeFileSync(join(folder, databaseFile), bytes);
+  }
+
   /** Starts the process of a machine that has ended. */
   restart(name: string): void {
     const { kind } = this.machine(name);
--- a/features/soak/troubles.ts
+++ b/features/soak/troubles.ts
@@ -13,6 +13,10 @@
 const killAfter = bounds.graceS * 1_000;
 /** ms. A killed process is gone within this. */
 const goneWithin = 5_000;
+/** A machine is killed in so many starts in a row at most. */
+const maxKilledStarts = 4;
+/** ms. A start is killed within this. */
+const latestStartKill = 600;
 const accessCutLeast = 5_000;
 const accessCutMost = 9_000;
 
@@ -84,9 +88,11 @@
       if (this.#isOver) return;
       const machine = random.pick(this.#parts.system.diskMachines());
       const draw = random.next();
-      if (draw < 0.3) await this.#kill(machine, random);
-      else if (draw < 0.5) await this.#freeze(machine, random);
-      else if (draw < 0.8) await this.#diskCut(machine, random);
+      if (draw < 0.15) await this.#kill(machine, random);
+      else if (draw < 0.3) await this.#killStarts(machine, random, false);
+      else if (draw < 0.55) await this.#killStarts(machine, random, true);
+      else if (draw < 0.65) await this.#freeze(machine, random);
+      else if (draw < 0.85) await this.#diskCut(machine, random);
       else await this.#play("disk stop", "planned-stop", machine, (each) => this.#stop(each));
       await pause(bounds.syncS * 1_000);
     }
@@ -130,6 +136,24 @@
     });
   }
 
+  /** Kills a machine and then its next starts; after a lost disk half of the kills count as before the first transaction. */
+  async #killStarts(machine: Machine, random: Random, isDiskLost: boolean): Promise<void> {
+    const { system } = this.#parts;
+    const name = isDiskLost ? "disk loss, starts killed" : "starts killed";
+    const starts = 1 + Math.floor(random.between(0, maxKilledStarts));
+    await this.#play(name, "fault", machine, async (each) => {
+      await this.#killAndWait(each);
+      if (isDiskLost) system.loseDisk(each.name);
+      for (let start = 0; start < starts; start += 1) {
+        system.restart(each.name);
+        await pause(random.between(0, latestStartKill));
+        await this.#killAndWait(system.machine(each.name));
+        if (isDiskLost && random.next() < 0.5) system.leaveUncommittedDatabase(each.name);
+      }
+      await this.#restart(each);
+    });
+  }
+
   async #killAndWait(machine: Machine): Promise<void> {
     if (machine.ended !== undefined) return;
     this.#parts.system.end(machine, "SIGKILL");
--- a/features/steps/soak.ts
+++ b/features/steps/soak.ts
@@ -1,4 +1,4 @@
-import { equal } from "node:assert/strict";
+import { equal, ok } from "node:assert/strict";
 import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
@@ -98,6 +98,17 @@
   for (const seed of [first, second])
     this.results.push(await runSeed({ seed, processes: "small", seconds }));
 }
+
+async function playsOne(this: World, seed: number, seconds: number): Promise<void> {
+  this.results = [await runSeed({ seed, processes: "small", seconds })];
+}
+When("the soak plays seed {int} with {int} s of troubles", { timeout: soakTimeout }, playsOne);
+
+function killedStarts(this: World): void {
+  for (const { figures } of this.results)
+    ok((figures.troubles["disk loss, starts killed"] ?? 0) > 0, JSON.stringify(figures.troubles));
+}
+Then("machines lost their disks and were killed in their next starts", killedStarts);
 When(
   "the soak plays seeds {int} and {int} with {int} s of troubles each",
   { timeout: soakTimeout },
