--- a/features/passlot.feature
+++ b/features/passlot.feature
@@ -118,6 +118,9 @@
     And they end as solved in reverse order
     Then "a" lists items 2, 1, 0 from position 0
     And "a" lists items 1, 0 from position 1
+    # Guards against issue 50: a read from such a position ended the owner of the queue.
+    And "a" lists items 1, 0 from position 0.5
+    And "a" lists items 2, 1, 0 from position -1
     When the machine starts again from its records
     Then "a" lists items 2, 1, 0 from position 0
 
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -359,7 +359,7 @@
   for (const { item } of listed(this, lot, Number(from))) found.push(item.slice(lot.length + 1));
   equal(found.join(", "), items);
 }
-Then(/^"(\w+)" lists items ([\d, ]+) from position (\d+)$/, listsItems);
+Then(/^"(\w+)" lists items ([\d, ]+) from position (-?[\d.]+)$/, listsItems);
 
 function theyEndInReverse(this: World): void {
   for (const task of this.dequeued.reverse()) settle(this, task, endingOf("solved"));
--- a/features/steps/platform-fleet.ts
+++ b/features/steps/platform-fleet.ts
@@ -258,6 +258,20 @@
   lotEnds,
 );
 
+/** Guards against issue 50: one such read ended the storage machine that owns the queue. */
+async function badPositions(this: World, positions: string): Promise<void> {
+  for (const position of positions.split(" ")) {
+    const path = `/chutewick/lots/${lotId}?startToken=${position}`;
+    for (const node of [1, 2]) equal((await ask(node, "GET", path)).status, 400, position);
+  }
+  for (const { name, ended } of this.system!.machines) equal(ended, undefined, name);
+  deepEqual(await readLot(1), this.read);
+}
+Then(
+  "reads of the lot from each of {string} are answered 400, and every machine goes on",
+  badPositions,
+);
+
 async function unknownPath(): Promise<void> {
   equal((await ask(1, "POST", "/nowhere/1", live(), "x")).status, 404);
 }
--- a/packages/parts/src/pass-reads.ts
+++ b/packages/parts/src/pass-reads.ts
@@ -28,7 +28,7 @@
     };
   const results: ListedResult[] = [];
   let size = 0;
-  for (let position = from; position < lot.listed; position += 1) {
+  for (let position = firstPosition(from); position < lot.listed; position += 1) {
     const result = ledger.read<ListedResult>(indexedKey("result", id, position))!;
     // A UTF-16 code unit takes at most three bytes in UTF-8.
     size += result.text.length * 3 + result.item.length * 3;
@@ -38,6 +38,11 @@
   return { kind: "RESULTS", lot: id, total: lot.total, open: lot.open > 0, results };
 }
 
+/** A node of an earlier release hands on any number that a caller sent: a position that is none must not end the owner of the queue. */
+function firstPosition(from: number): number {
+  return Math.max(0, Math.ceil(from));
+}
+
 /** The body of an unfinished item, by the caller's id of the item. */
 function readItem(
   ledger: Ledger,
