Log line of a damaged database says what is always so: an empty one takes its place

A file without any content beside the marker of an initialized folder is discarded, not set aside, and the line said that it was set aside.

--- a/packages/shell/src/daemon-parts.ts
+++ b/packages/shell/src/daemon-parts.ts
@@ -37,13 +37,16 @@
   readonly conditionChanged: (condition: DiskCondition) => void;
 }
 
-/** Opens a daemon's data folder; a damaged database is set aside and logged. The outcome is bad if the folder can't be used. */
+/** Opens a daemon's data folder; a damaged database is replaced, set aside if it has any content, and logged. The outcome is bad if the folder can't be used. */
 export async function openDataFolder(owner: DataFolderOptions): Promise<Outcome<Disk>> {
   const { kind, settings, log, conditionChanged } = owner;
   const listener = diskListener(log, conditionChanged);
   const disk = await Disk.open(settings.data!, { kind, name: settings.name }, listener);
   if (disk.ok && disk.value.damage !== undefined)
-    log.error({ damage: disk.value.damage }, "the database is damaged and was set aside");
+    log.error(
+      { damage: disk.value.damage },
+      "the database is damaged and was replaced by an empty one",
+    );
   return disk;
 }
 
