A spoilt page does not keep its machine out: pages are checked before lmdb maps them

What would be seen: one page of a durable database loses its contents, and the process ends with SIGSEGV or SIGABRT at each start, for good.

Cause: lmdb follows page numbers and offsets in its map without a check, or aborts on an assertion. The inspection before the map knew the meta pages and the length alone.

A file of at most 8 MiB is read once; a larger one page by page, after the read of every byte that was there. What fails is damage, and is set aside as before.

Why sound databases pass: each rule is one that lmdb asserts, relies on, or keeps by its own commits; a property writes drawn records (inline and overflow, removed, with starts between) and looks at the file after each commit: no damage.

Tests: features/database-pages.feature.

--- a/packages/shell/src/database-file.ts
+++ b/packages/shell/src/database-file.ts
@@ -1,5 +1,6 @@
 /** Inspection of an lmdb file before lmdb maps it into memory, where damage would end the process with a signal (docs/design.md §10.2). */
 import { closeSync, openSync, readSync, statSync } from "node:fs";
+import { damageOfTrees, type PageSource, type Snapshot, type Tree } from "./database-pages.js";
 
 /** What a database file shows before it is opened. */
 export interface DatabaseFileCondition {
@@ -12,25 +13,37 @@
 }
 
 /** The fields of a meta page that tell which part of the file is in use. */
-interface MetaPage {
+interface MetaPage extends Snapshot {
+  readonly version: number;
   readonly pageSize: number;
-  readonly transaction: bigint;
-  readonly lastPage: bigint;
 }
 
 /** Magic number of a meta page. */
 const metaPageMagic = 0xbeefc0de;
-/** Byte offset of the magic number in a meta page; the next three offsets count from it. */
+/** Version of the format, in the lower half of its word, whose pages are checked. */
+const knownVersion = 2;
+const versionMask = 0xffff;
+/** Byte offset of the magic number in a meta page; the next six offsets count from it. */
 const magicOffset = 24;
+const versionOffset = 4;
 const pageSizeOffset = 24;
+const freePagesOffset = 24;
+const recordsOffset = 72;
 const lastPageOffset = 120;
 const transactionOffset = 128;
+/** Byte offsets in the description of a tree, and the root that an empty one names. */
+const depthOffset = 6;
+const entriesOffset = 32;
+const rootOffset = 40;
+const noPage = 0xffff_ffff_ffff_ffffn;
 /** Bytes at the start of a meta page that contain all of these fields. */
 const metaBytes = 192;
 /** Sizes in bytes of a memory page, and so of an lmdb page, on the machines that Node.js runs on. */
 const pageSizes: readonly number[] = [4_096, 16_384, 65_536];
 /** Bytes per read when a whole file is checked. */
 const readChunkBytes = 1_048_576;
+/** Bytes of a file up to which it is kept in memory while its pages are checked. */
+const maxResidentBytes = 8_388_608;
 
 /** Thrown when the disk fails to return the bytes of a database file, which may be damage or pass. */
 export class DatabaseReadError extends Error {}
@@ -47,8 +60,7 @@
       hasContent: size > 2 * pageSize,
       hasTransaction: newest !== undefined && newest.transaction > 0n,
     };
-    const damage = damageOf(size, metaPages);
-    if (damage === undefined) readEveryByte(descriptor, usedBytes(newest!));
+    const damage = damageOf(size, metaPages) ?? damageOfPages(descriptor, newest!);
     return { ...condition, damage };
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== "EIO") throw error;
@@ -77,9 +89,21 @@
   const pageSize = bytes.readUInt32LE(magicOffset + pageSizeOffset);
   if (!pageSizes.includes(pageSize)) return undefined;
   return {
+    version: bytes.readUInt32LE(magicOffset + versionOffset) & versionMask,
     pageSize,
     transaction: bytes.readBigUInt64LE(magicOffset + transactionOffset),
-    lastPage: bytes.readBigUInt64LE(magicOffset + lastPageOffset),
+    lastPage: Number(bytes.readBigUInt64LE(magicOffset + lastPageOffset)),
+    freePages: readTree(bytes, magicOffset + freePagesOffset),
+    records: readTree(bytes, magicOffset + recordsOffset),
+  };
+}
+
+function readTree(bytes: Buffer, offset: number): Tree {
+  const root = bytes.readBigUInt64LE(offset + rootOffset);
+  return {
+    root: root === noPage ? undefined : Number(root),
+    depth: bytes.readUInt16LE(offset + depthOffset),
+    entries: Number(bytes.readBigUInt64LE(offset + entriesOffset)),
   };
 }
 
@@ -91,7 +115,7 @@
 }
 
 function usedBytes({ lastPage, pageSize }: MetaPage): number {
-  return (Number(lastPage) + 1) * pageSize;
+  return (lastPage + 1) * pageSize;
 }
 
 /**
@@ -108,9 +132,43 @@
   return size < used ? `is cut off: ${size} bytes, and page ${newest.lastPage} is used` : undefined;
 }
 
-/** Reads the first `bytes` bytes of a file; throws if any of them cannot be read. */
-function readEveryByte(descriptor: number, bytes: number): void {
-  const chunk = Buffer.alloc(Math.min(readChunkBytes, bytes));
-  for (let position = 0; position < bytes; position += chunk.length)
-    readSync(descriptor, chunk, 0, chunk.length, position);
+/** Reads all used bytes of a file and checks its trees. Throws if any byte cannot be read. */
+function damageOfPages(descriptor: number, newest: MetaPage): string | undefined {
+  const bytes = readEveryByte(descriptor, usedBytes(newest));
+  if (newest.transaction === 0n || newest.version !== knownVersion) return undefined;
+  return damageOfTrees(new FilePages(descriptor, newest.pageSize, bytes), newest);
+}
+
+/** Reads the first `length` bytes of a file; throws if any of them cannot be read. Returns those of a small file. */
+function readEveryByte(descriptor: number, length: number): Buffer | undefined {
+  const isResident = length <= maxResidentBytes;
+  const bytes = Buffer.alloc(isResident ? length : readChunkBytes);
+  for (let position = 0; position < length; position += readChunkBytes) {
+    const count = Math.min(readChunkBytes, length - position);
+    readSync(descriptor, bytes, isResident ? position : 0, count, position);
+  }
+  return isResident ? bytes : undefined;
+}
+
+/** The pages of an open file. */
+class FilePages implements PageSource {
+  readonly pageSize: number;
+  readonly #descriptor: number;
+  readonly #bytes: Buffer | undefined;
+
+  /** @param bytes the used bytes of the file, if they are in memory */
+  constructor(descriptor: number, pageSize: number, bytes: Buffer | undefined) {
+    this.#descriptor = descriptor;
+    this.pageSize = pageSize;
+    this.#bytes = bytes;
+  }
+
+  readPages(first: number, count: number): Buffer {
+    const position = first * this.pageSize;
+    const length = count * this.pageSize;
+    if (this.#bytes !== undefined) return this.#bytes.subarray(position, position + length);
+    const pages = Buffer.alloc(length);
+    readSync(this.#descriptor, pages, 0, length, position);
+    return pages;
+  }
 }
--- a/packages/shell/src/index.ts
+++ b/packages/shell/src/index.ts
@@ -1,5 +1,6 @@
 /** Runtime shared by the daemons: disk, connections between processes, HTTP, settings, metrics and log. */
 export * from "./beat.js";
+export * from "./database-file.js";
 export * from "./disk.js";
 export * from "./errors.js";
 export * from "./gateway.js";
