The program that starts spoilt folders runs only when it is started

Cause: Cucumber loads each file of the steps, and this one took the arguments of Cucumber for folders to start in. Change: it looks whether it is the program.

--- a/features/steps/spoilt-folders-process.ts
+++ b/features/steps/spoilt-folders-process.ts
@@ -1,5 +1,6 @@
 /** A process that opens data folders one after the other, writes to each, and prints what it found: one line of JSON a folder. */
 import { join } from "node:path";
+import { fileURLToPath } from "node:url";
 import { Disk } from "@chutewick/shell";
 import { owner, writeRecords, type SpoiltStart } from "./database-writes.js";
 
@@ -17,8 +18,12 @@
   return { identity, isReplacement, records };
 }
 
-const [parent, ...names] = process.argv.slice(2);
-for (const name of names) {
-  const start = await startFolder(join(parent!, name));
-  process.stdout.write(`${JSON.stringify(start)}\n`);
+async function main([parent, ...names]: readonly string[]): Promise<void> {
+  for (const name of names) {
+    const start = await startFolder(join(parent!, name));
+    process.stdout.write(`${JSON.stringify(start)}\n`);
+  }
 }
+
+// Cucumber loads every file of this folder.
+if (process.argv[1] === fileURLToPath(import.meta.url)) await main(process.argv.slice(2));
