Events of runners are cut out in linear time, and an incomplete one has a bound

Cause: the parser joined all that was buffered with each chunk and searched it from the start, and searched the rest of a chunk for a carriage return once for each event: work that grows with the square. Nothing bounded an event.

Change: each byte is looked at once and copied a constant number of times (a buffer that doubles). EventBudget bounds one incomplete event to a 40th of the memory of the process, all of them to a tenth; beyond, the run is broken and its connection reset, and oversizedEvents counts it. The connections of routes had a parser of their own with the same fault; both use this one.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -383,6 +383,13 @@
       When a work runs as a series of events
       Then it told the events 1 to 4 whole
 
+    # Guards against an answer without an event that fills the memory of the node (review/5).
+    Scenario: A runner that sends bytes without an event is cut off
+      Given a runner that streams bytes that make no event
+      When a work runs as a series of events
+      Then the work is broken as its event is too large, and nothing of it is kept
+      And the runner's connection is ended
+
     Scenario: A slow reader holds up the runner
       Given a runner that streams without end
       When a work runs as a series of events and its reader pauses
--- a/features/steps/calls-node.ts
+++ b/features/steps/calls-node.ts
@@ -3,6 +3,7 @@
   RunnerBalancer,
   PassageCallers,
   isForCaller,
+  EventBudget,
   PassageRunnerConnections,
   RelayCore,
   type AccessApi,
@@ -91,6 +92,7 @@
       told,
       share,
       now: monotonicNow,
+      eventBudget: new EventBudget(policy.defaults.memory),
     });
     this.#front = new PlatformAccessAdapter({ access: `127.0.0.1:${port}` }, silent);
   }
--- a/features/steps/runner-links.ts
+++ b/features/steps/runner-links.ts
@@ -3,6 +3,7 @@
 import { createServer, type AddressInfo, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
+  EventBudget,
   PassageRunnerConnections,
   ServerSentEvent,
   nativeProtocol,
@@ -13,6 +14,9 @@
 import { requestOf } from "./relay-requests.js";
 import { scripts, type World } from "./runner-scripts.js";
 
+/** Megabytes that the process of the links may use. */
+const memoryMb = 200;
+
 function reset(world: World, does: string): void {
   /** The one from before ends, if there was one. */
   stop(world);
@@ -71,12 +75,14 @@
 function aRunner(this: World, does: string): Promise<void> {
   const world = this;
   reset(world, does);
+  world.eventBudget = new EventBudget(memoryMb);
   world.links = new PassageRunnerConnections({
     dialect: nativeProtocol,
     mayStart: () => world.look,
     told: (go, event) => world.events.get(go)!.push(event),
     share: () => world.share,
     now: () => world.now,
+    eventBudget: world.eventBudget,
   });
   return listen(world, does);
 }
@@ -372,3 +378,11 @@
   ok(text.includes("Host: shop.example") || text.includes("host: shop.example"), text);
 }
 Then("the runner read {string}, {string} and {string}", sawText);
+
+function wasTooLarge(this: World): void {
+  const last = this.events.get(1)!.at(-1)!;
+  equal(last.kind, "broken");
+  equal(this.links.counts.oversizedEvents, 1);
+  equal(this.eventBudget.bytes, 0);
+}
+Then("the work is broken as its event is too large, and nothing of it is kept", wasTooLarge);
--- a/features/steps/runner-scripts.ts
+++ b/features/steps/runner-scripts.ts
@@ -1,6 +1,6 @@
 /** What scripted runners do with the requests that they read (features/relay.feature, links to runners). */
 import type { Server, Socket } from "node:net";
-import type { PassageRunnerConnections, PassageEvent } from "@chutewick/data";
+import type { EventBudget, PassageRunnerConnections, PassageEvent } from "@chutewick/data";
 
 /** Scripted runner, and the links to it. */
 export interface World {
@@ -12,6 +12,7 @@
   script: Script;
   address: string;
   links: PassageRunnerConnections;
+  eventBudget: EventBudget;
   events: Map<number, PassageEvent[]>;
   works: number;
   /** ms. Clock of the links; it stands still but where a step lets time pass. */
@@ -143,5 +144,14 @@
     socket.on("drain", more);
     more();
   },
+  "streams bytes that make no event"(_world, _number, id, socket) {
+    socket.write(head(id, chunked));
+    const text = chunk("x".repeat(60_000));
+    function more(): void {
+      while (!socket.destroyed && socket.write(text));
+    }
+    socket.on("drain", more);
+    more();
+  },
   "never answers"() {},
 };
--- a/packages/data/src/access-service.ts
+++ b/packages/data/src/access-service.ts
@@ -36,6 +36,7 @@
 import { PassageCallers } from "./caller-delivery.js";
 import type { PassageEvent, PassageRequest, RunnerProtocol } from "./dialect.js";
 import type { ErrorBody } from "./error-reply.js";
+import { EventBudget } from "./event-budget.js";
 import { RunnerConnections } from "./link.js";
 import { MembershipLog } from "./membership-log.js";
 import { nativeProtocol } from "./own-dialect.js";
@@ -112,6 +113,8 @@
       self.#perform(self.#core.handleAttemptEvent(attempt, event, monotonicNow()));
     }
     const identity = `${settings.name}-${randomUUID()}`;
+    const policy = configured.policyOf(settings);
+    const eventBudget = new EventBudget(policy.memory);
     this.#core = new AccessCore(
       {
         identity,
@@ -123,9 +126,9 @@
       },
       settings.seeds,
       monotonicNow(),
-      configured.policyOf(settings),
+      policy,
     );
-    this.#connections = new RunnerConnections(mayStart, onRunnerEvent);
+    this.#connections = new RunnerConnections(mayStart, onRunnerEvent, eventBudget);
     function mayStartOnPassage(attempt: number): string | undefined {
       return self.#core.mayStartOnPassage(attempt, monotonicNow());
     }
@@ -143,6 +146,7 @@
       told: onPassageEvent,
       share: connectionLimit,
       now: monotonicNow,
+      eventBudget,
     });
     this.#core.choice.useConnections((address) =>
       this.#passageConnections.connectionCount(address),
--- a/packages/data/src/index.ts
+++ b/packages/data/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./dialect.js";
 export * from "./control-calls.js";
 export * from "./pending-calls.js";
+export * from "./event-budget.js";
 export * from "./events.js";
 export * from "./link.js";
 export * from "./lot-assignment.js";
--- a/packages/data/src/link.ts
+++ b/packages/data/src/link.ts
@@ -3,6 +3,8 @@
 import { constants } from "@chutewick/parts";
 import { Client, type Dispatcher } from "undici";
 import type { RunnerEvent, RunnerWork } from "./access-output.js";
+import type { EventBudget } from "./event-budget.js";
+import { EventStreamParser, type ServerSentEvent } from "./events.js";
 
 /** Opens a new connection for each attempt and never reuses it, so that no caller can get the bytes of another (docs/design.md §6.2). */
 export class RunnerConnections {
@@ -10,13 +12,16 @@
   /** The reason why an attempt must not start any more; undefined if it may. */
   #mayStart: (attempt: number) => string | undefined;
   #onEvent: (attempt: number, event: RunnerEvent) => void;
+  readonly #eventBudget: EventBudget;
 
   constructor(
     mayStart: (attempt: number) => string | undefined,
     onEvent: (attempt: number, event: RunnerEvent) => void,
+    eventBudget: EventBudget,
   ) {
     this.#mayStart = mayStart;
     this.#onEvent = onEvent;
+    this.#eventBudget = eventBudget;
   }
 
   /** Closes the connection of an attempt; it reports no more events. */
@@ -166,23 +171,29 @@
       return emit({ kind: "whole", value: value.result });
     }
     emit({ kind: "opened" });
-    const parser = new EventStreamParser();
-    for await (const chunk of response.body) {
-      for (const event of parser.push(chunk as Buffer)) {
-        const attemptEvent = parseEvent(event);
-        emit(attemptEvent);
-        if (attemptEvent.kind !== "piece") return;
-      }
+    const parser = new EventStreamParser(this.#eventBudget);
+    try {
+      await emitStream(response.body, parser, emit);
+    } finally {
+      parser.discard();
     }
-    emit({ kind: "broken", reason: "the runner's stream ended without its close" });
   }
 }
 
-/** One server-sent event of a runner. */
-interface ServerSentEvent {
-  readonly name: string;
-  readonly id: string;
-  readonly data: string;
+/** Emits the events of a runner's stream up to its close. */
+async function emitStream(
+  body: AsyncIterable<Buffer>,
+  parser: EventStreamParser,
+  emit: (event: RunnerEvent) => void,
+): Promise<void> {
+  for await (const chunk of body)
+    for (const event of parser.push(chunk)) {
+      if (event.data === "") continue;
+      const attemptEvent = parseEvent(event);
+      emit(attemptEvent);
+      if (attemptEvent.kind !== "piece") return;
+    }
+  emit({ kind: "broken", reason: "the runner's stream ended without its close" });
 }
 
 /** The event of an attempt that a server-sent event of a runner stands for. */
@@ -192,35 +203,10 @@
     if (event.name === "close") return { kind: "closed", pieces: Number(data.pieces) };
     if (event.name === "trouble")
       return { kind: "troubled", reason: String(data.reason ?? "the runner told no reason") };
-    if (event.name === "message" && /^\d+$/.test(event.id))
-      return { kind: "piece", number: Number(event.id), data };
+    if ((event.name ?? "message") === "message" && event.number !== undefined)
+      return { kind: "piece", number: event.number, data };
   } catch {
     return { kind: "broken", reason: "the runner's stream holds what is not JSON" };
   }
   return { kind: "broken", reason: "the runner's stream holds an event that is not known" };
 }
-
-/** Parses server-sent events, as far as the published format for runners uses them (docs/interface.md). */
-class EventStreamParser {
-  #buffer = "";
-  #decoder = new TextDecoder();
-
-  *push(chunk: Uint8Array): Generator<ServerSentEvent> {
-    this.#buffer += this.#decoder.decode(chunk, { stream: true });
-    for (;;) {
-      const end = this.#buffer.indexOf("\n\n");
-      if (end < 0) return;
-      const block = this.#buffer.slice(0, end);
-      this.#buffer = this.#buffer.slice(end + 2);
-      let name = "message";
-      let id = "";
-      let data = "";
-      for (const line of block.split("\n")) {
-        if (line.startsWith("event: ")) name = line.slice(7);
-        else if (line.startsWith("id: ")) id = line.slice(4);
-        else if (line.startsWith("data: ")) data += line.slice(6);
-      }
-      if (data !== "") yield { name, id, data };
-    }
-  }
-}
--- a/packages/data/src/pass-link.ts
+++ b/packages/data/src/pass-link.ts
@@ -3,7 +3,8 @@
 import { constants } from "@chutewick/parts";
 import { Client, type Dispatcher } from "undici";
 import type { PassageEvent, PassageConnections, PassageWork, RunnerProtocol } from "./dialect.js";
-import { EventStreamParser } from "./events.js";
+import { EventTooLargeError, type EventBudget } from "./event-budget.js";
+import { EventStreamParser, type ServerSentEvent } from "./events.js";
 
 /** Hop-by-hop headers, which are not forwarded. */
 const hopByHopHeaders = new Set([
@@ -29,6 +30,7 @@
   readonly share: (address: string) => number;
   /** Monotonic clock, in ms. */
   readonly now: () => number;
+  readonly eventBudget: EventBudget;
 }
 
 /** One connection to a runner, with its HTTP client; it carries one request at a time. */
@@ -58,7 +60,7 @@
   #options: PassageRunnerConnectionsOptions;
   #hosts = new Map<string, Host>();
   #runs = new Map<number, Run>();
-  readonly counts = { connected: 0, reused: 0, unreached: 0, poisoned: 0 };
+  readonly counts = { connected: 0, reused: 0, unreached: 0, poisoned: 0, oversizedEvents: 0 };
 
   constructor(options: PassageRunnerConnectionsOptions) {
     this.#options = options;
@@ -75,6 +77,7 @@
     if (run === undefined) return;
     this.#runs.delete(attempt);
     run.isFinished = true;
+    run.reader?.discard();
     if (run.connection !== undefined) this.#reset(run.connection);
   }
 
@@ -355,10 +358,25 @@
     )
       return this.fail(run, "the end of the result could not be known");
     run.reader =
-      run.work.events && status >= 200 && status < 300 ? new EventStreamParser() : undefined;
+      run.work.events && status >= 200 && status < 300
+        ? new EventStreamParser(this.#options.eventBudget)
+        : undefined;
     this.#options.told(run.go, { kind: "head", status, headers, stamped: head.stamped });
   }
 
+  /** Reports the events that a chunk completes. A run whose event takes more memory than it may is failed. */
+  handleEvents(run: Run, reader: EventStreamParser, chunk: Buffer): void {
+    let events: ServerSentEvent[];
+    try {
+      events = reader.push(chunk);
+    } catch (error) {
+      if (!(error instanceof EventTooLargeError)) throw error;
+      this.counts.oversizedEvents += 1;
+      return this.fail(run, error.message);
+    }
+    for (const event of events) this.emit(run, event);
+  }
+
   /** Reports an event of a run, unless the run is finished or its rest is ignored. */
   emit(run: Run, event: PassageEvent): void {
     if (!run.isFinished && !run.ignoresRest) this.#options.told(run.go, event);
@@ -391,6 +409,7 @@
     if (this.#runs.get(run.go) === run) this.#runs.delete(run.go);
     if (run.isFinished) return;
     run.isFinished = true;
+    run.reader?.discard();
     if (!run.ignoresRest) this.#options.told(run.go, event);
   }
 }
@@ -478,7 +497,7 @@
   onData(chunk: Buffer): boolean {
     if (this.isFinished || this.ignoresRest) return true;
     if (this.reader === undefined) this.#connections.emit(this, { kind: "data", bytes: chunk });
-    else for (const event of this.reader.push(chunk)) this.#connections.emit(this, event);
+    else this.#connections.handleEvents(this, this.reader, chunk);
     return this.#mayContinue();
   }
 
--- a/packages/data/src/warm-up/warm-up.ts
+++ b/packages/data/src/warm-up/warm-up.ts
@@ -10,6 +10,7 @@
 import { isForCaller, PassageCallers } from "../caller-delivery.js";
 import { RunnerBalancer } from "../choice.js";
 import type { PassageEvent, PassageRequest, RunnerProtocol } from "../dialect.js";
+import { EventBudget } from "../event-budget.js";
 import type { NodeIdentity } from "../membership.js";
 import { PassageRunnerConnections } from "../pass-link.js";
 import type { PassageOutput } from "../pass.js";
@@ -113,6 +114,7 @@
         perform(relay.handleAttemptEvent(attempt, event, monotonicNow())),
       share: () => CONNECTIONS_PER_RUNNER,
       now: monotonicNow,
+      eventBudget: new EventBudget(policy.defaults.memory),
     });
     await adapter.open(this.#api(relay, perform));
     return connections;
--- a/packages/parts/src/constants.ts
+++ b/packages/parts/src/constants.ts
@@ -299,6 +299,9 @@
   passConnectTimeoutMs: 200,
   /** Bytes that the bodies of live requests may take together for each megabyte of the process: a fifth. */
   bodyBytesPerMb: 200_000,
+  /** Bytes that an incomplete event of a runner may take for each megabyte of the process, and all of them together: a 40th and a tenth. */
+  eventBytesPerMb: 25_000,
+  incompleteEventBytesPerMb: 100_000,
   /** Retry-after time of a caller rejected for lack of a slot, where the runner states none that is shorter. */
   slotRetryAfterSeconds: 0.15,
   /** The same while no runner is known, as just after a start: runners report about once a second. */
--- a/tools/simulator/src/swapped.ts
+++ b/tools/simulator/src/swapped.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { RunnerConnections, type RunnerEvent } from "@chutewick/data";
+import { EventBudget, RunnerConnections, type RunnerEvent } from "@chutewick/data";
+import { policy } from "@chutewick/parts";
 import type { Violation } from "./checker.js";
 
 /** The product's real links against a runner that answers one request with another's result, over loopback sockets (docs/testing.md §2). */
@@ -32,7 +33,8 @@
       });
     waiting.get(go)?.();
   };
-  const links = new RunnerConnections(() => undefined, told);
+  const budget = new EventBudget(policy.defaults.memory);
+  const links = new RunnerConnections(() => undefined, told, budget);
   for (let go = 1; go <= count; go += 1) {
     const request = `inquiry-${go}`;
     await new Promise<void>((resolve) => {
