A request whose handler throws is answered 500, and a path that cannot be decoded 400

Cause: the adapter decoded the name in the path without a check, and the library that hands requests to handlers drops what these throw.

The gateway wraps all handlers: one that throws, at once or later, costs its request alone (500, a line in the log with the path, a count). Exceptions on messages between machines end the process as before.

--- a/features/platform-fleet.feature
+++ b/features/platform-fleet.feature
@@ -10,6 +10,7 @@
     And a stream comes whole, event by event
     And a lot of 6 items ends with every item once, in an order that does not change
     And reads of the lot from each of "0.5 -1 1e3 x 9007199254740993" are answered 400, and every machine goes on
+    And calls for runners of the ids "% %zz a%2" are answered 400, and to end those of "~ x~y~z __proto__ constructor" 200
     And a request nobody has a route for is answered 404
     And our own status tells the nodes and runners
     When the same document is sent again
--- a/features/steps/platform-fleet.ts
+++ b/features/steps/platform-fleet.ts
@@ -272,6 +272,29 @@
   badPositions,
 );
 
+/** Guards against issue 50: such calls got no answer. */
+async function oddIds(malformed: string, unknown: string): Promise<void> {
+  for (const id of malformed.split(" "))
+    for (const action of ["report", "deregister"]) equal(await callForRunner(id, action), 400, id);
+  for (const id of unknown.split(" ")) equal(await callForRunner(id, "deregister"), 200, id);
+}
+Then(
+  "calls for runners of the ids {string} are answered 400, and to end those of {string} 200",
+  { timeout: 60_000 },
+  oddIds,
+);
+
+/** Calls control as a runner does, and returns the status. */
+async function callForRunner(id: string, action: string): Promise<number> {
+  const told = await request(`http://127.9.1.1:8146/chutewick/instances/${id}/${action}`, {
+    method: "POST",
+    body: "{}",
+    headersTimeout: 4_000,
+  });
+  await told.body.dump();
+  return told.statusCode;
+}
+
 async function unknownPath(): Promise<void> {
   equal((await ask(1, "POST", "/nowhere/1", live(), "x")).status, 404);
 }
--- a/packages/shell/src/gateway.ts
+++ b/packages/shell/src/gateway.ts
@@ -15,6 +15,7 @@
 import { CallerConnections } from "./caller-connections.js";
 import { CallerTiming } from "./caller-timing.js";
 import { waitUntil } from "./beat.js";
+import { withErrorReplies } from "./guarded-handlers.js";
 import { invariants } from "./invariants.js";
 import type { Log } from "./log.js";
 import { metrics } from "./metrics.js";
@@ -194,7 +195,7 @@
       },
       methods: { createServer: create },
     };
-    for (const owner of owners) broker.createService(owner);
+    for (const owner of owners) broker.createService(withErrorReplies(owner, this.#options.log));
     const service = broker.createService(api) as unknown as {
       server: Server;
     };
