--- a/features/steps/disk-start.ts
+++ b/features/steps/disk-start.ts
@@ -4,32 +4,19 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { type ChainWrite, type Outcome } from "@chutewick/parts";
-import { Disk } from "@chutewick/shell";
+import type { ChainWrite, Outcome } from "@chutewick/parts";
+import type { Disk } from "@chutewick/shell";
+import { withReplaced, writeFolder, type Files } from "./crashing-files.js";
+import { blankDatabase, cutOff, initialFolders } from "./folder-states.js";
 import {
-  CrashingFiles,
-  readFolder,
-  withReplaced,
-  writeFolder,
-  type Files,
-} from "./crashing-files.js";
-import { blankDatabase, cutOff, initialFolders, pageSize, withoutPages } from "./folder-states.js";
-import { usedBytes } from "./folder.js";
-
-/** A folder as a start that was cut short left it, with how it came about. */
-interface LeftFolder {
-  readonly files: Files;
-  readonly history: readonly string[];
-}
-
-/** What a start of a left folder has brought. */
-interface StartResult {
-  readonly history: readonly string[];
-  readonly identity: string;
-  readonly isReplacement: boolean;
-  readonly hasRecord: boolean;
-  readonly files: Files;
-}
+  openDisk,
+  openedDisk,
+  startUntil,
+  trimmed,
+  walkStarts,
+  type StartingMachine,
+  type StartResult,
+} from "./start-walk.js";
 
 interface World {
   diskFolder?: string;
@@ -43,25 +30,11 @@
   crashes: number;
 }
 
-/** Folders that a walk may reach at most; one that finds more has not come to its end. */
-const maxLeftFolders = 400;
-const walkOptions = { timeout: 120_000 };
-
-function ignore(): void {
-  // The walk judges a start by its outcome.
-}
-
-const listener = { changed: ignore, waiting: ignore };
-
-function openDisk(world: World): Promise<Outcome<Disk>> {
-  return Disk.open(world.diskFolder!, { kind: world.kind, name: `${world.kind}-1` }, listener);
+function machineOf({ kind, diskFolder }: World): StartingMachine {
+  return { kind, folder: diskFolder! };
 }
 
-async function openedDisk(world: World): Promise<Disk> {
-  const opened = await openDisk(world);
-  if (!opened.ok) throw new Error(opened.reason);
-  return opened.value;
-}
+const walkOptions = { timeout: 120_000 };
 
 const acknowledged: ChainWrite = {
   clear: false,
@@ -73,7 +46,7 @@
 
 /** Creates a folder with an acknowledged record, trimmed to its used pages. */
 async function soundFolder(world: World): Promise<Files> {
-  const disk = await openedDisk(world);
+  const disk = await openedDisk(machineOf(world));
   function begin(resolve: () => void): void {
     disk.writeChain("chain", acknowledged, resolve);
   }
@@ -83,14 +56,6 @@
   return trimmed(world.diskFolder!);
 }
 
-/** Contents of a folder without the reserved space of its database and without its lock files. */
-function trimmed(folder: string): Files {
-  const { "lock.mdb": _lock, process: _process, ...files } = readFolder(folder);
-  if ((files["data.mdb"]?.length ?? 0) >= 2 * pageSize && files["data.mdb"]!.readUInt32LE(24) !== 0)
-    files["data.mdb"] = files["data.mdb"]!.subarray(0, usedBytes(join(folder, "data.mdb")));
-  return files;
-}
-
 async function aFolder(this: World, kind: string, what: string): Promise<void> {
   this.diskFolder = fs.mkdtempSync(join(tmpdir(), "chutewick-start-"));
   this.kind = kind;
@@ -109,21 +74,11 @@
   writeFolder(world.diskFolder!, { "data.mdb.damaged": cutOff(sound) });
 }
 
-/** Runs a start until a write; the outcome is undefined if it was cut short there. */
-async function startUntil(
-  world: World,
-  crashAt: number,
-): Promise<{ crashing: CrashingFiles; opened: Outcome<Disk> | undefined }> {
-  const crashing = new CrashingFiles(crashAt);
-  const opened = await crashing.run(() => openDisk(world));
-  return { crashing, opened: crashing.hasCrashed ? undefined : opened };
-}
-
 async function killedWhileCreating(this: World): Promise<void> {
   let hadDatabase = true;
   for (let crashAt = 0; ; crashAt += 1) {
     writeFolder(this.diskFolder!, this.initial);
-    const { opened } = await startUntil(this, crashAt);
+    const { opened } = await startUntil(machineOf(this), crashAt);
     const hasDatabase = fs.existsSync(join(this.diskFolder!, "data.mdb"));
     if (hasDatabase && !hadDatabase) break;
     ok(opened === undefined, "the start never creates a database");
@@ -137,124 +92,21 @@
 );
 
 async function isNewMachine(this: World, may: string): Promise<void> {
-  const disk = this.opened?.ok === true ? this.opened.value : await openedDisk(this);
+  const disk = this.opened?.ok === true ? this.opened.value : await openedDisk(machineOf(this));
   notEqual(disk.identity, this.identity);
   equal(disk.isReplacement, may === "may not");
   await disk.close();
-  const again = await openedDisk(this);
+  const again = await openedDisk(machineOf(this));
   equal(again.identity, disk.identity);
   equal(again.isReplacement, may === "may not");
   await again.close();
 }
 Then(/^it starts again as a new machine that (may|may not) found a group$/, isNewMachine);
 
-/**
- * Forms in which a kill or a loss of power before the first transaction may leave the database: of its two meta pages and its first page
- * of data each is there or not, and the second meta page does not name the transaction yet.
- */
-function formsOfCreation(files: Files, blank: Buffer): Files[] {
-  const { "data.mdb": _database, ...others } = files;
-  const withData = Buffer.concat([blank, Buffer.alloc(pageSize, 1)]);
-  const forms: Files[] = [others];
-  for (const database of [
-    blank,
-    Buffer.alloc(0),
-    blank.subarray(0, 100),
-    blank.subarray(0, pageSize),
-    withoutPages(blank, 1, 2),
-    withoutPages(blank, 0, 1),
-    withoutPages(blank, 0, 2),
-    withData,
-    withoutPages(withData, 1, 2),
-    withoutPages(withData, 0, 1),
-    withoutPages(withData, 0, 2),
-  ])
-    forms.push({ ...others, "data.mdb": database });
-  return forms;
-}
-
-/** What tells one left folder from another: random identities do not. */
-function signatureOf(files: Files): string {
-  const parts: string[] = [];
-  for (const [name, bytes] of Object.entries(files)) {
-    if (name === "process" || name === "lock.mdb" || name === "probe") continue;
-    const text = bytes.toString("latin1").replaceAll(/-1-[0-9a-f-]{36}/g, "");
-    parts.push(`${name}:${bytes.length}:${text}`);
-  }
-  return parts.join("|");
-}
-
-/** Cuts the starts of a folder short at each write and adds what they leave to the folders to look at. */
-async function cutShort(
-  world: World,
-  left: LeftFolder,
-  found: Map<string, LeftFolder>,
-): Promise<void> {
-  let hadDatabase = true;
-  for (let crashAt = 0; ; crashAt += 1) {
-    let hasDatabase = false;
-    let lossCount = 1;
-    for (let set = 0; set < lossCount; set += 1) {
-      writeFolder(world.diskFolder!, left.files);
-      const { crashing, opened } = await startUntil(world, crashAt);
-      lossCount = crashing.lossCount;
-      hasDatabase ||= fs.existsSync(join(world.diskFolder!, "data.mdb"));
-      const wasCreated = hasDatabase && !hadDatabase;
-      if (opened !== undefined) {
-        equal(lossCount, 1, `${left.history.join("; ")}: the start leaves something unsynced`);
-        const created = wasCreated ? formsOf(world, true) : [];
-        addAll(found, created, [...left.history, "creation of the database"]);
-        return endWalk(world, left, opened);
-      }
-      world.crashes += 1;
-      crashing.lose(set);
-      const history = [...left.history, `write ${crashAt}, lost set ${set}`];
-      addAll(found, formsOf(world, wasCreated), history);
-    }
-    hadDatabase = hasDatabase;
-  }
-}
-
-/** The forms in which a crash may have left the folder, if lmdb created the database since the write before. */
-function formsOf(world: World, wasCreated: boolean): Files[] {
-  const files = trimmed(world.diskFolder!);
-  if (!wasCreated) return [files];
-  return [files, ...formsOfCreation(files, blankDatabase(world.diskFolder!))];
-}
-
-/** Adds the folders that were not found before. */
-function addAll(
-  found: Map<string, LeftFolder>,
-  folders: readonly Files[],
-  history: readonly string[],
-): void {
-  for (const files of folders) {
-    const signature = signatureOf(files);
-    if (!found.has(signature)) found.set(signature, { files, history });
-  }
-}
-
-/** Judges a start that was not cut short, and the one after it. */
-async function endWalk(world: World, left: LeftFolder, opened: Outcome<Disk>): Promise<void> {
-  if (!opened.ok) throw new Error(`${left.history.join("; ")}: ${opened.reason}`);
-  const { identity, isReplacement } = opened.value;
-  await opened.value.close();
-  const again = await openedDisk(world);
-  equal(again.identity, identity, left.history.join("; "));
-  equal(again.isReplacement, isReplacement, left.history.join("; "));
-  const hasRecord = again.holding("chain")?.records[0]?.[0] === "acknowledged";
-  await again.close();
-  const files = readFolder(world.diskFolder!);
-  world.results.push({ history: left.history, identity, isReplacement, hasRecord, files });
-}
-
 async function walk(this: World): Promise<void> {
-  const found = new Map<string, LeftFolder>();
-  found.set(signatureOf(this.initial), { files: this.initial, history: ["initial"] });
-  for (const left of found.values()) {
-    await cutShort(this, left, found);
-    ok(found.size <= maxLeftFolders, `more than ${maxLeftFolders} folders`);
-  }
+  const { results, crashes } = await walkStarts(machineOf(this), this.initial);
+  this.results = results;
+  this.crashes = crashes;
 }
 When(
   "its starts are cut short at each write, again and again, by a kill or a loss of power",
@@ -301,7 +153,7 @@
   const { begun: _begun, ...unmarked } = this.initial;
   for (let crashAt = 0; ; crashAt += 1) {
     writeFolder(this.diskFolder!, unmarked);
-    const { opened } = await startUntil(this, crashAt);
+    const { opened } = await startUntil(machineOf(this), crashAt);
     ok(opened === undefined, "the start never creates its marker");
     if (fs.existsSync(join(this.diskFolder!, "begun"))) break;
   }
@@ -323,7 +175,7 @@
     syncs.push(paths.get(descriptor)!);
   }
   const functions = { openSync: openAndName, fsyncSync: syncAndName } as Partial<typeof fs>;
-  const disk = await withReplaced(functions, () => openedDisk(this));
+  const disk = await withReplaced(functions, () => openedDisk(machineOf(this)));
   await disk.close();
   this.markerSyncs = syncs.filter((path) => path === marker).length;
 }
@@ -355,12 +207,12 @@
     throw errorOf("EIO");
   }
   const functions = { openSync: openAndName, readSync: failingRead } as Partial<typeof fs>;
-  this.opened = await withReplaced(functions, () => openDisk(this));
+  this.opened = await withReplaced(functions, () => openDisk(machineOf(this)));
 }
 When("its disk fails to return the database {int} times", { timeout: 20_000 }, readsFail);
 
 async function startsWithSound(this: World): Promise<void> {
-  const disk = this.opened?.ok === true ? this.opened.value : await openedDisk(this);
+  const disk = this.opened?.ok === true ? this.opened.value : await openedDisk(machineOf(this));
   equal(disk.identity, this.identity);
   equal(disk.holding("chain")!.records[0]![0], "acknowledged");
   await disk.close();
@@ -381,7 +233,7 @@
     return openSync(path, flags);
   }
   const functions = { openSync: failingOpen } as Partial<typeof fs>;
-  this.opened = await withReplaced(functions, () => openDisk(this));
+  this.opened = await withReplaced(functions, () => openDisk(machineOf(this)));
 }
 When("its process may open no further file for the database", mayOpenNothing);
 
@@ -409,7 +261,7 @@
   const bootId = fs.readFileSync("/proc/sys/kernel/random/boot_id", "utf8").trim();
   const text = `${process.ppid} ${parentStartTicks()} ${bootId}`;
   fs.writeFileSync(join(this.diskFolder!, "process"), text);
-  this.opened = await openDisk(this);
+  this.opened = await openDisk(machineOf(this));
 }
 When("its lock names another process that runs now", lockOfOther);
 
--- a/features/steps/passlot.ts
+++ b/features/steps/passlot.ts
@@ -638,17 +638,43 @@
 }
 Then("each result is returned within {int} ms of its run's end", returnedWithin);
 
-function runnerBecomesUnresponsive(this: PlayWorld): void {
-  this.waits = [];
-  for (let seed = 24; seed <= 32; seed += 1) {
-    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access: 3, items: 8 });
-    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 100 });
+/** Plays of one lot each, in which one thing happens to whoever runs its items. */
+interface DelayPlays {
+  readonly seeds: readonly [first: number, last: number];
+  readonly access: number;
+  readonly items: number;
+  /** ms between two pieces of an item. */
+  readonly pieceMs: number;
+  /** Number of plays in which it must come to a delay; in the others the client ends its lot. */
+  readonly leastDelays: number;
+  /** Lets it happen; returns the delay in ms that follows, or undefined if there is none to measure. */
+  readonly delayOf: (play: PassPlay) => number | undefined;
+}
+
+function delaysOf(plays: DelayPlays): number[] {
+  const { seeds, access, items, pieceMs, leastDelays, delayOf } = plays;
+  const delays: number[] = [];
+  for (let seed = seeds[0]; seed <= seeds[1]; seed += 1) {
+    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access, items });
+    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs });
     play.begin();
     play.world.run(6_500);
-    const delay = darkRunnerDelay(play);
-    if (delay !== undefined) this.waits.push(delay);
+    const delay = delayOf(play);
+    if (delay !== undefined) delays.push(delay);
   }
-  ok(this.waits.length >= 6, "most lots are not ended by their clients");
+  ok(delays.length >= leastDelays, "most lots are not ended by their clients");
+  return delays;
+}
+
+function runnerBecomesUnresponsive(this: PlayWorld): void {
+  this.waits = delaysOf({
+    seeds: [24, 32],
+    access: 3,
+    items: 8,
+    pieceMs: 100,
+    leastDelays: 6,
+    delayOf: darkRunnerDelay,
+  });
 }
 When("a runner becomes unresponsive while it runs items", runnerBecomesUnresponsive);
 
@@ -658,16 +684,14 @@
 Then("the last item of the lot is finished within {int} s", lastFinishedWithin);
 
 function theOnlyDispatcherRestarts(this: PlayWorld): void {
-  this.waits = [];
-  for (let seed = 9; seed <= 14; seed += 1) {
-    const play = new PassPlay({ seed, stormy: 0, calm: 0, faults: [], access: 1, items: 3 });
-    Object.assign(play.manner, { trouble: 0, tear: 0, turnAway: 0, pieceMs: 400 });
-    play.begin();
-    play.world.run(6_500);
-    const delay = newLifeDelay(play);
-    if (delay !== undefined) this.waits.push(delay);
-  }
-  ok(this.waits.length >= 4, "most lots are not ended by their clients");
+  this.waits = delaysOf({
+    seeds: [9, 14],
+    access: 1,
+    items: 3,
+    pieceMs: 400,
+    leastDelays: 4,
+    delayOf: newLifeDelay,
+  });
 }
 When("the only dispatcher crashes while its items run, and restarts", theOnlyDispatcherRestarts);
 
