A sound file that ends before its last, free pages is not taken for cut off

What would be seen: a sound database is set aside as cut off, and the machine comes back blank. On the one machine that holds all, everything acknowledged is out of reach.

Cause: the inspection compared the length of the file with the last page that the meta page names. lmdb does not write a page that it frees in the same transaction and lists it as free, so a sound file may end before it.

Change: the walk through the trees counts the pages beyond the end that the lists of free pages name. Any other missing page is damage, as before; a page in use beyond the end is named in the reason. Files of another lmdb version are judged by their length as before.

--- a/features/steps/database-pages.ts
+++ b/features/steps/database-pages.ts
@@ -66,6 +66,79 @@
 }
 Given("the data folder of a storage machine with many records", aFolder);
 
+/** Bytes of the records that fill the end of the file before they are removed. */
+const removedBytes = 3_000_000;
+
+async function lastAreRemoved(this: World): Promise<void> {
+  await aFolder.call(this);
+  const folder = join(this.diskFolder!, "sound");
+  const disk = await openDisk(folder);
+  await writeRecords(disk, [["removed", removedBytes]]);
+  await writeRecords(disk, [["removed", 0]]);
+  await writeRecords(disk, [["small", 1]]);
+  await disk.close();
+}
+Given(
+  "the data folder of a storage machine with many records, of which the last were removed",
+  lastAreRemoved,
+);
+
+/** The number of pages to which a file can be cut off before the check finds damage; the file is shorter afterwards. */
+function shortestSound(file: string): number {
+  for (let pages = usedBytes(file) / pageSize; ; pages -= 1) {
+    fs.truncateSync(file, (pages - 1) * pageSize);
+    if (inspectDatabaseFile(file).damage !== undefined) return pages;
+  }
+}
+
+function isCutAfter(this: World): void {
+  const file = join(this.diskFolder!, "sound", "data.mdb");
+  const database = fs.readFileSync(file);
+  const used = usedBytes(file);
+  const length = shortestSound(file) * pageSize;
+  ok(length + pageSize < used, "the last pages of the file are in use");
+  this.initial = { ...this.initial, "data.mdb": database.subarray(0, length) };
+  writeFolder(join(this.diskFolder!, "sound"), this.initial);
+}
+When("the file is cut off after its last page in use", isCutAfter);
+
+async function goesOn(this: World): Promise<void> {
+  const folder = join(this.diskFolder!, "sound");
+  const disk = await openDisk(folder);
+  equal(disk.damage, undefined);
+  equal(disk.identity, this.identity);
+  equal(disk.holding("chain")!.records.length, recordCount + 1);
+  await writeRecords(disk, [
+    ["after", removedBytes / 2],
+    ["and after", 1],
+  ]);
+  await disk.close();
+  const again = await openDisk(folder);
+  equal(again.damage, undefined);
+  equal(again.holding("chain")!.records.length, recordCount + 3);
+  await again.close();
+}
+Then(
+  "the machine starts with its database, and has all that it writes after the next start",
+  goesOn,
+);
+
+function isCutBefore(this: World): void {
+  const database = this.initial["data.mdb"]!;
+  this.initial = { ...this.initial, "data.mdb": database.subarray(0, database.length - pageSize) };
+  writeFolder(join(this.diskFolder!, "sound"), this.initial);
+}
+When("the file is cut off before its last page in use", isCutBefore);
+
+async function isReplacement(this: World): Promise<void> {
+  const folder = join(this.diskFolder!, "sound");
+  const disk = await openDisk(folder);
+  ok(disk.isReplacement && disk.damage?.startsWith("is cut off") === true, disk.damage);
+  await disk.close();
+  deepEqual(fs.readFileSync(join(folder, "data.mdb.damaged")), this.initial["data.mdb"]);
+}
+Then("the machine is a replacement that keeps the damaged database", isReplacement);
+
 /** A generator of the same bytes in each run. */
 function nextRandom(state: number): number {
   return (Math.imul(state, 1_103_515_245) + 12_345) & 0x7fff_ffff;
--- a/packages/shell/src/database-file.ts
+++ b/packages/shell/src/database-file.ts
@@ -60,7 +60,7 @@
       hasContent: size > 2 * pageSize,
       hasTransaction: newest !== undefined && newest.transaction > 0n,
     };
-    const damage = damageOf(size, metaPages) ?? damageOfPages(descriptor, newest!);
+    const damage = damageOf(metaPages) ?? damageOfPages(descriptor, size, newest!);
     return { ...condition, damage };
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== "EIO") throw error;
@@ -122,21 +122,25 @@
  * Describes damage that lmdb does not report. It reads through the first meta page without a check, and takes the older of the two for
  * the newest where the other one is gone, which would undo the last transaction.
  */
-function damageOf(size: number, metaPages: readonly MetaPage[]): string | undefined {
+function damageOf(metaPages: readonly MetaPage[]): string | undefined {
   const [first, second] = metaPages;
   if (first === undefined) return "is not an lmdb file";
   if (second === undefined) return "has lost one of its two meta pages";
-  if (first.pageSize !== second.pageSize) return "has meta pages that do not match";
-  const newest = newestOf(metaPages)!;
-  const used = usedBytes(newest);
-  return size < used ? `is cut off: ${size} bytes, and page ${newest.lastPage} is used` : undefined;
+  return first.pageSize === second.pageSize ? undefined : "has meta pages that do not match";
 }
 
 /** Reads all used bytes of a file and checks its trees. Throws if any byte cannot be read. */
-function damageOfPages(descriptor: number, newest: MetaPage): string | undefined {
-  const bytes = readEveryByte(descriptor, usedBytes(newest));
-  if (newest.transaction === 0n || newest.version !== knownVersion) return undefined;
-  return damageOfTrees(new FilePages(descriptor, newest.pageSize, bytes), newest);
+function damageOfPages(descriptor: number, size: number, newest: MetaPage): string | undefined {
+  const used = usedBytes(newest);
+  const bytes = readEveryByte(descriptor, Math.min(size, used));
+  if (newest.version !== knownVersion)
+    return size < used
+      ? `is cut off: ${size} bytes, and page ${newest.lastPage} is used`
+      : undefined;
+  if (newest.transaction === 0n) return undefined;
+  const pageCount = Math.floor(size / newest.pageSize);
+  const file = { descriptor, pageSize: newest.pageSize, pageCount, bytes };
+  return damageOfTrees(new FilePages(file), newest);
 }
 
 /** Reads the first `length` bytes of a file; throws if any of them cannot be read. Returns those of a small file. */
@@ -150,25 +154,38 @@
   return isResident ? bytes : undefined;
 }
 
+/** An open file of pages. */
+interface OpenPageFile {
+  readonly descriptor: number;
+  readonly pageSize: number;
+  readonly pageCount: number;
+  /** Its used bytes, if they are in memory. */
+  readonly bytes: Buffer | undefined;
+}
+
 /** The pages of an open file. */
 class FilePages implements PageSource {
-  readonly pageSize: number;
-  readonly #descriptor: number;
-  readonly #bytes: Buffer | undefined;
-
-  /** @param bytes the used bytes of the file, if they are in memory */
-  constructor(descriptor: number, pageSize: number, bytes: Buffer | undefined) {
-    this.#descriptor = descriptor;
-    this.pageSize = pageSize;
-    this.#bytes = bytes;
+  readonly #file: OpenPageFile;
+
+  constructor(file: OpenPageFile) {
+    this.#file = file;
+  }
+
+  get pageSize(): number {
+    return this.#file.pageSize;
+  }
+
+  get pageCount(): number {
+    return this.#file.pageCount;
   }
 
   readPages(first: number, count: number): Buffer {
+    const { descriptor, bytes } = this.#file;
     const position = first * this.pageSize;
     const length = count * this.pageSize;
-    if (this.#bytes !== undefined) return this.#bytes.subarray(position, position + length);
+    if (bytes !== undefined) return bytes.subarray(position, position + length);
     const pages = Buffer.alloc(length);
-    readSync(this.#descriptor, pages, 0, length, position);
+    readSync(descriptor, pages, 0, length, position);
     return pages;
   }
 }
--- a/packages/shell/src/database-pages.ts
+++ b/packages/shell/src/database-pages.ts
@@ -8,7 +8,9 @@
 export interface PageSource {
   /** Bytes of a page. */
   readonly pageSize: number;
-  /** Reads pages that follow one another. */
+  /** Number of whole pages in the file. */
+  readonly pageCount: number;
+  /** Reads pages of the file that follow one another. */
   readPages(first: number, count: number): Buffer;
 }
 
@@ -80,6 +82,7 @@
     const walk = new TreeWalk(source, snapshot);
     walk.checkRecords();
     walk.checkFreePages();
+    walk.checkEnd();
     return undefined;
   } catch (error) {
     if (error instanceof PageDamage) return error.message;
@@ -115,13 +118,15 @@
   readonly #source: PageSource;
   readonly #snapshot: Snapshot;
   readonly #visited: Uint8Array;
+  /** Number of pages beyond the end of the file that lists of free pages name. */
+  #freeBeyondEnd = 0;
   /** The key before the next one in the tree of the records. */
   #lastKey: VisitedKey = { bytes: Buffer.alloc(0), isSeparator: true };
 
   constructor(source: PageSource, snapshot: Snapshot) {
     this.#source = source;
     this.#snapshot = snapshot;
-    this.#visited = new Uint8Array(snapshot.lastPage + 1);
+    this.#visited = new Uint8Array(Math.min(snapshot.lastPage + 1, source.pageCount));
   }
 
   /** Checks the tree of the records, whose keys are in the order of their bytes. */
@@ -145,6 +150,13 @@
     });
   }
 
+  /** Checks the end of the file: pages beyond it must be free, since lmdb does not write a page that it frees in the same transaction. */
+  checkEnd(): void {
+    const missing = this.#snapshot.lastPage + 1 - this.#source.pageCount;
+    if (missing > this.#freeBeyondEnd)
+      throw new PageDamage(`is cut off: ${missing} pages are missing, ${this.#freeBeyondEnd} free`);
+  }
+
   #checkTree({ root, depth, entries }: Tree, checks: TreeChecks): void {
     if (root === undefined) return;
     if (depth < 1 || depth > maxDepth) throw new PageDamage(`has a tree of ${depth} levels`);
@@ -185,7 +197,7 @@
   /** Reads a page of a tree, which no other node may refer to. */
   #readPage(pageNumber: number): Buffer {
     this.#visit(pageNumber, 1);
-    const page = this.#source.readPages(pageNumber, 1);
+    const page = this.#readWhole(pageNumber, 1);
     const named = page.readBigUInt64LE(0);
     if (named !== BigInt(pageNumber))
       throw new PageDamage(`page ${pageNumber} names itself ${named}`);
@@ -194,9 +206,17 @@
     return page;
   }
 
+  /** Reads pages that are in use. */
+  #readWhole(first: number, count: number): Buffer {
+    if (first + count > this.#source.pageCount)
+      throw new PageDamage(`is cut off: page ${first + count - 1} is in use and missing`);
+    return this.#source.readPages(first, count);
+  }
+
   #visit(first: number, count: number): void {
     this.#checkRange(first, count);
-    for (let pageNumber = first; pageNumber < first + count; pageNumber += 1) {
+    const end = Math.min(first + count, this.#visited.length);
+    for (let pageNumber = first; pageNumber < end; pageNumber += 1) {
       if (this.#visited[pageNumber] !== 0) throw new PageDamage(`page ${pageNumber} is used twice`);
       this.#visited[pageNumber] = 1;
     }
@@ -234,7 +254,7 @@
     if (header.readUInt32LE(overflowCountOffset) !== count)
       throw new PageDamage(`page ${first} names another number of overflow pages`);
     if (count > 1) this.#visit(first + 1, count - 1);
-    return this.#source.readPages(first, needed).subarray(headerBytes);
+    return this.#readWhole(first, needed).subarray(headerBytes);
   }
 
   /**
@@ -252,10 +272,16 @@
     let count = 1;
     for (let index = 1; index <= entries; index += 1) {
       const entry = Number(bytes.readBigInt64LE(index * wordBytes));
-      if (entry > 0) this.#checkRange(entry, count);
+      if (entry > 0) this.#checkFreeRange(entry, count);
       count = entry < 0 ? -entry : 1;
     }
   }
+
+  #checkFreeRange(first: number, count: number): void {
+    this.#checkRange(first, count);
+    const inFile = Math.max(0, Math.min(count, this.#source.pageCount - first));
+    this.#freeBeyondEnd += count - inFile;
+  }
 }
 
 function checkKind(page: Buffer, pageNumber: number, expected: number): void {
